Lay out the project: build, lint, tests, HTTP plumbing, interfaces and design

Cause: an empty tree.

Ruled out: one thread per open HTTP request (suspended connections instead), reused connections for requests that must not be repeated (libcurl sends such a request again by itself).

--- /dev/null
+++ b/src/cmake/dependencies.cmake
@@ -0,0 +1,11 @@
+# Third-party libraries, all of them Debian packages (see packages.txt).
+find_package(Threads REQUIRED)
+find_package(CURL REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(yaml-cpp REQUIRED)
+find_package(prometheus-cpp CONFIG REQUIRED)
+find_package(GTest CONFIG REQUIRED)
+find_package(benchmark CONFIG REQUIRED)
+
+find_library(MICROHTTPD_LIBRARY microhttpd REQUIRED)
+find_library(GLOG_LIBRARY glog REQUIRED)
--- /dev/null
+++ b/src/cmake/testing.cmake
@@ -0,0 +1,11 @@
+# Unit tests lie beside what they test; one executable per component.
+enable_testing()
+include(GoogleTest)
+
+# cornelfront_unit_tests(<target> LIBRARIES <lib>... SOURCES <file>...)
+function(cornelfront_unit_tests target)
+  cmake_parse_arguments(ARG "" "" "LIBRARIES;SOURCES" ${ARGN})
+  add_executable(${target} ${ARG_SOURCES})
+  target_link_libraries(${target} PRIVATE ${ARG_LIBRARIES} GTest::gmock_main)
+  gtest_discover_tests(${target} DISCOVERY_TIMEOUT 60 PROPERTIES TIMEOUT 120)
+endfunction()
--- /dev/null
+++ b/src/cornelfront/main.cpp
@@ -0,0 +1,5 @@
+int
+main()
+{
+  return 0;
+}
--- /dev/null
+++ b/src/include/cornelfront/clock.h
@@ -0,0 +1,18 @@
+#pragma once
+
+/// \file
+/// Time types. Deciding functions never read a clock: they take the present
+/// time as an argument of one of these types.
+
+#include <chrono>
+
+namespace cornelfront {
+
+/// Monotonic clock of this process; differences are meaningful only inside it.
+using MonoClock = std::chrono::steady_clock;
+using MonoTime = MonoClock::time_point;
+using WallClock = std::chrono::system_clock;
+using WallTime = WallClock::time_point;
+using Millis = std::chrono::milliseconds;
+
+} // namespace cornelfront
