--- /dev/null
+++ b/src/libcornelfront/net/messages.cpp
@@ -0,0 +1,123 @@
+#include "cornelfront/messages.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/chrono.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/utility.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+
+#include "net/bounded_archive_pvt.h"
+
+#include <array>
+#include <sstream>
+
+namespace cornelfront {
+
+namespace {
+
+/// Names by position in the variant.
+constexpr std::array<std::string_view, std::variant_size_v<Message>> kKinds = {
+  "hello",           "welcome",         "pulse",         "config_update",
+  "upstream_status", "start_tasks",     "task_answers",  "cancel_tasks",
+  "resolve_tasks",   "forward_request", "forward_reply", "leaving",
+};
+
+constexpr std::array<std::string_view, 15> kReasons = {
+  "none",
+  "zone_out",
+  "stale_config",
+  "draining",
+  "no_upstream",
+  "start_too_late",
+  "queue_full",
+  "cancelled",
+  "never_seen",
+  "upstream_refused",
+  "upstream_unreachable",
+  "upstream_failed",
+  "upstream_timeout",
+  "link_lost",
+  "unknown_call",
+};
+
+constexpr std::array<std::string_view, 5> kOutcomes = {
+  "completed", "failed", "may_have_run", "not_run", "running",
+};
+
+/// First byte of every payload: cereal's mark for little-endian data.
+constexpr uint8_t kLittleEndianMark = 1;
+
+/// \throws DecodeError if an enumerator is out of range
+void
+CheckEnumerators(const Message& aMessage)
+{
+  if (const auto* hello = std::get_if<Hello>(&aMessage)) {
+    if (hello->role_ > Role::Sidecar) {
+      throw DecodeError("unknown role");
+    }
+  }
+  if (const auto* answers = std::get_if<TaskAnswers>(&aMessage)) {
+    for (const TaskAnswer& answer : answers->answers_) {
+      if (static_cast<size_t>(answer.outcome_) >= kOutcomes.size() ||
+          static_cast<size_t>(answer.reason_) >= kReasons.size()) {
+        throw DecodeError("unknown task outcome or reason");
+      }
+    }
+  }
+}
+
+} // namespace
+
+std::string_view
+ToString(TaskReason aReason)
+{
+  return kReasons.at(static_cast<size_t>(aReason));
+}
+
+std::string_view
+ToString(TaskOutcome aOutcome)
+{
+  return kOutcomes.at(static_cast<size_t>(aOutcome));
+}
+
+std::string_view
+KindOf(const Message& aMessage)
+{
+  return kKinds.at(aMessage.index());
+}
+
+std::string
+Encode(const Envelope& aEnvelope)
+{
+  std::ostringstream stream(std::ios::binary);
+  {
+    cereal::PortableBinaryOutputArchive archive(
+      stream, cereal::PortableBinaryOutputArchive::Options::LittleEndian());
+    archive(aEnvelope);
+  }
+  return std::move(stream).str();
+}
+
+Envelope
+Decode(std::string_view aPayload)
+{
+  if (aPayload.empty() || aPayload.front() != kLittleEndianMark) {
+    throw DecodeError("unknown encoding");
+  }
+  Envelope envelope;
+  BoundedInputArchive archive(aPayload.substr(1));
+  try {
+    archive(envelope);
+  } catch (const cereal::Exception& error) {
+    throw DecodeError(error.what());
+  }
+  if (archive.Remaining() != 0) {
+    throw DecodeError("trailing bytes");
+  }
+  CheckEnumerators(envelope.message_);
+  return envelope;
+}
+
+} // namespace cornelfront
