--- a/src/include/cornelfront/router.h
+++ b/src/include/cornelfront/router.h
@@ -8,6 +8,8 @@
 
 #include <cstdint>
 #include <optional>
+#include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -96,15 +98,28 @@
   struct Entry
   {
     Candidate candidate_;
+    /// Tasks of this entry that are not answered yet.
     uint32_t outstanding_ = 0;
-    bool zoneIn_ = true;
+    /// Tasks of other entries by the newest report.
+    uint32_t others_ = 0;
   };
 
+  Entry* Find(MemberId aId);
+  void NoteLoad(Entry& aEntry, const LoadReport& aLoad) const;
+  bool HasRoom(const Entry& aEntry) const;
+  bool MayChoose(const Entry& aEntry, const RouteRequest& aRequest) const;
+  bool IsBetter(const Entry& aLeft, const Entry& aRight) const;
+  std::vector<Entry*> Choices(const RouteRequest& aRequest);
+  Entry* Pick(const std::vector<Entry*>& aChoices);
+  Entry* PickLeastLoaded(const std::vector<Entry*>& aChoices);
+  Entry* PickRandom(const std::vector<Entry*>& aChoices);
+  Entry* PickPowerOfTwo(const std::vector<Entry*>& aChoices);
+
   RouterOptions options_;
   std::vector<Entry> entries_;
-  std::vector<std::string> zonesOut_;
+  std::set<std::string> zonesOut_;
   size_t nextRoundRobin_ = 0;
-  uint64_t randomState_;
+  std::mt19937_64 random_;
 };
 
 } // namespace cornelfront
