--- /dev/null
+++ b/src/include/cornelfront/submissions.h
@@ -0,0 +1,68 @@
+#pragma once
+
+/// \file
+/// Thread-safe table of the submissions that this entry owns.
+
+#include "cornelfront/submission_table.h"
+
+#include <array>
+#include <mutex>
+
+namespace cornelfront {
+
+/// SubmissionTable split into shards, each under its own lock. Waiters run
+/// without a lock, on the thread that finishes the submission.
+class Submissions
+{
+public:
+  /// The bounds of \p aOptions hold for all shards together.
+  explicit Submissions(const SubmissionTableOptions& aOptions);
+
+  /// See SubmissionTable::Begin.
+  BeginResult Begin(const SubmissionId& aId,
+                    const std::string& aDigest,
+                    const Waiter& aWaiter,
+                    MonoTime aNow);
+
+  /// Stores the answer of an attempt, then passes it to all who wait. Does
+  /// nothing if that attempt is not running.
+  void Finish(const SubmissionId& aId, uint64_t aAttempt, FinalAnswer aAnswer);
+
+  /// See SubmissionTable::Find.
+  FindResult Find(const SubmissionId& aId, MonoTime aNow);
+
+  /// See SubmissionTable::RequestCancel.
+  FindResult RequestCancel(const SubmissionId& aId,
+                           const Waiter& aWaiter,
+                           MonoTime aNow);
+
+  /// See SubmissionTable::CancelRequested.
+  bool CancelRequested(const SubmissionId& aId);
+
+  /// Forgets what need not be kept any more; to be called about every second.
+  /// Returns how many were forgotten.
+  size_t Sweep(MonoTime aNow);
+
+  /// Number of submissions kept.
+  size_t size();
+
+private:
+  static constexpr size_t kShards = 16;
+
+  struct Shard
+  {
+    explicit Shard(const SubmissionTableOptions& aOptions)
+      : table_(aOptions)
+    {
+    }
+
+    std::mutex mutex_;
+    SubmissionTable table_;
+  };
+
+  Shard& ShardOf(const SubmissionId& aId);
+
+  std::array<std::unique_ptr<Shard>, kShards> shards_;
+};
+
+} // namespace cornelfront
--- /dev/null
+++ b/src/libcornelfront/controllers/submissions.cpp
@@ -0,0 +1,100 @@
+#include "cornelfront/submissions.h"
+
+#include <utility>
+
+namespace cornelfront {
+
+Submissions::Submissions(const SubmissionTableOptions& aOptions)
+{
+  SubmissionTableOptions options = aOptions;
+  options.maxEntries_ = (aOptions.maxEntries_ + kShards - 1) / kShards;
+  options.maxAnswerBytes_ = aOptions.maxAnswerBytes_ / kShards;
+  for (auto& shard : shards_) {
+    shard = std::make_unique<Shard>(options);
+  }
+}
+
+BeginResult
+Submissions::Begin(const SubmissionId& aId,
+                   const std::string& aDigest,
+                   const Waiter& aWaiter,
+                   MonoTime aNow)
+{
+  Shard& shard = ShardOf(aId);
+  std::lock_guard lock(shard.mutex_);
+  return shard.table_.Begin(aId, aDigest, aWaiter, aNow);
+}
+
+void
+Submissions::Finish(const SubmissionId& aId,
+                    uint64_t aAttempt,
+                    FinalAnswer aAnswer)
+{
+  const auto answer = std::make_shared<const FinalAnswer>(std::move(aAnswer));
+  std::vector<Waiter> waiters;
+  {
+    Shard& shard = ShardOf(aId);
+    std::lock_guard lock(shard.mutex_);
+    waiters = shard.table_.Finish(aId, aAttempt, answer);
+  }
+  for (const Waiter& waiter : waiters) {
+    waiter(answer);
+  }
+}
+
+FindResult
+Submissions::Find(const SubmissionId& aId, MonoTime aNow)
+{
+  Shard& shard = ShardOf(aId);
+  std::lock_guard lock(shard.mutex_);
+  return shard.table_.Find(aId, aNow);
+}
+
+FindResult
+Submissions::RequestCancel(const SubmissionId& aId,
+                           const Waiter& aWaiter,
+                           MonoTime aNow)
+{
+  Shard& shard = ShardOf(aId);
+  std::lock_guard lock(shard.mutex_);
+  return shard.table_.RequestCancel(aId, aWaiter, aNow);
+}
+
+bool
+Submissions::CancelRequested(const SubmissionId& aId)
+{
+  Shard& shard = ShardOf(aId);
+  std::lock_guard lock(shard.mutex_);
+  return shard.table_.CancelRequested(aId);
+}
+
+size_t
+Submissions::Sweep(MonoTime aNow)
+{
+  size_t forgotten = 0;
+  for (auto& shard : shards_) {
+    std::lock_guard lock(shard->mutex_);
+    forgotten += shard->table_.Sweep(aNow);
+  }
+  return forgotten;
+}
+
+size_t
+Submissions::size()
+{
+  size_t total = 0;
+  for (auto& shard : shards_) {
+    std::lock_guard lock(shard->mutex_);
+    total += shard->table_.size();
+  }
+  return total;
+}
+
+Submissions::Shard&
+Submissions::ShardOf(const SubmissionId& aId)
+{
+  const size_t hash = std::hash<std::string>{}(ToString(aId));
+  return *shards_[hash % kShards];
+}
+
+} // namespace cornelfront
