--- a/src/include/cornelfront/submission_table.h
+++ b/src/include/cornelfront/submission_table.h
@@ -52,32 +52,26 @@
 
 /// The submission ran, and its answer was dropped to save memory.
 struct AnswerDropped
-{
-};
+{};
 
 /// Unknown, and too old to be certain that it was never accepted.
 struct ExpiredUnknown
-{
-};
+{};
 
 /// Unknown, and certainly never accepted: the prefix was not issued yet.
 struct NeverIssued
-{
-};
+{};
 
 /// Not known so far; a request that would begin it may still arrive.
 struct NotAccepted
-{
-};
+{};
 
 /// The id belongs to a request with another digest.
 struct DigestMismatch
-{
-};
+{};
 
 struct TableIsFull
-{
-};
+{};
 
 using BeginResult = std::variant<NewAttempt,
                                  StillRunning,
@@ -88,11 +82,8 @@
                                  DigestMismatch,
                                  TableIsFull>;
 
-using FindResult = std::variant<StillRunning,
-                                Answered,
-                                AnswerDropped,
-                                ExpiredUnknown,
-                                NotAccepted>;
+using FindResult = std::
+  variant<StillRunning, Answered, AnswerDropped, ExpiredUnknown, NotAccepted>;
 
 struct SubmissionTableOptions
 {
@@ -173,8 +164,7 @@
   };
 
   struct DroppedState
-  {
-  };
+  {};
 
   struct Entry
   {
@@ -182,7 +172,7 @@
     uint64_t attempt_ = 0;
     MonoTime accepted_;
     KeyList::iterator position_;
-    std::variant<RunningState, RefusedState, StoredState, DroppedState> state_;
+    std::variant<DroppedState, RunningState, RefusedState, StoredState> state_;
   };
 
   using Entries = std::unordered_map<std::string, Entry>;
--- a/src/libcornelfront/policy/submission.cpp
+++ b/src/libcornelfront/policy/submission.cpp
@@ -30,8 +30,7 @@
   uint64_t value = 0;
   const char* last = aText.data() + aText.size();
   const auto result = std::from_chars(aText.data(), last, value, 16);
-  if (result.ec != std::errc{} || result.ptr != last ||
-      ToHex(value) != aText) {
+  if (result.ec != std::errc{} || result.ptr != last || ToHex(value) != aText) {
     return std::nullopt;
   }
   return Millis(value);
--- a/src/libcornelfront/policy/submission_table.cpp
+++ b/src/libcornelfront/policy/submission_table.cpp
@@ -161,15 +161,13 @@
 {
   if (IsRefused(*aAnswer)) {
     const auto position = refused_.insert(refused_.end(), &aKey);
-    aEntry.state_ =
-      RefusedState{ .answer_ = aAnswer, .position_ = position };
+    aEntry.state_ = RefusedState{ .answer_ = aAnswer, .position_ = position };
     return;
   }
   const size_t bytes = BytesOf(*aAnswer);
   const auto position = stored_.insert(stored_.end(), &aKey);
-  aEntry.state_ = StoredState{ .answer_ = aAnswer,
-                               .bytes_ = bytes,
-                               .position_ = position };
+  aEntry.state_ =
+    StoredState{ .answer_ = aAnswer, .bytes_ = bytes, .position_ = position };
   answerBytes_ += bytes;
   DropOldAnswers();
 }
--- a/src/libcornelfront/policy/submission_test.cpp
+++ b/src/libcornelfront/policy/submission_test.cpp
@@ -11,10 +11,9 @@
 
 TEST(Submission, RoundTrips)
 {
-  const SubmissionId id{
-    .prefix_ = IssuePrefix(MemberId{ 0xab }, kStart, kStart + Millis(31)),
-    .suffix_ = "Check-in_7"
-  };
+  const SubmissionId id{ .prefix_ = IssuePrefix(
+                           MemberId{ 0xab }, kStart, kStart + Millis(31)),
+                         .suffix_ = "Check-in_7" };
   EXPECT_EQ(ToString(id), kOwner + "-1f.Check-in_7");
   EXPECT_EQ(ParseSubmissionId(ToString(id)), id);
 }
@@ -50,7 +49,8 @@
 TEST(Submission, JudgesAgeOfPrefix)
 {
   const auto judge = [](Millis aIssued, Millis aNow) {
-    return JudgePrefix({ .issued_ = aIssued }, kStart, kLifetime, kStart + aNow);
+    return JudgePrefix(
+      { .issued_ = aIssued }, kStart, kLifetime, kStart + aNow);
   };
   EXPECT_EQ(judge(Millis(10), Millis(9)), PrefixAge::Future);
   EXPECT_EQ(judge(Millis(10), Millis(10)), PrefixAge::Good);
