Answer callers: calls, jobs, look-up and cancellation

CallerApi parses routes and bodies, passes foreign ids to their owners, and runs a filter chain only after the table has called a request a new attempt, so that a resubmission of running or finished work is never refused as not run.

--- /dev/null
+++ b/src/include/cornelfront/visitor.h
@@ -0,0 +1,18 @@
+#pragma once
+
+/// \file
+/// Visitors made of lambdas.
+
+namespace cornelfront {
+
+/// Overload set of \p Functions for std::visit.
+template<class... Functions>
+struct Visitor : Functions...
+{
+  using Functions::operator()...;
+};
+
+template<class... Functions>
+Visitor(Functions...) -> Visitor<Functions...>;
+
+} // namespace cornelfront
--- /dev/null
+++ b/src/libcornelfront/caller_api.cpp
@@ -0,0 +1,368 @@
+#include "cornelfront/caller_api.h"
+
+#include "caller_answer_pvt.h"
+
+#include "cornelfront/visitor.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace cornelfront {
+
+namespace {
+
+constexpr Millis kTableFullRetryAfter{ 1000 };
+
+/// Format of the answer that \p aRequest asks for.
+AnswerFormat
+FormatOf(const HttpRequest& aHttp, const SubmissionRequest& aRequest)
+{
+  const bool raw = aHttp.Header("accept") == "application/octet-stream";
+  return { .submission_ = aRequest.id_ ? ToString(*aRequest.id_) : "",
+           .list_ = aRequest.isJob_,
+           .single_ = !aRequest.isJob_,
+           .raw_ = raw && !aRequest.isJob_ };
+}
+
+/// Format for requests that name a submission only by its id: whether it was a
+/// call or a job is not kept, so both forms are given.
+AnswerFormat
+FormatOf(const HttpRequest& aHttp, const SubmissionId& aId)
+{
+  return { .submission_ = ToString(aId),
+           .list_ = true,
+           .single_ = true,
+           .raw_ = aHttp.Header("accept") == "application/octet-stream" };
+}
+
+Waiter
+WaiterFor(const Respond& aRespond, const AnswerFormat& aFormat)
+{
+  return [aRespond, aFormat](const FinalAnswerPtr& aAnswer) {
+    aRespond(RespondFinal(*aAnswer, aFormat));
+  };
+}
+
+JobSpec
+ToJob(RequestContext aContext, std::string aSubmission)
+{
+  SubmissionRequest& request = aContext.request_;
+  JobSpec job{ .submission_ = std::move(aSubmission),
+               .service_ = std::move(request.service_),
+               .team_ = std::move(request.team_),
+               .mayRepeat_ =
+                 !request.isJob_ && aContext.calls_.front()->repeatable_,
+               .startBy_ = aContext.startBy_ };
+  job.tasks_.reserve(request.tasks_.size());
+  for (size_t i = 0; i < request.tasks_.size(); ++i) {
+    job.tasks_.push_back({ .call_ = std::move(aContext.calls_[i]),
+                           .body_ = std::move(request.tasks_[i].body_) });
+  }
+  return job;
+}
+
+Refusal
+NoGoodPrefix(const SubmissionId& aId)
+{
+  return { .reason_ = RefusalReason::KeyPrefixRequired,
+           .field_ = "submission",
+           .value_ = ToString(aId),
+           .bound_ = "its prefix was never issued" };
+}
+
+Refusal
+IdInUse(const SubmissionId& aId)
+{
+  return { .reason_ = RefusalReason::SubmissionMismatch,
+           .field_ = "submission",
+           .value_ = ToString(aId),
+           .bound_ = "belongs to a request with another service, team, call "
+                     "or body" };
+}
+
+Refusal
+NoRoom()
+{
+  return { .reason_ = RefusalReason::TableFull,
+           .bound_ = "too many submissions are remembered",
+           .retryAfter_ = kTableFullRetryAfter };
+}
+
+} // namespace
+
+CallerApi::CallerApi(CallerApiOptions aOptions,
+                     JobRunner& aRunner,
+                     Submissions& aSubmissions,
+                     Forwarder& aForwarder,
+                     SchemaSource aSchemas)
+  : options_(std::move(aOptions))
+  , runner_(aRunner)
+  , submissions_(aSubmissions)
+  , forwarder_(aForwarder)
+  , schemas_(std::move(aSchemas))
+{
+  // The quota comes last: a request that another filter refuses must not use
+  // it up.
+  filters_ = { DrainingFilter{ &draining_ },
+               SchemaFilter{},
+               BodySizeFilter{},
+               TeamFilter{},
+               DeadlineFilter{},
+               FitFilter{ options_.fits_ },
+               AdmissionFilter{ &runner_ },
+               QuotaFilter{ options_.quota_ } };
+}
+
+void
+CallerApi::Handle(HttpRequest aRequest, HttpReply aReply, MonoTime aNow)
+{
+  const auto respond = [aReply](HttpResponse aResponse) {
+    aReply.Send(std::move(aResponse));
+  };
+  Handle(std::move(aRequest), Respond(respond), aNow);
+}
+
+void
+CallerApi::Handle(HttpRequest aRequest, Respond aRespond, MonoTime aNow)
+{
+  const Exchange exchange{ .request_ = std::move(aRequest),
+                           .respond_ = WithKeyPrefix(std::move(aRespond), aNow),
+                           .now_ = aNow };
+  try {
+    Route(exchange);
+  } catch (const RequestError& error) {
+    exchange.respond_(RespondRefusal(error.Reason(), ""));
+  }
+}
+
+void
+CallerApi::StartDraining()
+{
+  draining_ = true;
+}
+
+void
+CallerApi::Route(const Exchange& aExchange)
+{
+  const HttpRequest& request = aExchange.request_;
+  const CallerRoute route = ParseRoute(request.method_, request.path_);
+  const Visitor visitor{
+    [&](const KeyPrefixRoute&) { IssueKeyPrefix(aExchange); },
+    [&](const CallRoute& aRoute) {
+      Submit(aExchange, ParseCall(request, aRoute));
+    },
+    [&](const JobRoute& aRoute) {
+      Submit(aExchange, ParseJob(request, aRoute));
+    },
+    [&](const LookUpRoute& aRoute) { LookUp(aExchange, aRoute.id_); },
+    [&](const CancelRoute& aRoute) { Cancel(aExchange, aRoute.id_); },
+    [&](const WrongMethod& aRoute) {
+      HttpResponse response =
+        RespondRefusal({ .reason_ = RefusalReason::MethodNotAllowed,
+                         .field_ = "method",
+                         .value_ = request.method_,
+                         .bound_ = "must be " + aRoute.allowed_ },
+                       "");
+      response.headers_.emplace_back("Allow", aRoute.allowed_);
+      aExchange.respond_(std::move(response));
+    },
+    [&](const UnknownRoute&) {
+      throw RequestError({ .reason_ = RefusalReason::UnknownPath,
+                           .field_ = "path",
+                           .value_ = request.path_,
+                           .bound_ = "does not exist" });
+    },
+  };
+  std::visit(visitor, route);
+}
+
+void
+CallerApi::IssueKeyPrefix(const Exchange& aExchange)
+{
+  const KeyPrefix prefix =
+    IssuePrefix(options_.self_, options_.start_, aExchange.now_);
+  const nlohmann::json body = { { "prefix", ToString(prefix) },
+                                { "lifetime_ms",
+                                  options_.prefixLifetime_.count() } };
+  aExchange.respond_({ .body_ = body.dump() + "\n" });
+}
+
+void
+CallerApi::Submit(const Exchange& aExchange, SubmissionRequest aRequest)
+{
+  if (!aRequest.id_) {
+    SubmitWithoutId(aExchange, std::move(aRequest));
+    return;
+  }
+  if (!PassedOn(aExchange, *aRequest.id_)) {
+    BeginSubmission(aExchange, std::move(aRequest));
+  }
+}
+
+void
+CallerApi::SubmitWithoutId(const Exchange& aExchange,
+                           SubmissionRequest aRequest)
+{
+  const AnswerFormat format = FormatOf(aExchange.request_, aRequest);
+  RequestContext context{ .request_ = std::move(aRequest),
+                          .schemas_ = schemas_() };
+  if (const auto refusal = ApplyFilters(filters_, context, aExchange.now_)) {
+    aExchange.respond_(RespondRefusal(*refusal, ""));
+    return;
+  }
+  // '~' is no suffix character: no caller's id can be the same.
+  const std::string submission =
+    ToString(IssuePrefix(options_.self_, options_.start_, aExchange.now_)) +
+    ".~" + std::to_string(nextUnnamed_++);
+  runner_.Submit(
+    ToJob(std::move(context), submission),
+    [respond = aExchange.respond_, format](JobResult aResult) {
+      respond(RespondFinal(FinalAnswer(std::move(aResult)), format));
+    },
+    aExchange.now_);
+}
+
+void
+CallerApi::BeginSubmission(const Exchange& aExchange,
+                           SubmissionRequest aRequest)
+{
+  const SubmissionId id = *aRequest.id_;
+  const std::string name = ToString(id);
+  const AnswerFormat format = FormatOf(aExchange.request_, aRequest);
+  const Respond& respond = aExchange.respond_;
+  const Waiter waiter = aRequest.wait_ ? WaiterFor(respond, format) : Waiter();
+  const BeginResult result =
+    submissions_.Begin(id, DigestOf(aRequest), waiter, aExchange.now_);
+  const Visitor visitor{
+    [&](NewAttempt aAttempt) {
+      RunAttempt(aExchange, std::move(aRequest), aAttempt);
+    },
+    [&](StillRunning aRunning) {
+      if (!aRunning.attached_) {
+        respond(RespondRunning(name));
+      }
+    },
+    [&](const Answered& aAnswered) {
+      respond(RespondFinal(*aAnswered.answer_, format));
+    },
+    [&](AnswerDropped) { respond(RespondAnswerDropped(name)); },
+    [&](ExpiredUnknown) { respond(RespondExpired(name)); },
+    [&](NeverIssued) { respond(RespondRefusal(NoGoodPrefix(id), name)); },
+    [&](DigestMismatch) { respond(RespondRefusal(IdInUse(id), name)); },
+    [&](TableIsFull) { respond(RespondRefusal(NoRoom(), name)); },
+  };
+  std::visit(visitor, result);
+}
+
+void
+CallerApi::RunAttempt(const Exchange& aExchange,
+                      SubmissionRequest aRequest,
+                      NewAttempt aAttempt)
+{
+  const SubmissionId id = *aRequest.id_;
+  const std::string name = ToString(id);
+  const bool wait = aRequest.wait_;
+  RequestContext context{ .request_ = std::move(aRequest),
+                          .schemas_ = schemas_() };
+  if (const auto refusal = ApplyFilters(filters_, context, aExchange.now_)) {
+    submissions_.Finish(id, aAttempt.number_, *refusal);
+    if (!wait) {
+      aExchange.respond_(RespondRefusal(*refusal, name));
+    }
+    return;
+  }
+  if (!wait) {
+    aExchange.respond_(RespondRunning(name));
+  }
+  runner_.Submit(
+    ToJob(std::move(context), name),
+    [this, id, aAttempt](JobResult aResult) {
+      submissions_.Finish(id, aAttempt.number_, std::move(aResult));
+    },
+    aExchange.now_);
+  // A cancellation that came before Submit found nothing to cancel.
+  if (submissions_.CancelRequested(id)) {
+    runner_.Cancel(name, aExchange.now_);
+  }
+}
+
+void
+CallerApi::LookUp(const Exchange& aExchange, const SubmissionId& aId)
+{
+  if (PassedOn(aExchange, aId)) {
+    return;
+  }
+  const std::string name = ToString(aId);
+  const Respond& respond = aExchange.respond_;
+  const Visitor visitor{
+    [&](StillRunning) { respond(RespondRunning(name)); },
+    [&](const Answered& aAnswered) {
+      const AnswerFormat format = FormatOf(aExchange.request_, aId);
+      respond(RespondFinal(*aAnswered.answer_, format));
+    },
+    [&](AnswerDropped) { respond(RespondAnswerDropped(name)); },
+    [&](ExpiredUnknown) { respond(RespondExpired(name)); },
+    [&](NotAccepted) { respond(RespondNotAccepted(name)); },
+  };
+  std::visit(visitor, submissions_.Find(aId, aExchange.now_));
+}
+
+void
+CallerApi::Cancel(const Exchange& aExchange, const SubmissionId& aId)
+{
+  if (PassedOn(aExchange, aId)) {
+    return;
+  }
+  const std::string name = ToString(aId);
+  const Respond& respond = aExchange.respond_;
+  const AnswerFormat format = FormatOf(aExchange.request_, aId);
+  const FindResult result =
+    submissions_.RequestCancel(aId, WaiterFor(respond, format), aExchange.now_);
+  const Visitor visitor{
+    [&](StillRunning aRunning) {
+      runner_.Cancel(name, aExchange.now_);
+      if (!aRunning.attached_) {
+        respond(RespondRunning(name));
+      }
+    },
+    [&](const Answered& aAnswered) {
+      respond(RespondFinal(*aAnswered.answer_, format));
+    },
+    [&](AnswerDropped) { respond(RespondAnswerDropped(name)); },
+    [&](ExpiredUnknown) { respond(RespondExpired(name)); },
+    [&](NotAccepted) { respond(RespondNotAccepted(name)); },
+  };
+  std::visit(visitor, result);
+}
+
+bool
+CallerApi::PassedOn(const Exchange& aExchange, const SubmissionId& aId)
+{
+  const MemberId owner = aId.prefix_.owner_;
+  if (owner == options_.self_) {
+    return false;
+  }
+  if (!forwarder_.Forward(owner, aExchange.request_, aExchange.respond_)) {
+    aExchange.respond_(OwnerUnreachable(ToString(aId)));
+  }
+  return true;
+}
+
+Respond
+CallerApi::WithKeyPrefix(Respond aRespond, MonoTime aNow) const
+{
+  return [this, respond = std::move(aRespond), aNow](HttpResponse aResponse) {
+    // A submission under a prefix of a stopping entry could not be looked up
+    // or resubmitted for long.
+    if (!draining_) {
+      const KeyPrefix prefix =
+        IssuePrefix(options_.self_, options_.start_, aNow);
+      aResponse.headers_.emplace_back("Cornelfront-Key-Prefix",
+                                      ToString(prefix));
+    }
+    respond(std::move(aResponse));
+  };
+}
+
+} // namespace cornelfront
