--- a/src/cornelfront/main.cpp
+++ b/src/cornelfront/main.cpp
@@ -1,5 +1,1 @@
-int
-main()
-{
-  return 0;
-}
+int main(){}
--- a/src/include/cornelfront/events.h
+++ b/src/include/cornelfront/events.h
@@ -49,6 +49,22 @@
   RequestRefused = 530,
 };
 
+/// How an event reaches the log; the time line's buffer holds all of them.
+enum class EventLevel : uint8_t
+{
+  /// Several for each task: logged only under --v=1.
+  Detail,
+  Info,
+  Warning,
+};
+
+EventLevel
+LevelOf(EventId aId);
+
+/// "detail", "info" or "warning".
+std::string_view
+ToString(EventLevel aLevel);
+
 /// Name of the event as the catalogue has it, such as "task_started".
 std::string_view
 EventName(EventId aId);
@@ -65,7 +81,8 @@
 public:
   /// Stamp of a local event or of a message to be sent.
   uint64_t Tick(WallTime aNow);
-  /// Takes note of the stamp of a received message.
+  /// Takes note of the stamp of a received message. A stamp more than a day
+  /// ahead of \p aNow is ignored, so that one wrong clock does not spoil all.
   void Observe(uint64_t aRemote, WallTime aNow);
 
 private:
@@ -89,12 +106,18 @@
   size_t capacity_ = 20000;
 };
 
+/// Text of an event's log line, such as "[202 link_silent] peer=7f2c"; values
+/// with spaces, quotes or control characters are quoted and escaped.
+std::string
+FormatEvent(EventId aId, const EventFields& aFields);
+
 /// Thread-safe.
 class EventLog
 {
 public:
   explicit EventLog(EventLogOptions aOptions = {});
 
+  /// Stamps and keeps the event and logs it according to its level.
   void Record(EventId aId, EventFields aFields, WallTime aNow);
 
   /// Events with a stamp greater than \p aAfter, oldest first.
--- /dev/null
+++ b/src/libcornelfront/controllers/dispatcher.cpp
@@ -0,0 +1,412 @@
+#include "controllers/dispatcher.h"
+
+#include <algorithm>
+
+namespace cornelfront {
+
+namespace {
+
+constexpr Millis kTickInterval{ 10 };
+
+const std::string kZonePrefix = "zone/";
+
+std::vector<std::string>
+ZonesOut(const ConfigState& aState)
+{
+  std::vector<std::string> zones;
+  for (const auto& [key, value] : aState.keys_) {
+    if (key.starts_with(kZonePrefix)) {
+      const std::string zone = key.substr(kZonePrefix.size());
+      if (!aState.ZoneIsIn(zone)) {
+        zones.push_back(zone);
+      }
+    }
+  }
+  return zones;
+}
+
+} // namespace
+
+Dispatcher::Dispatcher(DispatcherOptions aOptions, EventLog& aEvents)
+  : options_(std::move(aOptions))
+  , events_(aEvents)
+  , ticker_([this] { TickLoop(); })
+{
+}
+
+Dispatcher::~Dispatcher()
+{
+  {
+    std::lock_guard lock(stopMutex_);
+    stopping_ = true;
+  }
+  stopChanged_.notify_all();
+  ticker_.join();
+}
+
+Dispatcher::ShardPtr
+Dispatcher::ShardOf(const std::string& aService)
+{
+  std::lock_guard lock(shardsMutex_);
+  ShardPtr& shard = shards_[aService];
+  if (!shard) {
+    shard = std::make_shared<Shard>(ServiceDispatchOptions{
+      .self_ = options_.self_,
+      .serialPrefix_ = static_cast<uint16_t>(shards_.size()),
+      .router_ = { .zone_ = options_.zone_ },
+      .resolveBound_ = options_.resolveBound_ });
+    DispatchEffects none;
+    for (const std::string& zone : zonesOut_) {
+      shard->dispatch_.SetZoneIn(zone, false, MonoTime{}, none);
+    }
+  }
+  return shard;
+}
+
+std::vector<Dispatcher::ShardPtr>
+Dispatcher::Shards() const
+{
+  std::lock_guard lock(shardsMutex_);
+  std::vector<ShardPtr> shards;
+  for (const auto& [service, shard] : shards_) {
+    shards.push_back(shard);
+  }
+  return shards;
+}
+
+template<class Step>
+void
+Dispatcher::Run(const ShardPtr& aShard, Step&& aStep, MonoTime aNow)
+{
+  DispatchEffects effects;
+  {
+    std::lock_guard lock(aShard->mutex_);
+    aStep(aShard->dispatch_, effects);
+  }
+  CarryOut(aShard, std::move(effects), aNow);
+}
+
+void
+Dispatcher::CarryOut(const ShardPtr& aShard,
+                     DispatchEffects aEffects,
+                     MonoTime aNow)
+{
+  while (!aEffects.Empty()) {
+    const std::vector<TaskId> notSent = SendAll(aEffects);
+    for (DispatchEffects::Finish& finish : aEffects.finishes_) {
+      finish.done_(std::move(finish.result_));
+    }
+    aEffects = {};
+    if (!notSent.empty()) {
+      std::lock_guard lock(aShard->mutex_);
+      aShard->dispatch_.OnNotSent(notSent, aNow, aEffects);
+    }
+  }
+}
+
+/// Returns the tasks to be started whose message was not written.
+std::vector<TaskId>
+Dispatcher::SendAll(DispatchEffects& aEffects)
+{
+  std::vector<TaskId> notSent;
+  for (DispatchEffects::Send& send : aEffects.sends_) {
+    std::vector<TaskId> starts;
+    if (const auto* start = std::get_if<StartTasks>(&send.message_)) {
+      for (const StartTask& task : start->tasks_) {
+        starts.push_back(task.id_);
+      }
+    }
+    const LinkPtr link = LinkOf(send.sidecar_, send.link_);
+    if (!link || !link->Send(std::move(send.message_))) {
+      notSent.insert(notSent.end(), starts.begin(), starts.end());
+    }
+  }
+  return notSent;
+}
+
+void
+Dispatcher::Submit(JobSpec aJob, Done aDone, MonoTime aNow)
+{
+  const std::string submission = aJob.submission_;
+  const ShardPtr shard = ShardOf(aJob.service_);
+  {
+    std::lock_guard lock(submissionsMutex_);
+    serviceBySubmission_[submission] = aJob.service_;
+  }
+  Done done = [this, submission, inner = std::move(aDone)](JobResult aResult) {
+    {
+      std::lock_guard lock(submissionsMutex_);
+      serviceBySubmission_.erase(submission);
+    }
+    inner(std::move(aResult));
+  };
+  Run(
+    shard,
+    [&](ServiceDispatch& aDispatch, DispatchEffects& aEffects) {
+      aDispatch.Submit(std::move(aJob), std::move(done), aNow, aEffects);
+    },
+    aNow);
+}
+
+void
+Dispatcher::Cancel(const std::string& aSubmission, MonoTime aNow)
+{
+  std::string service;
+  {
+    std::lock_guard lock(submissionsMutex_);
+    const auto found = serviceBySubmission_.find(aSubmission);
+    if (found == serviceBySubmission_.end()) {
+      return;
+    }
+    service = found->second;
+  }
+  Run(
+    ShardOf(service),
+    [&](ServiceDispatch& aDispatch, DispatchEffects& aEffects) {
+      aDispatch.Cancel(aSubmission, aNow, aEffects);
+    },
+    aNow);
+}
+
+Millis
+Dispatcher::PredictedWait(const std::string& aService, MonoTime) const
+{
+  ShardPtr shard;
+  {
+    std::lock_guard lock(shardsMutex_);
+    const auto found = shards_.find(aService);
+    if (found == shards_.end()) {
+      return Millis(0);
+    }
+    shard = found->second;
+  }
+  std::lock_guard lock(shard->mutex_);
+  return shard->dispatch_.PredictedWait();
+}
+
+std::optional<MemberId>
+Dispatcher::MemberOf(const LinkPtr& aLink) const
+{
+  std::lock_guard lock(membersMutex_);
+  const auto found = memberByLink_.find(aLink->Serial());
+  if (found == memberByLink_.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+LinkPtr
+Dispatcher::LinkOf(MemberId aMember, uint64_t aSerial) const
+{
+  std::lock_guard lock(membersMutex_);
+  const auto found = members_.find(aMember);
+  if (found == members_.end() || !found->second.link_ ||
+      found->second.link_->Serial() != aSerial) {
+    return nullptr;
+  }
+  return found->second.link_;
+}
+
+void
+Dispatcher::OnHello(const LinkPtr& aLink, const Hello& aHello, MonoTime aNow)
+{
+  LinkPtr replaced;
+  {
+    std::lock_guard lock(membersMutex_);
+    const auto found = members_.find(aHello.id_);
+    if (found != members_.end()) {
+      replaced = found->second.link_;
+    }
+  }
+  if (replaced) {
+    OnLinkEnd(replaced, aNow);
+    replaced->Close();
+  }
+  {
+    std::lock_guard lock(membersMutex_);
+    memberByLink_[aLink->Serial()] = aHello.id_;
+    members_[aHello.id_] = {
+      aLink, { .id_ = aHello.id_, .name_ = aHello.name_, .zone_ = aHello.zone_ }
+    };
+  }
+  events_.Record(EventId::MemberJoined,
+                 { { "member", ToString(aHello.id_) },
+                   { "name", aHello.name_ },
+                   { "zone", aHello.zone_ } },
+                 WallClock::now());
+}
+
+void
+Dispatcher::OnStatus(const LinkPtr& aLink,
+                     const UpstreamStatus& aStatus,
+                     MonoTime aNow)
+{
+  const auto member = MemberOf(aLink);
+  if (!member) {
+    return;
+  }
+  std::string zone;
+  std::string earlierService;
+  {
+    std::lock_guard lock(membersMutex_);
+    SidecarView& view = members_.at(*member).view_;
+    zone = view.zone_;
+    earlierService = view.status_.service_;
+    view.status_ = aStatus;
+  }
+  if (!earlierService.empty() && earlierService != aStatus.service_) {
+    Run(
+      ShardOf(earlierService),
+      [&](ServiceDispatch& aDispatch, DispatchEffects& aEffects) {
+        aDispatch.OnStatus(*member,
+                           zone,
+                           aLink->Serial(),
+                           { .service_ = earlierService },
+                           aNow,
+                           aEffects);
+      },
+      aNow);
+  }
+  if (aStatus.service_.empty()) {
+    return;
+  }
+  Run(
+    ShardOf(aStatus.service_),
+    [&](ServiceDispatch& aDispatch, DispatchEffects& aEffects) {
+      aDispatch.OnStatus(
+        *member, zone, aLink->Serial(), aStatus, aNow, aEffects);
+    },
+    aNow);
+}
+
+void
+Dispatcher::OnAnswers(const LinkPtr& aLink,
+                      const TaskAnswers& aAnswers,
+                      MonoTime aNow)
+{
+  const auto member = MemberOf(aLink);
+  if (!member) {
+    return;
+  }
+  std::string service;
+  {
+    std::lock_guard lock(membersMutex_);
+    SidecarView& view = members_.at(*member).view_;
+    service = view.status_.service_;
+    view.status_.load_ = aAnswers.load_;
+  }
+  Run(
+    ShardOf(service),
+    [&](ServiceDispatch& aDispatch, DispatchEffects& aEffects) {
+      aDispatch.OnAnswers(*member, aAnswers, aNow, aEffects);
+    },
+    aNow);
+}
+
+void
+Dispatcher::OnVersion(const LinkPtr& aLink, ConfigVersion aVersion)
+{
+  std::lock_guard lock(membersMutex_);
+  const auto found = memberByLink_.find(aLink->Serial());
+  if (found != memberByLink_.end()) {
+    members_.at(found->second).view_.configVersion_ = aVersion;
+  }
+}
+
+void
+Dispatcher::OnLinkEnd(const LinkPtr& aLink, MonoTime aNow)
+{
+  MemberId member;
+  {
+    std::lock_guard lock(membersMutex_);
+    const auto found = memberByLink_.find(aLink->Serial());
+    if (found == memberByLink_.end()) {
+      return;
+    }
+    member = found->second;
+    memberByLink_.erase(found);
+    members_.erase(member);
+  }
+  events_.Record(
+    EventId::MemberLost, { { "member", ToString(member) } }, WallClock::now());
+  for (const ShardPtr& shard : Shards()) {
+    Run(
+      shard,
+      [&](ServiceDispatch& aDispatch, DispatchEffects& aEffects) {
+        aDispatch.OnLinkDown(member, aLink->Serial(), aNow, aEffects);
+      },
+      aNow);
+  }
+}
+
+void
+Dispatcher::OnConfig(const ConfigState& aState, MonoTime aNow)
+{
+  const std::vector<std::string> zonesOut = ZonesOut(aState);
+  std::vector<std::string> earlier;
+  {
+    std::lock_guard lock(shardsMutex_);
+    earlier = zonesOut_;
+    zonesOut_ = zonesOut;
+  }
+  for (const ShardPtr& shard : Shards()) {
+    Run(
+      shard,
+      [&](ServiceDispatch& aDispatch, DispatchEffects& aEffects) {
+        for (const std::string& zone : earlier) {
+          if (std::ranges::find(zonesOut, zone) == zonesOut.end()) {
+            aDispatch.SetZoneIn(zone, true, aNow, aEffects);
+          }
+        }
+        for (const std::string& zone : zonesOut) {
+          aDispatch.SetZoneIn(zone, false, aNow, aEffects);
+        }
+      },
+      aNow);
+  }
+}
+
+std::vector<SidecarView>
+Dispatcher::Sidecars() const
+{
+  std::lock_guard lock(membersMutex_);
+  std::vector<SidecarView> views;
+  for (const auto& [id, member] : members_) {
+    views.push_back(member.view_);
+  }
+  std::ranges::sort(views, {}, &SidecarView::name_);
+  return views;
+}
+
+size_t
+Dispatcher::JobCount() const
+{
+  size_t count = 0;
+  for (const ShardPtr& shard : Shards()) {
+    std::lock_guard lock(shard->mutex_);
+    count += shard->dispatch_.JobCount();
+  }
+  return count;
+}
+
+void
+Dispatcher::TickLoop()
+{
+  std::unique_lock lock(stopMutex_);
+  while (
+    !stopChanged_.wait_for(lock, kTickInterval, [this] { return stopping_; })) {
+    lock.unlock();
+    const MonoTime now = MonoClock::now();
+    for (const ShardPtr& shard : Shards()) {
+      Run(
+        shard,
+        [&](ServiceDispatch& aDispatch, DispatchEffects& aEffects) {
+          aDispatch.Tick(now, aEffects);
+        },
+        now);
+    }
+    lock.lock();
+  }
+}
+
+} // namespace cornelfront
--- /dev/null
+++ b/src/libcornelfront/controllers/dispatcher.h
@@ -0,0 +1,124 @@
+#pragma once
+
+/// \file
+/// Controller that runs jobs on the sidecars linked to this entry.
+
+#include "cornelfront/dispatcher.h"
+#include "cornelfront/events.h"
+#include "cornelfront/link.h"
+#include "cornelfront/service_dispatch.h"
+
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+
+namespace cornelfront {
+
+struct DispatcherOptions
+{
+  MemberId self_;
+  std::string zone_;
+  Millis resolveBound_{ 2000 };
+};
+
+/// One sidecar as the operator's commands show it.
+struct SidecarView
+{
+  MemberId id_;
+  std::string name_;
+  std::string zone_;
+  UpstreamStatus status_;
+  ConfigVersion configVersion_;
+};
+
+/// Thread-safe. The state of each service is a shard under its own lock; no
+/// lock is held while a message is sent or a job's result is delivered.
+class Dispatcher : public JobRunner
+{
+public:
+  Dispatcher(DispatcherOptions aOptions, EventLog& aEvents);
+  ~Dispatcher() override;
+
+  void Submit(JobSpec aJob, Done aDone, MonoTime aNow) override;
+  void Cancel(const std::string& aSubmission, MonoTime aNow) override;
+  Millis PredictedWait(const std::string& aService,
+                       MonoTime aNow) const override;
+
+  /// A sidecar has introduced itself on this link, which replaces any earlier
+  /// link of the same incarnation.
+  void OnHello(const LinkPtr& aLink, const Hello& aHello, MonoTime aNow);
+  void OnStatus(const LinkPtr& aLink,
+                const UpstreamStatus& aStatus,
+                MonoTime aNow);
+  void OnAnswers(const LinkPtr& aLink,
+                 const TaskAnswers& aAnswers,
+                 MonoTime aNow);
+  /// Configuration version that the sidecar reported on this link.
+  void OnVersion(const LinkPtr& aLink, ConfigVersion aVersion);
+  void OnLinkEnd(const LinkPtr& aLink, MonoTime aNow);
+
+  /// Tells which zones take work, from the configuration.
+  void OnConfig(const ConfigState& aState, MonoTime aNow);
+
+  std::vector<SidecarView> Sidecars() const;
+  /// Jobs that have not finished.
+  size_t JobCount() const;
+
+private:
+  struct Shard
+  {
+    Shard(ServiceDispatchOptions aOptions)
+      : dispatch_(std::move(aOptions))
+    {
+    }
+    mutable std::mutex mutex_;
+    ServiceDispatch dispatch_;
+  };
+  using ShardPtr = std::shared_ptr<Shard>;
+
+  struct Member
+  {
+    LinkPtr link_;
+    SidecarView view_;
+  };
+
+  ShardPtr ShardOf(const std::string& aService);
+  std::vector<ShardPtr> Shards() const;
+  std::optional<MemberId> MemberOf(const LinkPtr& aLink) const;
+  LinkPtr LinkOf(MemberId aMember, uint64_t aSerial) const;
+  /// Runs \p aStep(ServiceDispatch&, DispatchEffects&) under the shard's lock
+  /// and carries out the effects after it.
+  template<class Step>
+  void Run(const ShardPtr& aShard, Step&& aStep, MonoTime aNow);
+  void CarryOut(const ShardPtr& aShard,
+                DispatchEffects aEffects,
+                MonoTime aNow);
+  std::vector<TaskId> SendAll(DispatchEffects& aEffects);
+  void TickLoop();
+
+  const DispatcherOptions options_;
+  EventLog& events_;
+
+  mutable std::mutex shardsMutex_;
+  std::map<std::string, ShardPtr> shards_;
+  std::vector<std::string> zonesOut_;
+
+  mutable std::mutex membersMutex_;
+  std::unordered_map<MemberId, Member> members_;
+  std::unordered_map<uint64_t, MemberId> memberByLink_;
+
+  mutable std::mutex submissionsMutex_;
+  std::unordered_map<std::string, std::string> serviceBySubmission_;
+
+  std::mutex stopMutex_;
+  std::condition_variable stopChanged_;
+  bool stopping_ = false;
+  std::thread ticker_;
+};
+
+} // namespace cornelfront
--- /dev/null
+++ b/src/libcornelfront/controllers/task_table.cpp
@@ -0,0 +1,241 @@
+#include "controllers/task_table.h"
+
+#include <algorithm>
+
+namespace cornelfront {
+
+namespace {
+
+constexpr unsigned kSerialPrefixShift = 48;
+
+std::pair<MemberId, uint64_t>
+SpaceOf(TaskId aId)
+{
+  return { aId.owner_, aId.serial_ >> kSerialPrefixShift };
+}
+
+} // namespace
+
+TaskTable::TaskTable(TaskTableOptions aOptions)
+  : options_(aOptions)
+{
+}
+
+void
+TaskTable::BindLink(MemberId aEntry, uint64_t aLink)
+{
+  std::lock_guard lock(mutex_);
+  boundLinks_[aEntry] = aLink;
+}
+
+std::vector<TaskAnswer>
+TaskTable::Accept(MemberId aEntry,
+                  uint64_t aLink,
+                  std::vector<StartTask> aTasks,
+                  TaskReason aRefuse,
+                  MonoTime aNow)
+{
+  std::vector<TaskAnswer> refusals;
+  std::lock_guard lock(mutex_);
+  const auto bound = boundLinks_.find(aEntry);
+  if (bound == boundLinks_.end() || bound->second != aLink) {
+    return refusals;
+  }
+  for (StartTask& task : aTasks) {
+    if (task.id_.owner_ != aEntry || IsKnown(task.id_)) {
+      continue;
+    }
+    TaskReason reason = aRefuse;
+    if (reason == TaskReason::None &&
+        queue_.size() + running_.size() >= slots_ + options_.queueLimit_) {
+      reason = TaskReason::QueueFull;
+    }
+    if (reason != TaskReason::None) {
+      refusals.push_back(Refuse(task.id_, reason, aNow));
+      continue;
+    }
+    const MonoTime startBy = aNow + task.startWithin_;
+    queue_.push_back({ std::move(task), startBy });
+  }
+  changed_.notify_all();
+  return refusals;
+}
+
+bool
+TaskTable::IsKnown(TaskId aId) const
+{
+  return running_.contains(aId) || answered_.contains(aId) ||
+         std::ranges::any_of(
+           queue_, [&](const Queued& aTask) { return aTask.task_.id_ == aId; });
+}
+
+TaskAnswer
+TaskTable::Refuse(TaskId aId, TaskReason aReason, MonoTime aNow)
+{
+  TaskAnswer answer{ .id_ = aId,
+                     .outcome_ = TaskOutcome::NotRun,
+                     .reason_ = aReason };
+  Remember(answer, aNow);
+  return answer;
+}
+
+void
+TaskTable::Remember(const TaskAnswer& aAnswer, MonoTime aNow)
+{
+  answered_[aAnswer.id_] = { aAnswer, aNow };
+  answeredOrder_.push_back(aAnswer.id_);
+  answeredBytes_ += aAnswer.body_.size();
+}
+
+void
+TaskTable::ForgetOldest()
+{
+  const TaskId id = answeredOrder_.front();
+  answeredOrder_.pop_front();
+  const auto found = answered_.find(id);
+  answeredBytes_ -= found->second.answer_.body_.size();
+  answered_.erase(found);
+  uint64_t& highest = forgotten_[SpaceOf(id)];
+  highest = std::max(highest, id.serial_);
+}
+
+std::vector<TaskAnswer>
+TaskTable::Resolve(const std::vector<TaskId>& aTasks, MonoTime aNow)
+{
+  std::vector<TaskAnswer> answers;
+  std::lock_guard lock(mutex_);
+  for (const TaskId& id : aTasks) {
+    answers.push_back(ResolveOne(id));
+    if (answers.back().reason_ == TaskReason::NeverSeen) {
+      Remember(answers.back(), aNow);
+    }
+  }
+  return answers;
+}
+
+TaskAnswer
+TaskTable::ResolveOne(TaskId aId) const
+{
+  const auto answered = answered_.find(aId);
+  if (answered != answered_.end()) {
+    return answered->second.answer_;
+  }
+  if (IsKnown(aId)) {
+    return { .id_ = aId, .outcome_ = TaskOutcome::Running };
+  }
+  const auto highest = forgotten_.find(SpaceOf(aId));
+  if (highest != forgotten_.end() && aId.serial_ <= highest->second) {
+    return { .id_ = aId,
+             .outcome_ = TaskOutcome::MayHaveRun,
+             .reason_ = TaskReason::LinkLost };
+  }
+  return { .id_ = aId,
+           .outcome_ = TaskOutcome::NotRun,
+           .reason_ = TaskReason::NeverSeen };
+}
+
+std::vector<TaskAnswer>
+TaskTable::Cancel(const std::vector<TaskId>& aTasks, MonoTime aNow)
+{
+  std::vector<TaskAnswer> answers;
+  std::lock_guard lock(mutex_);
+  for (const TaskId& id : aTasks) {
+    const auto running = running_.find(id);
+    if (running != running_.end()) {
+      running->second->store(true);
+      continue;
+    }
+    const auto queued = std::ranges::find_if(
+      queue_, [&](const Queued& aTask) { return aTask.task_.id_ == id; });
+    if (queued != queue_.end()) {
+      queue_.erase(queued);
+      answers.push_back(Refuse(id, TaskReason::Cancelled, aNow));
+    }
+  }
+  return answers;
+}
+
+std::optional<RunningTask>
+TaskTable::Take(unsigned aSlot)
+{
+  std::unique_lock lock(mutex_);
+  changed_.wait(
+    lock, [&] { return stopped_ || (aSlot < slots_ && !queue_.empty()); });
+  if (stopped_) {
+    return std::nullopt;
+  }
+  RunningTask running{ std::move(queue_.front().task_),
+                       queue_.front().startBy_,
+                       std::make_shared<std::atomic<bool>>(false) };
+  queue_.pop_front();
+  running_[running.task_.id_] = running.abort_;
+  return running;
+}
+
+void
+TaskTable::Finish(const TaskAnswer& aAnswer, MonoTime aNow)
+{
+  std::lock_guard lock(mutex_);
+  running_.erase(aAnswer.id_);
+  Remember(aAnswer, aNow);
+}
+
+std::vector<TaskAnswer>
+TaskTable::Sweep(MonoTime aNow)
+{
+  std::vector<TaskAnswer> answers;
+  std::lock_guard lock(mutex_);
+  std::erase_if(queue_, [&](const Queued& aTask) {
+    if (aTask.startBy_ > aNow) {
+      return false;
+    }
+    answers.push_back(Refuse(aTask.task_.id_, TaskReason::StartTooLate, aNow));
+    return true;
+  });
+  while (
+    !answeredOrder_.empty() &&
+    (answeredBytes_ > options_.retainedBytes_ ||
+     answered_.at(answeredOrder_.front()).at_ + options_.retention_ < aNow)) {
+    ForgetOldest();
+  }
+  return answers;
+}
+
+std::vector<TaskAnswer>
+TaskTable::DropQueue(TaskReason aReason, MonoTime aNow)
+{
+  std::vector<TaskAnswer> answers;
+  std::lock_guard lock(mutex_);
+  for (const Queued& queued : queue_) {
+    answers.push_back(Refuse(queued.task_.id_, aReason, aNow));
+  }
+  queue_.clear();
+  return answers;
+}
+
+void
+TaskTable::SetSlots(unsigned aSlots)
+{
+  std::lock_guard lock(mutex_);
+  slots_ = aSlots;
+  changed_.notify_all();
+}
+
+LoadReport
+TaskTable::Load() const
+{
+  std::lock_guard lock(mutex_);
+  return { .slots_ = slots_,
+           .running_ = static_cast<uint32_t>(running_.size()),
+           .queued_ = static_cast<uint32_t>(queue_.size()) };
+}
+
+void
+TaskTable::Stop()
+{
+  std::lock_guard lock(mutex_);
+  stopped_ = true;
+  changed_.notify_all();
+}
+
+} // namespace cornelfront
--- /dev/null
+++ b/src/libcornelfront/policy/service_dispatch.cpp
@@ -0,0 +1,545 @@
+#include "cornelfront/service_dispatch.h"
+
+#include <algorithm>
+
+namespace cornelfront {
+
+namespace {
+
+/// Tasks in one StartTasks message together carry about this much at most.
+constexpr size_t kMaxBatchBytes = 1U << 20;
+
+constexpr unsigned kSerialPrefixShift = 48;
+
+/// Weight of the newest run time in the running mean.
+constexpr double kRunTimeWeight = 0.05;
+
+constexpr Millis kMinRetryAfter{ 100 };
+
+/// Pauses before a task that every candidate has refused is offered again;
+/// they double up to the largest.
+constexpr Millis kFirstPause{ 10 };
+constexpr Millis kLargestPause{ 320 };
+
+/// True if another sidecar may succeed where one refused for this reason.
+bool
+ElsewhereMayHelp(TaskReason aReason)
+{
+  switch (aReason) {
+    case TaskReason::ZoneOut:
+    case TaskReason::StaleConfig:
+    case TaskReason::Draining:
+    case TaskReason::NoUpstream:
+    case TaskReason::QueueFull:
+    case TaskReason::NeverSeen:
+    case TaskReason::UpstreamRefused:
+    case TaskReason::UpstreamUnreachable:
+    case TaskReason::LinkLost:
+      return true;
+    default:
+      return false;
+  }
+}
+
+/// True if the answer tells something bad of the upstream itself.
+bool
+IsUpstreamFault(const TaskAnswer& aAnswer)
+{
+  switch (aAnswer.outcome_) {
+    case TaskOutcome::Failed:
+    case TaskOutcome::MayHaveRun:
+      return true;
+    case TaskOutcome::NotRun:
+      return ElsewhereMayHelp(aAnswer.reason_);
+    default:
+      return false;
+  }
+}
+
+} // namespace
+
+ServiceDispatch::ServiceDispatch(ServiceDispatchOptions aOptions)
+  : options_(std::move(aOptions))
+  , router_(options_.router_)
+{
+}
+
+TaskId
+ServiceDispatch::NextId()
+{
+  const uint64_t prefix = uint64_t{ options_.serialPrefix_ }
+                          << kSerialPrefixShift;
+  return { options_.self_, prefix | nextSerial_++ };
+}
+
+void
+ServiceDispatch::Push(TaskId aId, const Task& aTask)
+{
+  const JobSpec& spec = aTask.job_->spec_;
+  queue_.Push({ .id_ = aId,
+                .priority_ = spec.tasks_[aTask.index_].call_->priority_,
+                .startBy_ = spec.startBy_,
+                .arrival_ = aId.serial_ });
+}
+
+/// Gives the task a new id and registers it under that.
+TaskId
+ServiceDispatch::Register(Task aTask)
+{
+  const TaskId id = NextId();
+  aTask.state_ = TaskState::Queued;
+  aTask.sidecar_ = {};
+  aTask.job_->open_[aTask.index_] = id;
+  tasks_.emplace(id, std::move(aTask));
+  return id;
+}
+
+void
+ServiceDispatch::Submit(JobSpec aJob,
+                        JobRunner::Done aDone,
+                        MonoTime aNow,
+                        DispatchEffects& aEffects)
+{
+  auto job = std::make_shared<Job>();
+  job->spec_ = std::move(aJob);
+  job->done_ = std::move(aDone);
+  const size_t count = job->spec_.tasks_.size();
+  job->answers_.resize(count);
+  job->open_.resize(count);
+  job->remaining_ = count;
+  jobs_[job->spec_.submission_] = job;
+  for (uint32_t index = 0; index < count; ++index) {
+    const TaskId id = Register({ .job_ = job, .index_ = index });
+    Push(id, tasks_.at(id));
+  }
+  Pump(aNow, aEffects);
+}
+
+void
+ServiceDispatch::Cancel(const std::string& aSubmission,
+                        MonoTime aNow,
+                        DispatchEffects& aEffects)
+{
+  const auto found = jobs_.find(aSubmission);
+  if (found == jobs_.end()) {
+    return;
+  }
+  const JobPtr job = found->second;
+  FinishJob(job,
+            FailureOf(*job,
+                      { .outcome_ = TaskOutcome::NotRun,
+                        .reason_ = TaskReason::Cancelled }),
+            aEffects);
+  Pump(aNow, aEffects);
+}
+
+void
+ServiceDispatch::OnStatus(MemberId aSidecar,
+                          const std::string& aZone,
+                          uint64_t aLink,
+                          const UpstreamStatus& aStatus,
+                          MonoTime aNow,
+                          DispatchEffects& aEffects)
+{
+  Sidecar& sidecar = sidecars_[aSidecar];
+  sidecar.zone_ = aZone;
+  sidecar.load_ = aStatus.load_;
+  if (sidecar.link_ != aLink) {
+    sidecar.link_ = aLink;
+    if (!sidecar.tasks_.empty()) {
+      ResolveTasks resolve;
+      resolve.tasks_.assign(sidecar.tasks_.begin(), sidecar.tasks_.end());
+      aEffects.sends_.push_back({ aSidecar, aLink, std::move(resolve) });
+    }
+  }
+  if (aStatus.ready_) {
+    router_.Upsert({ .id_ = aSidecar, .zone_ = aZone, .load_ = aStatus.load_ });
+  } else {
+    router_.Erase(aSidecar);
+  }
+  Pump(aNow, aEffects);
+}
+
+void
+ServiceDispatch::OnLinkDown(MemberId aSidecar,
+                            uint64_t aLink,
+                            MonoTime aNow,
+                            DispatchEffects& aEffects)
+{
+  const auto found = sidecars_.find(aSidecar);
+  if (found == sidecars_.end() || found->second.link_ != aLink) {
+    return;
+  }
+  Sidecar& sidecar = found->second;
+  sidecar.link_ = 0;
+  router_.Erase(aSidecar);
+  for (const TaskId& id : sidecar.tasks_) {
+    Task& task = tasks_.at(id);
+    task.state_ = TaskState::Unresolved;
+    task.giveUpAt_ = aNow + options_.resolveBound_;
+  }
+  if (sidecar.tasks_.empty()) {
+    sidecars_.erase(found);
+  }
+  Pump(aNow, aEffects);
+}
+
+void
+ServiceDispatch::OnAnswers(MemberId aSidecar,
+                           const TaskAnswers& aAnswers,
+                           MonoTime aNow,
+                           DispatchEffects& aEffects)
+{
+  for (const TaskAnswer& answer : aAnswers.answers_) {
+    const auto found = tasks_.find(answer.id_);
+    if (found == tasks_.end() || found->second.sidecar_ != aSidecar) {
+      ++aEffects.strayAnswers_;
+      continue;
+    }
+    if (answer.outcome_ == TaskOutcome::Running) {
+      found->second.state_ = TaskState::Sent;
+      const CallSchema& call =
+        *found->second.job_->spec_.tasks_[found->second.index_].call_;
+      found->second.giveUpAt_ =
+        aNow + call.runLimit_ + 2 * options_.resolveBound_;
+      continue;
+    }
+    if (answer.outcome_ == TaskOutcome::Completed) {
+      const auto runMs = static_cast<double>(answer.runTime_.count());
+      meanRunMs_ += kRunTimeWeight * (runMs - meanRunMs_);
+    }
+    router_.OnAnswer(aSidecar, aAnswers.load_, IsUpstreamFault(answer), aNow);
+    Settle(answer.id_, answer, aNow, aEffects);
+  }
+  const auto sidecar = sidecars_.find(aSidecar);
+  if (sidecar != sidecars_.end()) {
+    sidecar->second.load_ = aAnswers.load_;
+  }
+  Pump(aNow, aEffects);
+}
+
+void
+ServiceDispatch::OnNotSent(const std::vector<TaskId>& aTasks,
+                           MonoTime aNow,
+                           DispatchEffects& aEffects)
+{
+  for (const TaskId& id : aTasks) {
+    Settle(id,
+           { .id_ = id,
+             .outcome_ = TaskOutcome::NotRun,
+             .reason_ = TaskReason::LinkLost },
+           aNow,
+           aEffects);
+  }
+  Pump(aNow, aEffects);
+}
+
+void
+ServiceDispatch::SetZoneIn(const std::string& aZone,
+                           bool aIn,
+                           MonoTime aNow,
+                           DispatchEffects& aEffects)
+{
+  router_.SetZoneIn(aZone, aIn);
+  Pump(aNow, aEffects);
+}
+
+void
+ServiceDispatch::Tick(MonoTime aNow, DispatchEffects& aEffects)
+{
+  ReleasePaused(aNow);
+  for (const TaskId& id : queue_.PopExpired(aNow)) {
+    Settle(id,
+           { .id_ = id,
+             .outcome_ = TaskOutcome::NotRun,
+             .reason_ = TaskReason::StartTooLate },
+           aNow,
+           aEffects);
+  }
+  GiveUpOverdue(aNow, aEffects);
+  Pump(aNow, aEffects);
+}
+
+/// Moves tasks whose pause is over back into the queue.
+void
+ServiceDispatch::ReleasePaused(MonoTime aNow)
+{
+  while (!paused_.empty() && paused_.begin()->first <= aNow) {
+    const TaskId id = paused_.begin()->second;
+    paused_.erase(paused_.begin());
+    const auto found = tasks_.find(id);
+    if (found != tasks_.end()) {
+      Push(id, found->second);
+    }
+  }
+}
+
+void
+ServiceDispatch::GiveUpOverdue(MonoTime aNow, DispatchEffects& aEffects)
+{
+  std::vector<TaskId> overdue;
+  for (const auto& [id, task] : tasks_) {
+    if (task.state_ != TaskState::Queued && task.giveUpAt_ <= aNow) {
+      overdue.push_back(id);
+    }
+  }
+  for (const TaskId& id : overdue) {
+    Settle(id,
+           { .id_ = id,
+             .outcome_ = TaskOutcome::MayHaveRun,
+             .reason_ = TaskReason::LinkLost },
+           aNow,
+           aEffects);
+  }
+}
+
+void
+ServiceDispatch::Pump(MonoTime aNow, DispatchEffects& aEffects)
+{
+  Batches batches;
+  std::vector<QueuedTask> heldBack;
+  while (const auto queued = queue_.PopNext(aNow)) {
+    Task& task = tasks_.at(queued->id_);
+    if (task.refusedBy_.size() >= router_.size()) {
+      task.refusedBy_.clear();
+    }
+    const auto sidecar = router_.Choose({ .exclude_ = task.refusedBy_ }, aNow);
+    if (sidecar) {
+      Assign(queued->id_, task, *sidecar, aNow, batches, aEffects);
+      continue;
+    }
+    heldBack.push_back(*queued);
+    if (task.refusedBy_.empty()) {
+      break;
+    }
+  }
+  for (const QueuedTask& queued : heldBack) {
+    queue_.Push(queued);
+  }
+  for (auto& [sidecar, batch] : batches) {
+    Flush(sidecar, batch, aEffects);
+  }
+}
+
+void
+ServiceDispatch::Assign(TaskId aId,
+                        Task& aTask,
+                        MemberId aSidecar,
+                        MonoTime aNow,
+                        Batches& aBatches,
+                        DispatchEffects& aEffects)
+{
+  const JobSpec& spec = aTask.job_->spec_;
+  const TaskSpec& taskSpec = spec.tasks_[aTask.index_];
+  const auto startWithin =
+    std::chrono::duration_cast<Millis>(spec.startBy_ - aNow);
+  aTask.state_ = TaskState::Sent;
+  aTask.sidecar_ = aSidecar;
+  aTask.giveUpAt_ =
+    spec.startBy_ + taskSpec.call_->runLimit_ + 2 * options_.resolveBound_;
+  sidecars_.at(aSidecar).tasks_.insert(aId);
+  StartTasks& batch = aBatches[aSidecar];
+  batch.service_ = spec.service_;
+  batch.tasks_.push_back({ .id_ = aId,
+                           .submission_ = spec.submission_,
+                           .index_ = aTask.index_,
+                           .call_ = taskSpec.call_->name_,
+                           .body_ = taskSpec.body_,
+                           .startWithin_ = startWithin,
+                           .runLimit_ = taskSpec.call_->runLimit_ });
+  size_t bytes = 0;
+  for (const StartTask& task : batch.tasks_) {
+    bytes += task.body_.size();
+  }
+  if (bytes >= kMaxBatchBytes) {
+    Flush(aSidecar, batch, aEffects);
+    batch = {};
+  }
+}
+
+void
+ServiceDispatch::Flush(MemberId aSidecar,
+                       StartTasks& aBatch,
+                       DispatchEffects& aEffects)
+{
+  if (!aBatch.tasks_.empty()) {
+    aEffects.sends_.push_back(
+      { aSidecar, sidecars_.at(aSidecar).link_, std::move(aBatch) });
+  }
+}
+
+bool
+ServiceDispatch::MayRetry(const Task& aTask,
+                          const TaskAnswer& aAnswer,
+                          MonoTime aNow) const
+{
+  if (aTask.job_->finished_ || aTask.attempt_ >= options_.maxAttempts_ ||
+      aNow >= aTask.job_->spec_.startBy_) {
+    return false;
+  }
+  if (aAnswer.outcome_ == TaskOutcome::NotRun) {
+    return ElsewhereMayHelp(aAnswer.reason_);
+  }
+  return aAnswer.outcome_ == TaskOutcome::MayHaveRun &&
+         aTask.job_->spec_.mayRepeat_;
+}
+
+void
+ServiceDispatch::Settle(TaskId aId,
+                        const TaskAnswer& aAnswer,
+                        MonoTime aNow,
+                        DispatchEffects& aEffects)
+{
+  const auto found = tasks_.find(aId);
+  if (found == tasks_.end()) {
+    // Withdrawn with its job a moment ago.
+    return;
+  }
+  const Task& task = found->second;
+  if (MayRetry(task, aAnswer, aNow)) {
+    Retry(aId, aNow, aEffects);
+    return;
+  }
+  const JobPtr job = task.job_;
+  const uint32_t index = task.index_;
+  Forget(aId);
+  if (!job->finished_) {
+    Record(job, index, aAnswer, aEffects);
+  }
+}
+
+void
+ServiceDispatch::Retry(TaskId aId, MonoTime aNow, DispatchEffects& aEffects)
+{
+  Task task = tasks_.at(aId);
+  Forget(aId);
+  ++aEffects.retries_;
+  ++task.attempt_;
+  task.refusedBy_.push_back(task.sidecar_);
+  const bool refusedByAll = task.refusedBy_.size() >= router_.size();
+  if (!refusedByAll) {
+    const TaskId id = Register(std::move(task));
+    Push(id, tasks_.at(id));
+    return;
+  }
+  const auto pause = kFirstPause * (1U << std::min(task.rounds_, 5U));
+  const auto until =
+    std::min(aNow + std::min(pause, kLargestPause), task.job_->spec_.startBy_);
+  ++task.rounds_;
+  task.refusedBy_.clear();
+  paused_.emplace(until, Register(std::move(task)));
+}
+
+void
+ServiceDispatch::Record(const JobPtr& aJob,
+                        uint32_t aIndex,
+                        const TaskAnswer& aAnswer,
+                        DispatchEffects& aEffects)
+{
+  aJob->answers_[aIndex] = aAnswer;
+  aJob->open_[aIndex] = {};
+  --aJob->remaining_;
+  if (aAnswer.outcome_ != TaskOutcome::Completed) {
+    FinishJob(aJob, FailureOf(*aJob, aAnswer), aEffects);
+    return;
+  }
+  if (aJob->remaining_ == 0) {
+    FinishJob(
+      aJob,
+      { .outcome_ = Outcome::Completed, .answers_ = std::move(aJob->answers_) },
+      aEffects);
+  }
+}
+
+JobResult
+ServiceDispatch::FailureOf(const Job& aJob, const TaskAnswer& aAnswer) const
+{
+  bool ran = aAnswer.outcome_ == TaskOutcome::Failed;
+  bool mayHaveRun = aAnswer.outcome_ == TaskOutcome::MayHaveRun;
+  for (size_t index = 0; index < aJob.open_.size(); ++index) {
+    const auto found = tasks_.find(aJob.open_[index]);
+    if (found == tasks_.end()) {
+      ran = ran || (aJob.open_[index] == TaskId{} &&
+                    aJob.answers_[index].outcome_ == TaskOutcome::Completed);
+      continue;
+    }
+    // What was sent may have started by now.
+    mayHaveRun = mayHaveRun || found->second.state_ != TaskState::Queued;
+  }
+  JobResult result;
+  result.reason_ = aAnswer.reason_;
+  result.outcome_ = ran || mayHaveRun ? Outcome::Failed : Outcome::Refused;
+  result.mayHaveRun_ = mayHaveRun && !ran;
+  result.retryAfter_ = std::max(kMinRetryAfter, PredictedWait());
+  return result;
+}
+
+void
+ServiceDispatch::FinishJob(const JobPtr& aJob,
+                           JobResult aResult,
+                           DispatchEffects& aEffects)
+{
+  aJob->finished_ = true;
+  Withdraw(aJob, aEffects);
+  jobs_.erase(aJob->spec_.submission_);
+  aEffects.finishes_.push_back({ std::move(aJob->done_), std::move(aResult) });
+}
+
+/// Drops the queued tasks of a finished job and cancels those that were sent.
+void
+ServiceDispatch::Withdraw(const JobPtr& aJob, DispatchEffects& aEffects)
+{
+  std::unordered_map<MemberId, CancelTasks> cancels;
+  for (const TaskId& id : aJob->open_) {
+    const auto found = tasks_.find(id);
+    if (found == tasks_.end()) {
+      continue;
+    }
+    if (found->second.state_ == TaskState::Queued) {
+      queue_.Remove(id);
+      Forget(id);
+      continue;
+    }
+    cancels[found->second.sidecar_].tasks_.push_back(id);
+  }
+  for (auto& [sidecar, cancel] : cancels) {
+    const uint64_t link = sidecars_.at(sidecar).link_;
+    if (link != 0) {
+      aEffects.sends_.push_back({ sidecar, link, std::move(cancel) });
+    }
+  }
+}
+
+void
+ServiceDispatch::Forget(TaskId aId)
+{
+  const auto found = tasks_.find(aId);
+  const auto sidecar = sidecars_.find(found->second.sidecar_);
+  tasks_.erase(found);
+  if (sidecar == sidecars_.end()) {
+    return;
+  }
+  sidecar->second.tasks_.erase(aId);
+  if (sidecar->second.link_ == 0 && sidecar->second.tasks_.empty()) {
+    sidecars_.erase(sidecar);
+  }
+}
+
+Millis
+ServiceDispatch::PredictedWait() const
+{
+  uint64_t slots = 0;
+  uint64_t taken = queue_.size();
+  for (const auto& [id, sidecar] : sidecars_) {
+    slots += sidecar.load_.slots_;
+    taken += sidecar.load_.running_ + sidecar.load_.queued_;
+  }
+  if (slots == 0 || taken < slots) {
+    return Millis(0);
+  }
+  const double rounds =
+    static_cast<double>(taken - slots) / static_cast<double>(slots);
+  return Millis(static_cast<int64_t>(rounds * meanRunMs_));
+}
+
+} // namespace cornelfront
--- /dev/null
+++ b/src/libcornelfront/policy/settings.cpp
@@ -0,0 +1,275 @@
+#include "cornelfront/settings.h"
+
+#include "policy/yaml_reader.h"
+
+#include <algorithm>
+
+namespace cornelfront {
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr Bounds<Millis> kPulseIntervalBounds{ Millis(10), seconds(10) };
+constexpr Bounds<Millis> kSilenceBounds{ Millis(30), minutes(1) };
+constexpr Bounds<Millis> kRedialBounds{ Millis(10), seconds(30) };
+constexpr Bounds<Millis> kPrefixLifetimeBounds{ seconds(1), minutes(60) };
+constexpr Bounds<Millis> kResolveBounds{ Millis(50), minutes(1) };
+constexpr Bounds<Millis> kDrainNoticeBounds{ Millis(0), minutes(2) };
+constexpr Bounds<Millis> kDrainLimitBounds{ Millis(100), minutes(30) };
+constexpr Bounds<Millis> kFreshnessBounds{ Millis(50), seconds(30) };
+constexpr Bounds<Millis> kRetentionBounds{ Millis(500), minutes(10) };
+constexpr Bounds<unsigned> kThreadBounds{ 1, 64 };
+constexpr Bounds<unsigned> kQueueBounds{ 0, 100000 };
+
+// A link must survive one late pulse.
+constexpr int kPulsesPerSilence = 2;
+
+constexpr std::string_view kAnyAddress = "0.0.0.0";
+
+void
+CheckSilence(YamlReader& aReader, const LinkSettings& aLinks)
+{
+  if (aLinks.silenceBound_ <= kPulsesPerSilence * aLinks.pulseInterval_) {
+    aReader.Fail("silence_bound",
+                 FormatDuration(aLinks.silenceBound_) +
+                   " must exceed twice the pulse_interval of " +
+                   FormatDuration(aLinks.pulseInterval_));
+  }
+}
+
+void
+ReadLinks(YamlReader& aParent, LinkSettings& aLinks)
+{
+  auto reader = aParent.Child("links");
+  if (!reader) {
+    return;
+  }
+  reader->Duration(
+    "pulse_interval", aLinks.pulseInterval_, kPulseIntervalBounds);
+  reader->Duration("silence_bound", aLinks.silenceBound_, kSilenceBounds);
+  reader->Duration("redial_interval", aLinks.redialInterval_, kRedialBounds);
+  CheckSilence(*reader, aLinks);
+  reader->Finish();
+}
+
+void
+ReadSeeds(YamlReader& aReader, std::vector<Endpoint>& aSeeds, Need aNeed)
+{
+  if (!aReader.Addresses("seeds", aSeeds, aNeed)) {
+    return;
+  }
+  if (aSeeds.empty() && aNeed == Need::Required) {
+    aReader.Fail("seeds", "must name at least one entry");
+  }
+  std::set<std::string> seen;
+  for (const Endpoint& seed : aSeeds) {
+    const std::string text = FormatEndpoint(seed);
+    if (seed.port_ == 0 || seed.host_ == kAnyAddress) {
+      aReader.Fail("seeds", text + " can't be dialled");
+    }
+    if (!seen.insert(text).second) {
+      aReader.Fail("seeds", text + " is given twice");
+    }
+  }
+}
+
+void
+ReadLogUrl(YamlReader& aReader, std::string& aUrl)
+{
+  if (!aReader.Text("log_url", aUrl, Need::Required)) {
+    return;
+  }
+  constexpr std::string_view kScheme = "http://";
+  const std::string_view url = aUrl;
+  const auto endpoint = url.substr(0, kScheme.size()) == kScheme
+                          ? ParseEndpoint(url.substr(kScheme.size()))
+                          : std::nullopt;
+  if (!endpoint || endpoint->port_ == 0) {
+    aReader.Fail("log_url",
+                 "'" + aUrl + "' must be http://<IPv4 address>:<port>");
+  }
+}
+
+void
+CheckListeners(YamlReader& aReader, const EntrySettings& aSettings)
+{
+  if (aSettings.messages_.host_ == kAnyAddress) {
+    aReader.Fail("messages",
+                 "must be an address that other processes can dial");
+  }
+  const bool fixed = aSettings.http_.port_ != 0;
+  if (fixed &&
+      FormatEndpoint(aSettings.http_) == FormatEndpoint(aSettings.messages_)) {
+    aReader.Fail("messages", "must differ from http");
+  }
+}
+
+void
+ReadEntry(YamlReader& aReader, EntrySettings& aSettings)
+{
+  aReader.Name("name", aSettings.name_, Need::Required);
+  aReader.Name("zone", aSettings.zone_, Need::Required);
+  const bool http = aReader.Address("http", aSettings.http_, Need::Required);
+  const bool messages =
+    aReader.Address("messages", aSettings.messages_, Need::Required);
+  if (http && messages) {
+    CheckListeners(aReader, aSettings);
+  }
+  ReadSeeds(aReader, aSettings.seeds_, Need::Optional);
+  ReadLogUrl(aReader, aSettings.logUrl_);
+  ReadLinks(aReader, aSettings.links_);
+  aReader.Duration(
+    "prefix_lifetime", aSettings.prefixLifetime_, kPrefixLifetimeBounds);
+  aReader.Duration("resolve_bound", aSettings.resolveBound_, kResolveBounds);
+  if (aSettings.resolveBound_ <= aSettings.links_.redialInterval_) {
+    aReader.Fail("resolve_bound",
+                 FormatDuration(aSettings.resolveBound_) +
+                   " must exceed links.redial_interval of " +
+                   FormatDuration(aSettings.links_.redialInterval_));
+  }
+  aReader.Duration("drain_notice", aSettings.drainNotice_, kDrainNoticeBounds);
+  aReader.Duration("drain_limit", aSettings.drainLimit_, kDrainLimitBounds);
+  aReader.Number("http_threads", aSettings.httpThreads_, kThreadBounds);
+  aReader.Number("message_threads", aSettings.messageThreads_, kThreadBounds);
+}
+
+void
+CheckSidecarTimes(YamlReader& aReader, const SidecarSettings& aSettings)
+{
+  const LinkSettings& links = aSettings.links_;
+  if (aSettings.freshnessBound_ <= links.pulseInterval_) {
+    aReader.Fail("freshness_bound",
+                 FormatDuration(aSettings.freshnessBound_) +
+                   " must exceed links.pulse_interval of " +
+                   FormatDuration(links.pulseInterval_));
+  }
+  if (aSettings.resultRetention_ <= links.silenceBound_) {
+    aReader.Fail("result_retention",
+                 FormatDuration(aSettings.resultRetention_) +
+                   " must exceed links.silence_bound of " +
+                   FormatDuration(links.silenceBound_));
+  }
+}
+
+void
+ReadSidecar(YamlReader& aReader, SidecarSettings& aSettings)
+{
+  aReader.Name("name", aSettings.name_, Need::Required);
+  aReader.Name("zone", aSettings.zone_, Need::Required);
+  aReader.Address("http", aSettings.http_, Need::Required);
+  ReadSeeds(aReader, aSettings.seeds_, Need::Required);
+  ReadLinks(aReader, aSettings.links_);
+  aReader.Duration(
+    "freshness_bound", aSettings.freshnessBound_, kFreshnessBounds);
+  aReader.Number("queue_limit", aSettings.queueLimit_, kQueueBounds);
+  aReader.Duration(
+    "result_retention", aSettings.resultRetention_, kRetentionBounds);
+  aReader.Duration("drain_limit", aSettings.drainLimit_, kDrainLimitBounds);
+  CheckSidecarTimes(aReader, aSettings);
+}
+
+// Reads the mapping under the role's key with aRead and throws on any fault.
+template<class Settings, class Read>
+Settings
+ParseRole(const std::string& aYaml, const std::string& aRole, Read aRead)
+{
+  std::vector<FileError> errors;
+  Settings settings;
+  const YAML::Node root = LoadYaml(aYaml, errors);
+  if (errors.empty()) {
+    YamlReader reader(root, "", errors);
+    if (auto role = reader.Child(aRole, Need::Required)) {
+      aRead(*role, settings);
+      role->Finish();
+    }
+    reader.Finish();
+  }
+  if (!errors.empty()) {
+    std::stable_sort(errors.begin(),
+                     errors.end(),
+                     [](const FileError& aLeft, const FileError& aRight) {
+                       return aLeft.line_ < aRight.line_;
+                     });
+    throw FileErrors(std::move(errors));
+  }
+  return settings;
+}
+
+void
+PrintLine(std::string& aOut, std::string_view aKey, const std::string& aValue)
+{
+  aOut += "  " + std::string(aKey) + ": " + aValue + "\n";
+}
+
+void
+PrintSeeds(std::string& aOut, const std::vector<Endpoint>& aSeeds)
+{
+  std::string list;
+  for (const Endpoint& seed : aSeeds) {
+    list += (list.empty() ? "\"" : ", \"") + FormatEndpoint(seed) + "\"";
+  }
+  PrintLine(aOut, "seeds", "[" + list + "]");
+}
+
+void
+PrintLinks(std::string& aOut, const LinkSettings& aLinks)
+{
+  PrintLine(aOut, "links", "");
+  PrintLine(aOut, "  pulse_interval", FormatDuration(aLinks.pulseInterval_));
+  PrintLine(aOut, "  silence_bound", FormatDuration(aLinks.silenceBound_));
+  PrintLine(aOut, "  redial_interval", FormatDuration(aLinks.redialInterval_));
+}
+
+} // namespace
+
+EntrySettings
+ParseEntrySettings(const std::string& aYaml)
+{
+  return ParseRole<EntrySettings>(aYaml, "entry", ReadEntry);
+}
+
+SidecarSettings
+ParseSidecarSettings(const std::string& aYaml)
+{
+  return ParseRole<SidecarSettings>(aYaml, "sidecar", ReadSidecar);
+}
+
+std::string
+PrintSettings(const EntrySettings& aSettings)
+{
+  std::string out = "entry:\n";
+  PrintLine(out, "name", aSettings.name_);
+  PrintLine(out, "zone", aSettings.zone_);
+  PrintLine(out, "http", FormatEndpoint(aSettings.http_));
+  PrintLine(out, "messages", FormatEndpoint(aSettings.messages_));
+  PrintSeeds(out, aSettings.seeds_);
+  PrintLine(out, "log_url", aSettings.logUrl_);
+  PrintLinks(out, aSettings.links_);
+  PrintLine(out, "prefix_lifetime", FormatDuration(aSettings.prefixLifetime_));
+  PrintLine(out, "resolve_bound", FormatDuration(aSettings.resolveBound_));
+  PrintLine(out, "drain_notice", FormatDuration(aSettings.drainNotice_));
+  PrintLine(out, "drain_limit", FormatDuration(aSettings.drainLimit_));
+  PrintLine(out, "http_threads", std::to_string(aSettings.httpThreads_));
+  PrintLine(out, "message_threads", std::to_string(aSettings.messageThreads_));
+  return out;
+}
+
+std::string
+PrintSettings(const SidecarSettings& aSettings)
+{
+  std::string out = "sidecar:\n";
+  PrintLine(out, "name", aSettings.name_);
+  PrintLine(out, "zone", aSettings.zone_);
+  PrintLine(out, "http", FormatEndpoint(aSettings.http_));
+  PrintSeeds(out, aSettings.seeds_);
+  PrintLinks(out, aSettings.links_);
+  PrintLine(out, "freshness_bound", FormatDuration(aSettings.freshnessBound_));
+  PrintLine(out, "queue_limit", std::to_string(aSettings.queueLimit_));
+  PrintLine(
+    out, "result_retention", FormatDuration(aSettings.resultRetention_));
+  PrintLine(out, "drain_limit", FormatDuration(aSettings.drainLimit_));
+  return out;
+}
+
+} // namespace cornelfront
--- /dev/null
+++ b/src/libcornelfront/policy/yaml_reader.h
@@ -0,0 +1,197 @@
+#pragma once
+
+/// \file
+/// Typed, bounded reading of YAML mappings which collects every fault with its
+/// line and dotted key instead of stopping at the first.
+
+#include "cornelfront/schema.h"
+#include "cornelfront/settings.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <cmath>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <utility>
+#include <vector>
+
+namespace cornelfront {
+
+/// Parses "300ms", "2s" or "5min": a whole number and a unit.
+std::optional<Millis>
+ParseDuration(std::string_view aText);
+
+/// Parses "512B", "64KiB", "1MiB" or "1GiB": a whole number and a unit.
+std::optional<uint64_t>
+ParseByteSize(std::string_view aText);
+
+/// Parses "<ipv4>:<port>".
+std::optional<Endpoint>
+ParseEndpoint(std::string_view aText);
+
+/// Text that ParseDuration reads back, in the largest unit that fits.
+std::string
+FormatDuration(Millis aDuration);
+std::string
+FormatEndpoint(const Endpoint& aEndpoint);
+
+/// Non-empty and made of lowercase letters, digits and dashes.
+bool
+IsPlainName(std::string_view aText);
+
+/// Inclusive.
+template<class Value>
+struct Bounds
+{
+  Value min_;
+  Value max_;
+
+  bool Contain(Value aValue) const { return aValue >= min_ && aValue <= max_; }
+};
+
+enum class Need
+{
+  Optional,
+  Required,
+};
+
+/// Parses the text of a whole file; a syntax error is added to \p aErrors and
+/// yields an empty node.
+YAML::Node
+LoadYaml(const std::string& aYaml, std::vector<FileError>& aErrors);
+
+/// Reads one mapping. Each getter leaves its target untouched when the key is
+/// absent or faulty, and returns true only if it has set it.
+class YamlReader
+{
+public:
+  /// \p aKey is the dotted path of the mapping, empty for the file's root.
+  /// \p aErrors must outlive the reader.
+  YamlReader(const YAML::Node& aNode,
+             std::string aKey,
+             std::vector<FileError>& aErrors);
+
+  bool Text(const std::string& aName,
+            std::string& aTarget,
+            Need aNeed = Need::Optional);
+  /// A name by IsPlainName.
+  bool Name(const std::string& aName,
+            std::string& aTarget,
+            Need aNeed = Need::Optional);
+  bool Boolean(const std::string& aName,
+               bool& aTarget,
+               Need aNeed = Need::Optional);
+  bool Duration(const std::string& aName,
+                Millis& aTarget,
+                const Bounds<Millis>& aBounds,
+                Need aNeed = Need::Optional);
+  bool ByteSize(const std::string& aName,
+                uint64_t& aTarget,
+                const Bounds<uint64_t>& aBounds,
+                Need aNeed = Need::Optional);
+  bool Address(const std::string& aName,
+               Endpoint& aTarget,
+               Need aNeed = Need::Optional);
+  /// A sequence of endpoints.
+  bool Addresses(const std::string& aName,
+                 std::vector<Endpoint>& aTarget,
+                 Need aNeed = Need::Optional);
+
+  /// A whole or, for floating point targets, a decimal number.
+  template<class Value>
+  bool Number(const std::string& aName,
+              Value& aTarget,
+              const Bounds<Value>& aBounds,
+              Need aNeed = Need::Optional);
+
+  /// One of the names in \p aChoices, a list of pairs of name and value.
+  template<class Value>
+  bool Choice(const std::string& aName,
+              Value& aTarget,
+              const std::vector<std::pair<std::string, Value>>& aChoices,
+              Need aNeed = Need::Optional);
+
+  /// The mapping under \p aName; nullopt if it is absent or not a mapping.
+  std::optional<YamlReader> Child(const std::string& aName,
+                                  Need aNeed = Need::Optional);
+
+  /// The mappings under all keys, in the order of the file.
+  std::vector<std::pair<std::string, YamlReader>> Children();
+
+  /// Adds an error about the key \p aName, at its line if it is present.
+  void Fail(const std::string& aName, std::string aMessage);
+
+  /// Reports keys that no getter has asked for, and keys given twice.
+  void Finish();
+
+private:
+  std::optional<YAML::Node> Find(const std::string& aName, Need aNeed);
+  std::optional<std::string> Scalar(const std::string& aName, Need aNeed);
+  std::string PathOf(const std::string& aName) const;
+  void FailOutside(const std::string& aName,
+                   const std::string& aGiven,
+                   const std::string& aMin,
+                   const std::string& aMax);
+  std::optional<double> Decimal(const std::string& aName,
+                                bool aWhole,
+                                Need aNeed);
+
+  YAML::Node node_;
+  std::string key_;
+  std::vector<FileError>* errors_;
+  std::set<std::string> asked_;
+};
+
+/// Shortest decimal text of a number.
+std::string
+FormatNumber(double aNumber);
+
+template<class Value>
+bool
+YamlReader::Number(const std::string& aName,
+                   Value& aTarget,
+                   const Bounds<Value>& aBounds,
+                   Need aNeed)
+{
+  const auto number = Decimal(aName, std::is_integral_v<Value>, aNeed);
+  if (!number) {
+    return false;
+  }
+  const auto low = static_cast<double>(aBounds.min_);
+  const auto high = static_cast<double>(aBounds.max_);
+  if (*number < low || *number > high) {
+    FailOutside(
+      aName, FormatNumber(*number), FormatNumber(low), FormatNumber(high));
+    return false;
+  }
+  aTarget = static_cast<Value>(*number);
+  return true;
+}
+
+template<class Value>
+bool
+YamlReader::Choice(const std::string& aName,
+                   Value& aTarget,
+                   const std::vector<std::pair<std::string, Value>>& aChoices,
+                   Need aNeed)
+{
+  const auto text = Scalar(aName, aNeed);
+  if (!text) {
+    return false;
+  }
+  std::string names;
+  for (const auto& [name, value] : aChoices) {
+    if (*text == name) {
+      aTarget = value;
+      return true;
+    }
+    names += (names.empty() ? "'" : ", '") + name + "'";
+  }
+  Fail(aName, "'" + *text + "' is not one of " + names);
+  return false;
+}
+
+} // namespace cornelfront
