Serve a call end to end: entry, sidecar, gate and configuration as processes

A caller's call and job go through an entry and a sidecar to the upstream stand-in and back; the schema comes from the log stand-in; the upstream is known only by its announcement.

Ruled out: resetting the io pool before the objects that hold links (sockets would outlive their context); the pool is stopped first and destroyed last.

Shown by: one call (200, completed), the same call again (200, the same answer) and one job of two tasks, run by hand against one entry, one sidecar and one upstream stand-in.

--- /dev/null
+++ b/src/cornelfront/cmd_serve.cpp
@@ -0,0 +1,143 @@
+/// \file
+/// `cornelfront entry` and `cornelfront sidecar`: the processes that serve.
+
+#include "commands.h"
+
+#include "cornelfront/entry.h"
+#include "cornelfront/schema.h"
+#include "cornelfront/settings.h"
+#include "cornelfront/sidecar.h"
+
+#include <CLI/CLI.hpp>
+#include <pthread.h>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <sstream>
+
+namespace cornelfront {
+
+namespace {
+
+struct ServeOptions
+{
+  std::string settingsFile_;
+  bool printSettings_ = false;
+};
+
+std::string
+ReadFile(const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  if (!file) {
+    throw std::runtime_error(aPath + ": cannot be read");
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+void
+PrintErrors(const std::string& aFile, const FileErrors& aErrors)
+{
+  for (const FileError& error : aErrors.Errors()) {
+    std::cerr << aFile << ":" << error.line_ << ": " << error.key_ << ": "
+              << error.message_ << "\n";
+  }
+}
+
+/// Blocks SIGTERM and SIGINT in this and all later threads.
+sigset_t
+BlockStopSignals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  return signals;
+}
+
+void
+WaitForStopSignal(const sigset_t& aSignals)
+{
+  int received = 0;
+  sigwait(&aSignals, &received);
+}
+
+void
+ServeEntry(const EntrySettings& aSettings)
+{
+  const sigset_t signals = BlockStopSignals();
+  Entry entry(aSettings);
+  std::cout << "listening http " << entry.HttpPort() << " messages "
+            << entry.MessagePort() << std::endl;
+  WaitForStopSignal(signals);
+  entry.Stop();
+}
+
+void
+ServeSidecar(const SidecarSettings& aSettings)
+{
+  const sigset_t signals = BlockStopSignals();
+  Sidecar sidecar(aSettings);
+  std::cout << "listening http " << sidecar.HttpPort() << std::endl;
+  WaitForStopSignal(signals);
+  sidecar.Stop();
+}
+
+/// Reads the settings, then prints them or serves.
+template<class Parse, class Serve>
+void
+RunServe(const ServeOptions& aOptions, Parse&& aParse, Serve&& aServe)
+{
+  try {
+    const auto settings = aParse(ReadFile(aOptions.settingsFile_));
+    if (aOptions.printSettings_) {
+      std::cout << PrintSettings(settings);
+      return;
+    }
+    aServe(settings);
+  } catch (const FileErrors& errors) {
+    PrintErrors(aOptions.settingsFile_, errors);
+    throw CLI::RuntimeError(static_cast<int>(ExitCode::BadFile));
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << "\n";
+    throw CLI::RuntimeError(static_cast<int>(ExitCode::Failed));
+  }
+}
+
+CLI::App*
+AddServeCommand(CLI::App& aApp,
+                const std::string& aName,
+                const std::string& aHelp,
+                const std::shared_ptr<ServeOptions>& aOptions)
+{
+  CLI::App* command = aApp.add_subcommand(aName, aHelp);
+  command
+    ->add_option("--settings", aOptions->settingsFile_, "YAML settings file")
+    ->required();
+  command->add_flag("--print-settings",
+                    aOptions->printSettings_,
+                    "Print the effective settings and exit");
+  return command;
+}
+
+} // namespace
+
+void
+AddServeCommands(CLI::App& aApp)
+{
+  auto entry = std::make_shared<ServeOptions>();
+  AddServeCommand(aApp, "entry", "Serve callers", entry)->callback([entry] {
+    RunServe(*entry, ParseEntrySettings, ServeEntry);
+  });
+  auto sidecar = std::make_shared<ServeOptions>();
+  AddServeCommand(aApp, "sidecar", "Serve beside one upstream", sidecar)
+    ->callback(
+      [sidecar] { RunServe(*sidecar, ParseSidecarSettings, ServeSidecar); });
+}
+
+} // namespace cornelfront
--- a/src/cornelfront/main.cpp
+++ b/src/cornelfront/main.cpp
@@ -1,1 +1,22 @@
-int main(){}
+#include "commands.h"
+
+#include <glog/logging.h>
+
+int
+main(int argc, char** argv)
+{
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(argv[0]);
+  CLI::App app("Dispatcher for sub-second tasks", "cornelfront");
+  app.require_subcommand(1);
+  cornelfront::AddServeCommands(app);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::RuntimeError& error) {
+    return error.get_exit_code();
+  } catch (const CLI::ParseError& error) {
+    const int code = app.exit(error);
+    return code == 0 ? 0 : static_cast<int>(cornelfront::ExitCode::Usage);
+  }
+  return 0;
+}
--- a/src/include/cornelfront/config.h
+++ b/src/include/cornelfront/config.h
@@ -12,6 +12,7 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -70,6 +71,8 @@
   std::vector<std::string> EntryZones() const;
 };
 
+using ConfigStatePtr = std::shared_ptr<const ConfigState>;
+
 /// One proposed change: applied only if \p base_ is still the version of its
 /// key when the record is folded, so of two racing changes the first in the
 /// log wins and a repeated append has no effect.
--- a/src/include/cornelfront/link.h
+++ b/src/include/cornelfront/link.h
@@ -26,11 +26,14 @@
 {
 public:
   explicit IoPool(unsigned aThreads);
-  /// Stops; handlers that wait are dropped.
   ~IoPool();
   IoPool(const IoPool&) = delete;
   IoPool& operator=(const IoPool&) = delete;
 
+  /// Ends the threads; no handler runs afterwards. Objects that use the
+  /// context may be destroyed between this and the destructor.
+  void Stop();
+
   asio::io_context& Context() { return context_; }
 
 private:
--- a/src/include/cornelfront/schema_set.h
+++ b/src/include/cornelfront/schema_set.h
@@ -23,4 +23,11 @@
 /// Returns the schemas in force now. Thread-safe and cheap; never null.
 using SchemaSource = std::function<SchemaSetPtr()>;
 
+struct ConfigState;
+
+/// Builds the set from the keys "schema/<service>". A text that is not a valid
+/// schema is left out, as by every other process.
+SchemaSet
+BuildSchemaSet(const ConfigState& aState);
+
 } // namespace cornelfront
--- a/src/libcornelfront/controllers/member_links.h
+++ b/src/libcornelfront/controllers/member_links.h
@@ -15,8 +15,6 @@
 
 namespace cornelfront {
 
-using ConfigStatePtr = std::shared_ptr<const ConfigState>;
-
 /// Thread-safe. Holds no lock while a message is sent.
 class MemberLinks
 {
--- /dev/null
+++ b/src/libcornelfront/entry.cpp
@@ -0,0 +1,437 @@
+#include "cornelfront/entry.h"
+
+#include "controllers/config_controller.h"
+#include "controllers/dispatcher.h"
+#include "controllers/entry_links.h"
+#include "controllers/forwards.h"
+#include "controllers/member_links.h"
+#include "cornelfront/caller_api.h"
+#include "cornelfront/events.h"
+#include "cornelfront/http_server.h"
+#include "cornelfront/link.h"
+#include "cornelfront/submissions.h"
+#include "net/entry_status.h"
+
+#include <condition_variable>
+#include <thread>
+
+namespace cornelfront {
+
+namespace {
+
+constexpr Millis kSweepInterval{ 1000 };
+constexpr Millis kStopPoll{ 10 };
+
+} // namespace
+
+class Entry::Impl
+{
+public:
+  explicit Impl(EntrySettings aSettings);
+  ~Impl();
+
+  uint16_t HttpPort() const { return http_->Port(); }
+  uint16_t MessagePort() const { return server_->Port(); }
+  void Stop();
+
+private:
+  LinkHandlers BaseHandlers();
+  std::shared_ptr<const LinkHandlers> AcceptedHandlers();
+  std::shared_ptr<const LinkHandlers> DialledHandlers();
+  void OnAccept(asio::ip::tcp::socket aSocket);
+  LinkPtr OnConnect(asio::ip::tcp::socket aSocket);
+
+  void OnAcceptedMessage(const LinkPtr& aLink, Envelope& aEnvelope);
+  void OnDialledMessage(const LinkPtr& aLink, Envelope& aEnvelope);
+  void OnHello(const LinkPtr& aLink, const Hello& aHello);
+  void OnWelcome(const LinkPtr& aLink, const Welcome& aWelcome);
+  void OnForward(const LinkPtr& aLink, ForwardRequest& aRequest);
+  void OnEnd(const LinkPtr& aLink, LinkEnd aEnd, const std::string& aDetail);
+
+  void OnConfigChange(const ConfigStatePtr& aState);
+  void HandleHttp(const HttpRequest& aRequest, const HttpReply& aReply);
+  EntryAddress Self() const;
+  Welcome MakeWelcome() const;
+  SchemaSetPtr Schemas() const;
+  void SweepLoop();
+
+  const EntrySettings settings_;
+  const MemberId self_ = NewMemberId();
+  const MonoTime start_ = MonoClock::now();
+  EventLog events_;
+  std::atomic<bool> draining_ = false;
+
+  // Outlives everything that holds links.
+  IoPool pool_;
+  EntryLinks entries_;
+  MemberLinks members_;
+  Forwards forwards_;
+  Submissions submissions_;
+  std::unique_ptr<Dispatcher> dispatcher_;
+  std::unique_ptr<ConfigController> config_;
+  std::unique_ptr<CallerApi> callers_;
+
+  mutable std::mutex schemasMutex_;
+  SchemaSetPtr schemas_ = std::make_shared<const SchemaSet>();
+
+  std::shared_ptr<const LinkHandlers> accepted_;
+  std::shared_ptr<const LinkHandlers> dialled_;
+  std::unique_ptr<Dialer> dialer_;
+  std::unique_ptr<LinkServer> server_;
+  std::unique_ptr<HttpServer> http_;
+
+  std::mutex stopMutex_;
+  std::condition_variable stopChanged_;
+  bool stopping_ = false;
+  std::thread sweeper_;
+};
+
+Entry::Impl::Impl(EntrySettings aSettings)
+  : settings_(std::move(aSettings))
+  , pool_(settings_.messageThreads_)
+  , forwards_(entries_)
+  , submissions_(
+      { .start_ = start_, .prefixLifetime_ = settings_.prefixLifetime_ })
+  , accepted_(AcceptedHandlers())
+  , dialled_(DialledHandlers())
+{
+  events_.Record(EventId::ProcessStarted,
+                 { { "role", "entry" },
+                   { "name", settings_.name_ },
+                   { "zone", settings_.zone_ } },
+                 WallClock::now());
+  dispatcher_ = std::make_unique<Dispatcher>(
+    DispatcherOptions{ .self_ = self_,
+                       .zone_ = settings_.zone_,
+                       .resolveBound_ = settings_.resolveBound_ },
+    events_);
+  callers_ = std::make_unique<CallerApi>(
+    CallerApiOptions{ .self_ = self_,
+                      .start_ = start_,
+                      .prefixLifetime_ = settings_.prefixLifetime_ },
+    *dispatcher_,
+    submissions_,
+    forwards_,
+    [this] { return Schemas(); });
+  config_ = std::make_unique<ConfigController>(
+    ConfigControllerOptions{ .log_ = { .url_ = settings_.logUrl_ } },
+    events_,
+    [this](const ConfigStatePtr& aState) { OnConfigChange(aState); });
+  dialer_ = std::make_unique<Dialer>(
+    pool_, settings_.links_, [this](asio::ip::tcp::socket aSocket) {
+      return OnConnect(std::move(aSocket));
+    });
+  server_ = std::make_unique<LinkServer>(
+    pool_, settings_.messages_, [this](asio::ip::tcp::socket aSocket) {
+      OnAccept(std::move(aSocket));
+    });
+  http_ = std::make_unique<HttpServer>(
+    HttpServerOptions{ .address_ = settings_.http_.host_,
+                       .port_ = settings_.http_.port_,
+                       .threads_ = settings_.httpThreads_ },
+    [this](const HttpRequest& aRequest, const HttpReply& aReply) {
+      HandleHttp(aRequest, aReply);
+    });
+  sweeper_ = std::thread([this] { SweepLoop(); });
+  for (const Endpoint& seed : settings_.seeds_) {
+    if (seed.host_ != settings_.messages_.host_ ||
+        seed.port_ != settings_.messages_.port_) {
+      dialer_->Add(seed, true);
+    }
+  }
+}
+
+Entry::Impl::~Impl()
+{
+  {
+    std::lock_guard lock(stopMutex_);
+    stopping_ = true;
+  }
+  stopChanged_.notify_all();
+  sweeper_.join();
+  http_.reset();
+  pool_.Stop();
+  server_.reset();
+  dialer_.reset();
+  config_.reset();
+  dispatcher_.reset();
+}
+
+LinkHandlers
+Entry::Impl::BaseHandlers()
+{
+  LinkHandlers handlers;
+  handlers.onEnd_ =
+    [this](const LinkPtr& aLink, LinkEnd aEnd, const std::string& aDetail) {
+      OnEnd(aLink, aEnd, aDetail);
+    };
+  handlers.evidence_ = [this](MonoTime aNow) {
+    return config_->Evidence(aNow);
+  };
+  handlers.hybridStamp_ = [this](WallTime aNow) {
+    return events_.Clock().Tick(aNow);
+  };
+  handlers.onTraffic_ = [](const Message&, size_t, bool) {};
+  return handlers;
+}
+
+std::shared_ptr<const LinkHandlers>
+Entry::Impl::AcceptedHandlers()
+{
+  LinkHandlers handlers = BaseHandlers();
+  handlers.onMessage_ = [this](const LinkPtr& aLink, Envelope& aEnvelope) {
+    OnAcceptedMessage(aLink, aEnvelope);
+  };
+  return std::make_shared<const LinkHandlers>(std::move(handlers));
+}
+
+std::shared_ptr<const LinkHandlers>
+Entry::Impl::DialledHandlers()
+{
+  LinkHandlers handlers = BaseHandlers();
+  handlers.onMessage_ = [this](const LinkPtr& aLink, Envelope& aEnvelope) {
+    OnDialledMessage(aLink, aEnvelope);
+  };
+  return std::make_shared<const LinkHandlers>(std::move(handlers));
+}
+
+void
+Entry::Impl::OnAccept(asio::ip::tcp::socket aSocket)
+{
+  std::make_shared<Link>(std::move(aSocket), settings_.links_, accepted_)
+    ->Start();
+}
+
+LinkPtr
+Entry::Impl::OnConnect(asio::ip::tcp::socket aSocket)
+{
+  auto link =
+    std::make_shared<Link>(std::move(aSocket), settings_.links_, dialled_);
+  link->Start();
+  link->Send(Hello{ .role_ = Role::Entry,
+                    .id_ = self_,
+                    .name_ = settings_.name_,
+                    .zone_ = settings_.zone_,
+                    .listen_ = Self() });
+  return link;
+}
+
+EntryAddress
+Entry::Impl::Self() const
+{
+  return { .id_ = self_,
+           .zone_ = settings_.zone_,
+           .host_ = settings_.messages_.host_,
+           .port_ = server_->Port() };
+}
+
+Welcome
+Entry::Impl::MakeWelcome() const
+{
+  return { .self_ = Self(), .entries_ = entries_.Entries() };
+}
+
+void
+Entry::Impl::OnAcceptedMessage(const LinkPtr& aLink, Envelope& aEnvelope)
+{
+  const MonoTime now = MonoClock::now();
+  events_.Clock().Observe(aEnvelope.hybridStamp_, WallClock::now());
+  if (const auto* hello = std::get_if<Hello>(&aEnvelope.message_)) {
+    OnHello(aLink, *hello);
+  } else if (const auto* status =
+               std::get_if<UpstreamStatus>(&aEnvelope.message_)) {
+    dispatcher_->OnStatus(aLink, *status, now);
+  } else if (const auto* answers =
+               std::get_if<TaskAnswers>(&aEnvelope.message_)) {
+    dispatcher_->OnAnswers(aLink, *answers, now);
+  } else if (auto* forward = std::get_if<ForwardRequest>(&aEnvelope.message_)) {
+    OnForward(aLink, *forward);
+  }
+  dispatcher_->OnVersion(aLink, aEnvelope.evidence_.version_);
+  members_.SendConfigIfOlder(
+    aLink, aEnvelope.evidence_.version_, config_->State());
+}
+
+void
+Entry::Impl::OnDialledMessage(const LinkPtr& aLink, Envelope& aEnvelope)
+{
+  events_.Clock().Observe(aEnvelope.hybridStamp_, WallClock::now());
+  if (const auto* welcome = std::get_if<Welcome>(&aEnvelope.message_)) {
+    OnWelcome(aLink, *welcome);
+  }
+  const auto peer = entries_.PeerOf(aLink);
+  if (!peer) {
+    return;
+  }
+  if (const auto* update = std::get_if<ConfigUpdate>(&aEnvelope.message_)) {
+    config_->Offer(update->state_);
+  } else if (auto* reply = std::get_if<ForwardReply>(&aEnvelope.message_)) {
+    forwards_.OnReply(peer->id_, *reply);
+  }
+  config_->OnPeerEvidence(*peer, aEnvelope.evidence_);
+}
+
+void
+Entry::Impl::OnHello(const LinkPtr& aLink, const Hello& aHello)
+{
+  members_.Add(aLink, aHello);
+  aLink->Send(MakeWelcome());
+  if (aHello.role_ == Role::Sidecar) {
+    dispatcher_->OnHello(aLink, aHello, MonoClock::now());
+  } else if (aHello.listen_.id_ != self_) {
+    dialer_->Add(
+      { .host_ = aHello.listen_.host_, .port_ = aHello.listen_.port_ }, false);
+  }
+}
+
+void
+Entry::Impl::OnWelcome(const LinkPtr& aLink, const Welcome& aWelcome)
+{
+  for (const EntryAddress& entry : aWelcome.entries_) {
+    if (entry.id_ != self_ && entry.id_ != aWelcome.self_.id_) {
+      dialer_->Add({ .host_ = entry.host_, .port_ = entry.port_ }, false);
+    }
+  }
+  if (entries_.PeerOf(aLink) || aWelcome.self_.id_ == self_) {
+    return;
+  }
+  const LinkPtr earlier = entries_.OnWelcome(aLink, aWelcome.self_);
+  if (earlier) {
+    earlier->Close();
+  }
+  events_.Record(EventId::LinkUp,
+                 { { "entry", ToString(aWelcome.self_.id_) } },
+                 WallClock::now());
+  members_.SendToAll(MakeWelcome());
+}
+
+void
+Entry::Impl::OnForward(const LinkPtr& aLink, ForwardRequest& aRequest)
+{
+  const uint64_t serial = aRequest.serial_;
+  callers_->Handle(ToHttpRequest(std::move(aRequest)),
+                   Respond([aLink, serial](HttpResponse aResponse) {
+                     aLink->Send(ToForwardReply(serial, std::move(aResponse)));
+                   }),
+                   MonoClock::now());
+}
+
+void
+Entry::Impl::OnEnd(const LinkPtr& aLink,
+                   LinkEnd aEnd,
+                   const std::string& aDetail)
+{
+  EventId event = EventId::LinkDown;
+  if (aEnd == LinkEnd::Silent) {
+    event = EventId::LinkSilent;
+  } else if (aEnd == LinkEnd::BadFrame) {
+    event = EventId::BadFrame;
+  }
+  events_.Record(
+    event,
+    { { "member", members_.Describe(aLink) }, { "detail", aDetail } },
+    WallClock::now());
+  members_.Remove(aLink);
+  dispatcher_->OnLinkEnd(aLink, MonoClock::now());
+  if (const auto peer = entries_.OnLinkEnd(aLink)) {
+    forwards_.OnOwnerLost(peer->id_);
+  }
+  dialer_->OnLinkEnd(aLink);
+}
+
+void
+Entry::Impl::OnConfigChange(const ConfigStatePtr& aState)
+{
+  auto schemas = std::make_shared<const SchemaSet>(BuildSchemaSet(*aState));
+  {
+    std::lock_guard lock(schemasMutex_);
+    schemas_ = std::move(schemas);
+  }
+  dispatcher_->OnConfig(*aState, MonoClock::now());
+  members_.SendConfig(aState);
+}
+
+SchemaSetPtr
+Entry::Impl::Schemas() const
+{
+  std::lock_guard lock(schemasMutex_);
+  return schemas_;
+}
+
+void
+Entry::Impl::HandleHttp(const HttpRequest& aRequest, const HttpReply& aReply)
+{
+  const MonoTime now = MonoClock::now();
+  if (aRequest.path_ == "/v1/admin/status") {
+    aReply.Send(EntryStatusResponse(
+      { .self_ = Self(),
+        .name_ = settings_.name_,
+        .http_ = settings_.http_.host_ + ":" + std::to_string(http_->Port()),
+        .evidence_ = config_->Evidence(now),
+        .entries_ = entries_.Entries(),
+        .sidecars_ = dispatcher_->Sidecars() }));
+  } else if (aRequest.path_ == "/v1/admin/poke") {
+    config_->Poke();
+    aReply.Send({ .body_ = "{}\n" });
+  } else if (aRequest.path_ == "/healthz") {
+    aReply.Send({ .body_ = "{}\n" });
+  } else if (aRequest.path_ == "/readyz") {
+    aReply.Send({ .status_ = draining_ ? 503 : 200, .body_ = "{}\n" });
+  } else {
+    callers_->Handle(aRequest, aReply, now);
+  }
+}
+
+void
+Entry::Impl::SweepLoop()
+{
+  std::unique_lock lock(stopMutex_);
+  while (!stopChanged_.wait_for(
+    lock, kSweepInterval, [this] { return stopping_; })) {
+    lock.unlock();
+    submissions_.Sweep(MonoClock::now());
+    lock.lock();
+  }
+}
+
+void
+Entry::Impl::Stop()
+{
+  events_.Record(EventId::ProcessStopping, {}, WallClock::now());
+  draining_ = true;
+  std::this_thread::sleep_for(settings_.drainNotice_);
+  callers_->StartDraining();
+  const MonoTime limit = MonoClock::now() + settings_.drainLimit_;
+  while (dispatcher_->JobCount() > 0 && MonoClock::now() < limit) {
+    std::this_thread::sleep_for(kStopPoll);
+  }
+  members_.SendToAll(Leaving{});
+  events_.Record(EventId::ProcessStopped, {}, WallClock::now());
+}
+
+Entry::Entry(EntrySettings aSettings)
+  : impl_(std::make_unique<Impl>(std::move(aSettings)))
+{
+}
+
+Entry::~Entry() = default;
+
+uint16_t
+Entry::HttpPort() const
+{
+  return impl_->HttpPort();
+}
+
+uint16_t
+Entry::MessagePort() const
+{
+  return impl_->MessagePort();
+}
+
+void
+Entry::Stop()
+{
+  impl_->Stop();
+}
+
+} // namespace cornelfront
--- a/src/libcornelfront/net/link.cpp
+++ b/src/libcornelfront/net/link.cpp
@@ -68,11 +68,18 @@
 }
 
 IoPool::~IoPool()
+{
+  Stop();
+}
+
+void
+IoPool::Stop()
 {
   context_.stop();
   for (std::thread& thread : threads_) {
     thread.join();
   }
+  threads_.clear();
 }
 
 Link::Link(asio::ip::tcp::socket aSocket,
--- a/src/libcornelfront/net/messages_test.cpp
+++ b/src/libcornelfront/net/messages_test.cpp
@@ -31,6 +31,7 @@
     Leaving{},
   };
   std::vector<Envelope> samples;
+  samples.reserve(messages.size());
   for (const Message& message : messages) {
     samples.push_back({ .sequence_ = samples.size() + 1,
                         .hybridStamp_ = 5,
--- /dev/null
+++ b/src/libcornelfront/sidecar.cpp
@@ -0,0 +1,606 @@
+#include "cornelfront/sidecar.h"
+
+#include "controllers/entry_links.h"
+#include "controllers/task_table.h"
+#include "controllers/upstream_lease.h"
+#include "cornelfront/events.h"
+#include "cornelfront/http_server.h"
+#include "cornelfront/link.h"
+#include "cornelfront/start_gate.h"
+#include "net/upstream_client.h"
+
+#include <nlohmann/json.hpp>
+
+#include <condition_variable>
+#include <thread>
+
+namespace cornelfront {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr unsigned kMessageThreads = 2;
+constexpr unsigned kMaxSlots = 256;
+constexpr Millis kSweepInterval{ 10 };
+constexpr Millis kStopPoll{ 10 };
+constexpr Millis kFlushLimit{ 1000 };
+constexpr Millis kMinLease{ 100 };
+constexpr Millis kMaxLease{ 60000 };
+constexpr unsigned kMaxPort = 65535;
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusUnavailable = 503;
+
+MonoTime
+FromStamp(int64_t aStamp)
+{
+  return MonoTime(std::chrono::nanoseconds(aStamp));
+}
+
+HttpResponse
+ErrorResponse(int aStatus, const std::string& aMessage)
+{
+  return { .status_ = aStatus,
+           .body_ = json{ { "error", aMessage } }.dump() + "\n" };
+}
+
+/// \throws std::invalid_argument naming the field and its bound
+UpstreamAnnouncement
+ParseAnnouncement(const std::string& aBody)
+{
+  const json body = json::parse(aBody, nullptr, false);
+  if (!body.is_object()) {
+    throw std::invalid_argument("body must be a JSON object");
+  }
+  const auto number = [&](const char* aKey, uint64_t aMin, uint64_t aMax) {
+    const auto found = body.find(aKey);
+    if (found == body.end() || !found->is_number_unsigned() ||
+        found->get<uint64_t>() < aMin || found->get<uint64_t>() > aMax) {
+      throw std::invalid_argument(
+        std::string(aKey) + " must be a number from " + std::to_string(aMin) +
+        " to " + std::to_string(aMax));
+    }
+    return found->get<uint64_t>();
+  };
+  const auto service = body.find("service");
+  if (service == body.end() || !service->is_string() ||
+      service->get<std::string>().empty()) {
+    throw std::invalid_argument("service must be a name");
+  }
+  UpstreamAnnouncement announcement;
+  announcement.service_ = service->get<std::string>();
+  announcement.port_ = static_cast<uint16_t>(number("port", 1, kMaxPort));
+  announcement.slots_ = static_cast<unsigned>(number("slots", 1, kMaxSlots));
+  announcement.lease_ =
+    Millis(number("lease_ms",
+                  static_cast<uint64_t>(kMinLease.count()),
+                  static_cast<uint64_t>(kMaxLease.count())));
+  return announcement;
+}
+
+} // namespace
+
+class Sidecar::Impl
+{
+public:
+  explicit Impl(SidecarSettings aSettings);
+  ~Impl();
+
+  uint16_t HttpPort() const { return http_->Port(); }
+  void Stop();
+
+private:
+  std::shared_ptr<const LinkHandlers> MakeHandlers();
+  LinkPtr OnConnect(asio::ip::tcp::socket aSocket);
+  void OnMessage(const LinkPtr& aLink, Envelope& aEnvelope);
+  void OnEnd(const LinkPtr& aLink, LinkEnd aEnd, const std::string& aDetail);
+  void OnWelcome(const LinkPtr& aLink, const Welcome& aWelcome);
+  void OnConfig(const ConfigState& aState);
+  void OnStart(const LinkPtr& aLink, StartTasks& aStart);
+  void OnResolve(const LinkPtr& aLink, const ResolveTasks& aResolve);
+  void OnCancel(const CancelTasks& aCancel);
+
+  void HandleHttp(const HttpRequest& aRequest, const HttpReply& aReply);
+  HttpResponse HandleUpstream(const HttpRequest& aRequest);
+  HttpResponse StatusResponse() const;
+
+  void UpdateSlots();
+  UpstreamStatus Status() const;
+  void SendStatus();
+  void Answer(std::vector<TaskAnswer> aAnswers);
+  TaskReason CheckGate(MonoTime aNow) const;
+  void RunSlot(unsigned aSlot);
+  TaskAnswer RunTask(UpstreamClient& aClient, const RunningTask& aTask);
+  void RecordRefusals(const std::vector<TaskAnswer>& aAnswers);
+  void SweepLoop();
+
+  const SidecarSettings settings_;
+  const MemberId self_ = NewMemberId();
+  EventLog events_;
+
+  // Outlives everything that holds links.
+  IoPool pool_{ kMessageThreads };
+  mutable std::mutex gateMutex_;
+  StartGate gate_;
+
+  TaskTable tasks_;
+  UpstreamLease lease_;
+  EntryLinks entries_;
+  std::atomic<bool> draining_ = false;
+
+  std::shared_ptr<const LinkHandlers> handlers_;
+
+  std::mutex slotThreadsMutex_;
+  std::vector<std::thread> slotThreads_;
+
+  std::mutex stopMutex_;
+  std::condition_variable stopChanged_;
+  bool stopping_ = false;
+  std::thread sweeper_;
+
+  std::unique_ptr<Dialer> dialer_;
+  std::unique_ptr<HttpServer> http_;
+};
+
+Sidecar::Impl::Impl(SidecarSettings aSettings)
+  : settings_(std::move(aSettings))
+  , gate_({ .zone_ = settings_.zone_,
+            .freshnessBound_ = settings_.freshnessBound_ })
+  , tasks_({ .queueLimit_ = settings_.queueLimit_,
+             .retention_ = settings_.resultRetention_ })
+  , handlers_(MakeHandlers())
+{
+  events_.Record(EventId::ProcessStarted,
+                 { { "role", "sidecar" },
+                   { "name", settings_.name_ },
+                   { "zone", settings_.zone_ } },
+                 WallClock::now());
+  dialer_ = std::make_unique<Dialer>(
+    pool_, settings_.links_, [this](asio::ip::tcp::socket aSocket) {
+      return OnConnect(std::move(aSocket));
+    });
+  http_ = std::make_unique<HttpServer>(
+    HttpServerOptions{ .address_ = settings_.http_.host_,
+                       .port_ = settings_.http_.port_ },
+    [this](const HttpRequest& aRequest, const HttpReply& aReply) {
+      HandleHttp(aRequest, aReply);
+    });
+  sweeper_ = std::thread([this] { SweepLoop(); });
+  for (const Endpoint& seed : settings_.seeds_) {
+    dialer_->Add(seed, true);
+  }
+}
+
+Sidecar::Impl::~Impl()
+{
+  {
+    std::lock_guard lock(stopMutex_);
+    stopping_ = true;
+  }
+  stopChanged_.notify_all();
+  sweeper_.join();
+  http_.reset();
+  tasks_.Stop();
+  for (std::thread& thread : slotThreads_) {
+    thread.join();
+  }
+  pool_.Stop();
+  dialer_.reset();
+}
+
+std::shared_ptr<const LinkHandlers>
+Sidecar::Impl::MakeHandlers()
+{
+  LinkHandlers handlers;
+  handlers.onMessage_ = [this](const LinkPtr& aLink, Envelope& aEnvelope) {
+    OnMessage(aLink, aEnvelope);
+  };
+  handlers.onEnd_ =
+    [this](const LinkPtr& aLink, LinkEnd aEnd, const std::string& aDetail) {
+      OnEnd(aLink, aEnd, aDetail);
+    };
+  handlers.evidence_ = [this](MonoTime) {
+    std::lock_guard lock(gateMutex_);
+    return ConfigEvidence{ .version_ = gate_.Version() };
+  };
+  handlers.hybridStamp_ = [this](WallTime aNow) {
+    return events_.Clock().Tick(aNow);
+  };
+  handlers.onTraffic_ = [](const Message&, size_t, bool) {};
+  return std::make_shared<const LinkHandlers>(std::move(handlers));
+}
+
+LinkPtr
+Sidecar::Impl::OnConnect(asio::ip::tcp::socket aSocket)
+{
+  auto link =
+    std::make_shared<Link>(std::move(aSocket), settings_.links_, handlers_);
+  link->Start();
+  link->Send(Hello{ .role_ = Role::Sidecar,
+                    .id_ = self_,
+                    .name_ = settings_.name_,
+                    .zone_ = settings_.zone_ });
+  return link;
+}
+
+void
+Sidecar::Impl::OnMessage(const LinkPtr& aLink, Envelope& aEnvelope)
+{
+  events_.Clock().Observe(aEnvelope.hybridStamp_, WallClock::now());
+  if (const auto peer = entries_.PeerOf(aLink); peer && aEnvelope.echo_ != 0) {
+    std::lock_guard lock(gateMutex_);
+    gate_.OnEvidence({ .entry_ = peer->id_, .zone_ = peer->zone_ },
+                     aEnvelope.evidence_,
+                     FromStamp(aEnvelope.echo_));
+  }
+  if (const auto* welcome = std::get_if<Welcome>(&aEnvelope.message_)) {
+    OnWelcome(aLink, *welcome);
+  } else if (const auto* config =
+               std::get_if<ConfigUpdate>(&aEnvelope.message_)) {
+    OnConfig(config->state_);
+  } else if (auto* start = std::get_if<StartTasks>(&aEnvelope.message_)) {
+    OnStart(aLink, *start);
+  } else if (const auto* resolve =
+               std::get_if<ResolveTasks>(&aEnvelope.message_)) {
+    OnResolve(aLink, *resolve);
+  } else if (const auto* cancel =
+               std::get_if<CancelTasks>(&aEnvelope.message_)) {
+    OnCancel(*cancel);
+  }
+}
+
+void
+Sidecar::Impl::OnWelcome(const LinkPtr& aLink, const Welcome& aWelcome)
+{
+  for (const EntryAddress& entry : aWelcome.entries_) {
+    if (entry.id_ != aWelcome.self_.id_) {
+      dialer_->Add({ .host_ = entry.host_, .port_ = entry.port_ }, false);
+    }
+  }
+  const auto known = entries_.PeerOf(aLink);
+  if (known) {
+    return;
+  }
+  const LinkPtr earlier = entries_.OnWelcome(aLink, aWelcome.self_);
+  tasks_.BindLink(aWelcome.self_.id_, aLink->Serial());
+  if (earlier) {
+    earlier->Close();
+  }
+  events_.Record(EventId::LinkUp,
+                 { { "entry", ToString(aWelcome.self_.id_) } },
+                 WallClock::now());
+  aLink->Send(Status());
+}
+
+void
+Sidecar::Impl::OnEnd(const LinkPtr& aLink,
+                     LinkEnd aEnd,
+                     const std::string& aDetail)
+{
+  const auto peer = entries_.OnLinkEnd(aLink);
+  if (peer) {
+    std::lock_guard lock(gateMutex_);
+    gate_.OnEntryGone(peer->id_);
+  }
+  EventId event = EventId::LinkDown;
+  if (aEnd == LinkEnd::Silent) {
+    event = EventId::LinkSilent;
+  } else if (aEnd == LinkEnd::BadFrame) {
+    event = EventId::BadFrame;
+  }
+  events_.Record(
+    event,
+    { { "entry", peer ? ToString(peer->id_) : "" }, { "detail", aDetail } },
+    WallClock::now());
+  if (!draining_) {
+    dialer_->OnLinkEnd(aLink);
+  }
+}
+
+void
+Sidecar::Impl::OnConfig(const ConfigState& aState)
+{
+  bool newer = false;
+  {
+    std::lock_guard lock(gateMutex_);
+    newer = aState.version_ > gate_.Version();
+    gate_.OnConfig(aState);
+  }
+  if (newer) {
+    events_.Record(EventId::ConfigApplied,
+                   { { "version", std::to_string(aState.version_.value_) } },
+                   WallClock::now());
+    // Tells every entry at once that the version is in force here.
+    entries_.SendToAll(Pulse{});
+  }
+}
+
+void
+Sidecar::Impl::OnStart(const LinkPtr& aLink, StartTasks& aStart)
+{
+  const auto peer = entries_.PeerOf(aLink);
+  if (!peer) {
+    return;
+  }
+  const UpstreamAnnouncement upstream = lease_.Current();
+  TaskReason refuse = TaskReason::None;
+  if (draining_) {
+    refuse = TaskReason::Draining;
+  } else if (upstream.slots_ == 0 || upstream.service_ != aStart.service_) {
+    refuse = TaskReason::NoUpstream;
+  }
+  auto refusals = tasks_.Accept(peer->id_,
+                                aLink->Serial(),
+                                std::move(aStart.tasks_),
+                                refuse,
+                                MonoClock::now());
+  RecordRefusals(refusals);
+  Answer(std::move(refusals));
+}
+
+void
+Sidecar::Impl::OnResolve(const LinkPtr& aLink, const ResolveTasks& aResolve)
+{
+  aLink->Send(TaskAnswers{ tasks_.Resolve(aResolve.tasks_, MonoClock::now()),
+                           tasks_.Load() });
+}
+
+void
+Sidecar::Impl::OnCancel(const CancelTasks& aCancel)
+{
+  Answer(tasks_.Cancel(aCancel.tasks_, MonoClock::now()));
+}
+
+/// Sends each answer to the entry that owns the task. An answer that can't be
+/// sent now waits in the task table until the entry asks for it.
+void
+Sidecar::Impl::Answer(std::vector<TaskAnswer> aAnswers)
+{
+  std::unordered_map<MemberId, std::vector<TaskAnswer>> byEntry;
+  for (TaskAnswer& answer : aAnswers) {
+    byEntry[answer.id_.owner_].push_back(std::move(answer));
+  }
+  for (auto& [entry, answers] : byEntry) {
+    entries_.Send(entry, TaskAnswers{ std::move(answers), tasks_.Load() });
+  }
+}
+
+void
+Sidecar::Impl::RecordRefusals(const std::vector<TaskAnswer>& aAnswers)
+{
+  for (const TaskAnswer& answer : aAnswers) {
+    events_.Record(EventId::TaskRefused,
+                   { { "task", ToString(answer.id_) },
+                     { "reason", std::string(ToString(answer.reason_)) } },
+                   WallClock::now());
+  }
+}
+
+TaskReason
+Sidecar::Impl::CheckGate(MonoTime aNow) const
+{
+  if (draining_) {
+    return TaskReason::Draining;
+  }
+  std::lock_guard lock(gateMutex_);
+  return gate_.Check(aNow);
+}
+
+void
+Sidecar::Impl::RunSlot(unsigned aSlot)
+{
+  UpstreamClient client;
+  while (const auto running = tasks_.Take(aSlot)) {
+    TaskAnswer answer = RunTask(client, *running);
+    tasks_.Finish(answer, MonoClock::now());
+    if (answer.outcome_ == TaskOutcome::NotRun) {
+      RecordRefusals({ answer });
+    } else {
+      events_.Record(EventId::TaskFinished,
+                     { { "task", ToString(answer.id_) },
+                       { "outcome", std::string(ToString(answer.outcome_)) } },
+                     WallClock::now());
+    }
+    std::vector<TaskAnswer> answers;
+    answers.push_back(std::move(answer));
+    Answer(std::move(answers));
+  }
+}
+
+TaskAnswer
+Sidecar::Impl::RunTask(UpstreamClient& aClient, const RunningTask& aTask)
+{
+  const MonoTime now = MonoClock::now();
+  const UpstreamAnnouncement upstream = lease_.Current();
+  TaskReason reason = CheckGate(now);
+  if (reason == TaskReason::None && upstream.slots_ == 0) {
+    reason = TaskReason::NoUpstream;
+  }
+  if (reason == TaskReason::None && now >= aTask.startBy_) {
+    reason = TaskReason::StartTooLate;
+  }
+  if (reason == TaskReason::None && aTask.abort_->load()) {
+    reason = TaskReason::Cancelled;
+  }
+  if (reason != TaskReason::None) {
+    return { .id_ = aTask.task_.id_,
+             .outcome_ = TaskOutcome::NotRun,
+             .reason_ = reason };
+  }
+  events_.Record(EventId::TaskStarted,
+                 { { "task", ToString(aTask.task_.id_) },
+                   { "submission", aTask.task_.submission_ },
+                   { "index", std::to_string(aTask.task_.index_) },
+                   { "call", aTask.task_.call_ },
+                   { "zone", settings_.zone_ } },
+                 WallClock::now());
+  return aClient.Run(upstream.port_,
+                     aTask.task_,
+                     std::chrono::duration_cast<Millis>(aTask.startBy_ - now),
+                     *aTask.abort_);
+}
+
+UpstreamStatus
+Sidecar::Impl::Status() const
+{
+  const UpstreamAnnouncement upstream = lease_.Current();
+  return { .service_ = upstream.service_,
+           .ready_ = upstream.slots_ != 0 && !draining_,
+           .load_ = tasks_.Load() };
+}
+
+void
+Sidecar::Impl::SendStatus()
+{
+  entries_.SendToAll(Status());
+}
+
+/// Makes the slots match the announced upstream and tells the entries.
+void
+Sidecar::Impl::UpdateSlots()
+{
+  const unsigned slots = lease_.Current().slots_;
+  {
+    std::lock_guard lock(slotThreadsMutex_);
+    while (slotThreads_.size() < slots) {
+      const auto slot = static_cast<unsigned>(slotThreads_.size());
+      slotThreads_.emplace_back([this, slot] { RunSlot(slot); });
+    }
+  }
+  tasks_.SetSlots(slots);
+  if (slots == 0) {
+    auto refusals = tasks_.DropQueue(TaskReason::NoUpstream, MonoClock::now());
+    RecordRefusals(refusals);
+    Answer(std::move(refusals));
+  }
+  SendStatus();
+}
+
+void
+Sidecar::Impl::HandleHttp(const HttpRequest& aRequest, const HttpReply& aReply)
+{
+  if (aRequest.path_ == "/v1/upstream") {
+    aReply.Send(HandleUpstream(aRequest));
+  } else if (aRequest.path_ == "/v1/admin/status") {
+    aReply.Send(StatusResponse());
+  } else if (aRequest.path_ == "/healthz") {
+    aReply.Send({ .status_ = kStatusOk, .body_ = "{}\n" });
+  } else if (aRequest.path_ == "/readyz") {
+    aReply.Send({ .status_ = Status().ready_ ? kStatusOk : kStatusUnavailable,
+                  .body_ = "{}\n" });
+  } else {
+    aReply.Send(ErrorResponse(kStatusNotFound, "no such path"));
+  }
+}
+
+HttpResponse
+Sidecar::Impl::HandleUpstream(const HttpRequest& aRequest)
+{
+  if (aRequest.method_ == "DELETE") {
+    if (lease_.Withdraw()) {
+      events_.Record(EventId::UpstreamLeaving, {}, WallClock::now());
+      UpdateSlots();
+    }
+    return { .body_ = "{}\n" };
+  }
+  UpstreamAnnouncement announcement;
+  try {
+    announcement = ParseAnnouncement(aRequest.body_);
+  } catch (const std::invalid_argument& error) {
+    return ErrorResponse(kStatusBadRequest, error.what());
+  }
+  if (lease_.Announce(announcement, MonoClock::now())) {
+    events_.Record(EventId::UpstreamAnnounced,
+                   { { "service", announcement.service_ },
+                     { "slots", std::to_string(announcement.slots_) } },
+                   WallClock::now());
+    UpdateSlots();
+  }
+  return { .body_ = "{}\n" };
+}
+
+HttpResponse
+Sidecar::Impl::StatusResponse() const
+{
+  const UpstreamStatus status = Status();
+  uint64_t version = 0;
+  {
+    std::lock_guard lock(gateMutex_);
+    version = gate_.Version().value_;
+  }
+  const json body = {
+    { "member", ToString(self_) },        { "name", settings_.name_ },
+    { "zone", settings_.zone_ },          { "role", "sidecar" },
+    { "config_version", version },        { "service", status.service_ },
+    { "ready", status.ready_ },           { "slots", status.load_.slots_ },
+    { "running", status.load_.running_ }, { "queued", status.load_.queued_ }
+  };
+  return { .body_ = body.dump() + "\n" };
+}
+
+void
+Sidecar::Impl::SweepLoop()
+{
+  std::unique_lock lock(stopMutex_);
+  while (!stopChanged_.wait_for(
+    lock, kSweepInterval, [this] { return stopping_; })) {
+    lock.unlock();
+    const MonoTime now = MonoClock::now();
+    auto expired = tasks_.Sweep(now);
+    RecordRefusals(expired);
+    Answer(std::move(expired));
+    if (lease_.Expire(now)) {
+      events_.Record(EventId::UpstreamLost, {}, WallClock::now());
+      UpdateSlots();
+    }
+    lock.lock();
+  }
+}
+
+void
+Sidecar::Impl::Stop()
+{
+  events_.Record(EventId::ProcessStopping, {}, WallClock::now());
+  draining_ = true;
+  SendStatus();
+  auto refusals = tasks_.DropQueue(TaskReason::Draining, MonoClock::now());
+  RecordRefusals(refusals);
+  Answer(std::move(refusals));
+  const MonoTime limit = MonoClock::now() + settings_.drainLimit_;
+  while (tasks_.Load().running_ > 0 && MonoClock::now() < limit) {
+    std::this_thread::sleep_for(kStopPoll);
+  }
+  for (const LinkPtr& link : entries_.Links()) {
+    link->Send(Leaving{});
+    link->Close();
+  }
+  const MonoTime flushLimit = MonoClock::now() + kFlushLimit;
+  while (!entries_.Links().empty() && MonoClock::now() < flushLimit) {
+    std::this_thread::sleep_for(kStopPoll);
+  }
+  events_.Record(EventId::ProcessStopped, {}, WallClock::now());
+}
+
+Sidecar::Sidecar(SidecarSettings aSettings)
+  : impl_(std::make_unique<Impl>(std::move(aSettings)))
+{
+}
+
+Sidecar::~Sidecar() = default;
+
+uint16_t
+Sidecar::HttpPort() const
+{
+  return impl_->HttpPort();
+}
+
+void
+Sidecar::Stop()
+{
+  impl_->Stop();
+}
+
+} // namespace cornelfront
