Add the sidecar's start gate, the witness rule and the acceptance rule

A start needs fresh evidence that no newer configuration was accepted, so that a cut-off or frozen sidecar stops by itself, while a long log outage alone does not stop work.

Acceptance asks the same incarnations in two rounds. One round was ruled out: a reporting entry may be replaced by one that learnt the older configuration before the last report came.

--- /dev/null
+++ b/src/libcornelfront/policy/start_gate.cpp
@@ -0,0 +1,257 @@
+#include "cornelfront/start_gate.h"
+
+#include <algorithm>
+
+namespace cornelfront {
+
+namespace {
+
+/// Ages beyond this are all the same and must not overflow a time.
+constexpr Millis kMaxAge = std::chrono::hours(24);
+
+} // namespace
+
+bool
+IsZoneMajority(const std::vector<std::string>& aZones,
+               const std::vector<std::string>& aPresent)
+{
+  const auto count =
+    std::count_if(aZones.begin(), aZones.end(), [&](const std::string& aZone) {
+      return std::find(aPresent.begin(), aPresent.end(), aZone) !=
+             aPresent.end();
+    });
+  return static_cast<size_t>(count) * 2 > aZones.size();
+}
+
+StartGate::StartGate(StartGateOptions aOptions)
+  : options_(std::move(aOptions))
+{
+}
+
+void
+StartGate::OnConfig(const ConfigState& aState)
+{
+  if (aState.version_ <= version_) {
+    return;
+  }
+  version_ = aState.version_;
+  zoneIn_ = aState.ZoneIsIn(options_.zone_);
+  entryZones_ = aState.EntryZones();
+}
+
+void
+StartGate::OnEvidence(const EvidenceSource& aSource,
+                      const ConfigEvidence& aEvidence,
+                      MonoTime aEchoTime)
+{
+  const auto known = statements_.find(aSource.entry_);
+  if (known != statements_.end() && aEchoTime < known->second.madeAt_) {
+    return;
+  }
+  const Millis logAge = std::clamp(aEvidence.logAge_, Millis(0), kMaxAge);
+  statements_[aSource.entry_] = { .zone_ = aSource.zone_,
+                                  .version_ = aEvidence.version_,
+                                  .logReachable_ = aEvidence.logReachable_,
+                                  .witness_ = aEvidence.witness_,
+                                  .madeAt_ = aEchoTime,
+                                  .headReadAt_ = aEchoTime - logAge };
+}
+
+void
+StartGate::OnEntryGone(MemberId aEntry)
+{
+  statements_.erase(aEntry);
+}
+
+TaskReason
+StartGate::Check(MonoTime aNow) const
+{
+  if (!zoneIn_) {
+    return TaskReason::ZoneOut;
+  }
+  if (KnowsNewerVersion()) {
+    return TaskReason::StaleConfig;
+  }
+  if (HasLogEvidence(aNow) || HasOutageEvidence(aNow)) {
+    return TaskReason::None;
+  }
+  return TaskReason::StaleConfig;
+}
+
+bool
+StartGate::Fresh(MonoTime aTime, MonoTime aNow) const
+{
+  return aNow - aTime <= options_.freshnessBound_;
+}
+
+bool
+StartGate::KnowsNewerVersion() const
+{
+  return std::any_of(
+    statements_.begin(), statements_.end(), [&](const auto& aEntry) {
+      return aEntry.second.version_ > version_;
+    });
+}
+
+bool
+StartGate::HasLogEvidence(MonoTime aNow) const
+{
+  return std::any_of(
+    statements_.begin(), statements_.end(), [&](const auto& aEntry) {
+      return Fresh(aEntry.second.headReadAt_, aNow);
+    });
+}
+
+bool
+StartGate::HasOutageEvidence(MonoTime aNow) const
+{
+  std::vector<std::string> testified;
+  std::vector<std::string> contradicted;
+  for (const auto& [id, statement] : statements_) {
+    const bool testifies = !statement.logReachable_ && statement.witness_ &&
+                           Fresh(statement.madeAt_, aNow);
+    (testifies ? testified : contradicted).push_back(statement.zone_);
+  }
+  // Acceptance needs all known entries of a zone, so testimony does as well.
+  std::erase_if(testified, [&](const std::string& aZone) {
+    return std::find(contradicted.begin(), contradicted.end(), aZone) !=
+           contradicted.end();
+  });
+  return IsZoneMajority(entryZones_, testified);
+}
+
+WitnessRule::WitnessRule(std::string aZone)
+  : zone_(std::move(aZone))
+{
+}
+
+void
+WitnessRule::OnHeadRead()
+{
+  qualified_ = true;
+}
+
+void
+WitnessRule::OnPeer(const EvidenceSource& aPeer,
+                    ConfigVersion aVersion,
+                    bool aWitness)
+{
+  peers_[aPeer.entry_] = { .zone_ = aPeer.zone_,
+                           .version_ = aVersion,
+                           .witness_ = aWitness };
+  Qualify();
+}
+
+void
+WitnessRule::OnPeerGone(MemberId aPeer)
+{
+  peers_.erase(aPeer);
+}
+
+void
+WitnessRule::OnConfig(const ConfigState& aState)
+{
+  version_ = aState.version_;
+  entryZones_ = aState.EntryZones();
+  Qualify();
+}
+
+void
+WitnessRule::Qualify()
+{
+  std::vector<std::string> learntFrom;
+  for (const auto& [id, peer] : peers_) {
+    if (peer.witness_ && peer.version_ <= version_) {
+      learntFrom.push_back(peer.zone_);
+    }
+  }
+  qualified_ = qualified_ || IsZoneMajority(entryZones_, learntFrom);
+}
+
+bool
+WitnessRule::IsWitness() const
+{
+  std::vector<std::string> heard{ zone_ };
+  for (const auto& [id, peer] : peers_) {
+    heard.push_back(peer.zone_);
+  }
+  return qualified_ && IsZoneMajority(entryZones_, heard);
+}
+
+AcceptanceRule::AcceptanceRule(ConfigVersion aWanted,
+                               std::vector<std::vector<std::string>> aZoneLists)
+  : wanted_(aWanted)
+  , zoneLists_(std::move(aZoneLists))
+{
+}
+
+void
+AcceptanceRule::BeginRound()
+{
+  former_ = std::move(present_);
+  present_ = {};
+}
+
+void
+AcceptanceRule::OnReport(const EntryReport& aReport)
+{
+  present_.known_[aReport.id_] = aReport.zone_;
+  for (const EvidenceSource& other : aReport.known_) {
+    present_.known_[other.entry_] = other.zone_;
+  }
+  if (aReport.version_ >= wanted_) {
+    present_.confirmed_[aReport.id_] = aReport.zone_;
+  }
+}
+
+bool
+AcceptanceRule::Accepted() const
+{
+  std::map<MemberId, std::string> twice;
+  for (const auto& [id, zone] : present_.confirmed_) {
+    if (former_.confirmed_.contains(id)) {
+      twice[id] = zone;
+    }
+  }
+  return HasMajority(twice);
+}
+
+bool
+AcceptanceRule::RoundComplete() const
+{
+  return HasMajority(present_.confirmed_);
+}
+
+bool
+AcceptanceRule::HasMajority(
+  const std::map<MemberId, std::string>& aConfirmed) const
+{
+  std::vector<std::string> zones;
+  for (const auto& [id, zone] : aConfirmed) {
+    zones.push_back(zone);
+  }
+  for (const auto& [id, zone] : present_.known_) {
+    if (!aConfirmed.contains(id)) {
+      std::erase(zones, zone);
+    }
+  }
+  return !zoneLists_.empty() &&
+         std::all_of(
+           zoneLists_.begin(), zoneLists_.end(), [&](const auto& aList) {
+             return IsZoneMajority(aList, zones);
+           });
+}
+
+std::vector<EvidenceSource>
+AcceptanceRule::Unconfirmed() const
+{
+  std::vector<EvidenceSource> missing;
+  for (const auto& [id, zone] : present_.known_) {
+    if (!present_.confirmed_.contains(id)) {
+      missing.push_back({ .entry_ = id, .zone_ = zone });
+    }
+  }
+  return missing;
+}
+
+} // namespace cornelfront
