--- a/src/libcornelfront/net/log_client_test.cpp
+++ b/src/libcornelfront/net/log_client_test.cpp
@@ -11,7 +11,7 @@
 class FixedLog
 {
 public:
-  FixedLog(int aStatus, std::string aBody)
+  FixedLog(int aStatus, const std::string& aBody)
     : server_({},
               [this, aStatus, aBody](HttpRequest aRequest, HttpReply aReply) {
                 last_ = std::move(aRequest);
--- a/src/libcornelfront/policy/start_gate.cpp
+++ b/src/libcornelfront/policy/start_gate.cpp
@@ -227,6 +227,7 @@
   const std::map<MemberId, std::string>& aConfirmed) const
 {
   std::vector<std::string> zones;
+  zones.reserve(aConfirmed.size());
   for (const auto& [id, zone] : aConfirmed) {
     zones.push_back(zone);
   }
--- a/testsuite/standins/log_standin.cpp
+++ b/testsuite/standins/log_standin.cpp
@@ -185,8 +185,8 @@
 ParseCount(const std::string& aText)
 {
   const bool digits = !aText.empty() && aText.size() <= 18 &&
-                      std::all_of(aText.begin(), aText.end(), [](char c) {
-                        return c >= '0' && c <= '9';
+                      std::all_of(aText.begin(), aText.end(), [](char aChar) {
+                        return aChar >= '0' && aChar <= '9';
                       });
   if (!digits) {
     return std::nullopt;
