Test the table of submissions, and refuse to judge by two clocks

Threads that resubmit the same ids get one attempt at a time and one completed attempt for each id. CallerApi throws if the table was built with another start or prefix lifetime: every prefix would look expired or good for ever, and the first symptom would be a 410 or a second start.

--- a/src/include/cornelfront/caller_api.h
+++ b/src/include/cornelfront/caller_api.h
@@ -52,6 +52,8 @@
 class CallerApi
 {
 public:
+  /// \throws std::invalid_argument if \p aSubmissions was built with another
+  /// start or prefix lifetime, as it would misjudge this entry's prefixes
   CallerApi(CallerApiOptions aOptions,
             JobRunner& aRunner,
             Submissions& aSubmissions,
--- a/src/include/cornelfront/submissions.h
+++ b/src/include/cornelfront/submissions.h
@@ -46,6 +46,8 @@
   /// Number of submissions kept.
   size_t size();
 
+  const SubmissionTableOptions& Options() const { return options_; }
+
 private:
   static constexpr size_t kShards = 16;
 
@@ -62,6 +64,7 @@
 
   Shard& ShardOf(const SubmissionId& aId);
 
+  const SubmissionTableOptions options_;
   std::array<std::unique_ptr<Shard>, kShards> shards_;
 };
 
--- a/src/libcornelfront/caller_api.cpp
+++ b/src/libcornelfront/caller_api.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <stdexcept>
 #include <utility>
 
 namespace cornelfront {
@@ -102,6 +103,12 @@
   , forwarder_(aForwarder)
   , schemas_(std::move(aSchemas))
 {
+  const SubmissionTableOptions& table = submissions_.Options();
+  if (table.start_ != options_.start_ ||
+      table.prefixLifetime_ != options_.prefixLifetime_) {
+    throw std::invalid_argument("the table of submissions judges prefixes by "
+                                "another start or lifetime");
+  }
   // The quota comes last: a request that another filter refuses must not use
   // it up.
   filters_ = { DrainingFilter{ &draining_ },
--- a/src/libcornelfront/controllers/submissions.cpp
+++ b/src/libcornelfront/controllers/submissions.cpp
@@ -5,6 +5,7 @@
 namespace cornelfront {
 
 Submissions::Submissions(const SubmissionTableOptions& aOptions)
+  : options_(aOptions)
 {
   SubmissionTableOptions options = aOptions;
   options.maxEntries_ = (aOptions.maxEntries_ + kShards - 1) / kShards;
--- /dev/null
+++ b/src/libcornelfront/controllers/submissions_test.cpp
@@ -0,0 +1,89 @@
+#include "cornelfront/submissions.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <thread>
+
+namespace cornelfront {
+namespace {
+
+constexpr MonoTime kStart{ std::chrono::hours(1) };
+constexpr int kThreads = 6;
+
+FinalAnswer
+Result(Outcome aOutcome)
+{
+  return JobResult{ .outcome_ = aOutcome };
+}
+
+/// Many threads resubmit the same ids; every attempt but the last of each id
+/// is refused.
+TEST(Submissions, RunsOneAttemptAtATime)
+{
+  constexpr int kIds = 50;
+  constexpr uint64_t kLastAttempt = 20;
+  Submissions submissions({ .start_ = kStart });
+  std::array<std::atomic<int>, kIds> active{};
+  std::array<std::atomic<int>, kIds> completed{};
+  std::atomic<int> overlaps{ 0 };
+  const auto submit = [&](int aIndex) {
+    const SubmissionId id{ .suffix_ = std::to_string(aIndex) };
+    const auto begun = submissions.Begin(id, "digest", {}, kStart);
+    if (const auto* attempt = std::get_if<NewAttempt>(&begun)) {
+      overlaps += active[aIndex]++;
+      const bool last = attempt->number_ == kLastAttempt;
+      completed[aIndex] += last ? 1 : 0;
+      --active[aIndex];
+      submissions.Finish(id,
+                         attempt->number_,
+                         Result(last ? Outcome::Completed : Outcome::Refused));
+    }
+    return std::holds_alternative<Answered>(begun);
+  };
+  std::vector<std::thread> threads;
+  for (int t = 0; t < kThreads; ++t) {
+    threads.emplace_back([&, t] {
+      for (int i = 0; i < kIds; ++i) {
+        while (!submit((i + t) % kIds)) {
+        }
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  EXPECT_EQ(overlaps, 0);
+  for (const auto& count : completed) {
+    EXPECT_EQ(count, 1);
+  }
+}
+
+TEST(Submissions, AnswersEveryWaiterOnce)
+{
+  Submissions submissions({ .start_ = kStart, .maxWaiters_ = kThreads });
+  const SubmissionId id{ .suffix_ = "a" };
+  std::atomic<int> answers{ 0 };
+  std::atomic<int> attempts{ 0 };
+  const Waiter waiter = [&](const FinalAnswerPtr&) { ++answers; };
+  std::vector<std::thread> threads;
+  for (int t = 0; t < kThreads; ++t) {
+    threads.emplace_back([&] {
+      const auto begun = submissions.Begin(id, "digest", waiter, kStart);
+      if (const auto* attempt = std::get_if<NewAttempt>(&begun)) {
+        ++attempts;
+        submissions.Finish(id, attempt->number_, Result(Outcome::Completed));
+      } else if (std::holds_alternative<Answered>(begun)) {
+        ++answers;
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  EXPECT_EQ(attempts, 1);
+  EXPECT_EQ(answers, kThreads);
+}
+
+} // namespace
+} // namespace cornelfront
