Bound how long a request may take to arrive, and refuse bad input early

libmicrohttpd only bounds silence, so a client that sends a byte now and then held a connection for ever. ReceiveWatch keeps a deadline for each socket, from the request's first line to its last byte; a late one gets 408 and its reception ends.

Repeated header fields are joined, so that a second idempotency key or team makes the value invalid instead of silently winning. The server's own errors carry outcome and JSON; 'refused' only where the handler never saw the request.

--- a/src/include/cornelfront/http_server.h
+++ b/src/include/cornelfront/http_server.h
@@ -21,9 +21,10 @@
 {
   std::string method_;
   std::string path_;
-  /// Query arguments, decoded.
+  /// Query arguments, decoded, and joined by "," if they occur several times.
   std::map<std::string, std::string> query_;
-  /// Header fields under their lowercase names.
+  /// Header fields under their lowercase names; the values of a field that
+  /// occurs several times are joined by ", ".
   std::map<std::string, std::string> headers_;
   std::string body_;
 
@@ -71,11 +72,15 @@
   size_t maxBodyBytes_ = 16U << 20;
   /// A connection with no traffic for this long is closed.
   std::chrono::seconds idleTimeout_{ 30 };
+  /// A request that has not arrived whole this long after its first line gets
+  /// 408 and its connection is closed.
+  Millis requestReceiveLimit_{ 30000 };
   unsigned maxConnections_ = 4096;
 };
 
-/// Serves until destroyed. The handler runs on the server's threads and must
-/// not block for long.
+/// Serves until destroyed. Errors that the server answers itself carry the
+/// outcome header and a JSON body as described in docs/API.md. The handler runs
+/// on the server's threads and must not block for long.
 class HttpServer
 {
 public:
--- a/src/libcornelfront/net/http_server.cpp
+++ b/src/libcornelfront/net/http_server.cpp
@@ -1,5 +1,8 @@
 #include "cornelfront/http_server.h"
 
+#include "net/receive_watch.h"
+#include "net/server_errors.h"
+
 #include <glog/logging.h>
 #include <microhttpd.h>
 
@@ -7,6 +10,7 @@
 #include <netinet/in.h>
 
 #include <cctype>
+#include <cstdlib>
 #include <mutex>
 #include <optional>
 #include <stdexcept>
@@ -16,10 +20,6 @@
 
 namespace {
 
-constexpr int kStatusInternalError = 500;
-constexpr int kStatusUnavailable = 503;
-constexpr int kStatusTooLarge = 413;
-
 /// Requests that are suspended while they wait for their answer. MHD must not
 /// be stopped before every one of them is resumed.
 struct PendingSet
@@ -67,7 +67,6 @@
 struct RequestState
 {
   HttpRequest request_;
-  bool tooLarge_ = false;
   bool dispatched_ = false;
   std::shared_ptr<HttpReply::State> reply_;
 };
@@ -82,11 +81,32 @@
   return text;
 }
 
+/// Adds a value after those that came under the same name.
+void
+Join(std::map<std::string, std::string>& aFields,
+     const std::string& aName,
+     const char* aSeparator,
+     const char* aValue)
+{
+  const std::string value = aValue != nullptr ? aValue : "";
+  const auto [field, isNew] = aFields.emplace(aName, value);
+  if (!isNew) {
+    field->second += aSeparator + value;
+  }
+}
+
+int
+SocketOf(MHD_Connection* aConnection)
+{
+  return MHD_get_connection_info(aConnection, MHD_CONNECTION_INFO_CONNECTION_FD)
+    ->connect_fd;
+}
+
 MHD_Result
 CollectHeader(void* aTarget, MHD_ValueKind, const char* aKey, const char* aVal)
 {
   auto* request = static_cast<HttpRequest*>(aTarget);
-  request->headers_[Lowercase(aKey)] = aVal != nullptr ? aVal : "";
+  Join(request->headers_, Lowercase(aKey), ", ", aVal);
   return MHD_YES;
 }
 
@@ -94,7 +114,7 @@
 CollectQuery(void* aTarget, MHD_ValueKind, const char* aKey, const char* aVal)
 {
   auto* request = static_cast<HttpRequest*>(aTarget);
-  request->query_[aKey] = aVal != nullptr ? aVal : "";
+  Join(request->query_, aKey, ",", aVal);
   return MHD_YES;
 }
 
@@ -151,6 +171,11 @@
     : options_(std::move(aOptions))
     , handler_(std::move(aHandler))
     , pending_(std::make_shared<PendingSet>())
+    , watch_(
+        { .requestLimit_ = options_.requestReceiveLimit_,
+          .idleLimit_ = options_.idleTimeout_ + options_.requestReceiveLimit_,
+          .response_ =
+            RawResponse(RequestTooSlow(options_.requestReceiveLimit_)) })
   {
     Start();
   }
@@ -194,7 +219,13 @@
                        static_cast<unsigned>(options_.idleTimeout_.count()),
                        MHD_OPTION_NOTIFY_COMPLETED,
                        &Impl::OnCompleted,
-                       nullptr,
+                       this,
+                       MHD_OPTION_NOTIFY_CONNECTION,
+                       &Impl::OnConnection,
+                       this,
+                       MHD_OPTION_URI_LOG_CALLBACK,
+                       &Impl::OnRequestLine,
+                       this,
                        MHD_OPTION_LISTENING_ADDRESS_REUSE,
                        1U,
                        MHD_OPTION_END);
@@ -210,10 +241,32 @@
     std::lock_guard lock(pending_->mutex_);
     pending_->stopping_ = true;
     for (HttpReply::State* reply : pending_->replies_) {
-      reply->Send({ .status_ = kStatusUnavailable });
+      reply->Send(StoppedMeanwhile());
+    }
+  }
+
+  static void OnConnection(void* aSelf,
+                           MHD_Connection* aConnection,
+                           void**,
+                           MHD_ConnectionNotificationCode aEvent)
+  {
+    auto* self = static_cast<Impl*>(aSelf);
+    if (aEvent == MHD_CONNECTION_NOTIFY_STARTED) {
+      self->watch_.OnConnect(SocketOf(aConnection), MonoClock::now());
+    } else {
+      self->watch_.OnClose(SocketOf(aConnection));
     }
   }
 
+  static void* OnRequestLine(void* aSelf,
+                             const char*,
+                             MHD_Connection* aConnection)
+  {
+    auto* self = static_cast<Impl*>(aSelf);
+    self->watch_.OnRequestLine(SocketOf(aConnection), MonoClock::now());
+    return nullptr;
+  }
+
   static MHD_Result OnRequest(void* aSelf,
                               MHD_Connection* aConnection,
                               const char* aUrl,
@@ -226,17 +279,31 @@
     auto* self = static_cast<Impl*>(aSelf);
     auto* state = static_cast<RequestState*>(*aState);
     if (state == nullptr) {
-      *aState = NewRequest(aConnection, aUrl, aMethod);
-      return MHD_YES;
+      state = NewRequest(aConnection, aUrl, aMethod);
+      *aState = state;
+      return self->RejectLargeBody(*state, aConnection);
     }
     if (*aUploadSize > 0) {
-      self->CollectBody(*state, aUpload, *aUploadSize);
+      const size_t size = *aUploadSize;
       *aUploadSize = 0;
-      return MHD_YES;
+      return self->CollectBody(*state, aConnection, { aUpload, size });
     }
+    self->watch_.OnReceived(SocketOf(aConnection));
     return self->Answer(*state, aConnection);
   }
 
+  /// Answers before the body is sent if its announced length is too large.
+  MHD_Result RejectLargeBody(const RequestState& aState,
+                             MHD_Connection* aConnection) const
+  {
+    const std::string text = aState.request_.Header("content-length");
+    const size_t limit = options_.maxBodyBytes_;
+    if (text.empty() || std::strtoull(text.c_str(), nullptr, 10) <= limit) {
+      return MHD_YES;
+    }
+    return QueueResponse(aConnection, BodyTooLarge(text, limit));
+  }
+
   static RequestState* NewRequest(MHD_Connection* aConnection,
                                   const char* aUrl,
                                   const char* aMethod)
@@ -251,27 +318,26 @@
     return state.release();
   }
 
-  void CollectBody(RequestState& aState, const char* aData, size_t aSize) const
+  /// A body of unannounced length that grows too large ends the connection:
+  /// MHD cannot queue a response before the whole request has arrived.
+  MHD_Result CollectBody(RequestState& aState,
+                         MHD_Connection* aConnection,
+                         std::string_view aData) const
   {
     std::string& body = aState.request_.body_;
-    if (body.size() + aSize > options_.maxBodyBytes_) {
-      aState.tooLarge_ = true;
-      body.clear();
-    }
-    if (!aState.tooLarge_) {
-      body.append(aData, aSize);
+    const size_t size = body.size() + aData.size();
+    if (size > options_.maxBodyBytes_) {
+      const HttpResponse response =
+        BodyTooLarge(std::to_string(size) + " or more", options_.maxBodyBytes_);
+      EndReception(SocketOf(aConnection), RawResponse(response));
+      return MHD_NO;
     }
+    body.append(aData);
+    return MHD_YES;
   }
 
   MHD_Result Answer(RequestState& aState, MHD_Connection* aConnection)
   {
-    if (aState.tooLarge_) {
-      return QueueResponse(aConnection,
-                           { .status_ = kStatusTooLarge,
-                             .body_ = "{\"error\":\"body exceeds " +
-                                      std::to_string(options_.maxBodyBytes_) +
-                                      " bytes\"}\n" });
-    }
     if (!aState.dispatched_) {
       aState.dispatched_ = true;
       Dispatch(aState, aConnection);
@@ -297,14 +363,14 @@
       stopping = pending_->stopping_;
     }
     if (stopping) {
-      aState.reply_->Send({ .status_ = kStatusUnavailable });
+      aState.reply_->Send(Stopping());
       return;
     }
     try {
       handler_(std::move(aState.request_), NewReply(aState.reply_));
     } catch (const std::exception& error) {
       LOG(ERROR) << "HTTP handler failed: " << error.what();
-      aState.reply_->Send({ .status_ = kStatusInternalError });
+      aState.reply_->Send(HandlerFailed());
     }
   }
 
@@ -312,15 +378,17 @@
   static HttpReply NewReply(const std::shared_ptr<HttpReply::State>& aState)
   {
     return HttpReply({ aState.get(), [aState](HttpReply::State*) {
-                        aState->Send({ .status_ = kStatusInternalError });
+                        aState->Send(HandlerFailed());
                       } });
   }
 
-  static void OnCompleted(void*,
-                          MHD_Connection*,
+  static void OnCompleted(void* aSelf,
+                          MHD_Connection* aConnection,
                           void** aState,
                           MHD_RequestTerminationCode)
   {
+    auto* self = static_cast<Impl*>(aSelf);
+    self->watch_.OnAnswered(SocketOf(aConnection), MonoClock::now());
     delete static_cast<RequestState*>(*aState);
     *aState = nullptr;
   }
@@ -328,6 +396,7 @@
   HttpServerOptions options_;
   HttpHandler handler_;
   std::shared_ptr<PendingSet> pending_;
+  ReceiveWatch watch_;
   MHD_Daemon* daemon_ = nullptr;
 };
 
