--- a/src/libcornelfront/caller_api_contract_test.cpp
+++ b/src/libcornelfront/caller_api_contract_test.cpp
@@ -77,7 +77,9 @@
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     const timeval limit{ .tv_sec = 10 };
     setsockopt(socket_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-    connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    EXPECT_EQ(
+      connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
+      0);
   }
   ~RawConnection() { close(socket_); }
   RawConnection(const RawConnection&) = delete;
--- /dev/null
+++ b/src/libcornelfront/caller_api_explorer_test.cpp
@@ -0,0 +1,468 @@
+/// \file
+/// Exhaustive search over the interleavings of a few resubmissions of one
+/// submission with the death and replacement of its owner, pauses, refusals,
+/// lost answers and sweeps. It runs the real CallerApi and Submissions; only
+/// what starts tasks and what carries messages between entries is simulated.
+
+#include "cornelfront/caller_api.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <functional>
+#include <optional>
+#include <unordered_set>
+
+namespace cornelfront {
+namespace {
+
+constexpr MonoTime kStart{ std::chrono::hours(1) };
+constexpr Millis kLifetime{ 1000 };
+constexpr Millis kLongestRun{ 1000 };
+/// One advance of time outlives both.
+constexpr Millis kAdvance{ 2001 };
+const std::string kSubmission = "000000000000000a-0.job";
+
+/// Deliberate faults, to show that the search finds them.
+enum class Variant
+{
+  Real,
+  /// An entry starts submissions whose owner it knows to be dead.
+  TakesOver,
+  /// A sweep forgets without remembering when it took place.
+  ForgetsSweep,
+  /// An attempt without an answer is treated as not run.
+  RetriesUnknown,
+};
+
+/// A job that an entry has taken and its fate is open.
+struct Attempt
+{
+  JobRunner::Done done_;
+  bool started_ = false;
+};
+
+/// Keeps jobs until the search decides on them.
+class Runner : public JobRunner
+{
+public:
+  void Submit(JobSpec, Done aDone, MonoTime) override
+  {
+    attempts_.push_back({ std::move(aDone) });
+  }
+  void Cancel(const std::string&, MonoTime) override {}
+  Millis PredictedWait(const std::string&, MonoTime) const override
+  {
+    return Millis(0);
+  }
+
+  std::vector<Attempt> attempts_;
+};
+
+class CallbackForwarder : public Forwarder
+{
+public:
+  using Function = std::function<bool(MemberId)>;
+
+  explicit CallbackForwarder(Function aForward)
+    : forward_(std::move(aForward))
+  {
+  }
+  bool Forward(MemberId aOwner, const HttpRequest&, Respond) override
+  {
+    return forward_(aOwner);
+  }
+
+private:
+  Function forward_;
+};
+
+SchemaSetPtr
+Schemas()
+{
+  static const SchemaSetPtr sSchemas = [] {
+    ServiceSchema desk{ .service_ = "desk" };
+    desk.calls_["match"] = { .name_ = "match" };
+    auto set = std::make_shared<SchemaSet>();
+    set->services_["desk"] = std::make_shared<ServiceSchema>(std::move(desk));
+    return set;
+  }();
+  return sSchemas;
+}
+
+HttpRequest
+Resubmission()
+{
+  return { .method_ = "POST",
+           .path_ = "/v1/services/desk/calls/match",
+           .headers_ = { { "idempotency-key", kSubmission } } };
+}
+
+/// One entry process.
+struct Process
+{
+  Process(MemberId aId, CallbackForwarder::Function aForward)
+    : id_(aId)
+    , forwarder_(std::move(aForward))
+    , api_({ .self_ = aId, .start_ = kStart, .prefixLifetime_ = kLifetime },
+           runner_,
+           Table(),
+           forwarder_,
+           &Schemas)
+  {
+  }
+
+  /// Returns the table, new and empty.
+  Submissions& Table()
+  {
+    return submissions_.emplace(
+      SubmissionTableOptions{ .start_ = kStart,
+                              .prefixLifetime_ = kLifetime,
+                              .longestRun_ = kLongestRun });
+  }
+
+  MemberId id_;
+  Runner runner_;
+  CallbackForwarder forwarder_;
+  std::optional<Submissions> submissions_;
+  CallerApi api_;
+  bool alive_ = true;
+};
+
+constexpr size_t kOwner = 0;
+constexpr size_t kPeer = 1;
+/// Takes the owner's place behind the balancer.
+constexpr size_t kReplacement = 2;
+constexpr size_t kProcesses = 3;
+
+/// A resubmission on its way; a pause may lie between any two steps.
+struct Request
+{
+  enum class Step
+  {
+    Sent,
+    /// A thread of process_ has taken the time and not yet acted.
+    TimeTaken,
+    Forwarded,
+    /// Waits for its answer, has it or is lost.
+    Ended,
+  };
+
+  size_t target_ = kOwner;
+  Step step_ = Step::Sent;
+  size_t process_ = kOwner;
+  MonoTime time_;
+};
+
+/// The whole system in one state of the search.
+class World
+{
+public:
+  explicit World(Variant aVariant)
+    : variant_(aVariant)
+  {
+    processes_[kOwner] = NewProcess(kOwner);
+    processes_[kPeer] = NewProcess(kPeer);
+    requests_[1].target_ = kPeer;
+  }
+
+  using Action = std::function<void()>;
+
+  /// Every step that is possible now, in a fixed order.
+  std::vector<Action> Actions()
+  {
+    std::vector<Action> actions;
+    for (Request& request : requests_) {
+      AddRequestActions(actions, request);
+    }
+    for (size_t i = 0; i < kProcesses; ++i) {
+      if (IsAlive(i)) {
+        AddAttemptActions(actions, i);
+      }
+    }
+    AddFaults(actions);
+    return actions;
+  }
+
+  /// Equal for states that behave alike from here on.
+  std::string Signature() const
+  {
+    std::string text = history_;
+    for (const Request& request : requests_) {
+      Append(text, static_cast<size_t>(request.step_));
+      Append(text, request.process_);
+      Append(text, request.time_ > kStart ? 1 : 0);
+    }
+    Append(text, advances_);
+    Append(text, replaced_ ? 1 : 0);
+    Append(text, IsAlive(kOwner) ? 1 : 0);
+    return text;
+  }
+
+  int Starts() const { return starts_; }
+  bool LiedRefused() const { return liedRefused_; }
+
+private:
+  static void Append(std::string& aText, size_t aValue)
+  {
+    aText += std::to_string(aValue);
+    aText += ',';
+  }
+
+  std::unique_ptr<Process> NewProcess(size_t aIndex)
+  {
+    const MemberId id{ 0xa + aIndex };
+    return std::make_unique<Process>(
+      id, [this, aIndex](MemberId aOwner) { return Forward(aIndex, aOwner); });
+  }
+
+  bool IsAlive(size_t aIndex) const
+  {
+    return processes_[aIndex] && processes_[aIndex]->alive_;
+  }
+
+  void AddRequestActions(std::vector<Action>& aActions, Request& aRequest)
+  {
+    switch (aRequest.step_) {
+      case Request::Step::Sent:
+        // Requests 0 and 2 are alike: in one order only.
+        if (&aRequest == &requests_[2] &&
+            requests_[0].step_ == Request::Step::Sent) {
+          break;
+        }
+        aActions.emplace_back([&] { Arrive(aRequest); });
+        break;
+      case Request::Step::TimeTaken:
+        aActions.emplace_back([&] { Handle(aRequest); });
+        break;
+      case Request::Step::Forwarded:
+        aActions.emplace_back([&] { TakeTime(aRequest, kOwner); });
+        break;
+      case Request::Step::Ended:
+        break;
+    }
+  }
+
+  void AddAttemptActions(std::vector<Action>& aActions, size_t aIndex)
+  {
+    auto& attempts = processes_[aIndex]->runner_.attempts_;
+    for (size_t k = 0; k < attempts.size(); ++k) {
+      if (!attempts[k].done_) {
+        continue;
+      }
+      if (!attempts[k].started_) {
+        aActions.emplace_back([this, aIndex, k] { Start(aIndex, k); });
+        aActions.emplace_back(
+          [this, aIndex, k] { Finish(aIndex, k, Outcome::Refused); });
+        continue;
+      }
+      aActions.emplace_back(
+        [this, aIndex, k] { Finish(aIndex, k, Outcome::Completed); });
+      aActions.emplace_back(
+        [this, aIndex, k] { Finish(aIndex, k, Outcome::Failed); });
+    }
+  }
+
+  void AddFaults(std::vector<Action>& aActions)
+  {
+    if (IsAlive(kOwner)) {
+      aActions.emplace_back([this] { processes_[kOwner]->alive_ = false; });
+    } else if (!replaced_) {
+      aActions.emplace_back([this] {
+        replaced_ = true;
+        processes_[kReplacement] = NewProcess(kReplacement);
+      });
+    }
+    if (advances_ == 0) {
+      aActions.emplace_back([this] { ++advances_; });
+    } else if (!swept_) {
+      aActions.emplace_back([this] { Sweep(); });
+    }
+  }
+
+  MonoTime Now() const { return kStart + advances_ * kAdvance; }
+
+  /// The balancer hands the request to its target, or to the replacement.
+  void Arrive(Request& aRequest)
+  {
+    size_t target = aRequest.target_;
+    if (!IsAlive(target)) {
+      target = kReplacement;
+    }
+    TakeTime(aRequest, target);
+  }
+
+  void TakeTime(Request& aRequest, size_t aProcess)
+  {
+    aRequest.process_ = aProcess;
+    aRequest.time_ = Now();
+    aRequest.step_ =
+      IsAlive(aProcess) ? Request::Step::TimeTaken : Request::Step::Ended;
+  }
+
+  void Handle(Request& aRequest)
+  {
+    aRequest.step_ = Request::Step::Ended;
+    if (!IsAlive(aRequest.process_)) {
+      return;
+    }
+    Note("h", aRequest.process_, aRequest.time_ == kStart ? 0 : 1);
+    handled_ = &aRequest;
+    Respond respond = [this](const HttpResponse& aResponse) {
+      Check(aResponse);
+    };
+    processes_[aRequest.process_]->api_.Handle(
+      Resubmission(), respond, aRequest.time_);
+  }
+
+  bool Forward(size_t aFrom, MemberId aOwner)
+  {
+    if (aOwner == processes_[kOwner]->id_ && IsAlive(kOwner)) {
+      handled_->step_ = Request::Step::Forwarded;
+      return true;
+    }
+    if (variant_ == Variant::TakesOver) {
+      processes_[aFrom]->runner_.attempts_.push_back(
+        { [](const JobResult&) {} });
+      return true;
+    }
+    return false;
+  }
+
+  void Start(size_t aProcess, size_t aAttempt)
+  {
+    Note("s", aProcess, aAttempt);
+    processes_[aProcess]->runner_.attempts_[aAttempt].started_ = true;
+    ++starts_;
+  }
+
+  void Finish(size_t aProcess, size_t aAttempt, Outcome aOutcome)
+  {
+    Note("f", aProcess, aAttempt * 10 + static_cast<size_t>(aOutcome));
+    Attempt& attempt = processes_[aProcess]->runner_.attempts_[aAttempt];
+    const JobRunner::Done done = std::move(attempt.done_);
+    attempt.done_ = nullptr;
+    if (variant_ == Variant::RetriesUnknown && aOutcome == Outcome::Failed) {
+      aOutcome = Outcome::Refused;
+    }
+    done({ .outcome_ = aOutcome, .mayHaveRun_ = true });
+  }
+
+  void Sweep()
+  {
+    swept_ = true;
+    Note("w", 0, 0);
+    for (auto& process : processes_) {
+      if (!process || !process->alive_) {
+        continue;
+      }
+      process->submissions_->Sweep(Now());
+      if (variant_ == Variant::ForgetsSweep &&
+          process->submissions_->size() == 0) {
+        process->Table();
+      }
+    }
+  }
+
+  void Check(const HttpResponse& aResponse)
+  {
+    for (const auto& [name, value] : aResponse.headers_) {
+      if (name == "Cornelfront-Outcome" && value == "refused") {
+        liedRefused_ = liedRefused_ || starts_ > 0;
+      }
+    }
+  }
+
+  void Note(const char* aWhat, size_t aProcess, size_t aDetail)
+  {
+    history_ += aWhat;
+    Append(history_, aProcess);
+    Append(history_, aDetail);
+  }
+
+  Variant variant_;
+  std::array<std::unique_ptr<Process>, kProcesses> processes_;
+  std::array<Request, 3> requests_;
+  Request* handled_ = nullptr;
+  bool replaced_ = false;
+  bool swept_ = false;
+  size_t advances_ = 0;
+  int starts_ = 0;
+  bool liedRefused_ = false;
+  /// What happened to the tables and tasks so far.
+  std::string history_;
+};
+
+struct SearchResult
+{
+  size_t states_ = 0;
+  int mostStarts_ = 0;
+  bool liedRefused_ = false;
+};
+
+/// Depth-first over all states; each is rebuilt by repeating its steps.
+class Search
+{
+public:
+  /// Ends early once a submission has started \p aEnoughStarts times.
+  Search(Variant aVariant, int aEnoughStarts)
+    : variant_(aVariant)
+    , enoughStarts_(aEnoughStarts)
+  {
+  }
+
+  SearchResult Run()
+  {
+    Visit();
+    return result_;
+  }
+
+private:
+  void Visit()
+  {
+    World world(variant_);
+    for (const size_t step : path_) {
+      world.Actions()[step]();
+    }
+    if (!seen_.insert(world.Signature()).second) {
+      return;
+    }
+    ++result_.states_;
+    result_.mostStarts_ = std::max(result_.mostStarts_, world.Starts());
+    result_.liedRefused_ = result_.liedRefused_ || world.LiedRefused();
+    const size_t choices = world.Actions().size();
+    for (size_t step = 0; step < choices && result_.mostStarts_ < enoughStarts_;
+         ++step) {
+      path_.push_back(step);
+      Visit();
+      path_.pop_back();
+    }
+  }
+
+  Variant variant_;
+  int enoughStarts_;
+  std::vector<size_t> path_;
+  std::unordered_set<std::string> seen_;
+  SearchResult result_;
+};
+
+TEST(SubmissionExplorer, StartsAtMostOnce)
+{
+  const SearchResult result = Search(Variant::Real, 2).Run();
+  RecordProperty("states", std::to_string(result.states_));
+  EXPECT_EQ(result.mostStarts_, 1);
+  EXPECT_FALSE(result.liedRefused_);
+  EXPECT_GT(result.states_, 1000U);
+}
+
+TEST(SubmissionExplorer, FindsDeliberateFaults)
+{
+  for (const Variant variant :
+       { Variant::TakesOver, Variant::ForgetsSweep, Variant::RetriesUnknown }) {
+    const SearchResult result = Search(variant, 2).Run();
+    EXPECT_GT(result.mostStarts_, 1) << static_cast<int>(variant);
+  }
+}
+
+} // namespace
+} // namespace cornelfront
--- a/src/libcornelfront/controllers/submissions_test.cpp
+++ b/src/libcornelfront/controllers/submissions_test.cpp
@@ -42,6 +42,7 @@
     return std::holds_alternative<Answered>(begun);
   };
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   for (int t = 0; t < kThreads; ++t) {
     threads.emplace_back([&, t] {
       for (int i = 0; i < kIds; ++i) {
@@ -67,6 +68,7 @@
   std::atomic<int> attempts{ 0 };
   const Waiter waiter = [&](const FinalAnswerPtr&) { ++answers; };
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   for (int t = 0; t < kThreads; ++t) {
     threads.emplace_back([&] {
       const auto begun = submissions.Begin(id, "digest", waiter, kStart);
