Give one key prefix in answers that another entry made

The owner's answer already carried a prefix and the passing entry appended its own. The passing entry's replaces it: the caller is connected to that one.

--- a/src/libcornelfront/caller_api.cpp
+++ b/src/libcornelfront/caller_api.cpp
@@ -90,6 +90,17 @@
            .retryAfter_ = kTableFullRetryAfter };
 }
 
+/// Sets a header in place of one that the response has from its owner.
+void
+SetHeader(HttpResponse& aResponse,
+          const std::string& aName,
+          const std::string& aValue)
+{
+  std::erase_if(aResponse.headers_,
+                [&](const auto& aHeader) { return aHeader.first == aName; });
+  aResponse.headers_.emplace_back(aName, aValue);
+}
+
 } // namespace
 
 CallerApi::CallerApi(CallerApiOptions aOptions,
@@ -365,8 +376,7 @@
     if (!draining_) {
       const KeyPrefix prefix =
         IssuePrefix(options_.self_, options_.start_, aNow);
-      aResponse.headers_.emplace_back("Cornelfront-Key-Prefix",
-                                      ToString(prefix));
+      SetHeader(aResponse, "Cornelfront-Key-Prefix", ToString(prefix));
     }
     respond(std::move(aResponse));
   };
--- a/src/libcornelfront/caller_api_test.cpp
+++ b/src/libcornelfront/caller_api_test.cpp
@@ -66,7 +66,8 @@
     if (aOwner != kOther) {
       return false;
     }
-    aRespond({ .body_ = "from the owner" });
+    aRespond({ .headers_ = { { "Cornelfront-Key-Prefix", "b" } },
+               .body_ = "from the owner" });
     return true;
   }
 };
@@ -249,6 +250,8 @@
 {
   const auto reached = Send(Call("000000000000000b-1.x"));
   EXPECT_EQ(reached->body_, "from the owner");
+  ASSERT_EQ(reached->headers_.size(), 1U);
+  EXPECT_EQ(reached->headers_[0].second, "000000000000000a-a");
   const auto lost = Send(Call("000000000000000c-1.x"));
   EXPECT_EQ(lost->status_, 503);
   EXPECT_EQ(OutcomeOf(*lost), "failed");
