Rank candidates in an indexed heap; add ejection, ramps and rule variants

A std::set was not tried: it allocates a node for each change.

Routing rules are alternatives of a std::variant. New with it: reports of other entries' tasks age, so a sidecar that looked full is tried again; ejection of sidecars that fail more than the others, suspended when more than 30% qualify, with probes and back-off; ramps for new and returned sidecars.

--- a/src/libcornelfront/policy/router.cpp
+++ b/src/libcornelfront/policy/router.cpp
@@ -1,80 +1,140 @@
 #include "cornelfront/router.h"
 
+#include "policy/indexed_heap_pvt.h"
+
 #include <algorithm>
-#include <utility>
 
 namespace cornelfront {
 
 Router::Router(RouterOptions aOptions)
   : options_(std::move(aOptions))
+  , choices_(std::make_unique<IndexedHeap>())
+  , ejection_(options_.ejection_)
   , random_(options_.seed_)
 {
 }
 
+Router::~Router() = default;
+Router::Router(Router&&) noexcept = default;
+Router&
+Router::operator=(Router&&) noexcept = default;
+
 void
 Router::Upsert(const Candidate& aCandidate)
 {
-  Entry* entry = Find(aCandidate.id_);
-  if (entry == nullptr) {
-    entry = &entries_.emplace_back();
+  const auto [found, isNew] = index_.try_emplace(aCandidate.id_, 0);
+  if (isNew) {
+    found->second = Allocate();
+    ejection_.Add(aCandidate.id_);
   }
-  entry->candidate_ = aCandidate;
-  NoteLoad(*entry, aCandidate.load_);
+  Entry& entry = entries_[found->second];
+  entry.candidate_ = aCandidate;
+  entry.zoneIn_ = !zonesOut_.contains(aCandidate.zone_);
+  NoteLoad(entry, aCandidate.load_);
+  unstamped_.push_back({ .id_ = aCandidate.id_, .ramp_ = isNew });
 }
 
 void
 Router::Erase(MemberId aId)
 {
-  std::erase_if(entries_, [aId](const Entry& aEntry) {
-    return aEntry.candidate_.id_ == aId;
-  });
+  auto found = index_.find(aId);
+  if (found == index_.end()) {
+    return;
+  }
+  const Item item = found->second;
+  index_.erase(found);
+  ejection_.Erase(aId);
+  entries_[item].zoneIn_ = false;
+  Refresh(item);
+  freeItems_.push_back(item);
 }
 
 void
 Router::SetZoneIn(const std::string& aZone, bool aIn)
 {
-  if (aIn) {
-    zonesOut_.erase(aZone);
-  } else {
-    zonesOut_.insert(aZone);
+  const bool changed =
+    aIn ? zonesOut_.erase(aZone) > 0 : zonesOut_.insert(aZone).second;
+  if (!changed) {
+    return;
+  }
+  for (const auto& [id, item] : index_) {
+    if (entries_[item].candidate_.zone_ == aZone) {
+      entries_[item].zoneIn_ = aIn;
+      unstamped_.push_back({ .id_ = id, .ramp_ = aIn });
+      Refresh(item);
+    }
+  }
+}
+
+void
+Router::SetSlow(MemberId aId, bool aSlow)
+{
+  auto found = index_.find(aId);
+  if (found != index_.end()) {
+    entries_[found->second].slow_ = aSlow;
+    Refresh(found->second);
   }
 }
 
 std::optional<MemberId>
-Router::Choose(const RouteRequest& aRequest, MonoTime /*aNow*/)
+Router::Choose(const RouteRequest& aRequest, MonoTime aNow)
 {
-  Entry* chosen = Pick(Choices(aRequest));
-  if (chosen == nullptr) {
+  Advance(aNow);
+  std::optional<Item> chosen = PickProbe(aRequest, aNow);
+  if (!chosen) {
+    chosen = Pick(aRequest);
+  }
+  if (!chosen) {
     return std::nullopt;
   }
-  ++chosen->outstanding_;
-  return chosen->candidate_.id_;
+  Assign(*chosen);
+  return entries_[*chosen].candidate_.id_;
 }
 
 void
 Router::OnAnswer(MemberId aId,
                  const LoadReport& aLoad,
-                 bool /*aFailed*/,
-                 MonoTime /*aNow*/)
+                 bool aFailed,
+                 MonoTime aNow)
 {
-  Entry* entry = Find(aId);
-  if (entry == nullptr) {
+  Advance(aNow);
+  auto found = index_.find(aId);
+  if (found == index_.end()) {
     return;
   }
-  if (entry->outstanding_ > 0) {
-    --entry->outstanding_;
+  Entry& entry = entries_[found->second];
+  entry.outstanding_ -= std::min(entry.outstanding_, 1U);
+  entry.reportedAt_ = aNow;
+  NoteLoad(entry, aLoad);
+  const auto change = ejection_.OnAnswer(aId, aFailed, aNow);
+  if (change == EjectionPolicy::Change::Returned && MayRamp(aNow)) {
+    entry.ramp_ = BeginRamp(aId, options_.rampTime_, aNow);
+  }
+  RunTimer(found->second, aNow);
+  if (change == EjectionPolicy::Change::Suspended ||
+      change == EjectionPolicy::Change::Resumed) {
+    RefreshAll();
   }
-  NoteLoad(*entry, aLoad);
 }
 
-Router::Entry*
-Router::Find(MemberId aId)
+RouterCapacity
+Router::Capacity(MonoTime aNow)
 {
-  auto found =
-    std::find_if(entries_.begin(), entries_.end(), [aId](const Entry& aEntry) {
-      return aEntry.candidate_.id_ == aId;
-    });
-  return found == entries_.end() ? nullptr : &*found;
+  Advance(aNow);
+  return capacity_;
+}
+
+Router::Item
+Router::Allocate()
+{
+  if (freeItems_.empty()) {
+    entries_.emplace_back();
+    return static_cast<Item>(entries_.size() - 1);
+  }
+  const Item item = freeItems_.back();
+  freeItems_.pop_back();
+  entries_[item] = Entry{};
+  return item;
 }
 
 void
@@ -88,94 +148,65 @@
     reported > aEntry.outstanding_ ? reported - aEntry.outstanding_ : 0;
 }
 
-bool
-Router::HasRoom(const Entry& aEntry) const
+uint32_t
+Router::Tasks(const Entry& aEntry) const
 {
-  const uint32_t slots = aEntry.candidate_.load_.slots_;
-  return slots > 0 && aEntry.outstanding_ + aEntry.others_ <
-                        slots + options_.queuePerSidecar_;
+  return aEntry.outstanding_ + aEntry.others_;
 }
 
 bool
-Router::MayChoose(const Entry& aEntry, const RouteRequest& aRequest) const
+Router::InUse(const Entry& aEntry) const
 {
-  const auto& exclude = aRequest.exclude_;
-  return HasRoom(aEntry) && !zonesOut_.contains(aEntry.candidate_.zone_) &&
-         std::find(exclude.begin(), exclude.end(), aEntry.candidate_.id_) ==
-           exclude.end();
+  return aEntry.zoneIn_ && aEntry.usableSlots_ > 0 &&
+         !ejection_.IsEjected(aEntry.candidate_.id_);
 }
 
 bool
-Router::IsBetter(const Entry& aLeft, const Entry& aRight) const
-{
-  const uint64_t left = uint64_t{ aLeft.outstanding_ + aLeft.others_ } *
-                        aRight.candidate_.load_.slots_;
-  const uint64_t right = uint64_t{ aRight.outstanding_ + aRight.others_ } *
-                         aLeft.candidate_.load_.slots_;
-  if (left != right) {
-    return left < right;
-  }
-  return aLeft.candidate_.zone_ == options_.zone_ &&
-         aRight.candidate_.zone_ != options_.zone_;
-}
-
-std::vector<Router::Entry*>
-Router::Choices(const RouteRequest& aRequest)
+Router::HasRoom(const Entry& aEntry) const
 {
-  std::vector<Entry*> choices;
-  for (Entry& entry : entries_) {
-    if (MayChoose(entry, aRequest)) {
-      choices.push_back(&entry);
-    }
-  }
-  return choices;
+  const uint32_t slots = aEntry.candidate_.load_.slots_;
+  const bool ramping = aEntry.usableSlots_ < slots;
+  const uint32_t queue = ramping ? 0 : options_.queuePerSidecar_;
+  return Tasks(aEntry) < aEntry.usableSlots_ + queue;
 }
 
-Router::Entry*
-Router::Pick(const std::vector<Entry*>& aChoices)
-{
-  if (aChoices.empty()) {
-    return nullptr;
-  }
-  switch (options_.rule_) {
-    case RouteRule::Random:
-      return PickRandom(aChoices);
-    case RouteRule::RoundRobin:
-      return aChoices[nextRoundRobin_++ % aChoices.size()];
-    case RouteRule::PowerOfTwo:
-      return PickPowerOfTwo(aChoices);
-    case RouteRule::LeastLoaded:
-      break;
+void
+Router::Refresh(Item aItem)
+{
+  Entry& entry = entries_[aItem];
+  const bool inUse = InUse(entry);
+  const RouterCapacity now =
+    inUse
+      ? RouterCapacity{ .slots_ = entry.usableSlots_, .tasks_ = Tasks(entry) }
+      : RouterCapacity{};
+  capacity_.slots_ += now.slots_ - entry.counted_.slots_;
+  capacity_.tasks_ += now.tasks_ - entry.counted_.tasks_;
+  entry.counted_ = now;
+  if (!inUse || !HasRoom(entry)) {
+    choices_->Remove(aItem);
+    return;
   }
-  return PickLeastLoaded(aChoices);
+  choices_->Set(
+    aItem,
+    std::visit([&](const auto& aRule) { return KeyBy(aRule, entry); },
+               options_.rule_));
 }
 
-Router::Entry*
-Router::PickLeastLoaded(const std::vector<Entry*>& aChoices)
+void
+Router::RefreshAll()
 {
-  // Starting at a random place keeps entries with the same view from all
-  // choosing the same one among equals.
-  const size_t offset = random_() % aChoices.size();
-  Entry* best = aChoices[offset];
-  for (size_t i = 1; i < aChoices.size(); ++i) {
-    Entry* other = aChoices[(offset + i) % aChoices.size()];
-    best = IsBetter(*other, *best) ? other : best;
+  for (const auto& [id, item] : index_) {
+    Refresh(item);
   }
-  return best;
 }
 
-Router::Entry*
-Router::PickRandom(const std::vector<Entry*>& aChoices)
-{
-  return aChoices[random_() % aChoices.size()];
-}
-
-Router::Entry*
-Router::PickPowerOfTwo(const std::vector<Entry*>& aChoices)
+void
+Router::Assign(Item aItem)
 {
-  Entry* first = PickRandom(aChoices);
-  Entry* second = PickRandom(aChoices);
-  return IsBetter(*second, *first) ? second : first;
+  Entry& entry = entries_[aItem];
+  ++entry.outstanding_;
+  entry.lastChosen_ = ++choiceCount_;
+  Refresh(aItem);
 }
 
 } // namespace cornelfront
--- a/src/libcornelfront/policy/router_test.cpp
+++ b/src/libcornelfront/policy/router_test.cpp
@@ -6,6 +6,11 @@
 namespace {
 
 constexpr MonoTime kNow{ std::chrono::hours(1) };
+constexpr auto kRules = { "least_loaded",
+                          "stale_least_loaded",
+                          "random",
+                          "round_robin",
+                          "power_of_two" };
 
 Candidate
 Sidecar(uint64_t aId, const std::string& aZone, LoadReport aLoad)
@@ -60,11 +65,8 @@
 
 TEST(Router, NeverChoosesAZoneThatIsOutNorAnExcludedSidecar)
 {
-  for (RouteRule rule : { RouteRule::LeastLoaded,
-                          RouteRule::Random,
-                          RouteRule::RoundRobin,
-                          RouteRule::PowerOfTwo }) {
-    Router router({ .rule_ = rule });
+  for (const char* rule : kRules) {
+    Router router({ .rule_ = *ParseRouteRule(rule) });
     router.SetZoneIn("a", false);
     router.Upsert(Sidecar(1, "a", { .slots_ = 4 }));
     EXPECT_EQ(router.Choose({}, kNow), std::nullopt);
@@ -86,5 +88,78 @@
   EXPECT_EQ(router.size(), 1U);
 }
 
+TEST(Router, RampsUpAReturnedZone)
+{
+  constexpr uint32_t kSlots = 8;
+  constexpr Millis kRamp{ 1000 };
+  Router router({ .queuePerSidecar_ = 0, .rampTime_ = kRamp });
+  router.Upsert(Sidecar(1, "a", { .slots_ = kSlots }));
+  router.Upsert(Sidecar(2, "b", { .slots_ = kSlots }));
+  EXPECT_EQ(router.Capacity(kNow).slots_, 2 * kSlots) << "no ramp at first";
+  router.SetZoneIn("b", false);
+  EXPECT_EQ(router.Capacity(kNow).slots_, kSlots);
+  router.SetZoneIn("b", true);
+
+  const RouteRequest onlySecond{ .exclude_ = { { 1 } } };
+  uint32_t sent = 0;
+  for (Millis after : { Millis(0), Millis(500), Millis(1000) }) {
+    while (router.Choose(onlySecond, kNow + kRamp + after)) {
+      ++sent;
+    }
+    const auto expected = kSlots * after / kRamp;
+    EXPECT_GE(sent, expected);
+    EXPECT_LE(sent, expected + 1);
+  }
+}
+
+TEST(Router, ForgetsOldReportsOfOtherEntriesTasks)
+{
+  Router router({ .queuePerSidecar_ = 0, .reportLifetime_ = Millis(100) });
+  router.Upsert(Sidecar(1, "a", { .slots_ = 4, .running_ = 4 }));
+  EXPECT_FALSE(router.Choose({}, kNow));
+  EXPECT_FALSE(router.Choose({}, kNow + Millis(99)));
+  EXPECT_TRUE(router.Choose({}, kNow + Millis(100)));
+  EXPECT_TRUE(router.Choose({}, kNow + Millis(100)));
+  EXPECT_FALSE(router.Choose({}, kNow + Millis(100)));
+}
+
+TEST(Router, UsesSlowSidecarsLast)
+{
+  Router router({ .queuePerSidecar_ = 2 });
+  router.Upsert(Sidecar(1, "a", { .slots_ = 2 }));
+  router.Upsert(Sidecar(2, "a", { .slots_ = 2 }));
+  router.SetSlow({ 1 }, true);
+  EXPECT_EQ(router.Choose({}, kNow), Id(2));
+  EXPECT_EQ(router.Choose({}, kNow), Id(2));
+  router.SetSlow({ 1 }, false);
+  EXPECT_EQ(router.Choose({}, kNow), Id(1));
+}
+
+TEST(Router, EjectsASidecarThatFailsEverythingAndProbesIt)
+{
+  Router router({});
+  for (uint64_t id = 1; id <= 4; ++id) {
+    router.Upsert(Sidecar(id, "a", { .slots_ = 4 }));
+  }
+  MonoTime now = kNow;
+  for (int i = 0; i < 100; ++i) {
+    const MemberId id = *router.Choose({}, now);
+    router.OnAnswer(id, { .slots_ = 4 }, id.value_ == 3, now);
+  }
+  EXPECT_EQ(router.EjectedCount(), 1U);
+  EXPECT_EQ(router.Capacity(now).slots_, 12U);
+  now += EjectionOptions{}.firstEjection_;
+  EXPECT_NE(router.Choose({}, now), Id(3));
+  EXPECT_EQ(router.Choose({ .repeatable_ = true }, now), Id(3));
+  EXPECT_NE(router.Choose({ .repeatable_ = true }, now), Id(3));
+  router.OnAnswer({ 3 }, { .slots_ = 4 }, false, now);
+  EXPECT_EQ(router.EjectedCount(), 0U);
+}
+
+TEST(ParseRouteRule, RejectsUnknownNames)
+{
+  EXPECT_FALSE(ParseRouteRule("fastest"));
+}
+
 } // namespace
 } // namespace cornelfront
--- /dev/null
+++ b/src/libcornelfront/policy/router_timers.cpp
@@ -0,0 +1,85 @@
+#include "cornelfront/router.h"
+
+#include "policy/indexed_heap_pvt.h"
+
+#include <algorithm>
+
+namespace cornelfront {
+
+void
+Router::Advance(MonoTime aNow)
+{
+  if (!firstUse_) {
+    firstUse_ = aNow;
+  }
+  for (const Unstamped& unstamped : unstamped_) {
+    Stamp(unstamped, aNow);
+  }
+  unstamped_.clear();
+  while (!timers_.empty() && timers_.top().first <= aNow) {
+    const auto [time, item] = timers_.top();
+    timers_.pop();
+    if (entries_[item].timerAt_ == time) {
+      entries_[item].timerAt_ = MonoTime::max();
+      RunTimer(item, aNow);
+    }
+  }
+}
+
+void
+Router::Stamp(const Unstamped& aUnstamped, MonoTime aNow)
+{
+  auto found = index_.find(aUnstamped.id_);
+  if (found == index_.end()) {
+    return;
+  }
+  Entry& entry = entries_[found->second];
+  entry.reportedAt_ = aNow;
+  if (aUnstamped.ramp_ && MayRamp(aNow)) {
+    entry.ramp_ = BeginRamp(aUnstamped.id_, options_.rampTime_, aNow);
+  }
+  RunTimer(found->second, aNow);
+}
+
+bool
+Router::MayRamp(MonoTime aNow) const
+{
+  const bool isNew = aNow < *firstUse_ + options_.rampTime_;
+  return !isNew && capacity_.slots_ > 0;
+}
+
+void
+Router::RunTimer(Item aItem, MonoTime aNow)
+{
+  Entry& entry = entries_[aItem];
+  entry.usableSlots_ =
+    RampedSlots(entry.ramp_, entry.candidate_.load_.slots_, aNow);
+  if (entry.others_ > 0 &&
+      aNow >= entry.reportedAt_ + options_.reportLifetime_) {
+    entry.others_ /= 2;
+    entry.reportedAt_ = aNow;
+  }
+  Refresh(aItem);
+  Schedule(aItem, aNow);
+}
+
+void
+Router::Schedule(Item aItem, MonoTime aNow)
+{
+  Entry& entry = entries_[aItem];
+  MonoTime next = MonoTime::max();
+  if (entry.others_ > 0) {
+    next = entry.reportedAt_ + options_.reportLifetime_;
+  }
+  if (!RampIsOver(entry.ramp_, aNow)) {
+    const uint32_t slots = entry.candidate_.load_.slots_;
+    next = std::min(next, NextRampStep(entry.ramp_, slots, aNow));
+  }
+  // An earlier timer checks again, so there is never more than one in force.
+  if (next < entry.timerAt_) {
+    entry.timerAt_ = next;
+    timers_.emplace(next, aItem);
+  }
+}
+
+} // namespace cornelfront
--- a/src/libcornelfront/policy/task_queue.cpp
+++ b/src/libcornelfront/policy/task_queue.cpp
@@ -20,8 +20,13 @@
 TaskQueue::SendOrder::operator()(const QueuedTask& aLeft,
                                  const QueuedTask& aRight) const
 {
-  return std::tie(aLeft.startBy_, aLeft.arrival_, aLeft.id_) <
-         std::tie(aRight.startBy_, aRight.arrival_, aRight.id_);
+  const auto key = [](const QueuedTask& aTask) {
+    return std::tuple(aTask.startBy_,
+                      aTask.arrival_,
+                      aTask.id_.owner_.value_,
+                      aTask.id_.serial_);
+  };
+  return key(aLeft) < key(aRight);
 }
 
 bool
