--- /dev/null
+++ b/src/libcornelfront/policy/admission.cpp
@@ -0,0 +1,96 @@
+#include "cornelfront/admission.h"
+
+#include <algorithm>
+
+namespace cornelfront {
+
+namespace {
+
+constexpr double kRunTimeWeight = 0.02;
+constexpr double kGapWeight = 1.0 / 64;
+/// Starts before the measured gap is believed.
+constexpr uint32_t kFewestGaps = 16;
+/// Age at which a measured gap is not believed any more.
+constexpr std::chrono::seconds kGapLifetime{ 5 };
+
+uint64_t
+WaitingAhead(const ServiceLoad& aLoad, Priority aPriority)
+{
+  uint64_t ahead = 0;
+  for (size_t i = 0; i <= static_cast<size_t>(aPriority); ++i) {
+    ahead += aLoad.waiting_.at(i);
+  }
+  return ahead;
+}
+
+} // namespace
+
+WaitEstimate::WaitEstimate(Millis aRunTime)
+  : runTime_(aRunTime)
+{
+}
+
+void
+WaitEstimate::OnRunTime(Millis aRunTime)
+{
+  runTime_ += (Seconds(aRunTime) - runTime_) * kRunTimeWeight;
+}
+
+void
+WaitEstimate::OnStart(uint64_t aStillWaiting, MonoTime aNow)
+{
+  if (lastBusyStart_) {
+    ++gaps_;
+    const double weight = std::max(1.0 / gaps_, kGapWeight);
+    startGap_ += (Seconds(aNow - *lastBusyStart_) - startGap_) * weight;
+  }
+  // The gap before the next start says something about the slots only if a
+  // task waits for it the whole time.
+  lastBusyStart_ =
+    aStillWaiting > 0 ? std::optional<MonoTime>(aNow) : std::nullopt;
+}
+
+Millis
+WaitEstimate::Predict(const ServiceLoad& aLoad,
+                      Priority aPriority,
+                      uint64_t aTasks,
+                      MonoTime aNow) const
+{
+  if (aLoad.slots_ == 0) {
+    return Millis::max();
+  }
+  const uint64_t ahead = WaitingAhead(aLoad, aPriority) + aTasks;
+  const uint64_t free = aLoad.FreeSlots();
+  if (ahead <= free) {
+    return Millis(0);
+  }
+  const auto delayed = static_cast<double>(ahead - free);
+  return std::chrono::round<Millis>(TimePerStart(aLoad.slots_, aNow) * delayed);
+}
+
+WaitEstimate::Seconds
+WaitEstimate::TimePerStart(uint64_t aSlots, MonoTime aNow) const
+{
+  const bool measured = gaps_ >= kFewestGaps && lastBusyStart_ &&
+                        aNow < *lastBusyStart_ + kGapLifetime;
+  const Seconds best = runTime_ / static_cast<double>(aSlots);
+  return measured ? std::max(startGap_, best) : best;
+}
+
+std::optional<Millis>
+CheckAdmission(const AdmissionOptions& aOptions,
+               Priority aPriority,
+               Millis aPredictedWait,
+               Millis aStartWithin)
+{
+  const double share = aOptions.limitShare_.at(static_cast<size_t>(aPriority));
+  const auto limit = std::chrono::round<Millis>(aStartWithin * share);
+  if (aPredictedWait <= limit) {
+    return std::nullopt;
+  }
+  return std::clamp(aPredictedWait - limit,
+                    aOptions.shortestRetryAfter_,
+                    aOptions.longestRetryAfter_);
+}
+
+} // namespace cornelfront
--- /dev/null
+++ b/src/libcornelfront/policy/quota.cpp
@@ -0,0 +1,69 @@
+#include "cornelfront/quota.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cornelfront {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+/// Keeps the divisions finite for a quota of nothing.
+constexpr double kLowestRate = 1e-3;
+constexpr Millis kShortestRetryAfter{ 1 };
+
+Millis
+TimeToGain(double aTokens, double aRate)
+{
+  return std::chrono::ceil<Millis>(Seconds(std::max(0.0, aTokens) / aRate));
+}
+
+} // namespace
+
+std::optional<Millis>
+TeamQuotas::Take(const std::string& aTeam,
+                 const TeamQuota& aQuota,
+                 uint64_t aTasks,
+                 unsigned aLiveEntries,
+                 MonoTime aNow)
+{
+  const double entries = std::max(aLiveEntries, 1U);
+  const double rate = std::max(aQuota.startsPerSecond_ / entries, kLowestRate);
+  const double burst = std::max(aQuota.burst_ / entries, 1.0);
+  const auto [found, isNew] = buckets_.try_emplace(
+    aTeam, Bucket{ .tokens_ = burst, .refilledAt_ = aNow });
+  Bucket& bucket = found->second;
+  const double gained = rate * Seconds(aNow - bucket.refilledAt_).count();
+  bucket.tokens_ = std::min(bucket.tokens_ + gained, burst);
+  bucket.refilledAt_ = aNow;
+
+  const auto tasks = static_cast<double>(aTasks);
+  const double needed = std::min(tasks, burst);
+  if (bucket.tokens_ < needed) {
+    return std::max(TimeToGain(needed - bucket.tokens_, rate),
+                    kShortestRetryAfter);
+  }
+  bucket.tokens_ -= tasks;
+  bucket.fullAt_ = aNow + TimeToGain(burst - bucket.tokens_, rate);
+  return std::nullopt;
+}
+
+void
+TeamQuotas::GiveBack(const std::string& aTeam, uint64_t aTasks)
+{
+  auto found = buckets_.find(aTeam);
+  if (found != buckets_.end()) {
+    found->second.tokens_ += static_cast<double>(aTasks);
+  }
+}
+
+void
+TeamQuotas::Prune(MonoTime aNow)
+{
+  std::erase_if(buckets_, [aNow](const auto& aEntry) {
+    return aEntry.second.fullAt_ < aNow;
+  });
+}
+
+} // namespace cornelfront
