Wire admission, learned speeds, retry budget and the policy key into dispatch

PredictedWait now takes the priority and the number of tasks, since a large job waits for its last task and batch work waits behind the rest. A task that may have run is repeated only within the retry budget. The configuration key "policy" (route_rule, ejection, queue_per_sidecar, ramp_time) takes effect without a restart; an invalid text leaves the policy in force.

A share of 0.8 of the start limit for normal work was tried and dropped: it changed the time to come back that callers are told (CallerApiTest), and the priorities differ already in what waits ahead.

Not wired: quotas, which need the number of live entries.

--- a/src/include/cornelfront/admission.h
+++ b/src/include/cornelfront/admission.h
@@ -60,8 +60,9 @@
 struct AdmissionOptions
 {
   /// Share of the start limit that the predicted wait may take, by priority,
-  /// so that under overload batch work is refused first.
-  std::array<double, 3> limitShare_{ 1.0, 0.8, 0.5 };
+  /// so that under overload batch work is refused first. Urgent and normal
+  /// work differ already in what waits ahead of them.
+  std::array<double, 3> limitShare_{ 1.0, 1.0, 0.5 };
   Millis shortestRetryAfter_{ 50 };
   Millis longestRetryAfter_{ 30000 };
 };
--- a/src/include/cornelfront/dispatcher.h
+++ b/src/include/cornelfront/dispatcher.h
@@ -75,9 +75,11 @@
   /// follows. Does nothing for an unknown submission.
   virtual void Cancel(const std::string& aSubmission, MonoTime aNow) = 0;
 
-  /// Expected wait of a new task of the service before its start; zero while
-  /// slots are free. Takes part in admission.
+  /// Expected wait of the last of \p aTasks new tasks of the service before
+  /// its start; zero while slots are free. Takes part in admission.
   virtual Millis PredictedWait(const std::string& aService,
+                               Priority aPriority,
+                               size_t aTasks,
                                MonoTime aNow) const = 0;
 };
 
--- a/src/include/cornelfront/router.h
+++ b/src/include/cornelfront/router.h
@@ -141,6 +141,12 @@
   /// is used only when the others' slots are full.
   void SetSlow(MemberId aId, bool aSlow);
 
+  /// Changes the options that take effect at once.
+  void SetRule(RouteRule aRule);
+  void SetEjection(bool aEnabled);
+  void SetQueuePerSidecar(uint32_t aTasks);
+  void SetRampTime(Millis aTime) { options_.rampTime_ = aTime; }
+
   /// Returns where the next task goes, or nullopt if no candidate has room.
   /// Counts the task as outstanding there.
   std::optional<MemberId> Choose(const RouteRequest& aRequest, MonoTime aNow);
--- a/src/include/cornelfront/service_dispatch.h
+++ b/src/include/cornelfront/service_dispatch.h
@@ -4,10 +4,13 @@
 /// Pure state machine that runs the jobs of one service on its sidecars.
 
 #include "cornelfront/clock.h"
+#include "cornelfront/dispatch_policy.h"
 #include "cornelfront/dispatcher.h"
 #include "cornelfront/ids.h"
 #include "cornelfront/messages.h"
+#include "cornelfront/retry_budget.h"
 #include "cornelfront/router.h"
+#include "cornelfront/service_estimates.h"
 #include "cornelfront/task_queue.h"
 
 #include <cstdint>
@@ -104,8 +107,12 @@
   /// Gives up tasks whose bounds have passed; call every few milliseconds.
   void Tick(MonoTime aNow, DispatchEffects& aEffects);
 
-  /// Expected wait of a new task before its start.
-  Millis PredictedWait() const;
+  /// Expected wait of the last of \p aTasks new tasks before its start; zero
+  /// while no sidecar is known.
+  Millis PredictedWait(Priority aPriority, size_t aTasks, MonoTime aNow);
+
+  /// Changes how tasks are routed from now on.
+  void SetPolicy(const DispatchPolicy& aPolicy);
 
   size_t QueuedCount() const { return queue_.size(); }
   size_t JobCount() const { return jobs_.size(); }
@@ -174,18 +181,20 @@
               const TaskAnswer& aAnswer,
               MonoTime aNow,
               DispatchEffects& aEffects);
-  bool MayRetry(const Task& aTask,
-                const TaskAnswer& aAnswer,
-                MonoTime aNow) const;
+  bool MayRetry(const Task& aTask, const TaskAnswer& aAnswer, MonoTime aNow);
+  void Learn(MemberId aSidecar, const Task& aTask, Millis aRunTime);
   void Retry(TaskId aId, MonoTime aNow, DispatchEffects& aEffects);
   void Record(const JobPtr& aJob,
               uint32_t aIndex,
               const TaskAnswer& aAnswer,
+              MonoTime aNow,
               DispatchEffects& aEffects);
   void FinishJob(const JobPtr& aJob,
                  JobResult aResult,
                  DispatchEffects& aEffects);
-  JobResult FailureOf(const Job& aJob, const TaskAnswer& aAnswer) const;
+  JobResult FailureOf(const Job& aJob,
+                      const TaskAnswer& aAnswer,
+                      MonoTime aNow);
   void Withdraw(const JobPtr& aJob, DispatchEffects& aEffects);
   void Forget(TaskId aId);
   void GiveUpOverdue(MonoTime aNow, DispatchEffects& aEffects);
@@ -199,7 +208,8 @@
   std::unordered_map<std::string, JobPtr> jobs_;
   std::unordered_map<MemberId, Sidecar> sidecars_;
   uint64_t nextSerial_ = 1;
-  double meanRunMs_ = 0;
+  ServiceEstimates estimates_;
+  RetryBudget retryBudget_{ {}, MonoTime{} };
 };
 
 } // namespace cornelfront
--- a/src/libcornelfront/controllers/dispatcher.cpp
+++ b/src/libcornelfront/controllers/dispatcher.cpp
@@ -53,12 +53,13 @@
     shard = std::make_shared<Shard>(ServiceDispatchOptions{
       .self_ = options_.self_,
       .serialPrefix_ = static_cast<uint16_t>(shards_.size()),
-      .router_ = { .zone_ = options_.zone_ },
+      .router_ = { .zone_ = options_.zone_, .seed_ = options_.self_.value_ },
       .resolveBound_ = options_.resolveBound_ });
     DispatchEffects none;
     for (const std::string& zone : zonesOut_) {
       shard->dispatch_.SetZoneIn(zone, false, MonoTime{}, none);
     }
+    shard->dispatch_.SetPolicy(policy_);
   }
   return shard;
 }
@@ -169,7 +170,10 @@
 }
 
 Millis
-Dispatcher::PredictedWait(const std::string& aService, MonoTime) const
+Dispatcher::PredictedWait(const std::string& aService,
+                          Priority aPriority,
+                          size_t aTasks,
+                          MonoTime aNow) const
 {
   ShardPtr shard;
   {
@@ -181,7 +185,7 @@
     shard = found->second;
   }
   std::lock_guard lock(shard->mutex_);
-  return shard->dispatch_.PredictedWait();
+  return shard->dispatch_.PredictedWait(aPriority, aTasks, aNow);
 }
 
 std::optional<MemberId>
@@ -342,23 +346,61 @@
 void
 Dispatcher::OnConfig(const ConfigState& aState, MonoTime aNow)
 {
-  const std::vector<std::string> zonesOut = ZonesOut(aState);
+  OnPolicy(aState.Get("policy"), aNow);
+  OnZones(ZonesOut(aState), aNow);
+}
+
+/// Keeps the policy in force if the new one is not valid.
+void
+Dispatcher::OnPolicy(const ConfigValue& aPolicy, MonoTime aNow)
+{
+  DispatchPolicy policy;
+  try {
+    policy = ParseDispatchPolicy(aPolicy.text_);
+  } catch (const FileErrors& error) {
+    events_.Record(EventId::ConfigInvalid,
+                   { { "key", "policy" }, { "error", error.what() } },
+                   WallClock::now());
+    return;
+  }
+  {
+    std::lock_guard lock(shardsMutex_);
+    if (aPolicy.version_ <= policyVersion_) {
+      return;
+    }
+    policyVersion_ = aPolicy.version_;
+    policy_ = policy;
+  }
+  for (const ShardPtr& shard : Shards()) {
+    Run(
+      shard,
+      [&](ServiceDispatch& aDispatch, DispatchEffects& aEffects) {
+        aDispatch.SetPolicy(policy);
+        aDispatch.Tick(aNow, aEffects);
+      },
+      aNow);
+  }
+}
+
+void
+Dispatcher::OnZones(const std::vector<std::string>& aZonesOut, MonoTime aNow)
+{
   std::vector<std::string> earlier;
   {
     std::lock_guard lock(shardsMutex_);
     earlier = zonesOut_;
-    zonesOut_ = zonesOut;
+    zonesOut_ = aZonesOut;
   }
   for (const ShardPtr& shard : Shards()) {
     Run(
       shard,
       [&](ServiceDispatch& aDispatch, DispatchEffects& aEffects) {
         for (const std::string& zone : earlier) {
-          if (std::ranges::find(zonesOut, zone) == zonesOut.end()) {
+          if (std::ranges::find(aZonesOut, zone) == aZonesOut.end()) {
             aDispatch.SetZoneIn(zone, true, aNow, aEffects);
           }
         }
-        for (const std::string& zone : zonesOut) {
+        for (const std::string& zone : aZonesOut) {
           aDispatch.SetZoneIn(zone, false, aNow, aEffects);
         }
       },
--- a/src/libcornelfront/controllers/dispatcher.h
+++ b/src/libcornelfront/controllers/dispatcher.h
@@ -3,6 +3,7 @@
 /// \file
 /// Controller that runs jobs on the sidecars linked to this entry.
 
+#include "cornelfront/dispatch_policy.h"
 #include "cornelfront/dispatcher.h"
 #include "cornelfront/events.h"
 #include "cornelfront/link.h"
@@ -47,6 +48,8 @@
   void Submit(JobSpec aJob, Done aDone, MonoTime aNow) override;
   void Cancel(const std::string& aSubmission, MonoTime aNow) override;
   Millis PredictedWait(const std::string& aService,
+                       Priority aPriority,
+                       size_t aTasks,
                        MonoTime aNow) const override;
 
   /// A sidecar has introduced itself on this link, which replaces any earlier
@@ -100,6 +103,8 @@
                 MonoTime aNow);
   std::vector<TaskId> SendAll(DispatchEffects& aEffects);
   void TickLoop();
+  void OnZones(const std::vector<std::string>& aZonesOut, MonoTime aNow);
+  void OnPolicy(const ConfigValue& aPolicy, MonoTime aNow);
 
   const DispatcherOptions options_;
   EventLog& events_;
@@ -107,6 +112,8 @@
   mutable std::mutex shardsMutex_;
   std::map<std::string, ShardPtr> shards_;
   std::vector<std::string> zonesOut_;
+  ConfigVersion policyVersion_;
+  DispatchPolicy policy_;
 
   mutable std::mutex membersMutex_;
   std::unordered_map<MemberId, Member> members_;
--- a/src/libcornelfront/filters/filters.cpp
+++ b/src/libcornelfront/filters/filters.cpp
@@ -1,5 +1,7 @@
 #include "cornelfront/filters.h"
 
+#include "cornelfront/admission.h"
+
 #include <algorithm>
 
 namespace cornelfront {
@@ -156,10 +158,17 @@
 std::optional<Refusal>
 AdmissionFilter::operator()(RequestContext& aContext, MonoTime aNow) const
 {
-  const Millis wait = runner_->PredictedWait(aContext.request_.service_, aNow);
+  // A job is as urgent as its least urgent task, which starts last.
+  Priority priority = Priority::Urgent;
+  for (const auto& call : aContext.calls_) {
+    priority = std::max(priority, call->priority_);
+  }
+  const Millis wait = runner_->PredictedWait(
+    aContext.request_.service_, priority, aContext.calls_.size(), aNow);
   const auto limit =
     std::chrono::duration_cast<Millis>(aContext.startBy_ - aNow);
-  if (wait <= limit) {
+  const auto retryAfter = CheckAdmission({}, priority, wait, limit);
+  if (!retryAfter) {
     return std::nullopt;
   }
   return Refusal{ .reason_ = RefusalReason::Overloaded,
@@ -167,9 +176,9 @@
                   .value_ = aContext.request_.service_,
                   .bound_ = "predicted wait of " +
                             std::to_string(wait.count()) +
-                            " ms exceeds the start limit of " +
+                            " ms is too near to the start limit of " +
                             std::to_string(limit.count()) + " ms",
-                  .retryAfter_ = wait - limit };
+                  .retryAfter_ = *retryAfter };
 }
 
 std::optional<Refusal>
--- a/src/libcornelfront/policy/router.cpp
+++ b/src/libcornelfront/policy/router.cpp
@@ -76,6 +76,34 @@
   }
 }
 
+void
+Router::SetRule(RouteRule aRule)
+{
+  options_.rule_ = aRule;
+  RefreshAll();
+}
+
+void
+Router::SetEjection(bool aEnabled)
+{
+  if (options_.ejection_.enabled_ == aEnabled) {
+    return;
+  }
+  options_.ejection_.enabled_ = aEnabled;
+  ejection_ = EjectionPolicy(options_.ejection_);
+  for (const auto& [id, item] : index_) {
+    ejection_.Add(id);
+  }
+  RefreshAll();
+}
+
+void
+Router::SetQueuePerSidecar(uint32_t aTasks)
+{
+  options_.queuePerSidecar_ = aTasks;
+  RefreshAll();
+}
+
 std::optional<MemberId>
 Router::Choose(const RouteRequest& aRequest, MonoTime aNow)
 {
--- a/src/libcornelfront/policy/service_dispatch.cpp
+++ b/src/libcornelfront/policy/service_dispatch.cpp
@@ -11,9 +11,6 @@
 
 constexpr unsigned kSerialPrefixShift = 48;
 
-/// Weight of the newest run time in the running mean.
-constexpr double kRunTimeWeight = 0.05;
-
 constexpr Millis kMinRetryAfter{ 100 };
 
 /// Pauses before a task that every candidate has refused is offered again;
@@ -128,7 +125,8 @@
   FinishJob(job,
             FailureOf(*job,
                       { .outcome_ = TaskOutcome::NotRun,
-                        .reason_ = TaskReason::Cancelled }),
+                        .reason_ = TaskReason::Cancelled },
+                      aNow),
             aEffects);
   Pump(aNow, aEffects);
 }
@@ -178,6 +176,7 @@
     task.state_ = TaskState::Unresolved;
     task.giveUpAt_ = aNow + options_.resolveBound_;
   }
+  estimates_.Forget(aSidecar);
   if (sidecar.tasks_.empty()) {
     sidecars_.erase(found);
   }
@@ -205,8 +204,7 @@
       continue;
     }
     if (answer.outcome_ == TaskOutcome::Completed) {
-      const auto runMs = static_cast<double>(answer.runTime_.count());
-      meanRunMs_ += kRunTimeWeight * (runMs - meanRunMs_);
+      Learn(aSidecar, found->second, answer.runTime_);
     }
     router_.OnAnswer(aSidecar, aAnswers.load_, IsUpstreamFault(answer), aNow);
     Settle(answer.id_, answer, aNow, aEffects);
@@ -303,7 +301,10 @@
     if (task.refusedBy_.size() >= router_.size()) {
       task.refusedBy_.clear();
     }
-    const auto sidecar = router_.Choose({ .exclude_ = task.refusedBy_ }, aNow);
+    const auto sidecar =
+      router_.Choose({ .exclude_ = task.refusedBy_,
+                       .repeatable_ = task.job_->spec_.mayRepeat_ },
+                     aNow);
     if (sidecar) {
       Assign(queued->id_, task, *sidecar, aNow, batches, aEffects);
       continue;
@@ -333,6 +334,10 @@
   const TaskSpec& taskSpec = spec.tasks_[aTask.index_];
   const auto startWithin =
     std::chrono::duration_cast<Millis>(spec.startBy_ - aNow);
+  estimates_.OnStart(*taskSpec.call_, queue_.size(), aNow);
+  if (aTask.attempt_ == 1) {
+    retryBudget_.OnRequest(aNow);
+  }
   aTask.state_ = TaskState::Sent;
   aTask.sidecar_ = aSidecar;
   aTask.giveUpAt_ =
@@ -371,7 +376,7 @@
 bool
 ServiceDispatch::MayRetry(const Task& aTask,
                           const TaskAnswer& aAnswer,
-                          MonoTime aNow) const
+                          MonoTime aNow)
 {
   if (aTask.job_->finished_ || aTask.attempt_ >= options_.maxAttempts_ ||
       aNow >= aTask.job_->spec_.startBy_) {
@@ -381,7 +386,7 @@
     return ElsewhereMayHelp(aAnswer.reason_);
   }
   return aAnswer.outcome_ == TaskOutcome::MayHaveRun &&
-         aTask.job_->spec_.mayRepeat_;
+         aTask.job_->spec_.mayRepeat_ && retryBudget_.TryRetry(aNow);
 }
 
 void
@@ -404,7 +409,7 @@
   const uint32_t index = task.index_;
   Forget(aId);
   if (!job->finished_) {
-    Record(job, index, aAnswer, aEffects);
+    Record(job, index, aAnswer, aNow, aEffects);
   }
 }
 
@@ -434,13 +439,14 @@
 ServiceDispatch::Record(const JobPtr& aJob,
                         uint32_t aIndex,
                         const TaskAnswer& aAnswer,
+                        MonoTime aNow,
                         DispatchEffects& aEffects)
 {
   aJob->answers_[aIndex] = aAnswer;
   aJob->open_[aIndex] = {};
   --aJob->remaining_;
   if (aAnswer.outcome_ != TaskOutcome::Completed) {
-    FinishJob(aJob, FailureOf(*aJob, aAnswer), aEffects);
+    FinishJob(aJob, FailureOf(*aJob, aAnswer, aNow), aEffects);
     return;
   }
   if (aJob->remaining_ == 0) {
@@ -452,7 +458,9 @@
 }
 
 JobResult
-ServiceDispatch::FailureOf(const Job& aJob, const TaskAnswer& aAnswer) const
+ServiceDispatch::FailureOf(const Job& aJob,
+                           const TaskAnswer& aAnswer,
+                           MonoTime aNow)
 {
   bool ran = aAnswer.outcome_ == TaskOutcome::Failed;
   bool mayHaveRun = aAnswer.outcome_ == TaskOutcome::MayHaveRun;
@@ -470,7 +478,8 @@
   result.reason_ = aAnswer.reason_;
   result.outcome_ = ran || mayHaveRun ? Outcome::Failed : Outcome::Refused;
   result.mayHaveRun_ = mayHaveRun && !ran;
-  result.retryAfter_ = std::max(kMinRetryAfter, PredictedWait());
+  result.retryAfter_ = std::max(
+    kMinRetryAfter, PredictedWait(Priority::Normal, aJob.open_.size(), aNow));
   return result;
 }
 
@@ -526,20 +535,36 @@
 }
 
 Millis
-ServiceDispatch::PredictedWait() const
+ServiceDispatch::PredictedWait(Priority aPriority, size_t aTasks, MonoTime aNow)
 {
-  uint64_t slots = 0;
-  uint64_t taken = queue_.size();
-  for (const auto& [id, sidecar] : sidecars_) {
-    slots += sidecar.load_.slots_;
-    taken += sidecar.load_.running_ + sidecar.load_.queued_;
-  }
-  if (slots == 0 || taken < slots) {
+  const RouterCapacity capacity = router_.Capacity(aNow);
+  if (capacity.slots_ == 0) {
     return Millis(0);
   }
-  const double rounds =
-    static_cast<double>(taken - slots) / static_cast<double>(slots);
-  return Millis(static_cast<int64_t>(rounds * meanRunMs_));
+  const ServiceLoad load{ .waiting_ = { queue_.CountOf(Priority::Urgent),
+                                        queue_.CountOf(Priority::Normal),
+                                        queue_.CountOf(Priority::Batch) },
+                          .slots_ = capacity.slots_,
+                          .tasks_ = capacity.tasks_ };
+  return estimates_.PredictWait(load, aPriority, aTasks, aNow);
+}
+
+void
+ServiceDispatch::SetPolicy(const DispatchPolicy& aPolicy)
+{
+  router_.SetRule(aPolicy.rule_);
+  router_.SetEjection(aPolicy.ejection_);
+  router_.SetQueuePerSidecar(aPolicy.queuePerSidecar_);
+  router_.SetRampTime(aPolicy.rampTime_);
+}
+
+/// Updates the estimates with a completed task.
+void
+ServiceDispatch::Learn(MemberId aSidecar, const Task& aTask, Millis aRunTime)
+{
+  const TaskSpec& spec = aTask.job_->spec_.tasks_[aTask.index_];
+  const bool slow = estimates_.OnRunTime(*spec.call_, aSidecar, aRunTime);
+  router_.SetSlow(aSidecar, slow);
 }
 
 } // namespace cornelfront
--- /dev/null
+++ b/src/libcornelfront/policy/service_estimates.cpp
@@ -0,0 +1,56 @@
+#include "cornelfront/service_estimates.h"
+
+namespace cornelfront {
+
+bool
+ServiceEstimates::OnRunTime(const CallSchema& aCall,
+                            MemberId aSidecar,
+                            Millis aRunTime)
+{
+  SizeEstimate& size = SizeOf(aCall);
+  size.OnRunTime(aRunTime);
+  Wait(aCall).OnRunTime(aRunTime);
+  SpeedEstimate& speed = speeds_[aSidecar];
+  speed.OnRunTime(aRunTime, size.Median());
+  return speed.IsSlow();
+}
+
+void
+ServiceEstimates::OnStart(const CallSchema& aCall,
+                          uint64_t aStillWaiting,
+                          MonoTime aNow)
+{
+  Wait(aCall).OnStart(aStillWaiting, aNow);
+}
+
+void
+ServiceEstimates::Forget(MemberId aSidecar)
+{
+  speeds_.erase(aSidecar);
+}
+
+Millis
+ServiceEstimates::PredictWait(const ServiceLoad& aLoad,
+                              Priority aPriority,
+                              uint64_t aTasks,
+                              MonoTime aNow) const
+{
+  return wait_ ? wait_->Predict(aLoad, aPriority, aTasks, aNow) : Millis(0);
+}
+
+SizeEstimate&
+ServiceEstimates::SizeOf(const CallSchema& aCall)
+{
+  return sizes_.try_emplace(aCall.name_, aCall.size_.runTime_).first->second;
+}
+
+WaitEstimate&
+ServiceEstimates::Wait(const CallSchema& aCall)
+{
+  if (!wait_) {
+    wait_.emplace(aCall.size_.runTime_);
+  }
+  return *wait_;
+}
+
+} // namespace cornelfront
