--- a/src/libcornelfront/controllers/dispatcher.cpp
+++ b/src/libcornelfront/controllers/dispatcher.cpp
@@ -365,7 +365,7 @@
   }
   {
     std::lock_guard lock(shardsMutex_);
-    if (aPolicy.version_ <= policyVersion_) {
+    if (aPolicy.version_.value_ <= policyVersion_.value_) {
       return;
     }
     policyVersion_ = aPolicy.version_;
