--- /dev/null
+++ b/bench/load.cpp
@@ -0,0 +1,477 @@
+/// \file
+/// Replays seeded arrivals against running entries, once for each routing
+/// rule, and compares the response times with the ideal. bench/run starts the
+/// processes.
+
+#include "cornelfront/codec.h"
+#include "cornelfront/config.h"
+#include "cornelfront/log_client.h"
+#include "http_caller.h"
+#include "trace.h"
+
+#include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+namespace cornelfront {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Millis kLogTimeout{ 2000 };
+/// Time that a published change gets to come into force.
+constexpr Millis kSettleTime{ 3000 };
+constexpr Millis kLongestPoll{ 20 };
+/// A prefix is used again for this long.
+constexpr Millis kPrefixAge{ 30000 };
+constexpr Millis kDrainTimeout{ 60000 };
+
+struct Options
+{
+  std::vector<std::string> entries_;
+  std::vector<std::string> metrics_;
+  std::string logUrl_;
+  std::string schemaFile_;
+  std::vector<std::string> rules_{ "least_loaded" };
+  TraceOptions trace_;
+  int64_t durationS_ = 30;
+  std::string zone_;
+  uint32_t zoneSlots_ = 0;
+  std::string csvFile_;
+};
+
+/// What became of one arrival.
+struct Sample
+{
+  Millis sentAt_{ 0 };
+  Millis response_{ 0 };
+  std::string outcome_ = "lost";
+};
+
+class Publisher
+{
+public:
+  explicit Publisher(const std::string& aLogUrl)
+    : log_({ .url_ = aLogUrl })
+  {
+  }
+
+  void Publish(const std::string& aKey, const std::string& aText)
+  {
+    ConfigVersion& version = versions_[aKey];
+    const uint64_t offset =
+      log_.Append(EncodeConfigRecord(ConfigChange{
+                    .changeId_ = "load-" + std::to_string(++count_),
+                    .author_ = "load",
+                    .key_ = aKey,
+                    .base_ = version,
+                    .text_ = aText }),
+                  kLogTimeout);
+    version.value_ = offset + 1;
+  }
+
+private:
+  LogClient log_;
+  std::map<std::string, ConfigVersion> versions_;
+  uint64_t count_ = 0;
+};
+
+/// Key prefixes of the entries; see DESIGN.md, 1.
+class Prefixes
+{
+public:
+  explicit Prefixes(std::vector<std::string> aEntries)
+    : entries_(std::move(aEntries))
+    , prefixes_(entries_.size())
+  {
+  }
+
+  /// A new submission id for the entry.
+  std::string NextId(size_t aEntry, MonoTime aNow)
+  {
+    Prefix& prefix = prefixes_[aEntry];
+    if (prefix.text_.empty() || aNow > prefix.takenAt_ + kPrefixAge) {
+      const HttpResult result =
+        http_.Perform({ .url_ = entries_[aEntry] + "/v1/key-prefix" });
+      if (!result.Ok()) {
+        throw std::runtime_error(entries_[aEntry] + ": no key prefix");
+      }
+      prefix.text_ = Json::parse(result.response_.body_).at("prefix");
+      prefix.takenAt_ = aNow;
+    }
+    return prefix.text_ + "." + std::to_string(++count_);
+  }
+
+private:
+  struct Prefix
+  {
+    std::string text_;
+    MonoTime takenAt_;
+  };
+
+  std::vector<std::string> entries_;
+  std::vector<Prefix> prefixes_;
+  HttpClient http_;
+  uint64_t count_ = 0;
+};
+
+std::string
+ReadFile(const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  if (!file) {
+    throw std::runtime_error(aPath + ": cannot be read");
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+std::string
+TaskBody(Millis aRunTime)
+{
+  return Json{ { "run_ms", aRunTime.count() } }.dump();
+}
+
+/// Replays one trace.
+class Replay
+{
+public:
+  Replay(const Options& aOptions,
+         const std::vector<Arrival>& aTrace,
+         const Outage& aOutage,
+         Publisher& aPublisher)
+    : options_(aOptions)
+    , trace_(aTrace)
+    , outage_(aOutage)
+    , publisher_(aPublisher)
+    , prefixes_(aOptions.entries_)
+    , samples_(aTrace.size())
+  {
+  }
+
+  std::vector<Sample> Run()
+  {
+    start_ = MonoClock::now();
+    size_t next = 0;
+    while (next < trace_.size()) {
+      const Millis now = Elapsed();
+      SwitchZone(now);
+      if (trace_[next].at_ <= now) {
+        Send(next++);
+        continue;
+      }
+      caller_.Poll(std::min(trace_[next].at_ - now, kLongestPoll));
+    }
+    const Millis limit = Elapsed() + kDrainTimeout;
+    while (caller_.OpenCount() > 0 && Elapsed() < limit) {
+      caller_.Poll(kLongestPoll);
+    }
+    return std::move(samples_);
+  }
+
+private:
+  Millis Elapsed() const
+  {
+    return std::chrono::duration_cast<Millis>(MonoClock::now() - start_);
+  }
+
+  void SwitchZone(Millis aNow)
+  {
+    if (outage_.slots_ == 0) {
+      return;
+    }
+    if (switches_ == 0 && aNow >= outage_.from_) {
+      publisher_.Publish("zone/" + options_.zone_, "out");
+      ++switches_;
+    } else if (switches_ == 1 && aNow >= outage_.until_) {
+      publisher_.Publish("zone/" + options_.zone_, "in");
+      ++switches_;
+    }
+  }
+
+  void Send(size_t aIndex)
+  {
+    const Arrival& arrival = trace_[aIndex];
+    const size_t entry = aIndex % options_.entries_.size();
+    const std::string id = prefixes_.NextId(entry, MonoClock::now());
+    const std::string base = options_.entries_[entry] + "/v1/services/desk";
+    const MonoTime sent = MonoClock::now();
+    samples_[aIndex].sentAt_ = Elapsed();
+    auto done = [this, aIndex, sent](const CallerResponse& aResponse) {
+      Sample& sample = samples_[aIndex];
+      sample.response_ = std::chrono::round<Millis>(MonoClock::now() - sent);
+      auto outcome = aResponse.headers_.find("cornelfront-outcome");
+      if (outcome != aResponse.headers_.end()) {
+        sample.outcome_ = outcome->second;
+      }
+    };
+    if (arrival.runTimes_.size() == 1) {
+      caller_.Post(base + "/calls/short",
+                   { "Idempotency-Key: " + id, "Cornelfront-Team: crew" },
+                   TaskBody(arrival.runTimes_.front()),
+                   std::move(done));
+    } else {
+      caller_.Post(base + "/jobs",
+                   { "Content-Type: application/json" },
+                   JobBody(id, arrival),
+                   std::move(done));
+    }
+  }
+
+  static std::string JobBody(const std::string& aId, const Arrival& aArrival)
+  {
+    Json job = { { "submission", aId }, { "team", "crew" } };
+    for (Millis runTime : aArrival.runTimes_) {
+      job["tasks"].push_back(
+        { { "call", "short" },
+          { "body_base64", EncodeBase64(TaskBody(runTime)) } });
+    }
+    return job.dump();
+  }
+
+  const Options& options_;
+  const std::vector<Arrival>& trace_;
+  const Outage outage_;
+  Publisher& publisher_;
+  Prefixes prefixes_;
+  std::vector<Sample> samples_;
+  HttpCaller caller_;
+  MonoTime start_;
+  int switches_ = 0;
+};
+
+/// Messages sent by kind, summed over the processes; empty if none serves
+/// metrics.
+std::map<std::string, double>
+CountMessages(const std::vector<std::string>& aUrls)
+{
+  std::map<std::string, double> counts;
+  HttpClient http;
+  for (const std::string& url : aUrls) {
+    const HttpResult result = http.Perform({ .url_ = url + "/metrics" });
+    std::istringstream lines(result.response_.body_);
+    for (std::string line; std::getline(lines, line);) {
+      const std::string name = "cornelfront_messages_total{";
+      const size_t kind = line.find("kind=\"");
+      if (!line.starts_with(name) || kind == std::string::npos ||
+          line.find("direction=\"sent\"") == std::string::npos) {
+        continue;
+      }
+      const size_t from = kind + std::string("kind=\"").size();
+      const std::string text = line.substr(from, line.find('"', from) - from);
+      counts[text] += std::stod(line.substr(line.rfind(' ')));
+    }
+  }
+  return counts;
+}
+
+/// Counts and response times of one replay.
+class Report
+{
+public:
+  Report(std::string aRule,
+         const Options& aOptions,
+         std::vector<Arrival> aTrace,
+         const std::vector<Sample>& aSamples,
+         const Outage& aOutage)
+    : rule_(std::move(aRule))
+    , samples_(aSamples)
+    , trace_(std::move(aTrace))
+  {
+    for (size_t i = 0; i < trace_.size(); ++i) {
+      trace_[i].at_ = samples_[i].sentAt_;
+    }
+    ideal_ = IdealResponses(trace_, aOptions.trace_.slots_, aOutage);
+  }
+
+  void Print(std::map<std::string, double> aMessages) const
+  {
+    std::vector<Millis> responses;
+    std::vector<Millis> refusals;
+    std::map<std::string, size_t> outcomes;
+    for (const Sample& sample : samples_) {
+      ++outcomes[sample.outcome_];
+      if (sample.outcome_ == "completed") {
+        responses.push_back(sample.response_);
+      } else if (sample.outcome_ == "refused") {
+        refusals.push_back(sample.response_);
+      }
+    }
+    std::printf("%-20s", rule_.c_str());
+    for (double share : { 0.5, 0.99, 0.999 }) {
+      const Millis measured = QuantileOf(responses, share);
+      const Millis ideal = QuantileOf(ideal_, share);
+      std::printf("  p%g %lld/%lld=%.3f",
+                  share * 100,
+                  static_cast<long long>(measured.count()),
+                  static_cast<long long>(ideal.count()),
+                  Ratio(measured, ideal));
+    }
+    std::printf("  work %.3f", FinishedShare());
+    for (const auto& [outcome, count] : outcomes) {
+      std::printf("  %s %zu", outcome.c_str(), count);
+    }
+    if (!refusals.empty()) {
+      std::printf("  refusal p99 %lld ms",
+                  static_cast<long long>(QuantileOf(refusals, 0.99).count()));
+    }
+    PrintMessages(aMessages, responses.size());
+    std::printf("\n");
+    std::fflush(stdout);
+  }
+
+  void WriteCsv(std::ostream& aFile) const
+  {
+    for (size_t i = 0; i < samples_.size(); ++i) {
+      aFile << rule_ << ',' << samples_[i].sentAt_.count() << ','
+            << trace_[i].runTimes_.size() << ','
+            << samples_[i].response_.count() << ',' << ideal_[i].count() << ','
+            << samples_[i].outcome_ << '\n';
+    }
+  }
+
+private:
+  static double Ratio(Millis aMeasured, Millis aIdeal)
+  {
+    return static_cast<double>(aMeasured.count()) /
+           static_cast<double>(std::max(aIdeal, Millis(1)).count());
+  }
+
+  /// Run time finished by the last arrival, over what the ideal finished.
+  double FinishedShare() const
+  {
+    const Millis end = samples_.empty() ? Millis(0) : samples_.back().sentAt_;
+    Millis finished{ 0 };
+    Millis possible{ 0 };
+    for (size_t i = 0; i < samples_.size(); ++i) {
+      const Sample& sample = samples_[i];
+      Millis work{ 0 };
+      for (Millis runTime : trace_[i].runTimes_) {
+        work += runTime;
+      }
+      if (sample.outcome_ == "completed" &&
+          sample.sentAt_ + sample.response_ <= end) {
+        finished += work;
+      }
+      possible += sample.sentAt_ + ideal_[i] <= end ? work : Millis(0);
+    }
+    return Ratio(finished, possible);
+  }
+
+  /// Wasted are all messages but one start and one answer for each task.
+  void PrintMessages(std::map<std::string, double>& aMessages,
+                     size_t aCompleted) const
+  {
+    if (aMessages.empty() || aCompleted == 0) {
+      std::printf("  wasted messages not measured");
+      return;
+    }
+    double tasks = 0;
+    for (size_t i = 0; i < samples_.size(); ++i) {
+      const bool completed = samples_[i].outcome_ == "completed";
+      tasks += completed ? static_cast<double>(trace_[i].runTimes_.size()) : 0;
+    }
+    double wasted = 0;
+    for (const auto& [kind, count] : aMessages) {
+      const bool needed = kind == "start_tasks" || kind == "task_answers";
+      wasted += needed ? std::max(0.0, count - tasks) : count;
+    }
+    std::printf("  wasted/request %.3f", wasted / double(aCompleted));
+    for (const auto& [kind, count] : aMessages) {
+      std::printf("  %s %.0f", kind.c_str(), count);
+    }
+  }
+
+  std::string rule_;
+  const std::vector<Sample>& samples_;
+  std::vector<Arrival> trace_;
+  std::vector<Millis> ideal_;
+};
+
+std::map<std::string, double>
+Difference(const std::map<std::string, double>& aBefore,
+           std::map<std::string, double> aAfter)
+{
+  for (const auto& [kind, count] : aBefore) {
+    aAfter[kind] -= count;
+  }
+  return aAfter;
+}
+
+Outage
+OutageOf(const Options& aOptions)
+{
+  constexpr int kParts = 3;
+  const Millis duration = aOptions.trace_.duration_;
+  return { .slots_ = aOptions.zoneSlots_,
+           .from_ = duration / kParts,
+           .until_ = duration * 2 / kParts };
+}
+
+void
+Run(Options aOptions)
+{
+  aOptions.trace_.duration_ = std::chrono::seconds(aOptions.durationS_);
+  const auto trace = MakeTrace(aOptions.trace_);
+  const Outage outage = OutageOf(aOptions);
+  Publisher publisher(aOptions.logUrl_);
+  publisher.Publish("schema/desk", ReadFile(aOptions.schemaFile_));
+  std::ofstream csv(aOptions.csvFile_);
+  csv << "rule,sent_ms,tasks,response_ms,ideal_ms,outcome\n";
+  for (const std::string& rule : aOptions.rules_) {
+    publisher.Publish("policy", "route_rule: " + rule + "\n");
+    std::this_thread::sleep_for(kSettleTime);
+    const auto before = CountMessages(aOptions.metrics_);
+    const auto samples = Replay(aOptions, trace, outage, publisher).Run();
+    const auto messages = Difference(before, CountMessages(aOptions.metrics_));
+    const Report report(rule, aOptions, trace, samples, outage);
+    report.Print(messages);
+    report.WriteCsv(csv);
+  }
+}
+
+void
+AddOptions(CLI::App& aApp, Options& aOptions)
+{
+  aApp.add_option("--entry", aOptions.entries_, "URLs of entries")->required();
+  aApp.add_option("--metrics", aOptions.metrics_, "URLs that serve /metrics");
+  aApp.add_option("--log", aOptions.logUrl_, "URL of the log")->required();
+  aApp.add_option("--schema", aOptions.schemaFile_, "schema file")->required();
+  aApp.add_option("--rules", aOptions.rules_, "routing rules to compare");
+  aApp.add_option("--seed", aOptions.trace_.seed_, "seed of the trace");
+  aApp.add_option("--duration-s", aOptions.durationS_, "length, seconds");
+  aApp.add_option("--slots", aOptions.trace_.slots_, "slots of all upstreams");
+  aApp.add_option(
+    "--utilisation", aOptions.trace_.utilisation_, "share of slots, 0 to 1");
+  aApp.add_option("--burst", aOptions.trace_.burst_, "load of the burst");
+  aApp.add_option("--zone", aOptions.zone_, "zone that leaves and returns");
+  aApp.add_option("--zone-slots", aOptions.zoneSlots_, "slots of that zone");
+  aApp.add_option("--csv", aOptions.csvFile_, "file for all samples");
+}
+
+} // namespace
+} // namespace cornelfront
+
+int
+main(int argc, char** argv)
+{
+  cornelfront::Options options;
+  CLI::App app("replays seeded arrivals against running entries");
+  cornelfront::AddOptions(app, options);
+  CLI11_PARSE(app, argc, argv);
+  try {
+    cornelfront::Run(std::move(options));
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << "\n";
+    return 1;
+  }
+  return 0;
+}
