--- a/src/libcornelfront/caller_api_contract_test.cpp
+++ b/src/libcornelfront/caller_api_contract_test.cpp
@@ -40,7 +40,10 @@
 
   void Cancel(const std::string&, MonoTime) override {}
 
-  Millis PredictedWait(const std::string&, MonoTime) const override
+  Millis PredictedWait(const std::string&,
+                       Priority,
+                       size_t,
+                       MonoTime) const override
   {
     return Millis(0);
   }
--- a/src/libcornelfront/caller_api_explorer_test.cpp
+++ b/src/libcornelfront/caller_api_explorer_test.cpp
@@ -51,7 +51,10 @@
     attempts_.push_back({ std::move(aDone) });
   }
   void Cancel(const std::string&, MonoTime) override {}
-  Millis PredictedWait(const std::string&, MonoTime) const override
+  Millis PredictedWait(const std::string&,
+                       Priority,
+                       size_t,
+                       MonoTime) const override
   {
     return Millis(0);
   }
