--- a/src/include/cornelfront/quota.h
+++ b/src/include/cornelfront/quota.h
@@ -40,6 +40,7 @@
   void Prune(MonoTime aNow);
 
   size_t size() const { return buckets_.size(); }
+  bool empty() const { return buckets_.empty(); }
 
 private:
   struct Bucket
--- a/src/libcornelfront/entry.cpp
+++ b/src/libcornelfront/entry.cpp
@@ -5,6 +5,7 @@
 #include "controllers/entry_links.h"
 #include "controllers/forwards.h"
 #include "controllers/member_links.h"
+#include "controllers/quota_controller.h"
 #include "cornelfront/caller_api.h"
 #include "cornelfront/events.h"
 #include "cornelfront/http_server.h"
@@ -64,6 +65,9 @@
   // Outlives everything that holds links.
   IoPool pool_;
   EntryLinks entries_;
+  QuotaController quotas_{ [this] {
+    return static_cast<unsigned>(entries_.Entries().size() + 1);
+  } };
   MemberLinks members_;
   Forwards forwards_;
   Submissions submissions_;
@@ -108,7 +112,14 @@
   callers_ = std::make_unique<CallerApi>(
     CallerApiOptions{ .self_ = self_,
                       .start_ = start_,
-                      .prefixLifetime_ = settings_.prefixLifetime_ },
+                      .prefixLifetime_ = settings_.prefixLifetime_,
+                      .quota_ =
+                        [this](const ServiceSchema& aService,
+                               const std::string& aTeam,
+                               size_t aTasks,
+                               MonoTime aNow) {
+                          return quotas_.Take(aService, aTeam, aTasks, aNow);
+                        } },
     *dispatcher_,
     submissions_,
     forwards_,
