--- a/src/include/cornelfront/events.h
+++ b/src/include/cornelfront/events.h
@@ -100,6 +100,17 @@
   EventFields fields_;
 };
 
+/// What a buffer held at one moment.
+struct EventSnapshot
+{
+  /// Number of events dropped from the buffer so far.
+  uint64_t dropped_ = 0;
+  /// Stamp of the oldest event in the buffer; 0 if it is empty.
+  uint64_t oldest_ = 0;
+  /// The events asked for, oldest first.
+  std::vector<Event> events_;
+};
+
 struct EventLogOptions
 {
   /// Oldest events are dropped beyond this number.
@@ -123,6 +134,9 @@
   /// Events with a stamp greater than \p aAfter, oldest first.
   std::vector<Event> Since(uint64_t aAfter) const;
 
+  /// Since together with the state of the buffer at the same moment.
+  EventSnapshot Snapshot(uint64_t aAfter) const;
+
   /// Number of events dropped from the buffer so far.
   uint64_t Dropped() const;
 
--- a/src/libutil/events.cpp
+++ b/src/libutil/events.cpp
@@ -227,6 +227,12 @@
 
 std::vector<Event>
 EventLog::Since(uint64_t aAfter) const
+{
+  return Snapshot(aAfter).events_;
+}
+
+EventSnapshot
+EventLog::Snapshot(uint64_t aAfter) const
 {
   std::lock_guard lock(mutex_);
   const auto first = std::upper_bound(events_.begin(),
@@ -235,7 +241,9 @@
                                       [](uint64_t aStamp, const Event& aEvent) {
                                         return aStamp < aEvent.stamp_;
                                       });
-  return { first, events_.end() };
+  return { .dropped_ = dropped_,
+           .oldest_ = events_.empty() ? 0 : events_.front().stamp_,
+           .events_ = { first, events_.end() } };
 }
 
 uint64_t
