Add the operators' status, members, timeline, events and version

The commands ask the given entries and then those that they name, several processes at a time, and name whoever did not answer; an answer that lacks a process, or events that a bounded buffer has dropped, ends with an exit code of its own (7), so that a script doesn't take it for the whole.

Not yet run against real entries, which have not landed.

--- a/src/cornelfront/commands.h
+++ b/src/cornelfront/commands.h
@@ -20,10 +20,20 @@
   NotConfirmed = 5,
   /// A settings or schema file has errors.
   BadFile = 6,
+  /// The output lacks a process that did not answer, or dropped events.
+  Partial = 7,
 };
 
 /// `entry` and `sidecar`.
 void
 AddServeCommands(CLI::App& aApp);
 
+/// `status`, `members` and `version`.
+void
+AddStatusCommands(CLI::App& aApp);
+
+/// `timeline`, `events` and `event-catalog`.
+void
+AddTimelineCommands(CLI::App& aApp);
+
 } // namespace cornelfront
--- a/src/cornelfront/main.cpp
+++ b/src/cornelfront/main.cpp
@@ -1,1 +1,4 @@
-int main(){}
+int
+main()
+{
+}
--- a/src/include/cornelfront/events.h
+++ b/src/include/cornelfront/events.h
@@ -117,8 +117,12 @@
   size_t capacity_ = 20000;
 };
 
-/// Text of an event's log line, such as "[202 link_silent] peer=7f2c"; values
-/// with spaces, quotes or control characters are quoted and escaped.
+/// "key=value" of each field, separated by spaces; values with spaces, quotes
+/// or control characters are quoted and escaped.
+std::string
+FormatFields(const EventFields& aFields);
+
+/// Text of an event's log line, such as "[202 link_silent] peer=7f2c".
 std::string
 FormatEvent(EventId aId, const EventFields& aFields);
 
--- a/src/libutil/events.cpp
+++ b/src/libutil/events.cpp
@@ -171,6 +171,21 @@
   return sIds;
 }
 
+std::string
+FormatFields(const EventFields& aFields)
+{
+  std::string text;
+  for (const auto& [key, value] : aFields) {
+    if (!text.empty()) {
+      text += ' ';
+    }
+    text += key;
+    text += '=';
+    text += NeedsQuotes(value) ? Quote(value) : value;
+  }
+  return text;
+}
+
 std::string
 FormatEvent(EventId aId, const EventFields& aFields)
 {
@@ -179,11 +194,9 @@
   line += ' ';
   line += EventName(aId);
   line += ']';
-  for (const auto& [key, value] : aFields) {
+  if (!aFields.empty()) {
     line += ' ';
-    line += key;
-    line += '=';
-    line += NeedsQuotes(value) ? Quote(value) : value;
+    line += FormatFields(aFields);
   }
   return line;
 }
