--- a/src/cmake/testing.cmake
+++ b/src/cmake/testing.cmake
@@ -6,6 +6,9 @@
 function(cornelfront_unit_tests target)
   cmake_parse_arguments(ARG "" "" "LIBRARIES;SOURCES" ${ARGN})
   add_executable(${target} ${ARG_SOURCES})
+  # Some tests compare the code with docs/.
+  target_compile_definitions(
+    ${target} PRIVATE CORNELFRONT_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
   target_link_libraries(${target} PRIVATE ${ARG_LIBRARIES} GTest::gmock_main)
   gtest_discover_tests(${target} DISCOVERY_TIMEOUT 60 PROPERTIES TIMEOUT 120)
 endfunction()
