--- a/src/libcornelfront/metrics_test.cpp
+++ b/src/libcornelfront/metrics_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gmock/gmock.h>
 
+#include <fstream>
+#include <sstream>
 #include <thread>
 
 namespace cornelfront {
@@ -10,25 +12,32 @@
 using ::testing::HasSubstr;
 using ::testing::Not;
 
+// Uses every function that counts or sets.
+void
+CountEverything(Metrics& aMetrics)
+{
+  aMetrics.CountMessage(Pulse{}, Direction::Sent, 40);
+  aMetrics.CountMessage(Pulse{}, Direction::Sent, 60);
+  aMetrics.CountMessage(Leaving{}, Direction::Received, 9);
+  aMetrics.CountRequest(Outcome::Completed, Millis(160));
+  aMetrics.CountTask(TaskOutcome::NotRun, TaskReason::ZoneOut);
+  aMetrics.CountTaskRun(Millis(90));
+  aMetrics.CountRetry(TaskReason::QueueFull);
+  aMetrics.CountStrayAnswer();
+  aMetrics.CountLogOperation(LogOperation::Read, false);
+  aMetrics.CountLinkEnd("silent");
+  aMetrics.SetQueueLength("event_desk", 7);
+  aMetrics.SetLoad("event_desk", { .slots_ = 88, .running_ = 5 });
+  aMetrics.SetLinks(Role::Sidecar, 11);
+  aMetrics.SetConfigVersion({ 42 });
+  aMetrics.SetReady(true);
+  aMetrics.SetEventsDropped(3);
+}
+
 TEST(Metrics, ServesWhatWasCounted)
 {
   Metrics metrics;
-  metrics.CountMessage(Pulse{}, Direction::Sent, 40);
-  metrics.CountMessage(Pulse{}, Direction::Sent, 60);
-  metrics.CountMessage(Leaving{}, Direction::Received, 9);
-  metrics.CountRequest(Outcome::Completed, Millis(160));
-  metrics.CountTask(TaskOutcome::NotRun, TaskReason::ZoneOut);
-  metrics.CountTaskRun(Millis(90));
-  metrics.CountRetry(TaskReason::QueueFull);
-  metrics.CountStrayAnswer();
-  metrics.CountLogOperation(LogOperation::Read, false);
-  metrics.CountLinkEnd("silent");
-  metrics.SetQueueLength("event_desk", 7);
-  metrics.SetLoad("event_desk", { .slots_ = 88, .running_ = 5 });
-  metrics.SetLinks(Role::Sidecar, 11);
-  metrics.SetConfigVersion({ 42 });
-  metrics.SetReady(true);
-  metrics.SetEventsDropped(3);
+  CountEverything(metrics);
   const std::string text = metrics.Serialize();
   for (
     const char* line : {
@@ -86,6 +95,39 @@
               "4000\n"));
 }
 
+// Names of the families that aText serves.
+std::vector<std::string>
+FamiliesOf(const std::string& aText)
+{
+  std::vector<std::string> names;
+  std::istringstream lines(aText);
+  for (std::string line; std::getline(lines, line);) {
+    std::istringstream words(line);
+    std::string mark;
+    std::string kind;
+    std::string name;
+    words >> mark >> kind >> name;
+    if (kind == "HELP") {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+TEST(Metrics, AreAllInTheOperatorsPage)
+{
+  std::ifstream file(CORNELFRONT_SOURCE_DIR "/docs/OPERATING.md");
+  std::ostringstream page;
+  page << file.rdbuf();
+  Metrics metrics;
+  CountEverything(metrics);
+  const std::vector<std::string> names = FamiliesOf(metrics.Serialize());
+  EXPECT_GE(names.size(), 19U);
+  for (const std::string& name : names) {
+    EXPECT_THAT(page.str(), HasSubstr("`" + name + "`"));
+  }
+}
+
 TEST(Metrics, ReportsTheProcess)
 {
   Metrics metrics;
--- a/src/libcornelfront/policy/settings_test.cpp
+++ b/src/libcornelfront/policy/settings_test.cpp
@@ -4,6 +4,9 @@
 
 #include <gmock/gmock.h>
 
+#include <fstream>
+#include <sstream>
+
 namespace cornelfront {
 namespace {
 
@@ -65,6 +68,20 @@
   EXPECT_EQ(PrintSettings(ParseSidecarSettings(sidecar)), sidecar);
 }
 
+TEST(Settings, AreAllInTheOperatorsPage)
+{
+  std::ifstream file(CORNELFRONT_SOURCE_DIR "/docs/OPERATING.md");
+  std::ostringstream page;
+  page << file.rdbuf();
+  std::istringstream lines(PrintSettings(EntrySettings()) +
+                           PrintSettings(SidecarSettings()));
+  for (std::string line; std::getline(lines, line);) {
+    const size_t start = line.find_first_not_of(' ');
+    const std::string key = line.substr(start, line.find(':') - start);
+    EXPECT_THAT(page.str(), ::testing::HasSubstr("`" + key + "`"));
+  }
+}
+
 TEST(Settings, ReportsEveryFaultWithLineAndKey)
 {
   const std::string yaml = R"(entry:
