--- a/src/libcornelfront/policy/service_dispatch.cpp
+++ b/src/libcornelfront/policy/service_dispatch.cpp
@@ -224,14 +224,12 @@
                            DispatchEffects& aEffects)
 {
   for (const TaskId& id : aTasks) {
-    if (tasks_.contains(id)) {
-      Settle(id,
-             { .id_ = id,
-               .outcome_ = TaskOutcome::NotRun,
-               .reason_ = TaskReason::LinkLost },
-             aNow,
-             aEffects);
-    }
+    Settle(id,
+           { .id_ = id,
+             .outcome_ = TaskOutcome::NotRun,
+             .reason_ = TaskReason::LinkLost },
+           aNow,
+           aEffects);
   }
   Pump(aNow, aEffects);
 }
@@ -392,7 +390,12 @@
                         MonoTime aNow,
                         DispatchEffects& aEffects)
 {
-  const Task& task = tasks_.at(aId);
+  const auto found = tasks_.find(aId);
+  if (found == tasks_.end()) {
+    // Withdrawn with its job a moment ago.
+    return;
+  }
+  const Task& task = found->second;
   if (MayRetry(task, aAnswer, aNow)) {
     Retry(aId, aNow, aEffects);
     return;
