Add the harness of the process tests and the resubmission cases

Starts real processes on free ports and judges a run by the upstream stand-ins' records of starts and the callers' own answers.

--- /dev/null
+++ b/testsuite/harness/judge.cpp
@@ -0,0 +1,126 @@
+#include "judge.h"
+
+#include "cornelfront/codec.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <set>
+
+namespace cornelfront::harness {
+
+using Json = nlohmann::json;
+
+std::vector<StartRecord>
+ReadRecords(const std::string& aFile, unsigned aUpstream)
+{
+  std::vector<StartRecord> records;
+  std::ifstream file(aFile);
+  for (std::string line; std::getline(file, line);) {
+    const Json json = Json::parse(line, nullptr, false);
+    if (!json.is_object()) {
+      continue;
+    }
+    records.push_back(
+      { .submission_ = json.at("submission"),
+        .index_ = json.at("index"),
+        .bodyDigest_ = json.at("body_digest"),
+        .started_ = WallTime(Millis(json.at("started_unix_ms").get<int64_t>())),
+        .upstream_ = aUpstream });
+  }
+  return records;
+}
+
+void
+Judge::Note(const Submission& aSubmission, const CallerAnswer& aAnswer)
+{
+  const std::scoped_lock lock(mutex_);
+  History& history = histories_[aSubmission.id_];
+  history.submission_ = aSubmission;
+  history.answers_.push_back(
+    { .answer_ = aAnswer, .received_ = WallClock::now() });
+}
+
+CallerAnswer
+Judge::Submit(Caller& aCaller, const Submission& aSubmission)
+{
+  CallerAnswer answer = aCaller.Submit(aSubmission);
+  Note(aSubmission, answer);
+  return answer;
+}
+
+void
+Judge::Check(const std::vector<StartRecord>& aStarts) const
+{
+  const std::scoped_lock lock(mutex_);
+  std::map<std::string, std::vector<StartRecord>> bySubmission;
+  for (const StartRecord& start : aStarts) {
+    bySubmission[start.submission_].push_back(start);
+  }
+  for (const auto& [id, history] : histories_) {
+    CheckHistory(history, bySubmission[id]);
+  }
+}
+
+void
+Judge::CheckHistory(const History& aHistory,
+                    const std::vector<StartRecord>& aStarts)
+{
+  CheckStarts(aHistory.submission_, aStarts);
+  const auto isRefused = [](const Noted& aNoted) {
+    return aNoted.answer_.outcome_ == Answer::Refused;
+  };
+  const std::string& id = aHistory.submission_.id_;
+  if (std::ranges::all_of(aHistory.answers_, isRefused)) {
+    EXPECT_TRUE(aStarts.empty()) << id << " was only refused";
+  }
+  for (const Noted& noted : aHistory.answers_) {
+    if (noted.answer_.outcome_ == Answer::Completed) {
+      EXPECT_TRUE(IsWhole(noted.answer_, aHistory.submission_))
+        << id << " " << noted.answer_;
+      EXPECT_EQ(aStarts.size(), aHistory.submission_.bodies_.size()) << id;
+    } else if (noted.answer_.outcome_ == Answer::Refused) {
+      CheckRefusal(noted, aStarts);
+    }
+  }
+}
+
+void
+Judge::CheckStarts(const Submission& aSubmission,
+                   const std::vector<StartRecord>& aStarts)
+{
+  std::set<unsigned> started;
+  for (const StartRecord& start : aStarts) {
+    EXPECT_TRUE(started.insert(start.index_).second)
+      << aSubmission.id_ << " task " << start.index_ << " started again";
+    EXPECT_EQ(start.bodyDigest_,
+              Sha256Hex(aSubmission.bodies_.at(start.index_)))
+      << aSubmission.id_ << " task " << start.index_;
+  }
+}
+
+void
+Judge::CheckRefusal(const Noted& aRefusal,
+                    const std::vector<StartRecord>& aStarts)
+{
+  const auto startedBefore = [&aRefusal](const StartRecord& aStart) {
+    return aStart.started_ < aRefusal.received_;
+  };
+  EXPECT_FALSE(std::ranges::any_of(aStarts, startedBefore))
+    << "refused what had started: " << aRefusal.answer_;
+  EXPECT_FALSE(aRefusal.answer_.mayHaveRun_) << aRefusal.answer_;
+}
+
+size_t
+Judge::Count(Answer aOutcome) const
+{
+  const std::scoped_lock lock(mutex_);
+  return static_cast<size_t>(
+    std::ranges::count_if(histories_, [aOutcome](const auto& aItem) {
+      return aItem.second.answers_.back().answer_.outcome_ == aOutcome;
+    }));
+}
+
+} // namespace cornelfront::harness
--- /dev/null
+++ b/testsuite/harness/process.cpp
@@ -0,0 +1,206 @@
+#include "process.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <system_error>
+#include <thread>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace cornelfront::harness {
+namespace {
+
+constexpr Millis kPoll{ 10 };
+constexpr int kExecFailed = 127;
+
+[[noreturn]] void
+ThrowErrno(const std::string& aWhat)
+{
+  throw std::system_error(errno, std::generic_category(), aWhat);
+}
+
+/// Runs in the child between fork and exec.
+[[noreturn]] void
+Execute(const std::vector<char*>& aArguments, int aOutput, int aError)
+{
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  dup2(aOutput, STDOUT_FILENO);
+  dup2(aError, STDERR_FILENO);
+  execv(aArguments.front(), aArguments.data());
+  _exit(kExecFailed);
+}
+
+} // namespace
+
+bool
+WaitUntil(const std::function<bool()>& aCondition, Millis aTimeout)
+{
+  const MonoTime deadline = MonoClock::now() + aTimeout;
+  while (!aCondition()) {
+    if (MonoClock::now() >= deadline) {
+      return false;
+    }
+    std::this_thread::sleep_for(kPoll);
+  }
+  return true;
+}
+
+uint16_t
+FreePort()
+{
+  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{ .sin_family = AF_INET };
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  auto* generic = reinterpret_cast<sockaddr*>(&address);
+  const bool bound = bind(socket, generic, size) == 0 &&
+                     getsockname(socket, generic, &size) == 0;
+  close(socket);
+  if (!bound) {
+    ThrowErrno("no free port");
+  }
+  return ntohs(address.sin_port);
+}
+
+TempFolder::TempFolder()
+{
+  path_ = (std::filesystem::temp_directory_path() / "cornelfront-XXXXXX");
+  if (mkdtemp(path_.data()) == nullptr) {
+    ThrowErrno(path_);
+  }
+}
+
+TempFolder::~TempFolder()
+{
+  if (testing::Test::HasFailure()) {
+    std::cerr << "settings and logs are kept in " << path_ << "\n";
+    return;
+  }
+  std::error_code ignored;
+  std::filesystem::remove_all(path_, ignored);
+}
+
+std::string
+TempFolder::Path(const std::string& aName) const
+{
+  return path_ + "/" + aName;
+}
+
+std::string
+TempFolder::Write(const std::string& aName, const std::string& aText) const
+{
+  std::ofstream(Path(aName)) << aText;
+  return Path(aName);
+}
+
+Process::Process(const ProcessOptions& aOptions)
+{
+  std::array<int, 2> pipe{};
+  if (pipe2(pipe.data(), O_CLOEXEC) != 0) {
+    ThrowErrno("pipe");
+  }
+  const int error = open(aOptions.errorFile_.c_str(),
+                         O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
+                         S_IRUSR | S_IWUSR);
+  std::vector<char*> arguments;
+  for (const std::string& argument : aOptions.command_) {
+    arguments.push_back(const_cast<char*>(argument.c_str()));
+  }
+  arguments.push_back(nullptr);
+  pid_ = fork();
+  if (pid_ == 0) {
+    Execute(arguments, pipe[1], error);
+  }
+  close(pipe[1]);
+  close(error);
+  output_ = pipe[0];
+  if (pid_ < 0) {
+    ThrowErrno("fork");
+  }
+}
+
+Process::~Process()
+{
+  Kill();
+  close(output_);
+}
+
+std::string
+Process::WaitForLine(const std::string& aStart)
+{
+  const MonoTime deadline = MonoClock::now() + kPatience;
+  while (true) {
+    const std::string line = ReadLine(deadline);
+    if (line.starts_with(aStart)) {
+      return line.substr(aStart.size());
+    }
+  }
+}
+
+std::string
+Process::ReadLine(MonoTime aDeadline)
+{
+  for (size_t end = buffer_.find('\n'); end == std::string::npos;
+       end = buffer_.find('\n')) {
+    const auto left =
+      std::chrono::ceil<Millis>(aDeadline - MonoClock::now()).count();
+    pollfd poller{ .fd = output_, .events = POLLIN };
+    std::array<char, 4096> bytes{};
+    if (left <= 0 || poll(&poller, 1, static_cast<int>(left)) <= 0) {
+      throw std::runtime_error("no such line on standard output");
+    }
+    const ssize_t count = read(output_, bytes.data(), bytes.size());
+    if (count <= 0) {
+      throw std::runtime_error("the process ended: " + buffer_);
+    }
+    buffer_.append(bytes.data(), static_cast<size_t>(count));
+  }
+  const size_t end = buffer_.find('\n');
+  std::string line = buffer_.substr(0, end);
+  buffer_.erase(0, end + 1);
+  return line;
+}
+
+void
+Process::Signal(int aSignal) const
+{
+  if (pid_ > 0) {
+    kill(pid_, aSignal);
+  }
+}
+
+void
+Process::Kill()
+{
+  if (pid_ > 0) {
+    kill(pid_, SIGKILL);
+    waitpid(pid_, nullptr, 0);
+    pid_ = -1;
+  }
+}
+
+std::optional<int>
+Process::WaitExit(Millis aTimeout)
+{
+  int status = 0;
+  const bool ended = WaitUntil(
+    [&] { return pid_ < 0 || waitpid(pid_, &status, WNOHANG) == pid_; },
+    aTimeout);
+  if (!ended) {
+    return std::nullopt;
+  }
+  pid_ = -1;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+} // namespace cornelfront::harness
