Explore every interleaving of a change, an outage and a replaced entry

The start gate, the witness rule and the acceptance rule are run themselves; the model only carries facts between them. No start later than the freshness bound after acceptance in any of them, and tasks do start in an outage without a change.

The checker is checked: six rules broken on purpose each give a late start. Among them, accepting after one round of confirmations: the reporting entry is replaced and its successor learns the older configuration from entries that read the log only afterwards. This is why acceptance takes two rounds.

Left out, since it opens no gate: statements of a higher version, and learning between entries that were not replaced. Two entries in one zone are not explored.

--- /dev/null
+++ b/src/libcornelfront/policy/start_gate_model_test.h
@@ -0,0 +1,167 @@
+#pragma once
+
+/// \file
+/// State and steps of the model that start_gate_explorer_test.cpp explores.
+
+#include "cornelfront/start_gate.h"
+
+#include <array>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cornelfront::explorer {
+
+constexpr Millis kBound{ 3000 };
+constexpr Millis kShortJump{ 2000 };
+constexpr Millis kLongJump = kBound + Millis(1);
+constexpr size_t kMaxEntries = 3;
+inline const MonoTime kStart{ std::chrono::hours(1) };
+constexpr std::array<const char*, kMaxEntries> kZones{ "a", "b", "c" };
+
+/// What a run explores and which rule it breaks on purpose.
+struct Scenario
+{
+  size_t entries_ = kMaxEntries;
+  /// Reads of the log and messages take time.
+  bool delays_ = false;
+  /// Number of the entries whose zones are configured as entry zones.
+  size_t entryZones_ = kMaxEntries;
+  Millis jump_ = kLongJump;
+  int jumps_ = 1;
+  int logToggles_ = 1;
+  int restarts_ = 1;
+  /// Entries from this number on are not replaced. One is enough where the
+  /// entries differ only in their names.
+  size_t restartable_ = 1;
+  int rounds_ = 2;
+  /// Replaced entries learn from the others. The first ones learn only from
+  /// the log, which tells them the same and no later.
+  bool learning_ = true;
+  /// Entries below this number send no statements.
+  size_t firstSender_ = 0;
+  /// The operator changes the configuration.
+  bool change_ = true;
+  /// Leaves out statements that cannot open the gate by outage evidence after
+  /// the last jump.
+  bool onlyTestimony_ = false;
+  bool ignoresAge_ = false;
+  bool datesOnArrival_ = false;
+  bool datesReadsAtTheirEnd_ = false;
+  bool acceptsAfterOneRound_ = false;
+  bool trustsEveryEntry_ = false;
+  bool ignoresVersions_ = false;
+};
+
+struct LogRead
+{
+  MonoTime begunAt_;
+  size_t records_ = 0;
+
+  auto operator<=>(const LogRead&) const = default;
+};
+
+struct EntryModel
+{
+  MemberId id_;
+  WitnessRule rule_{ "" };
+  /// Number of log records folded.
+  size_t held_ = 0;
+  bool logReachable_ = false;
+  std::optional<MonoTime> headReadAt_;
+  std::optional<LogRead> pending_;
+
+  auto operator<=>(const EntryModel&) const = default;
+};
+
+struct Statement
+{
+  MemberId entry_;
+  size_t version_ = 0;
+  bool logReachable_ = false;
+  bool witness_ = false;
+  Millis logAge_{ 0 };
+  MonoTime echo_;
+
+  auto operator<=>(const Statement&) const = default;
+};
+
+struct Model
+{
+  MonoTime now_ = kStart;
+  int jumps_ = 0;
+  int logToggles_ = 0;
+  int restarts_ = 0;
+  int rounds_ = 1;
+  bool logUp_ = true;
+  size_t logRecords_ = 1;
+  bool readBack_ = false;
+  std::optional<MonoTime> acceptedAt_;
+  std::vector<EntryModel> entries_;
+  std::vector<std::optional<Statement>> flights_;
+  StartGate gate_{ {} };
+  AcceptanceRule acceptance_{ {}, {} };
+
+  auto operator<=>(const Model&) const = default;
+};
+
+/// Configuration after each number of log records: first the entry zones are
+/// set, then zone "a" is taken out.
+inline std::vector<ConfigState>
+FoldPrefixes(size_t aEntries)
+{
+  std::string zones;
+  for (size_t i = 0; i < aEntries; ++i) {
+    zones += std::string(i == 0 ? "" : ",") + kZones[i];
+  }
+  std::vector<ConfigState> states(3);
+  states[1] = states[0];
+  FoldConfigRecord(
+    states[1],
+    0,
+    EncodeConfigRecord(
+      ConfigChange{ .changeId_ = "1", .key_ = "entry_zones", .text_ = zones }));
+  states[2] = states[1];
+  FoldConfigRecord(states[2],
+                   1,
+                   EncodeConfigRecord(ConfigChange{
+                     .changeId_ = "2", .key_ = "zone/a", .text_ = "out" }));
+  return states;
+}
+
+enum class Step
+{
+  Append,
+  ReadBack,
+  Ask,
+  NextRound,
+  ReadLog,
+  FinishRead,
+  ToggleLog,
+  Jump,
+  Restart,
+  Learn,
+  Send,
+  Deliver,
+};
+
+constexpr std::array<const char*, 12> kStepNames{
+  "append", "read back", "ask",  "next round", "read log", "finish read",
+  "toggle", "jump",      "kill", "learn",      "send",     "deliver"
+};
+
+struct Action
+{
+  Step step_ = Step::Append;
+  size_t entry_ = 0;
+  size_t peer_ = 0;
+};
+
+inline std::string
+Describe(const Action& aAction)
+{
+  return std::string(kStepNames[static_cast<size_t>(aAction.step_)]) + " " +
+         kZones[aAction.entry_] + " " + kZones[aAction.peer_];
+}
+
+} // namespace cornelfront::explorer
