--- a/src/libcornelfront/policy/yaml_reader.cpp
+++ b/src/libcornelfront/policy/yaml_reader.cpp
@@ -1,446 +1,457 @@
 #include "policy/yaml_reader.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
-#include <cmath>
+#include <limits>
+#include <map>
 
 namespace cornelfront {
-
 namespace {
 
 struct Unit
 {
-  const char* suffix_;
+  std::string_view name_;
   uint64_t factor_;
 };
 
-constexpr Unit kDurationUnits[] = { { "ms", 1 },
-                                    { "s", 1000 },
-                                    { "min", 60000 } };
-constexpr Unit kByteUnits[] = { { "B", 1 },
-                                { "KB", 1ULL << 10 },
-                                { "MB", 1ULL << 20 },
-                                { "GB", 1ULL << 30 } };
-
-/// Bound on values with a unit, so that arithmetic on them cannot overflow.
-constexpr uint64_t kMaxScaled = 1ULL << 50;
-
-constexpr const char* kExpectDuration = "a duration such as 200ms, 2s or 5min";
-constexpr const char* kExpectBytes = "a size such as 512KB or 64MB";
-constexpr const char* kExpectCount = "a whole number without sign";
-constexpr const char* kExpectNumber = "a number";
-constexpr const char* kExpectText = "text";
-
-template<size_t Count>
-std::optional<uint64_t>
-ParseWithUnit(const std::string& aText, const Unit (&aUnits)[Count])
-{
-  uint64_t number = 0;
-  const char* end = aText.data() + aText.size();
-  const auto parsed = std::from_chars(aText.data(), end, number);
-  if (parsed.ec != std::errc()) {
-    return std::nullopt;
-  }
-  const std::string suffix(parsed.ptr, end);
-  for (const Unit& unit : aUnits) {
-    if (suffix == unit.suffix_ && number <= kMaxScaled / unit.factor_) {
-      return number * unit.factor_;
-    }
-  }
-  return std::nullopt;
-}
+constexpr std::array kDurationUnits{ Unit{ "ms", 1 },
+                                     Unit{ "s", 1000 },
+                                     Unit{ "min", 60000 } };
+constexpr std::array kByteUnits{ Unit{ "B", 1 },
+                                 Unit{ "KiB", 1ULL << 10 },
+                                 Unit{ "MiB", 1ULL << 20 },
+                                 Unit{ "GiB", 1ULL << 30 } };
 
 template<class Number>
 std::optional<Number>
-ParseWhole(const std::string& aText)
+ParseWhole(std::string_view aText)
 {
   Number number{};
-  const char* end = aText.data() + aText.size();
-  const auto parsed = std::from_chars(aText.data(), end, number);
-  if (parsed.ec != std::errc() || parsed.ptr != end) {
+  const char* const end = aText.data() + aText.size();
+  const auto result = std::from_chars(aText.data(), end, number);
+  if (result.ec != std::errc() || result.ptr != end) {
     return std::nullopt;
   }
   return number;
 }
 
-std::string
-FormatNumber(double aNumber)
-{
-  char text[32];
-  const auto written = std::to_chars(std::begin(text), std::end(text), aNumber);
-  return { text, written.ptr };
-}
-
-std::string
-FormatByteSize(uint64_t aBytes)
+template<class Units>
+std::optional<uint64_t>
+ParseWithUnit(std::string_view aText, const Units& aUnits)
 {
-  const Unit* best = &kByteUnits[0];
-  for (const Unit& unit : kByteUnits) {
-    if (aBytes != 0 && aBytes % unit.factor_ == 0) {
-      best = &unit;
-    }
+  const size_t digits =
+    std::min(aText.find_first_not_of("0123456789"), aText.size());
+  const auto number = ParseWhole<uint64_t>(aText.substr(0, digits));
+  if (!number) {
+    return std::nullopt;
   }
-  return std::to_string(aBytes / best->factor_) + best->suffix_;
-}
-
-std::string
-JoinNames(const std::vector<std::string>& aNames)
-{
-  std::string joined;
-  for (const std::string& name : aNames) {
-    joined += joined.empty() ? name : ", " + name;
+  for (const Unit& unit : aUnits) {
+    constexpr uint64_t kMax = std::numeric_limits<int64_t>::max();
+    if (unit.name_ == aText.substr(digits) && *number <= kMax / unit.factor_) {
+      return *number * unit.factor_;
+    }
   }
-  return joined;
+  return std::nullopt;
 }
 
-std::string
-Describe(const std::vector<FileError>& aErrors)
+bool
+IsIpv4(std::string_view aText)
 {
-  std::string text;
-  for (const FileError& error : aErrors) {
-    text += text.empty() ? "" : "\n";
-    if (error.line_ > 0) {
-      text += "line " + std::to_string(error.line_) + ": ";
+  constexpr int kOctets = 4;
+  for (int octet = 1; octet <= kOctets; ++octet) {
+    const size_t dot = aText.find('.');
+    const std::string_view part = aText.substr(0, dot);
+    const bool canonical = part == "0" || part.substr(0, 1) != "0";
+    if (!canonical || !ParseWhole<uint8_t>(part)) {
+      return false;
     }
-    if (!error.key_.empty()) {
-      text += error.key_ + ": ";
+    if (dot == std::string_view::npos) {
+      return octet == kOctets;
     }
-    text += error.message_;
+    aText.remove_prefix(dot + 1);
   }
-  return text;
+  return false;
 }
 
-/// Returns what is wrong with a value outside the bounds; empty if nothing.
-template<class Value, class Format>
-std::string
-OutOfBounds(Value aValue, const Bounds<Value>& aBounds, Format aFormat)
+int
+LineOf(const YAML::Node& aNode)
 {
-  if (aValue < aBounds.min_) {
-    return "is " + aFormat(aValue) + ", below the minimum of " +
-           aFormat(aBounds.min_);
-  }
-  if (aValue > aBounds.max_) {
-    return "is " + aFormat(aValue) + ", above the maximum of " +
-           aFormat(aBounds.max_);
-  }
-  return "";
+  const YAML::Mark mark = aNode.Mark();
+  return mark.is_null() ? 0 : mark.line + 1;
 }
 
-int
-LineOf(const YAML::Mark& aMark)
+std::string
+FormatBytes(uint64_t aBytes)
 {
-  return aMark.is_null() ? 0 : aMark.line + 1;
+  const auto unit = std::find_if(
+    kByteUnits.rbegin(), kByteUnits.rend(), [&](const Unit& aUnit) {
+      return aBytes % aUnit.factor_ == 0 && aBytes >= aUnit.factor_;
+    });
+  const Unit& chosen = unit == kByteUnits.rend() ? kByteUnits[0] : *unit;
+  return std::to_string(aBytes / chosen.factor_) + std::string(chosen.name_);
 }
 
 } // namespace
 
-FileErrors::FileErrors(std::vector<FileError> aErrors)
-  : std::runtime_error(Describe(aErrors))
-  , errors_(std::move(aErrors))
+std::optional<Millis>
+ParseDuration(std::string_view aText)
 {
+  const auto millis = ParseWithUnit(aText, kDurationUnits);
+  return millis ? std::optional(Millis(*millis)) : std::nullopt;
 }
 
-std::optional<Millis>
-ParseDuration(const std::string& aText)
+std::optional<uint64_t>
+ParseByteSize(std::string_view aText)
 {
-  const auto count = ParseWithUnit(aText, kDurationUnits);
-  if (!count) {
+  return ParseWithUnit(aText, kByteUnits);
+}
+
+std::optional<Endpoint>
+ParseEndpoint(std::string_view aText)
+{
+  const size_t colon = aText.find(':');
+  if (colon == std::string_view::npos || !IsIpv4(aText.substr(0, colon))) {
     return std::nullopt;
   }
-  return Millis(static_cast<Millis::rep>(*count));
+  const auto port = ParseWhole<uint16_t>(aText.substr(colon + 1));
+  if (!port) {
+    return std::nullopt;
+  }
+  return Endpoint{ std::string(aText.substr(0, colon)), *port };
 }
 
 std::string
 FormatDuration(Millis aDuration)
 {
-  const auto count = aDuration.count();
-  constexpr Millis::rep kMillisPerSecond = 1000;
-  if (count != 0 && count % kMillisPerSecond == 0) {
-    return std::to_string(count / kMillisPerSecond) + "s";
+  constexpr int kMillisPerSecond = 1000;
+  if (aDuration.count() % kMillisPerSecond == 0) {
+    return std::to_string(aDuration.count() / kMillisPerSecond) + "s";
   }
-  return std::to_string(count) + "ms";
+  return std::to_string(aDuration.count()) + "ms";
 }
 
-std::optional<uint64_t>
-ParseByteSize(const std::string& aText)
+std::string
+FormatEndpoint(const Endpoint& aEndpoint)
 {
-  return ParseWithUnit(aText, kByteUnits);
+  return aEndpoint.host_ + ":" + std::to_string(aEndpoint.port_);
 }
 
-YamlSection::YamlSection(std::string aPath,
-                         int aLine,
-                         std::vector<FileError>& aErrors)
-  : path_(std::move(aPath))
-  , line_(aLine)
-  , errors_(&aErrors)
+std::string
+FormatNumber(double aNumber)
 {
+  std::array<char, 32> buffer{};
+  const auto result =
+    std::to_chars(buffer.data(), buffer.data() + buffer.size(), aNumber);
+  return { buffer.data(), result.ptr };
 }
 
-YamlSection
-YamlSection::Parse(const std::string& aYaml, std::vector<FileError>& aErrors)
+bool
+IsPlainName(std::string_view aText)
 {
-  YamlSection top("", 1, aErrors);
-  try {
-    const std::vector<YAML::Node> documents = YAML::LoadAll(aYaml);
-    if (documents.size() != 1 || !documents.front().IsMap()) {
-      top.AddError(1, "the file must be one YAML map");
-    } else {
-      top.Load(documents.front());
-    }
-  } catch (const YAML::Exception& error) {
-    top.AddError(LineOf(error.mark), "not valid YAML: " + error.msg);
-  }
-  return top;
+  const auto allowed = [](char aChar) {
+    return (aChar >= 'a' && aChar <= 'z') || (aChar >= '0' && aChar <= '9') ||
+           aChar == '-';
+  };
+  return !aText.empty() && std::all_of(aText.begin(), aText.end(), allowed);
 }
 
-void
-YamlSection::Load(const YAML::Node& aMap)
+YAML::Node
+LoadYaml(const std::string& aYaml, std::vector<FileError>& aErrors)
 {
-  present_ = true;
-  for (const auto& pair : aMap) {
-    const int line = LineOf(pair.first.Mark());
-    if (!pair.first.IsScalar()) {
-      AddError(line, "a key must be text");
-      continue;
-    }
-    const std::string& key = pair.first.Scalar();
-    if (!values_.try_emplace(key, Value{ pair.second, line, false }).second) {
-      AddError(line, "'" + key + "' is given twice");
-      continue;
-    }
-    order_.push_back(key);
+  try {
+    return YAML::Load(aYaml);
+  } catch (const YAML::Exception& error) {
+    const int line = error.mark.is_null() ? 0 : error.mark.line + 1;
+    aErrors.push_back({ line, "", "not valid YAML: " + error.msg });
+    return {};
   }
 }
 
-void
-YamlSection::AddError(int aLine, const std::string& aMessage)
+YamlReader::YamlReader(const YAML::Node& aNode,
+                       std::string aKey,
+                       std::vector<FileError>& aErrors)
+  : node_(aNode)
+  , key_(std::move(aKey))
+  , errors_(&aErrors)
 {
-  errors_->push_back({ .line_ = aLine, .key_ = path_, .message_ = aMessage });
 }
 
-void
-YamlSection::Fail(const std::string& aKey, const std::string& aMessage)
+std::string
+YamlReader::PathOf(const std::string& aName) const
 {
-  const auto found = values_.find(aKey);
-  AddError(found == values_.end() ? line_ : found->second.line_, aMessage);
-}
-
-const YAML::Node*
-YamlSection::Ask(const std::string& aKey)
-{
-  if (std::find(known_.begin(), known_.end(), aKey) == known_.end()) {
-    known_.push_back(aKey);
-  }
-  const auto found = values_.find(aKey);
-  if (found == values_.end()) {
-    return nullptr;
-  }
-  found->second.asked_ = true;
-  return &found->second.node_;
+  return key_.empty() ? aName : key_ + "." + aName;
 }
 
 void
-YamlSection::Require(const std::string& aKey)
+YamlReader::Fail(const std::string& aName, std::string aMessage)
 {
-  if (present_ && Ask(aKey) == nullptr) {
-    Fail(aKey, "'" + aKey + "' is missing");
+  int line = LineOf(node_);
+  if (node_.IsMap()) {
+    for (const auto& item : node_) {
+      if (item.first.IsScalar() && item.first.Scalar() == aName) {
+        line = LineOf(item.first);
+      }
+    }
   }
+  errors_->push_back({ line, PathOf(aName), std::move(aMessage) });
 }
 
-void
-YamlSection::RejectUnknownKeys()
+std::optional<YAML::Node>
+YamlReader::Find(const std::string& aName, Need aNeed)
 {
-  for (const std::string& key : order_) {
-    if (!values_.at(key).asked_) {
-      Fail(key,
-           "unknown key '" + key + "'; known keys are " + JoinNames(known_));
+  asked_.insert(aName);
+  if (node_.IsMap()) {
+    for (const auto& item : node_) {
+      if (item.first.IsScalar() && item.first.Scalar() == aName) {
+        return item.second;
+      }
     }
   }
+  if (aNeed == Need::Required) {
+    Fail(aName, "is required");
+  }
+  return std::nullopt;
 }
 
 std::optional<std::string>
-YamlSection::Scalar(const std::string& aKey, const std::string& aExpected)
+YamlReader::Scalar(const std::string& aName, Need aNeed)
 {
-  const YAML::Node* node = Ask(aKey);
-  if (node == nullptr) {
+  const auto node = Find(aName, aNeed);
+  if (!node) {
     return std::nullopt;
   }
   if (!node->IsScalar()) {
-    Fail(aKey, "'" + aKey + "' must be " + aExpected);
+    Fail(aName, "must be a single value");
     return std::nullopt;
   }
   return node->Scalar();
 }
 
-std::string
-YamlSection::Text(const std::string& aKey, const std::string& aDefault)
-{
-  return Scalar(aKey, kExpectText).value_or(aDefault);
-}
-
 bool
-YamlSection::Flag(const std::string& aKey, bool aDefault)
+YamlReader::Text(const std::string& aName, std::string& aTarget, Need aNeed)
 {
-  const std::string expected = "true or false";
-  const auto text = Scalar(aKey, expected);
+  const auto text = Scalar(aName, aNeed);
   if (!text) {
-    return aDefault;
-  }
-  if (*text != "true" && *text != "false") {
-    Fail(aKey, "'" + aKey + "' must be " + expected);
-    return aDefault;
+    return false;
   }
-  return *text == "true";
+  aTarget = *text;
+  return true;
 }
 
-uint64_t
-YamlSection::Count(const std::string& aKey,
-                   uint64_t aDefault,
-                   Bounds<uint64_t> aBounds)
+bool
+YamlReader::Name(const std::string& aName, std::string& aTarget, Need aNeed)
 {
-  const auto text = Scalar(aKey, kExpectCount);
+  const auto text = Scalar(aName, aNeed);
   if (!text) {
-    return aDefault;
+    return false;
   }
-  const auto number = ParseWhole<uint64_t>(*text);
-  if (!number) {
-    Fail(aKey, "'" + aKey + "' must be " + kExpectCount);
-    return aDefault;
-  }
-  const auto format = [](uint64_t aNumber) { return std::to_string(aNumber); };
-  const std::string fault = OutOfBounds(*number, aBounds, format);
-  if (!fault.empty()) {
-    Fail(aKey, "'" + aKey + "' " + fault);
-    return aDefault;
+  if (!IsPlainName(*text)) {
+    Fail(aName,
+         "'" + *text +
+           "' must consist of lowercase letters, digits and dashes");
+    return false;
   }
-  return *number;
+  aTarget = *text;
+  return true;
 }
 
-double
-YamlSection::Number(const std::string& aKey,
-                    double aDefault,
-                    Bounds<double> aBounds)
+bool
+YamlReader::Boolean(const std::string& aName, bool& aTarget, Need aNeed)
 {
-  const auto text = Scalar(aKey, kExpectNumber);
+  const auto text = Scalar(aName, aNeed);
   if (!text) {
-    return aDefault;
-  }
-  const auto number = ParseWhole<double>(*text);
-  if (!number || !std::isfinite(*number)) {
-    Fail(aKey, "'" + aKey + "' must be " + kExpectNumber);
-    return aDefault;
+    return false;
   }
-  const std::string fault = OutOfBounds(*number, aBounds, &FormatNumber);
-  if (!fault.empty()) {
-    Fail(aKey, "'" + aKey + "' " + fault);
-    return aDefault;
+  if (*text != "true" && *text != "false") {
+    Fail(aName, "'" + *text + "' must be true or false");
+    return false;
   }
-  return *number;
+  aTarget = *text == "true";
+  return true;
 }
 
-Millis
-YamlSection::Duration(const std::string& aKey,
-                      Millis aDefault,
-                      DurationBounds aBounds)
+bool
+YamlReader::Duration(const std::string& aName,
+                     Millis& aTarget,
+                     const Bounds<Millis>& aBounds,
+                     Need aNeed)
 {
-  const auto text = Scalar(aKey, kExpectDuration);
+  const auto text = Scalar(aName, aNeed);
   if (!text) {
-    return aDefault;
+    return false;
   }
   const auto duration = ParseDuration(*text);
   if (!duration) {
-    Fail(aKey, "'" + aKey + "' must be " + kExpectDuration);
-    return aDefault;
+    Fail(aName,
+         "'" + *text + "' must be a whole number with the unit ms, s or min");
+    return false;
   }
-  const auto format = [](Millis::rep aCount) {
-    return FormatDuration(Millis(aCount));
-  };
-  const std::string fault = OutOfBounds(duration->count(), aBounds, format);
-  if (!fault.empty()) {
-    Fail(aKey, "'" + aKey + "' " + fault);
-    return aDefault;
+  if (!aBounds.Contain(*duration)) {
+    FailOutside(
+      aName, *text, FormatDuration(aBounds.min_), FormatDuration(aBounds.max_));
+    return false;
   }
-  return *duration;
+  aTarget = *duration;
+  return true;
 }
 
-uint64_t
-YamlSection::ByteSize(const std::string& aKey,
-                      uint64_t aDefault,
-                      Bounds<uint64_t> aBounds)
+bool
+YamlReader::ByteSize(const std::string& aName,
+                     uint64_t& aTarget,
+                     const Bounds<uint64_t>& aBounds,
+                     Need aNeed)
 {
-  const auto text = Scalar(aKey, kExpectBytes);
+  const auto text = Scalar(aName, aNeed);
   if (!text) {
-    return aDefault;
+    return false;
   }
   const auto bytes = ParseByteSize(*text);
   if (!bytes) {
-    Fail(aKey, "'" + aKey + "' must be " + kExpectBytes);
-    return aDefault;
-  }
-  const std::string fault = OutOfBounds(*bytes, aBounds, &FormatByteSize);
-  if (!fault.empty()) {
-    Fail(aKey, "'" + aKey + "' " + fault);
-    return aDefault;
-  }
-  return *bytes;
+    Fail(aName,
+         "'" + *text +
+           "' must be a whole number with the unit B, KiB, MiB or GiB");
+    return false;
+  }
+  if (!aBounds.Contain(*bytes)) {
+    FailOutside(
+      aName, *text, FormatBytes(aBounds.min_), FormatBytes(aBounds.max_));
+    return false;
+  }
+  aTarget = *bytes;
+  return true;
 }
 
-size_t
-YamlSection::Choice(const std::string& aKey,
-                    const std::vector<std::string>& aNames,
-                    size_t aDefault)
+bool
+YamlReader::Address(const std::string& aName, Endpoint& aTarget, Need aNeed)
 {
-  const std::string expected = "one of " + JoinNames(aNames);
-  const auto text = Scalar(aKey, expected);
+  const auto text = Scalar(aName, aNeed);
   if (!text) {
-    return aDefault;
+    return false;
   }
-  const auto found = std::find(aNames.begin(), aNames.end(), *text);
-  if (found == aNames.end()) {
-    Fail(aKey, "'" + aKey + "' must be " + expected);
-    return aDefault;
+  const auto endpoint = ParseEndpoint(*text);
+  if (!endpoint) {
+    Fail(aName, "'" + *text + "' must be an IPv4 address and a port");
+    return false;
   }
-  return static_cast<size_t>(found - aNames.begin());
+  aTarget = *endpoint;
+  return true;
 }
 
-std::vector<std::string>
-YamlSection::TextList(const std::string& aKey)
+bool
+YamlReader::Addresses(const std::string& aName,
+                      std::vector<Endpoint>& aTarget,
+                      Need aNeed)
 {
-  std::vector<std::string> texts;
-  const YAML::Node* node = Ask(aKey);
-  if (node == nullptr) {
-    return texts;
+  const auto node = Find(aName, aNeed);
+  if (!node) {
+    return false;
   }
   if (!node->IsSequence()) {
-    Fail(aKey, "'" + aKey + "' must be a list of texts");
-    return texts;
-  }
-  for (const YAML::Node& item : *node) {
-    if (item.IsScalar()) {
-      texts.push_back(item.Scalar());
-    } else {
-      AddError(LineOf(item.Mark()), "'" + aKey + "' must be a list of texts");
+    Fail(aName, "must be a list of IPv4 addresses with ports");
+    return false;
+  }
+  std::vector<Endpoint> endpoints;
+  for (const auto& item : *node) {
+    const std::string text = item.IsScalar() ? item.Scalar() : "";
+    const auto endpoint = ParseEndpoint(text);
+    if (!endpoint) {
+      errors_->push_back(
+        { LineOf(item),
+          PathOf(aName),
+          "'" + text + "' must be an IPv4 address and a port" });
+      continue;
     }
+    endpoints.push_back(*endpoint);
+  }
+  const bool whole = endpoints.size() == node->size();
+  if (whole) {
+    aTarget = std::move(endpoints);
+  }
+  return whole;
+}
+
+std::optional<double>
+YamlReader::Decimal(const std::string& aName, bool aWhole, Need aNeed)
+{
+  const auto text = Scalar(aName, aNeed);
+  if (!text) {
+    return std::nullopt;
   }
-  return texts;
+  const auto number =
+    aWhole ? ParseWhole<int64_t>(*text) : std::optional<int64_t>();
+  if (number) {
+    return static_cast<double>(*number);
+  }
+  const auto decimal = aWhole ? std::nullopt : ParseWhole<double>(*text);
+  if (!decimal || !std::isfinite(*decimal)) {
+    Fail(aName,
+         "'" + *text + "' must be a " + (aWhole ? "whole " : "") + "number");
+    return std::nullopt;
+  }
+  return decimal;
 }
 
-YamlSection
-YamlSection::Section(const std::string& aKey)
+std::optional<YamlReader>
+YamlReader::Child(const std::string& aName, Need aNeed)
 {
-  const std::string path = path_.empty() ? aKey : path_ + "." + aKey;
-  const YAML::Node* node = Ask(aKey);
-  YamlSection section(
-    path, node == nullptr ? line_ : values_.at(aKey).line_, *errors_);
-  if (node == nullptr) {
-    return section;
+  const auto node = Find(aName, aNeed);
+  if (!node) {
+    return std::nullopt;
   }
   if (!node->IsMap()) {
-    Fail(aKey, "'" + aKey + "' must be a map");
-    return section;
+    Fail(aName, "must be a mapping");
+    return std::nullopt;
+  }
+  return YamlReader(*node, PathOf(aName), *errors_);
+}
+
+std::vector<std::pair<std::string, YamlReader>>
+YamlReader::Children()
+{
+  std::vector<std::pair<std::string, YamlReader>> children;
+  if (!node_.IsMap()) {
+    return children;
+  }
+  for (const auto& item : node_) {
+    if (!item.first.IsScalar() || asked_.count(item.first.Scalar()) > 0) {
+      continue;
+    }
+    const std::string name = item.first.Scalar();
+    if (auto child = Child(name)) {
+      children.emplace_back(name, std::move(*child));
+    }
+  }
+  return children;
+}
+
+void
+YamlReader::FailOutside(const std::string& aName,
+                        const std::string& aGiven,
+                        const std::string& aMin,
+                        const std::string& aMax)
+{
+  Fail(aName, aGiven + " is outside " + aMin + " to " + aMax);
+}
+
+void
+YamlReader::Finish()
+{
+  if (!node_.IsMap()) {
+    return;
+  }
+  std::set<std::string> seen;
+  for (const auto& item : node_) {
+    const std::string name =
+      item.first.IsScalar() ? item.first.Scalar() : "(not a name)";
+    const int line = LineOf(item.first);
+    if (asked_.count(name) == 0) {
+      errors_->push_back({ line, PathOf(name), "is not a known key" });
+    }
+    if (!seen.insert(name).second) {
+      errors_->push_back({ line, PathOf(name), "is given twice" });
+    }
   }
-  section.Load(*node);
-  return section;
 }
 
 } // namespace cornelfront
