--- a/src/include/cornelfront/config.h
+++ b/src/include/cornelfront/config.h
@@ -131,4 +131,8 @@
 std::optional<ConfigChange>
 DecodeConfigChange(const std::string& aBody);
 
+/// Returns the snapshot in \p aBody, or nullopt if it is not a snapshot.
+std::optional<ConfigSnapshot>
+DecodeConfigSnapshot(const std::string& aBody);
+
 } // namespace cornelfront
--- a/src/libcornelfront/entry.cpp
+++ b/src/libcornelfront/entry.cpp
@@ -114,7 +114,9 @@
     forwards_,
     [this] { return Schemas(); });
   config_ = std::make_unique<ConfigController>(
-    ConfigControllerOptions{ .log_ = { .url_ = settings_.logUrl_ } },
+    ConfigControllerOptions{ .log_ = { .url_ = settings_.logUrl_ },
+                             .zone_ = settings_.zone_,
+                             .seed_ = self_.value_ },
     events_,
     [this](const ConfigStatePtr& aState) { OnConfigChange(aState); });
   dialer_ = std::make_unique<Dialer>(
@@ -335,6 +337,7 @@
   dispatcher_->OnLinkEnd(aLink, MonoClock::now());
   if (const auto peer = entries_.OnLinkEnd(aLink)) {
     forwards_.OnOwnerLost(peer->id_);
+    config_->OnPeerGone(peer->id_);
   }
   dialer_->OnLinkEnd(aLink);
 }
--- a/src/libcornelfront/policy/config_fold.cpp
+++ b/src/libcornelfront/policy/config_fold.cpp
@@ -118,6 +118,21 @@
   throw ConfigRecordError("unknown kind '" + kind + "'");
 }
 
+template<class Kind>
+std::optional<Kind>
+DecodeAs(const std::string& aBody)
+{
+  try {
+    ConfigRecord record = DecodeRecord(aBody);
+    if (auto* found = std::get_if<Kind>(&record)) {
+      return std::move(*found);
+    }
+  } catch (const ConfigRecordError&) {
+    return std::nullopt;
+  }
+  return std::nullopt;
+}
+
 /// Folds one decoded record; a visitor for ConfigRecord.
 struct Folder
 {
@@ -249,15 +264,13 @@
 std::optional<ConfigChange>
 DecodeConfigChange(const std::string& aBody)
 {
-  try {
-    ConfigRecord record = DecodeRecord(aBody);
-    if (auto* change = std::get_if<ConfigChange>(&record)) {
-      return std::move(*change);
-    }
-  } catch (const ConfigRecordError&) {
-    return std::nullopt;
-  }
-  return std::nullopt;
+  return DecodeAs<ConfigChange>(aBody);
+}
+
+std::optional<ConfigSnapshot>
+DecodeConfigSnapshot(const std::string& aBody)
+{
+  return DecodeAs<ConfigSnapshot>(aBody);
 }
 
 } // namespace cornelfront
