Add the operators' verbs for configuration and zones

Sending the change anew with a new base after a lost answer was ruled out: it would apply it over a change that the operator has not seen.

--- a/src/cornelfront/commands.h
+++ b/src/cornelfront/commands.h
@@ -36,4 +36,12 @@
 void
 AddTimelineCommands(CLI::App& aApp);
 
+/// `config check`, `publish`, `show` and `history`.
+void
+AddConfigCommands(CLI::App& aApp);
+
+/// `zone out`, `in` and `list`.
+void
+AddZoneCommands(CLI::App& aApp);
+
 } // namespace cornelfront
--- a/src/cornelfront/main.cpp
+++ b/src/cornelfront/main.cpp
@@ -10,6 +10,8 @@
   CLI::App app("Dispatcher for sub-second tasks", "cornelfront");
   app.require_subcommand(1);
   cornelfront::AddServeCommands(app);
+  cornelfront::AddConfigCommands(app);
+  cornelfront::AddZoneCommands(app);
   cornelfront::AddStatusCommands(app);
   cornelfront::AddTimelineCommands(app);
   try {
--- /dev/null
+++ b/src/libcornelfront/config_publisher.cpp
@@ -0,0 +1,175 @@
+#include "cornelfront/config_publisher.h"
+
+#include "cornelfront/config_reader.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace cornelfront {
+
+namespace {
+
+constexpr const char* kEntryZonesKey = "entry_zones";
+
+void
+NoteZoneList(ConfigHistory& aHistory, std::vector<std::string> aZones)
+{
+  const auto& known = aHistory.zoneLists_;
+  if (!aZones.empty() &&
+      std::find(known.begin(), known.end(), aZones) == known.end()) {
+    aHistory.zoneLists_.push_back(std::move(aZones));
+  }
+}
+
+std::vector<std::string>
+ZonesIn(const std::string& aText)
+{
+  ConfigState state;
+  state.keys_[kEntryZonesKey].text_ = aText;
+  return state.EntryZones();
+}
+
+void
+NoteRecord(ConfigHistory& aHistory, const FoldedRecord& aRecord)
+{
+  HistoryRecord record{ .offset_ = aRecord.offset_,
+                        .result_ = aRecord.result_,
+                        .change_ = DecodeConfigChange(aRecord.body_) };
+  if (const auto snapshot = DecodeConfigSnapshot(aRecord.body_)) {
+    NoteZoneList(aHistory, snapshot->state_.EntryZones());
+  } else if (record.result_ == FoldResult::Applied &&
+             record.change_->key_ == kEntryZonesKey) {
+    NoteZoneList(aHistory, ZonesIn(record.change_->text_));
+  }
+  aHistory.records_.push_back(std::move(record));
+}
+
+const HistoryRecord*
+FindChange(const ConfigHistory& aHistory, const std::string& aChangeId)
+{
+  for (const HistoryRecord& record : aHistory.records_) {
+    if (record.change_ && record.change_->changeId_ == aChangeId) {
+      return &record;
+    }
+  }
+  return nullptr;
+}
+
+/// Returns the result of a change whose record was found in the log.
+PublishResult
+ResultOf(const HistoryRecord& aRecord, ConfigHistory aHistory)
+{
+  if (aRecord.result_ == FoldResult::Applied) {
+    return { .outcome_ = PublishOutcome::Applied,
+             .version_ = { aRecord.offset_ + 1 },
+             .history_ = std::move(aHistory) };
+  }
+  const ConfigVersion winner =
+    aHistory.state_.Get(aRecord.change_->key_).version_;
+  return { .outcome_ = PublishOutcome::Conflict,
+           .version_ = winner,
+           .history_ = std::move(aHistory) };
+}
+
+class Publisher
+{
+public:
+  Publisher(LogClient& aLog,
+            const PublishRequest& aRequest,
+            const PublishOptions& aOptions)
+    : log_(aLog)
+    , request_(aRequest)
+    , options_(aOptions)
+  {
+  }
+
+  /// Makes one attempt; nullopt if the change was appended or may have been,
+  /// so that its fate is to be read.
+  /// \throws LogUnavailable
+  std::optional<PublishResult> Attempt()
+  {
+    ConfigHistory history = ReadConfigHistory(log_, options_.timeout_);
+    if (const auto* found = FindChange(history, request_.changeId_)) {
+      return ResultOf(HistoryRecord(*found), std::move(history));
+    }
+    const ConfigValue present = history.state_.Get(request_.key_);
+    if (!baseFixed_) {
+      if (present.text_ == request_.text_ &&
+          present.version_ != ConfigVersion{}) {
+        return PublishResult{ .outcome_ = PublishOutcome::Unchanged,
+                              .version_ = present.version_,
+                              .history_ = std::move(history) };
+      }
+      // Fixed for all attempts: a later base would apply the change over one
+      // that the operator has not seen.
+      base_ = request_.base_.value_or(present.version_);
+      baseFixed_ = true;
+    }
+    log_.Append(
+      EncodeConfigRecord(ConfigChange{ .changeId_ = request_.changeId_,
+                                       .author_ = request_.author_,
+                                       .key_ = request_.key_,
+                                       .base_ = base_,
+                                       .text_ = request_.text_ }),
+      options_.timeout_);
+    return std::nullopt;
+  }
+
+private:
+  LogClient& log_;
+  const PublishRequest& request_;
+  const PublishOptions& options_;
+  ConfigVersion base_;
+  bool baseFixed_ = false;
+};
+
+} // namespace
+
+ConfigHistory
+ReadConfigHistory(LogClient& aLog, Millis aTimeout)
+{
+  ConfigHistory history;
+  ConfigReader reader;
+  while (!reader.AtHead()) {
+    const uint64_t from = reader.NextRead();
+    const LogPage page = aLog.Read({ .from_ = from, .timeout_ = aTimeout });
+    for (const FoldedRecord& record : reader.OnPage(page)) {
+      NoteRecord(history, record);
+    }
+    if (reader.HasGap() && reader.NextRead() >= page.next_) {
+      throw LogUnavailable("log: records before " +
+                           std::to_string(page.first_) +
+                           " are gone and no snapshot stands for them");
+    }
+    if (!reader.AtHead() && reader.NextRead() == from && !reader.HasGap()) {
+      throw LogUnavailable("log: answered no record at " +
+                           std::to_string(from));
+    }
+  }
+  history.state_ = reader.State();
+  NoteZoneList(history, history.state_.EntryZones());
+  return history;
+}
+
+PublishResult
+PublishChange(LogClient& aLog,
+              const PublishRequest& aRequest,
+              const PublishOptions& aOptions)
+{
+  Publisher publisher(aLog, aRequest, aOptions);
+  const MonoTime limit = MonoClock::now() + aOptions.giveUpAfter_;
+  while (true) {
+    try {
+      if (auto result = publisher.Attempt()) {
+        return std::move(*result);
+      }
+    } catch (const LogUnavailable&) {
+      if (MonoClock::now() >= limit) {
+        throw;
+      }
+      std::this_thread::sleep_for(aOptions.retryPause_);
+    }
+  }
+}
+
+} // namespace cornelfront
--- /dev/null
+++ b/src/libcornelfront/config_publisher_test.cpp
@@ -0,0 +1,146 @@
+#include "cornelfront/config_publisher.h"
+
+#include "memory_log_test.h"
+
+#include <gtest/gtest.h>
+
+namespace cornelfront {
+namespace {
+
+constexpr PublishOptions kOptions{ .timeout_ = Millis(2000),
+                                   .retryPause_ = Millis(5),
+                                   .giveUpAfter_ = Millis(10000) };
+
+PublishRequest
+Out(const std::string& aChangeId)
+{
+  return {
+    .changeId_ = aChangeId, .author_ = "test", .key_ = "zone/a", .text_ = "out"
+  };
+}
+
+class ConfigPublisherTest : public testing::Test
+{
+protected:
+  PublishResult Publish(const PublishRequest& aRequest,
+                        const PublishOptions& aOptions = kOptions)
+  {
+    LogClient client({ .url_ = log_.Url() });
+    return PublishChange(client, aRequest, aOptions);
+  }
+
+  MemoryLog log_;
+};
+
+TEST_F(ConfigPublisherTest, AppendsAndReadsBack)
+{
+  const PublishResult result = Publish(Out("x"));
+  EXPECT_EQ(result.outcome_, PublishOutcome::Applied);
+  EXPECT_EQ(result.version_, ConfigVersion{ 1 });
+  EXPECT_FALSE(result.history_.state_.ZoneIsIn("a"));
+}
+
+TEST_F(ConfigPublisherTest, RepeatedIdHasNoFurtherEffect)
+{
+  Publish(Out("x"));
+  log_.SetZone(1, "in");
+  const PublishResult again = Publish(Out("x"));
+  EXPECT_EQ(again.outcome_, PublishOutcome::Applied);
+  EXPECT_EQ(again.version_, ConfigVersion{ 1 });
+  EXPECT_TRUE(again.history_.state_.ZoneIsIn("a"));
+  EXPECT_EQ(log_.Size(), 2U);
+}
+
+TEST_F(ConfigPublisherTest, SameTextIsUnchanged)
+{
+  Publish(Out("x"));
+  const PublishResult again = Publish(Out("y"));
+  EXPECT_EQ(again.outcome_, PublishOutcome::Unchanged);
+  EXPECT_EQ(again.version_, ConfigVersion{ 1 });
+  EXPECT_EQ(log_.Size(), 1U);
+}
+
+TEST_F(ConfigPublisherTest, FindsItsRecordAfterALostAnswer)
+{
+  log_.loseAnswers_ = 1;
+  const PublishResult result = Publish(Out("x"));
+  EXPECT_EQ(result.outcome_, PublishOutcome::Applied);
+  EXPECT_EQ(log_.Size(), 1U);
+}
+
+TEST_F(ConfigPublisherTest, TriesAgainAfterARefusal)
+{
+  log_.refuseAppends_ = 2;
+  EXPECT_EQ(Publish(Out("x")).outcome_, PublishOutcome::Applied);
+  EXPECT_EQ(log_.Size(), 1U);
+}
+
+TEST_F(ConfigPublisherTest, LosesARace)
+{
+  log_.beforeAppend_ = [](std::vector<std::string>& aRecords) {
+    aRecords.push_back(EncodeConfigRecord(
+      ConfigChange{ .changeId_ = "y", .key_ = "zone/a", .text_ = "in" }));
+  };
+  const PublishResult result = Publish(Out("x"));
+  EXPECT_EQ(result.outcome_, PublishOutcome::Conflict);
+  EXPECT_EQ(result.version_, ConfigVersion{ 1 });
+  EXPECT_TRUE(result.history_.state_.ZoneIsIn("a"));
+}
+
+TEST_F(ConfigPublisherTest, KeepsItsBaseOverAttempts)
+{
+  // The first attempt's fate is unknown and another change comes meanwhile:
+  // the change must not be applied over it.
+  log_.refuseAppends_ = 1;
+  bool first = true;
+  log_.beforeAppend_ = [&first](std::vector<std::string>& aRecords) {
+    if (first) {
+      aRecords.push_back(EncodeConfigRecord(
+        ConfigChange{ .changeId_ = "y", .key_ = "zone/a", .text_ = "in" }));
+    }
+    first = false;
+  };
+  EXPECT_EQ(Publish(Out("x")).outcome_, PublishOutcome::Conflict);
+}
+
+TEST_F(ConfigPublisherTest, RefusesAnOutdatedBase)
+{
+  log_.SetZone(0, "in");
+  PublishRequest request = Out("x");
+  request.base_ = ConfigVersion{ 0 };
+  EXPECT_EQ(Publish(request).outcome_, PublishOutcome::Conflict);
+}
+
+TEST_F(ConfigPublisherTest, GivesUpInAnOutage)
+{
+  log_.down_ = true;
+  PublishOptions options = kOptions;
+  options.giveUpAfter_ = Millis(50);
+  EXPECT_THROW(Publish(Out("x"), options), LogUnavailable);
+}
+
+TEST_F(ConfigPublisherTest, ReportsAGapWithoutASnapshot)
+{
+  log_.SetZone(0, "out");
+  log_.SetZone(1, "in");
+  log_.DropBefore(1);
+  LogClient client({ .url_ = log_.Url() });
+  EXPECT_THROW(ReadConfigHistory(client, Millis(2000)), LogUnavailable);
+}
+
+TEST_F(ConfigPublisherTest, CollectsEveryListOfEntryZones)
+{
+  log_.SetEntryZones("a,b");
+  log_.Append(EncodeConfigRecord(
+    ConfigChange{ .key_ = "entry_zones", .base_ = { 1 }, .text_ = "c" }));
+  log_.Append(EncodeConfigRecord(ConfigChange{
+    .key_ = "entry_zones", .base_ = { 1 }, .text_ = "conflict" }));
+  LogClient client({ .url_ = log_.Url() });
+  const ConfigHistory history = ReadConfigHistory(client, Millis(2000));
+  const std::vector<std::vector<std::string>> expected{ { "a", "b" }, { "c" } };
+  EXPECT_EQ(history.zoneLists_, expected);
+  EXPECT_EQ(history.records_.size(), 3U);
+}
+
+} // namespace
+} // namespace cornelfront
--- a/src/libcornelfront/controllers/config_controller_test.cpp
+++ b/src/libcornelfront/controllers/config_controller_test.cpp
@@ -1,111 +1,17 @@
 #include "controllers/config_controller.h"
-
-#include "cornelfront/http_server.h"
+#include "memory_log_test.h"
 
 #include <gtest/gtest.h>
-#include <nlohmann/json.hpp>
 
 #include <atomic>
 
 namespace cornelfront {
 namespace {
 
-using Json = nlohmann::json;
-
 /// Bound on waits for another thread; reached only by a fault.
 constexpr Millis kPatience{ 10000 };
 constexpr Millis kStopBound{ 4000 };
 
-/// An append-only log in memory that answers every read at once.
-class MemoryLog
-{
-public:
-  MemoryLog()
-    : server_({}, [this](const HttpRequest& aRequest, const HttpReply& aReply) {
-      Handle(aRequest, aReply);
-    })
-  {
-  }
-
-  ConfigControllerOptions Options() const
-  {
-    return { .log_ = { .url_ =
-                         "http://127.0.0.1:" + std::to_string(server_.Port()) },
-             .zone_ = "a",
-             .pollWait_ = Millis(20),
-             .retryPause_ = Millis(20),
-             .snapshots_ = { .minPause_ = Millis(0), .jitter_ = Millis(0) } };
-  }
-
-  void Append(const std::string& aBody)
-  {
-    std::lock_guard lock(mutex_);
-    records_.push_back(aBody);
-  }
-
-  void SetZone(uint64_t aBase, const std::string& aText)
-  {
-    Append(EncodeConfigRecord(
-      ConfigChange{ .key_ = "zone/a", .base_ = { aBase }, .text_ = aText }));
-  }
-
-  void SetEntryZones(const std::string& aZones)
-  {
-    Append(EncodeConfigRecord(
-      ConfigChange{ .key_ = "entry_zones", .text_ = aZones }));
-  }
-
-  void DropBefore(uint64_t aFirst)
-  {
-    std::lock_guard lock(mutex_);
-    first_ = aFirst;
-  }
-
-  size_t Size()
-  {
-    std::lock_guard lock(mutex_);
-    return records_.size();
-  }
-
-  std::atomic<bool> down_ = false;
-  std::atomic<bool> silent_ = false;
-
-private:
-  void Handle(const HttpRequest& aRequest, const HttpReply& aReply)
-  {
-    std::lock_guard lock(mutex_);
-    if (silent_) {
-      held_.push_back(aReply);
-    } else if (down_) {
-      aReply.Send({ .status_ = 503 });
-    } else if (aRequest.method_ == "POST") {
-      records_.push_back(aRequest.body_);
-      const Json answer = { { "offset", records_.size() - 1 } };
-      aReply.Send({ .body_ = answer.dump() });
-    } else {
-      aReply.Send({ .body_ = PageLocked(std::stoull(aRequest.Query("from"))) });
-    }
-  }
-
-  std::string PageLocked(uint64_t aFrom)
-  {
-    Json records = Json::array();
-    for (uint64_t i = std::max(aFrom, first_); i < records_.size(); ++i) {
-      records.push_back({ { "offset", i }, { "body", records_[i] } });
-    }
-    const Json page = { { "first", first_ },
-                        { "next", records_.size() },
-                        { "records", std::move(records) } };
-    return page.dump();
-  }
-
-  std::mutex mutex_;
-  uint64_t first_ = 0;
-  std::vector<std::string> records_;
-  std::vector<HttpReply> held_;
-  HttpServer server_;
-};
-
 template<class Condition>
 bool
 Eventually(Condition aCondition)
@@ -123,6 +29,15 @@
 class ConfigControllerTest : public testing::Test
 {
 protected:
+  ConfigControllerOptions Options() const
+  {
+    return { .log_ = { .url_ = log_.Url() },
+             .zone_ = "a",
+             .pollWait_ = Millis(20),
+             .retryPause_ = Millis(20),
+             .snapshots_ = { .minPause_ = Millis(0), .jitter_ = Millis(0) } };
+  }
+
   std::unique_ptr<ConfigController> Make(
     const ConfigControllerOptions& aOptions)
   {
@@ -170,7 +85,7 @@
 TEST_F(ConfigControllerTest, FollowsTheLog)
 {
   log_.SetEntryZones("a");
-  const auto controller = Make(log_.Options());
+  const auto controller = Make(Options());
   ASSERT_TRUE(Holds(*controller, 1));
   EXPECT_TRUE(Eventually([&] { return Now(*controller).logReachable_; }));
   EXPECT_TRUE(Now(*controller).witness_);
@@ -188,7 +103,7 @@
 
 TEST_F(ConfigControllerTest, StatesAnOutageAndItsEnd)
 {
-  const auto controller = Make(log_.Options());
+  const auto controller = Make(Options());
   ASSERT_TRUE(Eventually([&] { return Now(*controller).logReachable_; }));
   log_.down_ = true;
   ASSERT_TRUE(Eventually([&] { return !Now(*controller).logReachable_; }));
@@ -202,7 +117,7 @@
 TEST_F(ConfigControllerTest, LearnsFromPeersInAnOutage)
 {
   log_.down_ = true;
-  const auto controller = Make(log_.Options());
+  const auto controller = Make(Options());
   controller->OnPeerEvidence({ .id_ = { 2 }, .zone_ = "b" },
                              { .version_ = { 7 }, .witness_ = true });
   controller->OnPeerEvidence({ .id_ = { 3 }, .zone_ = "c" },
@@ -230,7 +145,7 @@
   log_.Append(EncodeConfigRecord(ConfigSnapshot{ state }));
   log_.SetZone(2, "out");
   log_.DropBefore(2);
-  const auto controller = Make(log_.Options());
+  const auto controller = Make(Options());
   ASSERT_TRUE(Holds(*controller, 4));
   EXPECT_FALSE(controller->State()->ZoneIsIn("a"));
 }
@@ -240,7 +155,7 @@
   log_.SetEntryZones("a");
   log_.SetZone(0, "out");
   log_.DropBefore(2);
-  const auto controller = Make(log_.Options());
+  const auto controller = Make(Options());
   ASSERT_TRUE(Recorded(EventId::LogUp));
   std::this_thread::sleep_for(Millis(100));
   EXPECT_FALSE(Now(*controller).logReachable_);
@@ -250,7 +165,7 @@
 
 TEST_F(ConfigControllerTest, AppendsSnapshotsForOthers)
 {
-  ConfigControllerOptions options = log_.Options();
+  ConfigControllerOptions options = Options();
   options.snapshots_.everyRecords_ = 2;
   for (int i = 0; i < 3; ++i) {
     log_.SetZone(i, "out");
@@ -260,7 +175,7 @@
   std::this_thread::sleep_for(Millis(200));
   EXPECT_EQ(log_.Size(), 4U) << "its own snapshot makes none due";
   log_.DropBefore(3);
-  const auto late = Make(log_.Options());
+  const auto late = Make(Options());
   ASSERT_TRUE(Holds(*late, 3));
   EXPECT_EQ(*late->State(), *controller->State());
 }
@@ -268,7 +183,7 @@
 TEST_F(ConfigControllerTest, StopsWhileTheLogIsSilent)
 {
   log_.silent_ = true;
-  auto controller = Make(log_.Options());
+  auto controller = Make(Options());
   std::this_thread::sleep_for(Millis(50));
   const MonoTime begin = MonoClock::now();
   controller.reset();
