Serve metrics, events and operators' addresses from entry and sidecar

Both processes mount AdminRoutes, count every message and answer through their links, and count each caller's response that names an outcome. Hello and EntryAddress carry the HTTP endpoint for operators, so that the time line reaches every process from one entry's URL.

Ports are kept in atomics that start from the settings: before, a Welcome sent while the link server was still being constructed would have read it through a null pointer.

Names from other processes are dumped with replacement, since invalid UTF-8 from an upstream's announcement would make the status throw.

Shown by: two entries, two sidecars, two upstream stand-ins and the log stand-in, run by hand: three calls answered 200 and completed; status, members and timeline reached all four processes through one URL; the time line showed each task's start before its finish; /metrics counted 3 completed requests, 3 start_tasks and 3 task_answers. 134 unit tests pass. Not wired yet: log operations, retries, stray answers, the entry's queue length.

--- a/src/include/cornelfront/messages.h
+++ b/src/include/cornelfront/messages.h
@@ -35,11 +35,13 @@
   std::string zone_;
   std::string host_;
   uint16_t port_ = 0;
+  /// "<ip>:<port>" for operators; empty if it is not known yet.
+  std::string http_ = {};
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(id_, zone_, host_, port_);
+    aArchive(id_, zone_, host_, port_, http_);
   }
 };
 
@@ -52,11 +54,13 @@
   std::string zone_;
   /// Entries only: where this process listens.
   EntryAddress listen_;
+  /// Sidecars only: "<ip>:<port>" for operators.
+  std::string http_ = {};
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(role_, id_, name_, zone_, listen_);
+    aArchive(role_, id_, name_, zone_, listen_, http_);
   }
 };
 
--- a/src/include/cornelfront/settings.h
+++ b/src/include/cornelfront/settings.h
@@ -18,6 +18,10 @@
   uint16_t port_ = 0;
 };
 
+/// "<ipv4>:<port>"
+std::string
+FormatEndpoint(const Endpoint& aEndpoint);
+
 /// Bounds on links between cornelfront processes.
 struct LinkSettings
 {
--- a/src/libcornelfront/controllers/dispatcher.cpp
+++ b/src/libcornelfront/controllers/dispatcher.cpp
@@ -225,9 +225,12 @@
   {
     std::lock_guard lock(membersMutex_);
     memberByLink_[aLink->Serial()] = aHello.id_;
-    members_[aHello.id_] = {
-      aLink, { .id_ = aHello.id_, .name_ = aHello.name_, .zone_ = aHello.zone_ }
-    };
+    SidecarView view;
+    view.id_ = aHello.id_;
+    view.name_ = aHello.name_;
+    view.zone_ = aHello.zone_;
+    view.http_ = aHello.http_;
+    members_[aHello.id_] = { aLink, std::move(view) };
   }
   events_.Record(EventId::MemberJoined,
                  { { "member", ToString(aHello.id_) },
--- a/src/libcornelfront/controllers/dispatcher.h
+++ b/src/libcornelfront/controllers/dispatcher.h
@@ -34,6 +34,8 @@
   std::string zone_;
   UpstreamStatus status_;
   ConfigVersion configVersion_;
+  /// "<ip>:<port>" for operators.
+  std::string http_;
 };
 
 /// Thread-safe. The state of each service is a shard under its own lock; no
--- a/src/libcornelfront/entry.cpp
+++ b/src/libcornelfront/entry.cpp
@@ -9,8 +9,11 @@
 #include "cornelfront/events.h"
 #include "cornelfront/http_server.h"
 #include "cornelfront/link.h"
+#include "cornelfront/metrics.h"
 #include "cornelfront/submissions.h"
+#include "net/admin_routes.h"
 #include "net/entry_status.h"
+#include "net/process_metrics.h"
 
 #include <condition_variable>
 #include <thread>
@@ -51,6 +54,9 @@
   void OnConfigChange(const ConfigStatePtr& aState);
   void HandleHttp(const HttpRequest& aRequest, const HttpReply& aReply);
   EntryAddress Self() const;
+  AdminRoutesOptions MakeAdminOptions();
+  std::string StatusJson() const;
+  void RefreshMetrics();
   Welcome MakeWelcome() const;
   SchemaSetPtr Schemas() const;
   void SweepLoop();
@@ -59,7 +65,11 @@
   const MemberId self_ = NewMemberId();
   const MonoTime start_ = MonoClock::now();
   EventLog events_;
+  Metrics metrics_;
   std::atomic<bool> draining_ = false;
+  // A free port that was asked for is 0 until the server listens.
+  std::atomic<uint16_t> httpPort_ = settings_.http_.port_;
+  std::atomic<uint16_t> messagePort_ = settings_.messages_.port_;
 
   // Outlives everything that holds links.
   IoPool pool_;
@@ -78,6 +88,7 @@
   std::shared_ptr<const LinkHandlers> dialled_;
   std::unique_ptr<Dialer> dialer_;
   std::unique_ptr<LinkServer> server_;
+  AdminRoutes admin_;
   std::unique_ptr<HttpServer> http_;
 
   std::mutex stopMutex_;
@@ -94,6 +105,7 @@
       { .start_ = start_, .prefixLifetime_ = settings_.prefixLifetime_ })
   , accepted_(AcceptedHandlers())
   , dialled_(DialledHandlers())
+  , admin_(MakeAdminOptions())
 {
   events_.Record(EventId::ProcessStarted,
                  { { "role", "entry" },
@@ -125,6 +137,7 @@
     pool_, settings_.messages_, [this](asio::ip::tcp::socket aSocket) {
       OnAccept(std::move(aSocket));
     });
+  messagePort_ = server_->Port();
   http_ = std::make_unique<HttpServer>(
     HttpServerOptions{ .address_ = settings_.http_.host_,
                        .port_ = settings_.http_.port_,
@@ -132,6 +145,7 @@
     [this](const HttpRequest& aRequest, const HttpReply& aReply) {
       HandleHttp(aRequest, aReply);
     });
+  httpPort_ = http_->Port();
   sweeper_ = std::thread([this] { SweepLoop(); });
   for (const Endpoint& seed : settings_.seeds_) {
     if (seed.host_ != settings_.messages_.host_ ||
@@ -171,7 +185,7 @@
   handlers.hybridStamp_ = [this](WallTime aNow) {
     return events_.Clock().Tick(aNow);
   };
-  handlers.onTraffic_ = [](const Message&, size_t, bool) {};
+  handlers.onTraffic_ = CountTraffic(metrics_);
   return handlers;
 }
 
@@ -222,7 +236,8 @@
   return { .id_ = self_,
            .zone_ = settings_.zone_,
            .host_ = settings_.messages_.host_,
-           .port_ = server_->Port() };
+           .port_ = messagePort_,
+           .http_ = FormatEndpoint({ settings_.http_.host_, httpPort_ }) };
 }
 
 Welcome
@@ -321,6 +336,7 @@
                    LinkEnd aEnd,
                    const std::string& aDetail)
 {
+  metrics_.CountLinkEnd(std::string(ToString(aEnd)));
   EventId event = EventId::LinkDown;
   if (aEnd == LinkEnd::Silent) {
     event = EventId::LinkSilent;
@@ -362,24 +378,61 @@
 Entry::Impl::HandleHttp(const HttpRequest& aRequest, const HttpReply& aReply)
 {
   const MonoTime now = MonoClock::now();
-  if (aRequest.path_ == "/v1/admin/status") {
-    aReply.Send(EntryStatusResponse(
-      { .self_ = Self(),
-        .name_ = settings_.name_,
-        .http_ = settings_.http_.host_ + ":" + std::to_string(http_->Port()),
-        .evidence_ = config_->Evidence(now),
-        .entries_ = entries_.Entries(),
-        .sidecars_ = dispatcher_->Sidecars() }));
+  if (const auto response = admin_.Handle(aRequest)) {
+    aReply.Send(*response);
   } else if (aRequest.path_ == "/v1/admin/poke") {
     config_->Poke();
     aReply.Send({ .body_ = "{}\n" });
-  } else if (aRequest.path_ == "/healthz") {
-    aReply.Send({ .body_ = "{}\n" });
-  } else if (aRequest.path_ == "/readyz") {
-    aReply.Send({ .status_ = draining_ ? 503 : 200, .body_ = "{}\n" });
   } else {
-    callers_->Handle(aRequest, aReply, now);
+    const Respond respond = [aReply](HttpResponse aResponse) {
+      aReply.Send(std::move(aResponse));
+    };
+    callers_->Handle(
+      aRequest,
+      CountResponse(metrics_, respond, now, [] { return MonoClock::now(); }),
+      now);
+  }
+}
+
+AdminRoutesOptions
+Entry::Impl::MakeAdminOptions()
+{
+  return { .process_ = { self_, settings_.name_, "entry", settings_.zone_ },
+           .isReady_ = [this] { return !draining_; },
+           .statusJson_ = [this] { return StatusJson(); },
+           .events_ = &events_,
+           .metrics_ = &metrics_,
+           .refreshMetrics_ = [this] { RefreshMetrics(); } };
+}
+
+std::string
+Entry::Impl::StatusJson() const
+{
+  const EntryAddress self = Self();
+  return EntryStatusJson({ .self_ = self,
+                           .name_ = settings_.name_,
+                           .http_ = self.http_,
+                           .evidence_ = config_->Evidence(MonoClock::now()),
+                           .entries_ = entries_.Entries(),
+                           .sidecars_ = dispatcher_->Sidecars() });
+}
+
+void
+Entry::Impl::RefreshMetrics()
+{
+  const std::vector<SidecarView> sidecars = dispatcher_->Sidecars();
+  std::map<std::string, LoadReport> loads;
+  for (const SidecarView& sidecar : sidecars) {
+    LoadReport& load = loads[sidecar.status_.service_];
+    load.slots_ += sidecar.status_.load_.slots_;
+    load.running_ += sidecar.status_.load_.running_;
+  }
+  for (const auto& [service, load] : loads) {
+    metrics_.SetLoad(service, load);
   }
+  metrics_.SetLinks(Role::Sidecar, sidecars.size());
+  metrics_.SetLinks(Role::Entry, entries_.Links().size());
+  metrics_.SetConfigVersion(config_->State()->version_);
 }
 
 void
--- a/src/libcornelfront/metrics.cpp
+++ b/src/libcornelfront/metrics.cpp
@@ -82,15 +82,6 @@
     aRegistry);
 }
 
-std::string_view
-LabelOf(Outcome aOutcome)
-{
-  constexpr std::array<std::string_view, kOutcomes> kLabels{ "completed",
-                                                             "failed",
-                                                             "refused" };
-  return kLabels.at(static_cast<size_t>(aOutcome));
-}
-
 double
 ProcessorSeconds()
 {
@@ -215,7 +206,7 @@
   : impl_(std::make_unique<Impl>())
 {
   for (size_t i = 0; i < kOutcomes; ++i) {
-    const std::string label(LabelOf(static_cast<Outcome>(i)));
+    const std::string label(ToString(static_cast<Outcome>(i)));
     impl_->responseTimeOf_.at(i) =
       &impl_->responseTimes_.Add({ { "outcome", label } }, kTimeBuckets);
   }
@@ -249,7 +240,7 @@
     .At(index,
         impl_->requests_,
         [&] {
-          return Labels{ { "outcome", std::string(LabelOf(aOutcome)) } };
+          return Labels{ { "outcome", std::string(ToString(aOutcome)) } };
         })
     .Increment();
   impl_->responseTimeOf_.at(index)->Observe(
--- a/src/libcornelfront/net/admin_routes.cpp
+++ b/src/libcornelfront/net/admin_routes.cpp
@@ -106,6 +106,9 @@
 HttpResponse
 AdminRoutes::MetricsText() const
 {
+  if (options_.refreshMetrics_) {
+    options_.refreshMetrics_();
+  }
   options_.metrics_->SetReady(options_.isReady_());
   options_.metrics_->SetEventsDropped(options_.events_->Dropped());
   return { .status_ = 200,
--- a/src/libcornelfront/net/admin_routes.h
+++ b/src/libcornelfront/net/admin_routes.h
@@ -25,6 +25,8 @@
   /// Both must outlive the routes.
   EventLog* events_ = nullptr;
   Metrics* metrics_ = nullptr;
+  /// Sets the gauges before /metrics is served; may be empty.
+  std::function<void()> refreshMetrics_;
 };
 
 /// Thread-safe.
--- a/src/libcornelfront/net/entry_status.cpp
+++ b/src/libcornelfront/net/entry_status.cpp
@@ -14,7 +14,8 @@
   return { { "id", ToString(aEntry.id_) },
            { "zone", aEntry.zone_ },
            { "host", aEntry.host_ },
-           { "port", aEntry.port_ } };
+           { "port", aEntry.port_ },
+           { "http", aEntry.http_ } };
 }
 
 json
@@ -23,6 +24,7 @@
   return { { "id", ToString(aSidecar.id_) },
            { "name", aSidecar.name_ },
            { "zone", aSidecar.zone_ },
+           { "http", aSidecar.http_ },
            { "service", aSidecar.status_.service_ },
            { "ready", aSidecar.status_.ready_ },
            { "config_version", aSidecar.configVersion_.value_ },
@@ -33,8 +35,8 @@
 
 } // namespace
 
-HttpResponse
-EntryStatusResponse(const EntryStatus& aStatus)
+std::string
+EntryStatusJson(const EntryStatus& aStatus)
 {
   json entries = json::array();
   for (const EntryAddress& entry : aStatus.entries_) {
@@ -54,7 +56,8 @@
                       { "witness", aStatus.evidence_.witness_ },
                       { "entries", std::move(entries) },
                       { "sidecars", std::move(sidecars) } };
-  return { .body_ = body.dump() + "\n" };
+  // Names come from other processes and need not be valid UTF-8.
+  return body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
 }
 
 } // namespace cornelfront
--- a/src/libcornelfront/net/entry_status.h
+++ b/src/libcornelfront/net/entry_status.h
@@ -4,7 +4,6 @@
 /// The entry's answer to GET /v1/admin/status.
 
 #include "controllers/dispatcher.h"
-#include "cornelfront/http_server.h"
 #include "cornelfront/messages.h"
 
 #include <string>
@@ -23,7 +22,8 @@
   std::vector<SidecarView> sidecars_;
 };
 
-HttpResponse
-EntryStatusResponse(const EntryStatus& aStatus);
+/// JSON text.
+std::string
+EntryStatusJson(const EntryStatus& aStatus);
 
 } // namespace cornelfront
--- a/src/libcornelfront/policy/settings.cpp
+++ b/src/libcornelfront/policy/settings.cpp
@@ -223,6 +223,12 @@
 
 } // namespace
 
+std::string
+FormatEndpoint(const Endpoint& aEndpoint)
+{
+  return aEndpoint.host_ + ":" + std::to_string(aEndpoint.port_);
+}
+
 EntrySettings
 ParseEntrySettings(const std::string& aYaml)
 {
--- a/src/libcornelfront/policy/yaml_reader.cpp
+++ b/src/libcornelfront/policy/yaml_reader.cpp
@@ -131,12 +131,6 @@
   return std::to_string(aDuration.count()) + "ms";
 }
 
-std::string
-FormatEndpoint(const Endpoint& aEndpoint)
-{
-  return aEndpoint.host_ + ":" + std::to_string(aEndpoint.port_);
-}
-
 std::string
 FormatNumber(double aNumber)
 {
--- a/src/libcornelfront/policy/yaml_reader.h
+++ b/src/libcornelfront/policy/yaml_reader.h
@@ -35,8 +35,6 @@
 /// Text that ParseDuration reads back, in the largest unit that fits.
 std::string
 FormatDuration(Millis aDuration);
-std::string
-FormatEndpoint(const Endpoint& aEndpoint);
 
 /// Non-empty and made of lowercase letters, digits and dashes.
 bool
--- a/src/libcornelfront/sidecar.cpp
+++ b/src/libcornelfront/sidecar.cpp
@@ -6,7 +6,10 @@
 #include "cornelfront/events.h"
 #include "cornelfront/http_server.h"
 #include "cornelfront/link.h"
+#include "cornelfront/metrics.h"
 #include "cornelfront/start_gate.h"
+#include "net/admin_routes.h"
+#include "net/process_metrics.h"
 #include "net/upstream_client.h"
 
 #include <nlohmann/json.hpp>
@@ -29,10 +32,8 @@
 constexpr Millis kMaxLease{ 60000 };
 constexpr unsigned kMaxPort = 65535;
 
-constexpr int kStatusOk = 200;
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusNotFound = 404;
-constexpr int kStatusUnavailable = 503;
 
 MonoTime
 FromStamp(int64_t aStamp)
@@ -105,7 +106,10 @@
 
   void HandleHttp(const HttpRequest& aRequest, const HttpReply& aReply);
   HttpResponse HandleUpstream(const HttpRequest& aRequest);
-  HttpResponse StatusResponse() const;
+  std::string StatusJson() const;
+  AdminRoutesOptions MakeAdminOptions();
+  void RefreshMetrics();
+  std::string HttpAddress() const;
 
   void UpdateSlots();
   UpstreamStatus Status() const;
@@ -120,6 +124,7 @@
   const SidecarSettings settings_;
   const MemberId self_ = NewMemberId();
   EventLog events_;
+  Metrics metrics_;
 
   // Outlives everything that holds links.
   IoPool pool_{ kMessageThreads };
@@ -142,6 +147,9 @@
   std::thread sweeper_;
 
   std::unique_ptr<Dialer> dialer_;
+  // A free port that was asked for is 0 until the server listens.
+  std::atomic<uint16_t> httpPort_ = settings_.http_.port_;
+  AdminRoutes admin_;
   std::unique_ptr<HttpServer> http_;
 };
 
@@ -152,6 +160,7 @@
   , tasks_({ .queueLimit_ = settings_.queueLimit_,
              .retention_ = settings_.resultRetention_ })
   , handlers_(MakeHandlers())
+  , admin_(MakeAdminOptions())
 {
   events_.Record(EventId::ProcessStarted,
                  { { "role", "sidecar" },
@@ -168,6 +177,7 @@
     [this](const HttpRequest& aRequest, const HttpReply& aReply) {
       HandleHttp(aRequest, aReply);
     });
+  httpPort_ = http_->Port();
   sweeper_ = std::thread([this] { SweepLoop(); });
   for (const Endpoint& seed : settings_.seeds_) {
     dialer_->Add(seed, true);
@@ -209,7 +219,7 @@
   handlers.hybridStamp_ = [this](WallTime aNow) {
     return events_.Clock().Tick(aNow);
   };
-  handlers.onTraffic_ = [](const Message&, size_t, bool) {};
+  handlers.onTraffic_ = CountTraffic(metrics_);
   return std::make_shared<const LinkHandlers>(std::move(handlers));
 }
 
@@ -222,7 +232,8 @@
   link->Send(Hello{ .role_ = Role::Sidecar,
                     .id_ = self_,
                     .name_ = settings_.name_,
-                    .zone_ = settings_.zone_ });
+                    .zone_ = settings_.zone_,
+                    .http_ = HttpAddress() });
   return link;
 }
 
@@ -285,6 +296,7 @@
     std::lock_guard lock(gateMutex_);
     gate_.OnEntryGone(peer->id_);
   }
+  metrics_.CountLinkEnd(std::string(ToString(aEnd)));
   EventId event = EventId::LinkDown;
   if (aEnd == LinkEnd::Silent) {
     event = EventId::LinkSilent;
@@ -484,18 +496,41 @@
 {
   if (aRequest.path_ == "/v1/upstream") {
     aReply.Send(HandleUpstream(aRequest));
-  } else if (aRequest.path_ == "/v1/admin/status") {
-    aReply.Send(StatusResponse());
-  } else if (aRequest.path_ == "/healthz") {
-    aReply.Send({ .status_ = kStatusOk, .body_ = "{}\n" });
-  } else if (aRequest.path_ == "/readyz") {
-    aReply.Send({ .status_ = Status().ready_ ? kStatusOk : kStatusUnavailable,
-                  .body_ = "{}\n" });
+  } else if (const auto response = admin_.Handle(aRequest)) {
+    aReply.Send(*response);
   } else {
     aReply.Send(ErrorResponse(kStatusNotFound, "no such path"));
   }
 }
 
+AdminRoutesOptions
+Sidecar::Impl::MakeAdminOptions()
+{
+  return { .process_ = { self_, settings_.name_, "sidecar", settings_.zone_ },
+           .isReady_ = [this] { return Status().ready_; },
+           .statusJson_ = [this] { return StatusJson(); },
+           .events_ = &events_,
+           .metrics_ = &metrics_,
+           .refreshMetrics_ = [this] { RefreshMetrics(); } };
+}
+
+std::string
+Sidecar::Impl::HttpAddress() const
+{
+  return FormatEndpoint({ settings_.http_.host_, httpPort_ });
+}
+
+void
+Sidecar::Impl::RefreshMetrics()
+{
+  const UpstreamStatus status = Status();
+  metrics_.SetLoad(status.service_, status.load_);
+  metrics_.SetQueueLength(status.service_, status.load_.queued_);
+  metrics_.SetLinks(Role::Entry, entries_.Links().size());
+  std::lock_guard lock(gateMutex_);
+  metrics_.SetConfigVersion(gate_.Version());
+}
+
 HttpResponse
 Sidecar::Impl::HandleUpstream(const HttpRequest& aRequest)
 {
@@ -522,8 +557,8 @@
   return { .body_ = "{}\n" };
 }
 
-HttpResponse
-Sidecar::Impl::StatusResponse() const
+std::string
+Sidecar::Impl::StatusJson() const
 {
   const UpstreamStatus status = Status();
   uint64_t version = 0;
@@ -532,13 +567,15 @@
     version = gate_.Version().value_;
   }
   const json body = {
-    { "member", ToString(self_) },        { "name", settings_.name_ },
-    { "zone", settings_.zone_ },          { "role", "sidecar" },
-    { "config_version", version },        { "service", status.service_ },
-    { "ready", status.ready_ },           { "slots", status.load_.slots_ },
-    { "running", status.load_.running_ }, { "queued", status.load_.queued_ }
+    { "member", ToString(self_) },     { "name", settings_.name_ },
+    { "zone", settings_.zone_ },       { "role", "sidecar" },
+    { "http", HttpAddress() },         { "config_version", version },
+    { "service", status.service_ },    { "ready", status.ready_ },
+    { "slots", status.load_.slots_ },  { "running", status.load_.running_ },
+    { "queued", status.load_.queued_ }
   };
-  return { .body_ = body.dump() + "\n" };
+  // The service's name comes from the upstream and need not be valid UTF-8.
+  return body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
 }
 
 void
