--- a/src/libcornelfront/entry.cpp
+++ b/src/libcornelfront/entry.cpp
@@ -5,6 +5,7 @@
 #include "controllers/entry_links.h"
 #include "controllers/forwards.h"
 #include "controllers/member_links.h"
+#include "controllers/quotas.h"
 #include "cornelfront/caller_api.h"
 #include "cornelfront/events.h"
 #include "cornelfront/http_server.h"
@@ -67,6 +68,7 @@
   MemberLinks members_;
   Forwards forwards_;
   Submissions submissions_;
+  Quotas quotas_;
   std::unique_ptr<Dispatcher> dispatcher_;
   std::unique_ptr<ConfigController> config_;
   std::unique_ptr<CallerApi> callers_;
@@ -92,6 +94,10 @@
   , forwards_(entries_)
   , submissions_(
       { .start_ = start_, .prefixLifetime_ = settings_.prefixLifetime_ })
+  , quotas_([this] {
+    // The others, and this one.
+    return static_cast<unsigned>(entries_.Entries().size()) + 1;
+  })
   , accepted_(AcceptedHandlers())
   , dialled_(DialledHandlers())
 {
@@ -108,7 +114,14 @@
   callers_ = std::make_unique<CallerApi>(
     CallerApiOptions{ .self_ = self_,
                       .start_ = start_,
-                      .prefixLifetime_ = settings_.prefixLifetime_ },
+                      .prefixLifetime_ = settings_.prefixLifetime_,
+                      .quota_ =
+                        [this](const ServiceSchema& aService,
+                               const std::string& aTeam,
+                               size_t aTasks,
+                               MonoTime aNow) {
+                          return quotas_.Take(aService, aTeam, aTasks, aNow);
+                        } },
     *dispatcher_,
     submissions_,
     forwards_,
@@ -389,7 +402,9 @@
   while (!stopChanged_.wait_for(
     lock, kSweepInterval, [this] { return stopping_; })) {
     lock.unlock();
-    submissions_.Sweep(MonoClock::now());
+    const MonoTime now = MonoClock::now();
+    submissions_.Sweep(now);
+    quotas_.Prune(now);
     lock.lock();
   }
 }
