--- a/src/include/cornelfront/caller_api.h
+++ b/src/include/cornelfront/caller_api.h
@@ -4,6 +4,7 @@
 /// The callers' interface of an entry; docs/API.md describes it from outside.
 
 #include "cornelfront/dispatcher.h"
+#include "cornelfront/events.h"
 #include "cornelfront/filters.h"
 #include "cornelfront/http_server.h"
 #include "cornelfront/schema_set.h"
@@ -45,6 +46,8 @@
   /// See FitFilter and QuotaFilter.
   FitCheck fits_;
   QuotaCheck quota_;
+  /// Gets the events of submissions; may be null.
+  EventLog* events_ = nullptr;
 };
 
 /// Answers callers' requests. Thread-safe; owned by the entry. The objects it
@@ -84,6 +87,9 @@
 
   void Route(const Exchange& aExchange);
   void IssueKeyPrefix(const Exchange& aExchange);
+  void Refuse(const Exchange& aExchange,
+              const Refusal& aRefusal,
+              const std::string& aSubmission);
   void Submit(const Exchange& aExchange, SubmissionRequest aRequest);
   void SubmitWithoutId(const Exchange& aExchange, SubmissionRequest aRequest);
   void BeginSubmission(const Exchange& aExchange, SubmissionRequest aRequest);
@@ -95,6 +101,9 @@
   /// Returns true if another entry owns the id, after passing the request on.
   bool PassedOn(const Exchange& aExchange, const SubmissionId& aId);
   Respond WithKeyPrefix(Respond aRespond, MonoTime aNow) const;
+  /// Gives the job to the dispatcher and records its beginning and its end.
+  void Run(const Exchange& aExchange, JobSpec aJob, JobRunner::Done aDone);
+  void Record(EventId aEvent, EventFields aFields) const;
 
   CallerApiOptions options_;
   JobRunner& runner_;
--- a/src/libcornelfront/caller_api.cpp
+++ b/src/libcornelfront/caller_api.cpp
@@ -63,6 +63,14 @@
   return job;
 }
 
+bool
+IsRepeated(const BeginResult& aResult)
+{
+  return std::holds_alternative<StillRunning>(aResult) ||
+         std::holds_alternative<Answered>(aResult) ||
+         std::holds_alternative<AnswerDropped>(aResult);
+}
+
 Refusal
 NoGoodPrefix(const SubmissionId& aId)
 {
@@ -150,7 +158,7 @@
   try {
     Route(exchange);
   } catch (const RequestError& error) {
-    exchange.respond_(RespondRefusal(error.Reason(), ""));
+    Refuse(exchange, error.Reason(), "");
   }
 }
 
@@ -206,6 +214,16 @@
   aExchange.respond_({ .body_ = body.dump() + "\n" });
 }
 
+void
+CallerApi::Refuse(const Exchange& aExchange,
+                  const Refusal& aRefusal,
+                  const std::string& aSubmission)
+{
+  Record(EventId::RequestRefused,
+         { { "reason", std::string(ToString(aRefusal.reason_)) } });
+  aExchange.respond_(RespondRefusal(aRefusal, aSubmission));
+}
+
 void
 CallerApi::Submit(const Exchange& aExchange, SubmissionRequest aRequest)
 {
@@ -226,19 +244,18 @@
   RequestContext context{ .request_ = std::move(aRequest),
                           .schemas_ = schemas_() };
   if (const auto refusal = ApplyFilters(filters_, context, aExchange.now_)) {
-    aExchange.respond_(RespondRefusal(*refusal, ""));
+    Refuse(aExchange, *refusal, "");
     return;
   }
   // '~' is no suffix character: no caller's id can be the same.
   const std::string submission =
     ToString(IssuePrefix(options_.self_, options_.start_, aExchange.now_)) +
     ".~" + std::to_string(nextUnnamed_++);
-  runner_.Submit(
-    ToJob(std::move(context), submission),
-    [respond = aExchange.respond_, format](JobResult aResult) {
-      respond(RespondFinal(FinalAnswer(std::move(aResult)), format));
-    },
-    aExchange.now_);
+  Run(aExchange,
+      ToJob(std::move(context), submission),
+      [respond = aExchange.respond_, format](JobResult aResult) {
+        respond(RespondFinal(FinalAnswer(std::move(aResult)), format));
+      });
 }
 
 void
@@ -266,10 +283,13 @@
     },
     [&](AnswerDropped) { respond(RespondAnswerDropped(name)); },
     [&](ExpiredUnknown) { respond(RespondExpired(name)); },
-    [&](NeverIssued) { respond(RespondRefusal(NoGoodPrefix(id), name)); },
-    [&](DigestMismatch) { respond(RespondRefusal(IdInUse(id), name)); },
-    [&](TableIsFull) { respond(RespondRefusal(NoRoom(), name)); },
+    [&](NeverIssued) { Refuse(aExchange, NoGoodPrefix(id), name); },
+    [&](DigestMismatch) { Refuse(aExchange, IdInUse(id), name); },
+    [&](TableIsFull) { Refuse(aExchange, NoRoom(), name); },
   };
+  if (IsRepeated(result)) {
+    Record(EventId::SubmissionRepeated, { { "submission", name } });
+  }
   std::visit(visitor, result);
 }
 
@@ -284,6 +304,8 @@
   RequestContext context{ .request_ = std::move(aRequest),
                           .schemas_ = schemas_() };
   if (const auto refusal = ApplyFilters(filters_, context, aExchange.now_)) {
+    Record(EventId::RequestRefused,
+           { { "reason", std::string(ToString(refusal->reason_)) } });
     submissions_.Finish(id, aAttempt.number_, *refusal);
     if (!wait) {
       aExchange.respond_(RespondRefusal(*refusal, name));
@@ -293,12 +315,11 @@
   if (!wait) {
     aExchange.respond_(RespondRunning(name));
   }
-  runner_.Submit(
-    ToJob(std::move(context), name),
-    [this, id, aAttempt](JobResult aResult) {
-      submissions_.Finish(id, aAttempt.number_, std::move(aResult));
-    },
-    aExchange.now_);
+  Run(aExchange,
+      ToJob(std::move(context), name),
+      [this, id, aAttempt](JobResult aResult) {
+        submissions_.Finish(id, aAttempt.number_, std::move(aResult));
+      });
   // A cancellation that came before Submit found nothing to cancel.
   if (submissions_.CancelRequested(id)) {
     runner_.Cancel(name, aExchange.now_);
@@ -382,4 +403,30 @@
   };
 }
 
+void
+CallerApi::Run(const Exchange& aExchange, JobSpec aJob, JobRunner::Done aDone)
+{
+  const std::string submission = aJob.submission_;
+  Record(EventId::SubmissionAccepted,
+         { { "submission", submission },
+           { "service", aJob.service_ },
+           { "tasks", std::to_string(aJob.tasks_.size()) } });
+  auto done = [this, submission, inner = std::move(aDone)](JobResult aResult) {
+    Record(EventId::SubmissionFinished,
+           { { "submission", submission },
+             { "outcome", std::string(ToString(aResult.outcome_)) },
+             { "reason", std::string(ToString(aResult.reason_)) } });
+    inner(std::move(aResult));
+  };
+  runner_.Submit(std::move(aJob), std::move(done), aExchange.now_);
+}
+
+void
+CallerApi::Record(EventId aEvent, EventFields aFields) const
+{
+  if (options_.events_ != nullptr) {
+    options_.events_->Record(aEvent, std::move(aFields), WallClock::now());
+  }
+}
+
 } // namespace cornelfront
--- a/src/libcornelfront/caller_api_test.cpp
+++ b/src/libcornelfront/caller_api_test.cpp
@@ -5,7 +5,8 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
-#include <thread>
+#include <random>
+#include <set>
 
 namespace cornelfront {
 namespace {
@@ -155,7 +156,8 @@
   FakeRunner runner_;
   FakeForwarder forwarder_;
   Submissions submissions_{ { .start_ = kStart } };
-  CallerApi api_{ { .self_ = kSelf, .start_ = kStart },
+  EventLog events_;
+  CallerApi api_{ { .self_ = kSelf, .start_ = kStart, .events_ = &events_ },
                   runner_,
                   submissions_,
                   forwarder_,
@@ -316,6 +318,51 @@
   EXPECT_EQ(OutcomeOf(*cancel), "refused");
 }
 
+TEST_F(CallerApiTest, RecordsEvents)
+{
+  Send(Call(id_));
+  Send(Call(id_));
+  runner_.Complete(0);
+  Send(Call(""));
+  std::vector<EventId> ids;
+  for (const Event& event : events_.Since(0)) {
+    ids.push_back(event.id_);
+  }
+  EXPECT_EQ(ids,
+            (std::vector<EventId>{ EventId::SubmissionAccepted,
+                                   EventId::SubmissionRepeated,
+                                   EventId::SubmissionFinished,
+                                   EventId::RequestRefused }));
+}
+
+/// Seeded mutations of good requests: each gets exactly one answer, and none
+/// with an outcome that is not in the table of docs/API.md.
+TEST_F(CallerApiTest, AnswersMutatedRequestsOnce)
+{
+  const std::set<std::string> outcomes = {
+    "", "completed", "failed", "refused", "running"
+  };
+  std::mt19937 random(20261203);
+  for (int round = 0; round < 3000; ++round) {
+    HttpRequest request = round % 2 == 0 ? Job(id_, 2) : Call(id_);
+    for (std::string* text : { &request.body_,
+                               &request.path_,
+                               &request.headers_["cornelfront-team"],
+                               &request.headers_["idempotency-key"] }) {
+      if (!text->empty() && random() % 2 == 0) {
+        (*text)[random() % text->size()] = static_cast<char>(random());
+      }
+    }
+    const size_t before = runner_.jobs_.size();
+    const auto response = Send(request);
+    if (runner_.jobs_.size() > before) {
+      runner_.Complete(before);
+    }
+    EXPECT_NE(response->status_, 0);
+    EXPECT_EQ(outcomes.count(OutcomeOf(*response)), 1U);
+  }
+}
+
 TEST_F(CallerApiTest, RefusesOverload)
 {
   runner_.wait_ = Millis(2500);
--- a/src/libcornelfront/entry.cpp
+++ b/src/libcornelfront/entry.cpp
@@ -121,7 +121,8 @@
                                size_t aTasks,
                                MonoTime aNow) {
                           return quotas_.Take(aService, aTeam, aTasks, aNow);
-                        } },
+                        },
+                      .events_ = &events_ },
     *dispatcher_,
     submissions_,
     forwards_,
