--- a/src/libcornelfront/entry.cpp
+++ b/src/libcornelfront/entry.cpp
@@ -5,7 +5,11 @@
 #include "controllers/entry_links.h"
 #include "controllers/forwards.h"
 #include "controllers/member_links.h"
+<<<<<<< HEAD
 #include "controllers/quota_controller.h"
+=======
+#include "controllers/quotas.h"
+>>>>>>> api
 #include "cornelfront/caller_api.h"
 #include "cornelfront/events.h"
 #include "cornelfront/http_server.h"
@@ -81,6 +85,7 @@
   MemberLinks members_;
   Forwards forwards_;
   Submissions submissions_;
+  Quotas quotas_;
   std::unique_ptr<Dispatcher> dispatcher_;
   std::unique_ptr<ConfigController> config_;
   std::unique_ptr<CallerApi> callers_;
@@ -107,6 +112,10 @@
   , forwards_(entries_)
   , submissions_(
       { .start_ = start_, .prefixLifetime_ = settings_.prefixLifetime_ })
+  , quotas_([this] {
+    // The others, and this one.
+    return static_cast<unsigned>(entries_.Entries().size()) + 1;
+  })
   , accepted_(AcceptedHandlers())
   , dialled_(DialledHandlers())
   , admin_(MakeAdminOptions())
@@ -131,7 +140,12 @@
                                size_t aTasks,
                                MonoTime aNow) {
                           return quotas_.Take(aService, aTeam, aTasks, aNow);
+<<<<<<< HEAD
                         } },
+=======
+                        },
+                      .events_ = &events_ },
+>>>>>>> api
     *dispatcher_,
     submissions_,
     forwards_,
@@ -456,7 +470,9 @@
   while (!stopChanged_.wait_for(
     lock, kSweepInterval, [this] { return stopping_; })) {
     lock.unlock();
-    submissions_.Sweep(MonoClock::now());
+    const MonoTime now = MonoClock::now();
+    submissions_.Sweep(now);
+    quotas_.Prune(now);
     lock.lock();
   }
 }
--- a/src/libcornelfront/policy/outcome.cpp
+++ b/src/libcornelfront/policy/outcome.cpp
@@ -13,7 +13,11 @@
     case Outcome::Refused:
       return "refused";
   }
+<<<<<<< HEAD
   return "";
+=======
+  return "unknown";
+>>>>>>> api
 }
 
 } // namespace cornelfront
