--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -315,6 +315,7 @@
                   static_cast<long long>(ideal.count()),
                   Ratio(measured, ideal));
     }
+    PrintStretch();
     std::printf("  work %.3f", FinishedShare());
     for (const auto& [outcome, count] : outcomes) {
       std::printf("  %s %zu", outcome.c_str(), count);
@@ -345,6 +346,24 @@
            static_cast<double>(std::max(aIdeal, Millis(1)).count());
   }
 
+  /// Quantiles of the ratio of each response time to its own ideal.
+  void PrintStretch() const
+  {
+    constexpr int64_t kThousandths = 1000;
+    std::vector<Millis> stretches;
+    for (size_t i = 0; i < samples_.size(); ++i) {
+      if (samples_[i].outcome_ == "completed") {
+        stretches.push_back(samples_[i].response_ * kThousandths /
+                            std::max(ideal_[i], Millis(1)).count());
+      }
+    }
+    std::printf("  each");
+    for (double share : { 0.5, 0.99, 0.999 }) {
+      const Millis stretch = QuantileOf(stretches, share);
+      std::printf(" %.3f", double(stretch.count()) / double(kThousandths));
+    }
+  }
+
   /// Run time finished by the last arrival, over what the ideal finished.
   double FinishedShare() const
   {
--- a/src/include/cornelfront/router.h
+++ b/src/include/cornelfront/router.h
@@ -62,6 +62,13 @@
 struct LeastLoaded
 {};
 
+/// Sidecars of the own zone while they have free slots, then those of other
+/// zones, each by fewest tasks per slot. While every entry finds room in its
+/// own zone, no two entries choose the same slot on old reports, and no task
+/// crosses zones.
+struct ZoneFirst
+{};
+
 /// Baseline: least loaded by the last reports alone, without the tasks sent
 /// since.
 struct StaleLeastLoaded
@@ -81,11 +88,15 @@
 {};
 
 /// How a router ranks candidates.
-using RouteRule =
-  std::variant<LeastLoaded, StaleLeastLoaded, Random, RoundRobin, PowerOfTwo>;
-
-/// Returns the rule named "least_loaded", "stale_least_loaded", "random",
-/// "round_robin" or "power_of_two"; nullopt for anything else.
+using RouteRule = std::variant<LeastLoaded,
+                               ZoneFirst,
+                               StaleLeastLoaded,
+                               Random,
+                               RoundRobin,
+                               PowerOfTwo>;
+
+/// Returns the rule named "least_loaded", "zone_first", "stale_least_loaded",
+/// "random", "round_robin" or "power_of_two"; nullopt for anything else.
 std::optional<RouteRule>
 ParseRouteRule(std::string_view aName);
 
@@ -216,13 +227,18 @@
   std::optional<Item> PickProbe(const RouteRequest& aRequest, MonoTime aNow);
   std::optional<Item> Pick(const RouteRequest& aRequest);
   Item PickBy(const LeastLoaded& aRule);
+  Item PickBy(const ZoneFirst& aRule);
   Item PickBy(const StaleLeastLoaded& aRule);
   Item PickBy(const Random& aRule);
   Item PickBy(const RoundRobin& aRule);
   Item PickBy(const PowerOfTwo& aRule);
 
-  uint64_t LoadKey(const Entry& aEntry, uint32_t aTasks);
+  bool IsForeign(const Entry& aEntry) const;
+  /// Tasks per slot in units of kLoadUnit.
+  uint64_t LoadOf(const Entry& aEntry, uint32_t aTasks) const;
+  uint64_t Key(const Entry& aEntry, uint64_t aLoad);
   uint64_t KeyBy(const LeastLoaded& aRule, const Entry& aEntry);
+  uint64_t KeyBy(const ZoneFirst& aRule, const Entry& aEntry);
   uint64_t KeyBy(const StaleLeastLoaded& aRule, const Entry& aEntry);
   uint64_t KeyBy(const Random& aRule, const Entry& aEntry);
   uint64_t KeyBy(const RoundRobin& aRule, const Entry& aEntry);
--- a/src/libcornelfront/policy/router_rules.cpp
+++ b/src/libcornelfront/policy/router_rules.cpp
@@ -24,6 +24,7 @@
 {
   static const std::map<std::string_view, RouteRule> sRules = {
     { "least_loaded", LeastLoaded{} },
+    { "zone_first", ZoneFirst{} },
     { "stale_least_loaded", StaleLeastLoaded{} },
     { "random", Random{} },
     { "round_robin", RoundRobin{} },
@@ -80,6 +81,12 @@
   return choices_->Top();
 }
 
+Router::Item
+Router::PickBy(const ZoneFirst& /*aRule*/)
+{
+  return choices_->Top();
+}
+
 Router::Item
 Router::PickBy(const StaleLeastLoaded& /*aRule*/)
 {
@@ -103,35 +110,54 @@
 {
   const Item first = choices_->At(random_() % choices_->size());
   const Item second = choices_->At(random_() % choices_->size());
-  const uint64_t firstKey = LoadKey(entries_[first], Tasks(entries_[first]));
-  const uint64_t secondKey = LoadKey(entries_[second], Tasks(entries_[second]));
-  return secondKey < firstKey ? second : first;
+  const uint64_t firstLoad = LoadOf(entries_[first], Tasks(entries_[first]));
+  const uint64_t secondLoad = LoadOf(entries_[second], Tasks(entries_[second]));
+  return secondLoad < firstLoad ? second : first;
+}
+
+bool
+Router::IsForeign(const Entry& aEntry) const
+{
+  return aEntry.candidate_.zone_ != options_.zone_;
 }
 
 uint64_t
-Router::LoadKey(const Entry& aEntry, uint32_t aTasks)
+Router::LoadOf(const Entry& aEntry, uint32_t aTasks) const
 {
   const uint32_t slots = std::max(aEntry.candidate_.load_.slots_, 1U);
   // A slow sidecar ranks as if each of its slots had one task more.
-  const uint64_t load =
-    aTasks * kLoadUnit / slots + (aEntry.slow_ ? kLoadUnit : 0);
-  const uint64_t foreign =
-    aEntry.candidate_.zone_ == options_.zone_ ? 0 : uint64_t{ 1 } << kZoneShift;
-  return (std::min(load, kHighestLoad) << kLoadShift) | foreign |
-         (random_() & kTieMask);
+  return aTasks * kLoadUnit / slots + (aEntry.slow_ ? kLoadUnit : 0);
+}
+
+uint64_t
+Router::Key(const Entry& aEntry, uint64_t aLoad)
+{
+  const uint64_t foreign = IsForeign(aEntry) ? 1 : 0;
+  return (std::min(aLoad, kHighestLoad) << kLoadShift) |
+         (foreign << kZoneShift) | (random_() & kTieMask);
 }
 
 uint64_t
 Router::KeyBy(const LeastLoaded& /*aRule*/, const Entry& aEntry)
 {
-  return LoadKey(aEntry, Tasks(aEntry));
+  return Key(aEntry, LoadOf(aEntry, Tasks(aEntry)));
+}
+
+uint64_t
+Router::KeyBy(const ZoneFirst& /*aRule*/, const Entry& aEntry)
+{
+  const uint64_t load = LoadOf(aEntry, Tasks(aEntry));
+  // Free slots of other zones rank behind all free slots of the own zone, and
+  // before every full sidecar.
+  const bool ownAndFree = !IsForeign(aEntry) && load < kLoadUnit;
+  return Key(aEntry, ownAndFree ? load : load + kLoadUnit);
 }
 
 uint64_t
 Router::KeyBy(const StaleLeastLoaded& /*aRule*/, const Entry& aEntry)
 {
   const LoadReport& load = aEntry.candidate_.load_;
-  return LoadKey(aEntry, load.running_ + load.queued_);
+  return Key(aEntry, LoadOf(aEntry, load.running_ + load.queued_));
 }
 
 uint64_t
--- a/src/libcornelfront/policy/router_test.cpp
+++ b/src/libcornelfront/policy/router_test.cpp
@@ -6,11 +6,8 @@
 namespace {
 
 constexpr MonoTime kNow{ std::chrono::hours(1) };
-constexpr auto kRules = { "least_loaded",
-                          "stale_least_loaded",
-                          "random",
-                          "round_robin",
-                          "power_of_two" };
+constexpr auto kRules = { "least_loaded", "zone_first",  "stale_least_loaded",
+                          "random",       "round_robin", "power_of_two" };
 
 Candidate
 Sidecar(uint64_t aId, const std::string& aZone, LoadReport aLoad)
@@ -42,6 +39,17 @@
   EXPECT_NE(router.Choose({}, kNow), Id(2));
 }
 
+TEST(Router, ZoneFirstFillsItsOwnZoneThenOthersThenQueues)
+{
+  Router router({ .rule_ = ZoneFirst{}, .zone_ = "b", .queuePerSidecar_ = 1 });
+  router.Upsert(Sidecar(1, "a", { .slots_ = 2 }));
+  router.Upsert(Sidecar(2, "b", { .slots_ = 2 }));
+  for (uint64_t expected : { 2, 2, 1, 1, 2, 1 }) {
+    EXPECT_EQ(router.Choose({}, kNow), Id(expected));
+  }
+  EXPECT_FALSE(router.Choose({}, kNow));
+}
+
 TEST(Router, CountsItsOwnOutstandingTasksUpToTheBound)
 {
   Router router({ .queuePerSidecar_ = 1 });
