--- a/src/include/cornelfront/events.h
+++ b/src/include/cornelfront/events.h
@@ -100,14 +100,29 @@
   EventFields fields_;
 };
 
+/// What a buffer held at one moment.
+struct EventSnapshot
+{
+  /// Number of events dropped from the buffer so far.
+  uint64_t dropped_ = 0;
+  /// Stamp of the oldest event in the buffer; 0 if it is empty.
+  uint64_t oldest_ = 0;
+  /// The events asked for, oldest first.
+  std::vector<Event> events_;
+};
+
 struct EventLogOptions
 {
   /// Oldest events are dropped beyond this number.
   size_t capacity_ = 20000;
 };
 
-/// Text of an event's log line, such as "[202 link_silent] peer=7f2c"; values
-/// with spaces, quotes or control characters are quoted and escaped.
+/// "key=value" of each field, separated by spaces; values with spaces, quotes
+/// or control characters are quoted and escaped.
+std::string
+FormatFields(const EventFields& aFields);
+
+/// Text of an event's log line, such as "[202 link_silent] peer=7f2c".
 std::string
 FormatEvent(EventId aId, const EventFields& aFields);
 
@@ -123,6 +138,9 @@
   /// Events with a stamp greater than \p aAfter, oldest first.
   std::vector<Event> Since(uint64_t aAfter) const;
 
+  /// Since together with the state of the buffer at the same moment.
+  EventSnapshot Snapshot(uint64_t aAfter) const;
+
   /// Number of events dropped from the buffer so far.
   uint64_t Dropped() const;
 
