--- a/testsuite/harness/caller.cpp
+++ b/testsuite/harness/caller.cpp
@@ -51,6 +51,7 @@
 ParseAnswer(const HttpResult& aResult)
 {
   CallerAnswer answer{ .status_ = aResult.response_.status_,
+                       .sent_ = aResult.failure_ != HttpFailure::NotSent,
                        .text_ = aResult.response_.body_ };
   const Json body = Json::parse(aResult.response_.body_, nullptr, false);
   if (aResult.failure_ != HttpFailure::None || !body.is_object()) {
--- a/testsuite/harness/caller.h
+++ b/testsuite/harness/caller.h
@@ -26,6 +26,8 @@
 {
   Answer outcome_ = Answer::None;
   int status_ = 0;
+  /// False if nothing can have reached the entry.
+  bool sent_ = true;
   std::string reason_;
   bool mayHaveRun_ = true;
   std::string submission_;
--- a/testsuite/harness/cluster.cpp
+++ b/testsuite/harness/cluster.cpp
@@ -372,6 +372,12 @@
   return offset + 1;
 }
 
+void
+Cluster::Append(const std::string& aRecord)
+{
+  logClient_->Append(aRecord, kPatience);
+}
+
 WallTime
 Cluster::WaitAccepted(uint64_t aVersion)
 {
--- a/testsuite/harness/cluster.h
+++ b/testsuite/harness/cluster.h
@@ -100,6 +100,11 @@
   /// the version that it makes.
   /// \throws LogUnavailable
   uint64_t Publish(const std::string& aKey, const std::string& aText);
+  /// Appends a record as it is.
+  /// \throws LogUnavailable
+  void Append(const std::string& aRecord);
+  /// The configuration after the last Publish.
+  const ConfigState& Config() const { return config_; }
   /// Waits until entries in a majority of the entry zones hold the version,
   /// and returns when that was seen.
   WallTime WaitAccepted(uint64_t aVersion);
--- a/testsuite/harness/load.cpp
+++ b/testsuite/harness/load.cpp
@@ -79,7 +79,8 @@
                                                aIsJob ? options_.jobTasks_ : 1,
                                                options_.run_,
                                                options_.call_);
-  const Answer answer = judge_.Submit(caller, submission).outcome_;
+  const CallerAnswer first = judge_.Submit(caller, submission);
+  const Answer answer = first.sent_ ? first.outcome_ : Answer::Refused;
   const bool open = answer == Answer::None || answer == Answer::Failed;
   if (!options_.resubmit_ || !open) {
     return answer;
--- a/testsuite/standins/fault_proxy.cpp
+++ b/testsuite/standins/fault_proxy.cpp
@@ -6,8 +6,8 @@
 /// "cut" (closes and refuses connections), "freeze" (keeps and accepts
 /// connections but forwards nothing until it is switched off),
 /// "freeze_existing" (the connections open now stay silent for good; new ones
-/// work), "drop_to_client" (loses what the target sends), and on framed routes
-/// "duplicate_frames" and "reorder_frames".
+/// work), "drop_to_client" and "drop_to_target" (loses one direction), and on
+/// framed routes "duplicate_frames" and "reorder_frames".
 
 #include "cornelfront/http_server.h"
 
@@ -39,6 +39,7 @@
   bool cut_ = false;
   bool freeze_ = false;
   bool dropToClient_ = false;
+  bool dropToTarget_ = false;
   bool duplicateFrames_ = false;
   bool reorderFrames_ = false;
 };
@@ -123,7 +124,7 @@
       Write();
       return;
     }
-    if (!toClient_ || !faults_.dropToClient_) {
+    if (!(toClient_ ? faults_.dropToClient_ : faults_.dropToTarget_)) {
       Accept(std::string_view(buffer_).substr(0, aCount));
     }
     Pump();
@@ -260,6 +261,8 @@
     faults_.freeze_ = aJson.value("freeze", faults_.freeze_);
     faults_.dropToClient_ =
       aJson.value("drop_to_client", faults_.dropToClient_);
+    faults_.dropToTarget_ =
+      aJson.value("drop_to_target", faults_.dropToTarget_);
     faults_.duplicateFrames_ =
       aJson.value("duplicate_frames", faults_.duplicateFrames_);
     faults_.reorderFrames_ =
