--- a/src/libcornelfront/caller_api.cpp
+++ b/src/libcornelfront/caller_api.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <stdexcept>
 #include <utility>
 
 namespace cornelfront {
@@ -89,6 +90,17 @@
            .retryAfter_ = kTableFullRetryAfter };
 }
 
+/// Sets a header in place of one that the response has from its owner.
+void
+SetHeader(HttpResponse& aResponse,
+          const std::string& aName,
+          const std::string& aValue)
+{
+  std::erase_if(aResponse.headers_,
+                [&](const auto& aHeader) { return aHeader.first == aName; });
+  aResponse.headers_.emplace_back(aName, aValue);
+}
+
 } // namespace
 
 CallerApi::CallerApi(CallerApiOptions aOptions,
@@ -102,6 +114,12 @@
   , forwarder_(aForwarder)
   , schemas_(std::move(aSchemas))
 {
+  const SubmissionTableOptions& table = submissions_.Options();
+  if (table.start_ != options_.start_ ||
+      table.prefixLifetime_ != options_.prefixLifetime_) {
+    throw std::invalid_argument("the table of submissions judges prefixes by "
+                                "another start or lifetime");
+  }
   // The quota comes last: a request that another filter refuses must not use
   // it up.
   filters_ = { DrainingFilter{ &draining_ },
@@ -358,8 +376,7 @@
     if (!draining_) {
       const KeyPrefix prefix =
         IssuePrefix(options_.self_, options_.start_, aNow);
-      aResponse.headers_.emplace_back("Cornelfront-Key-Prefix",
-                                      ToString(prefix));
+      SetHeader(aResponse, "Cornelfront-Key-Prefix", ToString(prefix));
     }
     respond(std::move(aResponse));
   };
--- a/src/libutil/events.cpp
+++ b/src/libutil/events.cpp
@@ -171,6 +171,21 @@
   return sIds;
 }
 
+std::string
+FormatFields(const EventFields& aFields)
+{
+  std::string text;
+  for (const auto& [key, value] : aFields) {
+    if (!text.empty()) {
+      text += ' ';
+    }
+    text += key;
+    text += '=';
+    text += NeedsQuotes(value) ? Quote(value) : value;
+  }
+  return text;
+}
+
 std::string
 FormatEvent(EventId aId, const EventFields& aFields)
 {
@@ -179,11 +194,9 @@
   line += ' ';
   line += EventName(aId);
   line += ']';
-  for (const auto& [key, value] : aFields) {
+  if (!aFields.empty()) {
     line += ' ';
-    line += key;
-    line += '=';
-    line += NeedsQuotes(value) ? Quote(value) : value;
+    line += FormatFields(aFields);
   }
   return line;
 }
@@ -227,6 +240,12 @@
 
 std::vector<Event>
 EventLog::Since(uint64_t aAfter) const
+{
+  return Snapshot(aAfter).events_;
+}
+
+EventSnapshot
+EventLog::Snapshot(uint64_t aAfter) const
 {
   std::lock_guard lock(mutex_);
   const auto first = std::upper_bound(events_.begin(),
@@ -235,7 +254,9 @@
                                       [](uint64_t aStamp, const Event& aEvent) {
                                         return aStamp < aEvent.stamp_;
                                       });
-  return { first, events_.end() };
+  return { .dropped_ = dropped_,
+           .oldest_ = events_.empty() ? 0 : events_.front().stamp_,
+           .events_ = { first, events_.end() } };
 }
 
 uint64_t
