Pick process tests' ports below the ephemeral range

One run of ZoneOut failed at start because a process could not bind its port: a port chosen by binding to 0 lies in the range from which outgoing connections take theirs. A failure now shows the end of the process's standard error, the case's name, and the requests that were lost.

--- a/testsuite/harness/judge.cpp
+++ b/testsuite/harness/judge.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <fstream>
 #include <set>
+#include <sstream>
 
 namespace cornelfront::harness {
 
@@ -113,6 +114,21 @@
   EXPECT_FALSE(aRefusal.answer_.mayHaveRun_) << aRefusal.answer_;
 }
 
+std::string
+Judge::Lost() const
+{
+  const std::scoped_lock lock(mutex_);
+  std::ostringstream text;
+  for (const auto& [id, history] : histories_) {
+    const CallerAnswer& newest = history.answers_.back().answer_;
+    if (newest.outcome_ == Answer::Failed || newest.outcome_ == Answer::None) {
+      text << id << ": " << history.answers_.front().answer_ << " then "
+           << newest << "\n";
+    }
+  }
+  return text.str();
+}
+
 size_t
 Judge::Count(Answer aOutcome) const
 {
--- a/testsuite/harness/judge.h
+++ b/testsuite/harness/judge.h
@@ -44,6 +44,8 @@
   /// body, each refusal of what had been started, each start of what was only
   /// refused, and each completed answer that is not whole or has no start.
   void Check(const std::vector<StartRecord>& aStarts) const;
+  /// The submissions that failed or got no answer, one a line.
+  std::string Lost() const;
   /// Number of submissions whose newest answer is \p aOutcome.
   size_t Count(Answer aOutcome) const;
 
--- a/testsuite/harness/process.cpp
+++ b/testsuite/harness/process.cpp
@@ -2,10 +2,13 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
+#include <random>
 #include <system_error>
 #include <thread>
 
@@ -22,6 +25,12 @@
 
 constexpr Millis kPoll{ 10 };
 constexpr int kExecFailed = 127;
+/// Below the ports that outgoing connections take, which could otherwise
+/// occupy a port between the choice and its use.
+constexpr uint16_t kFirstPort = 12000;
+constexpr uint16_t kLastPort = 32000;
+/// Of a process's standard error, in messages.
+constexpr size_t kShownBytes = 400;
 
 [[noreturn]] void
 ThrowErrno(const std::string& aWhat)
@@ -40,6 +49,26 @@
   _exit(kExecFailed);
 }
 
+bool
+CanBind(uint16_t aPort)
+{
+  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{ .sin_family = AF_INET, .sin_port = htons(aPort) };
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const auto* generic = reinterpret_cast<const sockaddr*>(&address);
+  const bool bound = bind(socket, generic, sizeof(address)) == 0;
+  close(socket);
+  return bound;
+}
+
+std::string
+EndOf(const std::string& aFile)
+{
+  std::ifstream file(aFile);
+  const std::string text(std::istreambuf_iterator<char>(file), {});
+  return text.substr(text.size() - std::min(text.size(), kShownBytes));
+}
+
 } // namespace
 
 bool
@@ -58,18 +87,13 @@
 uint16_t
 FreePort()
 {
-  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address{ .sin_family = AF_INET };
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  auto* generic = reinterpret_cast<sockaddr*>(&address);
-  const bool bound = bind(socket, generic, size) == 0 &&
-                     getsockname(socket, generic, &size) == 0;
-  close(socket);
-  if (!bound) {
-    ThrowErrno("no free port");
+  static std::mt19937 sRandom{ std::random_device{}() };
+  std::uniform_int_distribution<uint16_t> ports(kFirstPort, kLastPort);
+  uint16_t port = ports(sRandom);
+  while (!CanBind(port)) {
+    port = ports(sRandom);
   }
-  return ntohs(address.sin_port);
+  return port;
 }
 
 TempFolder::TempFolder()
@@ -104,6 +128,7 @@
 }
 
 Process::Process(const ProcessOptions& aOptions)
+  : errorFile_(aOptions.errorFile_)
 {
   std::array<int, 2> pipe{};
   if (pipe2(pipe.data(), O_CLOEXEC) != 0) {
@@ -161,7 +186,7 @@
     }
     const ssize_t count = read(output_, bytes.data(), bytes.size());
     if (count <= 0) {
-      throw std::runtime_error("the process ended: " + buffer_);
+      throw std::runtime_error("the process ended: " + EndOf(errorFile_));
     }
     buffer_.append(bytes.data(), static_cast<size_t>(count));
   }
--- a/testsuite/harness/process.h
+++ b/testsuite/harness/process.h
@@ -21,7 +21,7 @@
 bool
 WaitUntil(const std::function<bool()>& aCondition, Millis aTimeout = kPatience);
 
-/// Returns a port of loopback that was free just now.
+/// Returns a port of loopback that is free now.
 uint16_t
 FreePort();
 
@@ -77,6 +77,7 @@
 private:
   std::string ReadLine(MonoTime aDeadline);
 
+  std::string errorFile_;
   pid_t pid_ = -1;
   int output_ = -1;
   std::string buffer_;
--- a/testsuite/process/at_most_once_test.cpp
+++ b/testsuite/process/at_most_once_test.cpp
@@ -29,6 +29,11 @@
   std::function<void(Cluster&)> heal_;
   Answer lastAnswer_ = Answer::Completed;
   ClusterOptions cluster_{};
+
+  void PrintTo(const ResubmissionCase& aCase, std::ostream* aStream)
+  {
+    *aStream << aCase.name_;
+  }
   /// How long the first caller waits.
   Millis firstTimeout_ = kPatience;
 };
--- a/testsuite/process/lifecycle_test.cpp
+++ b/testsuite/process/lifecycle_test.cpp
@@ -54,7 +54,7 @@
     WaitForMore(load);
   }
   load.Stop();
-  EXPECT_EQ(load.Lost(), 0U);
+  EXPECT_EQ(load.Lost(), 0U) << judge.Lost();
   judge.Check(cluster.Starts());
 }
 
@@ -80,6 +80,12 @@
   int signal_ = 0;
 };
 
+void
+PrintTo(const LeavingCase& aCase, std::ostream* aStream)
+{
+  *aStream << aCase.name_;
+}
+
 class Leaving : public testing::TestWithParam<LeavingCase>
 {};
 
--- a/testsuite/process/load_faults_test.cpp
+++ b/testsuite/process/load_faults_test.cpp
@@ -25,6 +25,11 @@
   Step heal_;
   /// How long the fault lasts.
   Millis hold_{ 1500 };
+
+  void PrintTo(const FaultCase& aCase, std::ostream* aStream)
+  {
+    *aStream << aCase.name_;
+  }
   ClusterOptions cluster_{};
   LoadOptions load_{};
 };
--- a/testsuite/process/zone_test.cpp
+++ b/testsuite/process/zone_test.cpp
@@ -32,6 +32,12 @@
   Step late_;
 };
 
+void
+PrintTo(const ZoneCase& aCase, std::ostream* aStream)
+{
+  *aStream << aCase.name_;
+}
+
 void
 Nothing(Cluster&)
 {
@@ -182,7 +188,7 @@
       << kZones[i];
   }
   load.Stop();
-  EXPECT_EQ(load.Lost(), 0U);
+  EXPECT_EQ(load.Lost(), 0U) << judge.Lost();
   judge.Check(cluster.Starts());
 }
 
