--- /dev/null
+++ b/src/libcornelfront/policy/outcome.cpp
@@ -0,0 +1,23 @@
+#include "cornelfront/dispatcher.h"
+
+namespace cornelfront {
+
+std::string_view
+ToString(Outcome aOutcome)
+{
+  switch (aOutcome) {
+    case Outcome::Completed:
+      return "completed";
+    case Outcome::Failed:
+      return "failed";
+    case Outcome::Refused:
+      return "refused";
+  }
+<<<<<<< HEAD
+  return "";
+=======
+  return "unknown";
+>>>>>>> api
+}
+
+} // namespace cornelfront
