--- a/src/libcornelfront/entry.cpp
+++ b/src/libcornelfront/entry.cpp
@@ -5,11 +5,7 @@
 #include "controllers/entry_links.h"
 #include "controllers/forwards.h"
 #include "controllers/member_links.h"
-<<<<<<< HEAD
-#include "controllers/quota_controller.h"
-=======
 #include "controllers/quotas.h"
->>>>>>> api
 #include "cornelfront/caller_api.h"
 #include "cornelfront/events.h"
 #include "cornelfront/http_server.h"
@@ -79,9 +75,6 @@
   // Outlives everything that holds links.
   IoPool pool_;
   EntryLinks entries_;
-  QuotaController quotas_{ [this] {
-    return static_cast<unsigned>(entries_.Entries().size() + 1);
-  } };
   MemberLinks members_;
   Forwards forwards_;
   Submissions submissions_;
@@ -140,12 +133,8 @@
                                size_t aTasks,
                                MonoTime aNow) {
                           return quotas_.Take(aService, aTeam, aTasks, aNow);
-<<<<<<< HEAD
-                        } },
-=======
                         },
                       .events_ = &events_ },
->>>>>>> api
     *dispatcher_,
     submissions_,
     forwards_,
--- a/src/libcornelfront/policy/outcome.cpp
+++ b/src/libcornelfront/policy/outcome.cpp
@@ -13,11 +13,7 @@
     case Outcome::Refused:
       return "refused";
   }
-<<<<<<< HEAD
   return "";
-=======
-  return "unknown";
->>>>>>> api
 }
 
 } // namespace cornelfront
