--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -425,6 +425,13 @@
   return aAfter;
 }
 
+/// A rule is the name of a routing rule or a whole policy in braces.
+std::string
+PolicyOf(const std::string& aRule)
+{
+  return aRule.starts_with('{') ? aRule : "route_rule: " + aRule + "\n";
+}
+
 Outage
 OutageOf(const Options& aOptions)
 {
@@ -446,7 +453,7 @@
   std::ofstream csv(aOptions.csvFile_);
   csv << "rule,sent_ms,tasks,response_ms,ideal_ms,outcome\n";
   for (const std::string& rule : aOptions.rules_) {
-    publisher.Publish("policy", "route_rule: " + rule + "\n");
+    publisher.Publish("policy", PolicyOf(rule));
     std::this_thread::sleep_for(kSettleTime);
     const auto before = CountMessages(aOptions.metrics_);
     const auto samples = Replay(aOptions, trace, outage, publisher).Run();
@@ -464,7 +471,8 @@
   aApp.add_option("--metrics", aOptions.metrics_, "URLs that serve /metrics");
   aApp.add_option("--log", aOptions.logUrl_, "URL of the log")->required();
   aApp.add_option("--schema", aOptions.schemaFile_, "schema file")->required();
-  aApp.add_option("--rules", aOptions.rules_, "routing rules to compare");
+  aApp.add_option(
+    "--rules", aOptions.rules_, "routing rules or policies in braces");
   aApp.add_option("--seed", aOptions.trace_.seed_, "seed of the trace");
   aApp.add_option("--duration-s", aOptions.durationS_, "length, seconds");
   aApp.add_option("--slots", aOptions.trace_.slots_, "slots of all upstreams");
