--- a/src/include/cornelfront/size_estimate.h
+++ b/src/include/cornelfront/size_estimate.h
@@ -12,7 +12,7 @@
 
 /// Distribution of the recent run times of one call. The declared run time
 /// counts as a few observations, so it matters only until there are answers.
-/// Takes 320 bytes. Not thread-safe.
+/// Takes about 300 bytes. Not thread-safe.
 ///
 /// A histogram with logarithmic buckets whose counts fade; quantiles are exact
 /// to one bucket, that is, 19%.
