--- a/src/cornelfront/main.cpp
+++ b/src/cornelfront/main.cpp
@@ -10,6 +10,8 @@
   CLI::App app("Dispatcher for sub-second tasks", "cornelfront");
   app.require_subcommand(1);
   cornelfront::AddServeCommands(app);
+  cornelfront::AddStatusCommands(app);
+  cornelfront::AddTimelineCommands(app);
   try {
     app.parse(argc, argv);
   } catch (const CLI::RuntimeError& error) {
--- a/src/libcornelfront/entry.cpp
+++ b/src/libcornelfront/entry.cpp
@@ -5,7 +5,7 @@
 #include "controllers/entry_links.h"
 #include "controllers/forwards.h"
 #include "controllers/member_links.h"
-#include "controllers/quotas.h"
+#include "controllers/quota_controller.h"
 #include "cornelfront/caller_api.h"
 #include "cornelfront/events.h"
 #include "cornelfront/http_server.h"
@@ -65,10 +65,12 @@
   // Outlives everything that holds links.
   IoPool pool_;
   EntryLinks entries_;
+  QuotaController quotas_{ [this] {
+    return static_cast<unsigned>(entries_.Entries().size() + 1);
+  } };
   MemberLinks members_;
   Forwards forwards_;
   Submissions submissions_;
-  Quotas quotas_;
   std::unique_ptr<Dispatcher> dispatcher_;
   std::unique_ptr<ConfigController> config_;
   std::unique_ptr<CallerApi> callers_;
@@ -94,10 +96,6 @@
   , forwards_(entries_)
   , submissions_(
       { .start_ = start_, .prefixLifetime_ = settings_.prefixLifetime_ })
-  , quotas_([this] {
-    // The others, and this one.
-    return static_cast<unsigned>(entries_.Entries().size()) + 1;
-  })
   , accepted_(AcceptedHandlers())
   , dialled_(DialledHandlers())
 {
@@ -128,7 +126,9 @@
     forwards_,
     [this] { return Schemas(); });
   config_ = std::make_unique<ConfigController>(
-    ConfigControllerOptions{ .log_ = { .url_ = settings_.logUrl_ } },
+    ConfigControllerOptions{ .log_ = { .url_ = settings_.logUrl_ },
+                             .zone_ = settings_.zone_,
+                             .seed_ = self_.value_ },
     events_,
     [this](const ConfigStatePtr& aState) { OnConfigChange(aState); });
   dialer_ = std::make_unique<Dialer>(
@@ -349,6 +349,7 @@
   dispatcher_->OnLinkEnd(aLink, MonoClock::now());
   if (const auto peer = entries_.OnLinkEnd(aLink)) {
     forwards_.OnOwnerLost(peer->id_);
+    config_->OnPeerGone(peer->id_);
   }
   dialer_->OnLinkEnd(aLink);
 }
@@ -403,9 +404,7 @@
   while (!stopChanged_.wait_for(
     lock, kSweepInterval, [this] { return stopping_; })) {
     lock.unlock();
-    const MonoTime now = MonoClock::now();
-    submissions_.Sweep(now);
-    quotas_.Prune(now);
+    submissions_.Sweep(MonoClock::now());
     lock.lock();
   }
 }
--- a/src/libcornelfront/policy/outcome.cpp
+++ b/src/libcornelfront/policy/outcome.cpp
@@ -13,7 +13,7 @@
     case Outcome::Refused:
       return "refused";
   }
-  return "unknown";
+  return "";
 }
 
 } // namespace cornelfront
