--- a/testsuite/harness/load.cpp
+++ b/testsuite/harness/load.cpp
@@ -59,6 +59,10 @@
     if (answer != Answer::Refused) {
       return answer == Answer::Completed;
     }
+    if (stopping_) {
+      // Counted as lost only if it has been tried to the end.
+      return true;
+    }
     std::this_thread::sleep_for(kPause);
   }
   return false;
