--- a/src/cmake/testing.cmake
+++ b/src/cmake/testing.cmake
@@ -10,5 +10,7 @@
   target_compile_definitions(
     ${target} PRIVATE CORNELFRONT_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
   target_link_libraries(${target} PRIVATE ${ARG_LIBRARIES} GTest::gmock_main)
-  gtest_discover_tests(${target} DISCOVERY_TIMEOUT 60 PROPERTIES TIMEOUT 120)
+  # A printed parameter may hold addresses; the CTest name must be stable.
+  gtest_discover_tests(${target} NO_PRETTY_VALUES DISCOVERY_TIMEOUT 60
+                       PROPERTIES TIMEOUT 120)
 endfunction()
