Record the configuration version with each task start

The design asks that a start in the time line carries the configuration that let it pass. The gate now returns its reason together with the version that it judged by, both read under one lock; reading the version afterwards could have named a newer one.

--- a/src/libcornelfront/sidecar.cpp
+++ b/src/libcornelfront/sidecar.cpp
@@ -82,6 +82,14 @@
   return announcement;
 }
 
+/// What the gate said at one moment.
+struct GateVerdict
+{
+  TaskReason reason_ = TaskReason::None;
+  /// Configuration that the gate judged by.
+  ConfigVersion version_ = {};
+};
+
 } // namespace
 
 class Sidecar::Impl
@@ -115,7 +123,7 @@
   UpstreamStatus Status() const;
   void SendStatus();
   void Answer(std::vector<TaskAnswer> aAnswers);
-  TaskReason CheckGate(MonoTime aNow) const;
+  GateVerdict CheckGate(MonoTime aNow) const;
   void RunSlot(unsigned aSlot);
   TaskAnswer RunTask(UpstreamClient& aClient, const RunningTask& aTask);
   void RecordRefusals(const std::vector<TaskAnswer>& aAnswers);
@@ -391,14 +399,14 @@
   }
 }
 
-TaskReason
+GateVerdict
 Sidecar::Impl::CheckGate(MonoTime aNow) const
 {
   if (draining_) {
-    return TaskReason::Draining;
+    return { .reason_ = TaskReason::Draining };
   }
   std::lock_guard lock(gateMutex_);
-  return gate_.Check(aNow);
+  return { .reason_ = gate_.Check(aNow), .version_ = gate_.Version() };
 }
 
 void
@@ -427,7 +435,8 @@
 {
   const MonoTime now = MonoClock::now();
   const UpstreamAnnouncement upstream = lease_.Current();
-  TaskReason reason = CheckGate(now);
+  const GateVerdict verdict = CheckGate(now);
+  TaskReason reason = verdict.reason_;
   if (reason == TaskReason::None && upstream.slots_ == 0) {
     reason = TaskReason::NoUpstream;
   }
@@ -447,7 +456,8 @@
                    { "submission", aTask.task_.submission_ },
                    { "index", std::to_string(aTask.task_.index_) },
                    { "call", aTask.task_.call_ },
-                   { "zone", settings_.zone_ } },
+                   { "zone", settings_.zone_ },
+                   { "version", std::to_string(verdict.version_.value_) } },
                  WallClock::now());
   return aClient.Run(upstream.port_,
                      aTask.task_,
--- a/testsuite/process/timeline_test.cpp
+++ b/testsuite/process/timeline_test.cpp
@@ -75,6 +75,7 @@
     if (event.event_.name_ == "task_started") {
       EXPECT_TRUE(running.insert(task).second) << task;
       EXPECT_EQ(FieldOf(event, "zone"), event.process_.zone_);
+      EXPECT_GT(std::stoul(FieldOf(event, "version")), 0U);
     } else if (event.event_.name_ == "task_finished") {
       EXPECT_EQ(running.count(task), 1U) << task;
       finished.insert(task);
