--- a/src/libcornelfront/caller_api_explorer_test.cpp
+++ b/src/libcornelfront/caller_api_explorer_test.cpp
@@ -407,7 +407,7 @@
   bool liedRefused_ = false;
 };
 
-/// Depth-first over all states; each is rebuilt by repeating its steps.
+/// Depth-first over all states, which are rebuilt by repeating their steps.
 class Search
 {
 public:
@@ -420,30 +420,37 @@
 
   SearchResult Run()
   {
-    Visit();
+    Visit(Rebuild());
     return result_;
   }
 
 private:
-  void Visit()
+  std::unique_ptr<World> Rebuild() const
   {
-    World world(variant_);
+    auto world = std::make_unique<World>(variant_);
     for (const size_t step : path_) {
-      world.Actions()[step]();
+      world->Actions()[step]();
     }
+    return world;
+  }
+
+  void Visit(std::unique_ptr<World> aWorld)
+  {
     // Before the look-up: what the last step did depends on where it began,
     // not only on where it led.
-    result_.mostStarts_ = std::max(result_.mostStarts_, world.Starts());
-    result_.liedRefused_ = result_.liedRefused_ || world.LiedRefused();
-    if (!seen_.insert(world.Signature()).second) {
+    result_.mostStarts_ = std::max(result_.mostStarts_, aWorld->Starts());
+    result_.liedRefused_ = result_.liedRefused_ || aWorld->LiedRefused();
+    if (!seen_.insert(aWorld->Signature()).second) {
       return;
     }
     ++result_.states_;
-    const size_t choices = world.Actions().size();
+    const size_t choices = aWorld->Actions().size();
     for (size_t step = 0; step < choices && result_.mostStarts_ < enoughStarts_;
          ++step) {
+      auto next = step + 1 < choices ? Rebuild() : std::move(aWorld);
+      next->Actions()[step]();
       path_.push_back(step);
-      Visit();
+      Visit(std::move(next));
       path_.pop_back();
     }
   }
