Refuse starts that are read too late; dial one endpoint per entry

Cause: a task already in the socket of a suspended upstream started when it woke, long after the sidecar's check; the duration that the request carried counts from its receipt. Sidecar and upstream share a worker, so the request now carries an absolute time of its monotonic clock, at most 500 ms after the check. The test of a silent upstream is back to its stricter form, which counts every start recorded after the bound (it had been narrowed to tasks submitted after it).

Also: a seed that differs from an entry's advertised address led to two links to one entry, each closing the other. The endpoint of the replaced link is now parked until a link ends.

--- a/src/include/cornelfront/link.h
+++ b/src/include/cornelfront/link.h
@@ -166,6 +166,10 @@
   /// is not \p aPermanent is forgotten after it failed for a while.
   void Add(const Endpoint& aEndpoint, bool aPermanent);
 
+  /// Stops dialling the endpoint of this link, because another endpoint leads
+  /// to the same process, until any link ends.
+  void Park(const LinkPtr& aLink);
+
   /// Tells that a link made by aOnConnect has ended.
   void OnLinkEnd(const LinkPtr& aLink);
 
--- a/src/libcornelfront/entry.cpp
+++ b/src/libcornelfront/entry.cpp
@@ -330,6 +330,7 @@
   }
   const LinkPtr earlier = entries_.OnWelcome(aLink, aWelcome.self_);
   if (earlier) {
+    dialer_->Park(earlier);
     earlier->Close();
   }
   events_.Record(EventId::LinkUp,
--- a/src/libcornelfront/net/dialer.cpp
+++ b/src/libcornelfront/net/dialer.cpp
@@ -1,5 +1,6 @@
 #include "cornelfront/link.h"
 
+#include <algorithm>
 #include <map>
 
 namespace cornelfront {
@@ -90,6 +91,7 @@
     bool permanent_ = false;
     int failures_ = 0;
     uint64_t linkSerial_ = 0;
+    bool parked_ = false;
   };
   using Key = std::pair<std::string, uint16_t>;
 
@@ -198,6 +200,18 @@
   state_->Dial(key);
 }
 
+void
+Dialer::Park(const LinkPtr& aLink)
+{
+  std::lock_guard lock(state_->mutex_);
+  for (auto& [key, target] : state_->targets_) {
+    if (target.linkSerial_ == aLink->Serial()) {
+      target.linkSerial_ = 0;
+      target.parked_ = true;
+    }
+  }
+}
+
 void
 Dialer::OnLinkEnd(const LinkPtr& aLink)
 {
@@ -205,11 +219,18 @@
   if (state_->stopped_) {
     return;
   }
+  const auto ended = std::ranges::find_if(state_->targets_, [&](auto& aTarget) {
+    return aTarget.second.linkSerial_ == aLink->Serial();
+  });
+  if (ended == state_->targets_.end()) {
+    return; // parked
+  }
+  ended->second.linkSerial_ = 0;
+  state_->DialLater(ended->first);
   for (auto& [key, target] : state_->targets_) {
-    if (target.linkSerial_ == aLink->Serial()) {
-      target.linkSerial_ = 0;
+    if (target.parked_) {
+      target.parked_ = false;
       state_->DialLater(key);
-      return;
     }
   }
 }
--- a/src/libcornelfront/net/upstream_client.cpp
+++ b/src/libcornelfront/net/upstream_client.cpp
@@ -18,11 +18,13 @@
 }
 
 std::string
-StartQuery(const StartTask& aTask, Millis aStartWithin)
+StartQuery(const StartTask& aTask, MonoTime aStartBy)
 {
+  const auto startBy =
+    std::chrono::duration_cast<Millis>(aStartBy.time_since_epoch());
   return "?call=" + aTask.call_ + "&submission=" + aTask.submission_ +
          "&index=" + std::to_string(aTask.index_) +
-         "&start_within_ms=" + std::to_string(aStartWithin.count()) +
+         "&start_by_ms=" + std::to_string(startBy.count()) +
          "&run_limit_ms=" + std::to_string(aTask.runLimit_.count());
 }
 
@@ -56,13 +58,13 @@
 TaskAnswer
 UpstreamClient::Run(uint16_t aPort,
                     const StartTask& aTask,
-                    Millis aStartWithin,
+                    MonoTime aStartBy,
                     const std::atomic<bool>& aAbort)
 {
   const MonoTime begin = MonoClock::now();
   HttpResult result = http_.Perform(
     { .method_ = "POST",
-      .url_ = TaskUrl(aPort, aTask.id_) + StartQuery(aTask, aStartWithin),
+      .url_ = TaskUrl(aPort, aTask.id_) + StartQuery(aTask, aStartBy),
       .headers_ = { { "Content-Type", "application/octet-stream" } },
       .body_ = aTask.body_,
       .connectTimeout_ = kConnectTimeout,
--- a/src/libcornelfront/net/upstream_client.h
+++ b/src/libcornelfront/net/upstream_client.h
@@ -2,10 +2,13 @@
 
 /// \file
 /// The sidecar's side of the protocol with its upstream, over loopback HTTP:
-///   POST /tasks/<task id>?call=&submission=&index=&start_within_ms=
+///   POST /tasks/<task id>?call=&submission=&index=&start_by_ms=
 ///        &run_limit_ms=   runs the task; the bodies are opaque.
 ///     -> 200 completed; 429 refused before the start; 409 stopped;
 ///        any other status: the task ran and failed
+///     start_by_ms is a time of the worker's CLOCK_MONOTONIC, in milliseconds,
+///     which both processes share: a request that is read later, because
+///     either process was suspended, must be refused with 429.
 ///   DELETE /tasks/<task id>   stops the task
 
 #include "cornelfront/clock.h"
@@ -22,11 +25,11 @@
 {
 public:
   /// Runs the task at the upstream on \p aPort and waits for its end.
-  /// \p aStartWithin is what is left until its start-by time. Setting
+  /// The upstream refuses to start it after \p aStartBy. Setting
   /// \p aAbort stops the task.
   TaskAnswer Run(uint16_t aPort,
                  const StartTask& aTask,
-                 Millis aStartWithin,
+                 MonoTime aStartBy,
                  const std::atomic<bool>& aAbort);
 
 private:
--- a/src/libcornelfront/sidecar.cpp
+++ b/src/libcornelfront/sidecar.cpp
@@ -15,6 +15,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <condition_variable>
 #include <thread>
 
@@ -27,6 +28,8 @@
 constexpr unsigned kMessageThreads = 2;
 /// A message takes no further answer once its bodies have this many bytes.
 constexpr size_t kMaxAnswerBytes = 1U << 20;
+/// The upstream refuses a start later than this after the gate's check.
+constexpr Millis kStartGrace{ 500 };
 constexpr Millis kSweepInterval{ 10 };
 constexpr Millis kStopPoll{ 10 };
 constexpr Millis kFlushLimit{ 1000 };
@@ -274,6 +277,7 @@
   const LinkPtr earlier = entries_.OnWelcome(aLink, aWelcome.self_);
   tasks_.BindLink(aWelcome.self_.id_, aLink->Serial());
   if (earlier) {
+    dialer_->Park(earlier);
     earlier->Close();
   }
   events_.Record(EventId::LinkUp,
@@ -453,7 +457,7 @@
                  WallClock::now());
   return aClient.Run(upstream.port_,
                      aTask.task_,
-                     std::chrono::duration_cast<Millis>(aTask.startBy_ - now),
+                     std::min(aTask.startBy_, now + kStartGrace),
                      *aTask.abort_);
 }
 
--- a/testsuite/process/lifecycle_test.cpp
+++ b/testsuite/process/lifecycle_test.cpp
@@ -26,13 +26,6 @@
   EXPECT_TRUE(WaitUntil([&] { return aLoad.Completed() >= before + kWarmUp; }));
 }
 
-WallTime
-SubmittedAt(const StartRecord& aStart)
-{
-  const size_t dash = aStart.submission_.rfind('-');
-  return WallTime(Millis(std::stoll(aStart.submission_.substr(dash + 1))));
-}
-
 void
 Terminate(Process& aProcess)
 {
@@ -136,9 +129,9 @@
   std::this_thread::sleep_for(kWatch);
   std::vector<StartRecord> late = cluster.Starts();
   std::erase_if(late, [&](const StartRecord& aStart) {
-    return aStart.upstream_ != 0 || SubmittedAt(aStart) < bound;
+    return aStart.upstream_ != 0 || aStart.started_ < bound;
   });
-  // What reached its socket before the bound may start when it goes on.
+  // Not even what reached its socket before the bound may start now.
   EXPECT_TRUE(late.empty()) << late.size() << " starts";
   judge.Check(cluster.Starts());
 }
--- a/testsuite/standins/upstream_standin.cpp
+++ b/testsuite/standins/upstream_standin.cpp
@@ -217,6 +217,10 @@
     if (running_ >= options_.slots_) {
       return "all slots are busy";
     }
+    const Millis startBy(IntQuery(aRequest, "start_by_ms", 0));
+    if (startBy > Millis(0) && MonoClock::now().time_since_epoch() > startBy) {
+      return "start_by_ms has passed";
+    }
     const auto memory = uint64_t(IntQuery(aRequest, "memory_mb", 0));
     if (memory > options_.memoryMb_) {
       return "memory_mb exceeds " + std::to_string(options_.memoryMb_);
