Finish what is being written at a planned stop; apply configurations in order

Cause, found by reading: an entry's stop waited for its jobs but not for their responses to be written, and its links were dropped with frames still queued; two reports of new configurations could be applied in the wrong order. The entry's status had an encoder of its own beside the common one, and both processes mapped link ends to events by the same lines.

Ruled out: a fixed pause before the end.

--- a/src/include/cornelfront/http_server.h
+++ b/src/include/cornelfront/http_server.h
@@ -93,6 +93,9 @@
   /// The bound port.
   uint16_t Port() const;
 
+  /// Requests that have begun to arrive and whose response is not yet written.
+  size_t OpenRequests() const;
+
 private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/include/cornelfront/link.h
+++ b/src/include/cornelfront/link.h
@@ -4,6 +4,7 @@
 /// Persistent connections between cornelfront processes.
 
 #include "cornelfront/clock.h"
+#include "cornelfront/events.h"
 #include "cornelfront/messages.h"
 #include "cornelfront/settings.h"
 
@@ -57,6 +58,10 @@
   BadFrame,
 };
 
+/// The event that records such an end.
+EventId
+EventFor(LinkEnd aEnd);
+
 /// What a link needs from the process that owns it. All calls come from the
 /// link's strand, one at a time, except Evidence.
 struct LinkHandlers
--- a/src/libcornelfront/controllers/member_links.cpp
+++ b/src/libcornelfront/controllers/member_links.cpp
@@ -24,21 +24,41 @@
   return found == members_.end() ? "" : found->second.name_;
 }
 
-void
-MemberLinks::SendToAll(const Message& aMessage) const
+std::vector<LinkPtr>
+MemberLinks::Links() const
 {
+  std::lock_guard lock(mutex_);
   std::vector<LinkPtr> links;
-  {
-    std::lock_guard lock(mutex_);
-    for (const auto& [serial, member] : members_) {
-      links.push_back(member.link_);
-    }
+  links.reserve(members_.size());
+  for (const auto& [serial, member] : members_) {
+    links.push_back(member.link_);
   }
-  for (const LinkPtr& link : links) {
+  return links;
+}
+
+void
+MemberLinks::SendToAll(const Message& aMessage) const
+{
+  for (const LinkPtr& link : Links()) {
     link->Send(aMessage);
   }
 }
 
+void
+MemberLinks::CloseAll() const
+{
+  for (const LinkPtr& link : Links()) {
+    link->Close();
+  }
+}
+
+size_t
+MemberLinks::size() const
+{
+  std::lock_guard lock(mutex_);
+  return members_.size();
+}
+
 void
 MemberLinks::SendConfig(const ConfigStatePtr& aState)
 {
--- a/src/libcornelfront/controllers/member_links.h
+++ b/src/libcornelfront/controllers/member_links.h
@@ -26,6 +26,9 @@
   std::string Describe(const LinkPtr& aLink) const;
 
   void SendToAll(const Message& aMessage) const;
+  /// Ends every link after what is queued on it was written.
+  void CloseAll() const;
+  size_t size() const;
   /// Sends the state on every link on which it was not sent before.
   void SendConfig(const ConfigStatePtr& aState);
   /// Sends the state if the other side holds an older version and has not
@@ -42,6 +45,8 @@
     ConfigVersion sent_;
   };
 
+  std::vector<LinkPtr> Links() const;
+
   mutable std::mutex mutex_;
   std::unordered_map<uint64_t, Member> members_;
 };
--- a/src/libcornelfront/entry.cpp
+++ b/src/libcornelfront/entry.cpp
@@ -6,6 +6,7 @@
 #include "controllers/forwards.h"
 #include "controllers/member_links.h"
 #include "controllers/quotas.h"
+#include "cornelfront/admin_status.h"
 #include "cornelfront/caller_api.h"
 #include "cornelfront/events.h"
 #include "cornelfront/http_server.h"
@@ -13,7 +14,6 @@
 #include "cornelfront/metrics.h"
 #include "cornelfront/submissions.h"
 #include "net/admin_routes.h"
-#include "net/entry_status.h"
 #include "net/process_metrics.h"
 
 #include <condition_variable>
@@ -27,6 +27,19 @@
 constexpr size_t kMaxForwardedBytes = kMaxFrameBytes - (64U << 10);
 constexpr Millis kSweepInterval{ 1000 };
 constexpr Millis kStopPoll{ 10 };
+/// Bound on writing what is queued on the links at a planned stop.
+constexpr Millis kFlushLimit{ 1000 };
+
+KnownSidecar
+ToKnown(const SidecarView& aView)
+{
+  return { .process_ = { aView.id_, aView.name_, "sidecar", aView.zone_ },
+           .http_ = aView.http_,
+           .service_ = aView.status_.service_,
+           .ready_ = aView.status_.ready_,
+           .configVersion_ = aView.configVersion_,
+           .load_ = aView.status_.load_ };
+}
 
 } // namespace
 
@@ -85,6 +98,9 @@
   std::unique_ptr<ConfigController> config_;
   std::unique_ptr<CallerApi> callers_;
 
+  std::mutex configOrderMutex_;
+  ConfigVersion appliedVersion_;
+
   mutable std::mutex schemasMutex_;
   SchemaSetPtr schemas_ = std::make_shared<const SchemaSet>();
 
@@ -359,14 +375,8 @@
                    const std::string& aDetail)
 {
   metrics_.CountLinkEnd(std::string(ToString(aEnd)));
-  EventId event = EventId::LinkDown;
-  if (aEnd == LinkEnd::Silent) {
-    event = EventId::LinkSilent;
-  } else if (aEnd == LinkEnd::BadFrame) {
-    event = EventId::BadFrame;
-  }
   events_.Record(
-    event,
+    EventFor(aEnd),
     { { "member", members_.Describe(aLink) }, { "detail", aDetail } },
     WallClock::now());
   members_.Remove(aLink);
@@ -381,6 +391,12 @@
 void
 Entry::Impl::OnConfigChange(const ConfigStatePtr& aState)
 {
+  // Changes may be reported out of order.
+  std::lock_guard order(configOrderMutex_);
+  if (aState->version_ <= appliedVersion_) {
+    return;
+  }
+  appliedVersion_ = aState->version_;
   auto schemas = std::make_shared<const SchemaSet>(BuildSchemaSet(*aState));
   {
     std::lock_guard lock(schemasMutex_);
@@ -431,13 +447,21 @@
 std::string
 Entry::Impl::StatusJson() const
 {
-  const EntryAddress self = Self();
-  return EntryStatusJson({ .self_ = self,
-                           .name_ = settings_.name_,
-                           .http_ = self.http_,
-                           .evidence_ = config_->Evidence(MonoClock::now()),
-                           .entries_ = entries_.Entries(),
-                           .sidecars_ = dispatcher_->Sidecars() });
+  const ConfigEvidence evidence = config_->Evidence(MonoClock::now());
+  AdminStatus status{
+    .process_ = { self_, settings_.name_, "entry", settings_.zone_ },
+    .http_ = Self().http_,
+    .configVersion_ = evidence.version_,
+    .logReachable_ = evidence.logReachable_,
+    .witness_ = evidence.witness_
+  };
+  for (const EntryAddress& entry : entries_.Entries()) {
+    status.entries_.push_back({ .address_ = entry, .http_ = entry.http_ });
+  }
+  for (const SidecarView& view : dispatcher_->Sidecars()) {
+    status.sidecars_.push_back(ToKnown(view));
+  }
+  return EncodeAdminStatus(status);
 }
 
 void
@@ -480,10 +504,16 @@
   std::this_thread::sleep_for(settings_.drainNotice_);
   callers_->StartDraining();
   const MonoTime limit = MonoClock::now() + settings_.drainLimit_;
-  while (dispatcher_->JobCount() > 0 && MonoClock::now() < limit) {
+  while ((dispatcher_->JobCount() > 0 || http_->OpenRequests() > 0) &&
+         MonoClock::now() < limit) {
     std::this_thread::sleep_for(kStopPoll);
   }
   members_.SendToAll(Leaving{});
+  members_.CloseAll();
+  const MonoTime flushLimit = MonoClock::now() + kFlushLimit;
+  while (members_.size() > 0 && MonoClock::now() < flushLimit) {
+    std::this_thread::sleep_for(kStopPoll);
+  }
   events_.Record(EventId::ProcessStopped, {}, WallClock::now());
 }
 
--- a/src/libcornelfront/net/http_server.cpp
+++ b/src/libcornelfront/net/http_server.cpp
@@ -9,6 +9,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 
+#include <atomic>
 #include <cctype>
 #include <cstdlib>
 #include <mutex>
@@ -186,6 +187,8 @@
     MHD_stop_daemon(daemon_);
   }
 
+  size_t OpenRequests() const { return openRequests_.load(); }
+
   uint16_t Port() const
   {
     const MHD_DaemonInfo* info =
@@ -280,6 +283,7 @@
     auto* state = static_cast<RequestState*>(*aState);
     if (state == nullptr) {
       state = NewRequest(aConnection, aUrl, aMethod);
+      self->openRequests_.fetch_add(1);
       *aState = state;
       return self->RejectLargeBody(*state, aConnection);
     }
@@ -389,10 +393,14 @@
   {
     auto* self = static_cast<Impl*>(aSelf);
     self->watch_.OnAnswered(SocketOf(aConnection), MonoClock::now());
+    if (*aState != nullptr) {
+      self->openRequests_.fetch_sub(1);
+    }
     delete static_cast<RequestState*>(*aState);
     *aState = nullptr;
   }
 
+  std::atomic<size_t> openRequests_ = 0;
   HttpServerOptions options_;
   HttpHandler handler_;
   std::shared_ptr<PendingSet> pending_;
@@ -407,6 +415,12 @@
 
 HttpServer::~HttpServer() = default;
 
+size_t
+HttpServer::OpenRequests() const
+{
+  return impl_->OpenRequests();
+}
+
 uint16_t
 HttpServer::Port() const
 {
--- a/src/libcornelfront/net/link.cpp
+++ b/src/libcornelfront/net/link.cpp
@@ -59,6 +59,19 @@
 
 } // namespace
 
+EventId
+EventFor(LinkEnd aEnd)
+{
+  switch (aEnd) {
+    case LinkEnd::Silent:
+      return EventId::LinkSilent;
+    case LinkEnd::BadFrame:
+      return EventId::BadFrame;
+    default:
+      return EventId::LinkDown;
+  }
+}
+
 IoPool::IoPool(unsigned aThreads)
   : work_(asio::make_work_guard(context_))
 {
--- a/src/libcornelfront/sidecar.cpp
+++ b/src/libcornelfront/sidecar.cpp
@@ -297,14 +297,8 @@
     gate_.OnEntryGone(peer->id_);
   }
   metrics_.CountLinkEnd(std::string(ToString(aEnd)));
-  EventId event = EventId::LinkDown;
-  if (aEnd == LinkEnd::Silent) {
-    event = EventId::LinkSilent;
-  } else if (aEnd == LinkEnd::BadFrame) {
-    event = EventId::BadFrame;
-  }
   events_.Record(
-    event,
+    EventFor(aEnd),
     { { "entry", peer ? ToString(peer->id_) : "" }, { "detail", aDetail } },
     WallClock::now());
   if (!draining_) {
