--- a/testsuite/harness/process.cpp
+++ b/testsuite/harness/process.cpp
@@ -8,13 +8,14 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
-#include <random>
+#include <stdexcept>
 #include <system_error>
 #include <thread>
 
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <poll.h>
+#include <sys/file.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -28,7 +29,8 @@
 /// Below the ports that outgoing connections take, which could otherwise
 /// occupy a port between the choice and its use.
 constexpr uint16_t kFirstPort = 12000;
-constexpr uint16_t kLastPort = 32000;
+constexpr unsigned kPortsPerBlock = 128;
+constexpr unsigned kPortBlocks = 150;
 /// Of a process's standard error, in messages.
 constexpr size_t kShownBytes = 400;
 
@@ -69,6 +71,48 @@
   return text.substr(text.size() - std::min(text.size(), kShownBytes));
 }
 
+/// A block of ports that no other test process uses, by a lock on a file that
+/// lasts as long as this process: a port that is merely free now may be taken
+/// before the process that it is meant for binds it.
+class PortBlock
+{
+public:
+  PortBlock()
+  {
+    const std::string prefix =
+      std::filesystem::temp_directory_path() / "cornelfront-ports-";
+    for (unsigned block = 0; block < kPortBlocks; ++block) {
+      const std::string path = prefix + std::to_string(block);
+      file_ = open(path.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0600);
+      if (file_ >= 0 && flock(file_, LOCK_EX | LOCK_NB) == 0) {
+        first_ = static_cast<uint16_t>(kFirstPort + block * kPortsPerBlock);
+        return;
+      }
+      close(file_);
+    }
+    throw std::runtime_error("every block of ports is in use");
+  }
+  ~PortBlock() { close(file_); }
+  PortBlock(const PortBlock&) = delete;
+  PortBlock& operator=(const PortBlock&) = delete;
+
+  uint16_t Next()
+  {
+    while (true) {
+      const auto port = static_cast<uint16_t>(first_ + next_);
+      next_ = (next_ + 1) % kPortsPerBlock;
+      if (CanBind(port)) {
+        return port;
+      }
+    }
+  }
+
+private:
+  int file_ = -1;
+  uint16_t first_ = 0;
+  unsigned next_ = 0;
+};
+
 } // namespace
 
 bool
@@ -87,13 +131,8 @@
 uint16_t
 FreePort()
 {
-  static std::mt19937 sRandom{ std::random_device{}() };
-  std::uniform_int_distribution<uint16_t> ports(kFirstPort, kLastPort);
-  uint16_t port = ports(sRandom);
-  while (!CanBind(port)) {
-    port = ports(sRandom);
-  }
-  return port;
+  static PortBlock sBlock;
+  return sBlock.Next();
 }
 
 TempFolder::TempFolder()
