Share the ticking thread and the gate's lock between their users

Cause: entry, sidecar and dispatcher each had the same thread with its mutex and condition variable, and the sidecar locked its gate in seven places. Behaviour is unchanged.

--- a/src/libcornelfront/controllers/dispatcher.cpp
+++ b/src/libcornelfront/controllers/dispatcher.cpp
@@ -30,19 +30,11 @@
 Dispatcher::Dispatcher(DispatcherOptions aOptions, EventLog& aEvents)
   : options_(std::move(aOptions))
   , events_(aEvents)
-  , ticker_([this] { TickLoop(); })
+  , ticker_(kTickInterval, [this] { Tick(); })
 {
 }
 
-Dispatcher::~Dispatcher()
-{
-  {
-    std::lock_guard lock(stopMutex_);
-    stopping_ = true;
-  }
-  stopChanged_.notify_all();
-  ticker_.join();
-}
+Dispatcher::~Dispatcher() = default;
 
 Dispatcher::ShardPtr
 Dispatcher::ShardOf(const std::string& aService)
@@ -435,22 +427,16 @@
 }
 
 void
-Dispatcher::TickLoop()
+Dispatcher::Tick()
 {
-  std::unique_lock lock(stopMutex_);
-  while (
-    !stopChanged_.wait_for(lock, kTickInterval, [this] { return stopping_; })) {
-    lock.unlock();
-    const MonoTime now = MonoClock::now();
-    for (const ShardPtr& shard : Shards()) {
-      Run(
-        shard,
-        [&](ServiceDispatch& aDispatch, DispatchEffects& aEffects) {
-          aDispatch.Tick(now, aEffects);
-        },
-        now);
-    }
-    lock.lock();
+  const MonoTime now = MonoClock::now();
+  for (const ShardPtr& shard : Shards()) {
+    Run(
+      shard,
+      [&](ServiceDispatch& aDispatch, DispatchEffects& aEffects) {
+        aDispatch.Tick(now, aEffects);
+      },
+      now);
   }
 }
 
--- a/src/libcornelfront/controllers/dispatcher.h
+++ b/src/libcornelfront/controllers/dispatcher.h
@@ -8,13 +8,12 @@
 #include "cornelfront/events.h"
 #include "cornelfront/link.h"
 #include "cornelfront/service_dispatch.h"
+#include "cornelfront/ticker.h"
 
-#include <condition_variable>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <string>
-#include <thread>
 #include <unordered_map>
 #include <vector>
 
@@ -104,7 +103,7 @@
                 DispatchEffects aEffects,
                 MonoTime aNow);
   std::vector<TaskId> SendAll(DispatchEffects& aEffects);
-  void TickLoop();
+  void Tick();
   void OnZones(const std::vector<std::string>& aZonesOut, MonoTime aNow);
   void OnPolicy(const ConfigValue& aPolicy, MonoTime aNow);
 
@@ -124,10 +123,7 @@
   mutable std::mutex submissionsMutex_;
   std::unordered_map<std::string, std::string> serviceBySubmission_;
 
-  std::mutex stopMutex_;
-  std::condition_variable stopChanged_;
-  bool stopping_ = false;
-  std::thread ticker_;
+  Ticker ticker_;
 };
 
 } // namespace cornelfront
--- /dev/null
+++ b/src/libcornelfront/controllers/gate_controller.cpp
@@ -0,0 +1,64 @@
+#include "controllers/gate_controller.h"
+
+namespace cornelfront {
+
+namespace {
+
+MonoTime
+FromStamp(int64_t aStamp)
+{
+  return MonoTime(std::chrono::nanoseconds(aStamp));
+}
+
+} // namespace
+
+GateController::GateController(StartGateOptions aOptions)
+  : gate_(std::move(aOptions))
+{
+}
+
+void
+GateController::OnEvidence(const EntryAddress& aEntry,
+                           const ConfigEvidence& aEvidence,
+                           int64_t aEcho)
+{
+  if (aEcho == 0) {
+    return;
+  }
+  std::lock_guard lock(mutex_);
+  gate_.OnEvidence({ .entry_ = aEntry.id_, .zone_ = aEntry.zone_ },
+                   aEvidence,
+                   FromStamp(aEcho));
+}
+
+bool
+GateController::OnConfig(const ConfigState& aState)
+{
+  std::lock_guard lock(mutex_);
+  const bool newer = aState.version_ > gate_.Version();
+  gate_.OnConfig(aState);
+  return newer;
+}
+
+void
+GateController::OnEntryGone(MemberId aEntry)
+{
+  std::lock_guard lock(mutex_);
+  gate_.OnEntryGone(aEntry);
+}
+
+GateVerdict
+GateController::Check(MonoTime aNow) const
+{
+  std::lock_guard lock(mutex_);
+  return { gate_.Check(aNow), gate_.Version() };
+}
+
+ConfigVersion
+GateController::Version() const
+{
+  std::lock_guard lock(mutex_);
+  return gate_.Version();
+}
+
+} // namespace cornelfront
--- a/src/libcornelfront/controllers/task_table.cpp
+++ b/src/libcornelfront/controllers/task_table.cpp
@@ -8,6 +8,9 @@
 
 constexpr unsigned kSerialPrefixShift = 48;
 
+/// A message takes no further answer once its bodies have this many bytes.
+constexpr size_t kMaxAnswerBytes = 1U << 20;
+
 std::pair<MemberId, uint64_t>
 SpaceOf(TaskId aId)
 {
@@ -238,4 +241,22 @@
   changed_.notify_all();
 }
 
+std::vector<TaskAnswers>
+ToMessages(std::vector<TaskAnswer>&& aAnswers, const LoadReport& aLoad)
+{
+  std::vector<TaskAnswers> messages;
+  size_t bytes = kMaxAnswerBytes;
+  for (TaskAnswer& answer : aAnswers) {
+    if (bytes >= kMaxAnswerBytes) {
+      messages.push_back({ {}, aLoad });
+      bytes = 0;
+    }
+    bytes += answer.body_.size();
+    messages.back().answers_.push_back(std::move(answer));
+  }
+  return messages;
+}
+
+;
+
 } // namespace cornelfront
--- a/src/libcornelfront/controllers/task_table.h
+++ b/src/libcornelfront/controllers/task_table.h
@@ -120,4 +120,8 @@
   std::map<SerialSpace, uint64_t> forgotten_;
 };
 
+/// Spreads answers over messages that stay well below the largest frame.
+std::vector<TaskAnswers>
+ToMessages(std::vector<TaskAnswer>&& aAnswers, const LoadReport& aLoad);
+
 } // namespace cornelfront
--- a/src/libcornelfront/entry.cpp
+++ b/src/libcornelfront/entry.cpp
@@ -13,10 +13,10 @@
 #include "cornelfront/link.h"
 #include "cornelfront/metrics.h"
 #include "cornelfront/submissions.h"
+#include "cornelfront/ticker.h"
 #include "net/admin_routes.h"
 #include "net/process_metrics.h"
 
-#include <condition_variable>
 #include <thread>
 
 namespace cornelfront {
@@ -75,7 +75,7 @@
   void RefreshMetrics();
   Welcome MakeWelcome() const;
   SchemaSetPtr Schemas() const;
-  void SweepLoop();
+  void Sweep();
 
   const EntrySettings settings_;
   const MemberId self_ = NewMemberId();
@@ -111,10 +111,7 @@
   AdminRoutes admin_;
   std::unique_ptr<HttpServer> http_;
 
-  std::mutex stopMutex_;
-  std::condition_variable stopChanged_;
-  bool stopping_ = false;
-  std::thread sweeper_;
+  std::unique_ptr<Ticker> sweeper_;
 };
 
 Entry::Impl::Impl(EntrySettings aSettings)
@@ -180,7 +177,7 @@
       HandleHttp(aRequest, aReply);
     });
   httpPort_ = http_->Port();
-  sweeper_ = std::thread([this] { SweepLoop(); });
+  sweeper_ = std::make_unique<Ticker>(kSweepInterval, [this] { Sweep(); });
   for (const Endpoint& seed : settings_.seeds_) {
     if (seed.host_ != settings_.messages_.host_ ||
         seed.port_ != settings_.messages_.port_) {
@@ -191,12 +188,7 @@
 
 Entry::Impl::~Impl()
 {
-  {
-    std::lock_guard lock(stopMutex_);
-    stopping_ = true;
-  }
-  stopChanged_.notify_all();
-  sweeper_.join();
+  sweeper_.reset();
   http_.reset();
   pool_.Stop();
   server_.reset();
@@ -483,17 +475,11 @@
 }
 
 void
-Entry::Impl::SweepLoop()
+Entry::Impl::Sweep()
 {
-  std::unique_lock lock(stopMutex_);
-  while (!stopChanged_.wait_for(
-    lock, kSweepInterval, [this] { return stopping_; })) {
-    lock.unlock();
-    const MonoTime now = MonoClock::now();
-    submissions_.Sweep(now);
-    quotas_.Prune(now);
-    lock.lock();
-  }
+  const MonoTime now = MonoClock::now();
+  submissions_.Sweep(now);
+  quotas_.Prune(now);
 }
 
 void
--- a/src/libcornelfront/sidecar.cpp
+++ b/src/libcornelfront/sidecar.cpp
@@ -1,13 +1,14 @@
 #include "cornelfront/sidecar.h"
 
 #include "controllers/entry_links.h"
+#include "controllers/gate_controller.h"
 #include "controllers/task_table.h"
 #include "controllers/upstream_lease.h"
 #include "cornelfront/events.h"
 #include "cornelfront/http_server.h"
 #include "cornelfront/link.h"
 #include "cornelfront/metrics.h"
-#include "cornelfront/start_gate.h"
+#include "cornelfront/ticker.h"
 #include "net/admin_routes.h"
 #include "net/process_metrics.h"
 #include "net/upstream_announcement.h"
@@ -16,7 +17,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <condition_variable>
 #include <thread>
 
 namespace cornelfront {
@@ -26,8 +26,6 @@
 using nlohmann::json;
 
 constexpr unsigned kMessageThreads = 2;
-/// A message takes no further answer once its bodies have this many bytes.
-constexpr size_t kMaxAnswerBytes = 1U << 20;
 /// The upstream refuses a start later than this after the gate's check.
 constexpr Millis kStartGrace{ 500 };
 constexpr Millis kSweepInterval{ 10 };
@@ -37,37 +35,6 @@
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusNotFound = 404;
 
-MonoTime
-FromStamp(int64_t aStamp)
-{
-  return MonoTime(std::chrono::nanoseconds(aStamp));
-}
-
-/// Spreads answers over messages that stay well below the largest frame.
-std::vector<TaskAnswers>
-ToMessages(std::vector<TaskAnswer>&& aAnswers, const LoadReport& aLoad)
-{
-  std::vector<TaskAnswers> messages;
-  size_t bytes = kMaxAnswerBytes;
-  for (TaskAnswer& answer : aAnswers) {
-    if (bytes >= kMaxAnswerBytes) {
-      messages.push_back({ {}, aLoad });
-      bytes = 0;
-    }
-    bytes += answer.body_.size();
-    messages.back().answers_.push_back(std::move(answer));
-  }
-  return messages;
-}
-
-/// What the gate said at one moment.
-struct GateVerdict
-{
-  TaskReason reason_ = TaskReason::None;
-  /// Configuration that the gate judged by.
-  ConfigVersion version_ = {};
-};
-
 HttpResponse
 ErrorResponse(int aStatus, const std::string& aMessage)
 {
@@ -114,7 +81,7 @@
   void RunSlot(unsigned aSlot);
   TaskAnswer RunTask(UpstreamClient& aClient, const RunningTask& aTask);
   void RecordRefusals(const std::vector<TaskAnswer>& aAnswers);
-  void SweepLoop();
+  void Sweep();
 
   const SidecarSettings settings_;
   const MemberId self_ = NewMemberId();
@@ -123,8 +90,7 @@
 
   // Outlives everything that holds links.
   IoPool pool_{ kMessageThreads };
-  mutable std::mutex gateMutex_;
-  StartGate gate_;
+  GateController gate_;
 
   TaskTable tasks_;
   UpstreamLease lease_;
@@ -140,10 +106,7 @@
   std::mutex slotThreadsMutex_;
   std::vector<std::thread> slotThreads_;
 
-  std::mutex stopMutex_;
-  std::condition_variable stopChanged_;
-  bool stopping_ = false;
-  std::thread sweeper_;
+  std::unique_ptr<Ticker> sweeper_;
 
   std::unique_ptr<Dialer> dialer_;
   // A free port that was asked for is 0 until the server listens.
@@ -177,7 +140,7 @@
       HandleHttp(aRequest, aReply);
     });
   httpPort_ = http_->Port();
-  sweeper_ = std::thread([this] { SweepLoop(); });
+  sweeper_ = std::make_unique<Ticker>(kSweepInterval, [this] { Sweep(); });
   for (const Endpoint& seed : settings_.seeds_) {
     dialer_->Add(seed, true);
   }
@@ -185,12 +148,7 @@
 
 Sidecar::Impl::~Impl()
 {
-  {
-    std::lock_guard lock(stopMutex_);
-    stopping_ = true;
-  }
-  stopChanged_.notify_all();
-  sweeper_.join();
+  sweeper_.reset();
   http_.reset();
   tasks_.Stop();
   for (std::thread& thread : slotThreads_) {
@@ -212,7 +170,6 @@
       OnEnd(aLink, aEnd, aDetail);
     };
   handlers.evidence_ = [this](MonoTime) {
-    std::lock_guard lock(gateMutex_);
     return ConfigEvidence{ .version_ = gate_.Version() };
   };
   handlers.hybridStamp_ = [this](WallTime aNow) {
@@ -240,11 +197,8 @@
 Sidecar::Impl::OnMessage(const LinkPtr& aLink, Envelope& aEnvelope)
 {
   events_.Clock().Observe(aEnvelope.hybridStamp_, WallClock::now());
-  if (const auto peer = entries_.PeerOf(aLink); peer && aEnvelope.echo_ != 0) {
-    std::lock_guard lock(gateMutex_);
-    gate_.OnEvidence({ .entry_ = peer->id_, .zone_ = peer->zone_ },
-                     aEnvelope.evidence_,
-                     FromStamp(aEnvelope.echo_));
+  if (const auto peer = entries_.PeerOf(aLink)) {
+    gate_.OnEvidence(*peer, aEnvelope.evidence_, aEnvelope.echo_);
   }
   if (const auto* welcome = std::get_if<Welcome>(&aEnvelope.message_)) {
     OnWelcome(aLink, *welcome);
@@ -293,7 +247,6 @@
 {
   const auto peer = entries_.OnLinkEnd(aLink);
   if (peer) {
-    std::lock_guard lock(gateMutex_);
     gate_.OnEntryGone(peer->id_);
   }
   metrics_.CountLinkEnd(std::string(ToString(aEnd)));
@@ -309,13 +262,7 @@
 void
 Sidecar::Impl::OnConfig(const ConfigState& aState)
 {
-  bool newer = false;
-  {
-    std::lock_guard lock(gateMutex_);
-    newer = aState.version_ > gate_.Version();
-    gate_.OnConfig(aState);
-  }
-  if (newer) {
+  if (gate_.OnConfig(aState)) {
     events_.Record(EventId::ConfigApplied,
                    { { "version", std::to_string(aState.version_.value_) } },
                    WallClock::now());
@@ -395,8 +342,7 @@
   if (draining_) {
     return { .reason_ = TaskReason::Draining };
   }
-  std::lock_guard lock(gateMutex_);
-  return { .reason_ = gate_.Check(aNow), .version_ = gate_.Version() };
+  return gate_.Check(aNow);
 }
 
 void
@@ -531,7 +477,6 @@
   metrics_.SetLoad(status.service_, status.load_);
   metrics_.SetQueueLength(status.service_, status.load_.queued_);
   metrics_.SetLinks(Role::Entry, entries_.Links().size());
-  std::lock_guard lock(gateMutex_);
   metrics_.SetConfigVersion(gate_.Version());
 }
 
@@ -589,11 +534,7 @@
 Sidecar::Impl::StatusJson() const
 {
   const UpstreamStatus status = Status();
-  uint64_t version = 0;
-  {
-    std::lock_guard lock(gateMutex_);
-    version = gate_.Version().value_;
-  }
+  const uint64_t version = gate_.Version().value_;
   const json body = {
     { "member", ToString(self_) },     { "name", settings_.name_ },
     { "zone", settings_.zone_ },       { "role", "sidecar" },
@@ -607,23 +548,17 @@
 }
 
 void
-Sidecar::Impl::SweepLoop()
-{
-  std::unique_lock lock(stopMutex_);
-  while (!stopChanged_.wait_for(
-    lock, kSweepInterval, [this] { return stopping_; })) {
-    lock.unlock();
-    const MonoTime now = MonoClock::now();
-    auto expired = tasks_.Sweep(now);
-    RecordRefusals(expired);
-    Answer(std::move(expired));
-    if (lease_.Expire(now)) {
-      events_.Record(EventId::UpstreamLost, {}, WallClock::now());
-      UpdateSlots();
-    }
-    ReleaseUpstream();
-    lock.lock();
+Sidecar::Impl::Sweep()
+{
+  const MonoTime now = MonoClock::now();
+  auto expired = tasks_.Sweep(now);
+  RecordRefusals(expired);
+  Answer(std::move(expired));
+  if (lease_.Expire(now)) {
+    events_.Record(EventId::UpstreamLost, {}, WallClock::now());
+    UpdateSlots();
   }
+  ReleaseUpstream();
 }
 
 void
