Record and send refusals in one place

Cause: four callers in the sidecar did the same two steps. Shown by: the planned stops, leavings, upstream faults and the whole-system test passed.

--- a/src/libcornelfront/sidecar.cpp
+++ b/src/libcornelfront/sidecar.cpp
@@ -81,6 +81,7 @@
   void RunSlot(unsigned aSlot);
   TaskAnswer RunTask(UpstreamClient& aClient, const RunningTask& aTask);
   void RecordRefusals(const std::vector<TaskAnswer>& aAnswers);
+  void Refuse(std::vector<TaskAnswer> aAnswers);
   void Sweep();
 
   const SidecarSettings settings_;
@@ -285,13 +286,11 @@
   } else if (upstream.slots_ == 0 || upstream.service_ != aStart.service_) {
     refuse = TaskReason::NoUpstream;
   }
-  auto refusals = tasks_.Accept(peer->id_,
-                                aLink->Serial(),
-                                std::move(aStart.tasks_),
-                                refuse,
-                                MonoClock::now());
-  RecordRefusals(refusals);
-  Answer(std::move(refusals));
+  Refuse(tasks_.Accept(peer->id_,
+                       aLink->Serial(),
+                       std::move(aStart.tasks_),
+                       refuse,
+                       MonoClock::now()));
 }
 
 void
@@ -336,6 +335,13 @@
   }
 }
 
+void
+Sidecar::Impl::Refuse(std::vector<TaskAnswer> aAnswers)
+{
+  RecordRefusals(aAnswers);
+  Answer(std::move(aAnswers));
+}
+
 GateVerdict
 Sidecar::Impl::CheckGate(MonoTime aNow) const
 {
@@ -430,9 +436,7 @@
   }
   tasks_.SetSlots(slots);
   if (slots == 0) {
-    auto refusals = tasks_.DropQueue(TaskReason::NoUpstream, MonoClock::now());
-    RecordRefusals(refusals);
-    Answer(std::move(refusals));
+    Refuse(tasks_.DropQueue(TaskReason::NoUpstream, MonoClock::now()));
   }
   SendStatus();
 }
@@ -551,9 +555,7 @@
 Sidecar::Impl::Sweep()
 {
   const MonoTime now = MonoClock::now();
-  auto expired = tasks_.Sweep(now);
-  RecordRefusals(expired);
-  Answer(std::move(expired));
+  Refuse(tasks_.Sweep(now));
   if (lease_.Expire(now)) {
     events_.Record(EventId::UpstreamLost, {}, WallClock::now());
     UpdateSlots();
@@ -567,9 +569,7 @@
   events_.Record(EventId::ProcessStopping, {}, WallClock::now());
   draining_ = true;
   SendStatus();
-  auto refusals = tasks_.DropQueue(TaskReason::Draining, MonoClock::now());
-  RecordRefusals(refusals);
-  Answer(std::move(refusals));
+  Refuse(tasks_.DropQueue(TaskReason::Draining, MonoClock::now()));
   const MonoTime limit = MonoClock::now() + settings_.drainLimit_;
   while (tasks_.Load().running_ > 0 && MonoClock::now() < limit) {
     std::this_thread::sleep_for(kStopPoll);
