--- a/src/libcornelfront/sidecar.cpp
+++ b/src/libcornelfront/sidecar.cpp
@@ -34,6 +34,7 @@
 
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusNotFound = 404;
+constexpr int kStatusConflict = 409;
 
 HttpResponse
 ErrorResponse(int aStatus, const std::string& aMessage)
@@ -67,7 +68,7 @@
   void HandleHttp(const HttpRequest& aRequest, const HttpReply& aReply);
   HttpResponse OnAnnouncement(const HttpRequest& aRequest);
   void OnUpstreamLeaving(const HttpReply& aReply);
-  void ReleaseUpstream();
+  void AnswerLeaving(const HttpResponse& aResponse);
   std::string StatusJson() const;
   AdminRoutesOptions MakeAdminOptions();
   void RefreshMetrics();
@@ -493,6 +494,7 @@
   } catch (const std::invalid_argument& error) {
     return ErrorResponse(kStatusBadRequest, error.what());
   }
+  AnswerLeaving(ErrorResponse(kStatusConflict, "announced again"));
   if (lease_.Announce(announcement, MonoClock::now())) {
     events_.Record(EventId::UpstreamAnnounced,
                    { { "service", announcement.service_ },
@@ -516,21 +518,17 @@
   leaving_.push_back(aReply);
 }
 
-/// Answers upstreams that wait to leave once nothing runs.
+/// Answers every upstream that waits to leave.
 void
-Sidecar::Impl::ReleaseUpstream()
+Sidecar::Impl::AnswerLeaving(const HttpResponse& aResponse)
 {
-  const LoadReport load = tasks_.Load();
-  if (load.slots_ != 0 || load.running_ != 0) {
-    return;
-  }
   std::vector<HttpReply> replies;
   {
     std::lock_guard lock(leavingMutex_);
     replies.swap(leaving_);
   }
   for (const HttpReply& reply : replies) {
-    reply.Send({ .body_ = "{}\n" });
+    reply.Send(aResponse);
   }
 }
 
@@ -560,7 +558,10 @@
     events_.Record(EventId::UpstreamLost, {}, WallClock::now());
     UpdateSlots();
   }
-  ReleaseUpstream();
+  const LoadReport load = tasks_.Load();
+  if (load.slots_ == 0 && load.running_ == 0) {
+    AnswerLeaving({ .body_ = "{}\n" });
+  }
 }
 
 void
