--- a/src/cmake/testing.cmake
+++ b/src/cmake/testing.cmake
@@ -2,6 +2,12 @@
 enable_testing()
 include(GoogleTest)
 
+# Seconds after which a hanging test is ended; sanitizers slow the explorers.
+set(CORNELFRONT_TEST_TIMEOUT 120)
+if(CORNELFRONT_SANITIZE)
+  set(CORNELFRONT_TEST_TIMEOUT 900)
+endif()
+
 # cornelfront_unit_tests(<target> LIBRARIES <lib>... SOURCES <file>...)
 function(cornelfront_unit_tests target)
   cmake_parse_arguments(ARG "" "" "LIBRARIES;SOURCES" ${ARGN})
@@ -12,5 +18,5 @@
   target_link_libraries(${target} PRIVATE ${ARG_LIBRARIES} GTest::gmock_main)
   # A printed parameter may hold addresses; the CTest name must be stable.
   gtest_discover_tests(${target} NO_PRETTY_VALUES DISCOVERY_TIMEOUT 60
-                       PROPERTIES TIMEOUT 120)
+                       PROPERTIES TIMEOUT ${CORNELFRONT_TEST_TIMEOUT})
 endfunction()
