Read whole files in one place

Cause: the binary and the load program had the same function; both call cornelfront::ReadFile now. The one in cmd_config.cpp treats a missing file differently and stays. Behaviour is unchanged.

--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -5,6 +5,7 @@
 
 #include "cornelfront/codec.h"
 #include "cornelfront/config.h"
+#include "cornelfront/file.h"
 #include "cornelfront/log_client.h"
 #include "http_caller.h"
 #include "trace.h"
@@ -122,18 +123,6 @@
   uint64_t count_ = 0;
 };
 
-std::string
-ReadFile(const std::string& aPath)
-{
-  std::ifstream file(aPath);
-  if (!file) {
-    throw std::runtime_error(aPath + ": cannot be read");
-  }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
 std::string
 TaskBody(Millis aRunTime)
 {
--- a/src/cornelfront/cmd_serve.cpp
+++ b/src/cornelfront/cmd_serve.cpp
@@ -4,6 +4,7 @@
 #include "commands.h"
 
 #include "cornelfront/entry.h"
+#include "cornelfront/file.h"
 #include "cornelfront/schema.h"
 #include "cornelfront/settings.h"
 #include "cornelfront/sidecar.h"
@@ -27,18 +28,6 @@
   bool printSettings_ = false;
 };
 
-std::string
-ReadFile(const std::string& aPath)
-{
-  std::ifstream file(aPath);
-  if (!file) {
-    throw std::runtime_error(aPath + ": cannot be read");
-  }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
 void
 PrintErrors(const std::string& aFile, const FileErrors& aErrors)
 {
