--- a/src/cmake/testing.cmake
+++ b/src/cmake/testing.cmake
@@ -1,6 +1,9 @@
 # Unit tests lie beside what they test; one executable per component.
-enable_testing()
-include(GoogleTest)
+option(CORNELFRONT_TESTS "Build the tests, stand-ins and benchmarks" ON)
+if(CORNELFRONT_TESTS)
+  enable_testing()
+  include(GoogleTest)
+endif()
 
 # Seconds after which a hanging test is ended; sanitizers slow the explorers.
 set(CORNELFRONT_TEST_TIMEOUT 120)
@@ -10,6 +13,9 @@
 
 # cornelfront_unit_tests(<target> LIBRARIES <lib>... SOURCES <file>...)
 function(cornelfront_unit_tests target)
+  if(NOT CORNELFRONT_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "LIBRARIES;SOURCES" ${ARGN})
   add_executable(${target} ${ARG_SOURCES})
   # Some tests compare the code with docs/.
--- a/src/cornelfront/cmd_serve.cpp
+++ b/src/cornelfront/cmd_serve.cpp
@@ -5,11 +5,14 @@
 
 #include "cornelfront/entry.h"
 #include "cornelfront/file.h"
+#include "cornelfront/job_entry.h"
+#include "cornelfront/job_sidecar.h"
 #include "cornelfront/schema.h"
 #include "cornelfront/settings.h"
 #include "cornelfront/sidecar.h"
 
 #include <CLI/CLI.hpp>
+#include <glog/logging.h>
 #include <pthread.h>
 
 #include <csignal>
@@ -77,6 +80,25 @@
   sidecar.Stop();
 }
 
+/// Serves as \p Process until the process is told to stop.
+template<class Process, class Settings>
+void
+ServeJobs(const Settings& aSettings)
+{
+  sigset_t signals = BlockStopSignals();
+  sigaddset(&signals, SIGHUP);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  Process process(aSettings);
+  int received = 0;
+  for (sigwait(&signals, &received); received == SIGHUP;
+       sigwait(&signals, &received)) {
+    // Every setting belongs to a listener or link that lives as long as the
+    // process.
+    LOG(INFO) << "reload outcome=settings_apply_at_next_start";
+  }
+  process.Stop();
+}
+
 /// Reads the settings, then prints them or serves.
 template<class Parse, class Serve>
 void
@@ -127,6 +149,24 @@
   AddServeCommand(aApp, "sidecar", "Serve beside one upstream", sidecar)
     ->callback(
       [sidecar] { RunServe(*sidecar, ParseSidecarSettings, ServeSidecar); });
+  auto jobEntry = std::make_shared<ServeOptions>();
+  AddServeCommand(
+    aApp, "job-entry", "Take jobs from the platform's clients", jobEntry)
+    ->callback([jobEntry] {
+      RunServe(*jobEntry,
+               ParseJobEntrySettings,
+               ServeJobs<JobEntry, JobEntrySettings>);
+    });
+  auto jobSidecar = std::make_shared<ServeOptions>();
+  AddServeCommand(aApp,
+                  "job-sidecar",
+                  "Run tasks on one executor of the platform",
+                  jobSidecar)
+    ->callback([jobSidecar] {
+      RunServe(*jobSidecar,
+               ParseJobSidecarSettings,
+               ServeJobs<JobSidecar, JobSidecarSettings>);
+    });
 }
 
 } // namespace cornelfront
--- a/src/include/cornelfront/caller_request.h
+++ b/src/include/cornelfront/caller_request.h
@@ -5,6 +5,7 @@
 
 #include "cornelfront/clock.h"
 #include "cornelfront/http_server.h"
+#include "cornelfront/job.h"
 #include "cornelfront/submission.h"
 
 #include <cstddef>
@@ -15,9 +16,6 @@
 
 namespace cornelfront {
 
-/// Most tasks in one job.
-constexpr size_t kMaxTasksPerJob = 1900;
-
 struct KeyPrefixRoute
 {};
 
--- a/src/include/cornelfront/clock.h
+++ b/src/include/cornelfront/clock.h
@@ -15,4 +15,10 @@
 using WallTime = WallClock::time_point;
 using Millis = std::chrono::milliseconds;
 
+/// Time since boot, suspension of the machine included, as a MonoTime. Leases
+/// are measured on it: the monotonic clock stands still during a suspension.
+/// Never mix its values with those of MonoClock::now.
+MonoTime
+BootNow();
+
 } // namespace cornelfront
--- a/src/include/cornelfront/http_server.h
+++ b/src/include/cornelfront/http_server.h
@@ -6,6 +6,8 @@
 
 #include "cornelfront/clock.h"
 
+#include <asio/io_context.hpp>
+
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -57,6 +59,11 @@
   /// Sends the response; thread-safe. Later calls do nothing.
   void Send(HttpResponse aResponse) const;
 
+  /// Calls \p aGone once if the client closes its connection before the answer
+  /// is sent. Only on a server with an event loop, from its thread; does
+  /// nothing on others.
+  void WhenClientLeaves(std::function<void()> aGone) const;
+
 private:
   std::shared_ptr<State> state_;
 };
@@ -69,6 +76,9 @@
   /// 0 picks a free port.
   uint16_t port_ = 0;
   unsigned threads_ = 2;
+  /// Serves on this loop instead of threads of its own. The handler and all
+  /// answers are then on the loop's thread.
+  asio::io_context* loop_ = nullptr;
   size_t maxBodyBytes_ = 16U << 20;
   /// A connection with no traffic for this long is closed.
   std::chrono::seconds idleTimeout_{ 30 };
--- /dev/null
+++ b/src/include/cornelfront/job_engine.h
@@ -0,0 +1,273 @@
+#pragma once
+
+/// \file
+/// What an entry decides about the best-effort jobs that it has taken from
+/// clients: whether a job is taken, on which upstream each task starts, when a
+/// task starts again, and what the client is told.
+
+#include "cornelfront/clock.h"
+#include "cornelfront/ids.h"
+#include "cornelfront/job.h"
+#include "cornelfront/run_messages.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace cornelfront {
+
+/// A queue of the configuration, as far as jobs are concerned.
+struct JobQueue
+{
+  std::string name_;
+  std::string service_;
+  uint8_t priority_ = 0;
+  /// A task whose runs have failed this often fails its job.
+  uint32_t attempts_ = 1;
+  /// Objective: stretch times the work of a job, and slo more.
+  double stretch_ = 1.0;
+  Millis slo_{ 0 };
+};
+
+/// How a job ends for its client.
+enum class JobOutcome : uint8_t
+{
+  Completed,
+  /// A task has used up its attempts.
+  Failed,
+  /// Not run, and never will be on this submission.
+  Refused,
+  /// Given up; tasks may have run.
+  GivenUp,
+};
+
+std::string_view
+ToString(JobOutcome aOutcome);
+
+/// Tells one submission from another of the same job.
+using JobTicket = uint64_t;
+
+struct SendRuns
+{
+  MemberId sidecar_;
+  StartRuns orders_;
+};
+
+struct SendStops
+{
+  MemberId sidecar_;
+  StopRuns stops_;
+};
+
+struct AnswerJob
+{
+  JobTicket ticket_ = 0;
+  JobOutcome outcome_ = JobOutcome::Refused;
+  /// Why, for the log and the client.
+  std::string reason_;
+  /// With Refused and GivenUp: when to come back.
+  Millis retryAfter_{ 0 };
+};
+
+using JobAction = std::variant<SendRuns, SendStops, AnswerJob>;
+
+struct JobEngineOptions
+{
+  std::string zone_;
+  /// A pause in calls longer than this means that the process was suspended;
+  /// clients may have submitted their jobs elsewhere meanwhile.
+  Millis longestPause_{ 600 };
+  /// Time after the loss of a sidecar's link after which its runs have ended.
+  Millis lostRunsEnd_{ 1000 };
+  /// A task waits no longer than this in a sidecar before it is placed anew.
+  Millis startWithin_{ 1500 };
+  /// Added to the predicted wait of an upstream in another zone.
+  Millis otherZone_{ 2 };
+  Millis refusalRetry_{ 1000 };
+  /// Factor on the run time of a task away from its preferred rack.
+  double otherRackFactor_ = 1.5;
+  /// A run that takes longer than this many times what was expected, and
+  /// longer than the floor, is stopped and started elsewhere.
+  double stragglerFactor_ = 4.0;
+  Millis stragglerFloor_{ 300 };
+  /// An upstream is avoided for this long once most of its runs fail.
+  Millis ejection_{ 2000 };
+};
+
+/// Not thread-safe. Times are BootNow. Every call may leave actions.
+class JobEngine
+{
+public:
+  explicit JobEngine(JobEngineOptions aOptions);
+
+  /// Takes a job or answers it at once. \p aDeadline is when its client stops
+  /// waiting.
+  void Submit(JobTicket aTicket,
+              const JobDescription& aJob,
+              const JobQueue& aQueue,
+              MonoTime aDeadline,
+              MonoTime aNow);
+  /// The client has gone; the job is not answered.
+  void Abandon(JobTicket aTicket, MonoTime aNow);
+  /// Ends the job with this id, if there is one, as given up.
+  bool Cancel(const std::string& aJob, MonoTime aNow);
+
+  void SetZonesOut(std::set<std::string> aZones, MonoTime aNow);
+  /// A link to a sidecar has begun, perhaps in place of an older one.
+  void OnSidecar(MemberId aSidecar, const std::string& aZone, MonoTime aNow);
+  void OnHeld(MemberId aSidecar, const HeldRuns& aHeld, MonoTime aNow);
+  void OnReports(MemberId aSidecar, const RunReports& aReports, MonoTime aNow);
+  /// \p aSidecar has gone, with all that ran there, if \p aSuccessor is true
+  /// (its successor has been heard of); otherwise it may still hold runs.
+  void OnSidecarLost(MemberId aSidecar, bool aSuccessor, MonoTime aNow);
+
+  void Tick(MonoTime aNow);
+
+  std::vector<JobAction> TakeActions();
+
+  /// Jobs of a queue that are taken and of which no task has been sent.
+  size_t Pending(const std::string& aQueue) const;
+  size_t Jobs() const { return jobs_.size(); }
+  /// True if some upstream can be sent work.
+  bool HasReadyUpstream() const;
+  /// True if runs are outstanding at this sidecar.
+  bool Owes(MemberId aSidecar) const;
+
+private:
+  enum class TaskState : uint8_t
+  {
+    /// Earlier steps have not finished.
+    Blocked,
+    Ready,
+    Sent,
+    Done,
+  };
+
+  struct Task
+  {
+    TaskState state_ = TaskState::Blocked;
+    uint32_t run_ = 0;
+    uint32_t failures_ = 0;
+    MemberId sidecar_;
+    MonoTime sent_;
+    bool stopSent_ = false;
+    /// Upstreams on which a run of this task did not go well.
+    std::set<MemberId> avoid_;
+  };
+
+  struct Step
+  {
+    std::vector<Task> tasks_;
+    uint32_t open_ = 0;
+  };
+
+  struct Job
+  {
+    JobTicket ticket_ = 0;
+    JobDescription spec_;
+    JobQueue queue_;
+    MonoTime submitted_;
+    MonoTime deadline_;
+    std::vector<Step> steps_;
+    bool anySent_ = false;
+    /// Some run may have begun, so the job can no longer be refused.
+    bool mayHaveRun_ = false;
+  };
+
+  struct Sidecar
+  {
+    std::string zone_;
+    bool linked_ = false;
+    MonoTime lostAt_;
+    UpstreamReport report_;
+    /// Orders sent on the present link.
+    uint64_t ordersSent_ = 0;
+    struct Order
+    {
+      uint64_t number_;
+      Room room_;
+      int64_t work_;
+    };
+    /// Orders that the last report does not count yet.
+    std::deque<Order> unreported_;
+    std::set<RunKey> runs_;
+    /// Smoothed run time of all tasks here.
+    double runMs_ = 200.0;
+    /// Ratio of run times here to those elsewhere, smoothed.
+    double slowness_ = 1.0;
+    /// Recent share of failed runs, smoothed.
+    double failures_ = 0.0;
+    /// Nothing is sent before this time unless there is no other.
+    MonoTime avoidUntil_;
+  };
+  using Sidecars = std::map<MemberId, Sidecar>;
+
+  /// Expected durations of a queue's tasks, from its own runs.
+  struct Durations
+  {
+    double meanMs_ = 0.0;
+    bool known_ = false;
+  };
+
+  void CheckPause(MonoTime aNow);
+  Job* FindJob(const std::string& aId);
+  bool Reattach(JobTicket aTicket, const std::string& aJob, MonoTime aDeadline);
+  void Place(Job& aJob, MonoTime aNow);
+  void PlaceStep(Job& aJob, uint32_t aStep, MonoTime aNow);
+  void PlaceWaiting(MonoTime aNow);
+  void UnblockSteps(Job& aJob);
+  Sidecars::iterator Choose(const Job& aJob,
+                            uint32_t aStep,
+                            const Task& aTask,
+                            MonoTime aNow);
+  bool Usable(const Sidecar& aSidecar,
+              const Job& aJob,
+              const StepSpec& aStep) const;
+  bool LeavesNoPlace(MemberId aSidecar, const Job& aJob, uint32_t aStep) const;
+  double WaitMs(const Sidecar& aSidecar,
+                const Job& aJob,
+                const StepSpec& aStep) const;
+  double CostMs(const Sidecar& aSidecar,
+                const Job& aJob,
+                const StepSpec& aStep) const;
+  double ExpectedRunMs(const Job& aJob, const StepSpec& aStep) const;
+  Millis ShortestWait(const Job& aJob) const;
+  void NoteSent(Sidecar& aSidecar, const StepSpec& aStep, const RunKey& aKey);
+  void OnEnd(MemberId aSidecar, const RunReport& aReport, MonoTime aNow);
+  void OnTaskDone(Job& aJob, const TaskName& aName, MonoTime aNow);
+  void OnTaskFailed(Job& aJob, const TaskName& aName, MonoTime aNow);
+  void RestartGang(Job& aJob, uint32_t aStep);
+  void Learn(Sidecar& aSidecar,
+             const Job& aJob,
+             const RunReport& aReport,
+             MonoTime aNow);
+  void EndRuns(MemberId aSidecar, RunEnd aEnd, MonoTime aNow);
+  void CheckStragglers(Job& aJob, MonoTime aNow);
+  void StopRun(const TaskName& aName, Task& aTask);
+  void GiveUp(Job& aJob, const std::string& aReason);
+  void Finish(Job& aJob,
+              JobOutcome aOutcome,
+              const std::string& aReason,
+              Millis aRetryAfter = Millis(0));
+  void Drop(Job& aJob);
+  bool CanEverRun(const Job& aJob) const;
+
+  const JobEngineOptions options_;
+  std::unordered_map<std::string, Job> jobs_;
+  std::unordered_map<JobTicket, std::string> tickets_;
+  /// Jobs with tasks that no upstream could take.
+  std::set<std::string> waiting_;
+  Sidecars sidecars_;
+  std::set<std::string> zonesOut_;
+  std::map<std::string, Durations> durations_;
+  std::vector<JobAction> actions_;
+  MonoTime lastCall_;
+  bool called_ = false;
+};
+
+} // namespace cornelfront
--- a/src/include/cornelfront/messages.h
+++ b/src/include/cornelfront/messages.h
@@ -8,6 +8,7 @@
 #include "cornelfront/config.h"
 #include "cornelfront/ids.h"
 #include "cornelfront/router.h"
+#include "cornelfront/run_messages.h"
 
 #include <cstdint>
 #include <stdexcept>
@@ -285,7 +286,11 @@
                              ResolveTasks,
                              ForwardRequest,
                              ForwardReply,
-                             Leaving>;
+                             Leaving,
+                             StartRuns,
+                             StopRuns,
+                             RunReports,
+                             HeldRuns>;
 
 /// Name of the message's kind for metrics and events, such as "start_tasks".
 std::string_view
--- /dev/null
+++ b/src/libcornelfront/job_entry.cpp
@@ -0,0 +1,460 @@
+#include "cornelfront/job_entry.h"
+
+#include "cornelfront/http_server.h"
+#include "cornelfront/job_engine.h"
+#include "cornelfront/link.h"
+#include "cornelfront/visitor.h"
+#include "event_loop_pvt.h"
+#include "platform/job_api.h"
+#include "platform/member_topic.h"
+#include "platform/operator_state.h"
+#include "platform/store_client.h"
+
+#include <glog/logging.h>
+
+#include <map>
+#include <unordered_map>
+
+namespace cornelfront {
+namespace {
+
+constexpr Millis kTickInterval{ 25 };
+constexpr Millis kOperatorWait{ 1000 };
+constexpr Millis kRegisterRetry{ 500 };
+constexpr Millis kStopPoll{ 20 };
+/// Time that the balancer takes to see that this entry is leaving.
+constexpr Millis kBalancerNotice{ 2200 };
+
+} // namespace
+
+class JobEntry::Impl
+{
+public:
+  explicit Impl(const JobEntrySettings& aSettings);
+  ~Impl();
+
+  void Stop();
+
+private:
+  struct SidecarLink
+  {
+    LinkPtr link_;
+    std::string name_;
+    std::string zone_;
+  };
+
+  /// A client that waits for the end of its job.
+  struct Waiting
+  {
+    HttpReply reply_;
+    std::string job_;
+    MonoTime submitted_;
+  };
+
+  void Setup();
+  void Register();
+  void Tick();
+  bool Ready() const;
+  void HandleReadiness(const HttpRequest& aRequest, const HttpReply& aReply);
+  void HandleClient(const HttpRequest& aRequest, const HttpReply& aReply);
+  void Submit(const platform::JobSubmission& aSubmission,
+              const HttpReply& aReply,
+              MonoTime aNow);
+  void Reply(const HttpReply& aReply, HttpResponse aResponse) const;
+  std::shared_ptr<const LinkHandlers> MakeHandlers();
+  void OnMessage(const LinkPtr& aLink, Envelope& aEnvelope);
+  void OnHello(const LinkPtr& aLink, const Hello& aHello, MonoTime aNow);
+  void OnLinkEnd(const LinkPtr& aLink, const std::string& aDetail);
+  void Perform(MonoTime aNow);
+  void Answer(const AnswerJob& aAnswer, MonoTime aNow);
+  template<class Body>
+  void SendTo(MemberId aSidecar, Body aBody);
+
+  const JobEntrySettings settings_;
+  const MemberId self_ = NewMemberId();
+  IoPool pool_{ 1 };
+  JobEngine engine_;
+  std::map<MemberId, SidecarLink> sidecars_;
+  std::map<uint64_t, MemberId> linkOwners_;
+  std::unordered_map<JobTicket, Waiting> waiting_;
+  JobTicket nextTicket_ = 1;
+  std::unique_ptr<platform::StoreClient> store_;
+  std::unique_ptr<platform::TopicReader> operatorReader_;
+  platform::OperatorState operator_;
+  std::unique_ptr<asio::steady_timer> registerTimer_;
+  std::shared_ptr<const LinkHandlers> handlers_;
+  std::unique_ptr<LinkServer> server_;
+  std::unique_ptr<HttpServer> clients_;
+  std::unique_ptr<HttpServer> readiness_;
+  bool stopping_ = false;
+  /// New jobs are refused.
+  bool closed_ = false;
+  std::unique_ptr<LoopTimer> ticker_;
+};
+
+JobEntry::Impl::Impl(const JobEntrySettings& aSettings)
+  : settings_(aSettings)
+  , engine_(JobEngineOptions{ .zone_ = aSettings.zone_ })
+{
+  RunOnLoop(pool_.Context(), [this] { Setup(); });
+}
+
+JobEntry::Impl::~Impl()
+{
+  pool_.Stop();
+}
+
+void
+JobEntry::Impl::Setup()
+{
+  asio::io_context& loop = pool_.Context();
+  handlers_ = MakeHandlers();
+  server_ = std::make_unique<LinkServer>(
+    pool_, settings_.messages_, [this](asio::ip::tcp::socket aSocket) {
+      std::make_shared<Link>(std::move(aSocket), settings_.links_, handlers_)
+        ->Start();
+    });
+  store_ = std::make_unique<platform::StoreClient>(loop, settings_.store_);
+  registerTimer_ = std::make_unique<asio::steady_timer>(loop);
+  Register();
+  operatorReader_ = std::make_unique<platform::TopicReader>(
+    loop,
+    *store_,
+    platform::TopicReader::Options{
+      .topic_ = std::string(platform::kOperatorTopic),
+      .wait_ = kOperatorWait,
+      .onChange_ = [this](const platform::TopicReader::Records& aRecords) {
+        operator_ = platform::ReadOperatorState(aRecords, operator_);
+        LOG(INFO) << "operator version=" << operator_.version_
+                  << " routes=" << operator_.routes_.size()
+                  << " zones_out=" << operator_.zonesOut_.size();
+        const MonoTime now = BootNow();
+        engine_.SetZonesOut(operator_.zonesOut_, now);
+        Perform(now);
+      } });
+  clients_ = std::make_unique<HttpServer>(
+    HttpServerOptions{ .address_ = settings_.clients_.host_,
+                       .port_ = settings_.clients_.port_,
+                       .loop_ = &loop },
+    [this](const HttpRequest& aRequest, const HttpReply& aReply) {
+      HandleClient(aRequest, aReply);
+    });
+  readiness_ = std::make_unique<HttpServer>(
+    HttpServerOptions{ .address_ = settings_.readiness_.host_,
+                       .port_ = settings_.readiness_.port_,
+                       .loop_ = &loop },
+    [this](const HttpRequest& aRequest, const HttpReply& aReply) {
+      HandleReadiness(aRequest, aReply);
+    });
+  ticker_ =
+    std::make_unique<LoopTimer>(loop, kTickInterval, [this] { Tick(); });
+  LOG(INFO) << "start role=job-entry name=" << settings_.name_
+            << " zone=" << settings_.zone_ << " id=" << ToString(self_);
+}
+
+void
+JobEntry::Impl::Register()
+{
+  store_->Append(
+    std::string(platform::kMemberTopic),
+    { platform::MemberRecord(settings_.name_, settings_.messages_) },
+    [this](platform::StoreOutcome aOutcome) {
+      if (aOutcome == platform::StoreOutcome::Ok) {
+        LOG(INFO) << "registered name=" << settings_.name_;
+        return;
+      }
+      // A repeated record has no other effect.
+      registerTimer_->expires_after(kRegisterRetry);
+      registerTimer_->async_wait([this](const asio::error_code& aError) {
+        if (!aError) {
+          Register();
+        }
+      });
+    });
+}
+
+void
+JobEntry::Impl::Stop()
+{
+  const MonoTime begin = BootNow();
+  RunOnLoop(pool_.Context(), [&] {
+    stopping_ = true;
+    LOG(INFO) << "stopping jobs=" << engine_.Jobs();
+  });
+  size_t left = 1;
+  while (BootNow() - begin < settings_.stopLimit_) {
+    const bool noticed = BootNow() - begin >= kBalancerNotice;
+    RunOnLoop(pool_.Context(), [&] {
+      closed_ = noticed;
+      left = waiting_.size();
+    });
+    if (noticed && left == 0) {
+      break;
+    }
+    std::this_thread::sleep_for(kStopPoll);
+  }
+  LOG(INFO) << "stopped jobs=" << left;
+}
+
+void
+JobEntry::Impl::Tick()
+{
+  const MonoTime now = BootNow();
+  engine_.Tick(now);
+  Perform(now);
+}
+
+bool
+JobEntry::Impl::Ready() const
+{
+  return !stopping_ && operator_.version_ > 0 && engine_.HasReadyUpstream();
+}
+
+void
+JobEntry::Impl::HandleReadiness(const HttpRequest&, const HttpReply& aReply)
+{
+  aReply.Send({ .status_ = Ready() ? 200 : 503, .body_ = "{}" });
+}
+
+void
+JobEntry::Impl::HandleClient(const HttpRequest& aRequest,
+                             const HttpReply& aReply)
+{
+  const MonoTime now = BootNow();
+  const platform::JobCall call = platform::ParseJobCall(aRequest, operator_);
+  std::visit(
+    Visitor{ [&](const platform::JobSubmission& aSubmission) {
+              Submit(aSubmission, aReply, now);
+            },
+             [&](const platform::JobQuestion& aQuestion) {
+               VLOG(1) << "job=" << aQuestion.job_ << " outcome=unknown";
+               Reply(aReply, platform::UnknownJobResponse());
+             },
+             [&](const platform::JobCancellation& aCancellation) {
+               const bool known = engine_.Cancel(aCancellation.job_, now);
+               LOG(INFO) << "job=" << aCancellation.job_
+                         << " outcome=" << (known ? "cancelled" : "unknown");
+               Reply(aReply,
+                     known ? platform::CancelledResponse()
+                           : platform::UnknownJobResponse());
+             },
+             [&](const platform::QueueQuestion& aQuestion) {
+               Reply(
+                 aReply,
+                 platform::PendingResponse(engine_.Pending(aQuestion.queue_)));
+             },
+             [&](const HttpResponse& aResponse) {
+               LOG(INFO) << "request method=" << aRequest.method_
+                         << " path=" << aRequest.path_
+                         << " status=" << aResponse.status_
+                         << " version=" << operator_.version_;
+               Reply(aReply, aResponse);
+             } },
+    call);
+  Perform(now);
+}
+
+void
+JobEntry::Impl::Submit(const platform::JobSubmission& aSubmission,
+                       const HttpReply& aReply,
+                       MonoTime aNow)
+{
+  const std::string& id = aSubmission.job_.id_;
+  if (closed_ || !aSubmission.job_.bestEffort_) {
+    const std::string reason =
+      closed_ ? "this process is stopping" : "durable jobs are not supported";
+    LOG(INFO) << "job=" << id << " outcome=refused reason=\"" << reason << "\"";
+    Reply(aReply, platform::RefusedResponse(reason, kBalancerNotice));
+    return;
+  }
+  const JobTicket ticket = nextTicket_++;
+  waiting_.emplace(ticket, Waiting{ aReply, id, aNow });
+  engine_.Submit(ticket,
+                 aSubmission.job_,
+                 aSubmission.queue_,
+                 aNow + aSubmission.clientWait_,
+                 aNow);
+  aReply.WhenClientLeaves([this, ticket] {
+    const MonoTime now = BootNow();
+    const auto waiting = waiting_.find(ticket);
+    if (waiting != waiting_.end()) {
+      LOG(INFO) << "job=" << waiting->second.job_ << " outcome=client_left"
+                << " ms="
+                << std::chrono::duration_cast<Millis>(
+                     now - waiting->second.submitted_)
+                     .count();
+      engine_.Abandon(ticket, now);
+      Perform(now);
+      const auto again = waiting_.find(ticket);
+      if (again != waiting_.end()) {
+        const HttpReply reply = again->second.reply_;
+        waiting_.erase(again);
+        reply.Send(platform::GivenUpResponse("the client has left"));
+      }
+    }
+  });
+}
+
+void
+JobEntry::Impl::Reply(const HttpReply& aReply, HttpResponse aResponse) const
+{
+  if (stopping_) {
+    aResponse.headers_.emplace_back("Connection", "close");
+  }
+  aReply.Send(std::move(aResponse));
+}
+
+std::shared_ptr<const LinkHandlers>
+JobEntry::Impl::MakeHandlers()
+{
+  LinkHandlers handlers;
+  handlers.onMessage_ = [this](const LinkPtr& aLink, Envelope& aEnvelope) {
+    OnMessage(aLink, aEnvelope);
+  };
+  handlers.onEnd_ =
+    [this](const LinkPtr& aLink, LinkEnd, const std::string& aDetail) {
+      OnLinkEnd(aLink, aDetail);
+    };
+  handlers.evidence_ = [](MonoTime) { return ConfigEvidence{}; };
+  handlers.hybridStamp_ = [](WallTime) { return uint64_t{ 0 }; };
+  handlers.onTraffic_ = [](const Message&, size_t, bool) {};
+  return std::make_shared<const LinkHandlers>(std::move(handlers));
+}
+
+void
+JobEntry::Impl::OnMessage(const LinkPtr& aLink, Envelope& aEnvelope)
+{
+  const MonoTime now = BootNow();
+  if (const auto* hello = std::get_if<Hello>(&aEnvelope.message_)) {
+    OnHello(aLink, *hello, now);
+    return;
+  }
+  const auto found = linkOwners_.find(aLink->Serial());
+  if (found == linkOwners_.end()) {
+    return;
+  }
+  const MemberId sidecar = found->second;
+  const auto known = sidecars_.find(sidecar);
+  if (known == sidecars_.end() || known->second.link_ != aLink) {
+    return;
+  }
+  if (const auto* held = std::get_if<HeldRuns>(&aEnvelope.message_)) {
+    engine_.OnSidecar(sidecar, known->second.zone_, now);
+    engine_.OnHeld(sidecar, *held, now);
+  } else if (const auto* reports =
+               std::get_if<RunReports>(&aEnvelope.message_)) {
+    engine_.OnReports(sidecar, *reports, now);
+  } else {
+    return;
+  }
+  Perform(now);
+}
+
+void
+JobEntry::Impl::OnHello(const LinkPtr& aLink,
+                        const Hello& aHello,
+                        MonoTime aNow)
+{
+  std::vector<MemberId> predecessors;
+  for (const auto& [id, other] : sidecars_) {
+    if (other.name_ == aHello.name_) {
+      predecessors.push_back(id);
+    }
+  }
+  for (const MemberId id : predecessors) {
+    const auto other = sidecars_.find(id);
+    const LinkPtr old = other->second.link_;
+    sidecars_.erase(other);
+    linkOwners_.erase(old->Serial());
+    old->Close();
+    engine_.OnSidecarLost(id, id != aHello.id_, aNow);
+  }
+  sidecars_[aHello.id_] = { aLink, aHello.name_, aHello.zone_ };
+  linkOwners_[aLink->Serial()] = aHello.id_;
+  LOG(INFO) << "sidecar name=" << aHello.name_ << " id=" << ToString(aHello.id_)
+            << " outcome=linked";
+  aLink->Send(Welcome{ .self_ = { .id_ = self_,
+                                  .zone_ = settings_.zone_,
+                                  .host_ = settings_.messages_.host_,
+                                  .port_ = settings_.messages_.port_ } });
+  Perform(aNow);
+}
+
+void
+JobEntry::Impl::OnLinkEnd(const LinkPtr& aLink, const std::string& aDetail)
+{
+  const auto found = linkOwners_.find(aLink->Serial());
+  if (found == linkOwners_.end()) {
+    return;
+  }
+  const MemberId id = found->second;
+  linkOwners_.erase(found);
+  const auto sidecar = sidecars_.find(id);
+  if (sidecar == sidecars_.end() || sidecar->second.link_ != aLink) {
+    return;
+  }
+  LOG(WARNING) << "sidecar name=" << sidecar->second.name_
+               << " outcome=link_lost reason=\"" << aDetail << "\"";
+  sidecars_.erase(sidecar);
+  const MonoTime now = BootNow();
+  engine_.OnSidecarLost(id, false, now);
+  Perform(now);
+}
+
+template<class Body>
+void
+JobEntry::Impl::SendTo(MemberId aSidecar, Body aBody)
+{
+  const auto sidecar = sidecars_.find(aSidecar);
+  if (sidecar != sidecars_.end()) {
+    sidecar->second.link_->Send(std::move(aBody));
+  }
+}
+
+void
+JobEntry::Impl::Perform(MonoTime aNow)
+{
+  for (JobAction& action : engine_.TakeActions()) {
+    std::visit(
+      Visitor{ [&](SendRuns& aSend) {
+                SendTo(aSend.sidecar_, std::move(aSend.orders_));
+              },
+               [&](SendStops& aSend) {
+                 SendTo(aSend.sidecar_, std::move(aSend.stops_));
+               },
+               [&](const AnswerJob& aAnswer) { Answer(aAnswer, aNow); } },
+      action);
+  }
+}
+
+void
+JobEntry::Impl::Answer(const AnswerJob& aAnswer, MonoTime aNow)
+{
+  const auto found = waiting_.find(aAnswer.ticket_);
+  if (found == waiting_.end()) {
+    return;
+  }
+  const Waiting waiting = found->second;
+  waiting_.erase(found);
+  const auto ms =
+    std::chrono::duration_cast<Millis>(aNow - waiting.submitted_).count();
+  LOG(INFO) << "job=" << waiting.job_
+            << " outcome=" << ToString(aAnswer.outcome_) << " ms=" << ms
+            << " reason=\"" << aAnswer.reason_ << "\"";
+  Reply(waiting.reply_, platform::OutcomeResponse(aAnswer));
+}
+
+JobEntry::JobEntry(const JobEntrySettings& aSettings)
+  : impl_(std::make_unique<Impl>(aSettings))
+{
+}
+
+JobEntry::~JobEntry() = default;
+
+void
+JobEntry::Stop()
+{
+  impl_->Stop();
+}
+
+} // namespace cornelfront
--- /dev/null
+++ b/src/libcornelfront/net/async_http_client.cpp
@@ -0,0 +1,269 @@
+#include "cornelfront/async_http_client.h"
+
+#include "net/curl_transfer_pvt.h"
+
+#include <stdexcept>
+#include <unordered_map>
+#include <vector>
+
+namespace cornelfront {
+
+namespace {
+
+/// Idle handles that are kept for the next exchanges.
+constexpr size_t kMaxIdleHandles = 32;
+
+struct Exchange
+{
+  explicit Exchange(HttpClientRequest aRequest, AsyncHttpClient::Callback aDone)
+    : request_(std::move(aRequest))
+    , transfer_(request_)
+    , done_(std::move(aDone))
+  {
+  }
+
+  const HttpClientRequest request_;
+  CurlTransfer transfer_;
+  AsyncHttpClient::Callback done_;
+};
+
+} // namespace
+
+class AsyncHttpClient::Impl
+{
+public:
+  Impl(asio::io_context& aLoop, AsyncHttpClientOptions aOptions)
+    : loop_(aLoop)
+    , timer_(aLoop)
+  {
+    InitializeCurlOnce();
+    multi_ = curl_multi_init();
+    if (multi_ == nullptr) {
+      throw std::runtime_error("curl_multi_init failed");
+    }
+    curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &Impl::OnSocket);
+    curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &Impl::OnTimer);
+    curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(
+      multi_, CURLMOPT_MAX_HOST_CONNECTIONS, aOptions.maxConnectionsPerHost_);
+  }
+
+  ~Impl()
+  {
+    *alive_ = false;
+    for (auto& [easy, exchange] : exchanges_) {
+      curl_multi_remove_handle(multi_, easy);
+      curl_easy_cleanup(easy);
+    }
+    for (CURL* easy : idle_) {
+      curl_easy_cleanup(easy);
+    }
+    curl_multi_cleanup(multi_);
+    for (auto& [fd, watch] : watches_) {
+      watch->descriptor_.release(); // closed by libcurl
+    }
+  }
+
+  void Send(HttpClientRequest aRequest, Callback aDone)
+  {
+    CURL* easy = TakeHandle();
+    auto exchange =
+      std::make_unique<Exchange>(std::move(aRequest), std::move(aDone));
+    exchange->transfer_.Prepare(easy);
+    exchanges_.emplace(easy, std::move(exchange));
+    curl_multi_add_handle(multi_, easy);
+  }
+
+private:
+  /// Interest of libcurl in one socket.
+  struct Watch
+  {
+    explicit Watch(asio::io_context& aLoop, curl_socket_t aSocket)
+      : descriptor_(aLoop, aSocket)
+    {
+    }
+
+    asio::posix::stream_descriptor descriptor_;
+    bool wantsRead_ = false;
+    bool wantsWrite_ = false;
+    bool reading_ = false;
+    bool writing_ = false;
+  };
+  using WatchPtr = std::shared_ptr<Watch>;
+
+  CURL* TakeHandle()
+  {
+    if (!idle_.empty()) {
+      CURL* easy = idle_.back();
+      idle_.pop_back();
+      return easy;
+    }
+    CURL* easy = curl_easy_init();
+    if (easy == nullptr) {
+      throw std::runtime_error("curl_easy_init failed");
+    }
+    return easy;
+  }
+
+  static int OnSocket(CURL*,
+                      curl_socket_t aSocket,
+                      int aWhat,
+                      void* aSelf,
+                      void*)
+  {
+    static_cast<Impl*>(aSelf)->WatchSocket(aSocket, aWhat);
+    return 0;
+  }
+
+  static int OnTimer(CURLM*, long aTimeoutMs, void* aSelf)
+  {
+    static_cast<Impl*>(aSelf)->SetTimer(aTimeoutMs);
+    return 0;
+  }
+
+  void WatchSocket(curl_socket_t aSocket, int aWhat)
+  {
+    const auto found = watches_.find(aSocket);
+    if (aWhat == CURL_POLL_REMOVE) {
+      if (found != watches_.end()) {
+        found->second->wantsRead_ = false;
+        found->second->wantsWrite_ = false;
+        found->second->descriptor_.release();
+        watches_.erase(found);
+      }
+      return;
+    }
+    WatchPtr watch;
+    if (found == watches_.end()) {
+      watch = std::make_shared<Watch>(loop_, aSocket);
+      watches_.emplace(aSocket, watch);
+    } else {
+      watch = found->second;
+    }
+    watch->wantsRead_ = (aWhat & CURL_POLL_IN) != 0;
+    watch->wantsWrite_ = (aWhat & CURL_POLL_OUT) != 0;
+    Arm(aSocket, watch);
+  }
+
+  void Arm(curl_socket_t aSocket, const WatchPtr& aWatch)
+  {
+    if (aWatch->wantsRead_ && !aWatch->reading_) {
+      aWatch->reading_ = true;
+      aWatch->descriptor_.async_wait(
+        asio::posix::stream_descriptor::wait_read,
+        [this, alive = alive_, aSocket, aWatch](
+          const asio::error_code& aError) {
+          aWatch->reading_ = false;
+          OnReady(alive, aSocket, aWatch, CURL_CSELECT_IN, aError);
+        });
+    }
+    if (aWatch->wantsWrite_ && !aWatch->writing_) {
+      aWatch->writing_ = true;
+      aWatch->descriptor_.async_wait(
+        asio::posix::stream_descriptor::wait_write,
+        [this, alive = alive_, aSocket, aWatch](
+          const asio::error_code& aError) {
+          aWatch->writing_ = false;
+          OnReady(alive, aSocket, aWatch, CURL_CSELECT_OUT, aError);
+        });
+    }
+  }
+
+  void OnReady(const std::shared_ptr<bool>& aAlive,
+               curl_socket_t aSocket,
+               const WatchPtr& aWatch,
+               int aReady,
+               const asio::error_code& aError)
+  {
+    if (!*aAlive || aError == asio::error::operation_aborted ||
+        !aWatch->descriptor_.is_open()) {
+      return;
+    }
+    Act(aSocket, aError ? CURL_CSELECT_ERR : aReady);
+    const auto found = watches_.find(aSocket);
+    if (found != watches_.end() && found->second == aWatch) {
+      Arm(aSocket, aWatch);
+    }
+  }
+
+  void SetTimer(long aTimeoutMs)
+  {
+    if (aTimeoutMs < 0) {
+      timer_.cancel();
+      return;
+    }
+    timer_.expires_after(Millis(aTimeoutMs));
+    timer_.async_wait([this, alive = alive_](const asio::error_code& aError) {
+      if (*alive && !aError) {
+        Act(CURL_SOCKET_TIMEOUT, 0);
+      }
+    });
+  }
+
+  void Act(curl_socket_t aSocket, int aReady)
+  {
+    int running = 0;
+    curl_multi_socket_action(multi_, aSocket, aReady, &running);
+    CollectDone();
+  }
+
+  void CollectDone()
+  {
+    std::vector<std::pair<Callback, HttpResult>> done;
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(multi_, &left)) {
+      if (message->msg != CURLMSG_DONE) {
+        continue;
+      }
+      CURL* easy = message->easy_handle;
+      const auto exchange = exchanges_.find(easy);
+      HttpResult result =
+        exchange->second->transfer_.Take(easy, message->data.result);
+      done.emplace_back(std::move(exchange->second->done_), std::move(result));
+      curl_multi_remove_handle(multi_, easy);
+      exchanges_.erase(exchange);
+      KeepOrFree(easy);
+    }
+    const auto alive = alive_;
+    for (auto& [callback, result] : done) {
+      if (*alive) {
+        callback(std::move(result));
+      }
+    }
+  }
+
+  void KeepOrFree(CURL* aEasy)
+  {
+    if (idle_.size() < kMaxIdleHandles) {
+      curl_easy_reset(aEasy);
+      idle_.push_back(aEasy);
+    } else {
+      curl_easy_cleanup(aEasy);
+    }
+  }
+
+  asio::io_context& loop_;
+  asio::steady_timer timer_;
+  CURLM* multi_ = nullptr;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  std::unordered_map<CURL*, std::unique_ptr<Exchange>> exchanges_;
+  std::unordered_map<curl_socket_t, WatchPtr> watches_;
+  std::vector<CURL*> idle_;
+};
+
+AsyncHttpClient::AsyncHttpClient(asio::io_context& aLoop,
+                                 AsyncHttpClientOptions aOptions)
+  : impl_(std::make_unique<Impl>(aLoop, aOptions))
+{
+}
+
+AsyncHttpClient::~AsyncHttpClient() = default;
+
+void
+AsyncHttpClient::Send(HttpClientRequest aRequest, Callback aDone)
+{
+  impl_->Send(std::move(aRequest), std::move(aDone));
+}
+
+} // namespace cornelfront
--- /dev/null
+++ b/src/libcornelfront/net/curl_transfer.cpp
@@ -0,0 +1,145 @@
+#include "net/curl_transfer_pvt.h"
+
+#include <mutex>
+
+namespace cornelfront {
+
+namespace {
+
+size_t
+CollectHeader(char* aData, size_t aSize, size_t aCount, void* aTarget)
+{
+  const std::string line(aData, aSize * aCount);
+  const auto colon = line.find(':');
+  if (colon != std::string::npos) {
+    std::string name = line.substr(0, colon);
+    for (char& c : name) {
+      c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    }
+    const auto first = line.find_first_not_of(' ', colon + 1);
+    const auto last = line.find_last_not_of("\r\n");
+    std::string value;
+    if (first != std::string::npos && last >= first) {
+      value = line.substr(first, last - first + 1);
+    }
+    static_cast<HttpResponse*>(aTarget)->headers_.emplace_back(
+      std::move(name), std::move(value));
+  }
+  return aSize * aCount;
+}
+
+void
+SetBody(CURL* aEasy, const HttpClientRequest& aRequest)
+{
+  if (aRequest.method_ == "GET") {
+    curl_easy_setopt(aEasy, CURLOPT_HTTPGET, 1L);
+    return;
+  }
+  curl_easy_setopt(aEasy, CURLOPT_POST, 1L);
+  curl_easy_setopt(aEasy, CURLOPT_CUSTOMREQUEST, aRequest.method_.c_str());
+  curl_easy_setopt(aEasy, CURLOPT_POSTFIELDS, aRequest.body_.data());
+  curl_easy_setopt(aEasy,
+                   CURLOPT_POSTFIELDSIZE_LARGE,
+                   static_cast<curl_off_t>(aRequest.body_.size()));
+}
+
+HttpFailure
+Classify(CURL* aEasy, CURLcode aCode)
+{
+  if (aCode == CURLE_OK) {
+    return HttpFailure::None;
+  }
+  long sentBytes = 0;
+  curl_easy_getinfo(aEasy, CURLINFO_REQUEST_SIZE, &sentBytes);
+  return sentBytes == 0 ? HttpFailure::NotSent : HttpFailure::MayHaveBeenSent;
+}
+
+} // namespace
+
+void
+InitializeCurlOnce()
+{
+  static std::once_flag sOnce;
+  std::call_once(sOnce, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
+}
+
+CurlHeaders::CurlHeaders(
+  const std::vector<std::pair<std::string, std::string>>& aHeaders)
+{
+  Append("Expect:"); // no 100-continue round trip
+  for (const auto& [name, value] : aHeaders) {
+    Append(name + ": " + value);
+  }
+}
+
+CurlHeaders::~CurlHeaders()
+{
+  curl_slist_free_all(list_);
+}
+
+void
+CurlHeaders::Append(const std::string& aLine)
+{
+  list_ = curl_slist_append(list_, aLine.c_str());
+}
+
+CurlTransfer::CurlTransfer(const HttpClientRequest& aRequest)
+  : request_(aRequest)
+  , headers_(aRequest.headers_)
+{
+}
+
+size_t
+CurlTransfer::CollectBody(char* aData,
+                          size_t aSize,
+                          size_t aCount,
+                          void* aTransfer)
+{
+  auto* transfer = static_cast<CurlTransfer*>(aTransfer);
+  std::string& body = transfer->result_.response_.body_;
+  const size_t bytes = aSize * aCount;
+  if (body.size() + bytes > transfer->request_.maxResponseBytes_) {
+    return 0; // libcurl ends the exchange
+  }
+  body.append(aData, bytes);
+  return bytes;
+}
+
+void
+CurlTransfer::Prepare(CURL* aEasy)
+{
+  SetBody(aEasy, request_);
+  curl_easy_setopt(aEasy, CURLOPT_URL, request_.url_.c_str());
+  curl_easy_setopt(aEasy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(aEasy, CURLOPT_PROXY, "");
+  curl_easy_setopt(aEasy, CURLOPT_HTTPHEADER, headers_.Get());
+  curl_easy_setopt(aEasy,
+                   CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(request_.connectTimeout_.count()));
+  curl_easy_setopt(
+    aEasy, CURLOPT_TIMEOUT_MS, static_cast<long>(request_.timeout_.count()));
+  curl_easy_setopt(aEasy, CURLOPT_WRITEFUNCTION, &CurlTransfer::CollectBody);
+  curl_easy_setopt(aEasy, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(aEasy, CURLOPT_HEADERFUNCTION, &CollectHeader);
+  curl_easy_setopt(aEasy, CURLOPT_HEADERDATA, &result_.response_);
+  if (request_.freshConnection_) {
+    curl_easy_setopt(aEasy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(aEasy, CURLOPT_FORBID_REUSE, 1L);
+  }
+}
+
+HttpResult
+CurlTransfer::Take(CURL* aEasy, CURLcode aCode)
+{
+  result_.failure_ = Classify(aEasy, aCode);
+  if (aCode != CURLE_OK) {
+    result_.error_ = curl_easy_strerror(aCode);
+    return std::move(result_);
+  }
+  long status = 0;
+  curl_easy_getinfo(aEasy, CURLINFO_RESPONSE_CODE, &status);
+  result_.response_.status_ = static_cast<int>(status);
+  return std::move(result_);
+}
+
+} // namespace cornelfront
--- a/src/libcornelfront/net/http_server.cpp
+++ b/src/libcornelfront/net/http_server.cpp
@@ -7,7 +7,9 @@
 #include <microhttpd.h>
 
 #include <arpa/inet.h>
+#include <asio.hpp>
 #include <netinet/in.h>
+#include <sys/socket.h>
 
 #include <atomic>
 #include <cctype>
@@ -21,6 +23,9 @@
 
 namespace {
 
+/// Interval at which idle connections are looked for on an event loop.
+constexpr Millis kIdleCheck{ 1000 };
+
 /// Requests that are suspended while they wait for their answer. MHD must not
 /// be stopped before every one of them is resumed.
 struct PendingSet
@@ -30,6 +35,37 @@
   std::unordered_set<HttpReply::State*> replies_;
 };
 
+/// Tells when the other side closes a socket that nobody reads.
+class ClientWatch
+{
+public:
+  ClientWatch(asio::io_context& aLoop, int aSocket)
+    : descriptor_(aLoop, aSocket)
+  {
+  }
+  ~ClientWatch() { descriptor_.release(); } // MHD closes it
+  ClientWatch(const ClientWatch&) = delete;
+  ClientWatch& operator=(const ClientWatch&) = delete;
+
+  void Start(std::function<void()> aGone)
+  {
+    descriptor_.async_wait(
+      asio::posix::stream_descriptor::wait_read,
+      [socket = descriptor_.native_handle(),
+       gone = std::move(aGone)](const asio::error_code& aError) {
+        char byte = 0;
+        // A client that sends its next request early has not left.
+        if (aError != asio::error::operation_aborted &&
+            recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0) {
+          gone();
+        }
+      });
+  }
+
+private:
+  asio::posix::stream_descriptor descriptor_;
+};
+
 } // namespace
 
 /// Meeting point of the MHD thread that owns a connection and the thread that
@@ -41,6 +77,10 @@
   bool suspended_ = false;
   std::optional<HttpResponse> response_;
   std::shared_ptr<PendingSet> pending_;
+  /// Set on a server with an event loop.
+  asio::io_context* loop_ = nullptr;
+  std::function<void()> pump_;
+  std::unique_ptr<ClientWatch> watch_;
 
   ~State()
   {
@@ -55,9 +95,13 @@
       return;
     }
     response_ = std::move(aResponse);
+    watch_.reset();
     if (suspended_) {
       suspended_ = false;
       MHD_resume_connection(connection_);
+      if (pump_) {
+        pump_();
+      }
     }
   }
 };
@@ -165,6 +209,16 @@
   state_->Send(std::move(aResponse));
 }
 
+void
+HttpReply::WhenClientLeaves(std::function<void()> aGone) const
+{
+  if (state_->loop_ != nullptr && !state_->response_) {
+    state_->watch_ = std::make_unique<ClientWatch>(
+      *state_->loop_, SocketOf(state_->connection_));
+    state_->watch_->Start(std::move(aGone));
+  }
+}
+
 class HttpServer::Impl
 {
 public:
@@ -183,7 +237,11 @@
 
   ~Impl()
   {
+    *alive_ = false;
     ResumeAll();
+    if (pumpDescriptor_) {
+      pumpDescriptor_->release(); // closed by MHD
+    }
     MHD_stop_daemon(daemon_);
   }
 
@@ -205,8 +263,11 @@
     if (inet_pton(AF_INET, options_.address_.c_str(), &address.sin_addr) != 1) {
       throw std::runtime_error(options_.address_ + ": not an IPv4 address");
     }
+    const unsigned mode =
+      options_.loop_ != nullptr ? MHD_USE_EPOLL : MHD_USE_EPOLL_INTERNAL_THREAD;
+    const bool pooled = options_.loop_ == nullptr && options_.threads_ > 1;
     daemon_ =
-      MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME,
+      MHD_start_daemon(mode | MHD_ALLOW_SUSPEND_RESUME,
                        options_.port_,
                        nullptr,
                        nullptr,
@@ -215,7 +276,7 @@
                        MHD_OPTION_SOCK_ADDR,
                        reinterpret_cast<sockaddr*>(&address),
                        MHD_OPTION_THREAD_POOL_SIZE,
-                       options_.threads_ > 1 ? options_.threads_ : 0U,
+                       pooled ? options_.threads_ : 0U,
                        MHD_OPTION_CONNECTION_LIMIT,
                        options_.maxConnections_,
                        MHD_OPTION_CONNECTION_TIMEOUT,
@@ -236,6 +297,63 @@
       throw std::runtime_error("cannot serve HTTP on " + options_.address_ +
                                ":" + std::to_string(options_.port_));
     }
+    if (options_.loop_ != nullptr) {
+      const MHD_DaemonInfo* info =
+        MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_EPOLL_FD);
+      pumpDescriptor_.emplace(*options_.loop_, info->epoll_fd);
+      pumpTimer_.emplace(*options_.loop_);
+      WaitForEvents();
+      WaitForTimer();
+    }
+  }
+
+  /// Runs MHD on the event loop soon; calls in between are merged.
+  void SchedulePump()
+  {
+    if (pumpScheduled_) {
+      return;
+    }
+    pumpScheduled_ = true;
+    asio::post(*options_.loop_, [this, alive = alive_] {
+      if (*alive) {
+        pumpScheduled_ = false;
+        Pump();
+      }
+    });
+  }
+
+  void Pump()
+  {
+    MHD_run(daemon_);
+    MHD_UNSIGNED_LONG_LONG timeout = 1;
+    if (MHD_get_timeout(daemon_, &timeout) == MHD_YES && timeout == 0) {
+      SchedulePump();
+    }
+  }
+
+  void WaitForEvents()
+  {
+    pumpDescriptor_->async_wait(
+      asio::posix::stream_descriptor::wait_read,
+      [this, alive = alive_](const asio::error_code& aError) {
+        if (*alive && !aError) {
+          Pump();
+          WaitForEvents();
+        }
+      });
+  }
+
+  /// Lets MHD close idle connections.
+  void WaitForTimer()
+  {
+    pumpTimer_->expires_after(kIdleCheck);
+    pumpTimer_->async_wait(
+      [this, alive = alive_](const asio::error_code& aError) {
+        if (*alive && !aError) {
+          Pump();
+          WaitForTimer();
+        }
+      });
   }
 
   /// Answers everything that still waits, as MHD_stop_daemon demands.
@@ -360,6 +478,10 @@
     aState.reply_ = std::make_shared<HttpReply::State>();
     aState.reply_->connection_ = aConnection;
     aState.reply_->pending_ = pending_;
+    aState.reply_->loop_ = options_.loop_;
+    if (options_.loop_ != nullptr) {
+      aState.reply_->pump_ = [this] { SchedulePump(); };
+    }
     bool stopping = false;
     {
       std::lock_guard lock(pending_->mutex_);
@@ -406,6 +528,10 @@
   std::shared_ptr<PendingSet> pending_;
   ReceiveWatch watch_;
   MHD_Daemon* daemon_ = nullptr;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  bool pumpScheduled_ = false;
+  std::optional<asio::posix::stream_descriptor> pumpDescriptor_;
+  std::optional<asio::steady_timer> pumpTimer_;
 };
 
 HttpServer::HttpServer(HttpServerOptions aOptions, HttpHandler aHandler)
--- a/src/libcornelfront/net/messages.cpp
+++ b/src/libcornelfront/net/messages.cpp
@@ -1,6 +1,7 @@
 #include "cornelfront/messages.h"
 
 #include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/array.hpp>
 #include <cereal/types/chrono.hpp>
 #include <cereal/types/map.hpp>
 #include <cereal/types/string.hpp>
@@ -22,6 +23,7 @@
   "hello",           "welcome",         "pulse",         "config_update",
   "upstream_status", "start_tasks",     "task_answers",  "cancel_tasks",
   "resolve_tasks",   "forward_request", "forward_reply", "leaving",
+  "start_runs",      "stop_runs",       "run_reports",   "held_runs",
 };
 
 constexpr std::array<std::string_view, 15> kReasons = {
@@ -49,6 +51,16 @@
 /// First byte of every payload: cereal's mark for little-endian data.
 constexpr uint8_t kLittleEndianMark = 1;
 
+void
+CheckEnds(const std::vector<RunReport>& aReports)
+{
+  for (const RunReport& report : aReports) {
+    if (report.end_ > RunEnd::Lost) {
+      throw DecodeError("unknown end of a run");
+    }
+  }
+}
+
 /// \throws DecodeError if an enumerator is out of range
 void
 CheckEnumerators(const Message& aMessage)
@@ -58,6 +70,12 @@
       throw DecodeError("unknown role");
     }
   }
+  if (const auto* reports = std::get_if<RunReports>(&aMessage)) {
+    CheckEnds(reports->reports_);
+  }
+  if (const auto* held = std::get_if<HeldRuns>(&aMessage)) {
+    CheckEnds(held->reports_);
+  }
   if (const auto* answers = std::get_if<TaskAnswers>(&aMessage)) {
     for (const TaskAnswer& answer : answers->answers_) {
       if (static_cast<size_t>(answer.outcome_) >= kOutcomes.size() ||
--- /dev/null
+++ b/src/libcornelfront/platform/executor_client.cpp
@@ -0,0 +1,291 @@
+#include "platform/executor_client.h"
+
+#include "platform/json_fields_pvt.h"
+
+#include <glog/logging.h>
+
+#include <array>
+
+namespace cornelfront::platform {
+namespace {
+
+using nlohmann::json;
+
+/// Bound on an order; a start that had no answer by then is uncertain.
+constexpr Millis kOrderLimit{ 300 };
+constexpr Millis kConnectLimit{ 300 };
+/// Bound on a look beyond the wait that it asks for.
+constexpr Millis kLookMargin{ 200 };
+
+/// One for looks, the others for orders.
+constexpr long kConnections = 4;
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusConflict = 409;
+constexpr int kStatusOtherIncarnation = 421;
+
+RunEnd
+ParseEnd(const std::string& aHow)
+{
+  struct Name
+  {
+    std::string_view wire_;
+    RunEnd end_;
+  };
+  constexpr std::array kNames{
+    Name{ "done", RunEnd::Done },       Name{ "failed", RunEnd::Failed },
+    Name{ "stopped", RunEnd::Stopped }, Name{ "lapsed", RunEnd::Lapsed },
+    Name{ "broken", RunEnd::Broken },   Name{ "alone", RunEnd::Alone },
+  };
+  for (const Name& name : kNames) {
+    if (aHow == name.wire_) {
+      return name.end_;
+    }
+  }
+  throw WireError("unknown end '" + aHow + "'");
+}
+
+const json&
+RowField(const json& aRow, size_t aIndex)
+{
+  if (!aRow.is_array() || aRow.size() <= aIndex) {
+    throw WireError("a row is too short");
+  }
+  return aRow[aIndex];
+}
+
+std::string
+RowText(const json& aRow, size_t aIndex)
+{
+  const json& field = RowField(aRow, aIndex);
+  if (!field.is_string()) {
+    throw WireError("a row holds no text where it must");
+  }
+  return field.get<std::string>();
+}
+
+RunKey
+ParseRunKey(const json& aRow, size_t aTask)
+{
+  const auto task = ParseTaskName(RowText(aRow, aTask));
+  if (!task) {
+    throw WireError("'" + RowText(aRow, aTask) + "' names no task");
+  }
+  const int64_t run = ToWhole(RowField(aRow, aTask + 1), "run");
+  return { *task, static_cast<uint32_t>(run) };
+}
+
+UpstreamLook
+ParseLook(const json& aBody)
+{
+  UpstreamLook look;
+  look.clock_ = { Millis(WholeField(aBody, "clockMs", 0)) };
+  for (const json& row : ListField(aBody, "running")) {
+    // [task, run, saved, percent]
+    constexpr size_t kPercent = 3;
+    look.running_.push_back({ .key_ = ParseRunKey(row, 0),
+                              .percent_ = static_cast<int32_t>(
+                                ToWhole(RowField(row, kPercent), "percent")) });
+  }
+  for (const json& row : ListField(aBody, "ended")) {
+    // [number, task, run, how, saved]
+    constexpr size_t kHow = 3;
+    look.ended_.push_back(
+      { .number_ = static_cast<uint64_t>(ToWhole(RowField(row, 0), "ended")),
+        .key_ = ParseRunKey(row, 1),
+        .end_ = ParseEnd(RowText(row, kHow)) });
+  }
+  return look;
+}
+
+StartAnswer
+ParseConflict(const std::string& aBody)
+{
+  const std::string reason = TextField(ParseObject(aBody), "reason");
+  if (reason == "room") {
+    return StartAnswer::Full;
+  }
+  if (reason == "late") {
+    return StartAnswer::TooLate;
+  }
+  if (reason == "old") {
+    return StartAnswer::OldNumber;
+  }
+  LOG(WARNING) << "start refused reason=" << reason;
+  return StartAnswer::Refused;
+}
+
+StartAnswer
+ParseStartAnswer(const HttpResult& aResult)
+{
+  switch (aResult.failure_) {
+    case HttpFailure::NotSent:
+      return StartAnswer::NotSent;
+    case HttpFailure::MayHaveBeenSent:
+      return StartAnswer::Unknown;
+    case HttpFailure::None:
+      break;
+  }
+  if (aResult.response_.status_ == kStatusOk) {
+    return StartAnswer::Started;
+  }
+  if (aResult.response_.status_ == kStatusConflict) {
+    try {
+      return ParseConflict(aResult.response_.body_);
+    } catch (const WireError& error) {
+      LOG(ERROR) << "answer to a start: " << error.what();
+    }
+  } else {
+    LOG(WARNING) << "start refused status=" << aResult.response_.status_;
+  }
+  return StartAnswer::Refused;
+}
+
+} // namespace
+
+Heartbeat
+ParseHeartbeat(const std::string& aId, std::string_view aBody)
+{
+  const json body = ParseObject(aBody);
+  Heartbeat beat;
+  beat.info_.id_ = aId;
+  beat.info_.service_ = RequiredText(body, "service");
+  beat.info_.bornMs_ = WholeField(body, "born", 0);
+  const std::string state = RequiredText(body, "state");
+  if (state != "ready" && state != "draining") {
+    throw WireError("unknown state '" + state + "'");
+  }
+  beat.info_.draining_ = state == "draining";
+  const auto* capacity = FindField(body, "capacity");
+  if (capacity == nullptr || !capacity->is_object()) {
+    throw WireError("field 'capacity' is missing or no object");
+  }
+  beat.info_.capacity_ = { .cpu_ = WholeField(*capacity, "cpu", 0),
+                           .memoryMb_ = WholeField(*capacity, "memMb", 0),
+                           .gpus_ = WholeField(*capacity, "gpu", 0) };
+  for (const json& label : ListField(body, "labels")) {
+    if (!label.is_string()) {
+      FailField("labels", "holds something else than text");
+    }
+    beat.info_.labels_.push_back(label.get<std::string>());
+  }
+  beat.sequence_ = WholeField(body, "seq", 0);
+  if (FindField(body, "clockMs") != nullptr) {
+    beat.clock_ = UpstreamClock{ Millis(WholeField(body, "clockMs", 0)) };
+  }
+  return beat;
+}
+
+ExecutorClient::ExecutorClient(asio::io_context& aLoop,
+                               const Endpoint& aExecutor)
+  : base_("http://" + aExecutor.host_ + ":" + std::to_string(aExecutor.port_))
+  , http_(aLoop, { .maxConnectionsPerHost_ = kConnections })
+{
+}
+
+void
+ExecutorClient::SetIncarnation(const UpstreamInfo& aInfo)
+{
+  info_ = aInfo;
+}
+
+HttpClientRequest
+ExecutorClient::Request(std::string_view aCall, std::string aBody) const
+{
+  HttpClientRequest request{ .method_ = "POST",
+                             .url_ = base_ + std::string(aCall),
+                             .body_ = std::move(aBody),
+                             .connectTimeout_ = kConnectLimit,
+                             .timeout_ = kOrderLimit };
+  request.headers_.emplace_back("Content-Type", "application/json");
+  if (!info_.id_.empty()) {
+    request.headers_.emplace_back("Expected-Instance", info_.id_);
+  }
+  return request;
+}
+
+void
+ExecutorClient::Start(const StartOrder& aOrder,
+                      UpstreamClock aDeadline,
+                      std::function<void(StartAnswer)> aDone)
+{
+  // The time of birth as the fence keeps orders meant for an earlier
+  // incarnation with the same id out.
+  const json body{ { "task", ToString(aOrder.key_.task_) },
+                   { "run", aOrder.upstreamRun_ },
+                   { "spec", aOrder.payload_ },
+                   { "deadlineMs", aDeadline.value_.count() },
+                   { "fence", info_.bornMs_ } };
+  http_.Send(Request("/run-start", body.dump()),
+             [done = std::move(aDone)](const HttpResult& aResult) {
+               done(ParseStartAnswer(aResult));
+             });
+}
+
+void
+ExecutorClient::Stop(const RunKey& aKey)
+{
+  const json body{ { "task", ToString(aKey.task_) },
+                   { "run", aKey.run_ },
+                   { "fence", info_.bornMs_ } };
+  http_.Send(Request("/run-stop", body.dump()),
+             [aKey](const HttpResult& aResult) {
+               if (!aResult.Ok()) {
+                 LOG(WARNING) << "stop run=" << ToString(aKey) << " failed: "
+                              << (aResult.error_.empty()
+                                    ? std::to_string(aResult.response_.status_)
+                                    : aResult.error_);
+               }
+             });
+}
+
+void
+ExecutorClient::Look(uint64_t aAcknowledged,
+                     std::optional<UpstreamClock> aLease,
+                     Millis aWait,
+                     std::function<void(LookOutcome, UpstreamLook)> aDone)
+{
+  json body{ { "fence", info_.bornMs_ },
+             { "ackedUpto", aAcknowledged },
+             { "waitMs", aWait.count() } };
+  if (aLease) {
+    body["deadlineMs"] = aLease->value_.count();
+  }
+  HttpClientRequest request = Request("/hold", body.dump());
+  request.timeout_ = aWait + kLookMargin;
+  const int64_t born = info_.bornMs_;
+  http_.Send(std::move(request),
+             [born, done = std::move(aDone)](const HttpResult& aResult) {
+               if (aResult.failure_ == HttpFailure::NotSent) {
+                 done(LookOutcome::Refused, {});
+                 return;
+               }
+               if (aResult.failure_ == HttpFailure::None &&
+                   aResult.response_.status_ == kStatusOtherIncarnation) {
+                 done(LookOutcome::Replaced, {});
+                 return;
+               }
+               if (!aResult.Ok()) {
+                 LOG(WARNING) << "look at the upstream failed: "
+                              << (aResult.error_.empty()
+                                    ? std::to_string(aResult.response_.status_)
+                                    : aResult.error_);
+                 done(LookOutcome::Silent, {});
+                 return;
+               }
+               try {
+                 const json answer = ParseObject(aResult.response_.body_);
+                 const int64_t answerBorn = WholeField(answer, "born", born);
+                 if (answerBorn != born) {
+                   done(LookOutcome::Replaced, {});
+                   return;
+                 }
+                 done(LookOutcome::Ok, ParseLook(answer));
+               } catch (const WireError& error) {
+                 LOG(ERROR) << "answer of the upstream: " << error.what();
+                 done(LookOutcome::Silent, {});
+               }
+             });
+}
+
+} // namespace cornelfront::platform
--- /dev/null
+++ b/src/libcornelfront/platform/heartbeat_api.cpp
@@ -0,0 +1,70 @@
+#include "platform/heartbeat_api.h"
+
+#include "platform/json_fields_pvt.h"
+
+#include <glog/logging.h>
+
+namespace cornelfront::platform {
+namespace {
+
+constexpr std::string_view kPrefix = "/instances/";
+constexpr std::string_view kHeartbeatSuffix = "/heartbeat";
+constexpr std::string_view kLeaveSuffix = "/deregister";
+
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusNotFound = 404;
+
+/// The id between prefix and suffix; empty if the path has another form.
+std::string
+IdIn(std::string_view aPath, std::string_view aSuffix)
+{
+  if (!aPath.starts_with(kPrefix) || !aPath.ends_with(aSuffix) ||
+      aPath.size() <= kPrefix.size() + aSuffix.size()) {
+    return "";
+  }
+  return std::string(aPath.substr(
+    kPrefix.size(), aPath.size() - kPrefix.size() - aSuffix.size()));
+}
+
+HttpResponse
+Answer(int aStatus)
+{
+  return { .status_ = aStatus, .body_ = "{}" };
+}
+
+HttpResponse
+HandleHeartbeat(const HeartbeatHooks& aHooks,
+                const std::string& aId,
+                const std::string& aBody)
+{
+  try {
+    aHooks.onHeartbeat_(ParseHeartbeat(aId, aBody));
+    return Answer(200);
+  } catch (const WireError& error) {
+    LOG(WARNING) << "heartbeat upstream=" << aId
+                 << " outcome=malformed reason=\"" << error.what() << "\"";
+    return Answer(kStatusBadRequest);
+  }
+}
+
+} // namespace
+
+HttpHandler
+HeartbeatHandler(HeartbeatHooks aHooks)
+{
+  return [hooks = std::move(aHooks)](const HttpRequest& aRequest,
+                                     const HttpReply& aReply) {
+    const std::string beating = IdIn(aRequest.path_, kHeartbeatSuffix);
+    const std::string leaving = IdIn(aRequest.path_, kLeaveSuffix);
+    if (aRequest.method_ != "POST" || (beating.empty() && leaving.empty())) {
+      aReply.Send(Answer(kStatusNotFound));
+    } else if (!beating.empty()) {
+      aReply.Send(HandleHeartbeat(hooks, beating, aRequest.body_));
+    } else {
+      hooks.onLeave_(leaving);
+      aReply.Send(Answer(200));
+    }
+  };
+}
+
+} // namespace cornelfront::platform
--- /dev/null
+++ b/src/libcornelfront/platform/json_fields_pvt.h
@@ -0,0 +1,163 @@
+#pragma once
+
+/// \file
+/// Typed reading of JSON objects that come from other systems.
+
+#include <nlohmann/json.hpp>
+
+#include <cmath>
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cornelfront::platform {
+
+/// A message of another system has a field missing, or of another type.
+class WireError : public std::runtime_error
+{
+public:
+  using std::runtime_error::runtime_error;
+};
+
+/// \throws WireError
+inline nlohmann::json
+ParseObject(std::string_view aText)
+{
+  auto json = nlohmann::json::parse(aText, nullptr, false);
+  if (!json.is_object()) {
+    throw WireError("not a JSON object");
+  }
+  return json;
+}
+
+/// The field, or nullptr if it is absent or null.
+inline const nlohmann::json*
+FindField(const nlohmann::json& aObject, const char* aName)
+{
+  const auto found = aObject.find(aName);
+  return found == aObject.end() || found->is_null() ? nullptr : &*found;
+}
+
+[[noreturn]] inline void
+FailField(const char* aName, const std::string& aProblem)
+{
+  throw WireError("field '" + std::string(aName) + "' " + aProblem);
+}
+
+/// A whole number; also one that is written as a fraction, such as 5.0.
+inline int64_t
+ToWhole(const nlohmann::json& aValue, const char* aName)
+{
+  if (aValue.is_number_integer()) {
+    return aValue.get<int64_t>();
+  }
+  if (aValue.is_number_float()) {
+    const double number = aValue.get<double>();
+    constexpr double kLargest = 9e15;
+    if (std::abs(number) <= kLargest && number == std::floor(number)) {
+      return static_cast<int64_t>(number);
+    }
+  }
+  FailField(aName, "is not a whole number");
+}
+
+/// A whole number of at least \p aLeast, or \p aDefault if it is absent.
+inline int64_t
+WholeField(const nlohmann::json& aObject,
+           const char* aName,
+           int64_t aDefault,
+           int64_t aLeast = 0)
+{
+  const auto* field = FindField(aObject, aName);
+  if (field == nullptr) {
+    return aDefault;
+  }
+  const int64_t number = ToWhole(*field, aName);
+  if (number < aLeast) {
+    FailField(aName, "is less than " + std::to_string(aLeast));
+  }
+  return number;
+}
+
+/// A count that fits 32 bits.
+inline uint32_t
+CountField(const nlohmann::json& aObject, const char* aName, uint32_t aDefault)
+{
+  const int64_t number = WholeField(aObject, aName, aDefault);
+  if (number > std::numeric_limits<uint32_t>::max()) {
+    FailField(aName, "is too large");
+  }
+  return static_cast<uint32_t>(number);
+}
+
+inline double
+NumberField(const nlohmann::json& aObject, const char* aName, double aDefault)
+{
+  const auto* field = FindField(aObject, aName);
+  if (field == nullptr) {
+    return aDefault;
+  }
+  if (!field->is_number()) {
+    FailField(aName, "is not a number");
+  }
+  return field->get<double>();
+}
+
+inline bool
+BoolField(const nlohmann::json& aObject, const char* aName)
+{
+  const auto* field = FindField(aObject, aName);
+  if (field == nullptr) {
+    return false;
+  }
+  if (!field->is_boolean()) {
+    FailField(aName, "is not a boolean");
+  }
+  return field->get<bool>();
+}
+
+inline std::string
+TextField(const nlohmann::json& aObject,
+          const char* aName,
+          const std::string& aDefault = "")
+{
+  const auto* field = FindField(aObject, aName);
+  if (field == nullptr) {
+    return aDefault;
+  }
+  if (!field->is_string()) {
+    FailField(aName, "is not a string");
+  }
+  return field->get<std::string>();
+}
+
+/// A non-empty string that must be there.
+inline std::string
+RequiredText(const nlohmann::json& aObject, const char* aName)
+{
+  std::string text = TextField(aObject, aName);
+  if (text.empty()) {
+    FailField(aName, "is missing");
+  }
+  return text;
+}
+
+/// The array under \p aName, or an empty one if it is absent.
+inline nlohmann::json
+ListField(const nlohmann::json& aObject, const char* aName)
+{
+  const auto* field = FindField(aObject, aName);
+  if (field == nullptr) {
+    return nlohmann::json::array();
+  }
+  if (!field->is_array()) {
+    FailField(aName, "is not a list");
+  }
+  return *field;
+}
+
+} // namespace cornelfront::platform
--- /dev/null
+++ b/src/libcornelfront/platform/operator_state.cpp
@@ -0,0 +1,100 @@
+#include "platform/operator_state.h"
+
+#include "platform/json_fields_pvt.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+
+namespace cornelfront::platform {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kConfigKey = "config";
+constexpr std::string_view kEvacuationPrefix = "evacuate/";
+constexpr int64_t kHighestPriority = 255;
+
+Route
+ParseRoute(const json& aRoute)
+{
+  if (!aRoute.is_object()) {
+    throw WireError("a route is not an object");
+  }
+  Route route;
+  route.host_ = RequiredText(aRoute, "host");
+  route.pathPrefix_ = RequiredText(aRoute, "pathPrefix");
+  route.timeout_ = Millis(WholeField(aRoute, "timeoutMs", 0));
+  route.queue_.name_ = RequiredText(aRoute, "name");
+  route.queue_.service_ = RequiredText(aRoute, "service");
+  route.queue_.priority_ = static_cast<uint8_t>(
+    std::min(WholeField(aRoute, "priority", 0), kHighestPriority));
+  route.queue_.attempts_ = std::max(CountField(aRoute, "attempts", 1), 1U);
+  route.queue_.stretch_ = NumberField(aRoute, "stretch", 1.0);
+  route.queue_.slo_ = Millis(WholeField(aRoute, "sloMs", 0));
+  return route;
+}
+
+/// Takes the configuration from \p aText unless it is older than \p aState.
+void
+ApplyConfig(std::string_view aText, OperatorState& aState)
+{
+  const json config = ParseObject(aText);
+  const int64_t version = WholeField(config, "version", 0);
+  if (version <= aState.version_) {
+    return;
+  }
+  std::vector<Route> routes;
+  for (const json& route : ListField(config, "routes")) {
+    routes.push_back(ParseRoute(route));
+  }
+  aState.version_ = version;
+  aState.routes_ = std::move(routes);
+}
+
+std::string_view
+WithoutPort(std::string_view aHost)
+{
+  return aHost.substr(0, aHost.find(':'));
+}
+
+} // namespace
+
+const Route*
+OperatorState::FindRoute(std::string_view aHost, std::string_view aPath) const
+{
+  const Route* best = nullptr;
+  for (const Route& route : routes_) {
+    const bool matches =
+      WithoutPort(aHost) == route.host_ &&
+      aPath.substr(0, route.pathPrefix_.size()) == route.pathPrefix_;
+    if (matches && (best == nullptr ||
+                    route.pathPrefix_.size() > best->pathPrefix_.size())) {
+      best = &route;
+    }
+  }
+  return best;
+}
+
+OperatorState
+ReadOperatorState(const std::map<std::string, std::string>& aRecords,
+                  const OperatorState& aBefore)
+{
+  OperatorState state = aBefore;
+  state.zonesOut_.clear();
+  for (const auto& [key, value] : aRecords) {
+    if (key.starts_with(kEvacuationPrefix)) {
+      state.zonesOut_.insert(key.substr(kEvacuationPrefix.size()));
+    } else if (key == kConfigKey) {
+      try {
+        ApplyConfig(value, state);
+      } catch (const WireError& error) {
+        LOG(ERROR) << "configuration ignored: " << error.what() << "; version "
+                   << state.version_ << " stays in force";
+      }
+    }
+  }
+  return state;
+}
+
+} // namespace cornelfront::platform
--- /dev/null
+++ b/src/libcornelfront/platform/store_client.cpp
@@ -0,0 +1,378 @@
+#include "platform/store_client.h"
+
+#include "cornelfront/codec.h"
+#include "platform/json_fields_pvt.h"
+
+#include <glog/logging.h>
+
+namespace cornelfront::platform {
+namespace {
+
+using nlohmann::json;
+
+constexpr size_t kLengthBytes = 4;
+constexpr size_t kOffsetBytes = 8;
+constexpr size_t kMaxKeyBytes = 255;
+
+/// Bound on a call beyond the wait that it asks for.
+constexpr Millis kCallLimit{ 1500 };
+constexpr Millis kReadMargin{ 600 };
+constexpr Millis kConnectLimit{ 700 };
+constexpr Millis kRetryPause{ 200 };
+constexpr Millis kPageLimit{ 4000 };
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusGone = 410;
+
+uint64_t
+TakeBigEndian(std::string_view& aBytes, size_t aSize)
+{
+  if (aBytes.size() < aSize) {
+    throw WireError("truncated records");
+  }
+  uint64_t number = 0;
+  for (size_t i = 0; i < aSize; ++i) {
+    number = (number << 8U) | static_cast<unsigned char>(aBytes[i]);
+  }
+  aBytes.remove_prefix(aSize);
+  return number;
+}
+
+void
+AppendBigEndian(std::string& aTarget, uint64_t aNumber, size_t aSize)
+{
+  for (size_t i = aSize; i > 0; --i) {
+    aTarget.push_back(static_cast<char>(aNumber >> (8U * (i - 1))));
+  }
+}
+
+KeyedRecord
+DecodeRecord(std::string_view aContent)
+{
+  const size_t keyBytes = TakeBigEndian(aContent, 1);
+  if (keyBytes > aContent.size()) {
+    throw WireError("a key exceeds its record");
+  }
+  return { .key_ = std::string(aContent.substr(0, keyBytes)),
+           .value_ = std::string(aContent.substr(keyBytes)) };
+}
+
+/// The answer to a read: the partition's end, its first retained offset, then
+/// the records from the offset that was asked for.
+void
+DecodeRead(std::string_view aBody, uint64_t aFrom, StoreRead& aRead)
+{
+  TakeBigEndian(aBody, kOffsetBytes);
+  TakeBigEndian(aBody, kOffsetBytes);
+  aRead.next_ = aFrom;
+  while (!aBody.empty()) {
+    const size_t length = TakeBigEndian(aBody, kLengthBytes);
+    if (length > aBody.size()) {
+      throw WireError("a record exceeds the answer");
+    }
+    ++aRead.next_;
+    try {
+      aRead.records_.push_back(DecodeRecord(aBody.substr(0, length)));
+    } catch (const WireError& error) {
+      LOG(WARNING) << "record " << aRead.next_ - 1
+                   << " ignored: " << error.what();
+    }
+    aBody.remove_prefix(length);
+  }
+}
+
+void
+DecodePage(std::string_view aBody, StorePage& aPage)
+{
+  const json body = ParseObject(aBody);
+  for (const json& item : ListField(body, "items")) {
+    auto value = DecodeBase64(TextField(item, "value"));
+    if (!value) {
+      LOG(WARNING) << "record ignored: its value is not base64";
+      continue;
+    }
+    aPage.records_.push_back(
+      { .key_ = TextField(item, "key"), .value_ = std::move(*value) });
+  }
+  aPage.hasMore_ = BoolField(body, "hasMore");
+  aPage.end_ = static_cast<uint64_t>(WholeField(body, "end", 0));
+}
+
+StoreOutcome
+OutcomeOf(const HttpResult& aResult)
+{
+  switch (aResult.failure_) {
+    case HttpFailure::NotSent:
+      return StoreOutcome::NotDone;
+    case HttpFailure::MayHaveBeenSent:
+      return StoreOutcome::Unknown;
+    case HttpFailure::None:
+      break;
+  }
+  if (aResult.response_.status_ == kStatusOk) {
+    return StoreOutcome::Ok;
+  }
+  return aResult.response_.status_ == kStatusGone ? StoreOutcome::Gone
+                                                  : StoreOutcome::NotDone;
+}
+
+std::string
+Reason(const HttpResult& aResult)
+{
+  return aResult.failure_ == HttpFailure::None
+           ? "status " + std::to_string(aResult.response_.status_)
+           : aResult.error_;
+}
+
+/// Percent-encodes a key for a query.
+std::string
+QueryText(std::string_view aText)
+{
+  constexpr std::string_view kDigits = "0123456789ABCDEF";
+  std::string encoded;
+  for (const char c : aText) {
+    if (std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' ||
+        c == '.' || c == '_') {
+      encoded.push_back(c);
+    } else {
+      const auto byte = static_cast<unsigned char>(c);
+      encoded.push_back('%');
+      encoded.push_back(kDigits[byte >> 4U]);
+      encoded.push_back(kDigits[byte & 15U]);
+    }
+  }
+  return encoded;
+}
+
+} // namespace
+
+std::string
+EncodeRecord(const KeyedRecord& aRecord)
+{
+  if (aRecord.key_.size() > kMaxKeyBytes) {
+    throw std::invalid_argument(
+      "key of " + std::to_string(aRecord.key_.size()) +
+      " bytes exceeds the limit of " + std::to_string(kMaxKeyBytes));
+  }
+  std::string bytes;
+  AppendBigEndian(
+    bytes, 1 + aRecord.key_.size() + aRecord.value_.size(), kLengthBytes);
+  AppendBigEndian(bytes, aRecord.key_.size(), 1);
+  return bytes + aRecord.key_ + aRecord.value_;
+}
+
+StoreClient::StoreClient(asio::io_context& aLoop, const Endpoint& aStore)
+  : base_("http://" + aStore.host_ + ":" + std::to_string(aStore.port_))
+  , http_(aLoop, {})
+{
+}
+
+std::string
+StoreClient::Url(std::string_view aCall, const std::string& aTopic) const
+{
+  return base_ + std::string(aCall) + "?topic=" + aTopic + "&part=0";
+}
+
+void
+StoreClient::Append(const std::string& aTopic,
+                    const std::vector<KeyedRecord>& aRecords,
+                    std::function<void(StoreOutcome)> aDone)
+{
+  HttpClientRequest request{ .method_ = "POST",
+                             .url_ = Url("/log-append", aTopic),
+                             .connectTimeout_ = kConnectLimit,
+                             .timeout_ = kCallLimit };
+  request.headers_.emplace_back("Content-Type", "application/octet-stream");
+  for (const KeyedRecord& record : aRecords) {
+    request.body_ += EncodeRecord(record);
+  }
+  http_.Send(std::move(request),
+             [aTopic, done = std::move(aDone)](const HttpResult& aResult) {
+               const StoreOutcome outcome = OutcomeOf(aResult);
+               if (outcome != StoreOutcome::Ok) {
+                 LOG(WARNING)
+                   << "append to " << aTopic << " failed: " << Reason(aResult);
+               }
+               done(outcome);
+             });
+}
+
+void
+StoreClient::Read(const std::string& aTopic,
+                  uint64_t aFrom,
+                  Millis aWait,
+                  std::function<void(StoreRead)> aDone)
+{
+  HttpClientRequest request{ .url_ = Url("/log-read", aTopic) +
+                                     "&from=" + std::to_string(aFrom) +
+                                     "&waitMs=" + std::to_string(aWait.count()),
+                             .connectTimeout_ = kConnectLimit,
+                             .timeout_ = aWait + kReadMargin };
+  http_.Send(std::move(request),
+             [aTopic, aFrom, done = std::move(aDone)](HttpResult aResult) {
+               StoreRead read{ .outcome_ = OutcomeOf(aResult), .next_ = aFrom };
+               try {
+                 if (read.outcome_ == StoreOutcome::Ok) {
+                   DecodeRead(aResult.response_.body_, aFrom, read);
+                 }
+               } catch (const WireError& error) {
+                 LOG(ERROR) << "read of " << aTopic << ": " << error.what();
+                 read.outcome_ = StoreOutcome::NotDone;
+               }
+               done(std::move(read));
+             });
+}
+
+void
+StoreClient::Newest(const std::string& aTopic,
+                    const std::string& aAfter,
+                    std::function<void(StorePage)> aDone)
+{
+  HttpClientRequest request{ .url_ = Url("/log-newest", aTopic),
+                             .connectTimeout_ = kConnectLimit,
+                             .timeout_ = kPageLimit };
+  if (!aAfter.empty()) {
+    request.url_ += "&after=" + QueryText(aAfter);
+  }
+  http_.Send(
+    std::move(request), [aTopic, done = std::move(aDone)](HttpResult aResult) {
+      StorePage page{ .outcome_ = OutcomeOf(aResult) };
+      try {
+        if (page.outcome_ == StoreOutcome::Ok) {
+          DecodePage(aResult.response_.body_, page);
+        } else {
+          VLOG(1) << "read of the newest records of " << aTopic
+                  << " failed: " << Reason(aResult);
+        }
+      } catch (const WireError& error) {
+        LOG(ERROR) << "newest records of " << aTopic << ": " << error.what();
+        page.outcome_ = StoreOutcome::NotDone;
+      }
+      done(std::move(page));
+    });
+}
+
+TopicReader::TopicReader(asio::io_context& aLoop,
+                         StoreClient& aStore,
+                         Options aOptions)
+  : timer_(aLoop)
+  , store_(aStore)
+  , options_(std::move(aOptions))
+{
+  Restart();
+}
+
+TopicReader::~TopicReader()
+{
+  *alive_ = false;
+}
+
+void
+TopicReader::ReadPage(const std::string& aAfter)
+{
+  store_.Newest(options_.topic_,
+                aAfter,
+                [this, alive = alive_, aAfter](const StorePage& aPage) {
+                  if (*alive) {
+                    OnPage(aAfter, aPage);
+                  }
+                });
+}
+
+void
+TopicReader::OnPage(const std::string& aAfter, const StorePage& aPage)
+{
+  if (aPage.outcome_ != StoreOutcome::Ok) {
+    NoteReachable(false);
+    Retry(&TopicReader::Restart);
+    return;
+  }
+  NoteReachable(true);
+  if (aAfter.empty()) {
+    // Pages are no snapshot: what changes meanwhile comes again in the tail.
+    incoming_.clear();
+    next_ = aPage.end_;
+  }
+  for (const KeyedRecord& record : aPage.records_) {
+    incoming_[record.key_] = record.value_;
+  }
+  if (aPage.hasMore_ && !aPage.records_.empty()) {
+    ReadPage(aPage.records_.back().key_);
+    return;
+  }
+  const bool changed = !complete_ || incoming_ != records_;
+  records_ = std::move(incoming_);
+  complete_ = true;
+  if (changed) {
+    options_.onChange_(records_);
+  }
+  Tail();
+}
+
+void
+TopicReader::Tail()
+{
+  store_.Read(options_.topic_,
+              next_,
+              options_.wait_,
+              [this, alive = alive_](const StoreRead& aRead) {
+                if (*alive) {
+                  OnTail(aRead);
+                }
+              });
+}
+
+void
+TopicReader::OnTail(const StoreRead& aRead)
+{
+  if (aRead.outcome_ == StoreOutcome::Gone) {
+    Restart();
+    return;
+  }
+  if (aRead.outcome_ != StoreOutcome::Ok) {
+    NoteReachable(false);
+    Retry(&TopicReader::Tail);
+    return;
+  }
+  NoteReachable(true);
+  for (const KeyedRecord& record : aRead.records_) {
+    if (record.value_.empty()) {
+      records_.erase(record.key_);
+    } else {
+      records_[record.key_] = record.value_;
+    }
+  }
+  next_ = aRead.next_;
+  if (!aRead.records_.empty()) {
+    options_.onChange_(records_);
+  }
+  Tail();
+}
+
+void
+TopicReader::Retry(void (TopicReader::*aStep)())
+{
+  timer_.expires_after(kRetryPause);
+  timer_.async_wait(
+    [this, alive = alive_, aStep](const asio::error_code& aError) {
+      if (*alive && !aError) {
+        (this->*aStep)();
+      }
+    });
+}
+
+void
+TopicReader::NoteReachable(bool aReachable)
+{
+  if (reachable_ == aReachable) {
+    return;
+  }
+  reachable_ = aReachable;
+  LOG(INFO) << "store topic=" << options_.topic_
+            << (aReachable ? " reachable" : " unreachable");
+  if (options_.onReachable_) {
+    options_.onReachable_(aReachable);
+  }
+}
+
+} // namespace cornelfront::platform
--- /dev/null
+++ b/src/libcornelfront/policy/job_engine.cpp
@@ -0,0 +1,800 @@
+#include "cornelfront/job_engine.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <limits>
+#include <tuple>
+#include <utility>
+
+namespace cornelfront {
+namespace {
+
+constexpr std::array<std::string_view, 4> kOutcomes = {
+  "completed",
+  "failed",
+  "refused",
+  "given_up",
+};
+
+/// Weights of the newest value in smoothed figures.
+constexpr double kDurationWeight = 0.05;
+constexpr double kSlownessWeight = 0.15;
+constexpr double kFailureWeight = 0.25;
+
+/// Share of failed runs above which an upstream is avoided.
+constexpr double kEjectionShare = 0.6;
+
+/// Weight in milliseconds of an upstream's utilisation, so that equals are
+/// filled evenly.
+constexpr double kUtilisationMs = 10.0;
+
+double
+Smooth(double aOld, double aNew, double aWeight)
+{
+  return aOld + (aNew - aOld) * aWeight;
+}
+
+double
+ToMs(MonoClock::duration aDuration)
+{
+  return std::chrono::duration<double, std::milli>(aDuration).count();
+}
+
+Millis
+FromMs(double aMs)
+{
+  return Millis(static_cast<int64_t>(std::llround(aMs)));
+}
+
+Room
+PlusUnreported(Room aRoom, const Room& aMore)
+{
+  aRoom += aMore;
+  return aRoom;
+}
+
+bool
+Contains(const std::vector<std::string>& aList, const std::string& aText)
+{
+  return std::find(aList.begin(), aList.end(), aText) != aList.end();
+}
+
+} // namespace
+
+std::string_view
+ToString(JobOutcome aOutcome)
+{
+  return kOutcomes.at(static_cast<size_t>(aOutcome));
+}
+
+JobEngine::JobEngine(JobEngineOptions aOptions)
+  : options_(std::move(aOptions))
+{
+}
+
+void
+JobEngine::Submit(JobTicket aTicket,
+                  const JobDescription& aJob,
+                  const JobQueue& aQueue,
+                  MonoTime aDeadline,
+                  MonoTime aNow)
+{
+  CheckPause(aNow);
+  if (Reattach(aTicket, aJob.id_, aDeadline)) {
+    return;
+  }
+  Job& job = jobs_[aJob.id_];
+  job.ticket_ = aTicket;
+  job.spec_ = aJob;
+  job.queue_ = aQueue;
+  job.submitted_ = aNow;
+  job.deadline_ = aDeadline;
+  tickets_[aTicket] = aJob.id_;
+  for (const StepSpec& step : aJob.steps_) {
+    job.steps_.push_back(
+      { .tasks_ = std::vector<Task>(step.count_), .open_ = step.count_ });
+  }
+  if (!CanEverRun(job)) {
+    Finish(job,
+           JobOutcome::Refused,
+           "no upstream of " + aQueue.service_ + " can run it",
+           options_.refusalRetry_);
+    return;
+  }
+  const Millis wait = ShortestWait(job);
+  if (aNow + wait >= aDeadline) {
+    Finish(job,
+           JobOutcome::Refused,
+           "the wait of " + std::to_string(wait.count()) +
+             " ms exceeds the client's deadline",
+           std::max(wait, options_.refusalRetry_));
+    return;
+  }
+  UnblockSteps(job);
+  Place(job, aNow);
+}
+
+bool
+JobEngine::Reattach(JobTicket aTicket,
+                    const std::string& aJob,
+                    MonoTime aDeadline)
+{
+  Job* job = FindJob(aJob);
+  if (job == nullptr) {
+    return false;
+  }
+  actions_.emplace_back(AnswerJob{ .ticket_ = job->ticket_,
+                                   .outcome_ = JobOutcome::GivenUp,
+                                   .reason_ = "submitted again" });
+  tickets_.erase(job->ticket_);
+  job->ticket_ = aTicket;
+  job->deadline_ = aDeadline;
+  tickets_[aTicket] = aJob;
+  return true;
+}
+
+void
+JobEngine::Abandon(JobTicket aTicket, MonoTime aNow)
+{
+  CheckPause(aNow);
+  const auto found = tickets_.find(aTicket);
+  if (found != tickets_.end()) {
+    Drop(jobs_.at(found->second));
+  }
+}
+
+bool
+JobEngine::Cancel(const std::string& aJob, MonoTime aNow)
+{
+  CheckPause(aNow);
+  Job* job = FindJob(aJob);
+  if (job == nullptr) {
+    return false;
+  }
+  Finish(*job, JobOutcome::GivenUp, "cancelled");
+  return true;
+}
+
+void
+JobEngine::SetZonesOut(std::set<std::string> aZones, MonoTime aNow)
+{
+  CheckPause(aNow);
+  zonesOut_ = std::move(aZones);
+  PlaceWaiting(aNow);
+}
+
+void
+JobEngine::OnSidecar(MemberId aSidecar, const std::string& aZone, MonoTime aNow)
+{
+  CheckPause(aNow);
+  Sidecar& sidecar = sidecars_[aSidecar];
+  sidecar.zone_ = aZone;
+  sidecar.linked_ = true;
+  sidecar.report_ = {};
+  sidecar.ordersSent_ = 0;
+  sidecar.unreported_.clear();
+}
+
+void
+JobEngine::OnHeld(MemberId aSidecar, const HeldRuns& aHeld, MonoTime aNow)
+{
+  CheckPause(aNow);
+  for (const RunReport& report : aHeld.reports_) {
+    OnEnd(aSidecar, report, aNow);
+  }
+  const auto sidecar = sidecars_.find(aSidecar);
+  if (sidecar == sidecars_.end()) {
+    return;
+  }
+  const std::set<RunKey> held(aHeld.runs_.begin(), aHeld.runs_.end());
+  std::vector<RunKey> missing;
+  std::set_difference(sidecar->second.runs_.begin(),
+                      sidecar->second.runs_.end(),
+                      held.begin(),
+                      held.end(),
+                      std::back_inserter(missing));
+  for (const RunKey& key : missing) {
+    OnEnd(aSidecar, { .key_ = key }, aNow);
+  }
+}
+
+void
+JobEngine::OnReports(MemberId aSidecar,
+                     const RunReports& aReports,
+                     MonoTime aNow)
+{
+  CheckPause(aNow);
+  const auto found = sidecars_.find(aSidecar);
+  if (found == sidecars_.end()) {
+    return;
+  }
+  Sidecar& sidecar = found->second;
+  if (sidecar.report_.upstream_ != aReports.upstream_.upstream_) {
+    sidecar.slowness_ = 1.0;
+    sidecar.failures_ = 0.0;
+    sidecar.avoidUntil_ = {};
+  }
+  sidecar.report_ = aReports.upstream_;
+  while (!sidecar.unreported_.empty() && sidecar.unreported_.front().number_ <=
+                                           aReports.upstream_.ordersReceived_) {
+    sidecar.unreported_.pop_front();
+  }
+  for (const RunReport& report : aReports.reports_) {
+    OnEnd(aSidecar, report, aNow);
+  }
+  PlaceWaiting(aNow);
+}
+
+void
+JobEngine::OnSidecarLost(MemberId aSidecar, bool aSuccessor, MonoTime aNow)
+{
+  CheckPause(aNow);
+  const auto found = sidecars_.find(aSidecar);
+  if (found == sidecars_.end()) {
+    return;
+  }
+  found->second.linked_ = false;
+  found->second.lostAt_ = aNow;
+  if (aSuccessor) {
+    EndRuns(aSidecar, RunEnd::Lost, aNow);
+    sidecars_.erase(aSidecar);
+  }
+}
+
+void
+JobEngine::Tick(MonoTime aNow)
+{
+  CheckPause(aNow);
+  std::vector<MemberId> ended;
+  for (const auto& [id, sidecar] : sidecars_) {
+    if (!sidecar.linked_ && aNow - sidecar.lostAt_ >= options_.lostRunsEnd_) {
+      ended.push_back(id);
+    }
+  }
+  for (const MemberId id : ended) {
+    EndRuns(id, RunEnd::Lost, aNow);
+    sidecars_.erase(id);
+  }
+  std::vector<std::string> expired;
+  for (auto& [id, job] : jobs_) {
+    if (aNow >= job.deadline_) {
+      expired.push_back(id);
+    } else {
+      CheckStragglers(job, aNow);
+    }
+  }
+  for (const std::string& id : expired) {
+    GiveUp(jobs_.at(id), "the client's deadline has passed");
+  }
+  PlaceWaiting(aNow);
+}
+
+std::vector<JobAction>
+JobEngine::TakeActions()
+{
+  return std::exchange(actions_, {});
+}
+
+size_t
+JobEngine::Pending(const std::string& aQueue) const
+{
+  return static_cast<size_t>(
+    std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& aJob) {
+      return aJob.second.queue_.name_ == aQueue && !aJob.second.anySent_;
+    }));
+}
+
+bool
+JobEngine::HasReadyUpstream() const
+{
+  return std::any_of(
+    sidecars_.begin(), sidecars_.end(), [](const auto& aSidecar) {
+      return aSidecar.second.linked_ && aSidecar.second.report_.ready_;
+    });
+}
+
+bool
+JobEngine::Owes(MemberId aSidecar) const
+{
+  const auto found = sidecars_.find(aSidecar);
+  return found != sidecars_.end() && !found->second.runs_.empty();
+}
+
+void
+JobEngine::CheckPause(MonoTime aNow)
+{
+  const bool paused = called_ && aNow - lastCall_ > options_.longestPause_;
+  called_ = true;
+  lastCall_ = aNow;
+  if (!paused) {
+    return;
+  }
+  std::vector<std::string> ids;
+  for (const auto& [id, job] : jobs_) {
+    ids.push_back(id);
+  }
+  for (const std::string& id : ids) {
+    GiveUp(jobs_.at(id), "this process was suspended");
+  }
+}
+
+JobEngine::Job*
+JobEngine::FindJob(const std::string& aId)
+{
+  const auto found = jobs_.find(aId);
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
+void
+JobEngine::UnblockSteps(Job& aJob)
+{
+  for (size_t i = 0; i < aJob.steps_.size(); ++i) {
+    const auto& after = aJob.spec_.steps_[i].after_;
+    const bool ready =
+      std::all_of(after.begin(), after.end(), [&](uint32_t aEarlier) {
+        return aJob.steps_[aEarlier].open_ == 0;
+      });
+    if (!ready) {
+      continue;
+    }
+    for (Task& task : aJob.steps_[i].tasks_) {
+      if (task.state_ == TaskState::Blocked) {
+        task.state_ = TaskState::Ready;
+      }
+    }
+  }
+}
+
+void
+JobEngine::Place(Job& aJob, MonoTime aNow)
+{
+  waiting_.erase(aJob.spec_.id_);
+  for (uint32_t step = 0; step < aJob.steps_.size(); ++step) {
+    PlaceStep(aJob, step, aNow);
+  }
+}
+
+void
+JobEngine::PlaceStep(Job& aJob, uint32_t aStep, MonoTime aNow)
+{
+  const StepSpec& spec = aJob.spec_.steps_[aStep];
+  Step& step = aJob.steps_[aStep];
+  const bool running =
+    std::any_of(step.tasks_.begin(), step.tasks_.end(), [](const Task& aTask) {
+      return aTask.state_ == TaskState::Sent;
+    });
+  if (spec.gang_ && running) {
+    return;
+  }
+  std::map<MemberId, StartRuns> orders;
+  for (uint32_t index = 0; index < step.tasks_.size(); ++index) {
+    Task& task = step.tasks_[index];
+    if (task.state_ != TaskState::Ready) {
+      continue;
+    }
+    const auto sidecar = Choose(aJob, aStep, task, aNow);
+    if (sidecar == sidecars_.end()) {
+      waiting_.insert(aJob.spec_.id_);
+      continue;
+    }
+    ++task.run_;
+    task.state_ = TaskState::Sent;
+    task.sidecar_ = sidecar->first;
+    task.sent_ = aNow;
+    task.stopSent_ = false;
+    aJob.anySent_ = true;
+    StartRuns& order = orders[sidecar->first];
+    order.runs_.push_back({ index, task.run_ });
+    NoteSent(sidecar->second,
+             spec,
+             { { aJob.spec_.id_, 0, aStep, index }, task.run_ });
+  }
+  for (auto& [id, order] : orders) {
+    order.job_ = aJob.spec_.id_;
+    order.step_ = aStep;
+    order.payload_ = aJob.spec_.payload_;
+    order.service_ = aJob.queue_.service_;
+    order.room_ = spec.room_;
+    order.priority_ = aJob.queue_.priority_;
+    order.estimate_ = FromMs(ExpectedRunMs(aJob, spec));
+    order.startWithin_ =
+      std::min(options_.startWithin_,
+               std::chrono::duration_cast<Millis>(aJob.deadline_ - aNow));
+    actions_.emplace_back(SendRuns{ id, std::move(order) });
+  }
+}
+
+void
+JobEngine::PlaceWaiting(MonoTime aNow)
+{
+  const std::set<std::string> waiting = waiting_;
+  for (const std::string& id : waiting) {
+    Place(jobs_.at(id), aNow);
+  }
+}
+
+void
+JobEngine::NoteSent(Sidecar& aSidecar,
+                    const StepSpec& aStep,
+                    const RunKey& aKey)
+{
+  aSidecar.runs_.insert(aKey);
+  aSidecar.unreported_.push_back(
+    { .number_ = ++aSidecar.ordersSent_,
+      .room_ = aStep.room_,
+      .work_ = aStep.room_.cpu_ * aStep.estimate_.count() });
+}
+
+JobEngine::Sidecars::iterator
+JobEngine::Choose(const Job& aJob,
+                  uint32_t aStep,
+                  const Task& aTask,
+                  MonoTime aNow)
+{
+  const StepSpec& spec = aJob.spec_.steps_[aStep];
+  auto best = sidecars_.end();
+  double bestCost = std::numeric_limits<double>::max();
+  bool bestAvoided = true;
+  for (auto it = sidecars_.begin(); it != sidecars_.end(); ++it) {
+    const Sidecar& sidecar = it->second;
+    if (!Usable(sidecar, aJob, spec) || LeavesNoPlace(it->first, aJob, aStep)) {
+      continue;
+    }
+    const bool avoided =
+      aNow < sidecar.avoidUntil_ || aTask.avoid_.contains(it->first);
+    const double cost = CostMs(sidecar, aJob, spec);
+    if (std::tie(avoided, cost) < std::tie(bestAvoided, bestCost)) {
+      best = it;
+      bestCost = cost;
+      bestAvoided = avoided;
+    }
+  }
+  return best;
+}
+
+bool
+JobEngine::Usable(const Sidecar& aSidecar,
+                  const Job& aJob,
+                  const StepSpec& aStep) const
+{
+  const UpstreamReport& report = aSidecar.report_;
+  return aSidecar.linked_ && report.ready_ &&
+         report.service_ == aJob.queue_.service_ &&
+         report.capacity_.Holds(aStep.room_) &&
+         !zonesOut_.contains(aSidecar.zone_) &&
+         (aStep.requiredLabel_.empty() ||
+          Contains(report.labels_, aStep.requiredLabel_));
+}
+
+bool
+JobEngine::LeavesNoPlace(MemberId aSidecar,
+                         const Job& aJob,
+                         uint32_t aStep) const
+{
+  const uint32_t limit = aJob.spec_.steps_[aStep].maxPerUpstream_;
+  if (limit == 0) {
+    return false;
+  }
+  const auto& tasks = aJob.steps_[aStep].tasks_;
+  const auto there =
+    std::count_if(tasks.begin(), tasks.end(), [&](const Task& aTask) {
+      return aTask.state_ == TaskState::Sent && aTask.sidecar_ == aSidecar;
+    });
+  return there >= static_cast<std::ptrdiff_t>(limit);
+}
+
+double
+JobEngine::WaitMs(const Sidecar& aSidecar,
+                  const Job& aJob,
+                  const StepSpec& aStep) const
+{
+  const UpstreamReport& report = aSidecar.report_;
+  Room committed = report.committed_;
+  int64_t work = 0;
+  for (const Sidecar::Order& order : aSidecar.unreported_) {
+    committed += order.room_;
+    work += order.work_;
+  }
+  if (report.capacity_.Holds(PlusUnreported(committed, aStep.room_))) {
+    return 0.0;
+  }
+  for (size_t p = 0; p < kPriorities && p <= aJob.queue_.priority_; ++p) {
+    work += report.backlog_.at(p);
+  }
+  const auto cpu =
+    static_cast<double>(std::max<int64_t>(report.capacity_.cpu_, 1));
+  // Room for one task falls free each time that share of the work is done.
+  const double next =
+    static_cast<double>(aStep.room_.cpu_) * aSidecar.runMs_ / cpu;
+  return next + static_cast<double>(work) * aSidecar.slowness_ / cpu;
+}
+
+double
+JobEngine::CostMs(const Sidecar& aSidecar,
+                  const Job& aJob,
+                  const StepSpec& aStep) const
+{
+  const UpstreamReport& report = aSidecar.report_;
+  double run = ExpectedRunMs(aJob, aStep) * aSidecar.slowness_;
+  if (!aStep.preferredRack_.empty() &&
+      !Contains(report.labels_, aStep.preferredRack_)) {
+    run *= options_.otherRackFactor_;
+  }
+  const double utilisation =
+    static_cast<double>(report.committed_.cpu_) /
+    static_cast<double>(std::max<int64_t>(report.capacity_.cpu_, 1));
+  const double distance = aSidecar.zone_ == options_.zone_
+                            ? 0.0
+                            : static_cast<double>(options_.otherZone_.count());
+  return WaitMs(aSidecar, aJob, aStep) + run + distance +
+         utilisation * kUtilisationMs;
+}
+
+double
+JobEngine::ExpectedRunMs(const Job& aJob, const StepSpec& aStep) const
+{
+  const auto estimate = static_cast<double>(aStep.estimate_.count());
+  const auto found = durations_.find(aJob.queue_.name_);
+  if (found == durations_.end() || !found->second.known_) {
+    return estimate;
+  }
+  return estimate > 0 ? (estimate + found->second.meanMs_) / 2
+                      : found->second.meanMs_;
+}
+
+Millis
+JobEngine::ShortestWait(const Job& aJob) const
+{
+  double shortest = std::numeric_limits<double>::max();
+  const StepSpec& first = aJob.spec_.steps_.front();
+  for (const auto& [id, sidecar] : sidecars_) {
+    if (Usable(sidecar, aJob, first)) {
+      shortest = std::min(shortest, WaitMs(sidecar, aJob, first));
+    }
+  }
+  constexpr double kLongestMs = 60000.0;
+  return FromMs(std::min(shortest, kLongestMs));
+}
+
+bool
+JobEngine::CanEverRun(const Job& aJob) const
+{
+  const auto& steps = aJob.spec_.steps_;
+  return std::all_of(steps.begin(), steps.end(), [&](const StepSpec& aStep) {
+    return std::any_of(
+      sidecars_.begin(), sidecars_.end(), [&](const auto& aSidecar) {
+        return Usable(aSidecar.second, aJob, aStep);
+      });
+  });
+}
+
+void
+JobEngine::OnEnd(MemberId aSidecar, const RunReport& aReport, MonoTime aNow)
+{
+  const auto sidecar = sidecars_.find(aSidecar);
+  if (sidecar == sidecars_.end() ||
+      sidecar->second.runs_.erase(aReport.key_) == 0) {
+    return;
+  }
+  const TaskName& name = aReport.key_.task_;
+  Job* job = FindJob(name.job_);
+  if (job == nullptr || name.step_ >= job->steps_.size() ||
+      name.index_ >= job->steps_[name.step_].tasks_.size()) {
+    return;
+  }
+  Task& task = job->steps_[name.step_].tasks_[name.index_];
+  if (task.state_ != TaskState::Sent || task.run_ != aReport.key_.run_) {
+    return;
+  }
+  Learn(sidecar->second, *job, aReport, aNow);
+  job->mayHaveRun_ |= aReport.end_ != RunEnd::NotStarted;
+  if (aReport.end_ == RunEnd::Done) {
+    OnTaskDone(*job, name, aNow);
+    return;
+  }
+  task.state_ = TaskState::Ready;
+  task.avoid_.insert(aSidecar);
+  if (aReport.end_ == RunEnd::Failed) {
+    OnTaskFailed(*job, name, aNow);
+    return;
+  }
+  if (job->spec_.steps_[name.step_].gang_) {
+    RestartGang(*job, name.step_);
+  }
+  Place(*job, aNow);
+}
+
+void
+JobEngine::OnTaskDone(Job& aJob, const TaskName& aName, MonoTime aNow)
+{
+  Step& step = aJob.steps_[aName.step_];
+  if (aJob.spec_.steps_[aName.step_].gang_) {
+    for (Task& task : step.tasks_) {
+      task.state_ = TaskState::Done;
+    }
+    step.open_ = 0;
+  } else {
+    step.tasks_[aName.index_].state_ = TaskState::Done;
+    --step.open_;
+  }
+  if (step.open_ > 0) {
+    return;
+  }
+  const bool finished =
+    std::all_of(aJob.steps_.begin(), aJob.steps_.end(), [](const Step& aStep) {
+      return aStep.open_ == 0;
+    });
+  if (finished) {
+    Finish(aJob, JobOutcome::Completed, "");
+    return;
+  }
+  UnblockSteps(aJob);
+  Place(aJob, aNow);
+}
+
+void
+JobEngine::OnTaskFailed(Job& aJob, const TaskName& aName, MonoTime aNow)
+{
+  Task& task = aJob.steps_[aName.step_].tasks_[aName.index_];
+  if (++task.failures_ >= aJob.queue_.attempts_) {
+    Finish(aJob,
+           JobOutcome::Failed,
+           ToString(aName) + " failed " + std::to_string(task.failures_) +
+             " times");
+    return;
+  }
+  if (aJob.spec_.steps_[aName.step_].gang_) {
+    RestartGang(aJob, aName.step_);
+  }
+  Place(aJob, aNow);
+}
+
+void
+JobEngine::RestartGang(Job& aJob, uint32_t aStep)
+{
+  Step& step = aJob.steps_[aStep];
+  uint32_t highest = 0;
+  for (uint32_t i = 0; i < step.tasks_.size(); ++i) {
+    Task& task = step.tasks_[i];
+    highest = std::max(highest, task.run_);
+    if (task.state_ == TaskState::Sent && !task.stopSent_) {
+      StopRun({ aJob.spec_.id_, 0, aStep, i }, task);
+    }
+  }
+  // All members of one run have the same number.
+  for (Task& task : step.tasks_) {
+    if (task.state_ != TaskState::Sent) {
+      task.run_ = highest;
+    }
+  }
+}
+
+void
+JobEngine::Learn(Sidecar& aSidecar,
+                 const Job& aJob,
+                 const RunReport& aReport,
+                 MonoTime aNow)
+{
+  const bool failed = aReport.end_ == RunEnd::Failed;
+  if (failed || aReport.end_ == RunEnd::Done) {
+    aSidecar.failures_ =
+      Smooth(aSidecar.failures_, failed ? 1.0 : 0.0, kFailureWeight);
+    if (aSidecar.failures_ > kEjectionShare) {
+      aSidecar.avoidUntil_ = aNow + options_.ejection_;
+      aSidecar.failures_ = kEjectionShare;
+    }
+  }
+  if (aReport.end_ != RunEnd::Done) {
+    return;
+  }
+  const auto run = static_cast<double>(aReport.runTime_.count());
+  Durations& durations = durations_[aJob.queue_.name_];
+  if (!durations.known_) {
+    durations = { .meanMs_ = run, .known_ = true };
+  }
+  const double ratio = run / std::max(durations.meanMs_, 1.0);
+  durations.meanMs_ = Smooth(durations.meanMs_, run, kDurationWeight);
+  aSidecar.slowness_ = Smooth(aSidecar.slowness_, ratio, kSlownessWeight);
+  aSidecar.runMs_ = Smooth(aSidecar.runMs_, run, kDurationWeight);
+}
+
+void
+JobEngine::EndRuns(MemberId aSidecar, RunEnd aEnd, MonoTime aNow)
+{
+  const std::set<RunKey> runs = sidecars_.at(aSidecar).runs_;
+  for (const RunKey& key : runs) {
+    OnEnd(aSidecar, { .key_ = key, .end_ = aEnd }, aNow);
+  }
+}
+
+void
+JobEngine::CheckStragglers(Job& aJob, MonoTime aNow)
+{
+  for (uint32_t s = 0; s < aJob.steps_.size(); ++s) {
+    const double expected = ExpectedRunMs(aJob, aJob.spec_.steps_[s]);
+    auto& tasks = aJob.steps_[s].tasks_;
+    for (uint32_t i = 0; i < tasks.size(); ++i) {
+      Task& task = tasks[i];
+      if (task.state_ != TaskState::Sent || task.stopSent_) {
+        continue;
+      }
+      const auto found = sidecars_.find(task.sidecar_);
+      if (found == sidecars_.end()) {
+        continue;
+      }
+      const double age = ToMs(aNow - task.sent_) -
+                         WaitMs(found->second, aJob, aJob.spec_.steps_[s]);
+      const double limit =
+        std::max(expected * options_.stragglerFactor_,
+                 static_cast<double>(options_.stragglerFloor_.count()));
+      if (age > limit) {
+        found->second.slowness_ =
+          std::max(found->second.slowness_, options_.stragglerFactor_);
+        StopRun({ aJob.spec_.id_, 0, s, i }, task);
+      }
+    }
+  }
+}
+
+void
+JobEngine::StopRun(const TaskName& aName, Task& aTask)
+{
+  aTask.stopSent_ = true;
+  actions_.emplace_back(
+    SendStops{ aTask.sidecar_, { { { aName, aTask.run_ } } } });
+}
+
+void
+JobEngine::GiveUp(Job& aJob, const std::string& aReason)
+{
+  const bool outstanding =
+    std::any_of(aJob.steps_.begin(), aJob.steps_.end(), [](const Step& aStep) {
+      return std::any_of(
+        aStep.tasks_.begin(), aStep.tasks_.end(), [](const Task& aTask) {
+          return aTask.state_ == TaskState::Sent;
+        });
+    });
+  const bool notRun = !aJob.mayHaveRun_ && !outstanding;
+  Finish(aJob,
+         notRun ? JobOutcome::Refused : JobOutcome::GivenUp,
+         aReason,
+         options_.refusalRetry_);
+}
+
+void
+JobEngine::Finish(Job& aJob,
+                  JobOutcome aOutcome,
+                  const std::string& aReason,
+                  Millis aRetryAfter)
+{
+  actions_.emplace_back(AnswerJob{ .ticket_ = aJob.ticket_,
+                                   .outcome_ = aOutcome,
+                                   .reason_ = aReason,
+                                   .retryAfter_ = aRetryAfter });
+  Drop(aJob);
+}
+
+void
+JobEngine::Drop(Job& aJob)
+{
+  std::map<MemberId, StopRuns> stops;
+  for (uint32_t s = 0; s < aJob.steps_.size(); ++s) {
+    auto& tasks = aJob.steps_[s].tasks_;
+    for (uint32_t i = 0; i < tasks.size(); ++i) {
+      if (tasks[i].state_ == TaskState::Sent) {
+        stops[tasks[i].sidecar_].runs_.push_back(
+          { { aJob.spec_.id_, 0, s, i }, tasks[i].run_ });
+      }
+    }
+  }
+  for (auto& [id, stop] : stops) {
+    actions_.emplace_back(SendStops{ id, std::move(stop) });
+  }
+  const std::string id = aJob.spec_.id_;
+  waiting_.erase(id);
+  tickets_.erase(aJob.ticket_);
+  jobs_.erase(id);
+}
+
+} // namespace cornelfront
--- /dev/null
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -0,0 +1,496 @@
+#include "cornelfront/run_table.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace cornelfront {
+namespace {
+
+/// Step by which a run is renumbered when the upstream knows a higher number
+/// from an earlier owner of the same job.
+constexpr uint32_t kRenumberStep = 100;
+
+/// Ends that one look can list; a full list may hide others.
+constexpr size_t kMaxEndsPerLook = 500;
+
+Millis
+Since(MonoTime aThen, MonoTime aNow)
+{
+  return std::chrono::duration_cast<Millis>(aNow - aThen);
+}
+
+} // namespace
+
+std::string
+ToString(const RunKey& aKey)
+{
+  return ToString(aKey.task_) + '#' + std::to_string(aKey.run_);
+}
+
+RunTable::RunTable(RunTableOptions aOptions)
+  : options_(aOptions)
+{
+}
+
+void
+RunTable::OnUpstream(const UpstreamInfo& aInfo, MonoTime aNow)
+{
+  const bool sameIncarnation = upstream_ && upstream_->id_ == aInfo.id_ &&
+                               upstream_->bornMs_ == aInfo.bornMs_;
+  if (!sameIncarnation) {
+    FinishAll(RunEnd::Lost, aNow);
+    strays_.clear();
+    acknowledgedEnds_ = 0;
+    upstreamHeard_ = aNow;
+  }
+  upstream_ = aInfo;
+  if (aInfo.draining_) {
+    FinishWaiting(aNow);
+  }
+}
+
+void
+RunTable::OnUpstreamGone(MonoTime aNow)
+{
+  FinishAll(RunEnd::Lost, aNow);
+  strays_.clear();
+  upstream_.reset();
+}
+
+void
+RunTable::SetClosed(bool aClosed, MonoTime aNow)
+{
+  closed_ = aClosed;
+  if (closed_) {
+    FinishWaiting(aNow);
+  }
+}
+
+void
+RunTable::OnOwnerLink(MemberId aOwner, MonoTime aNow)
+{
+  owners_[aOwner].heard_ = aNow;
+}
+
+void
+RunTable::OnOwnerHeard(MemberId aOwner, MonoTime aNow)
+{
+  const auto owner = owners_.find(aOwner);
+  if (owner != owners_.end()) {
+    owner->second.heard_ = aNow;
+  }
+}
+
+void
+RunTable::OnOrders(MemberId aOwner, const StartRuns& aOrders, MonoTime aNow)
+{
+  OnOwnerLink(aOwner, aNow);
+  const bool accepts = upstream_ && !upstream_->draining_ && !closed_ &&
+                       upstream_->service_ == aOrders.service_;
+  for (const RunOrder& order : aOrders.runs_) {
+    const RunKey key{ aOrders.Task(order), order.run_ };
+    const auto sameTask = runs_.lower_bound({ key.task_, 0 });
+    const bool known =
+      sameTask != runs_.end() && sameTask->first.task_ == key.task_;
+    if (!accepts || known) {
+      const RunReport report{ .key_ = key };
+      owners_[aOwner].unsent_.push_back(report);
+      continue;
+    }
+    runs_[key] = { .owner_ = aOwner,
+                   .upstreamRun_ = order.run_,
+                   .payload_ = aOrders.payload_,
+                   .room_ = aOrders.room_,
+                   .priority_ =
+                     std::min<uint8_t>(aOrders.priority_, kPriorities - 1),
+                   .estimate_ = aOrders.estimate_,
+                   .queued_ = aNow,
+                   .startBy_ = aNow + aOrders.startWithin_,
+                   .sequence_ = nextSequence_++ };
+  }
+}
+
+void
+RunTable::OnStop(MemberId aOwner, const StopRuns& aStop, MonoTime aNow)
+{
+  OnOwnerHeard(aOwner, aNow);
+  for (const RunKey& key : aStop.runs_) {
+    const auto run = runs_.find(key);
+    if (run != runs_.end()) {
+      WantStop(run, aNow);
+    }
+  }
+}
+
+void
+RunTable::StopAll(MonoTime aNow)
+{
+  for (auto run = runs_.begin(); run != runs_.end();) {
+    const auto next = std::next(run);
+    WantStop(run, aNow);
+    run = next;
+  }
+}
+
+std::vector<StartOrder>
+RunTable::TakeStarts(MonoTime aNow)
+{
+  std::vector<StartOrder> starts;
+  if (!upstream_ || upstream_->draining_ || closed_ || aNow < fullUntil_) {
+    return starts;
+  }
+  Room used = RoomInUse();
+  for (const auto run : WaitingInOrder()) {
+    Room with = used;
+    with += run->second.room_;
+    if (!upstream_->capacity_.Holds(with)) {
+      // A smaller one behind it would starve it.
+      break;
+    }
+    used = with;
+    run->second.state_ = State::Starting;
+    run->second.firstLook_ = looks_ + 1;
+    starts.push_back({ .key_ = run->first,
+                       .upstreamRun_ = run->second.upstreamRun_,
+                       .payload_ = run->second.payload_ });
+  }
+  return starts;
+}
+
+void
+RunTable::OnStartAnswer(const RunKey& aKey,
+                        StartAnswer aAnswer,
+                        UpstreamClock aDeadline,
+                        MonoTime aNow)
+{
+  const auto found = runs_.find(aKey);
+  if (found == runs_.end() || found->second.state_ != State::Starting) {
+    return;
+  }
+  Run& run = found->second;
+  switch (aAnswer) {
+    case StartAnswer::Started:
+      run.state_ = State::Running;
+      run.started_ = aNow;
+      run.firstLook_ = looks_ + 1;
+      return;
+    case StartAnswer::Unknown:
+      run.state_ = State::Uncertain;
+      run.deadline_ = aDeadline;
+      return;
+    case StartAnswer::Full:
+      fullUntil_ = aNow + options_.fullPause_;
+      run.state_ = State::Waiting;
+      break;
+    case StartAnswer::TooLate:
+      run.state_ = State::Waiting;
+      break;
+    case StartAnswer::OldNumber:
+      run.state_ = State::Waiting;
+      run.upstreamRun_ += kRenumberStep;
+      break;
+    case StartAnswer::Refused:
+    case StartAnswer::NotSent:
+      Finish(found, RunEnd::NotStarted, aNow);
+      return;
+  }
+  if (run.stopWanted_) {
+    Finish(found, RunEnd::NotStarted, aNow);
+  }
+}
+
+uint64_t
+RunTable::BeginLook()
+{
+  return ++looks_;
+}
+
+void
+RunTable::OnLook(uint64_t aLookBegin, const UpstreamLook& aLook, MonoTime aNow)
+{
+  upstreamHeard_ = aNow;
+  NoteRunning(aLook, aNow);
+  NoteEnded(aLook, aNow);
+  NoteMissing(aLookBegin, aLook, aNow);
+}
+
+void
+RunTable::NoteRunning(const UpstreamLook& aLook, MonoTime aNow)
+{
+  std::set<RunKey> listed;
+  for (const RunningEntry& entry : aLook.running_) {
+    listed.insert(entry.key_);
+    const auto run = FindUpstreamRun(entry.key_);
+    if (run == runs_.end()) {
+      // Emplace keeps the time at which a stop was last sent.
+      strays_.emplace(entry.key_, MonoTime());
+    } else if (run->second.state_ == State::Uncertain) {
+      run->second.state_ = State::Running;
+      run->second.started_ = aNow;
+    }
+  }
+  std::erase_if(strays_, [&](const auto& aStray) {
+    return !listed.contains(aStray.first);
+  });
+}
+
+void
+RunTable::NoteEnded(const UpstreamLook& aLook, MonoTime aNow)
+{
+  for (const EndedEntry& entry : aLook.ended_) {
+    if (entry.number_ <= acknowledgedEnds_) {
+      continue;
+    }
+    acknowledgedEnds_ = entry.number_;
+    const auto run = FindUpstreamRun(entry.key_);
+    if (run != runs_.end()) {
+      Finish(run, entry.end_, aNow);
+    }
+  }
+}
+
+void
+RunTable::NoteMissing(uint64_t aLookBegin,
+                      const UpstreamLook& aLook,
+                      MonoTime aNow)
+{
+  if (aLook.ended_.size() >= kMaxEndsPerLook) {
+    return;
+  }
+  std::set<RunKey> listed;
+  for (const RunningEntry& entry : aLook.running_) {
+    listed.insert(entry.key_);
+  }
+  for (auto run = runs_.begin(); run != runs_.end();) {
+    const Run& state = run->second;
+    const bool shown =
+      listed.contains({ run->first.task_, state.upstreamRun_ });
+    const bool running =
+      state.state_ == State::Running && state.firstLook_ <= aLookBegin;
+    const bool neverStarts = state.state_ == State::Uncertain &&
+                             state.firstLook_ <= aLookBegin &&
+                             aLook.clock_ > state.deadline_;
+    if (!shown && running) {
+      run = Finish(run, RunEnd::Lost, aNow);
+    } else if (!shown && neverStarts) {
+      run = Finish(run, RunEnd::NotStarted, aNow);
+    } else {
+      ++run;
+    }
+  }
+}
+
+void
+RunTable::Tick(MonoTime aNow)
+{
+  CheckOwners(aNow);
+  if (upstream_ && Since(upstreamHeard_, aNow) > options_.upstreamSilence_) {
+    FinishAll(RunEnd::Lost, aNow);
+  }
+  for (auto run = runs_.begin(); run != runs_.end();) {
+    const bool late =
+      run->second.state_ == State::Waiting && aNow >= run->second.startBy_;
+    run = late ? Finish(run, RunEnd::NotStarted, aNow) : std::next(run);
+  }
+}
+
+void
+RunTable::CheckOwners(MonoTime aNow)
+{
+  std::set<MemberId> silent;
+  for (auto& [id, owner] : owners_) {
+    if (Since(owner.heard_, aNow) > options_.ownerSilence_) {
+      silent.insert(id);
+    }
+    while (!owner.recent_.empty() && Since(owner.recent_.front().first, aNow) >
+                                       options_.reportRetention_) {
+      owner.recent_.pop_front();
+    }
+  }
+  for (auto run = runs_.begin(); run != runs_.end();) {
+    const auto next = std::next(run);
+    if (silent.contains(run->second.owner_)) {
+      WantStop(run, aNow);
+    }
+    run = next;
+  }
+  std::erase_if(owners_, [&](const auto& aOwner) {
+    const bool holdsRuns =
+      std::any_of(runs_.begin(), runs_.end(), [&](const auto& aRun) {
+        return aRun.second.owner_ == aOwner.first;
+      });
+    return !holdsRuns &&
+           Since(aOwner.second.heard_, aNow) > options_.reportRetention_;
+  });
+}
+
+std::vector<RunKey>
+RunTable::TakeStops(MonoTime aNow)
+{
+  std::vector<RunKey> stops;
+  for (auto& [key, run] : runs_) {
+    const bool due = run.stopWanted_ && run.state_ != State::Waiting &&
+                     Since(run.stopSent_, aNow) >= options_.stopRepeat_;
+    if (due) {
+      run.stopSent_ = aNow;
+      stops.push_back({ key.task_, run.upstreamRun_ });
+    }
+  }
+  for (auto& [key, sent] : strays_) {
+    if (Since(sent, aNow) >= options_.stopRepeat_) {
+      sent = aNow;
+      stops.push_back(key);
+    }
+  }
+  return stops;
+}
+
+std::map<MemberId, std::vector<RunReport>>
+RunTable::TakeReports()
+{
+  std::map<MemberId, std::vector<RunReport>> reports;
+  for (auto& [id, owner] : owners_) {
+    if (!owner.unsent_.empty()) {
+      reports[id] = std::move(owner.unsent_);
+      owner.unsent_.clear();
+    }
+  }
+  return reports;
+}
+
+HeldRuns
+RunTable::Held(MemberId aOwner) const
+{
+  HeldRuns held;
+  for (const auto& [key, run] : runs_) {
+    if (run.owner_ == aOwner) {
+      held.runs_.push_back(key);
+    }
+  }
+  const auto owner = owners_.find(aOwner);
+  if (owner != owners_.end()) {
+    for (const auto& [when, report] : owner->second.recent_) {
+      held.reports_.push_back(report);
+    }
+  }
+  return held;
+}
+
+UpstreamReport
+RunTable::Report(MonoTime aNow) const
+{
+  UpstreamReport report;
+  if (!upstream_) {
+    return report;
+  }
+  report.service_ = upstream_->service_;
+  report.upstream_ = upstream_->id_;
+  report.ready_ = !upstream_->draining_ && !closed_ &&
+                  Since(upstreamHeard_, aNow) <= options_.upstreamDoubt_;
+  report.capacity_ = upstream_->capacity_;
+  report.labels_ = upstream_->labels_;
+  report.committed_ = RoomInUse();
+  for (const auto& [key, run] : runs_) {
+    if (run.state_ == State::Waiting) {
+      report.committed_ += run.room_;
+      report.backlog_.at(run.priority_) += Backlog(run);
+    }
+  }
+  return report;
+}
+
+Room
+RunTable::RoomInUse() const
+{
+  Room used;
+  for (const auto& [key, run] : runs_) {
+    if (run.state_ != State::Waiting) {
+      used += run.room_;
+    }
+  }
+  return used;
+}
+
+int64_t
+RunTable::Backlog(const Run& aRun) const
+{
+  return aRun.room_.cpu_ * aRun.estimate_.count();
+}
+
+RunTable::Runs::iterator
+RunTable::Finish(Runs::iterator aRun, RunEnd aEnd, MonoTime aNow)
+{
+  const Run& run = aRun->second;
+  RunReport report{ .key_ = aRun->first, .end_ = aEnd };
+  if (run.state_ == State::Running) {
+    report.runTime_ = Since(run.started_, aNow);
+    report.waited_ = Since(run.queued_, run.started_);
+  } else {
+    report.waited_ = Since(run.queued_, aNow);
+  }
+  Owner& owner = owners_[run.owner_];
+  owner.unsent_.push_back(report);
+  owner.recent_.emplace_back(aNow, report);
+  return runs_.erase(aRun);
+}
+
+void
+RunTable::FinishAll(RunEnd aEnd, MonoTime aNow)
+{
+  for (auto run = runs_.begin(); run != runs_.end();) {
+    const bool waiting = run->second.state_ == State::Waiting;
+    run = Finish(run, waiting ? RunEnd::NotStarted : aEnd, aNow);
+  }
+}
+
+void
+RunTable::FinishWaiting(MonoTime aNow)
+{
+  for (auto run = runs_.begin(); run != runs_.end();) {
+    const bool waiting = run->second.state_ == State::Waiting;
+    run = waiting ? Finish(run, RunEnd::NotStarted, aNow) : std::next(run);
+  }
+}
+
+void
+RunTable::WantStop(Runs::iterator aRun, MonoTime aNow)
+{
+  if (aRun->second.state_ == State::Waiting) {
+    Finish(aRun, RunEnd::NotStarted, aNow);
+  } else {
+    aRun->second.stopWanted_ = true;
+  }
+}
+
+RunTable::Runs::iterator
+RunTable::FindUpstreamRun(const RunKey& aKey)
+{
+  // Keys are ordered by task, so the runs of one task are neighbours.
+  for (auto run = runs_.lower_bound({ aKey.task_, 0 });
+       run != runs_.end() && run->first.task_ == aKey.task_;
+       ++run) {
+    if (run->second.upstreamRun_ == aKey.run_) {
+      return run;
+    }
+  }
+  return runs_.end();
+}
+
+std::vector<RunTable::Runs::iterator>
+RunTable::WaitingInOrder()
+{
+  std::vector<Runs::iterator> waiting;
+  for (auto run = runs_.begin(); run != runs_.end(); ++run) {
+    if (run->second.state_ == State::Waiting) {
+      waiting.push_back(run);
+    }
+  }
+  std::sort(waiting.begin(), waiting.end(), [](const auto& aA, const auto& aB) {
+    return std::tie(aA->second.priority_, aA->second.sequence_) <
+           std::tie(aB->second.priority_, aB->second.sequence_);
+  });
+  return waiting;
+}
+
+} // namespace cornelfront
--- a/src/libcornelfront/policy/settings.cpp
+++ b/src/libcornelfront/policy/settings.cpp
@@ -1,5 +1,7 @@
 #include "cornelfront/settings.h"
 
+#include "cornelfront/job_settings.h"
+
 #include "policy/yaml_reader.h"
 
 #include <algorithm>
@@ -169,6 +171,41 @@
   CheckSidecarTimes(aReader, aSettings);
 }
 
+constexpr Bounds<Millis> kStopLimitBounds{ Millis(100), minutes(30) };
+constexpr Bounds<Millis> kLeaseBounds{ Millis(200), minutes(1) };
+constexpr Bounds<uint16_t> kPortBounds{ 1, 65535 };
+
+void
+ReadJobEntry(YamlReader& aReader, JobEntrySettings& aSettings)
+{
+  aReader.Name("name", aSettings.name_, Need::Required);
+  aReader.Name("zone", aSettings.zone_, Need::Required);
+  aReader.Address("clients", aSettings.clients_, Need::Required);
+  aReader.Address("readiness", aSettings.readiness_, Need::Required);
+  aReader.Address("messages", aSettings.messages_, Need::Required);
+  aReader.Address("metrics", aSettings.metrics_, Need::Required);
+  aReader.Address("store", aSettings.store_, Need::Required);
+  ReadLinks(aReader, aSettings.links_);
+  aReader.Duration("stop_limit", aSettings.stopLimit_, kStopLimitBounds);
+}
+
+void
+ReadJobSidecar(YamlReader& aReader, JobSidecarSettings& aSettings)
+{
+  aReader.Name("name", aSettings.name_, Need::Required);
+  aReader.Name("zone", aSettings.zone_, Need::Required);
+  aReader.Address("heartbeats", aSettings.heartbeats_, Need::Required);
+  aReader.Address("metrics", aSettings.metrics_, Need::Required);
+  aReader.Address("upstream", aSettings.upstream_, Need::Required);
+  aReader.Address("store", aSettings.store_, Need::Required);
+  aReader.Addresses("seeds", aSettings.seeds_);
+  aReader.Number(
+    "message_port", aSettings.messagePort_, kPortBounds, Need::Required);
+  ReadLinks(aReader, aSettings.links_);
+  aReader.Duration("lease", aSettings.lease_, kLeaseBounds);
+  aReader.Duration("stop_limit", aSettings.stopLimit_, kStopLimitBounds);
+}
+
 // Reads the mapping under the role's key with aRead and throws on any fault.
 template<class Settings, class Read>
 Settings
@@ -278,4 +315,50 @@
   return out;
 }
 
+JobEntrySettings
+ParseJobEntrySettings(const std::string& aYaml)
+{
+  return ParseRole<JobEntrySettings>(aYaml, "job_entry", ReadJobEntry);
+}
+
+JobSidecarSettings
+ParseJobSidecarSettings(const std::string& aYaml)
+{
+  return ParseRole<JobSidecarSettings>(aYaml, "job_sidecar", ReadJobSidecar);
+}
+
+std::string
+PrintSettings(const JobEntrySettings& aSettings)
+{
+  std::string out = "job_entry:\n";
+  PrintLine(out, "name", aSettings.name_);
+  PrintLine(out, "zone", aSettings.zone_);
+  PrintLine(out, "clients", FormatEndpoint(aSettings.clients_));
+  PrintLine(out, "readiness", FormatEndpoint(aSettings.readiness_));
+  PrintLine(out, "messages", FormatEndpoint(aSettings.messages_));
+  PrintLine(out, "metrics", FormatEndpoint(aSettings.metrics_));
+  PrintLine(out, "store", FormatEndpoint(aSettings.store_));
+  PrintLinks(out, aSettings.links_);
+  PrintLine(out, "stop_limit", FormatDuration(aSettings.stopLimit_));
+  return out;
+}
+
+std::string
+PrintSettings(const JobSidecarSettings& aSettings)
+{
+  std::string out = "job_sidecar:\n";
+  PrintLine(out, "name", aSettings.name_);
+  PrintLine(out, "zone", aSettings.zone_);
+  PrintLine(out, "heartbeats", FormatEndpoint(aSettings.heartbeats_));
+  PrintLine(out, "metrics", FormatEndpoint(aSettings.metrics_));
+  PrintLine(out, "upstream", FormatEndpoint(aSettings.upstream_));
+  PrintLine(out, "store", FormatEndpoint(aSettings.store_));
+  PrintSeeds(out, aSettings.seeds_);
+  PrintLine(out, "message_port", std::to_string(aSettings.messagePort_));
+  PrintLinks(out, aSettings.links_);
+  PrintLine(out, "lease", FormatDuration(aSettings.lease_));
+  PrintLine(out, "stop_limit", FormatDuration(aSettings.stopLimit_));
+  return out;
+}
+
 } // namespace cornelfront
