Keep ends visible and starts prompt while orders remain without answer

While 6% of the calls to executors remain without answer, each unanswered look hid all ends of its executor for 500 ms and each unanswered start waited for its deadline.

Change: looks wait 50 ms while something runs, 15 ms while some remain without answer, and count as unanswered after an adaptive 20 ms; an unanswered start is sent again at once (the same run starts once); looks have connections of their own; stalls are judged by reported progress; jobs whose predicted wait exceeds 0.6 of what the objective leaves are refused at submission; work past its objective goes last.

--- a/src/include/cornelfront/job_engine.h
+++ b/src/include/cornelfront/job_engine.h
@@ -91,10 +91,13 @@
   Millis refusalRetry_{ 1000 };
   /// Factor on the run time of a task away from its preferred rack.
   double otherRackFactor_ = 1.5;
-  /// A run that takes longer than this many times what was expected, and
-  /// longer than the floor, is stopped and started elsewhere.
-  double stragglerFactor_ = 4.0;
-  Millis stragglerFloor_{ 300 };
+  /// Slowness assumed of an upstream on which a run stalled, and the time in
+  /// which what is known of slowness loses most of its weight.
+  double stalledSlowness_ = 4.0;
+  Millis slownessMemory_{ 4000 };
+  /// A job is refused if its predicted wait exceeds this share of what its
+  /// objective leaves beyond its work.
+  double admittedWait_ = 0.6;
   /// An upstream is avoided for this long once most of its runs fail.
   Millis ejection_{ 2000 };
 };
@@ -229,6 +232,11 @@
               const Job& aJob,
               const StepSpec& aStep) const;
   bool LeavesNoPlace(MemberId aSidecar, const Job& aJob, uint32_t aStep) const;
+  static Room CommittedRoom(const Sidecar& aSidecar);
+  /// Tasks of this size that fit beside all that is committed.
+  static int64_t FreeSlots(const Sidecar& aSidecar, const Room& aRoom);
+  /// Waiting work of this priority and above.
+  static int64_t WorkAhead(const Sidecar& aSidecar, uint8_t aPriority);
   double WaitMs(const Sidecar& aSidecar,
                 const Job& aJob,
                 const StepSpec& aStep) const;
@@ -236,7 +244,11 @@
                 const Job& aJob,
                 const StepSpec& aStep) const;
   double ExpectedRunMs(const Job& aJob, const StepSpec& aStep) const;
-  Millis ShortestWait(const Job& aJob) const;
+  /// Predicted wait for room of the first step's last task.
+  double AdmissionWaitMs(const Job& aJob) const;
+  /// Time that the objective leaves beyond the work of a step.
+  double SlackMs(const Job& aJob, const StepSpec& aStep) const;
+  bool RefuseAtOnce(Job& aJob, MonoTime aNow);
   void NoteSent(Sidecar& aSidecar, const StepSpec& aStep, const RunKey& aKey);
   void OnEnd(MemberId aSidecar, const RunReport& aReport, MonoTime aNow);
   void OnTaskDone(Job& aJob, const TaskName& aName, MonoTime aNow);
@@ -247,7 +259,8 @@
              const RunReport& aReport,
              MonoTime aNow);
   void EndRuns(MemberId aSidecar, RunEnd aEnd, MonoTime aNow);
-  void CheckStragglers(Job& aJob, MonoTime aNow);
+  void OnStalled(MemberId aSidecar, const RunKey& aKey);
+  void ForgetSlowness(Millis aElapsed);
   void StopRun(const TaskName& aName, Task& aTask);
   void GiveUp(Job& aJob, const std::string& aReason);
   void Finish(Job& aJob,
@@ -266,6 +279,7 @@
   std::set<std::string> zonesOut_;
   std::map<std::string, Durations> durations_;
   std::vector<JobAction> actions_;
+  MonoTime lastTick_;
   MonoTime lastCall_;
   bool called_ = false;
 };
--- a/src/include/cornelfront/run_messages.h
+++ b/src/include/cornelfront/run_messages.h
@@ -57,7 +57,9 @@
   Room room_;
   uint8_t priority_ = 0;
   Millis estimate_{ 0 };
-  /// Counted from receipt by the sidecar.
+  /// A run that starts later misses its job's objective. This and the next are
+  /// counted from receipt by the sidecar.
+  Millis startGoal_{ 0 };
   Millis startWithin_{ 0 };
   std::vector<RunOrder> runs_;
 
@@ -76,6 +78,7 @@
              room_,
              priority_,
              estimate_,
+             startGoal_,
              startWithin_,
              runs_);
   }
@@ -143,12 +146,15 @@
 struct RunReports
 {
   std::vector<RunReport> reports_;
+  /// Runs that take far longer than estimated and won't end soon; each is
+  /// named once.
+  std::vector<RunKey> stalled_;
   UpstreamReport upstream_;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(reports_, upstream_);
+    aArchive(reports_, stalled_, upstream_);
   }
 };
 
--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -101,8 +101,14 @@
   Millis upstreamDoubt_{ 600 };
   /// A stop that had no effect is repeated after this time.
   Millis stopRepeat_{ 150 };
+  /// An order without an answer is sent again this often at most.
+  int startRepeats_ = 3;
   /// Pause after the upstream said that it is full.
   Millis fullPause_{ 15 };
+  /// A run is stalled once it takes longer than this many times its estimate
+  /// and the floor, and at its pace needs its whole estimate once more.
+  int stallFactor_ = 3;
+  Millis stallFloor_{ 250 };
   /// How long reports are kept for an owner whose link may have lost them.
   Millis reportRetention_{ 3000 };
 };
@@ -147,8 +153,14 @@
 
   /// Runs that the upstream must be told to stop now, by upstream number.
   std::vector<RunKey> TakeStops(MonoTime aNow);
-  /// Reports that have not been taken yet, by owner.
-  std::map<MemberId, std::vector<RunReport>> TakeReports();
+  /// News for one owner.
+  struct News
+  {
+    std::vector<RunReport> reports_;
+    std::vector<RunKey> stalled_;
+  };
+  /// News that has not been taken yet, by owner.
+  std::map<MemberId, News> TakeNews();
 
   HeldRuns Held(MemberId aOwner) const;
   UpstreamReport Report(MonoTime aNow) const;
@@ -182,11 +194,15 @@
     uint8_t priority_ = 0;
     Millis estimate_{ 0 };
     MonoTime queued_;
+    MonoTime goal_;
     MonoTime startBy_;
     MonoTime started_;
+    bool stalled_ = false;
     uint64_t sequence_ = 0;
-    /// Deadline of an uncertain order.
+    /// Latest deadline of an order that had no answer.
     UpstreamClock deadline_;
+    /// Orders without an answer.
+    int unanswered_ = 0;
     /// Looks begun before this one may not show the run yet.
     uint64_t firstLook_ = 0;
     bool stopWanted_ = false;
@@ -197,7 +213,7 @@
   struct Owner
   {
     MonoTime heard_;
-    std::vector<RunReport> unsent_;
+    News unsent_;
     std::deque<std::pair<MonoTime, RunReport>> recent_;
   };
 
@@ -208,13 +224,19 @@
   void FinishWaiting(MonoTime aNow);
   void WantStop(Runs::iterator aRun, MonoTime aNow);
   Runs::iterator FindUpstreamRun(const RunKey& aKey);
-  std::vector<Runs::iterator> WaitingInOrder();
+  std::vector<Runs::iterator> WaitingInOrder(MonoTime aNow);
+  void CheckStall(const RunKey& aKey,
+                  Run& aRun,
+                  int32_t aPercent,
+                  MonoTime aNow);
   void NoteRunning(const UpstreamLook& aLook, MonoTime aNow);
   void NoteEnded(const UpstreamLook& aLook, MonoTime aNow);
   void NoteMissing(uint64_t aLookBegin,
                    const UpstreamLook& aLook,
                    MonoTime aNow);
   void CheckOwners(MonoTime aNow);
+  void SendStart(Runs::iterator aRun, std::vector<StartOrder>& aStarts);
+  void Withdraw(Run& aRun);
 
   const RunTableOptions options_;
   std::optional<UpstreamInfo> upstream_;
--- a/src/libcornelfront/job_sidecar.cpp
+++ b/src/libcornelfront/job_sidecar.cpp
@@ -18,14 +18,24 @@
 namespace {
 
 constexpr Millis kTickInterval{ 50 };
-/// Longest wait of one look; several fit into a lease.
-constexpr Millis kLookWait{ 300 };
-constexpr Millis kLookPause{ 20 };
+/// Longest wait of one look while something runs: a look that had no answer
+/// hides all ends until the next one.
+constexpr Millis kBusyLookWait{ 50 };
+/// The same while looks remain without answer now and then.
+constexpr Millis kDoubtfulLookWait{ 15 };
+constexpr Millis kDoubtMemory{ 3000 };
+/// The same while nothing runs; several fit into a lease.
+constexpr Millis kIdleLookWait{ 300 };
+constexpr Millis kLookPause{ 1 };
+/// Bounds on the time after which a call to the upstream counts as unanswered.
+/// It doubles with each such call and shrinks slowly with each answer.
+constexpr Millis kLeastPatience{ 20 };
+constexpr Millis kMostPatience{ 320 };
 /// The lease is not extended once the upstream has been silent for this long,
 /// so that the time of its end is known.
 constexpr Millis kLeaseDoubt{ 500 };
 /// An order to start is void after this time.
-constexpr Millis kStartDeadline{ 500 };
+constexpr Millis kStartDeadline{ 250 };
 /// An order that may have been on its way for longer is not carried out.
 constexpr Millis kMaxOrderAge{ 1000 };
 /// A pause of the process beyond this ends all links.
@@ -34,7 +44,7 @@
 constexpr Millis kStatusInterval{ 100 };
 /// What a predecessor left running has ended this long after the start.
 constexpr Millis kPredecessorEnd{ 1100 };
-constexpr Millis kPredecessorOrders{ 500 };
+constexpr Millis kPredecessorOrders{ 300 };
 constexpr Millis kStopPoll{ 20 };
 constexpr Millis kOperatorWait{ 1000 };
 constexpr Millis kMembersWait{ 5000 };
@@ -83,6 +93,7 @@
   void OnOrders(MemberId aEntry, Envelope& aEnvelope, MonoTime aNow);
   void OnLinkEnd(const LinkPtr& aLink, const std::string& aDetail);
   void Look();
+  Millis LookWait(MonoTime aNow) const;
   void OnLook(uint64_t aBegin,
               platform::LookOutcome aOutcome,
               const UpstreamLook& aLook);
@@ -92,7 +103,7 @@
   void SendStatus(MonoTime aNow);
   void Send(MemberId aEntry,
             Owner& aOwner,
-            std::vector<RunReport> aReports,
+            RunTable::News aNews,
             const UpstreamReport& aReport,
             MonoTime aNow);
   UpstreamClock UpstreamNow(MonoTime aNow) const;
@@ -117,6 +128,9 @@
   int64_t lastBeat_ = 0;
   UpstreamClock clock_;
   MonoTime clockRead_;
+  Millis patience_ = kLeastPatience;
+  /// When a look last remained without answer.
+  MonoTime unanswered_;
   bool looking_ = false;
   /// The upstream has answered a look.
   bool looked_ = false;
@@ -449,12 +463,22 @@
   executor_->Look(
     table_.AcknowledgedEnds(),
     lease,
-    kLookWait,
+    LookWait(now),
+    patience_,
     [this, begin](platform::LookOutcome aOutcome, const UpstreamLook& aLook) {
       OnLook(begin, aOutcome, aLook);
     });
 }
 
+Millis
+JobSidecar::Impl::LookWait(MonoTime aNow) const
+{
+  if (table_.Size() == 0) {
+    return kIdleLookWait;
+  }
+  return aNow - unanswered_ < kDoubtMemory ? kDoubtfulLookWait : kBusyLookWait;
+}
+
 void
 JobSidecar::Impl::OnLook(uint64_t aBegin,
                          platform::LookOutcome aOutcome,
@@ -464,6 +488,7 @@
   CheckPause(now);
   if (aOutcome == platform::LookOutcome::Ok) {
     looked_ = true;
+    patience_ = std::max(patience_ * 9 / 10, kLeastPatience);
     clock_ = aLook.clock_;
     clockRead_ = now;
     table_.OnLook(aBegin, aLook, now);
@@ -471,6 +496,8 @@
     Look();
     return;
   }
+  patience_ = std::min(patience_ * 2, kMostPatience);
+  unanswered_ = now;
   if (aOutcome == platform::LookOutcome::Replaced) {
     LOG(WARNING) << "upstream outcome=replaced";
     table_.OnUpstreamGone(now);
@@ -494,15 +521,15 @@
   for (const StartOrder& order : table_.TakeStarts(aNow)) {
     SendStart(order, aNow);
   }
-  auto reports = table_.TakeReports();
-  if (reports.empty()) {
+  auto news = table_.TakeNews();
+  if (news.empty()) {
     return;
   }
   const UpstreamReport report = table_.Report(aNow);
-  for (auto& [id, list] : reports) {
+  for (auto& [id, items] : news) {
     const auto owner = owners_.find(id);
     if (owner != owners_.end()) {
-      Send(id, owner->second, std::move(list), report, aNow);
+      Send(id, owner->second, std::move(items), report, aNow);
     }
   }
 }
@@ -511,12 +538,14 @@
 JobSidecar::Impl::SendStart(const StartOrder& aOrder, MonoTime aNow)
 {
   const UpstreamClock deadline{ UpstreamNow(aNow).value_ + kStartDeadline };
-  executor_->Start(
-    aOrder, deadline, [this, key = aOrder.key_, deadline](StartAnswer aAnswer) {
-      const MonoTime now = BootNow();
-      table_.OnStartAnswer(key, aAnswer, deadline, now);
-      Pump(now);
-    });
+  executor_->Start(aOrder,
+                   deadline,
+                   patience_,
+                   [this, key = aOrder.key_, deadline](StartAnswer aAnswer) {
+                     const MonoTime now = BootNow();
+                     table_.OnStartAnswer(key, aAnswer, deadline, now);
+                     Pump(now);
+                   });
 }
 
 void
@@ -536,11 +565,13 @@
 void
 JobSidecar::Impl::Send(MemberId aEntry,
                        Owner& aOwner,
-                       std::vector<RunReport> aReports,
+                       RunTable::News aNews,
                        const UpstreamReport& aReport,
                        MonoTime aNow)
 {
-  RunReports message{ .reports_ = std::move(aReports), .upstream_ = aReport };
+  RunReports message{ .reports_ = std::move(aNews.reports_),
+                      .stalled_ = std::move(aNews.stalled_),
+                      .upstream_ = aReport };
   message.upstream_.ordersReceived_ = aOwner.ordersReceived_;
   aOwner.told_ = aReport.committed_;
   aOwner.toldReady_ = aReport.ready_;
--- a/src/libcornelfront/net/async_http_client.cpp
+++ b/src/libcornelfront/net/async_http_client.cpp
@@ -45,6 +45,9 @@
     curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
     curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &Impl::OnTimer);
     curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
+    // By default libcurl closes idle connections when few exchanges are open.
+    curl_multi_setopt(
+      multi_, CURLMOPT_MAXCONNECTS, aOptions.maxConnectionsPerHost_);
     curl_multi_setopt(
       multi_, CURLMOPT_MAX_HOST_CONNECTIONS, aOptions.maxConnectionsPerHost_);
   }
--- a/src/libcornelfront/platform/executor_client.cpp
+++ b/src/libcornelfront/platform/executor_client.cpp
@@ -11,14 +11,14 @@
 
 using nlohmann::json;
 
-/// Bound on an order; a start that had no answer by then is uncertain.
-constexpr Millis kOrderLimit{ 300 };
-constexpr Millis kConnectLimit{ 300 };
-/// Bound on a look beyond the wait that it asks for.
-constexpr Millis kLookMargin{ 200 };
+/// Bound on an order to stop; it is repeated while the run is listed.
+constexpr Millis kStopLimit{ 100 };
+constexpr Millis kConnectLimit{ 100 };
 
-/// One for looks, the others for orders.
-constexpr long kConnections = 4;
+/// Connections for orders. Looks have one of their own: what waits for a
+/// connection counts as unanswered.
+constexpr long kOrderConnections = 8;
+constexpr long kLookConnections = 2;
 
 constexpr int kStatusOk = 200;
 constexpr int kStatusConflict = 409;
@@ -179,7 +179,8 @@
 ExecutorClient::ExecutorClient(asio::io_context& aLoop,
                                const Endpoint& aExecutor)
   : base_("http://" + aExecutor.host_ + ":" + std::to_string(aExecutor.port_))
-  , http_(aLoop, { .maxConnectionsPerHost_ = kConnections })
+  , orders_(aLoop, { .maxConnectionsPerHost_ = kOrderConnections })
+  , looks_(aLoop, { .maxConnectionsPerHost_ = kLookConnections })
 {
 }
 
@@ -196,7 +197,7 @@
                              .url_ = base_ + std::string(aCall),
                              .body_ = std::move(aBody),
                              .connectTimeout_ = kConnectLimit,
-                             .timeout_ = kOrderLimit };
+                             .timeout_ = kStopLimit };
   request.headers_.emplace_back("Content-Type", "application/json");
   if (!info_.id_.empty()) {
     request.headers_.emplace_back("Expected-Instance", info_.id_);
@@ -207,6 +208,7 @@
 void
 ExecutorClient::Start(const StartOrder& aOrder,
                       UpstreamClock aDeadline,
+                      Millis aLimit,
                       std::function<void(StartAnswer)> aDone)
 {
   // The time of birth as the fence keeps orders meant for an earlier
@@ -216,10 +218,12 @@
                    { "spec", aOrder.payload_ },
                    { "deadlineMs", aDeadline.value_.count() },
                    { "fence", info_.bornMs_ } };
-  http_.Send(Request("/run-start", body.dump()),
-             [done = std::move(aDone)](const HttpResult& aResult) {
-               done(ParseStartAnswer(aResult));
-             });
+  HttpClientRequest request = Request("/run-start", body.dump());
+  request.timeout_ = aLimit;
+  orders_.Send(std::move(request),
+               [done = std::move(aDone)](const HttpResult& aResult) {
+                 done(ParseStartAnswer(aResult));
+               });
 }
 
 void
@@ -228,21 +232,22 @@
   const json body{ { "task", ToString(aKey.task_) },
                    { "run", aKey.run_ },
                    { "fence", info_.bornMs_ } };
-  http_.Send(Request("/run-stop", body.dump()),
-             [aKey](const HttpResult& aResult) {
-               if (!aResult.Ok()) {
-                 LOG(WARNING) << "stop run=" << ToString(aKey) << " failed: "
-                              << (aResult.error_.empty()
-                                    ? std::to_string(aResult.response_.status_)
-                                    : aResult.error_);
-               }
-             });
+  orders_.Send(
+    Request("/run-stop", body.dump()), [aKey](const HttpResult& aResult) {
+      if (!aResult.Ok()) {
+        LOG(WARNING) << "stop run=" << ToString(aKey) << " failed: "
+                     << (aResult.error_.empty()
+                           ? std::to_string(aResult.response_.status_)
+                           : aResult.error_);
+      }
+    });
 }
 
 void
 ExecutorClient::Look(uint64_t aAcknowledged,
                      std::optional<UpstreamClock> aLease,
                      Millis aWait,
+                     Millis aLimit,
                      std::function<void(LookOutcome, UpstreamLook)> aDone)
 {
   json body{ { "fence", info_.bornMs_ },
@@ -252,40 +257,40 @@
     body["deadlineMs"] = aLease->value_.count();
   }
   HttpClientRequest request = Request("/hold", body.dump());
-  request.timeout_ = aWait + kLookMargin;
+  request.timeout_ = aWait + aLimit;
   const int64_t born = info_.bornMs_;
-  http_.Send(std::move(request),
-             [born, done = std::move(aDone)](const HttpResult& aResult) {
-               if (aResult.failure_ == HttpFailure::NotSent) {
-                 done(LookOutcome::Refused, {});
-                 return;
-               }
-               if (aResult.failure_ == HttpFailure::None &&
-                   aResult.response_.status_ == kStatusOtherIncarnation) {
-                 done(LookOutcome::Replaced, {});
-                 return;
-               }
-               if (!aResult.Ok()) {
-                 LOG(WARNING) << "look at the upstream failed: "
-                              << (aResult.error_.empty()
-                                    ? std::to_string(aResult.response_.status_)
-                                    : aResult.error_);
-                 done(LookOutcome::Silent, {});
-                 return;
-               }
-               try {
-                 const json answer = ParseObject(aResult.response_.body_);
-                 const int64_t answerBorn = WholeField(answer, "born", born);
-                 if (answerBorn != born) {
-                   done(LookOutcome::Replaced, {});
-                   return;
-                 }
-                 done(LookOutcome::Ok, ParseLook(answer));
-               } catch (const WireError& error) {
-                 LOG(ERROR) << "answer of the upstream: " << error.what();
-                 done(LookOutcome::Silent, {});
-               }
-             });
+  looks_.Send(std::move(request),
+              [born, done = std::move(aDone)](const HttpResult& aResult) {
+                if (aResult.failure_ == HttpFailure::NotSent) {
+                  done(LookOutcome::Refused, {});
+                  return;
+                }
+                if (aResult.failure_ == HttpFailure::None &&
+                    aResult.response_.status_ == kStatusOtherIncarnation) {
+                  done(LookOutcome::Replaced, {});
+                  return;
+                }
+                if (!aResult.Ok()) {
+                  LOG(WARNING) << "look at the upstream failed: "
+                               << (aResult.error_.empty()
+                                     ? std::to_string(aResult.response_.status_)
+                                     : aResult.error_);
+                  done(LookOutcome::Silent, {});
+                  return;
+                }
+                try {
+                  const json answer = ParseObject(aResult.response_.body_);
+                  const int64_t answerBorn = WholeField(answer, "born", born);
+                  if (answerBorn != born) {
+                    done(LookOutcome::Replaced, {});
+                    return;
+                  }
+                  done(LookOutcome::Ok, ParseLook(answer));
+                } catch (const WireError& error) {
+                  LOG(ERROR) << "answer of the upstream: " << error.what();
+                  done(LookOutcome::Silent, {});
+                }
+              });
 }
 
 } // namespace cornelfront::platform
--- a/src/libcornelfront/platform/executor_client.h
+++ b/src/libcornelfront/platform/executor_client.h
@@ -50,17 +50,21 @@
   /// them.
   void SetIncarnation(const UpstreamInfo& aInfo);
 
-  /// \p aDeadline: the executor refuses the order after this time.
+  /// \p aDeadline: the executor refuses the order after this time. An order
+  /// that had no answer within \p aLimit is uncertain.
   void Start(const StartOrder& aOrder,
              UpstreamClock aDeadline,
+             Millis aLimit,
              std::function<void(StartAnswer)> aDone);
   /// Sent once; whether it had an effect is seen in the next look.
   void Stop(const RunKey& aKey);
   /// Acknowledges ends up to \p aAcknowledged, extends the lease to \p aLease
   /// if there is one, and waits up to \p aWait for an end.
+  /// It is silent if it takes \p aLimit longer than that.
   void Look(uint64_t aAcknowledged,
             std::optional<UpstreamClock> aLease,
             Millis aWait,
+            Millis aLimit,
             std::function<void(LookOutcome, UpstreamLook)> aDone);
 
 private:
@@ -68,7 +72,8 @@
 
   const std::string base_;
   UpstreamInfo info_;
-  AsyncHttpClient http_;
+  AsyncHttpClient orders_;
+  AsyncHttpClient looks_;
 };
 
 } // namespace cornelfront::platform
--- a/src/libcornelfront/policy/job_engine.cpp
+++ b/src/libcornelfront/policy/job_engine.cpp
@@ -47,13 +47,6 @@
   return Millis(static_cast<int64_t>(std::llround(aMs)));
 }
 
-Room
-PlusUnreported(Room aRoom, const Room& aMore)
-{
-  aRoom += aMore;
-  return aRoom;
-}
-
 bool
 Contains(const std::vector<std::string>& aList, const std::string& aText)
 {
@@ -95,26 +88,37 @@
     job.steps_.push_back(
       { .tasks_ = std::vector<Task>(step.count_), .open_ = step.count_ });
   }
-  if (!CanEverRun(job)) {
-    Finish(job,
-           JobOutcome::Refused,
-           "no upstream of " + aQueue.service_ + " can run it",
-           options_.refusalRetry_);
-    return;
-  }
-  const Millis wait = ShortestWait(job);
-  if (aNow + wait >= aDeadline) {
-    Finish(job,
-           JobOutcome::Refused,
-           "the wait of " + std::to_string(wait.count()) +
-             " ms exceeds the client's deadline",
-           std::max(wait, options_.refusalRetry_));
+  if (RefuseAtOnce(job, aNow)) {
     return;
   }
   UnblockSteps(job);
   Place(job, aNow);
 }
 
+bool
+JobEngine::RefuseAtOnce(Job& aJob, MonoTime aNow)
+{
+  if (!CanEverRun(aJob)) {
+    Finish(aJob,
+           JobOutcome::Refused,
+           "no upstream of " + aJob.queue_.service_ + " can run it",
+           options_.refusalRetry_);
+    return true;
+  }
+  const StepSpec& first = aJob.spec_.steps_.front();
+  const double wait = AdmissionWaitMs(aJob);
+  const double admitted = SlackMs(aJob, first) * options_.admittedWait_;
+  if (wait <= admitted && aNow + FromMs(wait) < aJob.deadline_) {
+    return false;
+  }
+  Finish(aJob,
+         JobOutcome::Refused,
+         "predicted wait of " + std::to_string(std::lround(wait)) +
+           " ms exceeds " + std::to_string(std::lround(admitted)) + " ms",
+         std::max(FromMs(wait), options_.refusalRetry_));
+  return true;
+}
+
 bool
 JobEngine::Reattach(JobTicket aTicket,
                     const std::string& aJob,
@@ -223,6 +227,9 @@
   for (const RunReport& report : aReports.reports_) {
     OnEnd(aSidecar, report, aNow);
   }
+  for (const RunKey& key : aReports.stalled_) {
+    OnStalled(aSidecar, key);
+  }
   PlaceWaiting(aNow);
 }
 
@@ -246,6 +253,8 @@
 JobEngine::Tick(MonoTime aNow)
 {
   CheckPause(aNow);
+  ForgetSlowness(std::chrono::duration_cast<Millis>(aNow - lastTick_));
+  lastTick_ = aNow;
   std::vector<MemberId> ended;
   for (const auto& [id, sidecar] : sidecars_) {
     if (!sidecar.linked_ && aNow - sidecar.lostAt_ >= options_.lostRunsEnd_) {
@@ -257,11 +266,9 @@
     sidecars_.erase(id);
   }
   std::vector<std::string> expired;
-  for (auto& [id, job] : jobs_) {
+  for (const auto& [id, job] : jobs_) {
     if (aNow >= job.deadline_) {
       expired.push_back(id);
-    } else {
-      CheckStragglers(job, aNow);
     }
   }
   for (const std::string& id : expired) {
@@ -490,18 +497,10 @@
                   const StepSpec& aStep) const
 {
   const UpstreamReport& report = aSidecar.report_;
-  Room committed = report.committed_;
-  int64_t work = 0;
-  for (const Sidecar::Order& order : aSidecar.unreported_) {
-    committed += order.room_;
-    work += order.work_;
-  }
-  if (report.capacity_.Holds(PlusUnreported(committed, aStep.room_))) {
+  if (FreeSlots(aSidecar, aStep.room_) > 0) {
     return 0.0;
   }
-  for (size_t p = 0; p < kPriorities && p <= aJob.queue_.priority_; ++p) {
-    work += report.backlog_.at(p);
-  }
+  const int64_t work = WorkAhead(aSidecar, aJob.queue_.priority_);
   const auto cpu =
     static_cast<double>(std::max<int64_t>(report.capacity_.cpu_, 1));
   // Room for one task falls free each time that share of the work is done.
@@ -543,18 +542,79 @@
                       : found->second.meanMs_;
 }
 
-Millis
-JobEngine::ShortestWait(const Job& aJob) const
+double
+JobEngine::SlackMs(const Job& aJob, const StepSpec& aStep) const
 {
-  double shortest = std::numeric_limits<double>::max();
-  const StepSpec& first = aJob.spec_.steps_.front();
+  return ExpectedRunMs(aJob, aStep) * (aJob.queue_.stretch_ - 1.0) +
+         static_cast<double>(aJob.queue_.slo_.count());
+}
+
+double
+JobEngine::AdmissionWaitMs(const Job& aJob) const
+{
+  const StepSpec& step = aJob.spec_.steps_.front();
+  int64_t slots = 0;
+  double cpu = 0.0;
+  double work = 0.0;
   for (const auto& [id, sidecar] : sidecars_) {
-    if (Usable(sidecar, aJob, first)) {
-      shortest = std::min(shortest, WaitMs(sidecar, aJob, first));
+    if (!Usable(sidecar, aJob, step)) {
+      continue;
     }
+    cpu += static_cast<double>(sidecar.report_.capacity_.cpu_);
+    const int64_t free = FreeSlots(sidecar, step.room_);
+    slots += free;
+    if (free == 0) {
+      work += static_cast<double>(WorkAhead(sidecar, aJob.queue_.priority_));
+    }
+  }
+  const int64_t missing = static_cast<int64_t>(step.count_) - slots;
+  if (missing <= 0 || cpu <= 0.0) {
+    return 0.0;
+  }
+  const double own =
+    static_cast<double>(missing * step.room_.cpu_) * ExpectedRunMs(aJob, step);
+  return (work + own) / cpu;
+}
+
+Room
+JobEngine::CommittedRoom(const Sidecar& aSidecar)
+{
+  Room committed = aSidecar.report_.committed_;
+  for (const Sidecar::Order& order : aSidecar.unreported_) {
+    committed += order.room_;
   }
-  constexpr double kLongestMs = 60000.0;
-  return FromMs(std::min(shortest, kLongestMs));
+  return committed;
+}
+
+int64_t
+JobEngine::FreeSlots(const Sidecar& aSidecar, const Room& aRoom)
+{
+  Room free = aSidecar.report_.capacity_;
+  free -= CommittedRoom(aSidecar);
+  int64_t slots = std::numeric_limits<int64_t>::max();
+  const auto limit = [&slots](int64_t aFree, int64_t aNeeded) {
+    if (aNeeded > 0) {
+      slots = std::min(slots, std::max<int64_t>(aFree, 0) / aNeeded);
+    }
+  };
+  limit(free.cpu_, aRoom.cpu_);
+  limit(free.memoryMb_, aRoom.memoryMb_);
+  limit(free.gpus_, aRoom.gpus_);
+  // A task that requests nothing always fits.
+  return std::min<int64_t>(slots, kMaxTasksPerJob);
+}
+
+int64_t
+JobEngine::WorkAhead(const Sidecar& aSidecar, uint8_t aPriority)
+{
+  int64_t work = 0;
+  for (size_t p = 0; p < kPriorities && p <= aPriority; ++p) {
+    work += aSidecar.report_.backlog_.at(p);
+  }
+  for (const Sidecar::Order& order : aSidecar.unreported_) {
+    work += order.work_;
+  }
+  return work;
 }
 
 bool
@@ -709,31 +769,30 @@
 }
 
 void
-JobEngine::CheckStragglers(Job& aJob, MonoTime aNow)
+JobEngine::OnStalled(MemberId aSidecar, const RunKey& aKey)
 {
-  for (uint32_t s = 0; s < aJob.steps_.size(); ++s) {
-    const double expected = ExpectedRunMs(aJob, aJob.spec_.steps_[s]);
-    auto& tasks = aJob.steps_[s].tasks_;
-    for (uint32_t i = 0; i < tasks.size(); ++i) {
-      Task& task = tasks[i];
-      if (task.state_ != TaskState::Sent || task.stopSent_) {
-        continue;
-      }
-      const auto found = sidecars_.find(task.sidecar_);
-      if (found == sidecars_.end()) {
-        continue;
-      }
-      const double age = ToMs(aNow - task.sent_) -
-                         WaitMs(found->second, aJob, aJob.spec_.steps_[s]);
-      const double limit =
-        std::max(expected * options_.stragglerFactor_,
-                 static_cast<double>(options_.stragglerFloor_.count()));
-      if (age > limit) {
-        found->second.slowness_ =
-          std::max(found->second.slowness_, options_.stragglerFactor_);
-        StopRun({ aJob.spec_.id_, 0, s, i }, task);
-      }
-    }
+  Job* job = FindJob(aKey.task_.job_);
+  const auto sidecar = sidecars_.find(aSidecar);
+  if (job == nullptr || sidecar == sidecars_.end() ||
+      !sidecar->second.runs_.contains(aKey)) {
+    return;
+  }
+  sidecar->second.slowness_ =
+    std::max(sidecar->second.slowness_, options_.stalledSlowness_);
+  Task& task = job->steps_[aKey.task_.step_].tasks_[aKey.task_.index_];
+  if (task.state_ == TaskState::Sent && task.run_ == aKey.run_ &&
+      !task.stopSent_) {
+    StopRun(aKey.task_, task);
+  }
+}
+
+void
+JobEngine::ForgetSlowness(Millis aElapsed)
+{
+  const double kept =
+    std::exp(-ToMs(aElapsed) / ToMs(options_.slownessMemory_));
+  for (auto& [id, sidecar] : sidecars_) {
+    sidecar.slowness_ = 1.0 + (sidecar.slowness_ - 1.0) * kept;
   }
 }
 
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace cornelfront {
 namespace {
@@ -95,7 +96,7 @@
       sameTask != runs_.end() && sameTask->first.task_ == key.task_;
     if (!accepts || known) {
       const RunReport report{ .key_ = key };
-      owners_[aOwner].unsent_.push_back(report);
+      owners_[aOwner].unsent_.reports_.push_back(report);
       continue;
     }
     runs_[key] = { .owner_ = aOwner,
@@ -106,6 +107,7 @@
                      std::min<uint8_t>(aOrders.priority_, kPriorities - 1),
                    .estimate_ = aOrders.estimate_,
                    .queued_ = aNow,
+                   .goal_ = aNow + aOrders.startGoal_,
                    .startBy_ = aNow + aOrders.startWithin_,
                    .sequence_ = nextSequence_++ };
   }
@@ -140,8 +142,15 @@
   if (!upstream_ || upstream_->draining_ || closed_ || aNow < fullUntil_) {
     return starts;
   }
+  // The same order twice starts the run once.
+  for (auto run = runs_.begin(); run != runs_.end(); ++run) {
+    if (run->second.state_ == State::Uncertain && !run->second.stopWanted_ &&
+        run->second.unanswered_ <= options_.startRepeats_) {
+      SendStart(run, starts);
+    }
+  }
   Room used = RoomInUse();
-  for (const auto run : WaitingInOrder()) {
+  for (const auto run : WaitingInOrder(aNow)) {
     Room with = used;
     with += run->second.room_;
     if (!upstream_->capacity_.Holds(with)) {
@@ -149,15 +158,31 @@
       break;
     }
     used = with;
-    run->second.state_ = State::Starting;
-    run->second.firstLook_ = looks_ + 1;
-    starts.push_back({ .key_ = run->first,
-                       .upstreamRun_ = run->second.upstreamRun_,
-                       .payload_ = run->second.payload_ });
+    SendStart(run, starts);
   }
   return starts;
 }
 
+void
+RunTable::SendStart(Runs::iterator aRun, std::vector<StartOrder>& aStarts)
+{
+  aRun->second.state_ = State::Starting;
+  aRun->second.firstLook_ = looks_ + 1;
+  aStarts.push_back({ .key_ = aRun->first,
+                      .upstreamRun_ = aRun->second.upstreamRun_,
+                      .payload_ = aRun->second.payload_ });
+}
+
+void
+RunTable::Withdraw(Run& aRun)
+{
+  // An earlier order without an answer may still be carried out.
+  aRun.state_ = aRun.unanswered_ > 0 ? State::Uncertain : State::Waiting;
+  if (aRun.unanswered_ > 0) {
+    aRun.unanswered_ = options_.startRepeats_ + 1;
+  }
+}
+
 void
 RunTable::OnStartAnswer(const RunKey& aKey,
                         StartAnswer aAnswer,
@@ -177,25 +202,32 @@
       return;
     case StartAnswer::Unknown:
       run.state_ = State::Uncertain;
-      run.deadline_ = aDeadline;
+      run.deadline_ = std::max(run.deadline_, aDeadline);
+      ++run.unanswered_;
       return;
     case StartAnswer::Full:
       fullUntil_ = aNow + options_.fullPause_;
-      run.state_ = State::Waiting;
+      Withdraw(run);
       break;
     case StartAnswer::TooLate:
-      run.state_ = State::Waiting;
+      Withdraw(run);
       break;
     case StartAnswer::OldNumber:
-      run.state_ = State::Waiting;
-      run.upstreamRun_ += kRenumberStep;
+      // After an order without an answer it is this run that has ended.
+      if (run.unanswered_ == 0) {
+        run.upstreamRun_ += kRenumberStep;
+      }
+      Withdraw(run);
       break;
     case StartAnswer::Refused:
     case StartAnswer::NotSent:
-      Finish(found, RunEnd::NotStarted, aNow);
+      Withdraw(run);
+      if (run.state_ == State::Waiting) {
+        Finish(found, RunEnd::NotStarted, aNow);
+      }
       return;
   }
-  if (run.stopWanted_) {
+  if (run.stopWanted_ && run.state_ == State::Waiting) {
     Finish(found, RunEnd::NotStarted, aNow);
   }
 }
@@ -225,16 +257,42 @@
     if (run == runs_.end()) {
       // Emplace keeps the time at which a stop was last sent.
       strays_.emplace(entry.key_, MonoTime());
-    } else if (run->second.state_ == State::Uncertain) {
+      continue;
+    }
+    if (run->second.state_ == State::Uncertain) {
       run->second.state_ = State::Running;
       run->second.started_ = aNow;
     }
+    CheckStall(run->first, run->second, entry.percent_, aNow);
   }
   std::erase_if(strays_, [&](const auto& aStray) {
     return !listed.contains(aStray.first);
   });
 }
 
+void
+RunTable::CheckStall(const RunKey& aKey,
+                     Run& aRun,
+                     int32_t aPercent,
+                     MonoTime aNow)
+{
+  if (aRun.state_ != State::Running || aRun.stalled_) {
+    return;
+  }
+  const Millis age = Since(aRun.started_, aNow);
+  if (age <= options_.stallFloor_ ||
+      age <= options_.stallFactor_ * aRun.estimate_) {
+    return;
+  }
+  constexpr int32_t kWhole = 100;
+  const int32_t left = kWhole - aPercent;
+  // left / percent * age is the time that the rest takes at this pace.
+  if (left * age > aPercent * aRun.estimate_) {
+    aRun.stalled_ = true;
+    owners_[aRun.owner_].unsent_.stalled_.push_back(aKey);
+  }
+}
+
 void
 RunTable::NoteEnded(const UpstreamLook& aLook, MonoTime aNow)
 {
@@ -346,17 +404,16 @@
   return stops;
 }
 
-std::map<MemberId, std::vector<RunReport>>
-RunTable::TakeReports()
+std::map<MemberId, RunTable::News>
+RunTable::TakeNews()
 {
-  std::map<MemberId, std::vector<RunReport>> reports;
+  std::map<MemberId, News> news;
   for (auto& [id, owner] : owners_) {
-    if (!owner.unsent_.empty()) {
-      reports[id] = std::move(owner.unsent_);
-      owner.unsent_.clear();
+    if (!owner.unsent_.reports_.empty() || !owner.unsent_.stalled_.empty()) {
+      news[id] = std::exchange(owner.unsent_, {});
     }
   }
-  return reports;
+  return news;
 }
 
 HeldRuns
@@ -430,7 +487,7 @@
     report.waited_ = Since(run.queued_, aNow);
   }
   Owner& owner = owners_[run.owner_];
-  owner.unsent_.push_back(report);
+  owner.unsent_.reports_.push_back(report);
   owner.recent_.emplace_back(aNow, report);
   return runs_.erase(aRun);
 }
@@ -478,7 +535,7 @@
 }
 
 std::vector<RunTable::Runs::iterator>
-RunTable::WaitingInOrder()
+RunTable::WaitingInOrder(MonoTime aNow)
 {
   std::vector<Runs::iterator> waiting;
   for (auto run = runs_.begin(); run != runs_.end(); ++run) {
@@ -486,10 +543,14 @@
       waiting.push_back(run);
     }
   }
-  std::sort(waiting.begin(), waiting.end(), [](const auto& aA, const auto& aB) {
-    return std::tie(aA->second.priority_, aA->second.sequence_) <
-           std::tie(aB->second.priority_, aB->second.sequence_);
-  });
+  // What can't meet its objective any more must not take others with it.
+  const auto rank = [aNow](const Run& aRun) {
+    return std::make_tuple(aNow > aRun.goal_, aRun.priority_, aRun.sequence_);
+  };
+  std::sort(
+    waiting.begin(), waiting.end(), [&](const auto& aA, const auto& aB) {
+      return rank(aA->second) < rank(aB->second);
+    });
   return waiting;
 }
 
