Test the decisions about runs and jobs; spread a job's tasks

Cause: the first tests showed that all tasks of a job went to one upstream until it was full, since only reported room counted as utilisation.

Change: orders that no report counts yet are part of it.

--- a/src/libcornelfront/policy/job_engine.cpp
+++ b/src/libcornelfront/policy/job_engine.cpp
@@ -521,7 +521,7 @@
     run *= options_.otherRackFactor_;
   }
   const double utilisation =
-    static_cast<double>(report.committed_.cpu_) /
+    static_cast<double>(CommittedRoom(aSidecar).cpu_) /
     static_cast<double>(std::max<int64_t>(report.capacity_.cpu_, 1));
   const double distance = aSidecar.zone_ == options_.zone_
                             ? 0.0
--- /dev/null
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -0,0 +1,340 @@
+#include "cornelfront/run_table.h"
+
+#include <gtest/gtest.h>
+
+namespace cornelfront {
+namespace {
+
+constexpr MemberId kOwner{ 1 };
+constexpr MemberId kOther{ 2 };
+const std::string kJob = "00000000000000a1";
+
+MonoTime
+At(int aMs)
+{
+  return MonoTime(std::chrono::hours(1)) + Millis(aMs);
+}
+
+UpstreamInfo
+Upstream(int64_t aBorn = 1)
+{
+  return { .id_ = "u1",
+           .bornMs_ = aBorn,
+           .service_ = "desk",
+           .capacity_ = { .cpu_ = 4000, .memoryMb_ = 100 } };
+}
+
+StartRuns
+Orders(uint32_t aCount, int64_t aCpu = 1000, uint8_t aPriority = 0)
+{
+  StartRuns orders{ .job_ = kJob,
+                    .payload_ = "p",
+                    .service_ = "desk",
+                    .room_ = { .cpu_ = aCpu, .memoryMb_ = 1 },
+                    .priority_ = aPriority,
+                    .estimate_ = Millis(100),
+                    .startGoal_ = Millis(500),
+                    .startWithin_ = Millis(1000) };
+  for (uint32_t i = 0; i < aCount; ++i) {
+    orders.runs_.push_back({ i, 1 });
+  }
+  return orders;
+}
+
+RunKey
+Key(uint32_t aIndex, uint32_t aRun = 1)
+{
+  return { { kJob, 0, 0, aIndex }, aRun };
+}
+
+class RunTableTest : public testing::Test
+{
+protected:
+  RunTableTest()
+  {
+    table_.OnUpstream(Upstream(), At(0));
+    table_.OnOwnerLink(kOwner, At(0));
+  }
+
+  /// Orders, starts and acknowledges runs at time 0.
+  void Start(uint32_t aCount)
+  {
+    table_.OnOrders(kOwner, Orders(aCount), At(0));
+    for (const StartOrder& order : table_.TakeStarts(At(0))) {
+      table_.OnStartAnswer(order.key_, StartAnswer::Started, {}, At(1));
+    }
+  }
+
+  std::vector<RunReport> Reports(MemberId aOwner = kOwner)
+  {
+    return table_.TakeNews()[aOwner].reports_;
+  }
+
+  /// A look that begins and ends at this time.
+  void Look(const UpstreamLook& aLook, int aMs)
+  {
+    const uint64_t begin = table_.BeginLook();
+    table_.OnLook(begin, aLook, At(aMs));
+  }
+
+  RunTable table_{ RunTableOptions{} };
+};
+
+TEST_F(RunTableTest, StartsWhatFitsAndTheRestWhenRoomFallsFree)
+{
+  table_.OnOrders(kOwner, Orders(5), At(0));
+  EXPECT_EQ(table_.TakeStarts(At(0)).size(), 4U);
+  for (uint32_t i = 0; i < 4; ++i) {
+    table_.OnStartAnswer(Key(i), StartAnswer::Started, {}, At(1));
+  }
+  EXPECT_TRUE(table_.TakeStarts(At(2)).empty());
+  Look({ .running_ = { { Key(1) }, { Key(2) }, { Key(3) } },
+         .ended_ = { { 1, Key(0), RunEnd::Done } } },
+       100);
+  const auto starts = table_.TakeStarts(At(100));
+  ASSERT_EQ(starts.size(), 1U);
+  EXPECT_EQ(starts[0].key_, Key(4));
+  const auto reports = Reports();
+  ASSERT_EQ(reports.size(), 1U);
+  EXPECT_EQ(reports[0].end_, RunEnd::Done);
+  EXPECT_EQ(reports[0].runTime_, Millis(99));
+  EXPECT_EQ(table_.AcknowledgedEnds(), 1U);
+}
+
+TEST_F(RunTableTest, UrgentWorkGoesFirstAndLateWorkLast)
+{
+  StartRuns late = Orders(1, 4000, 0);
+  late.startGoal_ = Millis(10);
+  StartRuns urgent = Orders(1, 4000, 1);
+  urgent.step_ = 1;
+  StartRuns other = Orders(1, 4000, 2);
+  other.step_ = 2;
+  table_.OnOrders(kOwner, late, At(0));
+  table_.OnOrders(kOwner, other, At(0));
+  table_.OnOrders(kOwner, urgent, At(0));
+  std::vector<uint32_t> steps;
+  for (int i = 0; i < 3; ++i) {
+    const auto starts = table_.TakeStarts(At(20 + i));
+    ASSERT_EQ(starts.size(), 1U);
+    steps.push_back(starts[0].key_.task_.step_);
+    table_.OnStartAnswer(starts[0].key_, StartAnswer::Refused, {}, At(20 + i));
+  }
+  EXPECT_EQ(steps, (std::vector<uint32_t>{ 1, 2, 0 }));
+}
+
+struct AnswerCase
+{
+  const char* name_;
+  StartAnswer answer_;
+  bool reported_;
+  bool startsAgain_;
+};
+
+class StartAnswerTest
+  : public RunTableTest
+  , public testing::WithParamInterface<AnswerCase>
+{};
+
+TEST_P(StartAnswerTest, DecidesWhetherTheRunIsReportedOrStartedAgain)
+{
+  table_.OnOrders(kOwner, Orders(1), At(0));
+  ASSERT_EQ(table_.TakeStarts(At(0)).size(), 1U);
+  table_.OnStartAnswer(Key(0), GetParam().answer_, { Millis(1000) }, At(1));
+  EXPECT_EQ(!Reports().empty(), GetParam().reported_);
+  EXPECT_EQ(!table_.TakeStarts(At(100)).empty(), GetParam().startsAgain_);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Answers,
+  StartAnswerTest,
+  testing::Values(
+    AnswerCase{ "started", StartAnswer::Started, false, false },
+    AnswerCase{ "full", StartAnswer::Full, false, true },
+    AnswerCase{ "too_late", StartAnswer::TooLate, false, true },
+    AnswerCase{ "old_number", StartAnswer::OldNumber, false, true },
+    AnswerCase{ "refused", StartAnswer::Refused, true, false },
+    AnswerCase{ "not_sent", StartAnswer::NotSent, true, false },
+    AnswerCase{ "unknown", StartAnswer::Unknown, false, true }),
+  [](const auto& aInfo) { return std::string(aInfo.param.name_); });
+
+TEST_F(RunTableTest, AnOldNumberIsReplacedByAHigherOne)
+{
+  table_.OnOrders(kOwner, Orders(1), At(0));
+  ASSERT_EQ(table_.TakeStarts(At(0)).at(0).upstreamRun_, 1U);
+  table_.OnStartAnswer(Key(0), StartAnswer::OldNumber, {}, At(1));
+  EXPECT_GT(table_.TakeStarts(At(2)).at(0).upstreamRun_, 1U);
+}
+
+TEST_F(RunTableTest, AnUnansweredStartIsNeverGivenUpBeforeItsDeadline)
+{
+  table_.OnOrders(kOwner, Orders(1), At(0));
+  // Unanswered until the repeats are used up.
+  for (int i = 0; !table_.TakeStarts(At(i)).empty(); ++i) {
+    ASSERT_LT(i, 10);
+    table_.OnStartAnswer(Key(0), StartAnswer::Unknown, { Millis(1000) }, At(i));
+  }
+  Look({ .clock_ = { Millis(1000) } }, 50);
+  EXPECT_TRUE(Reports().empty());
+  Look({ .clock_ = { Millis(1001) } }, 60);
+  const auto reports = Reports();
+  ASSERT_EQ(reports.size(), 1U);
+  EXPECT_EQ(reports[0].end_, RunEnd::NotStarted);
+}
+
+TEST_F(RunTableTest, AnUnansweredStartThatIsRefusedLaterStaysUncertain)
+{
+  table_.OnOrders(kOwner, Orders(1), At(0));
+  ASSERT_FALSE(table_.TakeStarts(At(0)).empty());
+  table_.OnStartAnswer(Key(0), StartAnswer::Unknown, { Millis(1000) }, At(1));
+  ASSERT_FALSE(table_.TakeStarts(At(2)).empty());
+  table_.OnStartAnswer(Key(0), StartAnswer::Full, { Millis(1000) }, At(3));
+  EXPECT_TRUE(table_.TakeStarts(At(100)).empty());
+  EXPECT_TRUE(Reports().empty());
+  Look({ .clock_ = { Millis(900) }, .running_ = { { Key(0) } } }, 200);
+  Look(
+    { .clock_ = { Millis(1100) }, .ended_ = { { 1, Key(0), RunEnd::Done } } },
+    300);
+  EXPECT_EQ(Reports().at(0).end_, RunEnd::Done);
+}
+
+TEST_F(RunTableTest, ALookBegunBeforeTheStartDoesNotEndTheRun)
+{
+  table_.OnOrders(kOwner, Orders(1), At(0));
+  const uint64_t begin = table_.BeginLook();
+  ASSERT_EQ(table_.TakeStarts(At(0)).size(), 1U);
+  table_.OnStartAnswer(Key(0), StartAnswer::Started, {}, At(1));
+  table_.OnLook(begin, {}, At(2));
+  EXPECT_TRUE(Reports().empty());
+  Look({}, 3);
+  EXPECT_EQ(Reports().at(0).end_, RunEnd::Lost);
+}
+
+TEST_F(RunTableTest, AnotherIncarnationEndsAllRuns)
+{
+  Start(2);
+  table_.OnUpstream(Upstream(2), At(10));
+  const auto reports = Reports();
+  ASSERT_EQ(reports.size(), 2U);
+  EXPECT_EQ(reports[0].end_, RunEnd::Lost);
+  EXPECT_EQ(table_.Size(), 0U);
+}
+
+TEST_F(RunTableTest, ASilentUpstreamLosesItsRunsOnlyAfterItsLease)
+{
+  Start(1);
+  Look({ .running_ = { { Key(0) } } }, 10);
+  for (int ms = 20; ms <= 1600; ms += 20) {
+    table_.OnOwnerHeard(kOwner, At(ms));
+    table_.Tick(At(ms));
+    EXPECT_TRUE(Reports().empty()) << ms;
+  }
+  EXPECT_FALSE(table_.Report(At(1600)).ready_);
+  table_.OnOwnerHeard(kOwner, At(1620));
+  table_.Tick(At(1620));
+  EXPECT_EQ(Reports().at(0).end_, RunEnd::Lost);
+}
+
+TEST_F(RunTableTest, RunsOfASilentOwnerAreStopped)
+{
+  Start(1);
+  table_.Tick(At(700));
+  EXPECT_TRUE(table_.TakeStops(At(700)).empty());
+  table_.Tick(At(701));
+  EXPECT_EQ(table_.TakeStops(At(701)), std::vector<RunKey>{ Key(0) });
+  // Repeated until the end is listed.
+  EXPECT_TRUE(table_.TakeStops(At(750)).empty());
+  EXPECT_FALSE(table_.TakeStops(At(860)).empty());
+}
+
+TEST_F(RunTableTest, WaitingRunsOfASilentOwnerNeverStart)
+{
+  table_.OnOrders(kOwner, Orders(1), At(0));
+  table_.Tick(At(701));
+  EXPECT_TRUE(table_.TakeStarts(At(701)).empty());
+  EXPECT_EQ(Reports().at(0).end_, RunEnd::NotStarted);
+}
+
+TEST_F(RunTableTest, RunsThatNobodyOrderedAreStopped)
+{
+  Look({ .running_ = { { Key(7) } } }, 10);
+  EXPECT_TRUE(table_.HasStrays());
+  EXPECT_EQ(table_.TakeStops(At(10)), std::vector<RunKey>{ Key(7) });
+  Look({}, 20);
+  EXPECT_FALSE(table_.HasStrays());
+}
+
+TEST_F(RunTableTest, NothingStartsWhileClosedOrDraining)
+{
+  table_.SetClosed(true, At(0));
+  table_.OnOrders(kOwner, Orders(1), At(0));
+  EXPECT_EQ(Reports().at(0).end_, RunEnd::NotStarted);
+  table_.SetClosed(false, At(1));
+  table_.OnOrders(kOwner, Orders(2, 4000), At(1));
+  EXPECT_EQ(table_.TakeStarts(At(1)).size(), 1U);
+  UpstreamInfo draining = Upstream();
+  draining.draining_ = true;
+  table_.OnUpstream(draining, At(2));
+  // The waiting one is refused; the one being started is left alone.
+  EXPECT_EQ(Reports().size(), 1U);
+  EXPECT_EQ(table_.Size(), 1U);
+  EXPECT_FALSE(table_.Report(At(2)).ready_);
+}
+
+TEST_F(RunTableTest, AServiceThatIsNotServedHereIsRefused)
+{
+  StartRuns orders = Orders(1);
+  orders.service_ = "planner";
+  table_.OnOrders(kOwner, orders, At(0));
+  EXPECT_EQ(Reports().at(0).end_, RunEnd::NotStarted);
+}
+
+TEST_F(RunTableTest, ATaskRunsOnceWhoeverOrdersIt)
+{
+  Start(1);
+  StartRuns again = Orders(0);
+  again.runs_ = { { 0, 2 } };
+  table_.OnOrders(kOther, again, At(5));
+  EXPECT_EQ(Reports(kOther).at(0).end_, RunEnd::NotStarted);
+  EXPECT_TRUE(table_.TakeStarts(At(5)).empty());
+}
+
+TEST_F(RunTableTest, HeldRunsAndRecentReportsAreToldOnANewLink)
+{
+  Start(2);
+  Look(
+    { .running_ = { { Key(1) } }, .ended_ = { { 1, Key(0), RunEnd::Failed } } },
+    10);
+  Reports();
+  const HeldRuns held = table_.Held(kOwner);
+  EXPECT_EQ(held.runs_, std::vector<RunKey>{ Key(1) });
+  ASSERT_EQ(held.reports_.size(), 1U);
+  EXPECT_EQ(held.reports_[0].end_, RunEnd::Failed);
+}
+
+TEST_F(RunTableTest, AStallIsToldOnceWhenProgressStands)
+{
+  Start(2);
+  const auto stalled = [this](int aMs) {
+    Look({ .running_ = { { Key(0), 5 }, { Key(1), 90 } } }, aMs);
+    return table_.TakeNews()[kOwner].stalled_;
+  };
+  EXPECT_TRUE(stalled(300).empty());
+  EXPECT_EQ(stalled(302), std::vector<RunKey>{ Key(0) });
+  EXPECT_TRUE(stalled(310).empty());
+}
+
+TEST_F(RunTableTest, AnAcknowledgedEndIsNotTakenTwice)
+{
+  Start(1);
+  const UpstreamLook look{ .ended_ = { { 1, Key(0), RunEnd::Done } } };
+  Look(look, 10);
+  EXPECT_EQ(Reports().size(), 1U);
+  Start(1);
+  Look(
+    { .running_ = { { Key(0) } }, .ended_ = { { 1, Key(0), RunEnd::Done } } },
+    30);
+  EXPECT_TRUE(Reports().empty());
+}
+
+} // namespace
+} // namespace cornelfront
