--- a/src/include/cornelfront/job.h
+++ b/src/include/cornelfront/job.h
@@ -81,6 +81,27 @@
   std::string image_;
   /// Bound on the tail latency of the users of a long-running task; 0 if none.
   Millis latencyTarget_{ 0 };
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(count_,
+             room_,
+             estimate_,
+             after_,
+             checkpointing_,
+             gang_,
+             sameRack_,
+             speculative_,
+             longRunning_,
+             fillsIdleRoom_,
+             requiredLabel_,
+             preferredRack_,
+             maxPerUpstream_,
+             mayBeAway_,
+             image_,
+             latencyTarget_);
+  }
 };
 
 struct JobDescription
@@ -94,8 +115,15 @@
   bool bestEffort_ = false;
   /// Number of occurrences of a scheduled job; 0 if it runs once at once.
   uint32_t repeats_ = 0;
-  WallTime firstDue_;
+  /// Since the Unix epoch.
+  Millis firstDue_{ 0 };
   Millis interval_{ 0 };
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(id_, payload_, steps_, bestEffort_, repeats_, firstDue_, interval_);
+  }
 };
 
 /// One task of one occurrence of a job.
--- a/src/include/cornelfront/job_engine.h
+++ b/src/include/cornelfront/job_engine.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -49,6 +50,40 @@
 std::string_view
 ToString(JobOutcome aOutcome);
 
+/// What is known for good of one task of a stored job.
+struct TaskProgress
+{
+  bool done_ = false;
+  uint32_t failures_ = 0;
+  /// Highest run whose end is counted here.
+  uint32_t endedRun_ = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(done_, failures_, endedRun_);
+  }
+};
+
+/// By step and index; empty before the first end.
+using JobProgress = std::vector<std::vector<TaskProgress>>;
+
+/// One time that the steps of a job run; scheduled jobs have several.
+struct JobInstance
+{
+  std::string job_;
+  uint32_t occurrence_ = 0;
+
+  auto operator<=>(const JobInstance&) const = default;
+};
+
+/// An end that a sidecar keeps until it is in the store.
+struct KeptEnd
+{
+  MemberId sidecar_;
+  RunKey key_;
+};
+
 /// Tells one submission from another of the same job.
 using JobTicket = uint64_t;
 
@@ -74,7 +109,27 @@
   Millis retryAfter_{ 0 };
 };
 
-using JobAction = std::variant<SendRuns, SendStops, AnswerJob>;
+/// Progress of a stored job that must be written to the store; only then may
+/// its ends be forgotten.
+struct SaveJob
+{
+  JobInstance instance_;
+  JobProgress progress_;
+  /// Set once the instance has ended.
+  std::optional<JobOutcome> outcome_;
+  std::string reason_;
+  std::vector<KeptEnd> ends_;
+};
+
+/// Ends that are of no interest.
+struct SendForget
+{
+  MemberId sidecar_;
+  ForgetEnds ends_;
+};
+
+using JobAction =
+  std::variant<SendRuns, SendStops, AnswerJob, SaveJob, SendForget>;
 
 struct JobEngineOptions
 {
@@ -117,13 +172,41 @@
               MonoTime aNow);
   /// The client has gone; the job is not answered.
   void Abandon(JobTicket aTicket, MonoTime aNow);
-  /// Ends the job with this id, if there is one, as given up.
+  /// Ends the job with this id, if there is one, as given up. A stored job is
+  /// dropped with all its instances.
   bool Cancel(const std::string& aJob, MonoTime aNow);
 
+  /// From now on this process is the leader of the stored jobs.
+  void Lead(uint64_t aTerm, MonoTime aNow);
+  /// Another process is; the stored jobs are dropped and their runs left to it.
+  void Follow(MonoTime aNow);
+  /// Without authority nothing starts for stored jobs, and what runs for them
+  /// is stopped.
+  void SetAuthority(bool aHasAuthority, MonoTime aNow);
+  /// Runs of an earlier leader may still be found, so jobs that it may have
+  /// started wait.
+  void SetTakingOver(bool aTakingOver, MonoTime aNow);
+  /// Takes a stored job. \p aProgress is empty if nothing is known;
+  /// \p aFromEarlierLeader: it may have runs that this process doesn't know.
+  void Restore(const JobDescription& aJob,
+               uint32_t aOccurrence,
+               const JobQueue& aQueue,
+               const JobProgress& aProgress,
+               bool aFromEarlierLeader,
+               MonoTime aNow);
+  /// The ends of a SaveJob are in the store.
+  void OnSaved(const std::vector<KeptEnd>& aEnds);
+  bool HoldsInstance(const JobInstance& aInstance) const
+  {
+    return jobs_.contains(aInstance);
+  }
+
   void SetZonesOut(std::set<std::string> aZones, MonoTime aNow);
   /// A link to a sidecar has begun, perhaps in place of an older one.
   void OnSidecar(MemberId aSidecar, const std::string& aZone, MonoTime aNow);
   void OnHeld(MemberId aSidecar, const HeldRuns& aHeld, MonoTime aNow);
+  /// A sidecar has handed over the runs of earlier leaders.
+  void OnTakenOver(MemberId aSidecar, const HeldRuns& aHeld, MonoTime aNow);
   void OnReports(MemberId aSidecar, const RunReports& aReports, MonoTime aNow);
   /// \p aSidecar has gone, with all that ran there, if \p aSuccessor is true
   /// (its successor has been heard of); otherwise it may still hold runs.
@@ -133,8 +216,12 @@
 
   std::vector<JobAction> TakeActions();
 
-  /// Jobs of a queue that are taken and of which no task has been sent.
+  /// Best-effort jobs of a queue that are taken and of which no task has been sent.
   size_t Pending(const std::string& aQueue) const;
+  /// True if a task of the instance has been sent.
+  bool HasBegun(const JobInstance& aInstance) const;
+  /// Empty if the instance is not here.
+  JobProgress Progress(const JobInstance& aInstance) const;
   size_t Jobs() const { return jobs_.size(); }
   /// True if some upstream can be sent work.
   bool HasReadyUpstream() const;
@@ -156,6 +243,8 @@
     TaskState state_ = TaskState::Blocked;
     uint32_t run_ = 0;
     uint32_t failures_ = 0;
+    /// Highest run whose end is counted; stored jobs only.
+    uint32_t endedRun_ = 0;
     MemberId sidecar_;
     MonoTime sent_;
     bool stopSent_ = false;
@@ -172,6 +261,12 @@
   struct Job
   {
     JobTicket ticket_ = 0;
+    uint32_t occurrence_ = 0;
+    bool stored_ = false;
+    /// Runs of an earlier leader may exist.
+    bool fromEarlierLeader_ = false;
+    /// Ends to be saved.
+    std::vector<KeptEnd> unsaved_;
     JobDescription spec_;
     JobQueue queue_;
     MonoTime submitted_;
@@ -218,7 +313,26 @@
   };
 
   void CheckPause(MonoTime aNow);
-  Job* FindJob(const std::string& aId);
+  static JobInstance InstanceOf(const Job& aJob)
+  {
+    return { aJob.spec_.id_, aJob.occurrence_ };
+  }
+  static JobInstance InstanceOf(const TaskName& aName)
+  {
+    return { aName.job_, aName.occurrence_ };
+  }
+  Job* FindJob(const JobInstance& aInstance);
+  Task* FindTask(const TaskName& aName);
+  bool MayPlace(const Job& aJob) const;
+  void Adopt(MemberId aSidecar, const RunKey& aKey, MonoTime aNow);
+  /// Takes the end of a run that an earlier leader may have started.
+  void OnStoredEnd(MemberId aSidecar, const RunReport& aReport, MonoTime aNow);
+  void NoteUnsaved(Job& aJob,
+                   MemberId aSidecar,
+                   const RunReport& aReport,
+                   Task& aTask);
+  static JobProgress ProgressOf(const Job& aJob);
+  void Save(Job& aJob, std::optional<JobOutcome> aOutcome, std::string aReason);
   bool Reattach(JobTicket aTicket, const std::string& aJob, MonoTime aDeadline);
   void Place(Job& aJob, MonoTime aNow);
   void PlaceStep(Job& aJob, uint32_t aStep, MonoTime aNow);
@@ -271,10 +385,18 @@
   bool CanEverRun(const Job& aJob) const;
 
   const JobEngineOptions options_;
-  std::unordered_map<std::string, Job> jobs_;
-  std::unordered_map<JobTicket, std::string> tickets_;
+  std::map<JobInstance, Job> jobs_;
+  std::unordered_map<JobTicket, JobInstance> tickets_;
   /// Jobs with tasks that no upstream could take.
-  std::set<std::string> waiting_;
+  std::set<JobInstance> waiting_;
+  /// Stored jobs with ends to be saved.
+  std::set<JobInstance> unsaved_;
+  /// Ends that are on their way to the store.
+  std::set<RunKey> saving_;
+  /// 0 while another process leads.
+  uint64_t term_ = 0;
+  bool hasAuthority_ = false;
+  bool takingOver_ = false;
   Sidecars sidecars_;
   std::set<std::string> zonesOut_;
   std::map<std::string, Durations> durations_;
--- a/src/include/cornelfront/messages.h
+++ b/src/include/cornelfront/messages.h
@@ -290,7 +290,9 @@
                              StartRuns,
                              StopRuns,
                              RunReports,
-                             HeldRuns>;
+                             HeldRuns,
+                             TakeOver,
+                             ForgetEnds>;
 
 /// Name of the message's kind for metrics and events, such as "start_tasks".
 std::string_view
--- a/src/include/cornelfront/run_messages.h
+++ b/src/include/cornelfront/run_messages.h
@@ -61,6 +61,8 @@
   /// counted from receipt by the sidecar.
   Millis startGoal_{ 0 };
   Millis startWithin_{ 0 };
+  /// Of the leader that owns the stored job; 0 for best-effort jobs.
+  uint64_t term_ = 0;
   std::vector<RunOrder> runs_;
 
   TaskName Task(const RunOrder& aOrder) const
@@ -80,6 +82,7 @@
              estimate_,
              startGoal_,
              startWithin_,
+             term_,
              runs_);
   }
 };
@@ -104,11 +107,13 @@
   Millis runTime_{ 0 };
   /// Wait in the sidecar before the start.
   Millis waited_{ 0 };
+  /// The upstream lists the end until ForgetEnds names it.
+  bool kept_ = false;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(key_, end_, runTime_, waited_);
+    aArchive(key_, end_, runTime_, waited_, kept_);
   }
 };
 
@@ -158,10 +163,37 @@
   }
 };
 
+/// The sender has become the leader of the stored jobs: the sidecar hands it
+/// their runs, answers with HeldRuns, and takes no orders of lower terms.
+struct TakeOver
+{
+  uint64_t term_ = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(term_);
+  }
+};
+
+/// Ends that are in the store, or of no interest.
+struct ForgetEnds
+{
+  std::vector<RunKey> runs_;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(runs_);
+  }
+};
+
 /// Runs of the receiving entry that the sidecar holds when a link begins. Any
 /// other run that the entry ordered earlier is not there and never will be.
 struct HeldRuns
 {
+  /// Of the TakeOver that this answers; 0 when a link begins.
+  uint64_t term_ = 0;
   std::vector<RunKey> runs_;
   /// Recent reports, which may have been lost with the link before.
   std::vector<RunReport> reports_;
@@ -169,7 +201,7 @@
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(runs_, reports_);
+    aArchive(term_, runs_, reports_);
   }
 };
 
--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -94,6 +94,10 @@
 {
   /// Runs whose owner has not been heard of for this long are stopped.
   Millis ownerSilence_{ 700 };
+  /// The same for stored jobs: time for another leader to take them over.
+  Millis leaderSilence_{ 3000 };
+  /// Unacknowledged ends beyond which the upstream could hide newer ones.
+  size_t maxKeptEnds_ = 400;
   /// Runs whose upstream has not answered for this long have certainly ended,
   /// since its lease lasts less.
   Millis upstreamSilence_{ 1600 };
@@ -130,6 +134,12 @@
 
   void OnOwnerLink(MemberId aOwner, MonoTime aNow);
   void OnOwnerHeard(MemberId aOwner, MonoTime aNow);
+  /// Stored jobs are taken only once this sidecar can be found by whoever
+  /// becomes the leader.
+  void SetRegistered() { registered_ = true; }
+  /// Returns false if a later leader is known.
+  bool OnTakeOver(MemberId aLeader, uint64_t aTerm, MonoTime aNow);
+  void OnForgetEnds(const ForgetEnds& aEnds);
   void OnOrders(MemberId aOwner, const StartRuns& aOrders, MonoTime aNow);
   void OnStop(MemberId aOwner, const StopRuns& aStop, MonoTime aNow);
   /// Stops everything, of all owners.
@@ -165,7 +175,7 @@
   HeldRuns Held(MemberId aOwner) const;
   UpstreamReport Report(MonoTime aNow) const;
   /// Ends up to this number may be forgotten by the upstream.
-  uint64_t AcknowledgedEnds() const { return acknowledgedEnds_; }
+  uint64_t AcknowledgedEnds() const;
   MonoTime UpstreamHeard() const { return upstreamHeard_; }
   /// True if the upstream runs something that nobody here ordered.
   bool HasStrays() const { return !strays_.empty(); }
@@ -187,6 +197,7 @@
   struct Run
   {
     MemberId owner_;
+    uint64_t term_ = 0;
     State state_ = State::Waiting;
     uint32_t upstreamRun_ = 0;
     std::string payload_;
@@ -219,7 +230,15 @@
 
   Room RoomInUse() const;
   int64_t Backlog(const Run& aRun) const;
+  bool Accepts(const StartRuns& aOrders) const;
+  RunReport MakeReport(const RunKey& aKey,
+                       const Run& aRun,
+                       RunEnd aEnd,
+                       MonoTime aNow) const;
+  void Tell(MemberId aOwner, const RunReport& aReport, MonoTime aNow);
   Runs::iterator Finish(Runs::iterator aRun, RunEnd aEnd, MonoTime aNow);
+  void Keep(const EndedEntry& aEnd, Runs::iterator aRun, MonoTime aNow);
+  void LimitKept();
   void FinishAll(RunEnd aEnd, MonoTime aNow);
   void FinishWaiting(MonoTime aNow);
   void WantStop(Runs::iterator aRun, MonoTime aNow);
@@ -247,7 +266,13 @@
   std::map<MemberId, Owner> owners_;
   uint64_t nextSequence_ = 0;
   uint64_t looks_ = 0;
-  uint64_t acknowledgedEnds_ = 0;
+  uint64_t newestEnd_ = 0;
+  /// Ends that must not be forgotten yet, by number.
+  std::map<uint64_t, RunReport> kept_;
+  /// Newest leader of the stored jobs.
+  uint64_t term_ = 0;
+  std::optional<MemberId> leader_;
+  bool registered_ = false;
   MonoTime upstreamHeard_;
   MonoTime fullUntil_;
 };
--- /dev/null
+++ b/src/libcornelfront/controllers/job_ledger.cpp
@@ -0,0 +1,283 @@
+#include "cornelfront/job_ledger.h"
+
+#include "net/bounded_archive_pvt.h"
+
+#include <cereal/types/chrono.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <sstream>
+
+namespace cornelfront {
+namespace {
+
+constexpr std::array<std::string_view, 5> kStates = {
+  "queued", "running", "completed", "failed", "cancelled",
+};
+
+// Kinds of keys; a job's id follows.
+constexpr std::string_view kAccepted = "a/";
+constexpr std::string_view kCancelled = "c/";
+constexpr std::string_view kProgress = "s/";
+constexpr std::string_view kFinal = "t/";
+constexpr std::string_view kSidecar = "w/";
+constexpr std::string_view kLeader = "leader";
+constexpr size_t kKindBytes = 2;
+
+template<class Record>
+std::string
+EncodeValue(const Record& aRecord)
+{
+  std::ostringstream stream(std::ios::binary);
+  {
+    cereal::PortableBinaryOutputArchive archive(
+      stream, cereal::PortableBinaryOutputArchive::Options::LittleEndian());
+    archive(aRecord);
+  }
+  return std::move(stream).str();
+}
+
+/// \throws DecodeError, cereal::Exception
+template<class Record>
+Record
+DecodeValue(const std::string& aValue)
+{
+  if (aValue.empty() || aValue.front() != 1) {
+    throw DecodeError("unknown encoding");
+  }
+  Record record;
+  BoundedInputArchive archive(std::string_view(aValue).substr(1));
+  archive(record);
+  return record;
+}
+
+std::string
+Key(std::string_view aKind, std::string_view aRest)
+{
+  return std::string(aKind) + std::string(aRest);
+}
+
+std::string
+ProgressKey(const JobInstance& aInstance)
+{
+  return Key(kProgress,
+             aInstance.job_ + '/' + std::to_string(aInstance.occurrence_));
+}
+
+/// Splits "<job>/<occurrence>".
+std::optional<JobInstance>
+ParseInstance(std::string_view aText)
+{
+  const size_t slash = aText.find('/');
+  if (slash == std::string_view::npos) {
+    return std::nullopt;
+  }
+  JobInstance instance{ std::string(aText.substr(0, slash)) };
+  const std::string_view number = aText.substr(slash + 1);
+  const auto result = std::from_chars(
+    number.data(), number.data() + number.size(), instance.occurrence_);
+  if (result.ec != std::errc()) {
+    return std::nullopt;
+  }
+  return instance;
+}
+
+} // namespace
+
+std::string_view
+ToString(JobState aState)
+{
+  return kStates.at(static_cast<size_t>(aState));
+}
+
+KeyedRecord
+AcceptRecord(const AcceptedJob& aJob)
+{
+  return { Key(kAccepted, aJob.job_.id_), EncodeValue(aJob) };
+}
+
+KeyedRecord
+CancelRecord(const std::string& aJob)
+{
+  return { Key(kCancelled, aJob), "1" };
+}
+
+KeyedRecord
+ProgressRecord(const JobInstance& aInstance, const InstanceRecord& aRecord)
+{
+  return { ProgressKey(aInstance), EncodeValue(aRecord) };
+}
+
+KeyedRecord
+FinalRecord(const std::string& aJob, JobState aState)
+{
+  return { Key(kFinal, aJob), std::string(ToString(aState)) };
+}
+
+KeyedRecord
+LeaderRecordOf(const LeaderRecord& aLeader)
+{
+  return { std::string(kLeader), EncodeValue(aLeader) };
+}
+
+KeyedRecord
+SidecarRecord(const std::string& aName, MemberId aId)
+{
+  return { Key(kSidecar, aName), ToString(aId) };
+}
+
+std::string
+JobLedger::Apply(const KeyedRecord& aRecord, MonoTime aNow)
+{
+  const std::string_view key = aRecord.key_;
+  try {
+    if (key == kLeader) {
+      const auto leader = DecodeValue<LeaderRecord>(aRecord.value_);
+      if (leader.term_ >= leader_.term_) {
+        leader_ = leader;
+      }
+      return "";
+    }
+    if (key.size() <= kKindBytes) {
+      throw DecodeError("unknown key");
+    }
+    const std::string_view kind = key.substr(0, kKindBytes);
+    const std::string_view rest = key.substr(kKindBytes);
+    if (kind == kSidecar) {
+      const auto id = ParseMemberId(aRecord.value_);
+      if (id) {
+        sidecars_[std::string(rest)] = *id;
+      } else {
+        sidecars_.erase(std::string(rest));
+      }
+      return "";
+    }
+    ApplyToJob(kind, rest, aRecord.value_, aNow);
+    return std::string(rest.substr(0, rest.find('/')));
+  } catch (const std::exception& error) {
+    LOG(ERROR) << "job record key=" << key << " outcome=ignored reason=\""
+               << error.what() << "\"";
+    return "";
+  }
+}
+
+void
+JobLedger::ApplyToJob(std::string_view aKind,
+                      std::string_view aRest,
+                      const std::string& aValue,
+                      MonoTime aNow)
+{
+  const auto instance = ParseInstance(aRest);
+  const std::string id =
+    aKind == kProgress && instance ? instance->job_ : std::string(aRest);
+  if (!IsJobId(id)) {
+    throw DecodeError("no job id");
+  }
+  Entry& entry = jobs_[id];
+  if (aKind == kAccepted) {
+    if (aValue.empty()) {
+      entry.accepted_.reset();
+    } else if (!entry.accepted_) {
+      entry.accepted_ = DecodeValue<AcceptedJob>(aValue);
+      entry.acceptedTerm_ = leader_.term_;
+    }
+  } else if (aKind == kCancelled) {
+    entry.cancelled_ = !aValue.empty();
+    entry.since_ = aNow;
+  } else if (aKind == kProgress && aValue.empty()) {
+    entry.instances_.erase(instance.value().occurrence_);
+  } else if (aKind == kProgress) {
+    entry.instances_[instance.value().occurrence_] =
+      DecodeValue<InstanceRecord>(aValue);
+  } else if (aKind == kFinal && aValue.empty()) {
+    entry.final_.reset();
+  } else if (aKind == kFinal) {
+    const auto name = std::find(kStates.begin(), kStates.end(), aValue);
+    if (name == kStates.end()) {
+      throw DecodeError("unknown state");
+    }
+    entry.final_ = static_cast<JobState>(name - kStates.begin());
+    entry.since_ = aNow;
+  } else {
+    throw DecodeError("unknown kind of key");
+  }
+  const bool empty = !entry.accepted_ && !entry.cancelled_ &&
+                     entry.instances_.empty() && !entry.final_;
+  if (empty) {
+    jobs_.erase(id);
+  }
+}
+
+std::optional<JobState>
+JobLedger::State(const std::string& aJob) const
+{
+  const auto found = jobs_.find(aJob);
+  if (found == jobs_.end()) {
+    return std::nullopt;
+  }
+  const Entry& entry = found->second;
+  if (entry.final_) {
+    return entry.final_;
+  }
+  if (!entry.accepted_) {
+    return std::nullopt;
+  }
+  if (entry.cancelled_) {
+    return JobState::Cancelled;
+  }
+  return entry.instances_.empty() ? JobState::Queued : JobState::Running;
+}
+
+size_t
+JobLedger::Pending(const std::string& aQueue) const
+{
+  return static_cast<size_t>(
+    std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& aJob) {
+      const Entry& entry = aJob.second;
+      return entry.Active() && entry.instances_.empty() &&
+             entry.accepted_->queue_ == aQueue;
+    }));
+}
+
+std::vector<KeyedRecord>
+JobLedger::Closing(const std::string& aJob, JobState aState) const
+{
+  std::vector<KeyedRecord> records{ FinalRecord(aJob, aState) };
+  const auto found = jobs_.find(aJob);
+  if (found == jobs_.end()) {
+    return records;
+  }
+  if (found->second.accepted_) {
+    records.push_back({ Key(kAccepted, aJob), "" });
+  }
+  if (found->second.cancelled_) {
+    records.push_back({ Key(kCancelled, aJob), "" });
+  }
+  for (const auto& [occurrence, record] : found->second.instances_) {
+    records.push_back({ ProgressKey({ aJob, occurrence }), "" });
+  }
+  return records;
+}
+
+std::vector<KeyedRecord>
+JobLedger::Expired(MonoTime aBefore) const
+{
+  std::vector<KeyedRecord> records;
+  for (const auto& [id, entry] : jobs_) {
+    const bool closed = entry.final_ || !entry.accepted_;
+    if (!closed || entry.since_ >= aBefore) {
+      continue;
+    }
+    for (KeyedRecord& record : Closing(id, JobState::Cancelled)) {
+      record.value_.clear();
+      records.push_back(std::move(record));
+    }
+  }
+  return records;
+}
+
+} // namespace cornelfront
--- a/src/libcornelfront/job_entry.cpp
+++ b/src/libcornelfront/job_entry.cpp
@@ -9,6 +9,7 @@
 #include "platform/member_topic.h"
 #include "platform/operator_state.h"
 #include "platform/store_client.h"
+#include "stored_jobs.h"
 
 #include <glog/logging.h>
 
@@ -22,6 +23,7 @@
 constexpr Millis kOperatorWait{ 1000 };
 constexpr Millis kRegisterRetry{ 500 };
 constexpr Millis kStopPoll{ 20 };
+constexpr Millis kStoreRetry{ 1000 };
 /// Time that the balancer takes to see that this entry is leaving.
 constexpr Millis kBalancerNotice{ 2200 };
 
@@ -41,6 +43,8 @@
     LinkPtr link_;
     std::string name_;
     std::string zone_;
+    /// The sidecar has said what it holds.
+    bool begun_ = false;
   };
 
   /// A client that waits for the end of its job.
@@ -60,6 +64,19 @@
   void Submit(const platform::JobSubmission& aSubmission,
               const HttpReply& aReply,
               MonoTime aNow);
+  void SubmitStored(const platform::JobSubmission& aSubmission,
+                    const HttpReply& aReply);
+  void ShowState(const std::string& aJob,
+                 const HttpReply& aReply,
+                 MonoTime aNow);
+  void Cancel(const std::string& aJob,
+              const HttpReply& aReply,
+              MonoTime aNow);
+  void OnHeld(MemberId aSidecar,
+              SidecarLink& aLink,
+              const HeldRuns& aHeld,
+              MonoTime aNow);
+  StoredJobsHooks MakeHooks();
   void Reply(const HttpReply& aReply, HttpResponse aResponse) const;
   std::shared_ptr<const LinkHandlers> MakeHandlers();
   void OnMessage(const LinkPtr& aLink, Envelope& aEnvelope);
@@ -81,6 +98,7 @@
   std::unique_ptr<platform::StoreClient> store_;
   std::unique_ptr<platform::TopicReader> operatorReader_;
   platform::OperatorState operator_;
+  std::unique_ptr<StoredJobs> stored_;
   std::unique_ptr<asio::steady_timer> registerTimer_;
   std::shared_ptr<const LinkHandlers> handlers_;
   std::unique_ptr<LinkServer> server_;
@@ -132,6 +150,8 @@
         engine_.SetZonesOut(operator_.zonesOut_, now);
         Perform(now);
       } });
+  stored_ = std::make_unique<StoredJobs>(
+    loop, *store_, engine_, self_, settings_.name_, MakeHooks());
   clients_ = std::make_unique<HttpServer>(
     HttpServerOptions{ .address_ = settings_.clients_.host_,
                        .port_ = settings_.clients_.port_,
@@ -152,12 +172,36 @@
             << " zone=" << settings_.zone_ << " id=" << ToString(self_);
 }
 
+StoredJobsHooks
+JobEntry::Impl::MakeHooks()
+{
+  return { .onActions_ = [this] { Perform(BootNow()); },
+           .onLead_ =
+             [this](uint64_t aTerm) {
+               for (const auto& [id, sidecar] : sidecars_) {
+                 if (sidecar.begun_) {
+                   sidecar.link_->Send(TakeOver{ aTerm });
+                 }
+               }
+             },
+           .findQueue_ = [this](const std::string& aName)
+             -> std::optional<JobQueue> {
+             for (const platform::Route& route : operator_.routes_) {
+               if (route.queue_.name_ == aName) {
+                 return route.queue_;
+               }
+             }
+             return std::nullopt;
+           } };
+}
+
 void
 JobEntry::Impl::Register()
 {
   store_->Append(
     std::string(platform::kMemberTopic),
     { platform::MemberRecord(settings_.name_, settings_.messages_) },
+    std::nullopt,
     [this](platform::StoreOutcome aOutcome) {
       if (aOutcome == platform::StoreOutcome::Ok) {
         LOG(INFO) << "registered name=" << settings_.name_;
@@ -201,6 +245,7 @@
 {
   const MonoTime now = BootNow();
   engine_.Tick(now);
+  stored_->Tick(now);
   Perform(now);
 }
 
@@ -227,21 +272,16 @@
               Submit(aSubmission, aReply, now);
             },
              [&](const platform::JobQuestion& aQuestion) {
-               VLOG(1) << "job=" << aQuestion.job_ << " outcome=unknown";
-               Reply(aReply, platform::UnknownJobResponse());
-             },
-             [&](const platform::JobCancellation& aCancellation) {
-               const bool known = engine_.Cancel(aCancellation.job_, now);
-               LOG(INFO) << "job=" << aCancellation.job_
-                         << " outcome=" << (known ? "cancelled" : "unknown");
-               Reply(aReply,
-                     known ? platform::CancelledResponse()
-                           : platform::UnknownJobResponse());
-             },
-             [&](const platform::QueueQuestion& aQuestion) {
+        ShowState(aQuestion.job_, aReply, now);
+      },
+      [&](const platform::JobCancellation& aCancellation) {
+        Cancel(aCancellation.job_, aReply, now);
+      },
+      [&](const platform::QueueQuestion& aQuestion) {
                Reply(
                  aReply,
-                 platform::PendingResponse(engine_.Pending(aQuestion.queue_)));
+                 platform::PendingResponse(engine_.Pending(aQuestion.queue_) +
+                                        stored_->Pending(aQuestion.queue_)));
              },
              [&](const HttpResponse& aResponse) {
                LOG(INFO) << "request method=" << aRequest.method_
@@ -260,11 +300,15 @@
                        MonoTime aNow)
 {
   const std::string& id = aSubmission.job_.id_;
-  if (closed_ || !aSubmission.job_.bestEffort_) {
-    const std::string reason =
-      closed_ ? "this process is stopping" : "durable jobs are not supported";
-    LOG(INFO) << "job=" << id << " outcome=refused reason=\"" << reason << "\"";
-    Reply(aReply, platform::RefusedResponse(reason, kBalancerNotice));
+  if (!aSubmission.job_.bestEffort_) {
+    SubmitStored(aSubmission, aReply);
+    return;
+  }
+  if (closed_) {
+    LOG(INFO) << "job=" << id << " outcome=refused reason=stopping";
+    Reply(aReply,
+          platform::RefusedResponse("this process is stopping",
+                                    kBalancerNotice));
     return;
   }
   const JobTicket ticket = nextTicket_++;
@@ -295,6 +339,66 @@
   });
 }
 
+void
+JobEntry::Impl::SubmitStored(const platform::JobSubmission& aSubmission,
+                             const HttpReply& aReply)
+{
+  const std::string id = aSubmission.job_.id_;
+  stored_->Accept(
+    aSubmission.job_,
+    aSubmission.queue_.name_,
+    [this, id, aReply](platform::StoreOutcome aOutcome) {
+      LOG(INFO) << "job=" << id << " outcome="
+                << (aOutcome == platform::StoreOutcome::Ok ? "accepted"
+                                                           : "not_stored");
+      Reply(aReply, platform::StoredResponse(aOutcome));
+    });
+}
+
+void
+JobEntry::Impl::ShowState(const std::string& aJob,
+                          const HttpReply& aReply,
+                          MonoTime aNow)
+{
+  const auto state = stored_->State(aJob);
+  if (state) {
+    Reply(aReply, platform::StateResponse(*state));
+    return;
+  }
+  const bool fresh = stored_->Fresh(aNow);
+  LOG(INFO) << "job=" << aJob
+            << " outcome=" << (fresh ? "unknown" : "not_readable");
+  Reply(aReply,
+        fresh ? platform::UnknownJobResponse()
+              : platform::RefusedResponse("the store can't be read",
+                                          kStoreRetry));
+}
+
+void
+JobEntry::Impl::Cancel(const std::string& aJob,
+                       const HttpReply& aReply,
+                       MonoTime aNow)
+{
+  const auto state = stored_->State(aJob);
+  if (!state && engine_.Cancel(aJob, aNow)) {
+    LOG(INFO) << "job=" << aJob << " outcome=cancelled";
+    Reply(aReply, platform::CancelledResponse());
+    return;
+  }
+  if (!IsJobId(aJob)) {
+    Reply(aReply, platform::UnknownJobResponse());
+    return;
+  }
+  // Also for a job that is not known here: it may have been accepted elsewhere
+  // a moment ago.
+  stored_->Cancel(aJob, [this, aJob, aReply](platform::StoreOutcome aOutcome) {
+    LOG(INFO) << "job=" << aJob << " outcome="
+              << (aOutcome == platform::StoreOutcome::Ok ? "cancel_stored"
+                                                         : "not_stored");
+    Reply(aReply, platform::StoredResponse(aOutcome));
+  });
+}
+
 void
 JobEntry::Impl::Reply(const HttpReply& aReply, HttpResponse aResponse) const
 {
@@ -339,8 +443,7 @@
     return;
   }
   if (const auto* held = std::get_if<HeldRuns>(&aEnvelope.message_)) {
-    engine_.OnSidecar(sidecar, known->second.zone_, now);
-    engine_.OnHeld(sidecar, *held, now);
+    OnHeld(sidecar, known->second, *held, now);
   } else if (const auto* reports =
                std::get_if<RunReports>(&aEnvelope.message_)) {
     engine_.OnReports(sidecar, *reports, now);
@@ -350,6 +453,28 @@
   Perform(now);
 }
 
+void
+JobEntry::Impl::OnHeld(MemberId aSidecar,
+                       SidecarLink& aLink,
+                       const HeldRuns& aHeld,
+                       MonoTime aNow)
+{
+  const uint64_t term = stored_->Term();
+  if (!aLink.begun_) {
+    aLink.begun_ = true;
+    engine_.OnSidecar(aSidecar, aLink.zone_, aNow);
+    engine_.OnHeld(aSidecar, aHeld, aNow);
+    if (term > 0) {
+      aLink.link_->Send(TakeOver{ term });
+    }
+    return;
+  }
+  if (term > 0 && aHeld.term_ == term) {
+    engine_.OnTakenOver(aSidecar, aHeld, aNow);
+    stored_->OnTakenOver(aLink.name_, aSidecar, term);
+  }
+}
+
 void
 JobEntry::Impl::OnHello(const LinkPtr& aLink,
                         const Hello& aHello,
@@ -422,7 +547,11 @@
                [&](SendStops& aSend) {
                  SendTo(aSend.sidecar_, std::move(aSend.stops_));
                },
-               [&](const AnswerJob& aAnswer) { Answer(aAnswer, aNow); } },
+               [&](const SaveJob& aSave) { stored_->Save(aSave); },
+        [&](SendForget& aForget) {
+          SendTo(aForget.sidecar_, std::move(aForget.ends_));
+        },
+        [&](const AnswerJob& aAnswer) { Answer(aAnswer, aNow); } },
       action);
   }
 }
--- a/src/libcornelfront/job_sidecar.cpp
+++ b/src/libcornelfront/job_sidecar.cpp
@@ -1,6 +1,7 @@
 #include "cornelfront/job_sidecar.h"
 
 #include "cornelfront/http_server.h"
+#include "cornelfront/job_ledger.h"
 #include "cornelfront/link.h"
 #include "cornelfront/run_table.h"
 #include "event_loop_pvt.h"
@@ -48,6 +49,7 @@
 constexpr Millis kStopPoll{ 20 };
 constexpr Millis kOperatorWait{ 1000 };
 constexpr Millis kMembersWait{ 5000 };
+constexpr Millis kRegisterRetry{ 500 };
 
 Millis
 AgeOf(int64_t aStamp, MonoTime aNow)
@@ -91,6 +93,11 @@
   void OnMessage(const LinkPtr& aLink, Envelope& aEnvelope);
   void OnWelcome(const LinkPtr& aLink, MemberId aEntry, MonoTime aNow);
   void OnOrders(MemberId aEntry, Envelope& aEnvelope, MonoTime aNow);
+  void OnTakeOver(const LinkPtr& aLink,
+                  MemberId aEntry,
+                  uint64_t aTerm,
+                  MonoTime aNow);
+  void Register();
   void OnLinkEnd(const LinkPtr& aLink, const std::string& aDetail);
   void Look();
   Millis LookWait(MonoTime aNow) const;
@@ -135,6 +142,7 @@
   /// The upstream has answered a look.
   bool looked_ = false;
   std::unique_ptr<asio::steady_timer> lookTimer_;
+  std::unique_ptr<asio::steady_timer> registerTimer_;
   MonoTime lastTick_;
   bool stopping_ = false;
   std::unique_ptr<LoopTimer> ticker_;
@@ -176,6 +184,8 @@
           [this](const platform::Heartbeat& aBeat) { OnHeartbeat(aBeat); },
         .onLeave_ = [this](const std::string& aId) { OnUpstreamLeft(aId); } }));
   store_ = std::make_unique<platform::StoreClient>(loop, settings_.store_);
+  registerTimer_ = std::make_unique<asio::steady_timer>(loop);
+  Register();
   operatorReader_ = std::make_unique<platform::TopicReader>(
     loop,
     *store_,
@@ -389,12 +399,51 @@
     OnOrders(id, aEnvelope, now);
   } else if (const auto* stop = std::get_if<StopRuns>(&aEnvelope.message_)) {
     table_.OnStop(id, *stop, now);
+  } else if (const auto* over = std::get_if<TakeOver>(&aEnvelope.message_)) {
+    OnTakeOver(aLink, id, over->term_, now);
+  } else if (const auto* ends = std::get_if<ForgetEnds>(&aEnvelope.message_)) {
+    table_.OnForgetEnds(*ends);
   } else {
     return;
   }
   Pump(now);
 }
 
+void
+JobSidecar::Impl::OnTakeOver(const LinkPtr& aLink,
+                             MemberId aEntry,
+                             uint64_t aTerm,
+                             MonoTime aNow)
+{
+  const bool newest = table_.OnTakeOver(aEntry, aTerm, aNow);
+  LOG(INFO) << "leader id=" << ToString(aEntry) << " term=" << aTerm
+            << " outcome=" << (newest ? "followed" : "outdated");
+  if (newest) {
+    aLink->Send(table_.Held(aEntry));
+  }
+}
+
+void
+JobSidecar::Impl::Register()
+{
+  store_->Append(std::string(platform::kJobTopic),
+                 { SidecarRecord(settings_.name_, self_) },
+                 std::nullopt,
+                 [this](platform::StoreOutcome aOutcome) {
+                   if (aOutcome == platform::StoreOutcome::Ok) {
+                     table_.SetRegistered();
+                     return;
+                   }
+                   registerTimer_->expires_after(kRegisterRetry);
+                   registerTimer_->async_wait(
+                     [this](const asio::error_code& aError) {
+                       if (!aError) {
+                         Register();
+                       }
+                     });
+                 });
+}
+
 void
 JobSidecar::Impl::OnWelcome(const LinkPtr& aLink,
                             MemberId aEntry,
--- a/src/libcornelfront/net/messages.cpp
+++ b/src/libcornelfront/net/messages.cpp
@@ -24,6 +24,7 @@
   "upstream_status", "start_tasks",     "task_answers",  "cancel_tasks",
   "resolve_tasks",   "forward_request", "forward_reply", "leaving",
   "start_runs",      "stop_runs",       "run_reports",   "held_runs",
+  "take_over",       "forget_ends",
 };
 
 constexpr std::array<std::string_view, 15> kReasons = {
--- a/src/libcornelfront/net/messages_test.cpp
+++ b/src/libcornelfront/net/messages_test.cpp
@@ -29,6 +29,14 @@
     ForwardRequest{ 1, "POST", "/x", { { "a", "b" } }, {}, "body" },
     ForwardReply{ 1, 200, "text/plain", { { "a", "b" } }, "body" },
     Leaving{},
+    StartRuns{ .job_ = "j", .payload_ = "p", .runs_ = { { 1, 2 } } },
+    StopRuns{ { { { "j", 0, 1, 2 }, 3 } } },
+    RunReports{ .reports_ = { { { { "j", 0, 1, 2 }, 3 }, RunEnd::Lost } },
+                .stalled_ = { { { "j", 0, 1, 2 }, 4 } },
+                .upstream_ = { .service_ = "desk", .labels_ = { "a" } } },
+    HeldRuns{ .term_ = 1, .runs_ = { { { "j", 0, 1, 2 }, 3 } } },
+    TakeOver{ 7 },
+    ForgetEnds{ { { { "j", 0, 1, 2 }, 3 } } },
   };
   std::vector<Envelope> samples;
   samples.reserve(messages.size());
--- /dev/null
+++ b/src/libcornelfront/platform/batch_writer.cpp
@@ -0,0 +1,134 @@
+#include "platform/batch_writer.h"
+
+#include <utility>
+
+namespace cornelfront::platform {
+namespace {
+
+constexpr size_t kMaxBatchRecords = 400;
+constexpr size_t kMaxBatchBytes = 1U << 20;
+constexpr Millis kRetryPause{ 100 };
+
+} // namespace
+
+BatchWriter::BatchWriter(asio::io_context& aLoop,
+                         StoreClient& aStore,
+                         BatchWriterOptions aOptions)
+  : store_(aStore)
+  , options_(std::move(aOptions))
+  , timer_(aLoop)
+  , sequence_(options_.firstSequence_)
+{
+}
+
+BatchWriter::~BatchWriter()
+{
+  *alive_ = false;
+}
+
+void
+BatchWriter::Write(std::vector<KeyedRecord> aRecords, Done aDone)
+{
+  queue_.push_back({ std::move(aRecords), std::move(aDone) });
+  if (!inFlight_) {
+    Flush();
+  }
+}
+
+void
+BatchWriter::Flush()
+{
+  size_t bytes = 0;
+  while (!queue_.empty() && records_.size() < kMaxBatchRecords &&
+         bytes < kMaxBatchBytes) {
+    Item item = std::move(queue_.front());
+    queue_.pop_front();
+    for (const KeyedRecord& record : item.records_) {
+      bytes += record.key_.size() + record.value_.size();
+      records_.push_back(record);
+    }
+    batch_.push_back(std::move(item));
+  }
+  if (!batch_.empty()) {
+    inFlight_ = true;
+    uncertain_ = false;
+    batchBegun_ = BootNow();
+    Send();
+  }
+}
+
+void
+BatchWriter::Send()
+{
+  begun_ = BootNow();
+  const ProducerStamp stamp{ .producer_ = options_.producer_ + "-" +
+                                          std::to_string(producers_),
+                             .epoch_ = options_.epoch_,
+                             .sequence_ = sequence_ };
+  store_.Append(options_.topic_,
+                records_,
+                options_.untilDone_
+                  ? ProducerStamp{ options_.producer_, stamp.epoch_, sequence_ }
+                  : stamp,
+                [this, alive = alive_](StoreOutcome aOutcome) {
+                  if (*alive) {
+                    OnAnswer(aOutcome);
+                  }
+                });
+}
+
+void
+BatchWriter::OnAnswer(StoreOutcome aOutcome)
+{
+  if (aOutcome == StoreOutcome::Ok || aOutcome == StoreOutcome::Fenced) {
+    Finish(aOutcome);
+    return;
+  }
+  uncertain_ |= aOutcome == StoreOutcome::Unknown;
+  if (options_.untilDone_) {
+    RetryLater();
+  } else if (!uncertain_) {
+    Finish(StoreOutcome::NotDone);
+  } else if (BootNow() - batchBegun_ < options_.unknownLimit_) {
+    RetryLater();
+  } else {
+    // The lost append may still be carried out under its sequence number.
+    ++producers_;
+    sequence_ = options_.firstSequence_;
+    Finish(StoreOutcome::Unknown);
+  }
+}
+
+void
+BatchWriter::RetryLater()
+{
+  timer_.expires_after(kRetryPause);
+  timer_.async_wait([this, alive = alive_](const asio::error_code& aError) {
+    if (*alive && !aError) {
+      Send();
+    }
+  });
+}
+
+void
+BatchWriter::Finish(StoreOutcome aOutcome)
+{
+  if (aOutcome == StoreOutcome::Ok) {
+    ++sequence_;
+  }
+  records_.clear();
+  const std::vector<Item> done = std::exchange(batch_, {});
+  inFlight_ = false;
+  const MonoTime begun = begun_;
+  const auto alive = alive_;
+  for (const Item& item : done) {
+    if (*alive) {
+      item.done_(aOutcome, begun);
+    }
+  }
+  if (*alive && !inFlight_) {
+    Flush();
+  }
+}
+
+} // namespace cornelfront::platform
--- a/src/libcornelfront/platform/job_api.cpp
+++ b/src/libcornelfront/platform/job_api.cpp
@@ -19,6 +19,7 @@
 /// For clients that don't say how long they wait, on routes without a timeout.
 constexpr Millis kDefaultWait{ 30000 };
 constexpr Millis kConfigRetry{ 1000 };
+constexpr Millis kStoreRetry{ 1000 };
 
 HttpResponse
 ErrorResponse(int aStatus, const std::string& aReason)
@@ -100,6 +101,25 @@
   return ErrorResponse(kStatusGone, "no such job");
 }
 
+HttpResponse
+StateResponse(JobState aState)
+{
+  return { .status_ = 200, .body_ = StateBody(ToString(aState)) };
+}
+
+HttpResponse
+StoredResponse(StoreOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case StoreOutcome::Ok:
+      return { .status_ = 200, .body_ = "{}" };
+    case StoreOutcome::Unknown:
+      return GivenUpResponse("the store did not answer");
+    default:
+      return RefusedResponse("the store can't be written", kStoreRetry);
+  }
+}
+
 HttpResponse
 CancelledResponse()
 {
--- a/src/libcornelfront/platform/job_api.h
+++ b/src/libcornelfront/platform/job_api.h
@@ -5,7 +5,9 @@
 
 #include "cornelfront/http_server.h"
 #include "cornelfront/job_engine.h"
+#include "cornelfront/job_ledger.h"
 #include "platform/operator_state.h"
+#include "platform/store_client.h"
 
 #include <string>
 #include <variant>
@@ -50,6 +52,11 @@
 HttpResponse
 UnknownJobResponse();
 HttpResponse
+StateResponse(JobState aState);
+/// Whether a submission or cancellation is in the store.
+HttpResponse
+StoredResponse(StoreOutcome aOutcome);
+HttpResponse
 CancelledResponse();
 HttpResponse
 PendingResponse(size_t aPending);
--- a/src/libcornelfront/platform/member_topic.h
+++ b/src/libcornelfront/platform/member_topic.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /// \file
-/// Topic of the store in which entries say where they can be reached.
+/// Topics that the system keeps in the store, and the records in which entries
+/// say where they can be reached.
 
 #include "cornelfront/settings.h"
 #include "platform/store_client.h"
@@ -14,6 +15,9 @@
 
 inline constexpr std::string_view kMemberTopic = "keyed.members";
 
+/// Topic of the jobs that must survive every process; see job_ledger.h.
+inline constexpr std::string_view kJobTopic = "keyed.jobs";
+
 /// The record of an entry.
 KeyedRecord
 MemberRecord(const std::string& aName, const Endpoint& aMessages);
--- a/src/libcornelfront/platform/store_client.cpp
+++ b/src/libcornelfront/platform/store_client.cpp
@@ -5,6 +5,8 @@
 
 #include <glog/logging.h>
 
+#include <utility>
+
 namespace cornelfront::platform {
 namespace {
 
@@ -22,6 +24,7 @@
 constexpr Millis kPageLimit{ 4000 };
 
 constexpr int kStatusOk = 200;
+constexpr int kStatusConflict = 409;
 constexpr int kStatusGone = 410;
 
 uint64_t
@@ -112,6 +115,9 @@
   if (aResult.response_.status_ == kStatusOk) {
     return StoreOutcome::Ok;
   }
+  if (aResult.response_.status_ == kStatusConflict) {
+    return StoreOutcome::Fenced;
+  }
   return aResult.response_.status_ == kStatusGone ? StoreOutcome::Gone
                                                   : StoreOutcome::NotDone;
 }
@@ -176,12 +182,18 @@
 void
 StoreClient::Append(const std::string& aTopic,
                     const std::vector<KeyedRecord>& aRecords,
+                    const std::optional<ProducerStamp>& aStamp,
                     std::function<void(StoreOutcome)> aDone)
 {
   HttpClientRequest request{ .method_ = "POST",
                              .url_ = Url("/log-append", aTopic),
                              .connectTimeout_ = kConnectLimit,
                              .timeout_ = kCallLimit };
+  if (aStamp) {
+    request.url_ += "&producer=" + QueryText(aStamp->producer_) +
+                    "&epoch=" + std::to_string(aStamp->epoch_) +
+                    "&seq=" + std::to_string(aStamp->sequence_);
+  }
   request.headers_.emplace_back("Content-Type", "application/octet-stream");
   for (const KeyedRecord& record : aRecords) {
     request.body_ += EncodeRecord(record);
@@ -270,6 +282,7 @@
 void
 TopicReader::ReadPage(const std::string& aAfter)
 {
+  begun_ = BootNow();
   store_.Newest(options_.topic_,
                 aAfter,
                 [this, alive = alive_, aAfter](const StorePage& aPage) {
@@ -300,18 +313,43 @@
     ReadPage(aPage.records_.back().key_);
     return;
   }
-  const bool changed = !complete_ || incoming_ != records_;
-  records_ = std::move(incoming_);
+  std::vector<KeyedRecord> changes;
+  for (const auto& [key, value] : records_) {
+    if (!incoming_.contains(key)) {
+      changes.push_back({ .key_ = key });
+    }
+  }
+  for (const auto& [key, value] : incoming_) {
+    const auto known = records_.find(key);
+    if (known == records_.end() || known->second != value) {
+      changes.push_back({ key, value });
+    }
+  }
+  const bool first = !complete_;
+  records_ = std::exchange(incoming_, {});
   complete_ = true;
-  if (changed) {
-    options_.onChange_(records_);
+  newestRead_ = begun_;
+  if (first || !changes.empty()) {
+    Publish(changes);
   }
   Tail();
 }
 
+void
+TopicReader::Publish(const std::vector<KeyedRecord>& aChanges)
+{
+  if (options_.onRecords_) {
+    options_.onRecords_(aChanges);
+  }
+  if (options_.onChange_) {
+    options_.onChange_(records_);
+  }
+}
+
 void
 TopicReader::Tail()
 {
+  begun_ = BootNow();
   store_.Read(options_.topic_,
               next_,
               options_.wait_,
@@ -343,8 +381,9 @@
     }
   }
   next_ = aRead.next_;
+  newestRead_ = begun_;
   if (!aRead.records_.empty()) {
-    options_.onChange_(records_);
+    Publish(aRead.records_);
   }
   Tail();
 }
--- a/src/libcornelfront/platform/store_client.h
+++ b/src/libcornelfront/platform/store_client.h
@@ -6,6 +6,7 @@
 
 #include "cornelfront/async_http_client.h"
 #include "cornelfront/clock.h"
+#include "cornelfront/keyed_record.h"
 #include "cornelfront/settings.h"
 
 #include <asio.hpp>
@@ -14,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,13 +31,18 @@
   Unknown,
   /// Reads only: the records asked for are deleted.
   Gone,
+  /// Appends only: a later epoch or another sequence number of this producer
+  /// is known.
+  Fenced,
 };
 
-/// A record of a keyed topic; without a value it deletes the key.
-struct KeyedRecord
+/// Makes appends idempotent: the store takes each sequence number of a
+/// producer once, and nothing of an epoch before the newest.
+struct ProducerStamp
 {
-  std::string key_;
-  std::string value_;
+  std::string producer_;
+  uint64_t epoch_ = 0;
+  uint64_t sequence_ = 0;
 };
 
 /// A record in the form of a keyed topic, with its length.
@@ -67,6 +74,7 @@
 
   void Append(const std::string& aTopic,
               const std::vector<KeyedRecord>& aRecords,
+              const std::optional<ProducerStamp>& aStamp,
               std::function<void(StoreOutcome)> aDone);
   /// Waits up to \p aWait for a record at or after \p aFrom.
   void Read(const std::string& aTopic,
@@ -97,8 +105,11 @@
     /// Longest wait of one read; also bounds how long a connection that went
     /// silent goes unnoticed.
     Millis wait_{ 1000 };
-    /// Called after each change, and once after the first complete read.
+    /// Called after each change with all records, and once after the first
+    /// complete read.
     std::function<void(const Records&)> onChange_;
+    /// Called with what has changed, in order; deleted keys have no value.
+    std::function<void(const std::vector<KeyedRecord>&)> onRecords_;
     /// Called when reads begin to fail (false) or succeed again (true).
     std::function<void(bool)> onReachable_;
   };
@@ -111,6 +122,9 @@
   /// True once everything has been read for the first time.
   bool Complete() const { return complete_; }
 
+  /// When the newest successful read was begun, by BootNow.
+  MonoTime NewestRead() const { return newestRead_; }
+
 private:
   void ReadPage(const std::string& aAfter);
   void OnPage(const std::string& aAfter, const StorePage& aPage);
@@ -119,6 +133,7 @@
   void Retry(void (TopicReader::*aStep)());
   void Restart() { ReadPage(""); }
   void NoteReachable(bool aReachable);
+  void Publish(const std::vector<KeyedRecord>& aChanges);
 
   asio::steady_timer timer_;
   StoreClient& store_;
@@ -127,6 +142,8 @@
   Records records_;
   Records incoming_;
   uint64_t next_ = 0;
+  MonoTime begun_;
+  MonoTime newestRead_;
   bool complete_ = false;
   bool reachable_ = true;
 };
--- a/src/libcornelfront/platform/wire_job.cpp
+++ b/src/libcornelfront/platform/wire_job.cpp
@@ -58,7 +58,7 @@
   }
   job.bestEffort_ = BoolField(body, "bestEffort");
   job.repeats_ = CountField(body, "repeats", 0);
-  job.firstDue_ = WallTime(Millis(WholeField(body, "startAtMs", 0)));
+  job.firstDue_ = Millis(WholeField(body, "startAtMs", 0));
   job.interval_ = Millis(WholeField(body, "intervalMs", 0));
   // These may also stand beside the steps, for all of them.
   for (StepSpec& step : job.steps_) {
--- a/src/libcornelfront/policy/job_engine.cpp
+++ b/src/libcornelfront/policy/job_engine.cpp
@@ -22,6 +22,9 @@
 constexpr double kSlownessWeight = 0.15;
 constexpr double kFailureWeight = 0.25;
 
+/// Run numbers that an earlier leader may have used without leaving a trace.
+constexpr uint32_t kTakeoverRuns = 100;
+
 /// Share of failed runs above which an upstream is avoided.
 constexpr double kEjectionShare = 0.6;
 
@@ -77,13 +80,14 @@
   if (Reattach(aTicket, aJob.id_, aDeadline)) {
     return;
   }
-  Job& job = jobs_[aJob.id_];
+  const JobInstance instance{ aJob.id_ };
+  Job& job = jobs_[instance];
   job.ticket_ = aTicket;
   job.spec_ = aJob;
   job.queue_ = aQueue;
   job.submitted_ = aNow;
   job.deadline_ = aDeadline;
-  tickets_[aTicket] = aJob.id_;
+  tickets_[aTicket] = instance;
   for (const StepSpec& step : aJob.steps_) {
     job.steps_.push_back(
       { .tasks_ = std::vector<Task>(step.count_), .open_ = step.count_ });
@@ -124,8 +128,9 @@
                     const std::string& aJob,
                     MonoTime aDeadline)
 {
-  Job* job = FindJob(aJob);
-  if (job == nullptr) {
+  const JobInstance instance{ aJob };
+  Job* job = FindJob(instance);
+  if (job == nullptr || job->stored_) {
     return false;
   }
   actions_.emplace_back(AnswerJob{ .ticket_ = job->ticket_,
@@ -134,7 +139,7 @@
   tickets_.erase(job->ticket_);
   job->ticket_ = aTicket;
   job->deadline_ = aDeadline;
-  tickets_[aTicket] = aJob;
+  tickets_[aTicket] = instance;
   return true;
 }
 
@@ -152,12 +157,134 @@
 JobEngine::Cancel(const std::string& aJob, MonoTime aNow)
 {
   CheckPause(aNow);
-  Job* job = FindJob(aJob);
-  if (job == nullptr) {
-    return false;
+  std::vector<JobInstance> instances;
+  for (auto job = jobs_.lower_bound({ aJob });
+       job != jobs_.end() && job->first.job_ == aJob;
+       ++job) {
+    instances.push_back(job->first);
+  }
+  for (const JobInstance& instance : instances) {
+    Job& job = jobs_.at(instance);
+    if (job.stored_) {
+      OnSaved(std::exchange(job.unsaved_, {}));
+      Drop(job);
+    } else {
+      Finish(job, JobOutcome::GivenUp, "cancelled");
+    }
+  }
+  return !instances.empty();
+}
+
+void
+JobEngine::Lead(uint64_t aTerm, MonoTime aNow)
+{
+  CheckPause(aNow);
+  term_ = aTerm;
+  hasAuthority_ = true;
+  takingOver_ = true;
+}
+
+void
+JobEngine::Follow(MonoTime aNow)
+{
+  CheckPause(aNow);
+  term_ = 0;
+  hasAuthority_ = false;
+  unsaved_.clear();
+  saving_.clear();
+  for (auto job = jobs_.begin(); job != jobs_.end();) {
+    if (!job->second.stored_) {
+      ++job;
+      continue;
+    }
+    waiting_.erase(job->first);
+    job = jobs_.erase(job);
+  }
+  // The new leader takes the runs over; they are no business of this one.
+  for (auto& [id, sidecar] : sidecars_) {
+    std::erase_if(sidecar.runs_, [this](const RunKey& aKey) {
+      return !jobs_.contains(InstanceOf(aKey.task_));
+    });
+  }
+}
+
+void
+JobEngine::SetAuthority(bool aHasAuthority, MonoTime aNow)
+{
+  CheckPause(aNow);
+  if (hasAuthority_ == aHasAuthority || term_ == 0) {
+    return;
+  }
+  hasAuthority_ = aHasAuthority;
+  if (hasAuthority_) {
+    PlaceWaiting(aNow);
+    return;
+  }
+  for (auto& [instance, job] : jobs_) {
+    for (uint32_t s = 0; job.stored_ && s < job.steps_.size(); ++s) {
+      auto& tasks = job.steps_[s].tasks_;
+      for (uint32_t i = 0; i < tasks.size(); ++i) {
+        if (tasks[i].state_ == TaskState::Sent) {
+          StopRun({ instance.job_, instance.occurrence_, s, i }, tasks[i]);
+        }
+      }
+    }
+  }
+}
+
+void
+JobEngine::SetTakingOver(bool aTakingOver, MonoTime aNow)
+{
+  CheckPause(aNow);
+  takingOver_ = aTakingOver;
+  if (!takingOver_) {
+    for (auto& [instance, job] : jobs_) {
+      job.fromEarlierLeader_ = false;
+    }
+    PlaceWaiting(aNow);
   }
-  Finish(*job, JobOutcome::GivenUp, "cancelled");
-  return true;
+}
+
+void
+JobEngine::Restore(const JobDescription& aJob,
+                   uint32_t aOccurrence,
+                   const JobQueue& aQueue,
+                   const JobProgress& aProgress,
+                   bool aFromEarlierLeader,
+                   MonoTime aNow)
+{
+  CheckPause(aNow);
+  const JobInstance instance{ aJob.id_, aOccurrence };
+  if (jobs_.contains(instance)) {
+    return;
+  }
+  Job& job = jobs_[instance];
+  job.spec_ = aJob;
+  job.queue_ = aQueue;
+  job.occurrence_ = aOccurrence;
+  job.stored_ = true;
+  job.fromEarlierLeader_ = aFromEarlierLeader;
+  job.submitted_ = aNow;
+  job.deadline_ = MonoTime::max();
+  for (size_t s = 0; s < aJob.steps_.size(); ++s) {
+    const uint32_t count = aJob.steps_[s].count_;
+    Step step{ .tasks_ = std::vector<Task>(count), .open_ = count };
+    for (size_t i = 0; i < count; ++i) {
+      Task& task = step.tasks_[i];
+      if (s < aProgress.size() && i < aProgress[s].size()) {
+        task.failures_ = aProgress[s][i].failures_;
+        task.endedRun_ = aProgress[s][i].endedRun_;
+        if (aProgress[s][i].done_) {
+          task.state_ = TaskState::Done;
+          --step.open_;
+        }
+      }
+      task.run_ = task.endedRun_ + (aFromEarlierLeader ? kTakeoverRuns : 0);
+    }
+    job.steps_.push_back(std::move(step));
+  }
+  UnblockSteps(job);
+  Place(job, aNow);
 }
 
 void
@@ -201,6 +328,63 @@
   for (const RunKey& key : missing) {
     OnEnd(aSidecar, { .key_ = key }, aNow);
   }
+  for (const RunKey& key : aHeld.runs_) {
+    Adopt(aSidecar, key, aNow);
+  }
+}
+
+void
+JobEngine::OnTakenOver(MemberId aSidecar,
+                       const HeldRuns& aHeld,
+                       MonoTime aNow)
+{
+  CheckPause(aNow);
+  if (!sidecars_.contains(aSidecar)) {
+    return;
+  }
+  for (const RunReport& report : aHeld.reports_) {
+    OnEnd(aSidecar, report, aNow);
+  }
+  for (const RunKey& key : aHeld.runs_) {
+    Adopt(aSidecar, key, aNow);
+  }
+}
+
+JobEngine::Task*
+JobEngine::FindTask(const TaskName& aName)
+{
+  Job* job = FindJob(InstanceOf(aName));
+  if (job == nullptr || aName.step_ >= job->steps_.size() ||
+      aName.index_ >= job->steps_[aName.step_].tasks_.size()) {
+    return nullptr;
+  }
+  return &job->steps_[aName.step_].tasks_[aName.index_];
+}
+
+void
+JobEngine::Adopt(MemberId aSidecar, const RunKey& aKey, MonoTime aNow)
+{
+  Sidecar& sidecar = sidecars_.at(aSidecar);
+  if (sidecar.runs_.contains(aKey)) {
+    return;
+  }
+  Task* task = FindTask(aKey.task_);
+  Job* job = FindJob(InstanceOf(aKey.task_));
+  const bool wanted =
+    task != nullptr && job->stored_ && aKey.run_ > task->endedRun_ &&
+    (task->state_ == TaskState::Ready || task->state_ == TaskState::Blocked);
+  sidecar.runs_.insert(aKey);
+  if (!wanted) {
+    actions_.emplace_back(SendStops{ aSidecar, { { aKey } } });
+    return;
+  }
+  task->state_ = TaskState::Sent;
+  task->run_ = aKey.run_;
+  task->sidecar_ = aSidecar;
+  task->sent_ = aNow;
+  task->stopSent_ = false;
+  job->anySent_ = true;
+  job->mayHaveRun_ = true;
 }
 
 void
@@ -265,13 +449,13 @@
     EndRuns(id, RunEnd::Lost, aNow);
     sidecars_.erase(id);
   }
-  std::vector<std::string> expired;
+  std::vector<JobInstance> expired;
   for (const auto& [id, job] : jobs_) {
     if (aNow >= job.deadline_) {
       expired.push_back(id);
     }
   }
-  for (const std::string& id : expired) {
+  for (const JobInstance& id : expired) {
     GiveUp(jobs_.at(id), "the client's deadline has passed");
   }
   PlaceWaiting(aNow);
@@ -280,18 +464,77 @@
 std::vector<JobAction>
 JobEngine::TakeActions()
 {
+  for (const JobInstance& instance : unsaved_) {
+    Save(jobs_.at(instance), std::nullopt, "");
+  }
+  unsaved_.clear();
   return std::exchange(actions_, {});
 }
 
+void
+JobEngine::Save(Job& aJob,
+                std::optional<JobOutcome> aOutcome,
+                std::string aReason)
+{
+  actions_.emplace_back(SaveJob{ .instance_ = InstanceOf(aJob),
+                                 .progress_ = ProgressOf(aJob),
+                                 .outcome_ = aOutcome,
+                                 .reason_ = std::move(aReason),
+                                 .ends_ = std::exchange(aJob.unsaved_, {}) });
+}
+
+void
+JobEngine::OnSaved(const std::vector<KeptEnd>& aEnds)
+{
+  std::map<MemberId, ForgetEnds> forget;
+  for (const KeptEnd& end : aEnds) {
+    saving_.erase(end.key_);
+    forget[end.sidecar_].runs_.push_back(end.key_);
+  }
+  for (auto& [id, ends] : forget) {
+    actions_.emplace_back(SendForget{ id, std::move(ends) });
+  }
+}
+
+JobProgress
+JobEngine::Progress(const JobInstance& aInstance) const
+{
+  const auto found = jobs_.find(aInstance);
+  return found == jobs_.end() ? JobProgress{} : ProgressOf(found->second);
+}
+
+JobProgress
+JobEngine::ProgressOf(const Job& aJob)
+{
+  JobProgress progress;
+  for (const Step& step : aJob.steps_) {
+    auto& tasks = progress.emplace_back();
+    for (const Task& task : step.tasks_) {
+      tasks.push_back({ .done_ = task.state_ == TaskState::Done,
+                        .failures_ = task.failures_,
+                        .endedRun_ = task.endedRun_ });
+    }
+  }
+  return progress;
+}
+
 size_t
 JobEngine::Pending(const std::string& aQueue) const
 {
   return static_cast<size_t>(
     std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& aJob) {
-      return aJob.second.queue_.name_ == aQueue && !aJob.second.anySent_;
+      return aJob.second.queue_.name_ == aQueue && !aJob.second.anySent_ &&
+             !aJob.second.stored_;
     }));
 }
 
+bool
+JobEngine::HasBegun(const JobInstance& aInstance) const
+{
+  const auto found = jobs_.find(aInstance);
+  return found != jobs_.end() && found->second.anySent_;
+}
+
 bool
 JobEngine::HasReadyUpstream() const
 {
@@ -317,19 +560,21 @@
   if (!paused) {
     return;
   }
-  std::vector<std::string> ids;
+  std::vector<JobInstance> ids;
   for (const auto& [id, job] : jobs_) {
-    ids.push_back(id);
+    if (!job.stored_) {
+      ids.push_back(id);
+    }
   }
-  for (const std::string& id : ids) {
+  for (const JobInstance& id : ids) {
     GiveUp(jobs_.at(id), "this process was suspended");
   }
 }
 
 JobEngine::Job*
-JobEngine::FindJob(const std::string& aId)
+JobEngine::FindJob(const JobInstance& aInstance)
 {
-  const auto found = jobs_.find(aId);
+  const auto found = jobs_.find(aInstance);
   return found == jobs_.end() ? nullptr : &found->second;
 }
 
@@ -356,12 +601,24 @@
 void
 JobEngine::Place(Job& aJob, MonoTime aNow)
 {
-  waiting_.erase(aJob.spec_.id_);
+  const JobInstance instance = InstanceOf(aJob);
+  if (!MayPlace(aJob)) {
+    waiting_.insert(instance);
+    return;
+  }
+  waiting_.erase(instance);
   for (uint32_t step = 0; step < aJob.steps_.size(); ++step) {
     PlaceStep(aJob, step, aNow);
   }
 }
 
+bool
+JobEngine::MayPlace(const Job& aJob) const
+{
+  return !aJob.stored_ ||
+         (hasAuthority_ && !(takingOver_ && aJob.fromEarlierLeader_));
+}
+
 void
 JobEngine::PlaceStep(Job& aJob, uint32_t aStep, MonoTime aNow)
 {
@@ -382,7 +639,7 @@
     }
     const auto sidecar = Choose(aJob, aStep, task, aNow);
     if (sidecar == sidecars_.end()) {
-      waiting_.insert(aJob.spec_.id_);
+      waiting_.insert(InstanceOf(aJob));
       continue;
     }
     ++task.run_;
@@ -395,11 +652,13 @@
     order.runs_.push_back({ index, task.run_ });
     NoteSent(sidecar->second,
              spec,
-             { { aJob.spec_.id_, 0, aStep, index }, task.run_ });
+             { { aJob.spec_.id_, aJob.occurrence_, aStep, index }, task.run_ });
   }
   for (auto& [id, order] : orders) {
     order.job_ = aJob.spec_.id_;
+    order.occurrence_ = aJob.occurrence_;
     order.step_ = aStep;
+    order.term_ = aJob.stored_ ? term_ : 0;
     order.payload_ = aJob.spec_.payload_;
     order.service_ = aJob.queue_.service_;
     order.room_ = spec.room_;
@@ -415,8 +674,8 @@
 void
 JobEngine::PlaceWaiting(MonoTime aNow)
 {
-  const std::set<std::string> waiting = waiting_;
-  for (const std::string& id : waiting) {
+  const std::set<JobInstance> waiting = waiting_;
+  for (const JobInstance& id : waiting) {
     Place(jobs_.at(id), aNow);
   }
 }
@@ -633,20 +892,22 @@
 JobEngine::OnEnd(MemberId aSidecar, const RunReport& aReport, MonoTime aNow)
 {
   const auto sidecar = sidecars_.find(aSidecar);
-  if (sidecar == sidecars_.end() ||
-      sidecar->second.runs_.erase(aReport.key_) == 0) {
+  if (sidecar == sidecars_.end()) {
     return;
   }
+  const bool known = sidecar->second.runs_.erase(aReport.key_) > 0;
   const TaskName& name = aReport.key_.task_;
-  Job* job = FindJob(name.job_);
-  if (job == nullptr || name.step_ >= job->steps_.size() ||
-      name.index_ >= job->steps_[name.step_].tasks_.size()) {
-    return;
-  }
-  Task& task = job->steps_[name.step_].tasks_[name.index_];
-  if (task.state_ != TaskState::Sent || task.run_ != aReport.key_.run_) {
+  Job* job = FindJob(InstanceOf(name));
+  Task* found = FindTask(name);
+  const bool current = known && found != nullptr &&
+                       found->state_ == TaskState::Sent &&
+                       found->run_ == aReport.key_.run_;
+  if (!current) {
+    OnStoredEnd(aSidecar, aReport, aNow);
     return;
   }
+  Task& task = *found;
+  NoteUnsaved(*job, aSidecar, aReport, task);
   Learn(sidecar->second, *job, aReport, aNow);
   job->mayHaveRun_ |= aReport.end_ != RunEnd::NotStarted;
   if (aReport.end_ == RunEnd::Done) {
@@ -665,11 +926,63 @@
   Place(*job, aNow);
 }
 
+void
+JobEngine::NoteUnsaved(Job& aJob,
+                       MemberId aSidecar,
+                       const RunReport& aReport,
+                       Task& aTask)
+{
+  if (!aJob.stored_ || aReport.end_ == RunEnd::NotStarted) {
+    return;
+  }
+  aTask.endedRun_ = std::max(aTask.endedRun_, aReport.key_.run_);
+  if (aReport.kept_) {
+    aJob.unsaved_.push_back({ aSidecar, aReport.key_ });
+    saving_.insert(aReport.key_);
+  }
+  unsaved_.insert(InstanceOf(aJob));
+}
+
+void
+JobEngine::OnStoredEnd(MemberId aSidecar,
+                       const RunReport& aReport,
+                       MonoTime aNow)
+{
+  if (!aReport.kept_ || term_ == 0) {
+    return;
+  }
+  const TaskName& name = aReport.key_.task_;
+  Job* job = FindJob(InstanceOf(name));
+  Task* task = FindTask(name);
+  const bool counts = task != nullptr && job->stored_ &&
+                      aReport.key_.run_ > task->endedRun_ &&
+                      task->state_ != TaskState::Done &&
+                      task->state_ != TaskState::Sent;
+  if (!counts) {
+    if (!saving_.contains(aReport.key_)) {
+      actions_.emplace_back(SendForget{ aSidecar, { { aReport.key_ } } });
+    }
+    return;
+  }
+  NoteUnsaved(*job, aSidecar, aReport, *task);
+  if (aReport.end_ == RunEnd::Done) {
+    OnTaskDone(*job, name, aNow);
+  } else if (aReport.end_ == RunEnd::Failed) {
+    OnTaskFailed(*job, name, aNow);
+  }
+}
+
 void
 JobEngine::OnTaskDone(Job& aJob, const TaskName& aName, MonoTime aNow)
 {
   Step& step = aJob.steps_[aName.step_];
-  if (aJob.spec_.steps_[aName.step_].gang_) {
+  const StepSpec& spec = aJob.spec_.steps_[aName.step_];
+  if (spec.longRunning_) {
+    step.tasks_[aName.index_].state_ = TaskState::Ready;
+    Place(aJob, aNow);
+    return;
+  }
+  if (spec.gang_) {
     for (Task& task : step.tasks_) {
       task.state_ = TaskState::Done;
     }
@@ -697,7 +1010,9 @@
 JobEngine::OnTaskFailed(Job& aJob, const TaskName& aName, MonoTime aNow)
 {
   Task& task = aJob.steps_[aName.step_].tasks_[aName.index_];
-  if (++task.failures_ >= aJob.queue_.attempts_) {
+  ++task.failures_;
+  if (!aJob.spec_.steps_[aName.step_].longRunning_ &&
+      task.failures_ >= aJob.queue_.attempts_) {
     Finish(aJob,
            JobOutcome::Failed,
            ToString(aName) + " failed " + std::to_string(task.failures_) +
@@ -719,7 +1034,7 @@
     Task& task = step.tasks_[i];
     highest = std::max(highest, task.run_);
     if (task.state_ == TaskState::Sent && !task.stopSent_) {
-      StopRun({ aJob.spec_.id_, 0, aStep, i }, task);
+      StopRun({ aJob.spec_.id_, aJob.occurrence_, aStep, i }, task);
     }
   }
   // All members of one run have the same number.
@@ -771,9 +1086,10 @@
 void
 JobEngine::OnStalled(MemberId aSidecar, const RunKey& aKey)
 {
-  Job* job = FindJob(aKey.task_.job_);
+  Job* job = FindJob(InstanceOf(aKey.task_));
   const auto sidecar = sidecars_.find(aSidecar);
   if (job == nullptr || sidecar == sidecars_.end() ||
+      job->spec_.steps_[aKey.task_.step_].longRunning_ ||
       !sidecar->second.runs_.contains(aKey)) {
     return;
   }
@@ -827,6 +1143,12 @@
                   const std::string& aReason,
                   Millis aRetryAfter)
 {
+  if (aJob.stored_) {
+    unsaved_.erase(InstanceOf(aJob));
+    Save(aJob, aOutcome, aReason);
+    Drop(aJob);
+    return;
+  }
   actions_.emplace_back(AnswerJob{ .ticket_ = aJob.ticket_,
                                    .outcome_ = aOutcome,
                                    .reason_ = aReason,
@@ -843,16 +1165,19 @@
     for (uint32_t i = 0; i < tasks.size(); ++i) {
       if (tasks[i].state_ == TaskState::Sent) {
         stops[tasks[i].sidecar_].runs_.push_back(
-          { { aJob.spec_.id_, 0, s, i }, tasks[i].run_ });
+          { { aJob.spec_.id_, aJob.occurrence_, s, i }, tasks[i].run_ });
       }
     }
   }
   for (auto& [id, stop] : stops) {
     actions_.emplace_back(SendStops{ id, std::move(stop) });
   }
-  const std::string id = aJob.spec_.id_;
+  const JobInstance id = InstanceOf(aJob);
   waiting_.erase(id);
-  tickets_.erase(aJob.ticket_);
+  unsaved_.erase(id);
+  if (!aJob.stored_) {
+    tickets_.erase(aJob.ticket_);
+  }
   jobs_.erase(id);
 }
 
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -42,7 +42,8 @@
   if (!sameIncarnation) {
     FinishAll(RunEnd::Lost, aNow);
     strays_.clear();
-    acknowledgedEnds_ = 0;
+    newestEnd_ = 0;
+    kept_.clear();
     upstreamHeard_ = aNow;
   }
   upstream_ = aInfo;
@@ -87,8 +88,8 @@
 RunTable::OnOrders(MemberId aOwner, const StartRuns& aOrders, MonoTime aNow)
 {
   OnOwnerLink(aOwner, aNow);
-  const bool accepts = upstream_ && !upstream_->draining_ && !closed_ &&
-                       upstream_->service_ == aOrders.service_;
+  const bool accepts = Accepts(aOrders);
+  term_ = std::max(term_, aOrders.term_);
   for (const RunOrder& order : aOrders.runs_) {
     const RunKey key{ aOrders.Task(order), order.run_ };
     const auto sameTask = runs_.lower_bound({ key.task_, 0 });
@@ -100,6 +101,7 @@
       continue;
     }
     runs_[key] = { .owner_ = aOwner,
+                   .term_ = aOrders.term_,
                    .upstreamRun_ = order.run_,
                    .payload_ = aOrders.payload_,
                    .room_ = aOrders.room_,
@@ -113,6 +115,48 @@
   }
 }
 
+bool
+RunTable::Accepts(const StartRuns& aOrders) const
+{
+  const bool current =
+    aOrders.term_ == 0 || (registered_ && aOrders.term_ >= term_);
+  return current && upstream_ && !upstream_->draining_ && !closed_ &&
+         upstream_->service_ == aOrders.service_;
+}
+
+bool
+RunTable::OnTakeOver(MemberId aLeader, uint64_t aTerm, MonoTime aNow)
+{
+  if (aTerm < term_) {
+    return false;
+  }
+  term_ = aTerm;
+  leader_ = aLeader;
+  OnOwnerLink(aLeader, aNow);
+  for (auto& [key, run] : runs_) {
+    if (run.term_ > 0) {
+      run.owner_ = aLeader;
+      run.term_ = aTerm;
+    }
+  }
+  return true;
+}
+
+void
+RunTable::OnForgetEnds(const ForgetEnds& aEnds)
+{
+  const std::set<RunKey> keys(aEnds.runs_.begin(), aEnds.runs_.end());
+  std::erase_if(kept_, [&](const auto& aKept) {
+    return keys.contains(aKept.second.key_);
+  });
+}
+
+uint64_t
+RunTable::AcknowledgedEnds() const
+{
+  return kept_.empty() ? newestEnd_ : kept_.begin()->first - 1;
+}
+
 void
 RunTable::OnStop(MemberId aOwner, const StopRuns& aStop, MonoTime aNow)
 {
@@ -297,15 +341,44 @@
 RunTable::NoteEnded(const UpstreamLook& aLook, MonoTime aNow)
 {
   for (const EndedEntry& entry : aLook.ended_) {
-    if (entry.number_ <= acknowledgedEnds_) {
+    if (entry.number_ <= newestEnd_) {
       continue;
     }
-    acknowledgedEnds_ = entry.number_;
+    newestEnd_ = entry.number_;
     const auto run = FindUpstreamRun(entry.key_);
+    if (run == runs_.end() || run->second.term_ > 0) {
+      Keep(entry, run, aNow);
+    }
     if (run != runs_.end()) {
       Finish(run, entry.end_, aNow);
     }
   }
+  LimitKept();
+}
+
+/// Keeps the end of a run of a stored job, or of one that a predecessor of
+/// this process may have started, until the leader has taken note of it.
+void
+RunTable::Keep(const EndedEntry& aEnd, Runs::iterator aRun, MonoTime aNow)
+{
+  RunReport report{ .key_ = aEnd.key_, .end_ = aEnd.end_ };
+  if (aRun != runs_.end()) {
+    report = MakeReport(aRun->first, aRun->second, aEnd.end_, aNow);
+  }
+  report.kept_ = true;
+  kept_[aEnd.number_] = report;
+  if (aRun == runs_.end() && leader_) {
+    Tell(*leader_, report, aNow);
+  }
+}
+
+void
+RunTable::LimitKept()
+{
+  if (!kept_.empty() &&
+      newestEnd_ - kept_.begin()->first >= options_.maxKeptEnds_) {
+    kept_.clear();
+  }
 }
 
 void
@@ -356,11 +429,7 @@
 void
 RunTable::CheckOwners(MonoTime aNow)
 {
-  std::set<MemberId> silent;
   for (auto& [id, owner] : owners_) {
-    if (Since(owner.heard_, aNow) > options_.ownerSilence_) {
-      silent.insert(id);
-    }
     while (!owner.recent_.empty() && Since(owner.recent_.front().first, aNow) >
                                        options_.reportRetention_) {
       owner.recent_.pop_front();
@@ -368,7 +437,14 @@
   }
   for (auto run = runs_.begin(); run != runs_.end();) {
     const auto next = std::next(run);
-    if (silent.contains(run->second.owner_)) {
+    const auto owner = owners_.find(run->second.owner_);
+    const Millis silence = owner == owners_.end()
+                             ? options_.leaderSilence_
+                             : Since(owner->second.heard_, aNow);
+    const bool lost =
+      run->second.term_ > 0 ? silence >= options_.leaderSilence_
+                            : silence > options_.ownerSilence_;
+    if (lost) {
       WantStop(run, aNow);
     }
     run = next;
@@ -425,6 +501,12 @@
       held.runs_.push_back(key);
     }
   }
+  if (leader_ == aOwner) {
+    held.term_ = term_;
+    for (const auto& [number, report] : kept_) {
+      held.reports_.push_back(report);
+    }
+  }
   const auto owner = owners_.find(aOwner);
   if (owner != owners_.end()) {
     for (const auto& [when, report] : owner->second.recent_) {
@@ -478,18 +560,34 @@
 RunTable::Runs::iterator
 RunTable::Finish(Runs::iterator aRun, RunEnd aEnd, MonoTime aNow)
 {
-  const Run& run = aRun->second;
-  RunReport report{ .key_ = aRun->first, .end_ = aEnd };
-  if (run.state_ == State::Running) {
-    report.runTime_ = Since(run.started_, aNow);
-    report.waited_ = Since(run.queued_, run.started_);
+  const auto report = MakeReport(aRun->first, aRun->second, aEnd, aNow);
+  Tell(aRun->second.owner_, report, aNow);
+  return runs_.erase(aRun);
+}
+
+RunReport
+RunTable::MakeReport(const RunKey& aKey,
+                     const Run& aRun,
+                     RunEnd aEnd,
+                     MonoTime aNow) const
+{
+  RunReport report{ .key_ = aKey, .end_ = aEnd };
+  if (aRun.state_ == State::Running) {
+    report.runTime_ = Since(aRun.started_, aNow);
+    report.waited_ = Since(aRun.queued_, aRun.started_);
   } else {
-    report.waited_ = Since(run.queued_, aNow);
+    report.waited_ = Since(aRun.queued_, aNow);
   }
-  Owner& owner = owners_[run.owner_];
-  owner.unsent_.reports_.push_back(report);
-  owner.recent_.emplace_back(aNow, report);
-  return runs_.erase(aRun);
+  report.kept_ = aRun.term_ > 0;
+  return report;
+}
+
+void
+RunTable::Tell(MemberId aOwner, const RunReport& aReport, MonoTime aNow)
+{
+  Owner& owner = owners_[aOwner];
+  owner.unsent_.reports_.push_back(aReport);
+  owner.recent_.emplace_back(aNow, aReport);
 }
 
 void
--- /dev/null
+++ b/src/libcornelfront/stored_jobs.cpp
@@ -0,0 +1,485 @@
+#include "stored_jobs.h"
+
+#include "platform/member_topic.h"
+
+#include <glog/logging.h>
+
+#include <random>
+
+namespace cornelfront {
+namespace {
+
+constexpr Millis kReadWait{ 700 };
+/// What was read longer ago does not show that a job is unknown.
+constexpr Millis kFreshness{ 1800 };
+/// Closed jobs are shown for at least the time that clients may ask for them.
+constexpr Millis kShownFor{ 150000 };
+/// Interval of checks that go through all jobs.
+constexpr Millis kCheckInterval{ 200 };
+/// A claim shows in the records that are read within this time.
+constexpr Millis kClaimPause{ 2000 };
+constexpr Millis kSidecarForgotten{ 60000 };
+constexpr std::string_view kLeaderProducer = "leader";
+/// Two claims of one epoch must not look like a repeat.
+constexpr uint64_t kSequenceSpread = 1ULL << 40U;
+
+uint64_t
+RandomSequence()
+{
+  std::random_device device;
+  return ((static_cast<uint64_t>(device()) << 32U) | device()) %
+         kSequenceSpread;
+}
+
+Millis
+WallNow()
+{
+  return std::chrono::duration_cast<Millis>(
+    WallClock::now().time_since_epoch());
+}
+
+} // namespace
+
+StoredJobs::StoredJobs(asio::io_context& aLoop,
+                       platform::StoreClient& aStore,
+                       JobEngine& aEngine,
+                       MemberId aSelf,
+                       std::string aName,
+                       StoredJobsHooks aHooks)
+  : loop_(aLoop)
+  , store_(aStore)
+  , engine_(aEngine)
+  , self_(aSelf)
+  , name_(std::move(aName))
+  , hooks_(std::move(aHooks))
+  , leadership_(aSelf, {}, BootNow())
+{
+  writer_ = std::make_unique<platform::BatchWriter>(
+    loop_,
+    store_,
+    platform::BatchWriterOptions{ .topic_ = std::string(platform::kJobTopic),
+                                  .producer_ = "entry-" + ToString(self_) });
+  reader_ = std::make_unique<platform::TopicReader>(
+    loop_,
+    store_,
+    platform::TopicReader::Options{
+      .topic_ = std::string(platform::kJobTopic),
+      .wait_ = kReadWait,
+      .onRecords_ = [this](const std::vector<KeyedRecord>& aRecords) {
+        OnRecords(aRecords);
+      } });
+}
+
+void
+StoredJobs::Accept(const JobDescription& aJob,
+                   const std::string& aQueue,
+                   Done aDone)
+{
+  if (ledger_.State(aJob.id_)) {
+    aDone(platform::StoreOutcome::Ok);
+    return;
+  }
+  const KeyedRecord record = AcceptRecord({ aJob, aQueue });
+  writer_->Write({ record },
+                 [this, record, done = std::move(aDone)](
+                   platform::StoreOutcome aOutcome, MonoTime) {
+                   if (aOutcome == platform::StoreOutcome::Ok) {
+                     // Shown here at once; the leader learns of it by reading.
+                     ledger_.Apply(record, BootNow());
+                   }
+                   done(aOutcome);
+                 });
+}
+
+void
+StoredJobs::Cancel(const std::string& aJob, Done aDone)
+{
+  writer_->Write({ CancelRecord(aJob) },
+                 [done = std::move(aDone)](platform::StoreOutcome aOutcome,
+                                           MonoTime) { done(aOutcome); });
+}
+
+std::optional<JobState>
+StoredJobs::State(const std::string& aJob) const
+{
+  const auto state = ledger_.State(aJob);
+  if (state == JobState::Queued && engine_.HasBegun({ aJob })) {
+    return JobState::Running;
+  }
+  return state;
+}
+
+size_t
+StoredJobs::Pending(const std::string& aQueue) const
+{
+  return ledger_.Pending(aQueue);
+}
+
+bool
+StoredJobs::Fresh(MonoTime aNow) const
+{
+  return reader_->Complete() && aNow - reader_->NewestRead() < kFreshness;
+}
+
+uint64_t
+StoredJobs::Term() const
+{
+  return leading_ ? leadership_.Term() : 0;
+}
+
+void
+StoredJobs::OnRecords(const std::vector<KeyedRecord>& aRecords)
+{
+  const MonoTime now = BootNow();
+  std::set<std::string> changed;
+  for (const KeyedRecord& record : aRecords) {
+    const LeaderRecord before = ledger_.Leader();
+    changed.insert(ledger_.Apply(record, now));
+    const LeaderRecord& leader = ledger_.Leader();
+    if (leader.term_ != before.term_ || leader.renewal_ != before.renewal_) {
+      leadership_.OnLeader(leader.term_, leader.id_, now);
+    }
+  }
+  if (leading_ && !leadership_.Leads()) {
+    EndToLead(now);
+  } else if (!leading_ && leadership_.Leads()) {
+    BeginToLead(now);
+  } else if (leading_) {
+    for (const std::string& job : changed) {
+      Pursue(job, false, now);
+    }
+    hooks_.onActions_();
+  }
+}
+
+void
+StoredJobs::Claim(MonoTime aNow)
+{
+  const uint64_t term = leadership_.Term() + 1;
+  const uint64_t sequence = RandomSequence();
+  LOG(INFO) << "leadership term=" << term << " outcome=claiming";
+  claimWriter_ = std::make_unique<platform::BatchWriter>(
+    loop_,
+    store_,
+    platform::BatchWriterOptions{ .topic_ = std::string(platform::kJobTopic),
+                                  .producer_ = std::string(kLeaderProducer),
+                                  .epoch_ = term,
+                                  .firstSequence_ = sequence,
+                                  .untilDone_ = true });
+  claimWriter_->Write(
+    { LeaderRecordOf({ .term_ = term, .id_ = self_, .name_ = name_ }) },
+    [this, term, sequence](platform::StoreOutcome aOutcome, MonoTime aBegun) {
+      LOG(INFO) << "leadership term=" << term << " outcome="
+                << (aOutcome == platform::StoreOutcome::Ok ? "claimed"
+                                                           : "lost");
+      if (aOutcome == platform::StoreOutcome::Ok) {
+        nextSequence_ = sequence + 1;
+        leadership_.OnConfirmed(aBegun);
+      }
+      asio::post(loop_, [this] { claimWriter_.reset(); });
+    });
+  claimedAt_ = aNow;
+}
+
+void
+StoredJobs::BeginToLead(MonoTime aNow)
+{
+  leading_ = true;
+  takingOver_ = true;
+  takenOver_.clear();
+  begun_.clear();
+  closing_.clear();
+  const uint64_t term = leadership_.Term();
+  LOG(INFO) << "leadership term=" << term << " outcome=leading jobs="
+            << ledger_.Jobs().size();
+  leaderWriter_ = std::make_unique<platform::BatchWriter>(
+    loop_,
+    store_,
+    platform::BatchWriterOptions{ .topic_ = std::string(platform::kJobTopic),
+                                  .producer_ = std::string(kLeaderProducer),
+                                  .epoch_ = term,
+                                  .firstSequence_ = nextSequence_,
+                                  .untilDone_ = true });
+  engine_.Lead(term, aNow);
+  std::vector<std::string> jobs;
+  for (const auto& [id, entry] : ledger_.Jobs()) {
+    jobs.push_back(id);
+  }
+  for (const std::string& id : jobs) {
+    Pursue(id, true, aNow);
+  }
+  hooks_.onLead_(term);
+  hooks_.onActions_();
+}
+
+void
+StoredJobs::EndToLead(MonoTime aNow)
+{
+  LOG(WARNING) << "leadership outcome=ended newest_term=" << leadership_.Term();
+  leading_ = false;
+  engine_.Follow(aNow);
+  asio::post(loop_, [writer = std::shared_ptr<platform::BatchWriter>(
+                       std::move(leaderWriter_))] {});
+  hooks_.onActions_();
+}
+
+void
+StoredJobs::Renew()
+{
+  Write({ LeaderRecordOf({ .term_ = leadership_.Term(),
+                           .id_ = self_,
+                           .name_ = name_,
+                           .renewal_ = ++renewal_ }) },
+        [] {});
+}
+
+void
+StoredJobs::Write(std::vector<KeyedRecord> aRecords,
+                  std::function<void()> aDone)
+{
+  if (!leaderWriter_) {
+    return;
+  }
+  leaderWriter_->Write(
+    std::move(aRecords),
+    [this, done = std::move(aDone)](platform::StoreOutcome aOutcome,
+                                    MonoTime aBegun) {
+      if (aOutcome == platform::StoreOutcome::Ok) {
+        leadership_.OnConfirmed(aBegun);
+        done();
+        return;
+      }
+      leadership_.OnFenced();
+      if (leading_) {
+        EndToLead(BootNow());
+      }
+    });
+}
+
+void
+StoredJobs::Pursue(const std::string& aJob,
+                   bool aFromEarlierLeader,
+                   MonoTime aNow)
+{
+  const auto found = ledger_.Jobs().find(aJob);
+  if (found == ledger_.Jobs().end()) {
+    closing_.erase(aJob);
+    return;
+  }
+  const JobLedger::Entry& entry = found->second;
+  if (entry.final_) {
+    closing_.erase(aJob);
+    if (entry.accepted_) {
+      // Submitted again after its end.
+      Write({ { AcceptRecord(*entry.accepted_).key_, "" } }, [] {});
+    }
+    return;
+  }
+  if (!entry.accepted_ || closing_.contains(aJob)) {
+    return;
+  }
+  if (entry.cancelled_) {
+    engine_.Cancel(aJob, aNow);
+    Close(aJob, JobState::Cancelled);
+    return;
+  }
+  StartInstances(
+    aJob,
+    entry,
+    aFromEarlierLeader && entry.acceptedTerm_ < leadership_.Term(),
+    aNow);
+}
+
+void
+StoredJobs::StartInstances(const std::string& aJob,
+                           const JobLedger::Entry& aEntry,
+                           bool aFromEarlierLeader,
+                           MonoTime aNow)
+{
+  const auto queue = hooks_.findQueue_(aEntry.accepted_->queue_);
+  if (!queue) {
+    return;
+  }
+  const JobDescription& job = aEntry.accepted_->job_;
+  const uint32_t instances = std::max(job.repeats_, 1U);
+  const Millis wall = WallNow();
+  uint32_t completed = 0;
+  for (uint32_t k = 0; k < instances; ++k) {
+    const auto record = aEntry.instances_.find(k);
+    if (record != aEntry.instances_.end() && record->second.completed_) {
+      ++completed;
+      continue;
+    }
+    if (job.repeats_ > 0 && wall < job.firstDue_ + k * job.interval_) {
+      break;
+    }
+    if (!engine_.HoldsInstance({ aJob, k }) && !closing_.contains(aJob)) {
+      engine_.Restore(job,
+                      k,
+                      *queue,
+                      record == aEntry.instances_.end()
+                        ? JobProgress{}
+                        : record->second.progress_,
+                      aFromEarlierLeader,
+                      aNow);
+    }
+  }
+  if (completed == instances) {
+    Close(aJob, JobState::Completed);
+  }
+}
+
+void
+StoredJobs::Close(const std::string& aJob, JobState aState)
+{
+  closing_.insert(aJob);
+  LOG(INFO) << "job=" << aJob << " outcome=" << ToString(aState)
+            << " term=" << leadership_.Term();
+  Write(ledger_.Closing(aJob, aState), [] {});
+}
+
+void
+StoredJobs::Save(const SaveJob& aSave)
+{
+  const std::string& id = aSave.instance_.job_;
+  const auto found = ledger_.Jobs().find(id);
+  const bool gone = found == ledger_.Jobs().end() || closing_.contains(id) ||
+                    !found->second.accepted_;
+  const auto saved = [this, ends = aSave.ends_] {
+    engine_.OnSaved(ends);
+    hooks_.onActions_();
+  };
+  if (gone) {
+    engine_.OnSaved(aSave.ends_);
+    return;
+  }
+  const bool single = found->second.accepted_->job_.repeats_ <= 1;
+  if (aSave.outcome_ == JobOutcome::Failed ||
+      (aSave.outcome_ == JobOutcome::Completed && single)) {
+    const JobState state = aSave.outcome_ == JobOutcome::Failed
+                             ? JobState::Failed
+                             : JobState::Completed;
+    LOG(INFO) << "job=" << id << " outcome=" << ToString(state)
+              << " term=" << leadership_.Term() << " reason=\""
+              << aSave.reason_ << "\"";
+    closing_.insert(id);
+    Write(ledger_.Closing(id, state), saved);
+    // The other occurrences of a failed job.
+    engine_.Cancel(id, BootNow());
+    return;
+  }
+  Write({ ProgressRecord(aSave.instance_,
+                         { .progress_ = aSave.progress_,
+                           .completed_ = aSave.outcome_ ==
+                                         JobOutcome::Completed }) },
+        saved);
+}
+
+void
+StoredJobs::OnTakenOver(const std::string& aSidecar,
+                        MemberId aId,
+                        uint64_t aTerm)
+{
+  if (leading_ && aTerm == leadership_.Term()) {
+    takenOver_[aSidecar] = aId;
+    CheckTakeover(BootNow());
+  }
+}
+
+void
+StoredJobs::CheckTakeover(MonoTime aNow)
+{
+  if (!takingOver_) {
+    return;
+  }
+  const auto& sidecars = ledger_.Sidecars();
+  const bool all = std::all_of(
+    sidecars.begin(), sidecars.end(), [this](const auto& aSidecar) {
+      const auto taken = takenOver_.find(aSidecar.first);
+      return taken != takenOver_.end() && taken->second == aSidecar.second;
+    });
+  if (all || leadership_.EarlierRunsEnded(aNow)) {
+    LOG(INFO) << "leadership term=" << leadership_.Term()
+              << " outcome=taken_over sidecars=" << takenOver_.size()
+              << " complete=" << all;
+    takingOver_ = false;
+    engine_.SetTakingOver(false, aNow);
+    hooks_.onActions_();
+  }
+}
+
+void
+StoredJobs::NoteBegun(MonoTime aNow)
+{
+  std::vector<KeyedRecord> records;
+  for (const auto& [id, entry] : ledger_.Jobs()) {
+    const JobInstance instance{ id };
+    if (entry.Active() && entry.instances_.empty() &&
+        engine_.HasBegun(instance) && begun_.insert(instance).second) {
+      records.push_back(
+        ProgressRecord(instance, { .progress_ = engine_.Progress(instance) }));
+    }
+  }
+  if (!records.empty()) {
+    Write(std::move(records), [] {});
+  }
+  std::erase_if(begun_, [this](const JobInstance& aInstance) {
+    return !ledger_.Jobs().contains(aInstance.job_);
+  });
+  auto expired = ledger_.Expired(aNow - kShownFor);
+  if (!expired.empty()) {
+    Write(std::move(expired), [] {});
+  }
+}
+
+void
+StoredJobs::RemoveLostSidecars(MonoTime aNow)
+{
+  for (const auto& [name, id] : ledger_.Sidecars()) {
+    const auto taken = takenOver_.find(name);
+    if (taken != takenOver_.end() && taken->second == id) {
+      lostSince_.erase(name);
+      continue;
+    }
+    const auto since = lostSince_.emplace(name, aNow).first->second;
+    if (aNow - since >= kSidecarForgotten) {
+      lostSince_.erase(name);
+      Write({ { SidecarRecord(name, id).key_, "" } }, [] {});
+    }
+  }
+}
+
+void
+StoredJobs::Tick(MonoTime aNow)
+{
+  leadership_.OnRead(reader_->NewestRead());
+  if (leadership_.ShouldClaim(aNow) && reader_->Complete() && !claimWriter_ &&
+      aNow - claimedAt_ >= kClaimPause) {
+    Claim(aNow);
+  }
+  if (!leading_) {
+    return;
+  }
+  if (leadership_.ShouldRenew(aNow) && leaderWriter_->Idle()) {
+    Renew();
+  }
+  engine_.SetAuthority(leadership_.HasAuthority(aNow), aNow);
+  if (aNow - checkedAt_ < kCheckInterval) {
+    return;
+  }
+  checkedAt_ = aNow;
+  CheckTakeover(aNow);
+  NoteBegun(aNow);
+  RemoveLostSidecars(aNow);
+  std::vector<std::string> jobs;
+  for (const auto& [id, entry] : ledger_.Jobs()) {
+    if (entry.Active()) {
+      jobs.push_back(id);
+    }
+  }
+  for (const std::string& id : jobs) {
+    Pursue(id, false, aNow);
+  }
+}
+
+} // namespace cornelfront
--- /dev/null
+++ b/src/libcornelfront/stored_jobs.h
@@ -0,0 +1,108 @@
+#pragma once
+
+/// \file
+/// Jobs that must survive every process: accepting and showing them, which any
+/// entry does, and seeing them through, which the leader does.
+
+#include "cornelfront/job_engine.h"
+#include "cornelfront/job_ledger.h"
+#include "cornelfront/leadership.h"
+#include "platform/batch_writer.h"
+#include "platform/operator_state.h"
+#include "platform/store_client.h"
+
+#include <asio.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace cornelfront {
+
+struct StoredJobsHooks
+{
+  /// The engine may have left actions.
+  std::function<void()> onActions_;
+  /// Tells all linked sidecars that this process leads.
+  std::function<void(uint64_t aTerm)> onLead_;
+  /// The queue of this name in the configuration; nullopt if it was removed.
+  std::function<std::optional<JobQueue>(const std::string&)> findQueue_;
+};
+
+/// All calls and callbacks are on the event loop.
+class StoredJobs
+{
+public:
+  StoredJobs(asio::io_context& aLoop,
+             platform::StoreClient& aStore,
+             JobEngine& aEngine,
+             MemberId aSelf,
+             std::string aName,
+             StoredJobsHooks aHooks);
+
+  using Done = std::function<void(platform::StoreOutcome)>;
+  /// Stores a job; done at once if it is known already.
+  void Accept(const JobDescription& aJob,
+              const std::string& aQueue,
+              Done aDone);
+  /// Stores a cancellation; also of a job that is not known here yet.
+  void Cancel(const std::string& aJob, Done aDone);
+
+  std::optional<JobState> State(const std::string& aJob) const;
+  size_t Pending(const std::string& aQueue) const;
+  /// True if what is shown here is new enough to say that a job is unknown.
+  bool Fresh(MonoTime aNow) const;
+
+  /// Term of this process as leader; 0 if another one leads.
+  uint64_t Term() const;
+  /// A sidecar has handed over its runs for this term.
+  void OnTakenOver(const std::string& aSidecar, MemberId aId, uint64_t aTerm);
+  void Save(const SaveJob& aSave);
+  void Tick(MonoTime aNow);
+
+private:
+  void OnRecords(const std::vector<KeyedRecord>& aRecords);
+  void Claim(MonoTime aNow);
+  void BeginToLead(MonoTime aNow);
+  void EndToLead(MonoTime aNow);
+  void Renew();
+  void Write(std::vector<KeyedRecord> aRecords, std::function<void()> aDone);
+  void Pursue(const std::string& aJob, bool aFromEarlierLeader, MonoTime aNow);
+  void StartInstances(const std::string& aJob,
+                      const JobLedger::Entry& aEntry,
+                      bool aFromEarlierLeader,
+                      MonoTime aNow);
+  void Close(const std::string& aJob, JobState aState);
+  void NoteBegun(MonoTime aNow);
+  void CheckTakeover(MonoTime aNow);
+  void RemoveLostSidecars(MonoTime aNow);
+
+  asio::io_context& loop_;
+  platform::StoreClient& store_;
+  JobEngine& engine_;
+  const MemberId self_;
+  const std::string name_;
+  const StoredJobsHooks hooks_;
+  JobLedger ledger_;
+  Leadership leadership_;
+  std::unique_ptr<platform::BatchWriter> writer_;
+  std::unique_ptr<platform::BatchWriter> claimWriter_;
+  std::unique_ptr<platform::BatchWriter> leaderWriter_;
+  std::unique_ptr<platform::TopicReader> reader_;
+  bool leading_ = false;
+  bool takingOver_ = false;
+  uint64_t renewal_ = 0;
+  uint64_t nextSequence_ = 0;
+  /// Sidecars that have handed over their runs, by name.
+  std::map<std::string, MemberId> takenOver_;
+  std::map<std::string, MonoTime> lostSince_;
+  std::set<JobInstance> begun_;
+  std::set<std::string> closing_;
+  MonoTime claimedAt_;
+  MonoTime checkedAt_;
+};
+
+} // namespace cornelfront
