Let stored jobs wait at the leader, and tell which have begun

Change: sidecars tell which runs of stored jobs have begun; stored jobs wait at the leader while every upstream has 100 ms of work ahead; those that can meet their objective, by their time of acceptance, go first; a look through the waiting jobs tries 64 at most.

--- a/src/include/cornelfront/job_engine.h
+++ b/src/include/cornelfront/job_engine.h
@@ -150,6 +150,11 @@
   /// which what is known of slowness loses most of its weight.
   double stalledSlowness_ = 4.0;
   Millis slownessMemory_{ 4000 };
+  /// Stored jobs wait here while every upstream has more work than this ahead
+  /// of them, so that the most useful one can start next.
+  Millis longestQueue_{ 100 };
+  /// Waiting jobs are looked through no more often than this.
+  Millis placeInterval_{ 5 };
   /// A job is refused if its predicted wait exceeds this share of what its
   /// objective leaves beyond its work.
   double admittedWait_ = 0.6;
@@ -187,11 +192,13 @@
   /// started wait.
   void SetTakingOver(bool aTakingOver, MonoTime aNow);
   /// Takes a stored job. \p aProgress is empty if nothing is known;
-  /// \p aFromEarlierLeader: it may have runs that this process doesn't know.
+  /// \p aAge: time since it was due; \p aFromEarlierLeader: it may have runs
+  /// that this process doesn't know.
   void Restore(const JobDescription& aJob,
                uint32_t aOccurrence,
                const JobQueue& aQueue,
                const JobProgress& aProgress,
+               Millis aAge,
                bool aFromEarlierLeader,
                MonoTime aNow);
   /// The ends of a SaveJob are in the store.
@@ -219,7 +226,7 @@
   /// Best-effort jobs of a queue that are taken and of which no task has been
   /// sent.
   size_t Pending(const std::string& aQueue) const;
-  /// True if a task of the instance has been sent.
+  /// True if a task of the stored instance has begun to run.
   bool HasBegun(const JobInstance& aInstance) const;
   /// Empty if the instance is not here.
   JobProgress Progress(const JobInstance& aInstance) const;
@@ -271,9 +278,12 @@
     JobDescription spec_;
     JobQueue queue_;
     MonoTime submitted_;
+    /// Latest start that meets the objective.
+    MonoTime goal_;
     MonoTime deadline_;
     std::vector<Step> steps_;
     bool anySent_ = false;
+    bool begun_ = false;
     /// Some run may have begun, so the job can no longer be refused.
     bool mayHaveRun_ = false;
   };
@@ -313,6 +323,17 @@
     bool known_ = false;
   };
 
+  struct WaitRank
+  {
+    uint8_t priority_ = 0;
+    MonoTime submitted_;
+    JobInstance instance_;
+    /// Latest start that meets the job's objective.
+    MonoTime goal_;
+
+    auto operator<=>(const WaitRank&) const = default;
+  };
+
   void CheckPause(MonoTime aNow);
   static JobInstance InstanceOf(const Job& aJob)
   {
@@ -337,7 +358,14 @@
   bool Reattach(JobTicket aTicket, const std::string& aJob, MonoTime aDeadline);
   void Place(Job& aJob, MonoTime aNow);
   void PlaceStep(Job& aJob, uint32_t aStep, MonoTime aNow);
+  static WaitRank RankOf(const Job& aJob)
+  {
+    return {
+      aJob.queue_.priority_, aJob.submitted_, InstanceOf(aJob), aJob.goal_
+    };
+  }
   void PlaceWaiting(MonoTime aNow);
+  void PlaceWaiting(bool aLate, MonoTime aNow);
   void UnblockSteps(Job& aJob);
   Sidecars::iterator Choose(const Job& aJob,
                             uint32_t aStep,
@@ -388,8 +416,10 @@
   const JobEngineOptions options_;
   std::map<JobInstance, Job> jobs_;
   std::unordered_map<JobTicket, JobInstance> tickets_;
-  /// Jobs with tasks that no upstream could take.
-  std::set<JobInstance> waiting_;
+  /// Jobs with tasks that no upstream could take, in the order in which they
+  /// are tried: by priority and age.
+  std::set<WaitRank> waiting_;
+  MonoTime placedAt_;
   /// Stored jobs with ends to be saved.
   std::set<JobInstance> unsaved_;
   /// Ends that are on their way to the store.
--- a/src/include/cornelfront/job_ledger.h
+++ b/src/include/cornelfront/job_ledger.h
@@ -37,11 +37,13 @@
 {
   JobDescription job_;
   std::string queue_;
+  /// Since the Unix epoch, by the clock of the entry that accepted it.
+  Millis acceptedAt_{ 0 };
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(job_, queue_);
+    aArchive(job_, queue_, acceptedAt_);
   }
 };
 
--- a/src/include/cornelfront/run_messages.h
+++ b/src/include/cornelfront/run_messages.h
@@ -154,12 +154,14 @@
   /// Runs that take far longer than estimated and won't end soon; each is
   /// named once.
   std::vector<RunKey> stalled_;
+  /// Runs of stored jobs that have begun.
+  std::vector<RunKey> started_;
   UpstreamReport upstream_;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(reports_, stalled_, upstream_);
+    aArchive(reports_, stalled_, started_, upstream_);
   }
 };
 
--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -168,6 +168,12 @@
   {
     std::vector<RunReport> reports_;
     std::vector<RunKey> stalled_;
+    std::vector<RunKey> started_;
+
+    bool Empty() const
+    {
+      return reports_.empty() && stalled_.empty() && started_.empty();
+    }
   };
   /// News that has not been taken yet, by owner.
   std::map<MemberId, News> TakeNews();
@@ -254,6 +260,7 @@
                    const UpstreamLook& aLook,
                    MonoTime aNow);
   void CheckOwners(MonoTime aNow);
+  void NoteStarted(const RunKey& aKey, Run& aRun, MonoTime aNow);
   void SendStart(Runs::iterator aRun, std::vector<StartOrder>& aStarts);
   void Withdraw(Run& aRun);
 
--- a/src/libcornelfront/job_sidecar.cpp
+++ b/src/libcornelfront/job_sidecar.cpp
@@ -620,6 +620,7 @@
 {
   RunReports message{ .reports_ = std::move(aNews.reports_),
                       .stalled_ = std::move(aNews.stalled_),
+                      .started_ = std::move(aNews.started_),
                       .upstream_ = aReport };
   message.upstream_.ordersReceived_ = aOwner.ordersReceived_;
   aOwner.told_ = aReport.committed_;
--- a/src/libcornelfront/policy/job_engine.cpp
+++ b/src/libcornelfront/policy/job_engine.cpp
@@ -92,6 +92,7 @@
     job.steps_.push_back(
       { .tasks_ = std::vector<Task>(step.count_), .open_ = step.count_ });
   }
+  job.goal_ = aNow + FromMs(SlackMs(job, job.spec_.steps_.front()));
   if (RefuseAtOnce(job, aNow)) {
     return;
   }
@@ -197,7 +198,7 @@
       ++job;
       continue;
     }
-    waiting_.erase(job->first);
+    waiting_.erase(RankOf(job->second));
     job = jobs_.erase(job);
   }
   // The new leader takes the runs over; they are no business of this one.
@@ -250,6 +251,7 @@
                    uint32_t aOccurrence,
                    const JobQueue& aQueue,
                    const JobProgress& aProgress,
+                   Millis aAge,
                    bool aFromEarlierLeader,
                    MonoTime aNow)
 {
@@ -264,7 +266,8 @@
   job.occurrence_ = aOccurrence;
   job.stored_ = true;
   job.fromEarlierLeader_ = aFromEarlierLeader;
-  job.submitted_ = aNow;
+  job.submitted_ = aNow - std::max(aAge, Millis(0));
+  job.goal_ = job.submitted_ + FromMs(SlackMs(job, job.spec_.steps_.front()));
   job.deadline_ = MonoTime::max();
   for (size_t s = 0; s < aJob.steps_.size(); ++s) {
     const uint32_t count = aJob.steps_[s].count_;
@@ -409,6 +412,11 @@
   for (const RunReport& report : aReports.reports_) {
     OnEnd(aSidecar, report, aNow);
   }
+  for (const RunKey& key : aReports.started_) {
+    if (Job* job = FindJob(InstanceOf(key.task_))) {
+      job->begun_ = true;
+    }
+  }
   for (const RunKey& key : aReports.stalled_) {
     OnStalled(aSidecar, key);
   }
@@ -530,7 +538,7 @@
 JobEngine::HasBegun(const JobInstance& aInstance) const
 {
   const auto found = jobs_.find(aInstance);
-  return found != jobs_.end() && found->second.anySent_;
+  return found != jobs_.end() && found->second.begun_;
 }
 
 bool
@@ -599,12 +607,11 @@
 void
 JobEngine::Place(Job& aJob, MonoTime aNow)
 {
-  const JobInstance instance = InstanceOf(aJob);
   if (!MayPlace(aJob)) {
-    waiting_.insert(instance);
+    waiting_.insert(RankOf(aJob));
     return;
   }
-  waiting_.erase(instance);
+  waiting_.erase(RankOf(aJob));
   for (uint32_t step = 0; step < aJob.steps_.size(); ++step) {
     PlaceStep(aJob, step, aNow);
   }
@@ -637,7 +644,7 @@
     }
     const auto sidecar = Choose(aJob, aStep, task, aNow);
     if (sidecar == sidecars_.end()) {
-      waiting_.insert(InstanceOf(aJob));
+      waiting_.insert(RankOf(aJob));
       continue;
     }
     ++task.run_;
@@ -672,9 +679,36 @@
 void
 JobEngine::PlaceWaiting(MonoTime aNow)
 {
-  const std::set<JobInstance> waiting = waiting_;
-  for (const JobInstance& id : waiting) {
-    Place(jobs_.at(id), aNow);
+  if (waiting_.empty() || aNow - placedAt_ < options_.placeInterval_) {
+    return;
+  }
+  placedAt_ = aNow;
+  PlaceWaiting(false, aNow);
+  PlaceWaiting(true, aNow);
+}
+
+void
+JobEngine::PlaceWaiting(bool aLate, MonoTime aNow)
+{
+  // What does not fit now is likely to hold for those behind it.
+  constexpr int kMostFailures = 8;
+  constexpr size_t kMostTried = 64;
+  int failures = 0;
+  std::vector<JobInstance> tried;
+  for (const WaitRank& rank : waiting_) {
+    if ((rank.goal_ < aNow) == aLate) {
+      tried.push_back(rank.instance_);
+    }
+    if (tried.size() >= kMostTried) {
+      break;
+    }
+  }
+  for (const JobInstance& instance : tried) {
+    Job& job = jobs_.at(instance);
+    Place(job, aNow);
+    if (waiting_.contains(RankOf(job)) && ++failures >= kMostFailures) {
+      return;
+    }
   }
 }
 
@@ -708,6 +742,10 @@
     const bool avoided =
       aNow < sidecar.avoidUntil_ || aTask.avoid_.contains(it->first);
     const double cost = CostMs(sidecar, aJob, spec);
+    if (aJob.stored_ &&
+        WaitMs(sidecar, aJob, spec) > ToMs(options_.longestQueue_)) {
+      continue;
+    }
     if (std::tie(avoided, cost) < std::tie(bestAvoided, bestCost)) {
       best = it;
       bestCost = cost;
@@ -1170,7 +1208,7 @@
     actions_.emplace_back(SendStops{ id, std::move(stop) });
   }
   const JobInstance id = InstanceOf(aJob);
-  waiting_.erase(id);
+  waiting_.erase(RankOf(aJob));
   unsaved_.erase(id);
   if (!aJob.stored_) {
     tickets_.erase(aJob.ticket_);
--- a/src/libcornelfront/policy/job_engine_test.cpp
+++ b/src/libcornelfront/policy/job_engine_test.cpp
@@ -462,7 +462,8 @@
                const JobProgress& aProgress = {},
                bool aFromEarlierLeader = false)
   {
-    engine_.Restore(aJob, 0, Queue(), aProgress, aFromEarlierLeader, At(0));
+    engine_.Restore(
+      aJob, 0, Queue(), aProgress, Millis(0), aFromEarlierLeader, At(0));
   }
 
   std::vector<SaveJob> Saves()
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -137,6 +137,9 @@
     if (run.term_ > 0) {
       run.owner_ = aLeader;
       run.term_ = aTerm;
+      if (run.state_ == State::Running) {
+        owners_[aLeader].unsent_.started_.push_back(key);
+      }
     }
   }
   return true;
@@ -216,6 +219,16 @@
                       .payload_ = aRun->second.payload_ });
 }
 
+void
+RunTable::NoteStarted(const RunKey& aKey, Run& aRun, MonoTime aNow)
+{
+  aRun.state_ = State::Running;
+  aRun.started_ = aNow;
+  if (aRun.term_ > 0) {
+    owners_[aRun.owner_].unsent_.started_.push_back(aKey);
+  }
+}
+
 void
 RunTable::Withdraw(Run& aRun)
 {
@@ -239,8 +252,7 @@
   Run& run = found->second;
   switch (aAnswer) {
     case StartAnswer::Started:
-      run.state_ = State::Running;
-      run.started_ = aNow;
+      NoteStarted(aKey, run, aNow);
       run.firstLook_ = looks_ + 1;
       return;
     case StartAnswer::Unknown:
@@ -303,8 +315,7 @@
       continue;
     }
     if (run->second.state_ == State::Uncertain) {
-      run->second.state_ = State::Running;
-      run->second.started_ = aNow;
+      NoteStarted(run->first, run->second, aNow);
     }
     CheckStall(run->first, run->second, entry.percent_, aNow);
   }
@@ -483,7 +494,7 @@
 {
   std::map<MemberId, News> news;
   for (auto& [id, owner] : owners_) {
-    if (!owner.unsent_.reports_.empty() || !owner.unsent_.stalled_.empty()) {
+    if (!owner.unsent_.Empty()) {
       news[id] = std::exchange(owner.unsent_, {});
     }
   }
--- a/src/libcornelfront/stored_jobs.cpp
+++ b/src/libcornelfront/stored_jobs.cpp
@@ -79,7 +79,7 @@
     aDone(platform::StoreOutcome::Ok);
     return;
   }
-  const KeyedRecord record = AcceptRecord({ aJob, aQueue });
+  const KeyedRecord record = AcceptRecord({ aJob, aQueue, WallNow() });
   writer_->Write({ record },
                  [this, record, done = std::move(aDone)](
                    platform::StoreOutcome aOutcome, MonoTime) {
@@ -315,14 +315,16 @@
       break;
     }
     if (!engine_.HoldsInstance({ aJob, k }) && !closing_.contains(aJob)) {
-      engine_.Restore(job,
-                      k,
-                      *queue,
-                      record == aEntry.instances_.end()
-                        ? JobProgress{}
-                        : record->second.progress_,
-                      aFromEarlierLeader,
-                      aNow);
+      engine_.Restore(
+        job,
+        k,
+        *queue,
+        record == aEntry.instances_.end() ? JobProgress{}
+                                          : record->second.progress_,
+        wall - (job.repeats_ > 0 ? job.firstDue_ + k * job.interval_
+                                 : aEntry.accepted_->acceptedAt_),
+        aFromEarlierLeader,
+        aNow);
     }
   }
   if (completed == instances) {
