--- a/src/include/cornelfront/job_engine.h
+++ b/src/include/cornelfront/job_engine.h
@@ -149,6 +149,11 @@
   /// Slowness assumed of an upstream on which a run stalled, and the time in
   /// which what is known of slowness loses most of its weight.
   double stalledSlowness_ = 4.0;
+  /// A stalled run is blamed on its upstream if it will take this many times
+  /// as long as others of its step, or the upstream is as slow on the whole.
+  double blameFactor_ = 2.5;
+  /// A task that stalls wherever it runs is left alone after this many stops.
+  int mostStalls_ = 2;
   Millis slownessMemory_{ 4000 };
   /// Stored jobs wait here while every upstream has more work than this ahead
   /// of them, so that the most useful one can start next.
@@ -256,6 +261,8 @@
     MemberId sidecar_;
     MonoTime sent_;
     bool stopSent_ = false;
+    /// Runs that were stopped because they stalled.
+    int stalls_ = 0;
     /// Upstreams on which a run of this task did not go well.
     std::set<MemberId> avoid_;
   };
@@ -264,6 +271,8 @@
   {
     std::vector<Task> tasks_;
     uint32_t open_ = 0;
+    /// Longest run time of the tasks that are done; 0 if none is.
+    Millis longestRun_{ 0 };
   };
 
   struct Job
@@ -402,7 +411,11 @@
              const RunReport& aReport,
              MonoTime aNow);
   void EndRuns(MemberId aSidecar, RunEnd aEnd, MonoTime aNow);
-  void OnStalled(MemberId aSidecar, const RunKey& aKey);
+  void OnStalled(MemberId aSidecar, const StalledRun& aStalled);
+  /// True if the upstream, not the task, is the likely cause of a stall.
+  bool BlamesUpstream(const Sidecar& aSidecar,
+                      const Step& aStep,
+                      const StalledRun& aStalled) const;
   void ForgetSlowness(Millis aElapsed);
   void StopRun(const TaskName& aName, Task& aTask);
   void GiveUp(Job& aJob, const std::string& aReason);
--- a/src/include/cornelfront/run_messages.h
+++ b/src/include/cornelfront/run_messages.h
@@ -148,12 +148,26 @@
   }
 };
 
+/// A run that takes far longer than estimated and won't end soon.
+struct StalledRun
+{
+  RunKey key_;
+  Millis age_{ 0 };
+  /// Share of the work done, in percent.
+  int32_t percent_ = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(key_, age_, percent_);
+  }
+};
+
 struct RunReports
 {
   std::vector<RunReport> reports_;
-  /// Runs that take far longer than estimated and won't end soon; each is
-  /// named once.
-  std::vector<RunKey> stalled_;
+  /// Told again from time to time.
+  std::vector<StalledRun> stalled_;
   /// Runs of stored jobs that have begun.
   std::vector<RunKey> started_;
   UpstreamReport upstream_;
--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -113,6 +113,7 @@
   /// and the floor, and at its pace needs its whole estimate once more.
   int stallFactor_ = 3;
   Millis stallFloor_{ 250 };
+  Millis stallRepeat_{ 200 };
   /// How long reports are kept for an owner whose link may have lost them.
   Millis reportRetention_{ 3000 };
 };
@@ -167,7 +168,7 @@
   struct News
   {
     std::vector<RunReport> reports_;
-    std::vector<RunKey> stalled_;
+    std::vector<StalledRun> stalled_;
     std::vector<RunKey> started_;
 
     bool Empty() const
@@ -214,7 +215,8 @@
     MonoTime goal_;
     MonoTime startBy_;
     MonoTime started_;
-    bool stalled_ = false;
+    /// When the owner was last told that the run stalls.
+    MonoTime stallTold_;
     uint64_t sequence_ = 0;
     /// Latest deadline of an order that had no answer.
     UpstreamClock deadline_;
--- a/src/libcornelfront/net/messages_test.cpp
+++ b/src/libcornelfront/net/messages_test.cpp
@@ -32,7 +32,7 @@
     StartRuns{ .job_ = "j", .payload_ = "p", .runs_ = { { 1, 2 } } },
     StopRuns{ { { { "j", 0, 1, 2 }, 3 } } },
     RunReports{ .reports_ = { { { { "j", 0, 1, 2 }, 3 }, RunEnd::Lost } },
-                .stalled_ = { { { "j", 0, 1, 2 }, 4 } },
+                .stalled_ = { { { { "j", 0, 1, 2 }, 4 }, Millis(5), 6 } },
                 .upstream_ = { .service_ = "desk", .labels_ = { "a" } } },
     HeldRuns{ .term_ = 1, .runs_ = { { { "j", 0, 1, 2 }, 3 } } },
     TakeOver{ 7 },
--- a/src/libcornelfront/policy/job_engine.cpp
+++ b/src/libcornelfront/policy/job_engine.cpp
@@ -417,8 +417,8 @@
       job->begun_ = true;
     }
   }
-  for (const RunKey& key : aReports.stalled_) {
-    OnStalled(aSidecar, key);
+  for (const StalledRun& stalled : aReports.stalled_) {
+    OnStalled(aSidecar, stalled);
   }
   PlaceWaiting(aNow);
 }
@@ -947,6 +947,8 @@
   Learn(sidecar->second, *job, aReport, aNow);
   job->mayHaveRun_ |= aReport.end_ != RunEnd::NotStarted;
   if (aReport.end_ == RunEnd::Done) {
+    Millis& longest = job->steps_[name.step_].longestRun_;
+    longest = std::max(longest, aReport.runTime_);
     OnTaskDone(*job, name, aNow);
     return;
   }
@@ -1119,22 +1121,39 @@
 }
 
 void
-JobEngine::OnStalled(MemberId aSidecar, const RunKey& aKey)
+JobEngine::OnStalled(MemberId aSidecar, const StalledRun& aStalled)
 {
-  Job* job = FindJob(InstanceOf(aKey.task_));
+  const TaskName& name = aStalled.key_.task_;
+  Job* job = FindJob(InstanceOf(name));
+  Task* task = FindTask(name);
   const auto sidecar = sidecars_.find(aSidecar);
-  if (job == nullptr || sidecar == sidecars_.end() ||
-      job->spec_.steps_[aKey.task_.step_].longRunning_ ||
-      !sidecar->second.runs_.contains(aKey)) {
+  if (task == nullptr || sidecar == sidecars_.end() ||
+      task->state_ != TaskState::Sent || task->sidecar_ != aSidecar ||
+      task->run_ != aStalled.key_.run_ || task->stopSent_ ||
+      task->stalls_ >= options_.mostStalls_ ||
+      job->spec_.steps_[name.step_].longRunning_ ||
+      !BlamesUpstream(sidecar->second, job->steps_[name.step_], aStalled)) {
     return;
   }
   sidecar->second.slowness_ =
     std::max(sidecar->second.slowness_, options_.stalledSlowness_);
-  Task& task = job->steps_[aKey.task_.step_].tasks_[aKey.task_.index_];
-  if (task.state_ == TaskState::Sent && task.run_ == aKey.run_ &&
-      !task.stopSent_) {
-    StopRun(aKey.task_, task);
+  ++task->stalls_;
+  StopRun(name, *task);
+}
+
+bool
+JobEngine::BlamesUpstream(const Sidecar& aSidecar,
+                          const Step& aStep,
+                          const StalledRun& aStalled) const
+{
+  // The first percent may be a matter of rounding.
+  if (aStalled.percent_ <= 1 || aSidecar.slowness_ >= options_.blameFactor_) {
+    return true;
   }
+  constexpr double kWhole = 100.0;
+  const double total = ToMs(aStalled.age_) * kWhole / aStalled.percent_;
+  return aStep.longestRun_.count() > 0 &&
+         total > ToMs(aStep.longestRun_) * options_.blameFactor_;
 }
 
 void
--- a/src/libcornelfront/policy/job_engine_test.cpp
+++ b/src/libcornelfront/policy/job_engine_test.cpp
@@ -382,7 +382,9 @@
   const SendRuns sent = Take().runs_.at(0);
   engine_.OnReports(
     sent.sidecar_,
-    { .stalled_ = { { sent.orders_.Task(sent.orders_.runs_[0]), 1 } },
+    { .stalled_ = { { { sent.orders_.Task(sent.orders_.runs_[0]), 1 },
+                      Millis(300),
+                      0 } },
       .upstream_ = Idle(sent.sidecar_ == kFirst ? "u1" : "u2") },
     At(300));
   const Wanted stopped = Take();
@@ -394,6 +396,40 @@
   EXPECT_NE(again.runs_[0].sidecar_, sent.sidecar_);
 }
 
+TEST_F(JobEngineTest, ALongTaskThatMakesProgressIsLeftAlone)
+{
+  Submit(Job());
+  const SendRuns sent = Take().runs_.at(0);
+  const RunKey key{ sent.orders_.Task(sent.orders_.runs_[0]), 1 };
+  const auto stall = [&](int32_t aPercent, int aMs) {
+    engine_.OnReports(
+      sent.sidecar_,
+      { .stalled_ = { { key, Millis(aMs), aPercent } },
+        .upstream_ = Idle(sent.sidecar_ == kFirst ? "u1" : "u2") },
+      At(aMs));
+    return Take().stops_.size();
+  };
+  EXPECT_EQ(stall(10, 310), 0U);
+  EXPECT_EQ(stall(20, 600), 0U);
+}
+
+TEST_F(JobEngineTest, ATaskFarBehindTheOthersOfItsStepIsStartedElsewhere)
+{
+  Submit(Job(2));
+  const Wanted sent = Take();
+  ASSERT_EQ(sent.runs_.size(), 2U);
+  End(sent.runs_[0], RunEnd::Done, 100);
+  const SendRuns& slow = sent.runs_[1];
+  engine_.OnReports(
+    slow.sidecar_,
+    { .stalled_ = { { { slow.orders_.Task(slow.orders_.runs_[0]), 1 },
+                      Millis(310),
+                      50 } },
+      .upstream_ = Idle(slow.sidecar_ == kFirst ? "u1" : "u2") },
+    At(310));
+  EXPECT_EQ(Take().stops_.size(), 1U);
+}
+
 TEST_F(JobEngineTest, AJobSubmittedAgainGoesOnForTheNewClient)
 {
   Submit(Job());
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -330,7 +330,8 @@
                      int32_t aPercent,
                      MonoTime aNow)
 {
-  if (aRun.state_ != State::Running || aRun.stalled_) {
+  if (aRun.state_ != State::Running ||
+      Since(aRun.stallTold_, aNow) < options_.stallRepeat_) {
     return;
   }
   const Millis age = Since(aRun.started_, aNow);
@@ -342,8 +343,8 @@
   const int32_t left = kWhole - aPercent;
   // left / percent * age is the time that the rest takes at this pace.
   if (left * age > aPercent * aRun.estimate_) {
-    aRun.stalled_ = true;
-    owners_[aRun.owner_].unsent_.stalled_.push_back(aKey);
+    aRun.stallTold_ = aNow;
+    owners_[aRun.owner_].unsent_.stalled_.push_back({ aKey, age, aPercent });
   }
 }
 
--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -311,16 +311,23 @@
   EXPECT_EQ(held.reports_[0].end_, RunEnd::Failed);
 }
 
-TEST_F(RunTableTest, AStallIsToldOnceWhenProgressStands)
+TEST_F(RunTableTest, AStallIsToldWhenProgressStands)
 {
   Start(2);
   const auto stalled = [this](int aMs) {
     Look({ .running_ = { { Key(0), 5 }, { Key(1), 90 } } }, aMs);
-    return table_.TakeNews()[kOwner].stalled_;
+    std::vector<RunKey> keys;
+    const auto told = table_.TakeNews()[kOwner].stalled_;
+    for (const StalledRun& run : told) {
+      EXPECT_EQ(run.percent_, 5);
+      keys.push_back(run.key_);
+    }
+    return keys;
   };
   EXPECT_TRUE(stalled(300).empty());
   EXPECT_EQ(stalled(302), std::vector<RunKey>{ Key(0) });
   EXPECT_TRUE(stalled(310).empty());
+  EXPECT_EQ(stalled(510), std::vector<RunKey>{ Key(0) });
 }
 
 TEST_F(RunTableTest, AnAcknowledgedEndIsNotTakenTwice)
--- /dev/null
+++ b/testsuite/harness/platform_cluster.cpp
@@ -0,0 +1,325 @@
+#include "platform_cluster.h"
+
+#include "cornelfront/codec.h"
+
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <regex>
+#include <sstream>
+
+namespace cornelfront::harness {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr const char* kConfig =
+  R"({"version":1,"routes":[{"name":"q1","host":"desk.example",
+"pathPrefix":"/q1/","service":"desk","priority":0,"attempts":3,"stretch":4,
+"sloMs":2000,"timeoutMs":5000}],"services":[{"name":"desk"}]})";
+
+std::string
+Loopback(uint16_t aPort)
+{
+  return "127.0.0.1:" + std::to_string(aPort);
+}
+
+std::string
+ReadText(const std::string& aFile)
+{
+  std::ifstream file(aFile);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+} // namespace
+
+PlatformCluster::PlatformCluster(unsigned aEntries, unsigned aSidecars)
+{
+  store_ = Run("store", { STORE_STANDIN });
+  storePort_ =
+    static_cast<uint16_t>(std::stoi(store_->WaitForLine("listening http ")));
+  Operate("config", kConfig);
+  for (unsigned i = 0; i < aEntries; ++i) {
+    clientPorts_.push_back(FreePort());
+    readyPorts_.push_back(FreePort());
+    messagePorts_.push_back(FreePort());
+    entries_.emplace_back();
+    StartEntry(i);
+  }
+  for (unsigned i = 0; i < aSidecars; ++i) {
+    heartbeatPorts_.push_back(FreePort());
+    const std::string id = "u-" + std::to_string(i);
+    executors_.push_back(Run(id,
+                             { EXECUTOR_STANDIN,
+                               "--id",
+                               id,
+                               "--heartbeats",
+                               Loopback(heartbeatPorts_.back()) }));
+    executorPorts_.push_back(static_cast<uint16_t>(
+      std::stoi(executors_.back()->WaitForLine("listening http "))));
+    sidecars_.emplace_back();
+    StartSidecar(i);
+  }
+  WaitReady();
+}
+
+std::unique_ptr<Process>
+PlatformCluster::Run(const std::string& aName,
+                     std::vector<std::string> aCommand)
+{
+  const int start = starts_[aName]++;
+  return std::make_unique<Process>(ProcessOptions{
+    .command_ = std::move(aCommand),
+    .errorFile_ = folder_.Path(aName + "." + std::to_string(start) + ".err") });
+}
+
+void
+PlatformCluster::StartEntry(unsigned aEntry)
+{
+  const std::string name = "entry-" + std::to_string(aEntry);
+  const std::string file = folder_.Write(
+    name + ".yaml",
+    "job_entry:\n  name: " + name + "\n  zone: z" + std::to_string(aEntry) +
+      "\n  clients: \"" + Loopback(clientPorts_[aEntry]) +
+      "\"\n  readiness: \"" + Loopback(readyPorts_[aEntry]) +
+      "\"\n  messages: \"" + Loopback(messagePorts_[aEntry]) +
+      "\"\n  metrics: \"127.0.0.1:0\"\n  store: \"" + Loopback(storePort_) +
+      "\"\n  links: { pulse_interval: 300ms, silence_bound: 1s, "
+      "redial_interval: 200ms }\n  stop_limit: 4s\n");
+  entries_[aEntry].reset();
+  entries_[aEntry] =
+    Run(name, { CORNELFRONT, "job-entry", "--settings", file });
+}
+
+void
+PlatformCluster::StartSidecar(unsigned aSidecar)
+{
+  const std::string name = "sidecar-" + std::to_string(aSidecar);
+  const std::string file =
+    folder_.Write(name + ".yaml",
+                  "job_sidecar:\n  name: " + name + "\n  zone: z" +
+                    std::to_string(aSidecar % entries_.size()) +
+                    "\n  heartbeats: \"" + Loopback(heartbeatPorts_[aSidecar]) +
+                    "\"\n  metrics: \"127.0.0.1:0\"\n  upstream: \"" +
+                    Loopback(executorPorts_[aSidecar]) + "\"\n  store: \"" +
+                    Loopback(storePort_) +
+                    "\"\n  message_port: " + std::to_string(messagePorts_[0]) +
+                    "\n  links: { pulse_interval: 300ms, silence_bound: 1s, "
+                    "redial_interval: 200ms }\n  stop_limit: 4s\n");
+  sidecars_[aSidecar].reset();
+  sidecars_[aSidecar] =
+    Run(name, { CORNELFRONT, "job-sidecar", "--settings", file });
+}
+
+HttpResult
+PlatformCluster::Call(unsigned aEntry,
+                      const std::string& aMethod,
+                      const std::string& aPath,
+                      const std::string& aBody,
+                      Millis aTimeout)
+{
+  HttpClientRequest request{ .method_ = aMethod,
+                             .url_ = "http://" +
+                                     Loopback(clientPorts_[aEntry]) + aPath,
+                             .body_ = aBody,
+                             .timeout_ = aTimeout };
+  request.headers_.emplace_back("Host", "desk.example");
+  request.headers_.emplace_back("Request-Deadline",
+                                std::to_string(aTimeout.count()));
+  return client_.Perform(request);
+}
+
+HttpResult
+PlatformCluster::Submit(unsigned aEntry,
+                        const std::string& aJob,
+                        const std::string& aPayload,
+                        unsigned aTasks,
+                        bool aBestEffort,
+                        Millis aTimeout)
+{
+  Json body{ { "spec", aPayload },
+             { "steps",
+               { { { "count", aTasks },
+                   { "cpu", 1000 },
+                   { "memMb", 10 },
+                   { "estimateMs", 100 } } } } };
+  if (aBestEffort) {
+    body["bestEffort"] = true;
+  }
+  return Call(aEntry, "POST", "/q1/" + aJob, body.dump(), aTimeout);
+}
+
+std::string
+PlatformCluster::State(unsigned aEntry, const std::string& aJob)
+{
+  const HttpResult result = Call(aEntry, "GET", "/q1/" + aJob);
+  if (!result.Ok()) {
+    return std::to_string(result.response_.status_);
+  }
+  return Json::parse(result.response_.body_).value("state", "");
+}
+
+bool
+PlatformCluster::WaitState(unsigned aEntry,
+                           const std::string& aJob,
+                           const std::string& aState)
+{
+  return WaitUntil([&] { return State(aEntry, aJob) == aState; });
+}
+
+unsigned
+PlatformCluster::Leader()
+{
+  // The newest term that any process says it leads.
+  const std::regex leading("leadership term=([0-9]+) outcome=leading");
+  unsigned leader = 0;
+  int highest = 0;
+  WaitUntil([&] {
+    for (unsigned i = 0; i < entries_.size(); ++i) {
+      const std::string name = "entry-" + std::to_string(i);
+      for (int start = 0; start < starts_[name]; ++start) {
+        const std::string text =
+          ReadText(folder_.Path(name + "." + std::to_string(start) + ".err"));
+        for (std::sregex_iterator at(text.begin(), text.end(), leading), end;
+             at != end;
+             ++at) {
+          const int term = std::stoi((*at)[1]);
+          if (term > highest) {
+            highest = term;
+            leader = i;
+          }
+        }
+      }
+    }
+    return highest > 0;
+  });
+  return leader;
+}
+
+bool
+PlatformCluster::Ready(unsigned aEntry)
+{
+  return client_
+    .Perform({ .url_ = "http://" + Loopback(readyPorts_[aEntry]) + "/ready",
+               .timeout_ = Millis(500) })
+    .Ok();
+}
+
+void
+PlatformCluster::WaitReady()
+{
+  for (unsigned i = 0; i < entries_.size(); ++i) {
+    if (!WaitUntil([&] { return Ready(i); })) {
+      throw std::runtime_error("entry " + std::to_string(i) +
+                               " does not become ready");
+    }
+  }
+}
+
+void
+PlatformCluster::Operate(const std::string& aKey, const std::string& aValue)
+{
+  const std::string content =
+    std::string(1, static_cast<char>(aKey.size())) + aKey + aValue;
+  std::string body{ '\0',
+                    '\0',
+                    static_cast<char>(content.size() >> 8U),
+                    static_cast<char>(content.size()) };
+  body += content;
+  const HttpResult result =
+    client_.Perform({ .method_ = "POST",
+                      .url_ = "http://" + Loopback(storePort_) +
+                              "/log-append?topic=keyed.op&part=0",
+                      .body_ = body });
+  if (!result.Ok()) {
+    throw std::runtime_error("the store stand-in refused a record");
+  }
+}
+
+void
+PlatformCluster::Control(const std::string& aUrl, const std::string& aJson)
+{
+  if (!client_.Perform({ .method_ = "POST", .url_ = aUrl, .body_ = aJson })
+         .Ok()) {
+    throw std::runtime_error(aUrl + " refused " + aJson);
+  }
+}
+
+void
+PlatformCluster::StoreFault(const std::string& aJson)
+{
+  Control("http://" + Loopback(storePort_) + "/control", aJson);
+}
+
+void
+PlatformCluster::ExecutorFault(unsigned aExecutor, const std::string& aJson)
+{
+  Control("http://" + Loopback(executorPorts_[aExecutor]) + "/control", aJson);
+}
+
+HttpResult
+PlatformCluster::Heartbeat(unsigned aSidecar,
+                           const std::string& aId,
+                           const std::string& aBody)
+{
+  return client_.Perform({ .method_ = "POST",
+                           .url_ = "http://" +
+                                   Loopback(heartbeatPorts_[aSidecar]) +
+                                   "/instances/" + aId + "/heartbeat",
+                           .body_ = aBody });
+}
+
+std::vector<RunRecord>
+PlatformCluster::Runs()
+{
+  std::vector<RunRecord> runs;
+  for (const uint16_t port : executorPorts_) {
+    const HttpResult result =
+      client_.Perform({ .url_ = "http://" + Loopback(port) + "/control/runs" });
+    for (const Json& run : Json::parse(result.response_.body_)) {
+      runs.push_back({ .task_ = run["task"],
+                       .run_ = run["run"],
+                       .begun_ = run["begun"],
+                       .ended_ = run["ended"],
+                       .how_ = run["how"] });
+    }
+  }
+  return runs;
+}
+
+size_t
+PlatformCluster::CountRuns(const std::string& aJob, const std::string& aHow)
+{
+  size_t count = 0;
+  for (const RunRecord& run : Runs()) {
+    if (run.task_.starts_with(aJob) && (aHow.empty() || run.how_ == aHow)) {
+      ++count;
+    }
+  }
+  return count;
+}
+
+std::vector<std::string>
+PlatformCluster::Overlaps()
+{
+  std::vector<std::string> overlaps;
+  const auto runs = Runs();
+  for (size_t i = 0; i < runs.size(); ++i) {
+    for (size_t j = i + 1; j < runs.size(); ++j) {
+      const auto startsWithin = [](const RunRecord& aA, const RunRecord& aB) {
+        return aA.begun_ >= aB.begun_ &&
+               (aB.ended_ == 0 || aA.begun_ < aB.ended_);
+      };
+      if (runs[i].task_ == runs[j].task_ &&
+          (startsWithin(runs[i], runs[j]) || startsWithin(runs[j], runs[i]))) {
+        overlaps.push_back(runs[i].task_);
+      }
+    }
+  }
+  return overlaps;
+}
+
+} // namespace cornelfront::harness
--- /dev/null
+++ b/testsuite/process/platform_test.cpp
@@ -0,0 +1,313 @@
+/// \file
+/// Jobs through real processes on stand-ins of the platform.
+
+#include "platform_cluster.h"
+
+#include <gmock/gmock.h>
+
+#include <csignal>
+#include <thread>
+
+namespace cornelfront::harness {
+namespace {
+
+using testing::IsEmpty;
+
+std::string
+JobId(unsigned aNumber)
+{
+  char id[17];
+  snprintf(id, sizeof(id), "%016x", 0xa000U + aNumber);
+  return id;
+}
+
+TEST(PlatformBestEffort, AJobIsAnsweredWhenItHasEnded)
+{
+  PlatformCluster cluster(2, 3);
+  const HttpResult done = cluster.Submit(0, JobId(1), "ms=100", 5, true);
+  EXPECT_EQ(done.response_.status_, 200);
+  EXPECT_EQ(done.response_.body_, R"({"state":"completed"})");
+  EXPECT_EQ(cluster.CountRuns(JobId(1), "done"), 5U);
+  const HttpResult failed = cluster.Submit(1, JobId(2), "fail", 1, true);
+  EXPECT_EQ(failed.response_.body_, R"({"state":"failed"})");
+  EXPECT_EQ(cluster.CountRuns(JobId(2), "failed"), 3U) << "its attempts";
+  EXPECT_THAT(cluster.Overlaps(), IsEmpty());
+}
+
+TEST(PlatformBestEffort, AClientThatLeavesStopsItsTasks)
+{
+  PlatformCluster cluster(1, 2);
+  cluster.Submit(0, JobId(1), "ms=5000", 2, true, Millis(300));
+  EXPECT_TRUE(WaitUntil(
+    [&] { return cluster.CountRuns(JobId(1), "stopped") == 2; }, Millis(2000)));
+}
+
+TEST(PlatformBestEffort, TasksOfAKilledEntryAreStopped)
+{
+  PlatformCluster cluster(2, 2);
+  std::thread caller([&] {
+    HttpClient client;
+    PlatformCluster* system = &cluster;
+    (void)client;
+    system->Submit(0, JobId(1), "ms=5000", 2, true, Millis(3000));
+  });
+  std::this_thread::sleep_for(Millis(500));
+  cluster.Entry(0).Kill();
+  caller.join();
+  EXPECT_TRUE(WaitUntil(
+    [&] { return cluster.CountRuns(JobId(1), "stopped") == 2; }, Millis(3000)));
+  // Submitted again elsewhere after the pause that clients keep.
+  const HttpResult again = cluster.Submit(1, JobId(1), "ms=50", 2, true);
+  EXPECT_EQ(again.response_.status_, 200);
+  EXPECT_THAT(cluster.Overlaps(), IsEmpty());
+}
+
+TEST(PlatformBestEffort, TasksOfAKilledSidecarRunAgain)
+{
+  PlatformCluster cluster(1, 2);
+  HttpResult result;
+  std::thread caller(
+    [&] { result = cluster.Submit(0, JobId(1), "ms=1500", 4, true); });
+  std::this_thread::sleep_for(Millis(500));
+  cluster.Sidecar(0).Kill();
+  cluster.StartSidecar(0);
+  caller.join();
+  EXPECT_EQ(result.response_.body_, R"({"state":"completed"})");
+  EXPECT_THAT(cluster.Overlaps(), IsEmpty());
+}
+
+TEST(PlatformBestEffort, IsServedWhileTheStoreIsAway)
+{
+  PlatformCluster cluster(1, 1);
+  for (const char* down : { R"({"down":"503"})", R"({"down":"silent"})" }) {
+    cluster.StoreFault(down);
+    EXPECT_EQ(cluster.Submit(0, JobId(1), "", 1, true).response_.status_, 200);
+  }
+  cluster.StoreFault(R"({"down":"no"})");
+}
+
+TEST(PlatformBestEffort, AStalledTaskIsStartedElsewhere)
+{
+  PlatformCluster cluster(1, 2);
+  cluster.ExecutorFault(0, R"({"stalls":true})");
+  const HttpResult result = cluster.Submit(0, JobId(1), "ms=100", 4, true);
+  EXPECT_EQ(result.response_.body_, R"({"state":"completed"})");
+  EXPECT_EQ(cluster.CountRuns(JobId(1), "done"), 4U);
+  EXPECT_THAT(cluster.Overlaps(), IsEmpty());
+}
+
+TEST(PlatformBestEffort, NothingStartsInAZoneThatIsOut)
+{
+  PlatformCluster cluster(1, 2);
+  cluster.Operate("evacuate/z0", "{}");
+  ASSERT_TRUE(WaitUntil([&] {
+    return cluster.Submit(0, JobId(1), "", 1, true).response_.status_ == 503;
+  }));
+  const size_t before = cluster.Runs().size();
+  const HttpResult refused = cluster.Submit(0, JobId(2), "", 1, true);
+  EXPECT_EQ(refused.response_.status_, 503);
+  EXPECT_EQ(cluster.Runs().size(), before);
+  cluster.Operate("evacuate/z0", "");
+  EXPECT_TRUE(WaitUntil([&] {
+    return cluster.Submit(0, JobId(3), "", 1, true).response_.status_ == 200;
+  }));
+}
+
+TEST(PlatformBestEffort, ADrainingExecutorGetsNothing)
+{
+  PlatformCluster cluster(1, 2);
+  cluster.ExecutorFault(0, R"({"draining":true})");
+  std::this_thread::sleep_for(Millis(600));
+  EXPECT_EQ(cluster.Submit(0, JobId(1), "", 8, true).response_.status_, 200);
+  // All on the other one, which has room for four at a time.
+  EXPECT_EQ(cluster.CountRuns(JobId(1), "done"), 8U);
+}
+
+TEST(PlatformInput, FaultsGetClearAnswersAndDisturbNobody)
+{
+  PlatformCluster cluster(1, 1);
+  EXPECT_EQ(cluster.Call(0, "POST", "/q9/" + JobId(1), "{}").response_.status_,
+            404);
+  for (const char* body : { "",
+                            "{}",
+                            "[]",
+                            "{\"steps\":",
+                            R"({"steps":[]})",
+                            R"({"steps":[{"count":0}]})",
+                            R"({"steps":[{"count":"x"}]})",
+                            R"({"steps":[{"count":1,"after":[0]}]})" }) {
+    const HttpResult result = cluster.Call(0, "POST", "/q1/" + JobId(1), body);
+    EXPECT_EQ(result.response_.status_, 400) << body;
+  }
+  EXPECT_EQ(cluster.Call(0, "POST", "/q1/short", "{}").response_.status_, 400);
+  for (const char* beat : { "",
+                            "{}",
+                            R"({"service":1,"state":"ready"})",
+                            R"({"service":"desk","state":"odd",
+                                "capacity":{"cpu":1}})",
+                            R"({"service":"desk","state":"ready",
+                                "capacity":"large"})" }) {
+    EXPECT_EQ(cluster.Heartbeat(0, "u-9", beat).response_.status_, 400);
+  }
+  EXPECT_EQ(cluster.Submit(0, JobId(2), "", 1, true).response_.status_, 200);
+}
+
+TEST(PlatformStored, AJobIsAcceptedOnceAndShownEverywhere)
+{
+  PlatformCluster cluster(2, 2);
+  EXPECT_EQ(cluster.State(0, JobId(1)), "410");
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_EQ(
+      cluster.Submit(static_cast<unsigned>(i % 2), JobId(1), "ms=100", 3, false)
+        .response_.status_,
+      200);
+  }
+  EXPECT_TRUE(cluster.WaitState(0, JobId(1), "completed"));
+  EXPECT_TRUE(cluster.WaitState(1, JobId(1), "completed"));
+  EXPECT_EQ(cluster.Submit(1, JobId(1), "ms=100", 3, false).response_.status_,
+            200);
+  std::this_thread::sleep_for(Millis(500));
+  EXPECT_EQ(cluster.CountRuns(JobId(1)), 3U);
+  EXPECT_EQ(cluster.State(1, JobId(1)), "completed");
+}
+
+TEST(PlatformStored, AJobThatFailsIsShownAsFailed)
+{
+  PlatformCluster cluster(1, 2);
+  cluster.Submit(0, JobId(1), "fail", 1, false);
+  EXPECT_TRUE(cluster.WaitState(0, JobId(1), "failed"));
+  EXPECT_EQ(cluster.CountRuns(JobId(1), "failed"), 3U);
+}
+
+TEST(PlatformStored, ACancelledJobEnds)
+{
+  PlatformCluster cluster(2, 2);
+  cluster.Submit(0, JobId(1), "ms=20000", 2, false);
+  ASSERT_TRUE(WaitUntil([&] { return cluster.CountRuns(JobId(1)) == 2; }));
+  EXPECT_EQ(cluster.Call(1, "DELETE", "/q1/" + JobId(1)).response_.status_,
+            200);
+  EXPECT_TRUE(cluster.WaitState(0, JobId(1), "cancelled"));
+  EXPECT_TRUE(WaitUntil(
+    [&] { return cluster.CountRuns(JobId(1), "stopped") == 2; }, Millis(3000)));
+}
+
+/// Kills something at a moment of a job's life.
+struct KillCase
+{
+  const char* name_;
+  /// After the submission.
+  Millis after_;
+  bool leader_;
+  bool entries_;
+  bool sidecars_;
+};
+
+class StoredJobUnderKills : public testing::TestWithParam<KillCase>
+{};
+
+TEST_P(StoredJobUnderKills, EndsAndNoTaskHasTwoRunsAtATime)
+{
+  const KillCase& kill = GetParam();
+  PlatformCluster cluster(2, 2);
+  const unsigned leader = cluster.Leader();
+  const unsigned other = 1 - leader;
+  for (unsigned job = 0; job < 3; ++job) {
+    ASSERT_EQ(
+      cluster.Submit(other, JobId(job), "ms=700", 4, false).response_.status_,
+      200);
+  }
+  std::this_thread::sleep_for(kill.after_);
+  for (unsigned i = 0; i < 2; ++i) {
+    if (kill.entries_ || (kill.leader_ && i == leader)) {
+      cluster.Entry(i).Kill();
+    }
+    if (kill.sidecars_) {
+      cluster.Sidecar(i).Kill();
+    }
+  }
+  for (unsigned i = 0; i < 2; ++i) {
+    if (kill.entries_ || (kill.leader_ && i == leader)) {
+      cluster.StartEntry(i);
+    }
+    if (kill.sidecars_) {
+      cluster.StartSidecar(i);
+    }
+  }
+  for (unsigned job = 0; job < 3; ++job) {
+    EXPECT_TRUE(cluster.WaitState(other, JobId(job), "completed")) << job;
+    EXPECT_EQ(cluster.CountRuns(JobId(job), "done"), 4U) << job;
+  }
+  EXPECT_THAT(cluster.Overlaps(), IsEmpty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Kills,
+  StoredJobUnderKills,
+  testing::Values(
+    KillCase{ "leader_at_once", Millis(0), true, false, false },
+    KillCase{ "leader_while_running", Millis(400), true, false, false },
+    KillCase{ "leader_at_the_end", Millis(720), true, false, false },
+    KillCase{ "all_entries", Millis(400), false, true, false },
+    KillCase{ "all_sidecars", Millis(400), false, false, true },
+    KillCase{ "everything", Millis(400), false, true, true }),
+  [](const auto& aInfo) { return std::string(aInfo.param.name_); });
+
+TEST(PlatformStored, WhatCannotBeStoredIsRefusedAtOnce)
+{
+  PlatformCluster cluster(1, 1);
+  cluster.StoreFault(R"({"down":"503"})");
+  const HttpResult refused = cluster.Submit(0, JobId(1), "", 1, false);
+  EXPECT_EQ(refused.response_.status_, 503);
+  bool tellsWhen = false;
+  for (const auto& [name, value] : refused.response_.headers_) {
+    tellsWhen |= name == "retry-after";
+  }
+  EXPECT_TRUE(tellsWhen);
+  cluster.StoreFault(R"({"down":"no"})");
+  std::this_thread::sleep_for(Millis(1500));
+  EXPECT_EQ(cluster.CountRuns(JobId(1)), 0U) << "a refused job has run";
+  EXPECT_EQ(cluster.Submit(0, JobId(2), "", 1, false).response_.status_, 200);
+  EXPECT_TRUE(cluster.WaitState(0, JobId(2), "completed"));
+}
+
+TEST(PlatformStored, ALostAnswerOfTheStoreIsNeverCalledRefused)
+{
+  PlatformCluster cluster(1, 1);
+  cluster.Leader();
+  cluster.StoreFault(R"({"lose_append_answers":true})");
+  const HttpResult result = cluster.Submit(0, JobId(1), "", 1, false);
+  EXPECT_EQ(result.response_.status_, 504);
+  cluster.StoreFault(R"({"lose_append_answers":false})");
+  EXPECT_EQ(cluster.Submit(0, JobId(1), "", 1, false).response_.status_, 200);
+  EXPECT_TRUE(cluster.WaitState(0, JobId(1), "completed"));
+  EXPECT_EQ(cluster.CountRuns(JobId(1), "done"), 1U);
+}
+
+TEST(PlatformStored, SurvivesTheLossOfTheStoresHistory)
+{
+  PlatformCluster cluster(2, 1);
+  cluster.Submit(0, JobId(1), "", 1, false);
+  ASSERT_TRUE(cluster.WaitState(1, JobId(1), "completed"));
+  cluster.StoreFault(R"({"drop_history":true})");
+  cluster.Submit(1, JobId(2), "", 1, false);
+  EXPECT_TRUE(cluster.WaitState(0, JobId(2), "completed"));
+  cluster.Entry(0).Kill();
+  cluster.StartEntry(0);
+  EXPECT_TRUE(cluster.WaitState(0, JobId(1), "completed"));
+}
+
+TEST(PlatformStop, APlannedStopAnswersWhatIsInFlight)
+{
+  PlatformCluster cluster(1, 1);
+  HttpResult result;
+  std::thread caller(
+    [&] { result = cluster.Submit(0, JobId(1), "ms=1200", 1, true); });
+  std::this_thread::sleep_for(Millis(300));
+  cluster.Entry(0).Signal(SIGTERM);
+  caller.join();
+  EXPECT_EQ(result.response_.body_, R"({"state":"completed"})");
+  EXPECT_EQ(cluster.Entry(0).WaitExit(), 0);
+}
+
+} // namespace
+} // namespace cornelfront::harness
--- /dev/null
+++ b/testsuite/standins/executor_standin.cpp
@@ -0,0 +1,330 @@
+/// \file
+/// Stand-in of one of the platform's executors: it announces itself by
+/// heartbeat and runs tasks under a lease. The payload of a job says what its
+/// tasks do: "ms=N" takes N milliseconds, "fail" fails. `GET /control/runs`
+/// lists every run with its begin and end; `POST /control` sets faults.
+
+#include "cornelfront/http_client.h"
+#include "cornelfront/http_server.h"
+
+#include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace cornelfront {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Millis kTick{ 5 };
+constexpr Millis kHeartbeatInterval{ 200 };
+constexpr Millis kLongestLease{ 1000 };
+constexpr Millis kDefaultRun{ 50 };
+constexpr int kWholePercent = 100;
+
+struct Options
+{
+  std::string id_ = "u-1";
+  std::string service_ = "desk";
+  std::string heartbeats_;
+  int64_t cpu_ = 4000;
+};
+
+struct Run
+{
+  std::string task_;
+  int64_t run_ = 0;
+  int64_t cpu_ = 0;
+  MonoTime begun_;
+  Millis length_{ 0 };
+  bool fails_ = false;
+  MonoTime ended_;
+  /// Empty while it runs.
+  std::string how_;
+};
+
+struct WaitingLook
+{
+  HttpReply reply_;
+  MonoTime until_;
+};
+
+int64_t
+WallMs(MonoTime aTime)
+{
+  const auto wall = WallClock::now() + (aTime - MonoClock::now());
+  return std::chrono::duration_cast<Millis>(wall.time_since_epoch()).count();
+}
+
+class Executor
+{
+public:
+  explicit Executor(Options aOptions)
+    : options_(std::move(aOptions))
+  {
+  }
+
+  void Handle(const HttpRequest& aRequest, const HttpReply& aReply)
+  {
+    std::lock_guard lock(mutex_);
+    const MonoTime now = MonoClock::now();
+    EndDue(now);
+    if (aRequest.path_ == "/control/runs") {
+      aReply.Send({ .body_ = Listing().dump() });
+      return;
+    }
+    const Json body = Json::parse(aRequest.body_, nullptr, false);
+    if (aRequest.path_ == "/control") {
+      unanswered_ = body.value("unanswered", false);
+      draining_ = body.value("draining", draining_);
+      stalls_ = body.value("stalls", stalls_);
+      aReply.Send({ .body_ = "{}" });
+    } else if (unanswered_) {
+      silenced_.push_back(aReply);
+    } else if (aRequest.path_ == "/run-start") {
+      aReply.Send(Start(body, now));
+    } else if (aRequest.path_ == "/run-stop") {
+      Stop(body, now);
+      aReply.Send(WithClock(200, now));
+    } else if (aRequest.path_ == "/hold") {
+      acknowledged_ = std::max(acknowledged_, body.value("ackedUpto", 0UL));
+      Extend(body, now);
+      looks_.push_back({ aReply, now + Millis(body.value("waitMs", 0)) });
+      AnswerLooks(now);
+    } else {
+      aReply.Send({ .status_ = 404 });
+    }
+  }
+
+  void Tick()
+  {
+    std::lock_guard lock(mutex_);
+    const MonoTime now = MonoClock::now();
+    EndDue(now);
+    AnswerLooks(now);
+  }
+
+  std::string Heartbeat()
+  {
+    std::lock_guard lock(mutex_);
+    return Json{
+      { "service", options_.service_ },
+      { "state", draining_ ? "draining" : "ready" },
+      { "capacity", { { "cpu", options_.cpu_ }, { "memMb", 100000 } } },
+      { "labels", { "a", "rack-1" } },
+      { "clockMs", ClockMs(MonoClock::now()) },
+      { "born", born_ },
+      { "seq", ++sequence_ }
+    }.dump();
+  }
+
+private:
+  int64_t ClockMs(MonoTime aNow) const
+  {
+    return std::chrono::duration_cast<Millis>(aNow - start_).count();
+  }
+
+  HttpResponse WithClock(int aStatus,
+                         MonoTime aNow,
+                         const std::string& aReason = "") const
+  {
+    Json body{ { "clockMs", ClockMs(aNow) }, { "born", born_ } };
+    if (!aReason.empty()) {
+      body["reason"] = aReason;
+    }
+    return { .status_ = aStatus, .body_ = body.dump() };
+  }
+
+  void Extend(const Json& aBody, MonoTime aNow)
+  {
+    if (aBody.contains("deadlineMs")) {
+      const MonoTime asked =
+        start_ + Millis(aBody["deadlineMs"].get<int64_t>());
+      lease_ = std::max(lease_, std::min(asked, aNow + kLongestLease));
+    }
+  }
+
+  HttpResponse Start(const Json& aBody, MonoTime aNow)
+  {
+    const std::string task = aBody.value("task", "");
+    const int64_t run = aBody.value("run", 0);
+    if (aBody.value("deadlineMs", int64_t{ 0 }) < ClockMs(aNow)) {
+      return WithClock(409, aNow, "late");
+    }
+    for (const Run& known : runs_) {
+      if (known.task_ == task && known.how_.empty() && known.run_ == run) {
+        return WithClock(200, aNow);
+      }
+      if (known.task_ == task && run <= known.run_) {
+        return WithClock(409, aNow, "old");
+      }
+    }
+    Extend(aBody, aNow);
+    const std::string spec = aBody.value("spec", "");
+    const auto ms = spec.find("ms=");
+    runs_.push_back({ .task_ = task,
+                      .run_ = run,
+                      .begun_ = aNow,
+                      .length_ = ms == std::string::npos
+                                   ? kDefaultRun
+                                   : Millis(std::atoi(spec.c_str() + ms + 3)),
+                      .fails_ = spec.find("fail") != std::string::npos });
+    return WithClock(200, aNow);
+  }
+
+  void Stop(const Json& aBody, MonoTime aNow)
+  {
+    for (Run& run : runs_) {
+      if (run.how_.empty() && run.task_ == aBody.value("task", "") &&
+          run.run_ == aBody.value("run", 0)) {
+        End(run, "stopped", aNow);
+      }
+    }
+  }
+
+  void End(Run& aRun, const std::string& aHow, MonoTime aNow)
+  {
+    aRun.how_ = aHow;
+    aRun.ended_ = aNow;
+    ends_.push_back(&aRun - runs_.data());
+  }
+
+  void EndDue(MonoTime aNow)
+  {
+    for (Run& run : runs_) {
+      if (!run.how_.empty()) {
+        continue;
+      }
+      if (aNow >= lease_) {
+        End(run, "lapsed", aNow);
+      } else if (!stalls_ && aNow >= run.begun_ + run.length_) {
+        End(run, run.fails_ ? "failed" : "done", aNow);
+      }
+    }
+  }
+
+  void AnswerLooks(MonoTime aNow)
+  {
+    const bool hasEnds = ends_.size() > acknowledged_;
+    std::erase_if(looks_, [&](const WaitingLook& aLook) {
+      if (!hasEnds && aNow < aLook.until_) {
+        return false;
+      }
+      aLook.reply_.Send({ .body_ = Lists(aNow).dump() });
+      return true;
+    });
+  }
+
+  Json Lists(MonoTime aNow) const
+  {
+    Json running = Json::array();
+    for (const Run& run : runs_) {
+      if (run.how_.empty()) {
+        const auto percent =
+          stalls_ || run.length_.count() == 0
+            ? 0
+            : kWholePercent * (aNow - run.begun_) / run.length_;
+        running.push_back({ run.task_, run.run_, "", percent });
+      }
+    }
+    Json ended = Json::array();
+    for (size_t i = acknowledged_; i < ends_.size(); ++i) {
+      const Run& run = runs_[static_cast<size_t>(ends_[i])];
+      ended.push_back({ i + 1, run.task_, run.run_, run.how_, "" });
+    }
+    return { { "clockMs", ClockMs(aNow) },
+             { "born", born_ },
+             { "running", running },
+             { "ended", ended } };
+  }
+
+  Json Listing() const
+  {
+    Json list = Json::array();
+    for (const Run& run : runs_) {
+      list.push_back({ { "task", run.task_ },
+                       { "run", run.run_ },
+                       { "begun", WallMs(run.begun_) },
+                       { "ended", run.how_.empty() ? 0 : WallMs(run.ended_) },
+                       { "how", run.how_ } });
+    }
+    return list;
+  }
+
+  const Options options_;
+  const MonoTime start_ = MonoClock::now();
+  const int64_t born_ = WallMs(start_);
+  std::mutex mutex_;
+  std::vector<Run> runs_;
+  std::vector<std::ptrdiff_t> ends_;
+  std::vector<WaitingLook> looks_;
+  std::vector<HttpReply> silenced_;
+  size_t acknowledged_ = 0;
+  MonoTime lease_;
+  int64_t sequence_ = 0;
+  bool unanswered_ = false;
+  bool draining_ = false;
+  bool stalls_ = false;
+};
+
+} // namespace
+} // namespace cornelfront
+
+int
+main(int argc, char** argv)
+{
+  using namespace cornelfront;
+  CLI::App app("Stand-in of an executor of the platform");
+  Options options;
+  uint16_t port = 0;
+  app.add_option("--port", port, "Port on loopback; 0 picks a free one");
+  app.add_option("--id", options.id_, "Name of this incarnation");
+  app.add_option("--service", options.service_, "Service that it runs");
+  app.add_option("--heartbeats", options.heartbeats_, "<ip>:<port>")
+    ->required();
+  app.add_option("--cpu", options.cpu_, "Thousandths of a core");
+  CLI11_PARSE(app, argc, argv);
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  Executor executor(options);
+  HttpServer server({ .port_ = port },
+                    [&](const HttpRequest& aRequest, const HttpReply& aReply) {
+                      executor.Handle(aRequest, aReply);
+                    });
+  std::atomic<bool> stopping = false;
+  std::thread ticker([&] {
+    while (!stopping) {
+      std::this_thread::sleep_for(kTick);
+      executor.Tick();
+    }
+  });
+  std::thread beater([&] {
+    HttpClient client;
+    while (!stopping) {
+      client.Perform({ .method_ = "POST",
+                       .url_ = "http://" + options.heartbeats_ + "/instances/" +
+                               options.id_ + "/heartbeat",
+                       .body_ = executor.Heartbeat(),
+                       .timeout_ = Millis(500) });
+      std::this_thread::sleep_for(kHeartbeatInterval);
+    }
+  });
+  std::cout << "listening http " << server.Port() << std::endl;
+  int received = 0;
+  sigwait(&signals, &received);
+  stopping = true;
+  ticker.join();
+  beater.join();
+  return 0;
+}
--- /dev/null
+++ b/testsuite/standins/store_standin.cpp
@@ -0,0 +1,302 @@
+/// \file
+/// Stand-in of the platform's store: topics of one partition, appends with
+/// producers, long-poll reads, and the newest record of each key. Faults are
+/// set by `POST /control` with a JSON object of the fields that Faults names.
+
+#include "cornelfront/codec.h"
+#include "cornelfront/http_server.h"
+
+#include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
+
+#include <condition_variable>
+#include <csignal>
+#include <deque>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <vector>
+
+namespace cornelfront {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr size_t kLengthBytes = 4;
+constexpr size_t kOffsetBytes = 8;
+constexpr Millis kWakeInterval{ 20 };
+
+/// Behaviour that tests change while the service runs.
+struct Faults
+{
+  /// "no"; "503": nothing is done; "silent": no answers.
+  std::string down_ = "no";
+  /// Appends are carried out, their answers are lost.
+  bool loseAppendAnswers_ = false;
+};
+
+struct Producer
+{
+  uint64_t epoch_ = 0;
+  uint64_t sequence_ = 0;
+  std::string lastAnswer_;
+};
+
+struct Topic
+{
+  /// Records before this offset are dropped.
+  uint64_t first_ = 0;
+  std::deque<std::string> records_;
+  std::map<std::string, std::pair<std::string, uint64_t>> newest_;
+  std::map<std::string, Producer> producers_;
+
+  uint64_t End() const { return first_ + records_.size(); }
+};
+
+/// A read that waits for a record.
+struct WaitingRead
+{
+  HttpReply reply_;
+  std::string topic_;
+  uint64_t from_ = 0;
+  MonoTime until_;
+};
+
+void
+AppendNumber(std::string& aTarget, uint64_t aNumber, size_t aSize)
+{
+  for (size_t i = aSize; i > 0; --i) {
+    aTarget.push_back(static_cast<char>(aNumber >> (8U * (i - 1))));
+  }
+}
+
+uint64_t
+NumberAt(const std::string& aBytes, size_t aAt, size_t aSize)
+{
+  uint64_t number = 0;
+  for (size_t i = 0; i < aSize; ++i) {
+    number = (number << 8U) | static_cast<unsigned char>(aBytes.at(aAt + i));
+  }
+  return number;
+}
+
+uint64_t
+QueryNumber(const HttpRequest& aRequest, const std::string& aName)
+{
+  return std::strtoull(aRequest.Query(aName, "0").c_str(), nullptr, 10);
+}
+
+HttpResponse
+Answer(int aStatus, const Json& aBody = Json::object())
+{
+  return { .status_ = aStatus, .body_ = aBody.dump() };
+}
+
+class Store
+{
+public:
+  void Handle(const HttpRequest& aRequest, const HttpReply& aReply)
+  {
+    std::lock_guard lock(mutex_);
+    if (aRequest.path_ == "/control") {
+      SetFaults(Json::parse(aRequest.body_));
+      aReply.Send(Answer(200));
+    } else if (faults_.down_ == "503") {
+      aReply.Send(Answer(503));
+    } else if (faults_.down_ == "silent") {
+      silenced_.push_back(aReply);
+    } else if (aRequest.path_ == "/log-append") {
+      const HttpResponse answer = Append(aRequest);
+      if (faults_.loseAppendAnswers_) {
+        silenced_.push_back(aReply);
+      } else {
+        aReply.Send(answer);
+      }
+      AnswerReads(MonoClock::now());
+    } else if (aRequest.path_ == "/log-read") {
+      Read(aRequest, aReply);
+    } else if (aRequest.path_ == "/log-newest") {
+      aReply.Send(Newest(aRequest));
+    } else {
+      aReply.Send(Answer(404));
+    }
+  }
+
+  void AnswerLateReads()
+  {
+    std::lock_guard lock(mutex_);
+    AnswerReads(MonoClock::now());
+  }
+
+private:
+  void SetFaults(const Json& aJson)
+  {
+    faults_.down_ = aJson.value("down", faults_.down_);
+    faults_.loseAppendAnswers_ =
+      aJson.value("lose_append_answers", faults_.loseAppendAnswers_);
+    if (aJson.value("drop_history", false)) {
+      for (auto& [name, topic] : topics_) {
+        topic.first_ = topic.End();
+        topic.records_.clear();
+      }
+    }
+    // Those that wait for an answer never get one, but the stand-in must not
+    // collect them for ever.
+    if (faults_.down_ == "no") {
+      silenced_.clear();
+    }
+  }
+
+  HttpResponse Append(const HttpRequest& aRequest)
+  {
+    Topic& topic = topics_[aRequest.Query("topic")];
+    Producer* producer = nullptr;
+    if (!aRequest.Query("producer").empty()) {
+      producer = &topic.producers_[aRequest.Query("producer")];
+      const uint64_t epoch = QueryNumber(aRequest, "epoch");
+      const uint64_t sequence = QueryNumber(aRequest, "seq");
+      if (epoch < producer->epoch_) {
+        return Answer(409, { { "reason", "fenced" } });
+      }
+      const bool known = epoch == producer->epoch_;
+      if (known && sequence == producer->sequence_ &&
+          !producer->lastAnswer_.empty()) {
+        return { .body_ = producer->lastAnswer_ };
+      }
+      if (known && sequence != producer->sequence_ + 1 &&
+          !producer->lastAnswer_.empty()) {
+        return Answer(409, { { "reason", "seq" } });
+      }
+      producer->epoch_ = epoch;
+      producer->sequence_ = sequence;
+    }
+    const uint64_t offset = topic.End();
+    for (size_t at = 0; at < aRequest.body_.size();) {
+      const size_t length = NumberAt(aRequest.body_, at, kLengthBytes);
+      at += kLengthBytes;
+      Add(topic, aRequest.body_.substr(at, length));
+      at += length;
+    }
+    const HttpResponse answer =
+      Answer(200, { { "offset", offset }, { "end", topic.End() } });
+    if (producer != nullptr) {
+      producer->lastAnswer_ = answer.body_;
+    }
+    return answer;
+  }
+
+  static void Add(Topic& aTopic, const std::string& aRecord)
+  {
+    const size_t keyBytes = NumberAt(aRecord, 0, 1);
+    const std::string key = aRecord.substr(1, keyBytes);
+    const std::string value = aRecord.substr(1 + keyBytes);
+    if (value.empty()) {
+      aTopic.newest_.erase(key);
+    } else {
+      aTopic.newest_[key] = { value, aTopic.End() };
+    }
+    aTopic.records_.push_back(aRecord);
+  }
+
+  void Read(const HttpRequest& aRequest, const HttpReply& aReply)
+  {
+    const MonoTime now = MonoClock::now();
+    reads_.push_back({ aReply,
+                       aRequest.Query("topic"),
+                       QueryNumber(aRequest, "from"),
+                       now + Millis(QueryNumber(aRequest, "waitMs")) });
+    AnswerReads(now);
+  }
+
+  void AnswerReads(MonoTime aNow)
+  {
+    std::erase_if(reads_, [&](const WaitingRead& aRead) {
+      const Topic& topic = topics_[aRead.topic_];
+      if (aRead.from_ < topic.first_) {
+        aRead.reply_.Send(Answer(410, { { "first", topic.first_ } }));
+        return true;
+      }
+      if (aRead.from_ >= topic.End() && aNow < aRead.until_) {
+        return false;
+      }
+      aRead.reply_.Send(Records(topic, aRead.from_));
+      return true;
+    });
+  }
+
+  static HttpResponse Records(const Topic& aTopic, uint64_t aFrom)
+  {
+    HttpResponse response{ .contentType_ = "application/octet-stream" };
+    AppendNumber(response.body_, aTopic.End(), kOffsetBytes);
+    AppendNumber(response.body_, aTopic.first_, kOffsetBytes);
+    for (uint64_t at = aFrom; at < aTopic.End(); ++at) {
+      const std::string& record = aTopic.records_.at(at - aTopic.first_);
+      AppendNumber(response.body_, record.size(), kLengthBytes);
+      response.body_ += record;
+    }
+    return response;
+  }
+
+  HttpResponse Newest(const HttpRequest& aRequest)
+  {
+    constexpr size_t kPage = 100;
+    const Topic& topic = topics_[aRequest.Query("topic")];
+    Json items = Json::array();
+    auto item = aRequest.Query("after").empty()
+                  ? topic.newest_.begin()
+                  : topic.newest_.upper_bound(aRequest.Query("after"));
+    for (; item != topic.newest_.end() && items.size() < kPage; ++item) {
+      items.push_back({ { "key", item->first },
+                        { "value", EncodeBase64(item->second.first) },
+                        { "offset", item->second.second } });
+    }
+    return Answer(200,
+                  { { "items", items },
+                    { "hasMore", item != topic.newest_.end() },
+                    { "end", topic.End() } });
+  }
+
+  std::mutex mutex_;
+  Faults faults_;
+  std::map<std::string, Topic> topics_;
+  std::vector<WaitingRead> reads_;
+  std::vector<HttpReply> silenced_;
+};
+
+} // namespace
+} // namespace cornelfront
+
+int
+main(int argc, char** argv)
+{
+  using namespace cornelfront;
+  CLI::App app("Stand-in of the platform's store");
+  uint16_t port = 0;
+  app.add_option("--port", port, "Port on loopback; 0 picks a free one");
+  CLI11_PARSE(app, argc, argv);
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  Store store;
+  std::atomic<bool> stopping = false;
+  HttpServer server({ .port_ = port },
+                    [&](const HttpRequest& aRequest, const HttpReply& aReply) {
+                      store.Handle(aRequest, aReply);
+                    });
+  std::thread waker([&] {
+    while (!stopping) {
+      std::this_thread::sleep_for(kWakeInterval);
+      store.AnswerLateReads();
+    }
+  });
+  std::cout << "listening http " << server.Port() << std::endl;
+  int received = 0;
+  sigwait(&signals, &received);
+  stopping = true;
+  waker.join();
+  return 0;
+}
