Count ends that a sidecar's successor knows

Change: the runs of a replaced sidecar wait for what its successor says; a task that was done after all is done, whatever was started meanwhile; a lost run is no end; the first look at an upstream does not wait.

--- a/src/include/cornelfront/job_engine.h
+++ b/src/include/cornelfront/job_engine.h
@@ -216,13 +216,19 @@
   void SetZonesOut(std::set<std::string> aZones, MonoTime aNow);
   /// A link to a sidecar has begun, perhaps in place of an older one.
   void OnSidecar(MemberId aSidecar, const std::string& aZone, MonoTime aNow);
-  void OnHeld(MemberId aSidecar, const HeldRuns& aHeld, MonoTime aNow);
+  /// \p aSidecar has been replaced by a new incarnation, which will say what
+  /// it knows of the runs in OnHeld.
+  void OnSuccessor(MemberId aSidecar, MemberId aSuccessor, MonoTime aNow);
+  /// Runs that are not among those held ended as \p aMissing.
+  void OnHeld(MemberId aSidecar,
+              const HeldRuns& aHeld,
+              RunEnd aMissing,
+              MonoTime aNow);
   /// A sidecar has handed over the runs of earlier leaders.
   void OnTakenOver(MemberId aSidecar, const HeldRuns& aHeld, MonoTime aNow);
   void OnReports(MemberId aSidecar, const RunReports& aReports, MonoTime aNow);
-  /// \p aSidecar has gone, with all that ran there, if \p aSuccessor is true
-  /// (its successor has been heard of); otherwise it may still hold runs.
-  void OnSidecarLost(MemberId aSidecar, bool aSuccessor, MonoTime aNow);
+  /// The link to a sidecar has ended; it may still hold runs.
+  void OnSidecarLost(MemberId aSidecar, MonoTime aNow);
 
   void Tick(MonoTime aNow);
 
--- a/src/libcornelfront/job_entry.cpp
+++ b/src/libcornelfront/job_entry.cpp
@@ -13,6 +13,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <map>
 #include <unordered_map>
 
@@ -45,6 +46,8 @@
     std::string zone_;
     /// The sidecar has said what it holds.
     bool begun_ = false;
+    /// This incarnation replaces another one.
+    bool succeeds_ = false;
   };
 
   /// A client that waits for the end of its job.
@@ -94,6 +97,8 @@
   JobEngine engine_;
   std::map<MemberId, SidecarLink> sidecars_;
   std::map<uint64_t, MemberId> linkOwners_;
+  /// Newest incarnation of each sidecar, by name.
+  std::map<std::string, MemberId> incarnations_;
   std::unordered_map<JobTicket, Waiting> waiting_;
   JobTicket nextTicket_ = 1;
   std::unique_ptr<platform::StoreClient> store_;
@@ -476,7 +481,10 @@
   if (!aLink.begun_) {
     aLink.begun_ = true;
     engine_.OnSidecar(aSidecar, aLink.zone_, aNow);
-    engine_.OnHeld(aSidecar, aHeld, aNow);
+    engine_.OnHeld(aSidecar,
+                   aHeld,
+                   aLink.succeeds_ ? RunEnd::Lost : RunEnd::NotStarted,
+                   aNow);
     if (term > 0) {
       aLink.link_->Send(TakeOver{ term });
     }
@@ -493,21 +501,27 @@
                         const Hello& aHello,
                         MonoTime aNow)
 {
-  std::vector<MemberId> predecessors;
-  for (const auto& [id, other] : sidecars_) {
-    if (other.name_ == aHello.name_) {
-      predecessors.push_back(id);
-    }
-  }
-  for (const MemberId id : predecessors) {
-    const auto other = sidecars_.find(id);
-    const LinkPtr old = other->second.link_;
-    sidecars_.erase(other);
+  const auto linked =
+    std::find_if(sidecars_.begin(), sidecars_.end(), [&](const auto& aSidecar) {
+      return aSidecar.second.name_ == aHello.name_;
+    });
+  if (linked != sidecars_.end()) {
+    const LinkPtr old = linked->second.link_;
+    engine_.OnSidecarLost(linked->first, aNow);
     linkOwners_.erase(old->Serial());
+    sidecars_.erase(linked);
     old->Close();
-    engine_.OnSidecarLost(id, id != aHello.id_, aNow);
   }
-  sidecars_[aHello.id_] = { aLink, aHello.name_, aHello.zone_ };
+  const auto known = incarnations_.emplace(aHello.name_, aHello.id_).first;
+  const bool succeeds = known->second != aHello.id_;
+  if (succeeds) {
+    engine_.OnSuccessor(known->second, aHello.id_, aNow);
+    known->second = aHello.id_;
+  }
+  sidecars_[aHello.id_] = { .link_ = aLink,
+                            .name_ = aHello.name_,
+                            .zone_ = aHello.zone_,
+                            .succeeds_ = succeeds };
   linkOwners_[aLink->Serial()] = aHello.id_;
   LOG(INFO) << "sidecar name=" << aHello.name_ << " id=" << ToString(aHello.id_)
             << " outcome=linked";
@@ -535,7 +549,7 @@
                << " outcome=link_lost reason=\"" << aDetail << "\"";
   sidecars_.erase(sidecar);
   const MonoTime now = BootNow();
-  engine_.OnSidecarLost(id, false, now);
+  engine_.OnSidecarLost(id, now);
   Perform(now);
 }
 
--- a/src/libcornelfront/job_sidecar.cpp
+++ b/src/libcornelfront/job_sidecar.cpp
@@ -522,6 +522,10 @@
 Millis
 JobSidecar::Impl::LookWait(MonoTime aNow) const
 {
+  if (!looked_) {
+    // What a predecessor left running must be stopped at once.
+    return Millis(0);
+  }
   if (table_.Size() == 0) {
     return kIdleLookWait;
   }
--- a/src/libcornelfront/platform/batch_writer.cpp
+++ b/src/libcornelfront/platform/batch_writer.cpp
@@ -85,12 +85,11 @@
     return;
   }
   uncertain_ |= aOutcome == StoreOutcome::Unknown;
-  if (options_.untilDone_) {
+  const bool inTime = BootNow() - batchBegun_ < options_.unknownLimit_;
+  if (options_.untilDone_ || (uncertain_ && inTime)) {
     RetryLater();
   } else if (!uncertain_) {
     Finish(StoreOutcome::NotDone);
-  } else if (BootNow() - batchBegun_ < options_.unknownLimit_) {
-    RetryLater();
   } else {
     // The lost append may still be carried out under its sequence number.
     ++producers_;
--- a/src/libcornelfront/platform/store_client.cpp
+++ b/src/libcornelfront/platform/store_client.cpp
@@ -221,7 +221,7 @@
                              .connectTimeout_ = kConnectLimit,
                              .timeout_ = aWait + kReadMargin };
   http_.Send(std::move(request),
-             [aTopic, aFrom, done = std::move(aDone)](HttpResult aResult) {
+             [aTopic, aFrom, done = std::move(aDone)](const HttpResult& aResult) {
                StoreRead read{ .outcome_ = OutcomeOf(aResult), .next_ = aFrom };
                try {
                  if (read.outcome_ == StoreOutcome::Ok) {
@@ -247,7 +247,7 @@
     request.url_ += "&after=" + QueryText(aAfter);
   }
   http_.Send(
-    std::move(request), [aTopic, done = std::move(aDone)](HttpResult aResult) {
+    std::move(request), [aTopic, done = std::move(aDone)](const HttpResult& aResult) {
       StorePage page{ .outcome_ = OutcomeOf(aResult) };
       try {
         if (page.outcome_ == StoreOutcome::Ok) {
--- a/src/libcornelfront/policy/job_engine.cpp
+++ b/src/libcornelfront/policy/job_engine.cpp
@@ -311,7 +311,28 @@
 }
 
 void
-JobEngine::OnHeld(MemberId aSidecar, const HeldRuns& aHeld, MonoTime aNow)
+JobEngine::OnSuccessor(MemberId aSidecar, MemberId aSuccessor, MonoTime aNow)
+{
+  CheckPause(aNow);
+  const auto old = sidecars_.find(aSidecar);
+  if (old == sidecars_.end()) {
+    return;
+  }
+  for (const RunKey& key : old->second.runs_) {
+    sidecars_[aSuccessor].runs_.insert(key);
+    Task* task = FindTask(key.task_);
+    if (task != nullptr && task->sidecar_ == aSidecar) {
+      task->sidecar_ = aSuccessor;
+    }
+  }
+  sidecars_.erase(aSidecar);
+}
+
+void
+JobEngine::OnHeld(MemberId aSidecar,
+                  const HeldRuns& aHeld,
+                  RunEnd aMissing,
+                  MonoTime aNow)
 {
   CheckPause(aNow);
   for (const RunReport& report : aHeld.reports_) {
@@ -329,7 +350,7 @@
                       held.end(),
                       std::back_inserter(missing));
   for (const RunKey& key : missing) {
-    OnEnd(aSidecar, { .key_ = key }, aNow);
+    OnEnd(aSidecar, { .key_ = key, .end_ = aMissing }, aNow);
   }
   for (const RunKey& key : aHeld.runs_) {
     Adopt(aSidecar, key, aNow);
@@ -424,7 +445,7 @@
 }
 
 void
-JobEngine::OnSidecarLost(MemberId aSidecar, bool aSuccessor, MonoTime aNow)
+JobEngine::OnSidecarLost(MemberId aSidecar, MonoTime aNow)
 {
   CheckPause(aNow);
   const auto found = sidecars_.find(aSidecar);
@@ -433,10 +454,6 @@
   }
   found->second.linked_ = false;
   found->second.lostAt_ = aNow;
-  if (aSuccessor) {
-    EndRuns(aSidecar, RunEnd::Lost, aNow);
-    sidecars_.erase(aSidecar);
-  }
 }
 
 void
@@ -970,7 +987,9 @@
                        const RunReport& aReport,
                        Task& aTask)
 {
-  if (!aJob.stored_ || aReport.end_ == RunEnd::NotStarted) {
+  // A run that was lost may turn out to have ended otherwise.
+  if (!aJob.stored_ || aReport.end_ == RunEnd::NotStarted ||
+      aReport.end_ == RunEnd::Lost) {
     return;
   }
   aTask.endedRun_ = std::max(aTask.endedRun_, aReport.key_.run_);
@@ -992,9 +1011,12 @@
   const TaskName& name = aReport.key_.task_;
   Job* job = FindJob(InstanceOf(name));
   Task* task = FindTask(name);
-  const bool counts =
-    task != nullptr && job->stored_ && aReport.key_.run_ > task->endedRun_ &&
-    task->state_ != TaskState::Done && task->state_ != TaskState::Sent;
+  const bool done = aReport.end_ == RunEnd::Done;
+  // A task that is being run again has been done all the same.
+  const bool counts = task != nullptr && job->stored_ &&
+                      aReport.key_.run_ > task->endedRun_ &&
+                      task->state_ != TaskState::Done &&
+                      (done || task->state_ != TaskState::Sent);
   if (!counts) {
     if (!saving_.contains(aReport.key_)) {
       actions_.emplace_back(SendForget{ aSidecar, { { aReport.key_ } } });
@@ -1002,7 +1024,10 @@
     return;
   }
   NoteUnsaved(*job, aSidecar, aReport, *task);
-  if (aReport.end_ == RunEnd::Done) {
+  if (done) {
+    if (task->state_ == TaskState::Sent && !task->stopSent_) {
+      StopRun(name, *task);
+    }
     OnTaskDone(*job, name, aNow);
   } else if (aReport.end_ == RunEnd::Failed) {
     OnTaskFailed(*job, name, aNow);
--- a/src/libcornelfront/policy/job_engine_test.cpp
+++ b/src/libcornelfront/policy/job_engine_test.cpp
@@ -77,7 +77,7 @@
   void Link(MemberId aSidecar, const UpstreamReport& aReport, int aMs = 0)
   {
     engine_.OnSidecar(aSidecar, "zone-" + ToString(aSidecar), At(aMs));
-    engine_.OnHeld(aSidecar, {}, At(aMs));
+    engine_.OnHeld(aSidecar, {}, RunEnd::NotStarted, At(aMs));
     engine_.OnReports(aSidecar, { .upstream_ = aReport }, At(aMs));
   }
 
@@ -305,7 +305,7 @@
   }
   Wanted again = Take();
   if (!again.runs_.empty()) {
-    engine_.OnHeld(again.runs_[0].sidecar_, {}, At(60));
+    engine_.OnHeld(again.runs_[0].sidecar_, {}, RunEnd::NotStarted, At(60));
     engine_.OnReports(kFirst, {}, At(60));
     engine_.OnReports(kSecond, {}, At(60));
     Take();
@@ -333,7 +333,7 @@
 {
   Submit(Job());
   const SendRuns sent = Take().runs_.at(0);
-  engine_.OnSidecarLost(sent.sidecar_, false, At(10));
+  engine_.OnSidecarLost(sent.sidecar_, At(10));
   for (int ms = 100; ms < 1010; ms += 100) {
     engine_.Tick(At(ms));
     EXPECT_TRUE(Take().runs_.empty()) << ms;
@@ -344,19 +344,41 @@
   EXPECT_NE(again.runs_[0].sidecar_, sent.sidecar_);
 }
 
-TEST_F(JobEngineTest, RunsOfAReplacedSidecarStartAgainAtOnce)
+TEST_F(JobEngineTest, RunsOfAReplacedSidecarStartAgainOnceItsSuccessorTells)
 {
+  constexpr MemberId kSuccessor{ 9 };
   Submit(Job());
   const SendRuns sent = Take().runs_.at(0);
-  engine_.OnSidecarLost(sent.sidecar_, true, At(10));
+  engine_.OnSidecarLost(sent.sidecar_, At(10));
+  engine_.OnSuccessor(sent.sidecar_, kSuccessor, At(50));
+  EXPECT_EQ(Take().Runs(), 0U);
+  engine_.OnSidecar(kSuccessor, "z", At(60));
+  engine_.OnHeld(kSuccessor, {}, RunEnd::Lost, At(60));
   EXPECT_EQ(Take().Runs(), 1U);
 }
 
+TEST_F(JobEngineTest, AnEndThatASuccessorKnowsCounts)
+{
+  constexpr MemberId kSuccessor{ 9 };
+  Submit(Job());
+  const SendRuns sent = Take().runs_.at(0);
+  engine_.OnSidecarLost(sent.sidecar_, At(10));
+  engine_.OnSuccessor(sent.sidecar_, kSuccessor, At(50));
+  engine_.OnSidecar(kSuccessor, "z", At(60));
+  HeldRuns held;
+  held.reports_.push_back(
+    { .key_ = { sent.orders_.Task(sent.orders_.runs_[0]), 1 },
+      .end_ = RunEnd::Done,
+      .kept_ = true });
+  engine_.OnHeld(kSuccessor, held, RunEnd::Lost, At(60));
+  EXPECT_EQ(Take().answers_.at(0).outcome_, JobOutcome::Completed);
+}
+
 TEST_F(JobEngineTest, OrdersThatDidNotArriveAreSentAgain)
 {
   Submit(Job());
   const SendRuns sent = Take().runs_.at(0);
-  engine_.OnSidecarLost(sent.sidecar_, false, At(10));
+  engine_.OnSidecarLost(sent.sidecar_, At(10));
   Link(sent.sidecar_, Idle("u1"), 50);
   EXPECT_EQ(Take().Runs(), 1U);
 }
@@ -365,11 +387,12 @@
 {
   Submit(Job());
   const SendRuns sent = Take().runs_.at(0);
-  engine_.OnSidecarLost(sent.sidecar_, false, At(10));
+  engine_.OnSidecarLost(sent.sidecar_, At(10));
   engine_.OnSidecar(sent.sidecar_, "z", At(50));
   engine_.OnHeld(
     sent.sidecar_,
     { .runs_ = { { sent.orders_.Task(sent.orders_.runs_[0]), 1 } } },
+    RunEnd::NotStarted,
     At(50));
   EXPECT_TRUE(Take().runs_.empty());
   End(sent, RunEnd::Done, 100);
@@ -597,6 +620,29 @@
   EXPECT_EQ(Take().Runs(), 1U);
 }
 
+TEST_F(StoredJobTest, ATaskThatWasDoneAfterAllIsNotGoneOnWith)
+{
+  Restore(Job());
+  const SendRuns sent = Take().runs_.at(0);
+  engine_.OnSidecarLost(sent.sidecar_, At(10));
+  for (int ms = 100; ms <= 1100; ms += 100) {
+    engine_.Tick(At(ms));
+  }
+  ASSERT_EQ(Take().Runs(), 1U);
+  Link(sent.sidecar_, Idle("u1"), 1200);
+  Report(sent.sidecar_, key_, RunEnd::Done, 1210);
+  size_t stops = 0;
+  std::optional<JobOutcome> outcome;
+  for (const JobAction& action : engine_.TakeActions()) {
+    stops += std::holds_alternative<SendStops>(action) ? 1 : 0;
+    if (const auto* save = std::get_if<SaveJob>(&action)) {
+      outcome = save->outcome_;
+    }
+  }
+  EXPECT_GE(stops, 1U);
+  EXPECT_EQ(outcome, JobOutcome::Completed);
+}
+
 TEST_F(StoredJobTest, AFollowerLeavesTheRunsToTheLeader)
 {
   Restore(Job());
@@ -745,9 +791,9 @@
           }
         }
         present[sidecar] = kept;
-        engine.OnSidecarLost(sidecar, false, At(now));
+        engine.OnSidecarLost(sidecar, At(now));
         engine.OnSidecar(sidecar, "z", At(now));
-        engine.OnHeld(sidecar, held, At(now));
+        engine.OnHeld(sidecar, held, RunEnd::NotStarted, At(now));
         engine.OnReports(
           sidecar, { .upstream_ = Idle(ToString(sidecar)) }, At(now));
         break;
@@ -759,9 +805,9 @@
           begun.insert(key);
         }
         present[sidecar].clear();
-        engine.OnSidecarLost(sidecar, true, At(now));
+        engine.OnSidecarLost(sidecar, At(now));
         engine.OnSidecar(sidecar, "z", At(now));
-        engine.OnHeld(sidecar, {}, At(now));
+        engine.OnHeld(sidecar, {}, RunEnd::Lost, At(now));
         engine.OnReports(
           sidecar, { .upstream_ = Idle(ToString(sidecar)) }, At(now));
         break;
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -513,6 +513,8 @@
   }
   if (leader_ == aOwner) {
     held.term_ = term_;
+  }
+  if (leader_ == aOwner || !leader_) {
     for (const auto& [number, report] : kept_) {
       held.reports_.push_back(report);
     }
