Write logs to standard output without blocking; serve metrics; split the engine

Cause: on-call engineers have only logs and metrics; job processes wrote to standard error, one system call a line, and served no metrics. The engine had grown to 1,240 lines.

--- a/src/cornelfront/cmd_serve.cpp
+++ b/src/cornelfront/cmd_serve.cpp
@@ -10,6 +10,8 @@
 #include "cornelfront/schema.h"
 #include "cornelfront/settings.h"
 #include "cornelfront/sidecar.h"
+#include "cornelfront/stdout_log.h"
+#include "cornelfront/ticker.h"
 
 #include <CLI/CLI.hpp>
 #include <glog/logging.h>
@@ -25,6 +27,9 @@
 
 namespace {
 
+/// Interval at which log lines are written.
+constexpr Millis kLogInterval{ 200 };
+
 struct ServeOptions
 {
   std::string settingsFile_;
@@ -88,6 +93,8 @@
   sigset_t signals = BlockStopSignals();
   sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  StdoutLog log;
+  const Ticker flusher(kLogInterval, [&log] { log.Flush(); });
   Process process(aSettings);
   int received = 0;
   for (sigwait(&signals, &received); received == SIGHUP;
--- a/src/libcornelfront/job_entry.cpp
+++ b/src/libcornelfront/job_entry.cpp
@@ -2,6 +2,7 @@
 
 #include "cornelfront/http_server.h"
 #include "cornelfront/job_engine.h"
+#include "cornelfront/job_metrics.h"
 #include "cornelfront/link.h"
 #include "cornelfront/visitor.h"
 #include "event_loop_pvt.h"
@@ -110,6 +111,8 @@
   std::unique_ptr<LinkServer> server_;
   std::unique_ptr<HttpServer> clients_;
   std::unique_ptr<HttpServer> readiness_;
+  JobMetrics metrics_;
+  std::unique_ptr<HttpServer> metricsServer_;
   bool stopping_ = false;
   /// New jobs are refused.
   bool closed_ = false;
@@ -172,6 +175,7 @@
     [this](const HttpRequest& aRequest, const HttpReply& aReply) {
       HandleReadiness(aRequest, aReply);
     });
+  metricsServer_ = ServeMetrics(loop, settings_.metrics_, metrics_);
   ticker_ =
     std::make_unique<LoopTimer>(loop, kTickInterval, [this] { Tick(); });
   LOG(INFO) << "start role=job-entry name=" << settings_.name_
@@ -253,6 +257,11 @@
   engine_.Tick(now);
   stored_->Tick(now);
   Perform(now);
+  metrics_.SetGauge("jobs", static_cast<double>(engine_.Jobs()));
+  metrics_.SetGauge("sidecars", static_cast<double>(sidecars_.size()));
+  metrics_.SetGauge("ready", Ready() ? 1 : 0);
+  metrics_.SetGauge("leads", stored_->Term() > 0 ? 1 : 0);
+  metrics_.SetGauge("configuration", static_cast<double>(operator_.version_));
 }
 
 bool
@@ -592,11 +601,13 @@
   }
   const Waiting waiting = found->second;
   waiting_.erase(found);
-  const auto ms =
-    std::chrono::duration_cast<Millis>(aNow - waiting.submitted_).count();
+  const auto time =
+    std::chrono::duration_cast<Millis>(aNow - waiting.submitted_);
+  metrics_.CountJob(aAnswer.outcome_, time);
   LOG(INFO) << "job=" << waiting.job_
-            << " outcome=" << ToString(aAnswer.outcome_) << " ms=" << ms
-            << " reason=\"" << aAnswer.reason_ << "\"";
+            << " outcome=" << ToString(aAnswer.outcome_)
+            << " ms=" << time.count() << " reason=\"" << aAnswer.reason_
+            << "\"";
   Reply(waiting.reply_, platform::OutcomeResponse(aAnswer));
 }
 
--- a/src/libcornelfront/job_sidecar.cpp
+++ b/src/libcornelfront/job_sidecar.cpp
@@ -2,6 +2,7 @@
 
 #include "cornelfront/http_server.h"
 #include "cornelfront/job_ledger.h"
+#include "cornelfront/job_metrics.h"
 #include "cornelfront/link.h"
 #include "cornelfront/run_table.h"
 #include "event_loop_pvt.h"
@@ -132,6 +133,8 @@
   platform::OperatorState operator_;
   std::unique_ptr<platform::ExecutorClient> executor_;
   std::unique_ptr<HttpServer> heartbeats_;
+  JobMetrics metrics_;
+  std::unique_ptr<HttpServer> metricsServer_;
   int64_t lastBeat_ = 0;
   UpstreamClock clock_;
   MonoTime clockRead_;
@@ -209,6 +212,7 @@
           }
         }
       } });
+  metricsServer_ = ServeMetrics(loop, settings_.metrics_, metrics_);
   ticker_ =
     std::make_unique<LoopTimer>(loop, kTickInterval, [this] { Tick(); });
   LOG(INFO) << "start role=job-sidecar name=" << settings_.name_
@@ -243,6 +247,10 @@
   table_.Tick(now);
   Pump(now);
   SendStatus(now);
+  metrics_.SetGauge("runs", static_cast<double>(table_.Size()));
+  metrics_.SetGauge("entries", static_cast<double>(owners_.size()));
+  metrics_.SetGauge("upstream", table_.HasUpstream() ? 1 : 0);
+  metrics_.SetGauge("configuration", static_cast<double>(operator_.version_));
 }
 
 void
@@ -551,6 +559,7 @@
   }
   patience_ = std::min(patience_ * 2, kMostPatience);
   unanswered_ = now;
+  metrics_.CountUnanswered();
   if (aOutcome == platform::LookOutcome::Replaced) {
     LOG(WARNING) << "upstream outcome=replaced";
     table_.OnUpstreamGone(now);
@@ -580,6 +589,9 @@
   }
   const UpstreamReport report = table_.Report(aNow);
   for (auto& [id, items] : news) {
+    for (const RunReport& item : items.reports_) {
+      metrics_.CountRun(item);
+    }
     const auto owner = owners_.find(id);
     if (owner != owners_.end()) {
       Send(id, owner->second, std::move(items), report, aNow);
--- a/src/libcornelfront/platform/store_client.cpp
+++ b/src/libcornelfront/platform/store_client.cpp
@@ -220,19 +220,20 @@
                                      "&waitMs=" + std::to_string(aWait.count()),
                              .connectTimeout_ = kConnectLimit,
                              .timeout_ = aWait + kReadMargin };
-  http_.Send(std::move(request),
-             [aTopic, aFrom, done = std::move(aDone)](const HttpResult& aResult) {
-               StoreRead read{ .outcome_ = OutcomeOf(aResult), .next_ = aFrom };
-               try {
-                 if (read.outcome_ == StoreOutcome::Ok) {
-                   DecodeRead(aResult.response_.body_, aFrom, read);
-                 }
-               } catch (const WireError& error) {
-                 LOG(ERROR) << "read of " << aTopic << ": " << error.what();
-                 read.outcome_ = StoreOutcome::NotDone;
-               }
-               done(std::move(read));
-             });
+  http_.Send(
+    std::move(request),
+    [aTopic, aFrom, done = std::move(aDone)](const HttpResult& aResult) {
+      StoreRead read{ .outcome_ = OutcomeOf(aResult), .next_ = aFrom };
+      try {
+        if (read.outcome_ == StoreOutcome::Ok) {
+          DecodeRead(aResult.response_.body_, aFrom, read);
+        }
+      } catch (const WireError& error) {
+        LOG(ERROR) << "read of " << aTopic << ": " << error.what();
+        read.outcome_ = StoreOutcome::NotDone;
+      }
+      done(std::move(read));
+    });
 }
 
 void
@@ -246,22 +247,23 @@
   if (!aAfter.empty()) {
     request.url_ += "&after=" + QueryText(aAfter);
   }
-  http_.Send(
-    std::move(request), [aTopic, done = std::move(aDone)](const HttpResult& aResult) {
-      StorePage page{ .outcome_ = OutcomeOf(aResult) };
-      try {
-        if (page.outcome_ == StoreOutcome::Ok) {
-          DecodePage(aResult.response_.body_, page);
-        } else {
-          VLOG(1) << "read of the newest records of " << aTopic
-                  << " failed: " << Reason(aResult);
-        }
-      } catch (const WireError& error) {
-        LOG(ERROR) << "newest records of " << aTopic << ": " << error.what();
-        page.outcome_ = StoreOutcome::NotDone;
-      }
-      done(std::move(page));
-    });
+  http_.Send(std::move(request),
+             [aTopic, done = std::move(aDone)](const HttpResult& aResult) {
+               StorePage page{ .outcome_ = OutcomeOf(aResult) };
+               try {
+                 if (page.outcome_ == StoreOutcome::Ok) {
+                   DecodePage(aResult.response_.body_, page);
+                 } else {
+                   VLOG(1) << "read of the newest records of " << aTopic
+                           << " failed: " << Reason(aResult);
+                 }
+               } catch (const WireError& error) {
+                 LOG(ERROR)
+                   << "newest records of " << aTopic << ": " << error.what();
+                 page.outcome_ = StoreOutcome::NotDone;
+               }
+               done(std::move(page));
+             });
 }
 
 TopicReader::TopicReader(asio::io_context& aLoop,
--- /dev/null
+++ b/src/libcornelfront/policy/job_placement.cpp
@@ -0,0 +1,347 @@
+/// \file
+/// JobEngine: on which upstream a task starts, and what has to wait.
+
+#include "cornelfront/job_engine.h"
+
+#include "policy/job_engine_pvt.h"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+namespace cornelfront {
+namespace {
+
+/// Weight in milliseconds of an upstream's utilisation, so that equals are
+/// filled evenly.
+constexpr double kUtilisationMs = 10.0;
+
+bool
+Contains(const std::vector<std::string>& aList, const std::string& aText)
+{
+  return std::find(aList.begin(), aList.end(), aText) != aList.end();
+}
+
+} // namespace
+
+void
+JobEngine::Place(Job& aJob, MonoTime aNow)
+{
+  if (!MayPlace(aJob)) {
+    waiting_.insert(RankOf(aJob));
+    return;
+  }
+  waiting_.erase(RankOf(aJob));
+  for (uint32_t step = 0; step < aJob.steps_.size(); ++step) {
+    PlaceStep(aJob, step, aNow);
+  }
+}
+
+bool
+JobEngine::MayPlace(const Job& aJob) const
+{
+  return !aJob.stored_ ||
+         (hasAuthority_ && !(takingOver_ && aJob.fromEarlierLeader_));
+}
+
+void
+JobEngine::PlaceStep(Job& aJob, uint32_t aStep, MonoTime aNow)
+{
+  const StepSpec& spec = aJob.spec_.steps_[aStep];
+  Step& step = aJob.steps_[aStep];
+  const bool running =
+    std::any_of(step.tasks_.begin(), step.tasks_.end(), [](const Task& aTask) {
+      return aTask.state_ == TaskState::Sent;
+    });
+  if (spec.gang_ && running) {
+    return;
+  }
+  std::map<MemberId, StartRuns> orders;
+  for (uint32_t index = 0; index < step.tasks_.size(); ++index) {
+    Task& task = step.tasks_[index];
+    if (task.state_ != TaskState::Ready) {
+      continue;
+    }
+    const auto sidecar = Choose(aJob, aStep, task, aNow);
+    if (sidecar == sidecars_.end()) {
+      waiting_.insert(RankOf(aJob));
+      continue;
+    }
+    ++task.run_;
+    task.state_ = TaskState::Sent;
+    task.sidecar_ = sidecar->first;
+    task.sent_ = aNow;
+    task.stopSent_ = false;
+    aJob.anySent_ = true;
+    StartRuns& order = orders[sidecar->first];
+    order.runs_.push_back({ index, task.run_ });
+    NoteSent(sidecar->second,
+             spec,
+             { { aJob.spec_.id_, aJob.occurrence_, aStep, index }, task.run_ });
+  }
+  for (auto& [id, order] : orders) {
+    order.job_ = aJob.spec_.id_;
+    order.occurrence_ = aJob.occurrence_;
+    order.step_ = aStep;
+    order.term_ = aJob.stored_ ? term_ : 0;
+    order.payload_ = aJob.spec_.payload_;
+    order.service_ = aJob.queue_.service_;
+    order.room_ = spec.room_;
+    order.priority_ = aJob.queue_.priority_;
+    order.estimate_ = FromMs(ExpectedRunMs(aJob, spec));
+    order.startWithin_ =
+      std::min(options_.startWithin_,
+               std::chrono::duration_cast<Millis>(aJob.deadline_ - aNow));
+    actions_.emplace_back(SendRuns{ id, std::move(order) });
+  }
+}
+
+void
+JobEngine::PlaceWaiting(MonoTime aNow)
+{
+  if (waiting_.empty() || aNow - placedAt_ < options_.placeInterval_) {
+    return;
+  }
+  placedAt_ = aNow;
+  PlaceWaiting(false, aNow);
+  PlaceWaiting(true, aNow);
+}
+
+void
+JobEngine::PlaceWaiting(bool aLate, MonoTime aNow)
+{
+  // What does not fit now is likely to hold for those behind it.
+  constexpr int kMostFailures = 8;
+  constexpr size_t kMostTried = 64;
+  int failures = 0;
+  std::vector<JobInstance> tried;
+  for (const WaitRank& rank : waiting_) {
+    if ((rank.goal_ < aNow) == aLate) {
+      tried.push_back(rank.instance_);
+    }
+    if (tried.size() >= kMostTried) {
+      break;
+    }
+  }
+  for (const JobInstance& instance : tried) {
+    Job& job = jobs_.at(instance);
+    Place(job, aNow);
+    if (waiting_.contains(RankOf(job)) && ++failures >= kMostFailures) {
+      return;
+    }
+  }
+}
+
+void
+JobEngine::NoteSent(Sidecar& aSidecar,
+                    const StepSpec& aStep,
+                    const RunKey& aKey)
+{
+  aSidecar.runs_.insert(aKey);
+  aSidecar.unreported_.push_back(
+    { .number_ = ++aSidecar.ordersSent_,
+      .room_ = aStep.room_,
+      .work_ = aStep.room_.cpu_ * aStep.estimate_.count() });
+}
+
+JobEngine::Sidecars::iterator
+JobEngine::Choose(const Job& aJob,
+                  uint32_t aStep,
+                  const Task& aTask,
+                  MonoTime aNow)
+{
+  const StepSpec& spec = aJob.spec_.steps_[aStep];
+  auto best = sidecars_.end();
+  double bestCost = std::numeric_limits<double>::max();
+  bool bestAvoided = true;
+  for (auto it = sidecars_.begin(); it != sidecars_.end(); ++it) {
+    const Sidecar& sidecar = it->second;
+    if (!Usable(sidecar, aJob, spec) || LeavesNoPlace(it->first, aJob, aStep)) {
+      continue;
+    }
+    const bool avoided =
+      aNow < sidecar.avoidUntil_ || aTask.avoid_.contains(it->first);
+    const double cost = CostMs(sidecar, aJob, spec);
+    if (aJob.stored_ &&
+        WaitMs(sidecar, aJob, spec) > ToMs(options_.longestQueue_)) {
+      continue;
+    }
+    if (std::tie(avoided, cost) < std::tie(bestAvoided, bestCost)) {
+      best = it;
+      bestCost = cost;
+      bestAvoided = avoided;
+    }
+  }
+  return best;
+}
+
+bool
+JobEngine::Usable(const Sidecar& aSidecar,
+                  const Job& aJob,
+                  const StepSpec& aStep) const
+{
+  const UpstreamReport& report = aSidecar.report_;
+  return aSidecar.linked_ && report.ready_ &&
+         report.service_ == aJob.queue_.service_ &&
+         report.capacity_.Holds(aStep.room_) &&
+         !zonesOut_.contains(aSidecar.zone_) &&
+         (aStep.requiredLabel_.empty() ||
+          Contains(report.labels_, aStep.requiredLabel_));
+}
+
+bool
+JobEngine::LeavesNoPlace(MemberId aSidecar,
+                         const Job& aJob,
+                         uint32_t aStep) const
+{
+  const uint32_t limit = aJob.spec_.steps_[aStep].maxPerUpstream_;
+  if (limit == 0) {
+    return false;
+  }
+  const auto& tasks = aJob.steps_[aStep].tasks_;
+  const auto there =
+    std::count_if(tasks.begin(), tasks.end(), [&](const Task& aTask) {
+      return aTask.state_ == TaskState::Sent && aTask.sidecar_ == aSidecar;
+    });
+  return there >= static_cast<std::ptrdiff_t>(limit);
+}
+
+double
+JobEngine::WaitMs(const Sidecar& aSidecar,
+                  const Job& aJob,
+                  const StepSpec& aStep) const
+{
+  const UpstreamReport& report = aSidecar.report_;
+  if (FreeSlots(aSidecar, aStep.room_) > 0) {
+    return 0.0;
+  }
+  const int64_t work = WorkAhead(aSidecar, aJob.queue_.priority_);
+  const auto cpu =
+    static_cast<double>(std::max<int64_t>(report.capacity_.cpu_, 1));
+  // Room for one task falls free each time that share of the work is done.
+  const double next =
+    static_cast<double>(aStep.room_.cpu_) * aSidecar.runMs_ / cpu;
+  return next + static_cast<double>(work) * aSidecar.slowness_ / cpu;
+}
+
+double
+JobEngine::CostMs(const Sidecar& aSidecar,
+                  const Job& aJob,
+                  const StepSpec& aStep) const
+{
+  const UpstreamReport& report = aSidecar.report_;
+  double run = ExpectedRunMs(aJob, aStep) * aSidecar.slowness_;
+  if (!aStep.preferredRack_.empty() &&
+      !Contains(report.labels_, aStep.preferredRack_)) {
+    run *= options_.otherRackFactor_;
+  }
+  const double utilisation =
+    static_cast<double>(CommittedRoom(aSidecar).cpu_) /
+    static_cast<double>(std::max<int64_t>(report.capacity_.cpu_, 1));
+  const double distance = aSidecar.zone_ == options_.zone_
+                            ? 0.0
+                            : static_cast<double>(options_.otherZone_.count());
+  return WaitMs(aSidecar, aJob, aStep) + run + distance +
+         utilisation * kUtilisationMs;
+}
+
+double
+JobEngine::ExpectedRunMs(const Job& aJob, const StepSpec& aStep) const
+{
+  const auto estimate = static_cast<double>(aStep.estimate_.count());
+  const auto found = durations_.find(aJob.queue_.name_);
+  if (found == durations_.end() || !found->second.known_) {
+    return estimate;
+  }
+  return estimate > 0 ? (estimate + found->second.meanMs_) / 2
+                      : found->second.meanMs_;
+}
+
+double
+JobEngine::SlackMs(const Job& aJob, const StepSpec& aStep) const
+{
+  return ExpectedRunMs(aJob, aStep) * (aJob.queue_.stretch_ - 1.0) +
+         static_cast<double>(aJob.queue_.slo_.count());
+}
+
+double
+JobEngine::AdmissionWaitMs(const Job& aJob) const
+{
+  const StepSpec& step = aJob.spec_.steps_.front();
+  int64_t slots = 0;
+  double cpu = 0.0;
+  double work = 0.0;
+  for (const auto& [id, sidecar] : sidecars_) {
+    if (!Usable(sidecar, aJob, step)) {
+      continue;
+    }
+    cpu += static_cast<double>(sidecar.report_.capacity_.cpu_);
+    const int64_t free = FreeSlots(sidecar, step.room_);
+    slots += free;
+    if (free == 0) {
+      work += static_cast<double>(WorkAhead(sidecar, aJob.queue_.priority_));
+    }
+  }
+  const int64_t missing = static_cast<int64_t>(step.count_) - slots;
+  if (missing <= 0 || cpu <= 0.0) {
+    return 0.0;
+  }
+  const double own =
+    static_cast<double>(missing * step.room_.cpu_) * ExpectedRunMs(aJob, step);
+  return (work + own) / cpu;
+}
+
+Room
+JobEngine::CommittedRoom(const Sidecar& aSidecar)
+{
+  Room committed = aSidecar.report_.committed_;
+  for (const Sidecar::Order& order : aSidecar.unreported_) {
+    committed += order.room_;
+  }
+  return committed;
+}
+
+int64_t
+JobEngine::FreeSlots(const Sidecar& aSidecar, const Room& aRoom)
+{
+  Room free = aSidecar.report_.capacity_;
+  free -= CommittedRoom(aSidecar);
+  int64_t slots = std::numeric_limits<int64_t>::max();
+  const auto limit = [&slots](int64_t aFree, int64_t aNeeded) {
+    if (aNeeded > 0) {
+      slots = std::min(slots, std::max<int64_t>(aFree, 0) / aNeeded);
+    }
+  };
+  limit(free.cpu_, aRoom.cpu_);
+  limit(free.memoryMb_, aRoom.memoryMb_);
+  limit(free.gpus_, aRoom.gpus_);
+  // A task that requests nothing always fits.
+  return std::min<int64_t>(slots, kMaxTasksPerJob);
+}
+
+int64_t
+JobEngine::WorkAhead(const Sidecar& aSidecar, uint8_t aPriority)
+{
+  int64_t work = 0;
+  for (size_t p = 0; p < kPriorities && p <= aPriority; ++p) {
+    work += aSidecar.report_.backlog_.at(p);
+  }
+  for (const Sidecar::Order& order : aSidecar.unreported_) {
+    work += order.work_;
+  }
+  return work;
+}
+
+bool
+JobEngine::CanEverRun(const Job& aJob) const
+{
+  const auto& steps = aJob.spec_.steps_;
+  return std::all_of(steps.begin(), steps.end(), [&](const StepSpec& aStep) {
+    return std::any_of(
+      sidecars_.begin(), sidecars_.end(), [&](const auto& aSidecar) {
+        return Usable(aSidecar.second, aJob, aStep);
+      });
+  });
+}
+
+} // namespace cornelfront
--- /dev/null
+++ b/src/libcornelfront/policy/job_runs.cpp
@@ -0,0 +1,270 @@
+/// \file
+/// JobEngine: what the ends and stalls of runs lead to.
+
+#include "cornelfront/job_engine.h"
+
+#include "policy/job_engine_pvt.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cornelfront {
+namespace {
+
+/// Weights of the newest value in smoothed figures.
+constexpr double kDurationWeight = 0.05;
+constexpr double kSlownessWeight = 0.15;
+constexpr double kFailureWeight = 0.25;
+
+/// Share of failed runs above which an upstream is avoided.
+constexpr double kEjectionShare = 0.6;
+
+double
+Smooth(double aOld, double aNew, double aWeight)
+{
+  return aOld + (aNew - aOld) * aWeight;
+}
+
+} // namespace
+
+void
+JobEngine::OnReports(MemberId aSidecar,
+                     const RunReports& aReports,
+                     MonoTime aNow)
+{
+  CheckPause(aNow);
+  const auto found = sidecars_.find(aSidecar);
+  if (found == sidecars_.end()) {
+    return;
+  }
+  Sidecar& sidecar = found->second;
+  if (sidecar.report_.upstream_ != aReports.upstream_.upstream_) {
+    sidecar.slowness_ = 1.0;
+    sidecar.failures_ = 0.0;
+    sidecar.avoidUntil_ = {};
+  }
+  sidecar.report_ = aReports.upstream_;
+  while (!sidecar.unreported_.empty() && sidecar.unreported_.front().number_ <=
+                                           aReports.upstream_.ordersReceived_) {
+    sidecar.unreported_.pop_front();
+  }
+  for (const RunReport& report : aReports.reports_) {
+    OnEnd(aSidecar, report, aNow);
+  }
+  for (const RunKey& key : aReports.started_) {
+    if (Job* job = FindJob(InstanceOf(key.task_))) {
+      job->begun_ = true;
+    }
+  }
+  for (const StalledRun& stalled : aReports.stalled_) {
+    OnStalled(aSidecar, stalled);
+  }
+  PlaceWaiting(aNow);
+}
+
+void
+JobEngine::OnEnd(MemberId aSidecar, const RunReport& aReport, MonoTime aNow)
+{
+  const auto sidecar = sidecars_.find(aSidecar);
+  if (sidecar == sidecars_.end()) {
+    return;
+  }
+  const bool known = sidecar->second.runs_.erase(aReport.key_) > 0;
+  const TaskName& name = aReport.key_.task_;
+  Job* job = FindJob(InstanceOf(name));
+  Task* found = FindTask(name);
+  const bool current = known && found != nullptr &&
+                       found->state_ == TaskState::Sent &&
+                       found->run_ == aReport.key_.run_;
+  if (!current) {
+    OnStoredEnd(aSidecar, aReport, aNow);
+    return;
+  }
+  Task& task = *found;
+  NoteUnsaved(*job, aSidecar, aReport, task);
+  Learn(sidecar->second, *job, aReport, aNow);
+  job->mayHaveRun_ |= aReport.end_ != RunEnd::NotStarted;
+  if (aReport.end_ == RunEnd::Done) {
+    Millis& longest = job->steps_[name.step_].longestRun_;
+    longest = std::max(longest, aReport.runTime_);
+    OnTaskDone(*job, name, aNow);
+    return;
+  }
+  task.state_ = TaskState::Ready;
+  task.avoid_.insert(aSidecar);
+  if (aReport.end_ == RunEnd::Failed) {
+    OnTaskFailed(*job, name, aNow);
+    return;
+  }
+  if (job->spec_.steps_[name.step_].gang_) {
+    RestartGang(*job, name.step_);
+  }
+  Place(*job, aNow);
+}
+
+void
+JobEngine::OnTaskDone(Job& aJob, const TaskName& aName, MonoTime aNow)
+{
+  Step& step = aJob.steps_[aName.step_];
+  const StepSpec& spec = aJob.spec_.steps_[aName.step_];
+  if (spec.longRunning_) {
+    step.tasks_[aName.index_].state_ = TaskState::Ready;
+    Place(aJob, aNow);
+    return;
+  }
+  if (spec.gang_) {
+    for (Task& task : step.tasks_) {
+      task.state_ = TaskState::Done;
+    }
+    step.open_ = 0;
+  } else {
+    step.tasks_[aName.index_].state_ = TaskState::Done;
+    --step.open_;
+  }
+  if (step.open_ > 0) {
+    return;
+  }
+  const bool finished =
+    std::all_of(aJob.steps_.begin(), aJob.steps_.end(), [](const Step& aStep) {
+      return aStep.open_ == 0;
+    });
+  if (finished) {
+    Finish(aJob, JobOutcome::Completed, "");
+    return;
+  }
+  UnblockSteps(aJob);
+  Place(aJob, aNow);
+}
+
+void
+JobEngine::OnTaskFailed(Job& aJob, const TaskName& aName, MonoTime aNow)
+{
+  Task& task = aJob.steps_[aName.step_].tasks_[aName.index_];
+  ++task.failures_;
+  if (!aJob.spec_.steps_[aName.step_].longRunning_ &&
+      task.failures_ >= aJob.queue_.attempts_) {
+    Finish(aJob,
+           JobOutcome::Failed,
+           ToString(aName) + " failed " + std::to_string(task.failures_) +
+             " times");
+    return;
+  }
+  if (aJob.spec_.steps_[aName.step_].gang_) {
+    RestartGang(aJob, aName.step_);
+  }
+  Place(aJob, aNow);
+}
+
+void
+JobEngine::RestartGang(Job& aJob, uint32_t aStep)
+{
+  Step& step = aJob.steps_[aStep];
+  uint32_t highest = 0;
+  for (uint32_t i = 0; i < step.tasks_.size(); ++i) {
+    Task& task = step.tasks_[i];
+    highest = std::max(highest, task.run_);
+    if (task.state_ == TaskState::Sent && !task.stopSent_) {
+      StopRun({ aJob.spec_.id_, aJob.occurrence_, aStep, i }, task);
+    }
+  }
+  // All members of one run have the same number.
+  for (Task& task : step.tasks_) {
+    if (task.state_ != TaskState::Sent) {
+      task.run_ = highest;
+    }
+  }
+}
+
+void
+JobEngine::Learn(Sidecar& aSidecar,
+                 const Job& aJob,
+                 const RunReport& aReport,
+                 MonoTime aNow)
+{
+  const bool failed = aReport.end_ == RunEnd::Failed;
+  if (failed || aReport.end_ == RunEnd::Done) {
+    aSidecar.failures_ =
+      Smooth(aSidecar.failures_, failed ? 1.0 : 0.0, kFailureWeight);
+    if (aSidecar.failures_ > kEjectionShare) {
+      aSidecar.avoidUntil_ = aNow + options_.ejection_;
+      aSidecar.failures_ = kEjectionShare;
+    }
+  }
+  if (aReport.end_ != RunEnd::Done) {
+    return;
+  }
+  const auto run = static_cast<double>(aReport.runTime_.count());
+  Durations& durations = durations_[aJob.queue_.name_];
+  if (!durations.known_) {
+    durations = { .meanMs_ = run, .known_ = true };
+  }
+  const double ratio = run / std::max(durations.meanMs_, 1.0);
+  durations.meanMs_ = Smooth(durations.meanMs_, run, kDurationWeight);
+  aSidecar.slowness_ = Smooth(aSidecar.slowness_, ratio, kSlownessWeight);
+  aSidecar.runMs_ = Smooth(aSidecar.runMs_, run, kDurationWeight);
+}
+
+void
+JobEngine::EndRuns(MemberId aSidecar, RunEnd aEnd, MonoTime aNow)
+{
+  const std::set<RunKey> runs = sidecars_.at(aSidecar).runs_;
+  for (const RunKey& key : runs) {
+    OnEnd(aSidecar, { .key_ = key, .end_ = aEnd }, aNow);
+  }
+}
+
+void
+JobEngine::OnStalled(MemberId aSidecar, const StalledRun& aStalled)
+{
+  const TaskName& name = aStalled.key_.task_;
+  Job* job = FindJob(InstanceOf(name));
+  Task* task = FindTask(name);
+  const auto sidecar = sidecars_.find(aSidecar);
+  if (task == nullptr || sidecar == sidecars_.end() ||
+      task->state_ != TaskState::Sent || task->sidecar_ != aSidecar ||
+      task->run_ != aStalled.key_.run_ || task->stopSent_ ||
+      task->stalls_ >= options_.mostStalls_ ||
+      job->spec_.steps_[name.step_].longRunning_ ||
+      !BlamesUpstream(sidecar->second, job->steps_[name.step_], aStalled)) {
+    return;
+  }
+  sidecar->second.slowness_ =
+    std::max(sidecar->second.slowness_, options_.stalledSlowness_);
+  ++task->stalls_;
+  StopRun(name, *task);
+}
+
+bool
+JobEngine::BlamesUpstream(const Sidecar& aSidecar,
+                          const Step& aStep,
+                          const StalledRun& aStalled) const
+{
+  // The first percent may be a matter of rounding.
+  if (aStalled.percent_ <= 1 || aSidecar.slowness_ >= options_.blameFactor_) {
+    return true;
+  }
+  constexpr double kWhole = 100.0;
+  const double total = ToMs(aStalled.age_) * kWhole / aStalled.percent_;
+  return aStep.longestRun_.count() > 0 &&
+         total > ToMs(aStep.longestRun_) * options_.blameFactor_;
+}
+
+void
+JobEngine::ForgetSlowness(Millis aElapsed)
+{
+  const double kept =
+    std::exp(-ToMs(aElapsed) / ToMs(options_.slownessMemory_));
+  for (auto& [id, sidecar] : sidecars_) {
+    sidecar.slowness_ = 1.0 + (sidecar.slowness_ - 1.0) * kept;
+  }
+}
+
+void
+JobEngine::StopRun(const TaskName& aName, Task& aTask)
+{
+  aTask.stopSent_ = true;
+  actions_.emplace_back(
+    SendStops{ aTask.sidecar_, { { { aName, aTask.run_ } } } });
+}
+
+} // namespace cornelfront
--- /dev/null
+++ b/src/libcornelfront/policy/job_stored.cpp
@@ -0,0 +1,281 @@
+/// \file
+/// JobEngine: jobs that are in the store, and leadership over them.
+
+#include "cornelfront/job_engine.h"
+
+#include "policy/job_engine_pvt.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cornelfront {
+namespace {
+
+/// Run numbers that an earlier leader may have used without leaving a trace.
+constexpr uint32_t kTakeoverRuns = 100;
+
+} // namespace
+
+void
+JobEngine::Lead(uint64_t aTerm, MonoTime aNow)
+{
+  CheckPause(aNow);
+  term_ = aTerm;
+  hasAuthority_ = true;
+  takingOver_ = true;
+}
+
+void
+JobEngine::Follow(MonoTime aNow)
+{
+  CheckPause(aNow);
+  term_ = 0;
+  hasAuthority_ = false;
+  unsaved_.clear();
+  saving_.clear();
+  for (auto job = jobs_.begin(); job != jobs_.end();) {
+    if (!job->second.stored_) {
+      ++job;
+      continue;
+    }
+    waiting_.erase(RankOf(job->second));
+    job = jobs_.erase(job);
+  }
+  // The new leader takes the runs over; they are no business of this one.
+  for (auto& [id, sidecar] : sidecars_) {
+    std::erase_if(sidecar.runs_, [this](const RunKey& aKey) {
+      return !jobs_.contains(InstanceOf(aKey.task_));
+    });
+  }
+}
+
+void
+JobEngine::SetAuthority(bool aHasAuthority, MonoTime aNow)
+{
+  CheckPause(aNow);
+  if (hasAuthority_ == aHasAuthority || term_ == 0) {
+    return;
+  }
+  hasAuthority_ = aHasAuthority;
+  if (hasAuthority_) {
+    PlaceWaiting(aNow);
+    return;
+  }
+  for (auto& [instance, job] : jobs_) {
+    for (uint32_t s = 0; job.stored_ && s < job.steps_.size(); ++s) {
+      auto& tasks = job.steps_[s].tasks_;
+      for (uint32_t i = 0; i < tasks.size(); ++i) {
+        if (tasks[i].state_ == TaskState::Sent) {
+          StopRun({ instance.job_, instance.occurrence_, s, i }, tasks[i]);
+        }
+      }
+    }
+  }
+}
+
+void
+JobEngine::SetTakingOver(bool aTakingOver, MonoTime aNow)
+{
+  CheckPause(aNow);
+  takingOver_ = aTakingOver;
+  if (!takingOver_) {
+    for (auto& [instance, job] : jobs_) {
+      job.fromEarlierLeader_ = false;
+    }
+    PlaceWaiting(aNow);
+  }
+}
+
+void
+JobEngine::Restore(const JobDescription& aJob,
+                   uint32_t aOccurrence,
+                   const JobQueue& aQueue,
+                   const JobProgress& aProgress,
+                   Millis aAge,
+                   bool aFromEarlierLeader,
+                   MonoTime aNow)
+{
+  CheckPause(aNow);
+  const JobInstance instance{ aJob.id_, aOccurrence };
+  if (jobs_.contains(instance)) {
+    return;
+  }
+  Job& job = jobs_[instance];
+  job.spec_ = aJob;
+  job.queue_ = aQueue;
+  job.occurrence_ = aOccurrence;
+  job.stored_ = true;
+  job.fromEarlierLeader_ = aFromEarlierLeader;
+  job.submitted_ = aNow - std::max(aAge, Millis(0));
+  job.goal_ = job.submitted_ + FromMs(SlackMs(job, job.spec_.steps_.front()));
+  job.deadline_ = MonoTime::max();
+  for (size_t s = 0; s < aJob.steps_.size(); ++s) {
+    const uint32_t count = aJob.steps_[s].count_;
+    Step step{ .tasks_ = std::vector<Task>(count), .open_ = count };
+    for (size_t i = 0; i < count; ++i) {
+      Task& task = step.tasks_[i];
+      if (s < aProgress.size() && i < aProgress[s].size()) {
+        task.failures_ = aProgress[s][i].failures_;
+        task.endedRun_ = aProgress[s][i].endedRun_;
+        if (aProgress[s][i].done_) {
+          task.state_ = TaskState::Done;
+          --step.open_;
+        }
+      }
+      task.run_ = task.endedRun_ + (aFromEarlierLeader ? kTakeoverRuns : 0);
+    }
+    job.steps_.push_back(std::move(step));
+  }
+  UnblockSteps(job);
+  Place(job, aNow);
+}
+
+void
+JobEngine::OnTakenOver(MemberId aSidecar, const HeldRuns& aHeld, MonoTime aNow)
+{
+  CheckPause(aNow);
+  if (!sidecars_.contains(aSidecar)) {
+    return;
+  }
+  for (const RunReport& report : aHeld.reports_) {
+    OnEnd(aSidecar, report, aNow);
+  }
+  for (const RunKey& key : aHeld.runs_) {
+    Adopt(aSidecar, key, aNow);
+  }
+}
+
+void
+JobEngine::Adopt(MemberId aSidecar, const RunKey& aKey, MonoTime aNow)
+{
+  Sidecar& sidecar = sidecars_.at(aSidecar);
+  if (sidecar.runs_.contains(aKey)) {
+    return;
+  }
+  Task* task = FindTask(aKey.task_);
+  Job* job = FindJob(InstanceOf(aKey.task_));
+  const bool wanted =
+    task != nullptr && job->stored_ && aKey.run_ > task->endedRun_ &&
+    (task->state_ == TaskState::Ready || task->state_ == TaskState::Blocked);
+  sidecar.runs_.insert(aKey);
+  if (!wanted) {
+    actions_.emplace_back(SendStops{ aSidecar, { { aKey } } });
+    return;
+  }
+  task->state_ = TaskState::Sent;
+  task->run_ = aKey.run_;
+  task->sidecar_ = aSidecar;
+  task->sent_ = aNow;
+  task->stopSent_ = false;
+  job->anySent_ = true;
+  job->mayHaveRun_ = true;
+}
+
+void
+JobEngine::Save(Job& aJob,
+                std::optional<JobOutcome> aOutcome,
+                std::string aReason)
+{
+  actions_.emplace_back(SaveJob{ .instance_ = InstanceOf(aJob),
+                                 .progress_ = ProgressOf(aJob),
+                                 .outcome_ = aOutcome,
+                                 .reason_ = std::move(aReason),
+                                 .ends_ = std::exchange(aJob.unsaved_, {}) });
+}
+
+void
+JobEngine::OnSaved(const std::vector<KeptEnd>& aEnds)
+{
+  std::map<MemberId, ForgetEnds> forget;
+  for (const KeptEnd& end : aEnds) {
+    saving_.erase(end.key_);
+    forget[end.sidecar_].runs_.push_back(end.key_);
+  }
+  for (auto& [id, ends] : forget) {
+    actions_.emplace_back(SendForget{ id, std::move(ends) });
+  }
+}
+
+JobProgress
+JobEngine::Progress(const JobInstance& aInstance) const
+{
+  const auto found = jobs_.find(aInstance);
+  return found == jobs_.end() ? JobProgress{} : ProgressOf(found->second);
+}
+
+JobProgress
+JobEngine::ProgressOf(const Job& aJob)
+{
+  JobProgress progress;
+  for (const Step& step : aJob.steps_) {
+    auto& tasks = progress.emplace_back();
+    for (const Task& task : step.tasks_) {
+      tasks.push_back({ .done_ = task.state_ == TaskState::Done,
+                        .failures_ = task.failures_,
+                        .endedRun_ = task.endedRun_ });
+    }
+  }
+  return progress;
+}
+
+bool
+JobEngine::HasBegun(const JobInstance& aInstance) const
+{
+  const auto found = jobs_.find(aInstance);
+  return found != jobs_.end() && found->second.begun_;
+}
+
+void
+JobEngine::NoteUnsaved(Job& aJob,
+                       MemberId aSidecar,
+                       const RunReport& aReport,
+                       Task& aTask)
+{
+  // A run that was lost may turn out to have ended otherwise.
+  if (!aJob.stored_ || aReport.end_ == RunEnd::NotStarted ||
+      aReport.end_ == RunEnd::Lost) {
+    return;
+  }
+  aTask.endedRun_ = std::max(aTask.endedRun_, aReport.key_.run_);
+  if (aReport.kept_) {
+    aJob.unsaved_.push_back({ aSidecar, aReport.key_ });
+    saving_.insert(aReport.key_);
+  }
+  unsaved_.insert(InstanceOf(aJob));
+}
+
+void
+JobEngine::OnStoredEnd(MemberId aSidecar,
+                       const RunReport& aReport,
+                       MonoTime aNow)
+{
+  if (!aReport.kept_ || term_ == 0) {
+    return;
+  }
+  const TaskName& name = aReport.key_.task_;
+  Job* job = FindJob(InstanceOf(name));
+  Task* task = FindTask(name);
+  const bool done = aReport.end_ == RunEnd::Done;
+  // A task that is being run again has been done all the same.
+  const bool counts = task != nullptr && job->stored_ &&
+                      aReport.key_.run_ > task->endedRun_ &&
+                      task->state_ != TaskState::Done &&
+                      (done || task->state_ != TaskState::Sent);
+  if (!counts) {
+    if (!saving_.contains(aReport.key_)) {
+      actions_.emplace_back(SendForget{ aSidecar, { { aReport.key_ } } });
+    }
+    return;
+  }
+  NoteUnsaved(*job, aSidecar, aReport, *task);
+  if (done) {
+    if (task->state_ == TaskState::Sent && !task->stopSent_) {
+      StopRun(name, *task);
+    }
+    OnTaskDone(*job, name, aNow);
+  } else if (aReport.end_ == RunEnd::Failed) {
+    OnTaskFailed(*job, name, aNow);
+  }
+}
+
+} // namespace cornelfront
--- a/testsuite/harness/platform_cluster.cpp
+++ b/testsuite/harness/platform_cluster.cpp
@@ -71,9 +71,13 @@
                      std::vector<std::string> aCommand)
 {
   const int start = starts_[aName]++;
-  return std::make_unique<Process>(ProcessOptions{
-    .command_ = std::move(aCommand),
-    .errorFile_ = folder_.Path(aName + "." + std::to_string(start) + ".err") });
+  const std::string file = folder_.Path(aName + "." + std::to_string(start));
+  // Stand-ins tell their port on standard output.
+  const bool logs = aName.starts_with("entry") || aName.starts_with("sidecar");
+  return std::make_unique<Process>(
+    ProcessOptions{ .command_ = std::move(aCommand),
+                    .errorFile_ = file + ".err",
+                    .outputFile_ = logs ? file + ".out" : "" });
 }
 
 void
@@ -182,7 +186,7 @@
       const std::string name = "entry-" + std::to_string(i);
       for (int start = 0; start < starts_[name]; ++start) {
         const std::string text =
-          ReadText(folder_.Path(name + "." + std::to_string(start) + ".err"));
+          ReadText(folder_.Path(name + "." + std::to_string(start) + ".out"));
         for (std::sregex_iterator at(text.begin(), text.end(), leading), end;
              at != end;
              ++at) {
--- a/testsuite/harness/process.cpp
+++ b/testsuite/harness/process.cpp
@@ -166,6 +166,18 @@
   return Path(aName);
 }
 
+namespace {
+
+int
+OpenLog(const std::string& aFile)
+{
+  return open(aFile.c_str(),
+              O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
+              S_IRUSR | S_IWUSR);
+}
+
+} // namespace
+
 Process::Process(const ProcessOptions& aOptions)
   : errorFile_(aOptions.errorFile_)
 {
@@ -173,9 +185,9 @@
   if (pipe2(pipe.data(), O_CLOEXEC) != 0) {
     ThrowErrno("pipe");
   }
-  const int error = open(aOptions.errorFile_.c_str(),
-                         O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
-                         S_IRUSR | S_IWUSR);
+  const int error = OpenLog(aOptions.errorFile_);
+  const int output =
+    aOptions.outputFile_.empty() ? -1 : OpenLog(aOptions.outputFile_);
   std::vector<char*> arguments;
   for (const std::string& argument : aOptions.command_) {
     arguments.push_back(const_cast<char*>(argument.c_str()));
@@ -183,10 +195,13 @@
   arguments.push_back(nullptr);
   pid_ = fork();
   if (pid_ == 0) {
-    Execute(arguments, pipe[1], error);
+    Execute(arguments, output < 0 ? pipe[1] : output, error);
   }
   close(pipe[1]);
   close(error);
+  if (output >= 0) {
+    close(output);
+  }
   output_ = pipe[0];
   if (pid_ < 0) {
     ThrowErrno("fork");
--- a/testsuite/harness/process.h
+++ b/testsuite/harness/process.h
@@ -48,6 +48,8 @@
   std::vector<std::string> command_;
   /// File that receives the standard error.
   std::string errorFile_;
+  /// File that receives the standard output, which can't be waited for then.
+  std::string outputFile_ = {};
 };
 
 /// One child process; killed and reaped by the destructor, and by the system
