--- a/src/libcornelfront/policy/job_engine_test.cpp
+++ b/src/libcornelfront/policy/job_engine_test.cpp
@@ -10,6 +10,8 @@
 const std::string kJob = "00000000000000a1";
 constexpr MemberId kFirst{ 1 };
 constexpr MemberId kSecond{ 2 };
+/// For one of the upstreams.
+constexpr int64_t kTwoSecondsOfWork = 8000000;
 
 MonoTime
 At(int aMs)
@@ -220,7 +222,7 @@
     UpstreamReport full = Idle(sidecar == kFirst ? "u1" : "u2");
     full.committed_ = { .cpu_ = 8000 };
     // Two seconds of work for the whole upstream.
-    full.backlog_ = { 4000 * 2000 };
+    full.backlog_ = { kTwoSecondsOfWork };
     engine_.OnReports(sidecar, { .upstream_ = full }, At(1));
   }
   Submit(Job(), 2);
@@ -236,7 +238,7 @@
   for (const MemberId sidecar : { kFirst, kSecond }) {
     UpstreamReport full = Idle(sidecar == kFirst ? "u1" : "u2");
     full.committed_ = { .cpu_ = 4000 };
-    full.backlog_ = { 0, 0, 4000 * 2000 };
+    full.backlog_ = { 0, 0, kTwoSecondsOfWork };
     engine_.OnReports(sidecar, { .upstream_ = full }, At(1));
   }
   Submit(Job(), 2);
@@ -492,7 +494,7 @@
   std::map<MemberId, int> sent;
   for (int i = 0; i < 40; ++i) {
     const std::string id = "00000000000001" + std::to_string(10 + i);
-    Submit(Job(1, id), i * 10, static_cast<JobTicket>(100 + i));
+    Submit(Job(1, id), i * 10, 100 + static_cast<JobTicket>(i));
     Wanted wanted = Take();
     // The first upstream fails whatever it starts.
     while (!wanted.runs_.empty()) {
@@ -733,7 +735,7 @@
       }
     }
   };
-  const auto end = [&](MemberId aSidecar, RunKey aKey, RunEnd aEnd) {
+  const auto end = [&](MemberId aSidecar, const RunKey& aKey, RunEnd aEnd) {
     present[aSidecar].erase(aKey);
     holders[aKey.task_].erase(aSidecar);
     if (aEnd != RunEnd::NotStarted) {
@@ -771,8 +773,8 @@
       case 3:
       case 4:
         if (!present[sidecar].empty()) {
-          const auto end_ = static_cast<RunEnd>(pick(8));
-          end(sidecar, *present[sidecar].begin(), end_);
+          const RunKey key = *present[sidecar].begin();
+          end(sidecar, key, static_cast<RunEnd>(pick(8)));
         }
         break;
       case 5:
