--- a/testsuite/process/platform_test.cpp
+++ b/testsuite/process/platform_test.cpp
@@ -171,6 +171,30 @@
   EXPECT_EQ(cluster.State(1, JobId(1)), "completed");
 }
 
+TEST(PlatformStored, AScheduledJobRunsEachTimeWhenItIsDue)
+{
+  PlatformCluster cluster(2, 2);
+  const auto now =
+    std::chrono::duration_cast<Millis>(WallClock::now().time_since_epoch());
+  const int64_t due = now.count() + 800;
+  const HttpResult accepted = cluster.Call(
+    0,
+    "POST",
+    "/q1/" + JobId(1),
+    R"({"steps":[{"count":1,"cpu":1000}],"repeats":3,"intervalMs":700,
+"startAtMs":)" +
+      std::to_string(due) + "}");
+  EXPECT_EQ(accepted.response_.status_, 200);
+  EXPECT_EQ(cluster.State(0, JobId(1)), "queued");
+  EXPECT_TRUE(cluster.WaitState(1, JobId(1), "completed"));
+  const auto runs = cluster.Runs();
+  EXPECT_EQ(runs.size(), 3U);
+  for (const RunRecord& run : runs) {
+    const int64_t occurrence = run.task_.at(JobId(1).size() + 1) - '0';
+    EXPECT_GE(run.begun_, due + occurrence * 700) << run.task_;
+  }
+}
+
 TEST(PlatformStored, AJobThatFailsIsShownAsFailed)
 {
   PlatformCluster cluster(1, 2);
