Refuse requests whose end is ambiguous; answer large bodies that are sent whole

Cause: libmicrohttpd takes the first of two Content-Length headers, and a length beside Transfer-Encoding; such requests were answered 200. A body over the limit was answered before it was read, so that closing the connection reset it: a client that sent 64 MB got a broken pipe instead of 413.

Change: two lengths, a length that is no number, and a length beside an encoding are 400. A rejected request is answered at once, nothing more is sent, and what still comes is read and dropped until the client ends or the time for a request is over.

--- a/src/libcornelfront/caller_api_contract_test.cpp
+++ b/src/libcornelfront/caller_api_contract_test.cpp
@@ -345,6 +345,52 @@
   ExpectServed();
 }
 
+TEST_F(CallerContract, AnswersALargeBodyThatIsSentToItsEnd)
+{
+  constexpr size_t kBytes = 64U << 20;
+  const RawConnection connection(server_.Port());
+  ASSERT_TRUE(connection.Send("POST /v1/services/desk/jobs HTTP/1.1\r\n"
+                              "Host: x\r\nContent-Length: " +
+                              std::to_string(kBytes) + "\r\n\r\n"));
+  EXPECT_TRUE(connection.Send(std::string(kBytes, 'x')));
+  ExpectRefused({ "64 MB", "", 413, "body", "at most 200000 bytes" },
+                connection.ReadAll());
+  ExpectServed();
+}
+
+TEST_F(CallerContract, RefusesRequestsWhoseEndIsAmbiguous)
+{
+  const std::string line =
+    "POST /v1/services/desk/jobs HTTP/1.1\r\nHost: x\r\n";
+  const std::string body = "5\r\nhello\r\n0\r\n\r\n";
+  const std::vector<BadRequest> cases = {
+    { "two lengths",
+      line + "Content-Length: 5\r\nContent-Length: 15\r\n\r\n" + body,
+      400,
+      "content-length",
+      "one number" },
+    { "length beside chunks",
+      line + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n" + body,
+      400,
+      "content-length",
+      "beside Transfer-Encoding" },
+  };
+  for (const BadRequest& bad : cases) {
+    const RawConnection connection(server_.Port());
+    ASSERT_TRUE(connection.Send(bad.bytes_));
+    ExpectRefused(bad, connection.ReadAll());
+    ExpectServed();
+  }
+  EXPECT_EQ(runner_.jobs_, nextGood_);
+}
+
+TEST_F(CallerContract, RefusesANulInAKey)
+{
+  const RawConnection connection(server_.Port());
+  connection.Send(Call("Idempotency-Key: " + kId + std::string("k\0k\r\n", 5)));
+  EXPECT_EQ(connection.ReadAll().substr(0, 13), "HTTP/1.1 400 ");
+}
+
 TEST_F(CallerContract, RefusesUnannouncedLargeBody)
 {
   const RawConnection connection(server_.Port());
--- a/src/libcornelfront/net/http_server.cpp
+++ b/src/libcornelfront/net/http_server.cpp
@@ -1,6 +1,7 @@
 #include "cornelfront/http_server.h"
 
 #include "net/receive_watch.h"
+#include "net/request_framing.h"
 #include "net/server_errors.h"
 
 #include <glog/logging.h>
@@ -113,6 +114,8 @@
 {
   HttpRequest request_;
   bool dispatched_ = false;
+  /// Answered before it had arrived whole; the rest is read and dropped.
+  bool rejected_ = false;
   std::shared_ptr<HttpReply::State> reply_;
 };
 
@@ -403,27 +406,48 @@
       state = NewRequest(aConnection, aUrl, aMethod);
       self->openRequests_.fetch_add(1);
       *aState = state;
-      return self->RejectLargeBody(*state, aConnection);
+      self->CheckRequest(*state, aConnection);
+      return MHD_YES;
     }
     if (*aUploadSize > 0) {
       const size_t size = *aUploadSize;
       *aUploadSize = 0;
-      return self->CollectBody(*state, aConnection, { aUpload, size });
+      self->CollectBody(*state, aConnection, { aUpload, size });
+      return MHD_YES;
+    }
+    if (state->rejected_) {
+      return MHD_NO; // closes the connection
     }
     self->watch_.OnReceived(SocketOf(aConnection));
     return self->Answer(*state, aConnection);
   }
 
-  /// Answers before the body is sent if its announced length is too large.
-  MHD_Result RejectLargeBody(const RequestState& aState,
-                             MHD_Connection* aConnection) const
+  /// Rejects a request with a faulty header, or whose announced length is too
+  /// large.
+  void CheckRequest(RequestState& aState, MHD_Connection* aConnection) const
   {
+    if (const auto refusal = CheckFraming(aState.request_)) {
+      Reject(aState, aConnection, *refusal);
+      return;
+    }
     const std::string text = aState.request_.Header("content-length");
     const size_t limit = options_.maxBodyBytes_;
-    if (text.empty() || std::strtoull(text.c_str(), nullptr, 10) <= limit) {
-      return MHD_YES;
+    if (std::strtoull(text.c_str(), nullptr, 10) > limit) {
+      Reject(aState, aConnection, BodyTooLarge(text, limit));
     }
-    return QueueResponse(aConnection, BodyTooLarge(text, limit));
+  }
+
+  /// Answers at once, which MHD can do only once a request has arrived whole.
+  /// What the client still sends is read and dropped for as long as a request
+  /// may take, since closing a connection with unread bytes resets it and the
+  /// client might never see the answer.
+  static void Reject(RequestState& aState,
+                     MHD_Connection* aConnection,
+                     const HttpResponse& aResponse)
+  {
+    aState.rejected_ = true;
+    aState.request_.body_ = {};
+    EndTransmission(SocketOf(aConnection), RawResponse(aResponse));
   }
 
   static RequestState* NewRequest(MHD_Connection* aConnection,
@@ -440,22 +464,23 @@
     return state.release();
   }
 
-  /// A body of unannounced length that grows too large ends the connection:
-  /// MHD cannot queue a response before the whole request has arrived.
-  MHD_Result CollectBody(RequestState& aState,
-                         MHD_Connection* aConnection,
-                         std::string_view aData) const
+  void CollectBody(RequestState& aState,
+                   MHD_Connection* aConnection,
+                   std::string_view aData) const
   {
+    if (aState.rejected_) {
+      return;
+    }
     std::string& body = aState.request_.body_;
     const size_t size = body.size() + aData.size();
     if (size > options_.maxBodyBytes_) {
-      const HttpResponse response =
-        BodyTooLarge(std::to_string(size) + " or more", options_.maxBodyBytes_);
-      EndReception(SocketOf(aConnection), RawResponse(response));
-      return MHD_NO;
+      Reject(aState,
+             aConnection,
+             BodyTooLarge(std::to_string(size) + " or more",
+                          options_.maxBodyBytes_));
+      return;
     }
     body.append(aData);
-    return MHD_YES;
   }
 
   MHD_Result Answer(RequestState& aState, MHD_Connection* aConnection)
--- a/src/libcornelfront/net/receive_watch.cpp
+++ b/src/libcornelfront/net/receive_watch.cpp
@@ -29,6 +29,14 @@
   shutdown(aSocket, SHUT_RD);
 }
 
+void
+EndTransmission(int aSocket, std::string_view aResponse)
+{
+  send(
+    aSocket, aResponse.data(), aResponse.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+  shutdown(aSocket, SHUT_WR);
+}
+
 ReceiveWatch::ReceiveWatch(ReceiveWatchOptions aOptions)
   : options_(std::move(aOptions))
   , thread_([this] { Loop(); })
--- a/src/libcornelfront/net/receive_watch.h
+++ b/src/libcornelfront/net/receive_watch.h
@@ -30,6 +30,11 @@
 void
 EndReception(int aSocket, std::string_view aResponse);
 
+/// Writes what the socket takes at once and tells the client that nothing
+/// follows; what it sends can still be read.
+void
+EndTransmission(int aSocket, std::string_view aResponse);
+
 /// Ends the reception of requests that take too long, however steadily their
 /// bytes come in. Thread-safe; sockets are named by their descriptors, which
 /// must be open from OnConnect to OnClose.
--- a/src/libcornelfront/net/server_errors.cpp
+++ b/src/libcornelfront/net/server_errors.cpp
@@ -10,6 +10,7 @@
 
 using Json = nlohmann::json;
 
+constexpr int kStatusBadRequest = 400;
 constexpr int kStatusTimeout = 408;
 constexpr int kStatusTooLarge = 413;
 constexpr int kStatusInternalError = 500;
@@ -40,6 +41,8 @@
 PhraseOf(int aStatus)
 {
   switch (aStatus) {
+    case kStatusBadRequest:
+      return "Bad Request";
     case kStatusTimeout:
       return "Request Timeout";
     case kStatusTooLarge:
@@ -63,6 +66,18 @@
       { "bound", "must have at most " + std::to_string(aLimit) + " bytes" } });
 }
 
+HttpResponse
+InvalidHeader(const std::string& aField,
+              const std::string& aValue,
+              const std::string& aBound)
+{
+  return ErrorResponse(
+    kStatusBadRequest,
+    true,
+    "invalid_field",
+    { { "field", aField }, { "value", aValue }, { "bound", aBound } });
+}
+
 HttpResponse
 RequestTooSlow(Millis aLimit)
 {
--- a/src/libcornelfront/net/server_errors.h
+++ b/src/libcornelfront/net/server_errors.h
@@ -17,6 +17,13 @@
 HttpResponse
 RequestTooSlow(Millis aLimit);
 
+/// A header field whose value the server can't take: \p aBound says what it
+/// must be.
+HttpResponse
+InvalidHeader(const std::string& aField,
+              const std::string& aValue,
+              const std::string& aBound);
+
 /// The server stops and took no further request.
 HttpResponse
 Stopping();
