Take only clear answers of store and executors as a sign that nothing was done

The store stand-in had lost the answer to the append and its connection ended with 500; every status but 200, 409 and 410 counted as "not done".

Change: statuses 4xx, 503 and 507 say that nothing was done; others leave it open, so the append is repeated under its number. The same for orders to start.

Ruled out: a late delivery by the frozen proxy, by the log line "append failed: status 500" 0.3 ms before the refusal.

--- a/src/libcornelfront/platform/executor_client.cpp
+++ b/src/libcornelfront/platform/executor_client.cpp
@@ -1,5 +1,6 @@
 #include "platform/executor_client.h"
 
+#include "platform/answer_status_pvt.h"
 #include "platform/json_fields_pvt.h"
 
 #include <glog/logging.h>
@@ -135,6 +136,8 @@
     } catch (const WireError& error) {
       LOG(ERROR) << "answer to a start: " << error.what();
     }
+  } else if (!SaysNothingWasDone(aResult.response_.status_)) {
+    return StartAnswer::Unknown;
   } else {
     LOG(WARNING) << "start refused status=" << aResult.response_.status_;
   }
--- a/src/libcornelfront/platform/store_client.cpp
+++ b/src/libcornelfront/platform/store_client.cpp
@@ -1,6 +1,7 @@
 #include "platform/store_client.h"
 
 #include "cornelfront/codec.h"
+#include "platform/answer_status_pvt.h"
 #include "platform/json_fields_pvt.h"
 
 #include <glog/logging.h>
@@ -118,8 +119,11 @@
   if (aResult.response_.status_ == kStatusConflict) {
     return StoreOutcome::Fenced;
   }
-  return aResult.response_.status_ == kStatusGone ? StoreOutcome::Gone
-                                                  : StoreOutcome::NotDone;
+  if (aResult.response_.status_ == kStatusGone) {
+    return StoreOutcome::Gone;
+  }
+  return SaysNothingWasDone(aResult.response_.status_) ? StoreOutcome::NotDone
+                                                       : StoreOutcome::Unknown;
 }
 
 std::string
--- a/src/libcornelfront/platform/store_client_test.cpp
+++ b/src/libcornelfront/platform/store_client_test.cpp
@@ -86,6 +86,23 @@
   EXPECT_EQ(appends_[1].body_.size(), 4 * EncodeRecord({ "k", "v" }).size());
 }
 
+TEST_F(ScriptedStore, OnlyStatusesThatSaySoMeanThatNothingWasDone)
+{
+  for (const int status : { 400, 429, 503, 507 }) {
+    BatchWriter writer(loop_, store_, { .topic_ = "t", .producer_ = "p" });
+    statuses_ = { status };
+    EXPECT_EQ(Write(writer), StoreOutcome::NotDone) << status;
+  }
+  for (const int status : { 500, 502, 504 }) {
+    BatchWriter writer(loop_, store_, { .topic_ = "t", .producer_ = "p" });
+    appends_.clear();
+    statuses_ = { status, 503, 200 };
+    EXPECT_EQ(Write(writer), StoreOutcome::Ok) << status;
+    ASSERT_EQ(appends_.size(), 3U) << status;
+    EXPECT_EQ(appends_[2].Query("seq"), appends_[0].Query("seq"));
+  }
+}
+
 TEST_F(ScriptedStore, WhatIsRefusedIsNotRepeated)
 {
   BatchWriter writer(loop_, store_, { .topic_ = "t", .producer_ = "p" });
