Soak the processes that serve jobs under random faults

This one builds on the harness of the process tests: a proxy stands on every leg, a seeded series of 23 kinds of fault strikes (signals, connections, store, executors, zones), callers keep their connections open, and what callers and executors saw is checked: one run at a time, nothing after an acknowledged end, no run of a refused job, whole answers, states of accepted jobs, nothing on executors that drain or whose zone is out, no request cut by planned work.

An entry can advertise another address than it listens on, which lets a proxy stand between sidecars and entries. The executor stand-in can be reborn, tells when ends were acknowledged, refuses orders for another incarnation and may have a slow clock.

Callers use cpp-httplib: libcurl silently repeats a request on a kept connection that turns out closed, which clients of the system must not do.

--- a/src/include/cornelfront/job_settings.h
+++ b/src/include/cornelfront/job_settings.h
@@ -21,6 +21,9 @@
   Endpoint readiness_;
   /// Sidecars.
   Endpoint messages_;
+  /// Where sidecars reach `messages` from elsewhere; the same unless something
+  /// that forwards connections stands between.
+  Endpoint advertised_;
   Endpoint metrics_;
   /// The platform's store.
   Endpoint store_;
--- a/src/libcornelfront/job_entry.cpp
+++ b/src/libcornelfront/job_entry.cpp
@@ -220,7 +220,7 @@
                                   .producer_ = "entry-" + ToString(self_),
                                   .untilDone_ = true });
   registration_->Write(
-    { platform::MemberRecord(settings_.name_, settings_.messages_) },
+    { platform::MemberRecord(settings_.name_, settings_.advertised_) },
     [this](platform::StoreOutcome, MonoTime) {
       LOG(INFO) << "registered name=" << settings_.name_;
     });
--- a/src/libcornelfront/policy/job_settings_test.cpp
+++ b/src/libcornelfront/policy/job_settings_test.cpp
@@ -46,6 +46,11 @@
   EXPECT_EQ(settings.name_, "front-a-1");
   EXPECT_EQ(FormatEndpoint(settings.store_), "10.200.1.7:8169");
   EXPECT_EQ(settings.stopLimit_, Millis(5000));
+  EXPECT_EQ(FormatEndpoint(settings.advertised_), "10.1.0.13:7720");
+  EXPECT_EQ(FormatEndpoint(
+              ParseJobEntrySettings(kEntry + "  advertised: \"10.1.0.13:9\"\n")
+                .advertised_),
+            "10.1.0.13:9");
 }
 
 TEST(JobSettingsTest, ReadsASidecar)
--- a/src/libcornelfront/policy/settings.cpp
+++ b/src/libcornelfront/policy/settings.cpp
@@ -183,6 +183,8 @@
   aReader.Address("clients", aSettings.clients_, Need::Required);
   aReader.Address("readiness", aSettings.readiness_, Need::Required);
   aReader.Address("messages", aSettings.messages_, Need::Required);
+  aSettings.advertised_ = aSettings.messages_;
+  aReader.Address("advertised", aSettings.advertised_, Need::Optional);
   aReader.Address("metrics", aSettings.metrics_, Need::Required);
   aReader.Address("store", aSettings.store_, Need::Required);
   ReadLinks(aReader, aSettings.links_);
@@ -336,6 +338,7 @@
   PrintLine(out, "clients", FormatEndpoint(aSettings.clients_));
   PrintLine(out, "readiness", FormatEndpoint(aSettings.readiness_));
   PrintLine(out, "messages", FormatEndpoint(aSettings.messages_));
+  PrintLine(out, "advertised", FormatEndpoint(aSettings.advertised_));
   PrintLine(out, "metrics", FormatEndpoint(aSettings.metrics_));
   PrintLine(out, "store", FormatEndpoint(aSettings.store_));
   PrintLinks(out, aSettings.links_);
--- a/testsuite/harness/platform_cluster.cpp
+++ b/testsuite/harness/platform_cluster.cpp
@@ -37,35 +37,99 @@
 } // namespace
 
 PlatformCluster::PlatformCluster(unsigned aEntries, unsigned aSidecars)
+  : PlatformCluster(
+      PlatformClusterOptions{ .entries_ = aEntries, .sidecars_ = aSidecars })
 {
-  store_ = Run("store", { STORE_STANDIN });
-  storePort_ =
-    static_cast<uint16_t>(std::stoi(store_->WaitForLine("listening http ")));
+}
+
+PlatformCluster::PlatformCluster(const PlatformClusterOptions& aOptions)
+  : options_(aOptions)
+{
+  StartStore();
   Operate("config", kConfig);
-  for (unsigned i = 0; i < aEntries; ++i) {
+  for (unsigned i = 0; i < options_.entries_; ++i) {
     clientPorts_.push_back(FreePort());
     readyPorts_.push_back(FreePort());
     messagePorts_.push_back(FreePort());
     entries_.emplace_back();
     StartEntry(i);
   }
-  for (unsigned i = 0; i < aSidecars; ++i) {
+  for (unsigned i = 0; i < options_.sidecars_; ++i) {
     heartbeatPorts_.push_back(FreePort());
-    const std::string id = "u-" + std::to_string(i);
-    executors_.push_back(Run(id,
-                             { EXECUTOR_STANDIN,
-                               "--id",
-                               id,
-                               "--heartbeats",
-                               Loopback(heartbeatPorts_.back()) }));
-    executorPorts_.push_back(static_cast<uint16_t>(
-      std::stoi(executors_.back()->WaitForLine("listening http "))));
+    executors_.emplace_back();
+    StartExecutor(i);
     sidecars_.emplace_back();
     StartSidecar(i);
   }
   WaitReady();
 }
 
+void
+PlatformCluster::StartStore()
+{
+  store_ = Run("store", { STORE_STANDIN });
+  storePort_ =
+    static_cast<uint16_t>(std::stoi(store_->WaitForLine("listening http ")));
+}
+
+void
+PlatformCluster::StartExecutor(unsigned aExecutor)
+{
+  const std::string id = "u-" + std::to_string(aExecutor);
+  executors_[aExecutor] = Run(id,
+                              { EXECUTOR_STANDIN,
+                                "--id",
+                                id,
+                                "--heartbeats",
+                                Loopback(heartbeatPorts_[aExecutor]),
+                                "--clock-percent",
+                                aExecutor % 2 == 0 ? "100" : "98" });
+  executorPorts_.push_back(static_cast<uint16_t>(
+    std::stoi(executors_[aExecutor]->WaitForLine("listening http "))));
+}
+
+uint16_t
+PlatformCluster::Proxied(ProxiedLeg aLeg, unsigned aIndex, uint16_t aPort)
+{
+  if (!options_.proxied_) {
+    return aPort;
+  }
+  const auto [found, isNew] = proxies_.try_emplace({ aLeg, aIndex });
+  Proxy& proxy = found->second;
+  if (isNew) {
+    proxy.process_ = Run("proxy-" + std::to_string(proxies_.size()),
+                         { FAULT_PROXY, "--route", "0:" + Loopback(aPort) });
+    proxy.port_ = static_cast<uint16_t>(
+      std::stoi(proxy.process_->WaitForLine("route 0 listening ")));
+    proxy.control_ =
+      "http://127.0.0.1:" + proxy.process_->WaitForLine("listening ") +
+      "/control";
+  }
+  return proxy.port_;
+}
+
+void
+PlatformCluster::ProxyFault(ProxiedLeg aLeg,
+                            unsigned aIndex,
+                            const std::string& aFields)
+{
+  Json fields = Json::parse(aFields);
+  fields["route"] = "all";
+  Control(proxies_.at({ aLeg, aIndex }).control_, fields.dump());
+}
+
+std::string
+PlatformCluster::ClientAddress(unsigned aEntry) const
+{
+  return Loopback(clientPorts_.at(aEntry));
+}
+
+std::string
+PlatformCluster::ZoneOf(unsigned aSidecar) const
+{
+  return std::string("z").append(std::to_string(aSidecar % options_.entries_));
+}
+
 std::unique_ptr<Process>
 PlatformCluster::Run(const std::string& aName,
                      std::vector<std::string> aCommand)
@@ -84,13 +148,17 @@
 PlatformCluster::StartEntry(unsigned aEntry)
 {
   const std::string name = "entry-" + std::to_string(aEntry);
+  const uint16_t advertised =
+    Proxied(ProxiedLeg::SidecarsToEntry, aEntry, messagePorts_[aEntry]);
+  const uint16_t store = Proxied(ProxiedLeg::EntryToStore, aEntry, storePort_);
   const std::string file = folder_.Write(
     name + ".yaml",
     "job_entry:\n  name: " + name + "\n  zone: z" + std::to_string(aEntry) +
       "\n  clients: \"" + Loopback(clientPorts_[aEntry]) +
       "\"\n  readiness: \"" + Loopback(readyPorts_[aEntry]) +
       "\"\n  messages: \"" + Loopback(messagePorts_[aEntry]) +
-      "\"\n  metrics: \"127.0.0.1:0\"\n  store: \"" + Loopback(storePort_) +
+      "\"\n  advertised: \"" + Loopback(advertised) +
+      "\"\n  metrics: \"127.0.0.1:0\"\n  store: \"" + Loopback(store) +
       "\"\n  links: { pulse_interval: 300ms, silence_bound: 1s, "
       "redial_interval: 200ms }\n  stop_limit: 4s\n");
   entries_[aEntry].reset();
@@ -102,17 +170,21 @@
 PlatformCluster::StartSidecar(unsigned aSidecar)
 {
   const std::string name = "sidecar-" + std::to_string(aSidecar);
-  const std::string file =
-    folder_.Write(name + ".yaml",
-                  "job_sidecar:\n  name: " + name + "\n  zone: z" +
-                    std::to_string(aSidecar % entries_.size()) +
-                    "\n  heartbeats: \"" + Loopback(heartbeatPorts_[aSidecar]) +
-                    "\"\n  metrics: \"127.0.0.1:0\"\n  upstream: \"" +
-                    Loopback(executorPorts_[aSidecar]) + "\"\n  store: \"" +
-                    Loopback(storePort_) +
-                    "\"\n  message_port: " + std::to_string(messagePorts_[0]) +
-                    "\n  links: { pulse_interval: 300ms, silence_bound: 1s, "
-                    "redial_interval: 200ms }\n  stop_limit: 4s\n");
+  const uint16_t executor =
+    Proxied(ProxiedLeg::SidecarToExecutor, aSidecar, executorPorts_[aSidecar]);
+  const uint16_t store =
+    Proxied(ProxiedLeg::SidecarToStore, aSidecar, storePort_);
+  const uint16_t seed =
+    Proxied(ProxiedLeg::SidecarsToEntry, 0, messagePorts_[0]);
+  const std::string file = folder_.Write(
+    name + ".yaml",
+    "job_sidecar:\n  name: " + name + "\n  zone: " + ZoneOf(aSidecar) +
+      "\n  heartbeats: \"" + Loopback(heartbeatPorts_[aSidecar]) +
+      "\"\n  metrics: \"127.0.0.1:0\"\n  upstream: \"" + Loopback(executor) +
+      "\"\n  store: \"" + Loopback(store) +
+      "\"\n  message_port: " + std::to_string(seed) +
+      "\n  links: { pulse_interval: 300ms, silence_bound: 1s, "
+      "redial_interval: 200ms }\n  stop_limit: 4s\n");
   sidecars_[aSidecar].reset();
   sidecars_[aSidecar] =
     Run(name, { CORNELFRONT, "job-sidecar", "--settings", file });
@@ -280,15 +352,17 @@
 PlatformCluster::Runs()
 {
   std::vector<RunRecord> runs;
-  for (const uint16_t port : executorPorts_) {
-    const HttpResult result =
-      client_.Perform({ .url_ = "http://" + Loopback(port) + "/control/runs" });
+  for (unsigned i = 0; i < executorPorts_.size(); ++i) {
+    const HttpResult result = client_.Perform(
+      { .url_ = "http://" + Loopback(executorPorts_[i]) + "/control/runs" });
     for (const Json& run : Json::parse(result.response_.body_)) {
       runs.push_back({ .task_ = run["task"],
                        .run_ = run["run"],
                        .begun_ = run["begun"],
                        .ended_ = run["ended"],
-                       .how_ = run["how"] });
+                       .how_ = run["how"],
+                       .acknowledged_ = run["acknowledged"],
+                       .executor_ = i });
     }
   }
   return runs;
--- /dev/null
+++ b/testsuite/soak/callers.cpp
@@ -0,0 +1,262 @@
+#include "callers.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <memory>
+
+namespace cornelfront::soak {
+namespace {
+
+using Json = nlohmann::json;
+
+/// A submission without an answer is repeated after this pause at the least.
+constexpr Millis kResend{ 1300 };
+constexpr Millis kClientWait{ 4000 };
+constexpr Millis kConnectLimit{ 1000 };
+constexpr Millis kStatePoll{ 100 };
+constexpr int kMostAttempts = 6;
+constexpr unsigned kMostTasks = 6;
+constexpr int kLongestTaskMs = 400;
+constexpr int kLongestPauseMs = 60;
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusTooMany = 429;
+constexpr int kStatusUnavailable = 503;
+
+/// Connections to every entry, kept open. libcurl would silently repeat a
+/// request on a kept connection that turns out closed, which clients of the
+/// system must not do so soon.
+class Connections
+{
+public:
+  explicit Connections(const std::vector<std::string>& aEntries)
+  {
+    for (const std::string& entry : aEntries) {
+      clients_.push_back(std::make_unique<httplib::Client>("http://" + entry));
+      clients_.back()->set_keep_alive(true);
+      clients_.back()->set_tcp_nodelay(true);
+      clients_.back()->set_connection_timeout(kConnectLimit);
+      clients_.back()->set_read_timeout(kClientWait);
+    }
+  }
+
+  size_t Size() const { return clients_.size(); }
+
+  httplib::Result Submit(size_t aEntry,
+                         const std::string& aJob,
+                         const std::string& aBody)
+  {
+    return clients_[aEntry]->Post(
+      PathOf(aJob), Headers(), aBody, "application/json");
+  }
+  httplib::Result Cancel(size_t aEntry, const std::string& aJob)
+  {
+    return clients_[aEntry]->Delete(PathOf(aJob), Headers());
+  }
+  /// "queued", "running" and so on; the status if it is not 200.
+  std::string State(size_t aEntry, const std::string& aJob)
+  {
+    const auto result = clients_[aEntry]->Get(PathOf(aJob), Headers());
+    if (!result || result->status != kStatusOk) {
+      return result ? std::to_string(result->status) : "no answer";
+    }
+    return Json::parse(result->body).value("state", "no state");
+  }
+
+private:
+  static std::string PathOf(const std::string& aJob) { return "/q1/" + aJob; }
+  static httplib::Headers Headers()
+  {
+    return { { "Host", "desk.example" },
+             { "Request-Deadline", std::to_string(kClientWait.count()) } };
+  }
+
+  std::vector<std::unique_ptr<httplib::Client>> clients_;
+};
+
+bool
+IsFinal(const std::string& aState)
+{
+  return aState == "completed" || aState == "failed" || aState == "cancelled";
+}
+
+bool
+IsRefusal(const httplib::Result& aResult)
+{
+  if (!aResult) {
+    return aResult.error() == httplib::Error::Connection;
+  }
+  return aResult->status == kStatusTooMany ||
+         aResult->status == kStatusUnavailable;
+}
+
+/// One caller on a thread of its own.
+class Caller
+{
+public:
+  Caller(const CallersOptions& aOptions, unsigned aThread)
+    : thread_(aThread)
+    , random_(aOptions.seed_ * 1000 + aThread)
+    , connections_(aOptions.entries_)
+  {
+  }
+
+  JobRecord SubmitOne()
+  {
+    JobRecord job = NextJob();
+    const std::string body = BodyOf(job);
+    job.refused_ = true;
+    for (int attempt = 0; attempt < kMostAttempts; ++attempt) {
+      const size_t entry = PickEntry();
+      const Stamp begun = StampNow();
+      const auto result = connections_.Submit(entry, job.id_, body);
+      const bool refused = IsRefusal(result);
+      job.refused_ = job.refused_ && refused;
+      if (result && result->status == kStatusOk) {
+        NoteAnswer(job, result->body);
+        break;
+      }
+      if (!result && !refused && StampNow() - begun < kClientWait.count()) {
+        cuts_.push_back({ entry, begun, StampNow() });
+      }
+      if (job.refused_) {
+        break;
+      }
+      std::this_thread::sleep_for(kResend);
+    }
+    CancelSome(job);
+    std::this_thread::sleep_for(Millis(Pick(0, kLongestPauseMs)));
+    return job;
+  }
+
+  std::vector<CutRequest> TakeCuts() { return std::move(cuts_); }
+
+private:
+  int Pick(int aLeast, int aMost)
+  {
+    return std::uniform_int_distribution<int>(aLeast, aMost)(random_);
+  }
+  bool Chance(int aPercent) { return Pick(1, 100) <= aPercent; }
+
+  size_t PickEntry()
+  {
+    return static_cast<size_t>(
+      Pick(0, static_cast<int>(connections_.Size()) - 1));
+  }
+
+  JobRecord NextJob()
+  {
+    char id[17];
+    snprintf(id, sizeof(id), "%08x%08x", thread_ + 1, ++number_);
+    return { .id_ = id,
+             .bestEffort_ = Chance(60),
+             .tasks_ = static_cast<unsigned>(Pick(1, kMostTasks)),
+             .fails_ = Chance(4) };
+  }
+
+  std::string BodyOf(const JobRecord& aJob)
+  {
+    const int ms = Pick(20, kLongestTaskMs);
+    Json body{ { "spec",
+                 (aJob.fails_ ? "fail ms=" : "ms=") + std::to_string(ms) },
+               { "steps",
+                 { { { "count", aJob.tasks_ },
+                     { "cpu", 1000 },
+                     { "memMb", 10 },
+                     { "estimateMs", ms } } } } };
+    if (aJob.bestEffort_) {
+      body["bestEffort"] = true;
+    }
+    return body.dump();
+  }
+
+  static void NoteAnswer(JobRecord& aJob, const std::string& aBody)
+  {
+    if (aJob.bestEffort_) {
+      aJob.answer_ = Json::parse(aBody).value("state", "no state");
+      aJob.answered_ = StampNow();
+    } else {
+      aJob.accepted_ = StampNow();
+    }
+  }
+
+  void CancelSome(JobRecord& aJob)
+  {
+    if (aJob.accepted_ == 0 || !Chance(10)) {
+      return;
+    }
+    std::this_thread::sleep_for(Millis(Pick(0, kLongestTaskMs)));
+    // It may take effect also if no answer says so.
+    connections_.Cancel(PickEntry(), aJob.id_);
+    aJob.cancelled_ = StampNow();
+  }
+
+  const unsigned thread_;
+  unsigned number_ = 0;
+  std::mt19937_64 random_;
+  Connections connections_;
+  std::vector<CutRequest> cuts_;
+};
+
+} // namespace
+
+Callers::Callers(CallersOptions aOptions)
+  : options_(std::move(aOptions))
+{
+  for (unsigned i = 0; i < options_.threads_; ++i) {
+    threads_.emplace_back([this, i] { Run(i); });
+  }
+}
+
+Callers::~Callers()
+{
+  Stop();
+}
+
+void
+Callers::Run(unsigned aThread)
+{
+  Caller caller(options_, aThread);
+  while (!stopping_) {
+    JobRecord job = caller.SubmitOne();
+    std::lock_guard lock(mutex_);
+    jobs_.push_back(std::move(job));
+  }
+  const auto cuts = caller.TakeCuts();
+  std::lock_guard lock(mutex_);
+  cuts_.insert(cuts_.end(), cuts.begin(), cuts.end());
+}
+
+void
+Callers::Stop()
+{
+  stopping_ = true;
+  for (std::thread& thread : threads_) {
+    thread.join();
+  }
+  threads_.clear();
+}
+
+void
+Callers::ReadStates(Millis aLimit)
+{
+  Connections connections(options_.entries_);
+  const MonoTime deadline = MonoClock::now() + aLimit;
+  for (JobRecord& job : jobs_) {
+    if (job.accepted_ == 0) {
+      continue;
+    }
+    for (size_t entry = 0; entry < connections.Size(); ++entry) {
+      std::string state = connections.State(entry, job.id_);
+      while (!IsFinal(state) && MonoClock::now() < deadline) {
+        std::this_thread::sleep_for(kStatePoll);
+        state = connections.State(entry, job.id_);
+      }
+      job.states_.push_back(state);
+    }
+  }
+}
+
+} // namespace cornelfront::soak
--- /dev/null
+++ b/testsuite/soak/checks_test.cpp
@@ -0,0 +1,101 @@
+#include "checks.h"
+
+#include <gtest/gtest.h>
+
+namespace cornelfront::soak {
+namespace {
+
+const std::string kJob = "0000000100000001";
+
+harness::RunRecord
+MakeRun(Stamp aBegun,
+        Stamp aEnded,
+        const std::string& aHow,
+        Stamp aAcknowledged)
+{
+  return { .task_ = kJob + ".0.0.0",
+           .run_ = 1,
+           .begun_ = aBegun,
+           .ended_ = aEnded,
+           .how_ = aHow,
+           .acknowledged_ = aAcknowledged };
+}
+
+JobRecord
+Stored()
+{
+  return {
+    .id_ = kJob, .tasks_ = 1, .accepted_ = 5, .states_ = { "completed" }
+  };
+}
+
+size_t
+Violations(const JobRecord& aJob, std::vector<harness::RunRecord> aRuns)
+{
+  return FindViolations({ .jobs_ = { aJob }, .runs_ = std::move(aRuns) })
+    .size();
+}
+
+TEST(SoakChecks, AJobThatWentWellBreaksNothing)
+{
+  EXPECT_EQ(Violations(Stored(), { MakeRun(10, 20, "done", 25) }), 0U);
+  EXPECT_EQ(
+    Violations(Stored(),
+               { MakeRun(10, 20, "done", 0), MakeRun(30, 40, "done", 45) }),
+    0U)
+    << "an end that was never acknowledged";
+}
+
+TEST(SoakChecks, FindsRunsThatMustNotBe)
+{
+  EXPECT_EQ(
+    Violations(Stored(),
+               { MakeRun(10, 30, "lapsed", 0), MakeRun(20, 40, "done", 45) }),
+    1U)
+    << "two at one time";
+  EXPECT_EQ(
+    Violations(Stored(),
+               { MakeRun(10, 20, "done", 50), MakeRun(30, 40, "done", 0) }),
+    1U)
+    << "after an end that was acknowledged, even later";
+  EXPECT_EQ(Violations(Stored(),
+                       { MakeRun(10, 20, "done", 25), MakeRun(30, 0, "", 0) }),
+            2U)
+    << "started again, and runs at the end";
+  JobRecord refused{ .id_ = kJob, .tasks_ = 1, .refused_ = true };
+  EXPECT_EQ(Violations(refused, { MakeRun(10, 20, "done", 0) }), 1U);
+  JobRecord other{ .id_ = "0000000200000001" };
+  EXPECT_EQ(Violations(other, { MakeRun(10, 20, "done", 0) }), 1U)
+    << "nobody submitted it";
+}
+
+TEST(SoakChecks, FindsJobsThatAreNotWhole)
+{
+  EXPECT_EQ(Violations(Stored(), { MakeRun(10, 20, "lapsed", 0) }), 1U);
+  JobRecord job = Stored();
+  job.states_ = { "completed", "running" };
+  EXPECT_EQ(Violations(job, { MakeRun(10, 20, "done", 25) }), 1U);
+  job.cancelled_ = 8;
+  job.states_ = { "cancelled" };
+  EXPECT_EQ(Violations(job, {}), 0U);
+  JobRecord answered{ .id_ = kJob,
+                      .bestEffort_ = true,
+                      .tasks_ = 2,
+                      .answer_ = "completed",
+                      .answered_ = 50 };
+  EXPECT_EQ(Violations(answered, { MakeRun(10, 20, "done", 0) }), 1U)
+    << "only one of two tasks";
+}
+
+TEST(SoakChecks, FindsStartsAndCutsThatHaveNoExcuse)
+{
+  Observations seen{ .jobs_ = { Stored() },
+                     .runs_ = { MakeRun(10, 20, "done", 25) },
+                     .closed_ = { { 0, 5, 15, "draining" } },
+                     .cuts_ = { { 1, 10, 20 }, { 0, 10, 20 } },
+                     .calm_ = { { 1, 5, 25 }, { 0, 15, 25 } } };
+  EXPECT_EQ(FindViolations(seen).size(), 2U);
+}
+
+} // namespace
+} // namespace cornelfront::soak
--- /dev/null
+++ b/testsuite/soak/faults.cpp
@@ -0,0 +1,455 @@
+#include "faults.h"
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <iostream>
+#include <thread>
+
+namespace cornelfront::soak {
+namespace {
+
+using harness::ProxiedLeg;
+
+constexpr std::array<std::string_view, kFaultKinds> kNames = {
+  "kill_entry",      "kill_sidecar",    "stop_entry",     "stop_sidecar",
+  "pause_entry",     "pause_sidecar",   "pause_executor", "reload_entry",
+  "delay_leg",       "cut_leg",         "drop_to_client", "drop_to_target",
+  "freeze_leg",      "silence_open",    "store_refuses",  "store_silent",
+  "store_loses",     "store_drops",     "executor_mute",  "executor_drains",
+  "executor_stalls", "executor_reborn", "zone_out",
+};
+
+constexpr double kMeanGapMs = 700.0;
+constexpr int kShortestMs = 100;
+constexpr int kLongestMs = 4000;
+constexpr int kLongestDelayMs = 300;
+/// A process that was told to stop is replaced after this time.
+constexpr Millis kStopTime{ 5000 };
+/// Long enough that the bound on evacuations passes meanwhile.
+constexpr Millis kZoneOutTime{ 8000 };
+constexpr Millis kDrainTime{ 6000 };
+/// Share of faults that come several times in a row, and the pause between.
+constexpr int kSeriesPercent = 25;
+constexpr unsigned kMostInSeries = 3;
+constexpr Millis kSeriesGap{ 250 };
+
+/// What is near a disturbance: the time in which a process may be out of touch.
+constexpr Stamp kContactMs = 3000;
+constexpr Stamp kDrainBoundMs = 2000;
+/// Interval of the executors' heartbeats and time for its answer.
+constexpr Stamp kHeartbeatMs = 500;
+constexpr Stamp kEvacuationBoundMs = 5000;
+/// A stopping entry need not take connections that come later than this.
+constexpr Stamp kStopNoticeMs = 2000;
+
+bool
+IsAboutEntry(FaultKind aKind)
+{
+  return aKind == FaultKind::KillEntry || aKind == FaultKind::StopEntry ||
+         aKind == FaultKind::PauseEntry || aKind == FaultKind::ReloadEntry ||
+         aKind == FaultKind::ZoneOut;
+}
+
+bool
+IsAboutLeg(FaultKind aKind)
+{
+  return aKind >= FaultKind::DelayLeg && aKind <= FaultKind::SilenceOpen;
+}
+
+bool
+IsAboutStore(FaultKind aKind)
+{
+  return aKind >= FaultKind::StoreRefuses &&
+         aKind <= FaultKind::StoreDropsHistory;
+}
+
+/// Planned work must not cut requests.
+bool
+IsPlanned(FaultKind aKind)
+{
+  return aKind == FaultKind::StopEntry || aKind == FaultKind::ReloadEntry ||
+         aKind == FaultKind::ExecutorDrains || aKind == FaultKind::ZoneOut;
+}
+
+bool
+LegIsEntrys(ProxiedLeg aLeg)
+{
+  return aLeg == ProxiedLeg::EntryToStore ||
+         aLeg == ProxiedLeg::SidecarsToEntry;
+}
+
+class Planner
+{
+public:
+  explicit Planner(const FaultPlanOptions& aOptions)
+    : options_(aOptions)
+    , random_(aOptions.seed_)
+  {
+  }
+
+  std::vector<Fault> Plan()
+  {
+    std::vector<Fault> plan;
+    Millis at = NextGap();
+    while (at < options_.length_) {
+      Fault fault = NextFault(at);
+      const unsigned times =
+        Pick(1, 100) <= kSeriesPercent
+          ? static_cast<unsigned>(Pick(2, static_cast<int>(kMostInSeries)))
+          : 1;
+      for (unsigned i = 0; i < times; ++i) {
+        plan.push_back(fault);
+        fault.at_ += kSeriesGap;
+      }
+      at += NextGap();
+    }
+    std::stable_sort(
+      plan.begin(), plan.end(), [](const Fault& aA, const Fault& aB) {
+        return aA.at_ < aB.at_;
+      });
+    return plan;
+  }
+
+private:
+  int Pick(int aLeast, int aMost)
+  {
+    return std::uniform_int_distribution<int>(aLeast, aMost)(random_);
+  }
+  unsigned PickOf(unsigned aCount)
+  {
+    return static_cast<unsigned>(Pick(0, static_cast<int>(aCount) - 1));
+  }
+  Millis NextGap()
+  {
+    std::exponential_distribution<double> gap(1.0 / kMeanGapMs);
+    return Millis(static_cast<int64_t>(gap(random_)));
+  }
+
+  Fault NextFault(Millis aAt)
+  {
+    Fault fault{ .kind_ = static_cast<FaultKind>(Pick(0, kFaultKinds - 1)),
+                 .at_ = aAt,
+                 .length_ = Millis(Pick(kShortestMs, kLongestMs)),
+                 .leg_ = static_cast<ProxiedLeg>(Pick(0, 3)),
+                 .delay_ = Millis(Pick(1, kLongestDelayMs)) };
+    const bool ofEntry = IsAboutEntry(fault.kind_) ||
+                         (IsAboutLeg(fault.kind_) && LegIsEntrys(fault.leg_));
+    fault.target_ = PickOf(ofEntry ? options_.entries_ : options_.sidecars_);
+    if (fault.kind_ == FaultKind::StopEntry ||
+        fault.kind_ == FaultKind::StopSidecar) {
+      fault.length_ = kStopTime;
+    } else if (fault.kind_ == FaultKind::ZoneOut) {
+      fault.length_ = kZoneOutTime;
+    } else if (fault.kind_ == FaultKind::ExecutorDrains) {
+      fault.length_ = kDrainTime;
+    }
+    return fault;
+  }
+
+  const FaultPlanOptions options_;
+  std::mt19937_64 random_;
+};
+
+std::string
+Flag(const char* aName, bool aOn)
+{
+  return std::string("{\"") + aName + "\":" + (aOn ? "true}" : "false}");
+}
+
+/// Fault of a proxy while it lasts, or its end.
+std::string
+LegFields(const Fault& aFault, bool aOn)
+{
+  switch (aFault.kind_) {
+    case FaultKind::DelayLeg:
+      return R"({"delay_ms":)" +
+             std::to_string(aOn ? aFault.delay_.count() : 0) + "}";
+    case FaultKind::CutLeg:
+      return Flag("cut", aOn);
+    case FaultKind::DropToClient:
+      return Flag("drop_to_client", aOn);
+    case FaultKind::DropToTarget:
+      return Flag("drop_to_target", aOn);
+    case FaultKind::FreezeLeg:
+      return Flag("freeze", aOn);
+    default:
+      return Flag("freeze_existing", aOn);
+  }
+}
+
+std::string
+StoreFields(FaultKind aKind, bool aOn)
+{
+  switch (aKind) {
+    case FaultKind::StoreRefuses:
+      return aOn ? R"({"down":"503"})" : R"({"down":"no"})";
+    case FaultKind::StoreSilent:
+      return aOn ? R"({"down":"silent"})" : R"({"down":"no"})";
+    case FaultKind::StoreLosesAnswers:
+      return Flag("lose_append_answers", aOn);
+    default:
+      return Flag("drop_history", aOn);
+  }
+}
+
+std::string
+ExecutorFields(FaultKind aKind, bool aOn)
+{
+  switch (aKind) {
+    case FaultKind::ExecutorMute:
+      return Flag("unanswered", aOn);
+    case FaultKind::ExecutorDrains:
+      return Flag("draining", aOn);
+    case FaultKind::ExecutorStalls:
+      return Flag("stalls", aOn);
+    default:
+      return Flag("reborn", aOn);
+  }
+}
+
+} // namespace
+
+std::string_view
+ToString(FaultKind aKind)
+{
+  return kNames.at(static_cast<size_t>(aKind));
+}
+
+std::vector<Fault>
+MakeFaultPlan(const FaultPlanOptions& aOptions)
+{
+  return Planner(aOptions).Plan();
+}
+
+FaultInjector::FaultInjector(harness::PlatformCluster& aCluster,
+                             FaultPlanOptions aOptions)
+  : cluster_(aCluster)
+  , options_(aOptions)
+{
+}
+
+void
+FaultInjector::Run(const std::vector<Fault>& aPlan)
+{
+  begun_ = StampNow();
+  const MonoTime start = MonoClock::now();
+  struct Change
+  {
+    Millis at_;
+    bool begin_;
+    Fault fault_;
+  };
+  std::vector<Change> changes;
+  for (const Fault& fault : aPlan) {
+    changes.push_back({ fault.at_, true, fault });
+    changes.push_back({ fault.at_ + fault.length_, false, fault });
+  }
+  std::stable_sort(
+    changes.begin(), changes.end(), [](const Change& aA, const Change& aB) {
+      return aA.at_ < aB.at_;
+    });
+  for (const Change& change : changes) {
+    std::this_thread::sleep_until(start + change.at_);
+    if (change.begin_) {
+      const Stamp from = StampNow();
+      Begin(change.fault_);
+      injected_.push_back(
+        { change.fault_, from, from + change.fault_.length_.count() });
+      std::cout << from - begun_ << " ms: " << ToString(change.fault_.kind_)
+                << " target=" << change.fault_.target_
+                << " leg=" << static_cast<int>(change.fault_.leg_)
+                << " ms=" << change.fault_.length_.count() << "\n";
+    } else {
+      End(change.fault_);
+    }
+  }
+  HealAll();
+}
+
+void
+FaultInjector::Begin(const Fault& aFault)
+{
+  const unsigned target = aFault.target_;
+  switch (aFault.kind_) {
+    case FaultKind::KillEntry:
+      return cluster_.Entry(target).Kill();
+    case FaultKind::KillSidecar:
+      return cluster_.Sidecar(target).Kill();
+    case FaultKind::StopEntry:
+      return cluster_.Entry(target).Signal(SIGTERM);
+    case FaultKind::StopSidecar:
+      return cluster_.Sidecar(target).Signal(SIGTERM);
+    case FaultKind::PauseEntry:
+      return cluster_.Entry(target).Signal(SIGSTOP);
+    case FaultKind::PauseSidecar:
+      return cluster_.Sidecar(target).Signal(SIGSTOP);
+    case FaultKind::PauseExecutor:
+      return cluster_.Executor(target).Signal(SIGSTOP);
+    case FaultKind::ReloadEntry:
+      return cluster_.Entry(target).Signal(SIGHUP);
+    case FaultKind::ZoneOut:
+      return cluster_.Operate("evacuate/" + cluster_.ZoneOf(target), "{}");
+    default:
+      break;
+  }
+  if (IsAboutLeg(aFault.kind_)) {
+    cluster_.ProxyFault(aFault.leg_, target, LegFields(aFault, true));
+  } else if (IsAboutStore(aFault.kind_)) {
+    cluster_.StoreFault(StoreFields(aFault.kind_, true));
+  } else {
+    // A paused stand-in can't be told anything.
+    cluster_.Executor(target).Signal(SIGCONT);
+    cluster_.ExecutorFault(target, ExecutorFields(aFault.kind_, true));
+  }
+}
+
+void
+FaultInjector::End(const Fault& aFault)
+{
+  const unsigned target = aFault.target_;
+  switch (aFault.kind_) {
+    case FaultKind::KillEntry:
+    case FaultKind::StopEntry:
+      return cluster_.StartEntry(target);
+    case FaultKind::KillSidecar:
+    case FaultKind::StopSidecar:
+      return cluster_.StartSidecar(target);
+    case FaultKind::PauseEntry:
+      return cluster_.Entry(target).Signal(SIGCONT);
+    case FaultKind::PauseSidecar:
+      return cluster_.Sidecar(target).Signal(SIGCONT);
+    case FaultKind::PauseExecutor:
+      return cluster_.Executor(target).Signal(SIGCONT);
+    case FaultKind::ZoneOut:
+      return cluster_.Operate("evacuate/" + cluster_.ZoneOf(target), "");
+    case FaultKind::ReloadEntry:
+    case FaultKind::StoreDropsHistory:
+    case FaultKind::ExecutorReborn:
+      return;
+    default:
+      break;
+  }
+  if (IsAboutLeg(aFault.kind_)) {
+    cluster_.ProxyFault(aFault.leg_, target, LegFields(aFault, false));
+  } else if (IsAboutStore(aFault.kind_)) {
+    cluster_.StoreFault(StoreFields(aFault.kind_, false));
+  } else {
+    cluster_.Executor(target).Signal(SIGCONT);
+    cluster_.ExecutorFault(target, ExecutorFields(aFault.kind_, false));
+  }
+}
+
+void
+FaultInjector::HealAll()
+{
+  // Overlapping faults of one kind may have left one behind.
+  for (unsigned i = 0; i < options_.entries_; ++i) {
+    cluster_.Entry(i).Signal(SIGCONT);
+  }
+  for (unsigned i = 0; i < options_.sidecars_; ++i) {
+    cluster_.Sidecar(i).Signal(SIGCONT);
+    cluster_.Executor(i).Signal(SIGCONT);
+    cluster_.ExecutorFault(i, R"({"draining":false,"stalls":false})");
+  }
+  cluster_.StoreFault(R"({"down":"no","lose_append_answers":false})");
+}
+
+template<class Predicate>
+bool
+FaultInjector::Disturbed(Stamp aFrom,
+                         Stamp aTo,
+                         const Predicate& aDisturbs) const
+{
+  return std::any_of(
+    injected_.begin(), injected_.end(), [&](const Injected& aInjected) {
+      return aInjected.from_ < aTo && aInjected.to_ + kContactMs > aFrom &&
+             aDisturbs(aInjected.fault_);
+    });
+}
+
+bool
+FaultInjector::DisturbsExecutor(const Fault& aFault, unsigned aExecutor) const
+{
+  if (IsPlanned(aFault.kind_)) {
+    return false;
+  }
+  const bool elsewhere = IsAboutEntry(aFault.kind_) ||
+                         (IsAboutLeg(aFault.kind_) && LegIsEntrys(aFault.leg_));
+  return IsAboutStore(aFault.kind_) ||
+         (!elsewhere && aFault.target_ == aExecutor);
+}
+
+std::vector<ClosedSpan>
+FaultInjector::ClosedSpans(Stamp aEnd) const
+{
+  std::vector<ClosedSpan> spans;
+  const auto add = [&](unsigned aExecutor,
+                       const Injected& aInjected,
+                       Stamp aBound,
+                       const char* aWhy) {
+    const Stamp to = std::min(aInjected.to_, aEnd);
+    const bool disturbed =
+      Disturbed(aInjected.from_, to, [&](const Fault& aFault) {
+        return DisturbsExecutor(aFault, aExecutor);
+      });
+    if (!disturbed) {
+      spans.push_back({ aExecutor, aInjected.from_ + aBound, to, aWhy });
+    }
+  };
+  for (const Injected& injected : injected_) {
+    // The first of several that overlap ends the span for all.
+    const bool overlapped = std::any_of(
+      injected_.begin(), injected_.end(), [&](const Injected& aOther) {
+        return &aOther != &injected &&
+               aOther.fault_.kind_ == injected.fault_.kind_ &&
+               aOther.to_ > injected.from_ && aOther.from_ < injected.to_;
+      });
+    if (overlapped) {
+      continue;
+    }
+    if (injected.fault_.kind_ == FaultKind::ExecutorDrains) {
+      add(injected.fault_.target_,
+          injected,
+          kDrainBoundMs + kHeartbeatMs,
+          "draining");
+    } else if (injected.fault_.kind_ == FaultKind::ZoneOut) {
+      for (unsigned i = 0; i < options_.sidecars_; ++i) {
+        if (cluster_.ZoneOf(i) == cluster_.ZoneOf(injected.fault_.target_)) {
+          add(i, injected, kEvacuationBoundMs, "zone out of service");
+        }
+      }
+    }
+  }
+  return spans;
+}
+
+std::vector<CalmSpan>
+FaultInjector::CalmSpans(Stamp aEnd) const
+{
+  std::vector<CalmSpan> spans;
+  for (unsigned entry = 0; entry < options_.entries_; ++entry) {
+    Stamp calmFrom = begun_;
+    std::vector<std::pair<Stamp, Stamp>> disturbed;
+    for (const Injected& injected : injected_) {
+      if (!IsPlanned(injected.fault_.kind_)) {
+        disturbed.emplace_back(injected.from_, injected.to_ + kContactMs);
+      } else if (injected.fault_.kind_ == FaultKind::StopEntry &&
+                 injected.fault_.target_ == entry) {
+        disturbed.emplace_back(injected.from_ + kStopNoticeMs,
+                               injected.to_ + kContactMs);
+      }
+    }
+    std::sort(disturbed.begin(), disturbed.end());
+    disturbed.emplace_back(aEnd, aEnd);
+    for (const auto& [from, to] : disturbed) {
+      if (from > calmFrom) {
+        spans.push_back({ entry, calmFrom, from });
+      }
+      calmFrom = std::max(calmFrom, to);
+    }
+  }
+  return spans;
+}
+
+} // namespace cornelfront::soak
--- /dev/null
+++ b/testsuite/soak/soak.cpp
@@ -0,0 +1,125 @@
+/// \file
+/// Randomized soak: real processes serve callers while faults strike, and what
+/// callers and executors saw is checked afterwards. The same seed gives the
+/// same series of faults and of jobs; how they meet depends on the machine.
+///
+/// usage: soak --seed N [--seconds N] [--entries N] [--sidecars N]
+/// Exits with 1 if a promise was broken and keeps the logs of all processes.
+
+#include "callers.h"
+#include "faults.h"
+
+#include <CLI/CLI.hpp>
+#include <gtest/gtest.h>
+
+#include <iostream>
+#include <thread>
+
+namespace cornelfront::soak {
+namespace {
+
+/// Calm time after the faults in which callers go on.
+constexpr Millis kCalmTime{ 4000 };
+/// Accepted jobs have ended this long after the callers have.
+constexpr Millis kFinishTime{ 25000 };
+constexpr Millis kServedWithin{ 10000 };
+constexpr unsigned kCallersPerEntry = 3;
+
+struct Options
+{
+  uint64_t seed_ = 1;
+  unsigned seconds_ = 15;
+  unsigned entries_ = 2;
+  unsigned sidecars_ = 4;
+};
+
+/// A job at every entry is served once all is well again.
+void
+CheckServes(harness::PlatformCluster& aCluster, unsigned aEntries)
+{
+  for (unsigned i = 0; i < aEntries; ++i) {
+    char id[17];
+    unsigned number = 0;
+    const bool served = harness::WaitUntil(
+      [&] {
+        snprintf(id, sizeof(id), "ffff%04x%08x", i, ++number);
+        return aCluster.Submit(i, id, "ms=50", 2, true).Ok();
+      },
+      kServedWithin);
+    if (!served) {
+      ADD_FAILURE() << "entry " << i << " serves nothing after the faults";
+    }
+  }
+}
+
+void
+Run(const Options& aOptions)
+{
+  harness::PlatformCluster cluster({ .entries_ = aOptions.entries_,
+                                     .sidecars_ = aOptions.sidecars_,
+                                     .proxied_ = true });
+  CallersOptions callersOptions{ .seed_ = aOptions.seed_,
+                                 .threads_ =
+                                   kCallersPerEntry * aOptions.entries_ };
+  for (unsigned i = 0; i < aOptions.entries_; ++i) {
+    callersOptions.entries_.push_back(cluster.ClientAddress(i));
+  }
+  Callers callers(std::move(callersOptions));
+  const FaultPlanOptions faults{ .seed_ = aOptions.seed_,
+                                 .length_ =
+                                   std::chrono::seconds(aOptions.seconds_),
+                                 .entries_ = aOptions.entries_,
+                                 .sidecars_ = aOptions.sidecars_ };
+  FaultInjector injector(cluster, faults);
+  injector.Run(MakeFaultPlan(faults));
+  cluster.WaitReady();
+  std::this_thread::sleep_for(kCalmTime);
+  const Stamp end = StampNow();
+  callers.Stop();
+  callers.ReadStates(kFinishTime);
+  Observations observations{ .jobs_ = callers.Jobs(),
+                             .runs_ = cluster.Runs(),
+                             .closed_ = injector.ClosedSpans(end),
+                             .cuts_ = callers.Cuts(),
+                             .calm_ = injector.CalmSpans(end) };
+  for (const std::string& violation : FindViolations(observations)) {
+    ADD_FAILURE() << violation;
+  }
+  CheckServes(cluster, aOptions.entries_);
+  const auto served = std::count_if(
+    observations.jobs_.begin(),
+    observations.jobs_.end(),
+    [](const JobRecord& aJob) { return aJob.answered_ + aJob.accepted_ > 0; });
+  std::cout << "seed=" << aOptions.seed_
+            << " jobs=" << observations.jobs_.size() << " served=" << served
+            << " runs=" << observations.runs_.size()
+            << " cuts=" << observations.cuts_.size()
+            << " closed_spans=" << observations.closed_.size() << std::endl;
+}
+
+} // namespace
+} // namespace cornelfront::soak
+
+int
+main(int argc, char** argv)
+{
+  using namespace cornelfront::soak;
+  CLI::App app("Randomized soak of the processes that serve jobs");
+  Options options;
+  app.add_option("--seed", options.seed_, "Seed of faults and jobs")
+    ->required();
+  app.add_option("--seconds", options.seconds_, "Length of the faults in s");
+  app.add_option("--entries", options.entries_, "Number of entries");
+  app.add_option("--sidecars", options.sidecars_, "Number of sidecars");
+  CLI11_PARSE(app, argc, argv);
+  testing::InitGoogleTest();
+  try {
+    Run(options);
+  } catch (const std::exception& error) {
+    ADD_FAILURE() << error.what();
+  }
+  const bool failed = testing::Test::HasFailure();
+  std::cout << "soak seed=" << options.seed_ << (failed ? " FAILED" : " passed")
+            << std::endl;
+  return failed ? 1 : 0;
+}
--- a/testsuite/standins/executor_standin.cpp
+++ b/testsuite/standins/executor_standin.cpp
@@ -2,7 +2,8 @@
 /// Stand-in of one of the platform's executors: it announces itself by
 /// heartbeat and runs tasks under a lease. The payload of a job says what its
 /// tasks do: "ms=N" takes N milliseconds, "fail" fails. `GET /control/runs`
-/// lists every run with its begin and end; `POST /control` sets faults.
+/// lists every run of all incarnations with its begin, its end, and when the
+/// end was acknowledged; `POST /control` sets faults.
 
 #include "cornelfront/http_client.h"
 #include "cornelfront/http_server.h"
@@ -29,6 +30,8 @@
 constexpr Millis kLongestLease{ 1000 };
 constexpr Millis kDefaultRun{ 50 };
 constexpr int kWholePercent = 100;
+/// Reborn executors keep nothing, but this program goes on listing their runs.
+constexpr std::string_view kCrashed = "crashed";
 
 struct Options
 {
@@ -36,6 +39,8 @@
   std::string service_ = "desk";
   std::string heartbeats_;
   int64_t cpu_ = 4000;
+  /// Speed of the executor's clock in percent of the machine's.
+  int clockPercent_ = 100;
 };
 
 struct Run
@@ -47,6 +52,8 @@
   Millis length_{ 0 };
   bool fails_ = false;
   MonoTime ended_;
+  /// When the end was acknowledged under an unbroken lease; 0 if it was not.
+  MonoTime acknowledged_;
   /// Empty while it runs.
   std::string how_;
 };
@@ -86,16 +93,21 @@
       unanswered_ = body.value("unanswered", false);
       draining_ = body.value("draining", draining_);
       stalls_ = body.value("stalls", stalls_);
+      if (body.value("reborn", false)) {
+        BeginAnew(now);
+      }
       aReply.Send({ .body_ = "{}" });
     } else if (unanswered_) {
       silenced_.push_back(aReply);
+    } else if (aRequest.Header("expected-instance", Id()) != Id()) {
+      aReply.Send(WithClock(421, now));
     } else if (aRequest.path_ == "/run-start") {
       aReply.Send(Start(body, now));
     } else if (aRequest.path_ == "/run-stop") {
       Stop(body, now);
       aReply.Send(WithClock(200, now));
     } else if (aRequest.path_ == "/hold") {
-      acknowledged_ = std::max(acknowledged_, body.value("ackedUpto", 0UL));
+      Acknowledge(body.value("ackedUpto", 0UL), now);
       Extend(body, now);
       looks_.push_back({ aReply, now + Millis(body.value("waitMs", 0)) });
       AnswerLooks(now);
@@ -112,24 +124,64 @@
     AnswerLooks(now);
   }
 
-  std::string Heartbeat()
+  /// Id and body.
+  std::pair<std::string, std::string> Heartbeat()
   {
     std::lock_guard lock(mutex_);
-    return Json{
-      { "service", options_.service_ },
-      { "state", draining_ ? "draining" : "ready" },
-      { "capacity", { { "cpu", options_.cpu_ }, { "memMb", 100000 } } },
-      { "labels", { "a", "rack-1" } },
-      { "clockMs", ClockMs(MonoClock::now()) },
-      { "born", born_ },
-      { "seq", ++sequence_ }
-    }.dump();
+    const Json body{ { "service", options_.service_ },
+                     { "state", draining_ ? "draining" : "ready" },
+                     { "capacity",
+                       { { "cpu", options_.cpu_ }, { "memMb", 100000 } } },
+                     { "labels", { "a", "rack-1" } },
+                     { "clockMs", ClockMs(MonoClock::now()) },
+                     { "born", born_ },
+                     { "seq", ++sequence_ } };
+    return { Id(), body.dump() };
   }
 
 private:
+  std::string Id() const
+  {
+    return options_.id_ + "-" + std::to_string(incarnation_);
+  }
+
   int64_t ClockMs(MonoTime aNow) const
   {
-    return std::chrono::duration_cast<Millis>(aNow - start_).count();
+    return std::chrono::duration_cast<Millis>(aNow - start_).count() *
+           options_.clockPercent_ / kWholePercent;
+  }
+
+  /// Ends all runs and forgets them, as after a crash and a new start.
+  void BeginAnew(MonoTime aNow)
+  {
+    for (Run& run : runs_) {
+      if (run.how_.empty()) {
+        run.how_ = kCrashed;
+        run.ended_ = aNow;
+      }
+    }
+    past_.insert(past_.end(), runs_.begin(), runs_.end());
+    runs_.clear();
+    ends_.clear();
+    acknowledged_ = 0;
+    lease_ = {};
+    lapsed_ = {};
+    sequence_ = 0;
+    ++incarnation_;
+    start_ = aNow;
+    born_ = WallMs(aNow);
+  }
+
+  void Acknowledge(size_t aUpTo, MonoTime aNow)
+  {
+    const bool inForce = aNow < lease_;
+    for (size_t i = acknowledged_; i < std::min(aUpTo, ends_.size()); ++i) {
+      Run& run = runs_[static_cast<size_t>(ends_[i])];
+      if (inForce && lapsed_ < run.ended_) {
+        run.acknowledged_ = aNow;
+      }
+    }
+    acknowledged_ = std::max(acknowledged_, aUpTo);
   }
 
   HttpResponse WithClock(int aStatus,
@@ -147,7 +199,11 @@
   {
     if (aBody.contains("deadlineMs")) {
       const MonoTime asked =
-        start_ + Millis(aBody["deadlineMs"].get<int64_t>());
+        start_ + Millis(aBody["deadlineMs"].get<int64_t>() * kWholePercent /
+                        options_.clockPercent_);
+      if (aNow >= lease_) {
+        lapsed_ = lease_;
+      }
       lease_ = std::max(lease_, std::min(asked, aNow + kLongestLease));
     }
   }
@@ -204,7 +260,8 @@
         continue;
       }
       if (aNow >= lease_) {
-        End(run, "lapsed", aNow);
+        // Also when this program was paused meanwhile.
+        End(run, "lapsed", std::max(lease_, run.begun_));
       } else if (!stalls_ && aNow >= run.begun_ + run.length_) {
         End(run, run.fails_ ? "failed" : "done", aNow);
       }
@@ -249,26 +306,37 @@
   Json Listing() const
   {
     Json list = Json::array();
-    for (const Run& run : runs_) {
-      list.push_back({ { "task", run.task_ },
-                       { "run", run.run_ },
-                       { "begun", WallMs(run.begun_) },
-                       { "ended", run.how_.empty() ? 0 : WallMs(run.ended_) },
-                       { "how", run.how_ } });
-    }
+    const auto add = [&list](const Run& aRun) {
+      const auto wall = [](MonoTime aTime) {
+        return aTime == MonoTime() ? 0 : WallMs(aTime);
+      };
+      list.push_back({ { "task", aRun.task_ },
+                       { "run", aRun.run_ },
+                       { "begun", WallMs(aRun.begun_) },
+                       { "ended", wall(aRun.ended_) },
+                       { "acknowledged", wall(aRun.acknowledged_) },
+                       { "how", aRun.how_ } });
+    };
+    std::for_each(past_.begin(), past_.end(), add);
+    std::for_each(runs_.begin(), runs_.end(), add);
     return list;
   }
 
   const Options options_;
-  const MonoTime start_ = MonoClock::now();
-  const int64_t born_ = WallMs(start_);
+  int incarnation_ = 1;
+  MonoTime start_ = MonoClock::now();
+  int64_t born_ = WallMs(start_);
   std::mutex mutex_;
+  /// Runs of earlier incarnations.
+  std::vector<Run> past_;
   std::vector<Run> runs_;
   std::vector<std::ptrdiff_t> ends_;
   std::vector<WaitingLook> looks_;
   std::vector<HttpReply> silenced_;
   size_t acknowledged_ = 0;
   MonoTime lease_;
+  /// When a lease last ended before it was extended.
+  MonoTime lapsed_;
   int64_t sequence_ = 0;
   bool unanswered_ = false;
   bool draining_ = false;
@@ -287,6 +355,9 @@
   app.add_option("--heartbeats", options.heartbeats_, "<ip>:<port>")
     ->required();
   app.add_option("--cpu", options.cpu_, "Thousandths of a core");
+  app.add_option("--clock-percent",
+                 options.clockPercent_,
+                 "Speed of its clock in percent of the machine's");
   CLI11_PARSE(app, argc, argv);
   sigset_t signals;
   sigemptyset(&signals);
@@ -308,10 +379,11 @@
   std::thread beater([&] {
     HttpClient client;
     while (!stopping) {
+      const auto [id, body] = executor.Heartbeat();
       client.Perform({ .method_ = "POST",
                        .url_ = "http://" + options.heartbeats_ + "/instances/" +
-                               options.id_ + "/heartbeat",
-                       .body_ = executor.Heartbeat(),
+                               id + "/heartbeat",
+                       .body_ = body,
                        .timeout_ = Millis(500) });
       std::this_thread::sleep_for(kHeartbeatInterval);
     }
