Tell sidecars the latest start that meets a job's objective

Cause: sidecars put runs that can't meet their objective behind the others, but orders never said when that is, so every waiting run counted as late and the rule had no effect. For jobs of several steps the entry took the first step's slack for all of them.

Change: an order carries the goal of its job's present steps: submission plus objective, less the longest chain of steps that is left. Admission compares the predicted wait with what the objective leaves beyond the whole chain.

--- a/src/include/cornelfront/job_engine.h
+++ b/src/include/cornelfront/job_engine.h
@@ -293,7 +293,7 @@
     JobDescription spec_;
     JobQueue queue_;
     MonoTime submitted_;
-    /// Latest start that meets the objective.
+    /// Latest start of the present steps that meets the objective.
     MonoTime goal_;
     MonoTime deadline_;
     std::vector<Step> steps_;
@@ -404,8 +404,15 @@
   double ExpectedRunMs(const Job& aJob, const StepSpec& aStep) const;
   /// Predicted wait for room of the first step's last task.
   double AdmissionWaitMs(const Job& aJob) const;
-  /// Time that the objective leaves beyond the work of a step.
-  double SlackMs(const Job& aJob, const StepSpec& aStep) const;
+  /// Longest chain of expected run times from each step to the job's end, the
+  /// step's own included.
+  std::vector<double> ChainsMs(const Job& aJob) const;
+  /// Time that the objective leaves beyond the longest chain of steps.
+  double SlackMs(const Job& aJob) const;
+  /// Latest start of the steps that may run now that meets the objective.
+  MonoTime GoalOf(const Job& aJob) const;
+  /// Sets goal_; the job must not be waiting.
+  void UpdateGoal(Job& aJob);
   bool RefuseAtOnce(Job& aJob, MonoTime aNow);
   void NoteSent(Sidecar& aSidecar, const StepSpec& aStep, const RunKey& aKey);
   void OnEnd(MemberId aSidecar, const RunReport& aReport, MonoTime aNow);
--- a/src/libcornelfront/policy/job_engine.cpp
+++ b/src/libcornelfront/policy/job_engine.cpp
@@ -52,11 +52,11 @@
     job.steps_.push_back(
       { .tasks_ = std::vector<Task>(step.count_), .open_ = step.count_ });
   }
-  job.goal_ = aNow + FromMs(SlackMs(job, job.spec_.steps_.front()));
   if (RefuseAtOnce(job, aNow)) {
     return;
   }
   UnblockSteps(job);
+  UpdateGoal(job);
   Place(job, aNow);
 }
 
@@ -70,9 +70,8 @@
            options_.refusalRetry_);
     return true;
   }
-  const StepSpec& first = aJob.spec_.steps_.front();
   const double wait = AdmissionWaitMs(aJob);
-  const double admitted = SlackMs(aJob, first) * options_.admittedWait_;
+  const double admitted = SlackMs(aJob) * options_.admittedWait_;
   if (wait <= admitted && aNow + FromMs(wait) < aJob.deadline_) {
     return false;
   }
--- a/src/libcornelfront/policy/job_engine_test.cpp
+++ b/src/libcornelfront/policy/job_engine_test.cpp
@@ -195,6 +195,27 @@
                   EndCase{ "lost", RunEnd::Lost, false }),
   [](const auto& aInfo) { return std::string(aInfo.param.name_); });
 
+TEST_F(JobEngineTest, OrdersTellTheLatestStartThatMeetsTheObjective)
+{
+  // Twice 100 ms and 100 ms more, less the work itself.
+  Submit(Job());
+  Wanted wanted = Take();
+  ASSERT_EQ(wanted.runs_.size(), 1U);
+  EXPECT_EQ(wanted.runs_[0].orders_.startGoal_, Millis(200));
+
+  JobDescription chain = Job(1, "00000000000000a2");
+  chain.steps_.push_back(chain.steps_.front());
+  chain.steps_.back().after_ = { 0 };
+  Submit(chain, 0, 2);
+  wanted = Take();
+  ASSERT_EQ(wanted.runs_.size(), 1U);
+  EXPECT_EQ(wanted.runs_[0].orders_.startGoal_, Millis(300));
+  End(wanted.runs_[0], RunEnd::Done, 100);
+  wanted = Take();
+  ASSERT_EQ(wanted.runs_.size(), 1U);
+  EXPECT_EQ(wanted.runs_[0].orders_.startGoal_, Millis(300));
+}
+
 TEST_F(JobEngineTest, AReportThatComesTwiceCountsOnce)
 {
   Submit(Job(2));
--- a/src/libcornelfront/policy/job_placement.cpp
+++ b/src/libcornelfront/policy/job_placement.cpp
@@ -89,6 +89,8 @@
     order.room_ = spec.room_;
     order.priority_ = aJob.queue_.priority_;
     order.estimate_ = FromMs(ExpectedRunMs(aJob, spec));
+    order.startGoal_ = std::max(
+      Millis(0), std::chrono::duration_cast<Millis>(aJob.goal_ - aNow));
     order.startWithin_ =
       std::min(options_.startWithin_,
                std::chrono::duration_cast<Millis>(aJob.deadline_ - aNow));
@@ -257,11 +259,52 @@
                       : found->second.meanMs_;
 }
 
+std::vector<double>
+JobEngine::ChainsMs(const Job& aJob) const
+{
+  const auto& steps = aJob.spec_.steps_;
+  std::vector<double> chains(steps.size(), 0.0);
+  // Steps come after earlier ones only, so those behind are known already.
+  for (size_t i = steps.size(); i-- > 0;) {
+    chains[i] += ExpectedRunMs(aJob, steps[i]);
+    for (const uint32_t earlier : steps[i].after_) {
+      chains[earlier] = std::max(chains[earlier], chains[i]);
+    }
+  }
+  return chains;
+}
+
 double
-JobEngine::SlackMs(const Job& aJob, const StepSpec& aStep) const
+JobEngine::SlackMs(const Job& aJob) const
+{
+  const std::vector<double> chains = ChainsMs(aJob);
+  const double chain = *std::max_element(chains.begin(), chains.end());
+  return chain * (aJob.queue_.stretch_ - 1.0) + ToMs(aJob.queue_.slo_);
+}
+
+MonoTime
+JobEngine::GoalOf(const Job& aJob) const
+{
+  const std::vector<double> chains = ChainsMs(aJob);
+  const double longest = *std::max_element(chains.begin(), chains.end());
+  double left = 0.0;
+  for (size_t i = 0; i < chains.size(); ++i) {
+    const auto& tasks = aJob.steps_[i].tasks_;
+    const bool open =
+      std::any_of(tasks.begin(), tasks.end(), [](const Task& aTask) {
+        return aTask.state_ != TaskState::Done &&
+               aTask.state_ != TaskState::Blocked;
+      });
+    left = open ? std::max(left, chains[i]) : left;
+  }
+  return aJob.submitted_ + FromMs(longest + SlackMs(aJob) - left);
+}
+
+void
+JobEngine::UpdateGoal(Job& aJob)
 {
-  return ExpectedRunMs(aJob, aStep) * (aJob.queue_.stretch_ - 1.0) +
-         static_cast<double>(aJob.queue_.slo_.count());
+  waiting_.erase(RankOf(aJob));
+  aJob.goal_ = GoalOf(aJob);
 }
 
 double
--- a/src/libcornelfront/policy/job_runs.cpp
+++ b/src/libcornelfront/policy/job_runs.cpp
@@ -133,6 +133,7 @@
     return;
   }
   UnblockSteps(aJob);
+  UpdateGoal(aJob);
   Place(aJob, aNow);
 }
 
--- a/src/libcornelfront/policy/job_stored.cpp
+++ b/src/libcornelfront/policy/job_stored.cpp
@@ -107,7 +107,6 @@
   job.stored_ = true;
   job.fromEarlierLeader_ = aFromEarlierLeader;
   job.submitted_ = aNow - std::max(aAge, Millis(0));
-  job.goal_ = job.submitted_ + FromMs(SlackMs(job, job.spec_.steps_.front()));
   job.deadline_ = MonoTime::max();
   for (size_t s = 0; s < aJob.steps_.size(); ++s) {
     const uint32_t count = aJob.steps_[s].count_;
@@ -127,6 +126,7 @@
     job.steps_.push_back(std::move(step));
   }
   UnblockSteps(job);
+  UpdateGoal(job);
   Place(job, aNow);
 }
 
