--- a/src/libcornelfront/platform/batch_writer.cpp
+++ b/src/libcornelfront/platform/batch_writer.cpp
@@ -80,22 +80,24 @@
 void
 BatchWriter::OnAnswer(StoreOutcome aOutcome)
 {
-  if (aOutcome == StoreOutcome::Ok || aOutcome == StoreOutcome::Fenced) {
+  const bool fenced = aOutcome == StoreOutcome::Fenced;
+  if (aOutcome == StoreOutcome::Ok || (fenced && options_.untilDone_)) {
     Finish(aOutcome);
     return;
   }
   uncertain_ |= aOutcome == StoreOutcome::Unknown;
   const bool inTime = BootNow() - batchBegun_ < options_.unknownLimit_;
-  if (options_.untilDone_ || (uncertain_ && inTime)) {
+  if (!fenced && (options_.untilDone_ || (uncertain_ && inTime))) {
     RetryLater();
-  } else if (!uncertain_) {
-    Finish(StoreOutcome::NotDone);
-  } else {
-    // The lost append may still be carried out under its sequence number.
+    return;
+  }
+  if (fenced || uncertain_) {
+    // The lost append may still be carried out under its sequence number, and
+    // a number that is fenced off leads nowhere.
     ++producers_;
     sequence_ = options_.firstSequence_;
-    Finish(StoreOutcome::Unknown);
   }
+  Finish(uncertain_ ? StoreOutcome::Unknown : StoreOutcome::NotDone);
 }
 
 void
--- a/src/libcornelfront/platform/store_client_test.cpp
+++ b/src/libcornelfront/platform/store_client_test.cpp
@@ -103,6 +103,18 @@
   }
 }
 
+TEST_F(ScriptedStore, AFencedNumberIsGivenUpAndHidesNothing)
+{
+  BatchWriter writer(loop_, store_, { .topic_ = "t", .producer_ = "p" });
+  statuses_ = { 409, 200, 502, 409, 200 };
+  EXPECT_EQ(Write(writer), StoreOutcome::NotDone);
+  EXPECT_EQ(Write(writer), StoreOutcome::Ok);
+  EXPECT_NE(appends_[1].Query("producer"), appends_[0].Query("producer"));
+  EXPECT_EQ(Write(writer), StoreOutcome::Unknown)
+    << "the first try may have been done";
+  EXPECT_EQ(Write(writer), StoreOutcome::Ok);
+}
+
 TEST_F(ScriptedStore, WhatIsRefusedIsNotRepeated)
 {
   BatchWriter writer(loop_, store_, { .topic_ = "t", .producer_ = "p" });
