Ignore looks at an earlier incarnation of the upstream

Two runs of a task at one time, and starts after an acknowledged end.

Ruled out: orders carried out late (both runs had been ordered within 30 ms by the same entry); the suspension of the sidecar (over 2 s before).

Change: the table ignores answers to looks that began before the present incarnation was known.

Test: AnswersOfAnEarlierIncarnationSayNothingOfThePresentOne, red before.

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -129,6 +129,9 @@
   void OnUpstream(const UpstreamInfo& aInfo, MonoTime aNow);
   /// The upstream has left or is known to be dead.
   void OnUpstreamGone(MonoTime aNow);
+  /// A look found another incarnation. Returns false if the one that it was
+  /// meant for is no longer the present one.
+  bool OnUpstreamReplaced(uint64_t aLookBegin, MonoTime aNow);
   /// While closed, nothing starts and waiting runs are reported as not
   /// started.
   void SetClosed(bool aClosed, MonoTime aNow);
@@ -154,9 +157,11 @@
                      UpstreamClock aDeadline,
                      MonoTime aNow);
 
-  /// Must be called before a look is sent; its value goes to OnLook.
+  /// Must be called before a look is sent; its value goes to OnLook, which
+  /// ignores looks at an earlier incarnation.
   uint64_t BeginLook();
-  void OnLook(uint64_t aLookBegin, const UpstreamLook& aLook, MonoTime aNow);
+  /// Returns false if the look is ignored.
+  bool OnLook(uint64_t aLookBegin, const UpstreamLook& aLook, MonoTime aNow);
 
   /// Checks silent owners and a silent upstream, and drops what waited too
   /// long.
@@ -275,6 +280,8 @@
   std::map<MemberId, Owner> owners_;
   uint64_t nextSequence_ = 0;
   uint64_t looks_ = 0;
+  /// Number of the first look at the present incarnation.
+  uint64_t incarnationLook_ = 0;
   uint64_t newestEnd_ = 0;
   /// Ends that must not be forgotten yet, by number.
   std::map<uint64_t, RunReport> kept_;
--- a/src/libcornelfront/job_sidecar.cpp
+++ b/src/libcornelfront/job_sidecar.cpp
@@ -531,11 +531,12 @@
   const MonoTime now = BootNow();
   CheckPause(now);
   if (aOutcome == platform::LookOutcome::Ok) {
-    looked_ = true;
     patience_ = std::max(patience_ * 9 / 10, kLeastPatience);
-    clock_ = aLook.clock_;
-    clockRead_ = now;
-    table_.OnLook(aBegin, aLook, now);
+    if (table_.OnLook(aBegin, aLook, now)) {
+      looked_ = true;
+      clock_ = aLook.clock_;
+      clockRead_ = now;
+    }
     Pump(now);
     Look();
     return;
@@ -544,8 +545,9 @@
   unanswered_ = now;
   metrics_.CountUnanswered();
   if (aOutcome == platform::LookOutcome::Replaced) {
-    LOG(WARNING) << "upstream outcome=replaced";
-    table_.OnUpstreamGone(now);
+    const bool present = table_.OnUpstreamReplaced(aBegin, now);
+    LOG(WARNING) << "upstream outcome="
+                 << (present ? "replaced" : "was_replaced_before");
     Pump(now);
     SendStatus(now);
   }
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -45,6 +45,7 @@
     newestEnd_ = 0;
     kept_.clear();
     upstreamHeard_ = aNow;
+    incarnationLook_ = looks_ + 1;
   }
   upstream_ = aInfo;
   if (aInfo.draining_) {
@@ -60,6 +61,16 @@
   upstream_.reset();
 }
 
+bool
+RunTable::OnUpstreamReplaced(uint64_t aLookBegin, MonoTime aNow)
+{
+  if (aLookBegin < incarnationLook_) {
+    return false;
+  }
+  OnUpstreamGone(aNow);
+  return true;
+}
+
 void
 RunTable::SetClosed(bool aClosed, MonoTime aNow)
 {
@@ -293,13 +304,17 @@
   return ++looks_;
 }
 
-void
+bool
 RunTable::OnLook(uint64_t aLookBegin, const UpstreamLook& aLook, MonoTime aNow)
 {
+  if (aLookBegin < incarnationLook_) {
+    return false;
+  }
   upstreamHeard_ = aNow;
   NoteRunning(aLook, aNow);
   NoteEnded(aLook, aNow);
   NoteMissing(aLookBegin, aLook, aNow);
+  return true;
 }
 
 void
--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -80,6 +80,19 @@
   RunTable table_{ RunTableOptions{} };
 };
 
+TEST_F(RunTableTest, AnswersOfAnEarlierIncarnationSayNothingOfThePresentOne)
+{
+  const uint64_t early = table_.BeginLook();
+  table_.OnUpstream(Upstream(2), At(1));
+  Start(1);
+  EXPECT_FALSE(table_.OnUpstreamReplaced(early, At(2)));
+  EXPECT_FALSE(table_.OnLook(early, {}, At(2)));
+  EXPECT_EQ(table_.Size(), 1U) << "still runs on the present one";
+  EXPECT_TRUE(Reports().empty());
+  EXPECT_TRUE(table_.OnUpstreamReplaced(table_.BeginLook(), At(3)));
+  ASSERT_EQ(Reports().size(), 1U);
+}
+
 TEST_F(RunTableTest, StartsWhatFitsAndTheRestWhenRoomFallsFree)
 {
   table_.OnOrders(kOwner, Orders(5), At(0));
