Let the lease end before a lost leader's kept ends count as lost

Ruled out: the store (no append failed in between), the upstream (its end was listed all the while).

Change: runs of stored jobs are taken as lost only after 6.5 s. A sidecar that keeps ends and has not heard of their leader for 3 s, or of any leader for 4 s, lets the lease end and drops them: ends that are acknowledged after the lease has ended count for nothing. While that lasts nothing starts there. A new leader waits 10.5 s, instead of 8.7 s, for sidecars that it can't reach. Ends of unknown runs that neither succeeded nor failed are not kept: they change nothing.

--- a/src/include/cornelfront/job_engine.h
+++ b/src/include/cornelfront/job_engine.h
@@ -139,6 +139,10 @@
   Millis longestPause_{ 600 };
   /// Time after the loss of a sidecar's link after which its runs have ended.
   Millis lostRunsEnd_{ 1000 };
+  /// The same for stored jobs, whose runs and ends a sidecar keeps for a while:
+  /// it may be replaced within a second, waits RunTableOptions::unknownLeader_,
+  /// then lets the lease end.
+  Millis lostStoredRunsEnd_{ 6500 };
   /// A task waits no longer than this in a sidecar before it is placed anew.
   Millis startWithin_{ 1500 };
   /// Added to the predicted wait of an upstream in another zone.
@@ -423,7 +427,8 @@
              const Job& aJob,
              const RunReport& aReport,
              MonoTime aNow);
-  void EndRuns(MemberId aSidecar, RunEnd aEnd, MonoTime aNow);
+  /// Takes runs of a sidecar that is out of reach as lost.
+  void LoseRuns(MemberId aSidecar, bool aStoredToo, MonoTime aNow);
   void OnStalled(MemberId aSidecar, const StalledRun& aStalled);
   /// True if the upstream, not the task, is the likely cause of a stall.
   bool BlamesUpstream(const Sidecar& aSidecar,
--- a/src/include/cornelfront/leadership.h
+++ b/src/include/cornelfront/leadership.h
@@ -28,7 +28,7 @@
   Millis authority_{ 4000 };
   /// Time after the end of a leader's authority after which no run that it
   /// started exists any more on a sidecar that can't be reached.
-  Millis runsEnd_{ 4700 };
+  Millis runsEnd_{ 6500 };
 };
 
 /// Not thread-safe. Times are BootNow.
--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -96,6 +96,10 @@
   Millis ownerSilence_{ 700 };
   /// The same for stored jobs: time for another leader to take them over.
   Millis leaderSilence_{ 3000 };
+  /// Kept ends wait this long for a leader to show up at all.
+  Millis unknownLeader_{ 4000 };
+  /// A lease that is not extended any more has certainly ended after this.
+  Millis leaseEnd_{ 1200 };
   /// Unacknowledged ends beyond which the upstream could hide newer ones.
   size_t maxKeptEnds_ = 400;
   /// Runs whose upstream has not answered for this long have certainly ended,
@@ -188,6 +192,9 @@
   UpstreamReport Report(MonoTime aNow) const;
   /// Ends up to this number may be forgotten by the upstream.
   uint64_t AcknowledgedEnds() const;
+  /// False while the lease of all runs must end: the leader is out of reach
+  /// and will take them as lost, and with the lease their ends become void.
+  bool MayExtendLease() const { return !lapseBegun_; }
   MonoTime UpstreamHeard() const { return upstreamHeard_; }
   /// True if the upstream runs something that nobody here ordered.
   bool HasStrays() const { return !strays_.empty(); }
@@ -267,6 +274,9 @@
                    const UpstreamLook& aLook,
                    MonoTime aNow);
   void CheckOwners(MonoTime aNow);
+  void CheckLeader(MonoTime aNow);
+  /// Forgets ends that were not handed over before the lease ended.
+  void DropKeptEnds();
   void NoteStarted(const RunKey& aKey, Run& aRun, MonoTime aNow);
   void SendStart(Runs::iterator aRun, std::vector<StartOrder>& aStarts);
   void Withdraw(Run& aRun);
@@ -288,6 +298,10 @@
   /// Newest leader of the stored jobs.
   uint64_t term_ = 0;
   std::optional<MemberId> leader_;
+  MonoTime leaderHeard_;
+  /// Since when there are kept ends.
+  MonoTime keptSince_;
+  std::optional<MonoTime> lapseBegun_;
   bool registered_ = false;
   MonoTime upstreamHeard_;
   MonoTime fullUntil_;
--- a/src/libcornelfront/job_sidecar.cpp
+++ b/src/libcornelfront/job_sidecar.cpp
@@ -496,7 +496,7 @@
   }
   looking_ = true;
   std::optional<UpstreamClock> lease;
-  if (now - table_.UpstreamHeard() < kLeaseDoubt) {
+  if (now - table_.UpstreamHeard() < kLeaseDoubt && table_.MayExtendLease()) {
     lease = { UpstreamNow(now).value_ + settings_.lease_ };
   }
   const uint64_t begin = table_.BeginLook();
--- a/src/libcornelfront/policy/job_engine.cpp
+++ b/src/libcornelfront/policy/job_engine.cpp
@@ -231,15 +231,19 @@
   CheckPause(aNow);
   ForgetSlowness(std::chrono::duration_cast<Millis>(aNow - lastTick_));
   lastTick_ = aNow;
-  std::vector<MemberId> ended;
+  std::vector<MemberId> lost;
   for (const auto& [id, sidecar] : sidecars_) {
     if (!sidecar.linked_ && aNow - sidecar.lostAt_ >= options_.lostRunsEnd_) {
-      ended.push_back(id);
+      lost.push_back(id);
     }
   }
-  for (const MemberId id : ended) {
-    EndRuns(id, RunEnd::Lost, aNow);
-    sidecars_.erase(id);
+  for (const MemberId id : lost) {
+    const bool storedToo =
+      aNow - sidecars_.at(id).lostAt_ >= options_.lostStoredRunsEnd_;
+    LoseRuns(id, storedToo, aNow);
+    if (sidecars_.at(id).runs_.empty()) {
+      sidecars_.erase(id);
+    }
   }
   std::vector<JobInstance> expired;
   for (const auto& [id, job] : jobs_) {
--- a/src/libcornelfront/policy/job_runs.cpp
+++ b/src/libcornelfront/policy/job_runs.cpp
@@ -206,11 +206,14 @@
 }
 
 void
-JobEngine::EndRuns(MemberId aSidecar, RunEnd aEnd, MonoTime aNow)
+JobEngine::LoseRuns(MemberId aSidecar, bool aStoredToo, MonoTime aNow)
 {
   const std::set<RunKey> runs = sidecars_.at(aSidecar).runs_;
   for (const RunKey& key : runs) {
-    OnEnd(aSidecar, { .key_ = key, .end_ = aEnd }, aNow);
+    const Job* job = FindJob(InstanceOf(key.task_));
+    if (aStoredToo || job == nullptr || !job->stored_) {
+      OnEnd(aSidecar, { .key_ = key, .end_ = RunEnd::Lost }, aNow);
+    }
   }
 }
 
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -44,6 +44,7 @@
     strays_.clear();
     newestEnd_ = 0;
     kept_.clear();
+    lapseBegun_.reset();
     upstreamHeard_ = aNow;
     incarnationLook_ = looks_ + 1;
   }
@@ -84,6 +85,9 @@
 RunTable::OnOwnerLink(MemberId aOwner, MonoTime aNow)
 {
   owners_[aOwner].heard_ = aNow;
+  if (leader_ == aOwner) {
+    leaderHeard_ = aNow;
+  }
 }
 
 void
@@ -91,7 +95,7 @@
 {
   const auto owner = owners_.find(aOwner);
   if (owner != owners_.end()) {
-    owner->second.heard_ = aNow;
+    OnOwnerLink(aOwner, aNow);
   }
 }
 
@@ -196,7 +200,8 @@
 RunTable::TakeStarts(MonoTime aNow)
 {
   std::vector<StartOrder> starts;
-  if (!upstream_ || upstream_->draining_ || closed_ || aNow < fullUntil_) {
+  if (!upstream_ || upstream_->draining_ || closed_ || lapseBegun_ ||
+      aNow < fullUntil_) {
     return starts;
   }
   // The same order twice starts the run once.
@@ -372,7 +377,9 @@
     }
     newestEnd_ = entry.number_;
     const auto run = FindUpstreamRun(entry.key_);
-    if (run == runs_.end() || run->second.term_ > 0) {
+    const bool matters =
+      entry.end_ == RunEnd::Done || entry.end_ == RunEnd::Failed;
+    if (run == runs_.end() ? matters : run->second.term_ > 0) {
       Keep(entry, run, aNow);
     }
     if (run != runs_.end()) {
@@ -392,6 +399,9 @@
     report = MakeReport(aRun->first, aRun->second, aEnd.end_, aNow);
   }
   report.kept_ = true;
+  if (kept_.empty()) {
+    keptSince_ = aNow;
+  }
   kept_[aEnd.number_] = report;
   if (aRun == runs_.end() && leader_) {
     Tell(*leader_, report, aNow);
@@ -442,6 +452,7 @@
 RunTable::Tick(MonoTime aNow)
 {
   CheckOwners(aNow);
+  CheckLeader(aNow);
   if (upstream_ && Since(upstreamHeard_, aNow) > options_.upstreamSilence_) {
     FinishAll(RunEnd::Lost, aNow);
   }
@@ -484,6 +495,36 @@
   });
 }
 
+void
+RunTable::CheckLeader(MonoTime aNow)
+{
+  if (lapseBegun_) {
+    if (Since(*lapseBegun_, aNow) >= options_.leaseEnd_) {
+      DropKeptEnds();
+      lapseBegun_.reset();
+    }
+    return;
+  }
+  const bool silent = leader_
+                        ? Since(leaderHeard_, aNow) >= options_.leaderSilence_
+                        : Since(keptSince_, aNow) >= options_.unknownLeader_;
+  if (!kept_.empty() && silent) {
+    lapseBegun_ = aNow;
+  }
+}
+
+void
+RunTable::DropKeptEnds()
+{
+  kept_.clear();
+  for (auto& [id, owner] : owners_) {
+    std::erase_if(owner.unsent_.reports_,
+                  [](const RunReport& aReport) { return aReport.kept_; });
+    std::erase_if(owner.recent_,
+                  [](const auto& aRecent) { return aRecent.second.kept_; });
+  }
+}
+
 std::vector<RunKey>
 RunTable::TakeStops(MonoTime aNow)
 {
@@ -552,7 +593,7 @@
   }
   report.service_ = upstream_->service_;
   report.upstream_ = upstream_->id_;
-  report.ready_ = !upstream_->draining_ && !closed_ &&
+  report.ready_ = !upstream_->draining_ && !closed_ && !lapseBegun_ &&
                   Since(upstreamHeard_, aNow) <= options_.upstreamDoubt_;
   report.capacity_ = upstream_->capacity_;
   report.labels_ = upstream_->labels_;
--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -417,6 +417,38 @@
   EXPECT_EQ(table_.TakeStops(At(3000)).size(), 2U);
 }
 
+TEST_F(StoredRunsTest, KeptEndsBecomeVoidWithTheLeaseOnceTheLeaderIsLost)
+{
+  const UpstreamLook look{ .running_ = { { Key(1) } },
+                           .ended_ = { { 1, Key(0), RunEnd::Done } } };
+  Look(look, 10);
+  Look(look, 2990);
+  table_.Tick(At(2999));
+  EXPECT_TRUE(table_.MayExtendLease());
+  table_.Tick(At(3000));
+  EXPECT_FALSE(table_.MayExtendLease());
+  EXPECT_EQ(table_.AcknowledgedEnds(), 0U) << "the lease may still be in force";
+  EXPECT_FALSE(table_.Report(At(3000)).ready_);
+  table_.OnOrders(kOther, Orders(1), At(3010));
+  EXPECT_TRUE(table_.TakeStarts(At(3010)).empty()) << "would extend the lease";
+  table_.Tick(At(4199));
+  EXPECT_FALSE(table_.MayExtendLease());
+  table_.Tick(At(4200));
+  EXPECT_TRUE(table_.MayExtendLease());
+  EXPECT_EQ(table_.AcknowledgedEnds(), 1U);
+  table_.OnTakeOver(kOther, 2, At(4210));
+  for (const RunReport& report : table_.Held(kOther).reports_) {
+    EXPECT_EQ(report.end_, RunEnd::NotStarted) << "the order of 3010";
+  }
+}
+
+TEST_F(StoredRunsTest, WithoutKeptEndsALostLeaderCostsNoLease)
+{
+  Look({ .running_ = { { Key(0) }, { Key(1) } } }, 2990);
+  table_.Tick(At(3500));
+  EXPECT_TRUE(table_.MayExtendLease());
+}
+
 TEST_F(StoredRunsTest, EndsOfAPredecessorsRunsAreToldToTheLeader)
 {
   Look({ .running_ = { { Key(0) }, { Key(1) } },
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -103,7 +103,7 @@
 int
 main(int argc, char** argv)
 {
-  using namespace cornelfront::soak;
+  using cornelfront::soak::Options;
   CLI::App app("Randomized soak of the processes that serve jobs");
   Options options;
   app.add_option("--seed", options.seed_, "Seed of faults and jobs")
@@ -114,7 +114,7 @@
   CLI11_PARSE(app, argc, argv);
   testing::InitGoogleTest();
   try {
-    Run(options);
+    cornelfront::soak::Run(options);
   } catch (const std::exception& error) {
     ADD_FAILURE() << error.what();
   }
