Count failed runs of stored tasks by run, in whatever order they come

Sidecars handed the ends over to the next leader, the one with the highest run first; ends of lower runs counted as known, so the task got attempts that its queue does not allow.

Ruled out: the record of the deposed leader (its append was still waiting behind one without an answer; nothing of it was in the store).

Change: progress keeps the set of failed runs instead of their number.

Test: FailuresCountInWhateverOrderTheyAreHandedOver, red before.

--- a/src/include/cornelfront/job_engine.h
+++ b/src/include/cornelfront/job_engine.h
@@ -54,14 +54,15 @@
 struct TaskProgress
 {
   bool done_ = false;
-  uint32_t failures_ = 0;
-  /// Highest run whose end is counted here.
+  /// Runs that failed; several leaders may learn of them in any order.
+  std::set<uint32_t> failedRuns_;
+  /// Highest run that is known to have ended.
   uint32_t endedRun_ = 0;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(done_, failures_, endedRun_);
+    aArchive(done_, failedRuns_, endedRun_);
   }
 };
 
@@ -265,8 +266,8 @@
   {
     TaskState state_ = TaskState::Blocked;
     uint32_t run_ = 0;
-    uint32_t failures_ = 0;
-    /// Highest run whose end is counted; stored jobs only.
+    std::set<uint32_t> failedRuns_;
+    /// Highest run that is known to have ended; stored jobs only.
     uint32_t endedRun_ = 0;
     MemberId sidecar_;
     MonoTime sent_;
@@ -421,7 +422,8 @@
   void NoteSent(Sidecar& aSidecar, const StepSpec& aStep, const RunKey& aKey);
   void OnEnd(MemberId aSidecar, const RunReport& aReport, MonoTime aNow);
   void OnTaskDone(Job& aJob, const TaskName& aName, MonoTime aNow);
-  void OnTaskFailed(Job& aJob, const TaskName& aName, MonoTime aNow);
+  /// Counts a failed run; the job fails once the attempts are used up.
+  void OnTaskFailed(Job& aJob, const RunKey& aKey, MonoTime aNow);
   void RestartGang(Job& aJob, uint32_t aStep);
   void Learn(Sidecar& aSidecar,
              const Job& aJob,
--- a/src/libcornelfront/controllers/job_ledger.cpp
+++ b/src/libcornelfront/controllers/job_ledger.cpp
@@ -3,6 +3,7 @@
 #include "net/bounded_archive_pvt.h"
 
 #include <cereal/types/chrono.hpp>
+#include <cereal/types/set.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 #include <glog/logging.h>
--- a/src/libcornelfront/controllers/job_ledger_test.cpp
+++ b/src/libcornelfront/controllers/job_ledger_test.cpp
@@ -50,7 +50,7 @@
   EXPECT_EQ(ledger_.Pending("q"), 1U);
   EXPECT_EQ(ledger_.Jobs().at(kJob).accepted_->job_.steps_[0].requiredLabel_,
             "gpu");
-  Apply(ProgressRecord({ kJob }, { .progress_ = { { { true, 1, 3 } } } }));
+  Apply(ProgressRecord({ kJob }, { .progress_ = { { { true, { 1 }, 3 } } } }));
   EXPECT_EQ(ledger_.State(kJob), JobState::Running);
   EXPECT_EQ(ledger_.Pending("q"), 0U);
   EXPECT_EQ(ledger_.Jobs().at(kJob).instances_.at(0).progress_[0][0].endedRun_,
--- a/src/libcornelfront/policy/job_engine_test.cpp
+++ b/src/libcornelfront/policy/job_engine_test.cpp
@@ -620,7 +620,7 @@
 {
   engine_.SetTakingOver(true, At(0));
   // The failure of run 1 is stored already, the end of run 2 is not.
-  Restore(Job(), { { { .failures_ = 1, .endedRun_ = 1 } } }, true);
+  Restore(Job(), { { { .failedRuns_ = { 1 }, .endedRun_ = 1 } } }, true);
   HeldRuns held{ .term_ = 1 };
   held.reports_.push_back(
     { .key_ = key_, .end_ = RunEnd::Failed, .kept_ = true });
@@ -630,6 +630,26 @@
   EXPECT_EQ(Saves().at(0).outcome_, JobOutcome::Completed);
 }
 
+TEST_F(StoredJobTest, FailuresCountInWhateverOrderTheyAreHandedOver)
+{
+  engine_.SetTakingOver(true, At(0));
+  Restore(Job(), {}, true);
+  const auto handOver = [&](MemberId aSidecar, uint32_t aRun, int aMs) {
+    engine_.OnTakenOver(aSidecar,
+                        { .reports_ = { { .key_ = { key_.task_, aRun },
+                                          .end_ = RunEnd::Failed,
+                                          .kept_ = true } } },
+                        At(aMs));
+  };
+  handOver(kSecond, 2, 10);
+  EXPECT_FALSE(Saves().at(0).outcome_);
+  handOver(kSecond, 2, 15);
+  EXPECT_TRUE(Saves().empty()) << "the same end again";
+  handOver(kFirst, 1, 20);
+  EXPECT_EQ(Saves().at(0).outcome_, JobOutcome::Failed)
+    << "both attempts are used up";
+}
+
 TEST_F(StoredJobTest, WithoutAuthorityRunsAreStoppedAndNothingStarts)
 {
   Restore(Job());
--- a/src/libcornelfront/policy/job_runs.cpp
+++ b/src/libcornelfront/policy/job_runs.cpp
@@ -93,7 +93,7 @@
   task.state_ = TaskState::Ready;
   task.avoid_.insert(aSidecar);
   if (aReport.end_ == RunEnd::Failed) {
-    OnTaskFailed(*job, name, aNow);
+    OnTaskFailed(*job, aReport.key_, aNow);
     return;
   }
   if (job->spec_.steps_[name.step_].gang_) {
@@ -138,20 +138,24 @@
 }
 
 void
-JobEngine::OnTaskFailed(Job& aJob, const TaskName& aName, MonoTime aNow)
+JobEngine::OnTaskFailed(Job& aJob, const RunKey& aKey, MonoTime aNow)
 {
-  Task& task = aJob.steps_[aName.step_].tasks_[aName.index_];
-  ++task.failures_;
-  if (!aJob.spec_.steps_[aName.step_].longRunning_ &&
-      task.failures_ >= aJob.queue_.attempts_) {
-    Finish(aJob,
-           JobOutcome::Failed,
-           ToString(aName) + " failed " + std::to_string(task.failures_) +
-             " times");
-    return;
+  const TaskName& name = aKey.task_;
+  const StepSpec& spec = aJob.spec_.steps_[name.step_];
+  Task& task = aJob.steps_[name.step_].tasks_[name.index_];
+  if (!spec.longRunning_) {
+    task.failedRuns_.insert(aKey.run_);
+    if (task.failedRuns_.size() >= aJob.queue_.attempts_) {
+      Finish(aJob,
+             JobOutcome::Failed,
+             ToString(name) + " failed " +
+               std::to_string(task.failedRuns_.size()) + " times");
+      return;
+    }
   }
-  if (aJob.spec_.steps_[aName.step_].gang_) {
-    RestartGang(aJob, aName.step_);
+  // An earlier run's end does not concern the members that run now.
+  if (spec.gang_ && aKey.run_ >= task.run_) {
+    RestartGang(aJob, name.step_);
   }
   Place(aJob, aNow);
 }
--- a/src/libcornelfront/policy/job_stored.cpp
+++ b/src/libcornelfront/policy/job_stored.cpp
@@ -114,7 +114,7 @@
     for (size_t i = 0; i < count; ++i) {
       Task& task = step.tasks_[i];
       if (s < aProgress.size() && i < aProgress[s].size()) {
-        task.failures_ = aProgress[s][i].failures_;
+        task.failedRuns_ = aProgress[s][i].failedRuns_;
         task.endedRun_ = aProgress[s][i].endedRun_;
         if (aProgress[s][i].done_) {
           task.state_ = TaskState::Done;
@@ -211,7 +211,7 @@
     auto& tasks = progress.emplace_back();
     for (const Task& task : step.tasks_) {
       tasks.push_back({ .done_ = task.state_ == TaskState::Done,
-                        .failures_ = task.failures_,
+                        .failedRuns_ = task.failedRuns_,
                         .endedRun_ = task.endedRun_ });
     }
   }
@@ -256,11 +256,16 @@
   Job* job = FindJob(InstanceOf(name));
   Task* task = FindTask(name);
   const bool done = aReport.end_ == RunEnd::Done;
-  // A task that is being run again has been done all the same.
+  const bool failed = aReport.end_ == RunEnd::Failed;
+  const auto isNews = [&] {
+    // A task that is being run again has been done, or has failed, all the
+    // same. Sidecars hand over ends in any order.
+    return done || (failed ? !task->failedRuns_.contains(aReport.key_.run_)
+                           : aReport.key_.run_ > task->endedRun_ &&
+                               task->state_ != TaskState::Sent);
+  };
   const bool counts = task != nullptr && job->stored_ &&
-                      aReport.key_.run_ > task->endedRun_ &&
-                      task->state_ != TaskState::Done &&
-                      (done || task->state_ != TaskState::Sent);
+                      task->state_ != TaskState::Done && isNews();
   if (!counts) {
     if (!saving_.contains(aReport.key_)) {
       actions_.emplace_back(SendForget{ aSidecar, { { aReport.key_ } } });
@@ -273,8 +278,8 @@
       StopRun(name, *task);
     }
     OnTaskDone(*job, name, aNow);
-  } else if (aReport.end_ == RunEnd::Failed) {
-    OnTaskFailed(*job, name, aNow);
+  } else if (failed) {
+    OnTaskFailed(*job, aReport.key_, aNow);
   }
 }
 
