--- a/testsuite/soak/faults.cpp
+++ b/testsuite/soak/faults.cpp
@@ -253,7 +253,9 @@
     std::this_thread::sleep_until(start + change.at_);
     if (change.begin_) {
       const Stamp from = StampNow();
-      Begin(change.fault_);
+      if (!Begin(change.fault_)) {
+        continue;
+      }
       injected_.push_back(
         { change.fault_, from, from + change.fault_.length_.count() });
       std::cout << from - begun_ << " ms: " << ToString(change.fault_.kind_)
@@ -267,27 +269,35 @@
   HealAll();
 }
 
-void
+bool
 FaultInjector::Begin(const Fault& aFault)
 {
   const unsigned target = aFault.target_;
   switch (aFault.kind_) {
     case FaultKind::KillEntry:
-      return cluster_.Entry(target).Kill();
+      cluster_.Entry(target).Kill();
+      return true;
     case FaultKind::KillSidecar:
-      return cluster_.Sidecar(target).Kill();
+      cluster_.Sidecar(target).Kill();
+      return true;
     case FaultKind::StopEntry:
-      return cluster_.Entry(target).Signal(SIGTERM);
+      cluster_.Entry(target).Signal(SIGTERM);
+      return true;
     case FaultKind::StopSidecar:
-      return cluster_.Sidecar(target).Signal(SIGTERM);
+      cluster_.Sidecar(target).Signal(SIGTERM);
+      return true;
     case FaultKind::PauseEntry:
-      return cluster_.Entry(target).Signal(SIGSTOP);
+      cluster_.Entry(target).Signal(SIGSTOP);
+      return true;
     case FaultKind::PauseSidecar:
-      return cluster_.Sidecar(target).Signal(SIGSTOP);
+      cluster_.Sidecar(target).Signal(SIGSTOP);
+      return true;
     case FaultKind::PauseExecutor:
-      return cluster_.Executor(target).Signal(SIGSTOP);
+      cluster_.Executor(target).Signal(SIGSTOP);
+      return true;
     case FaultKind::ReloadEntry:
-      return cluster_.Entry(target).Signal(SIGHUP);
+      cluster_.Entry(target).Signal(SIGHUP);
+      return true;
     case FaultKind::ZoneOut:
       return Operate(target, "{}");
     default:
@@ -302,6 +312,7 @@
     cluster_.Executor(target).Signal(SIGCONT);
     cluster_.ExecutorFault(target, ExecutorFields(aFault.kind_, true));
   }
+  return true;
 }
 
 void
@@ -322,7 +333,8 @@
     case FaultKind::PauseExecutor:
       return cluster_.Executor(target).Signal(SIGCONT);
     case FaultKind::ZoneOut:
-      return Operate(target, "");
+      Operate(target, "");
+      return;
     case FaultKind::ReloadEntry:
     case FaultKind::StoreDropsHistory:
     case FaultKind::ExecutorReborn:
@@ -340,14 +352,16 @@
   }
 }
 
-void
+bool
 FaultInjector::Operate(unsigned aTarget, const std::string& aValue)
 {
   try {
     cluster_.Operate("evacuate/" + cluster_.ZoneOf(aTarget), aValue);
+    return true;
   } catch (const std::runtime_error& error) {
     // The store is disturbed as well: no acknowledgement, so no bound.
     std::cout << "operator: " << error.what() << "\n";
+    return false;
   }
 }
 
--- a/testsuite/soak/faults.h
+++ b/testsuite/soak/faults.h
@@ -94,11 +94,13 @@
     Stamp to_ = 0;
   };
 
-  void Begin(const Fault& aFault);
+  /// Returns false if the fault was not injected after all.
+  bool Begin(const Fault& aFault);
   void End(const Fault& aFault);
   void HealAll();
-  /// Writes the state of a target's zone, if the store takes it.
-  void Operate(unsigned aTarget, const std::string& aValue);
+  /// Writes the state of a target's zone; returns false without an
+  /// acknowledgement of the store.
+  bool Operate(unsigned aTarget, const std::string& aValue);
   bool DisturbsExecutor(const Fault& aFault, unsigned aExecutor) const;
   /// True if \p aDisturbs holds for a fault that touches the span.
   template<class Predicate>
