Log each decision on a run with what decided it

Change: entries log where tasks are placed (predicted wait, goal, age of the report, term), runs that end otherwise than well (waits, length, failures so far), stalls, and upstreams that are avoided; sidecars log each order that did not start with the upstream's reason, and a lease that is left to end.

--- a/src/include/cornelfront/job_engine.h
+++ b/src/include/cornelfront/job_engine.h
@@ -92,6 +92,36 @@
 {
   MemberId sidecar_;
   StartRuns orders_;
+  /// What the choice rests on: the predicted wait there, and the age of the
+  /// sidecar's report.
+  Millis predictedWait_{ 0 };
+  Millis reportAge_{ 0 };
+};
+
+/// For the log: a run ended otherwise than well.
+struct NoteRunEnd
+{
+  MemberId sidecar_;
+  RunReport report_;
+  /// Failed runs of the task so far.
+  size_t failures_ = 0;
+};
+
+/// For the log: a run is stopped because it stalls.
+struct NoteStall
+{
+  MemberId sidecar_;
+  StalledRun stalled_;
+  /// Slowness of the upstream, as known before.
+  double slowness_ = 1.0;
+};
+
+/// For the log: an upstream is avoided for a while, as most runs fail there.
+struct NoteAvoided
+{
+  MemberId sidecar_;
+  double failedShare_ = 0.0;
+  Millis for_{ 0 };
 };
 
 struct SendStops
@@ -129,8 +159,14 @@
   ForgetEnds ends_;
 };
 
-using JobAction =
-  std::variant<SendRuns, SendStops, AnswerJob, SaveJob, SendForget>;
+using JobAction = std::variant<SendRuns,
+                               SendStops,
+                               AnswerJob,
+                               SaveJob,
+                               SendForget,
+                               NoteRunEnd,
+                               NoteStall,
+                               NoteAvoided>;
 
 struct JobEngineOptions
 {
@@ -314,6 +350,7 @@
     bool linked_ = false;
     MonoTime lostAt_;
     UpstreamReport report_;
+    MonoTime reported_;
     /// Orders sent on the present link.
     uint64_t ordersSent_ = 0;
     struct Order
@@ -425,7 +462,7 @@
   /// Counts a failed run; the job fails once the attempts are used up.
   void OnTaskFailed(Job& aJob, const RunKey& aKey, MonoTime aNow);
   void RestartGang(Job& aJob, uint32_t aStep);
-  void Learn(Sidecar& aSidecar,
+  void Learn(MemberId aSidecar,
              const Job& aJob,
              const RunReport& aReport,
              MonoTime aNow);
--- a/src/libcornelfront/job_entry.cpp
+++ b/src/libcornelfront/job_entry.cpp
@@ -89,6 +89,11 @@
   void OnLinkEnd(const LinkPtr& aLink, const std::string& aDetail);
   void Perform(MonoTime aNow);
   void Answer(const AnswerJob& aAnswer, MonoTime aNow);
+  /// Name of a sidecar that is or was linked, for the log.
+  std::string NameOf(MemberId aSidecar) const;
+  void LogPlacement(const SendRuns& aSend) const;
+  void LogRunEnd(const NoteRunEnd& aNote) const;
+  void LogStall(const NoteStall& aNote) const;
   template<class Body>
   void SendTo(MemberId aSidecar, Body aBody);
 
@@ -560,6 +565,7 @@
   for (JobAction& action : engine_.TakeActions()) {
     std::visit(
       Visitor{ [&](SendRuns& aSend) {
+                LogPlacement(aSend);
                 SendTo(aSend.sidecar_, std::move(aSend.orders_));
               },
                [&](SendStops& aSend) {
@@ -569,11 +575,68 @@
                [&](SendForget& aForget) {
                  SendTo(aForget.sidecar_, std::move(aForget.ends_));
                },
-               [&](const AnswerJob& aAnswer) { Answer(aAnswer, aNow); } },
+               [&](const AnswerJob& aAnswer) { Answer(aAnswer, aNow); },
+               [&](const NoteRunEnd& aNote) { LogRunEnd(aNote); },
+               [&](const NoteStall& aNote) { LogStall(aNote); },
+               [&](const NoteAvoided& aNote) {
+                 LOG(WARNING) << "sidecar name=" << NameOf(aNote.sidecar_)
+                              << " failed_share=" << aNote.failedShare_
+                              << " avoided_ms=" << aNote.for_.count()
+                              << " outcome=avoided";
+               } },
       action);
   }
 }
 
+std::string
+JobEntry::Impl::NameOf(MemberId aSidecar) const
+{
+  const auto known =
+    std::find_if(incarnations_.begin(),
+                 incarnations_.end(),
+                 [&](const auto& aKnown) { return aKnown.second == aSidecar; });
+  return known == incarnations_.end() ? ToString(aSidecar) : known->first;
+}
+
+void
+JobEntry::Impl::LogPlacement(const SendRuns& aSend) const
+{
+  const StartRuns& orders = aSend.orders_;
+  LOG(INFO) << "job=" << orders.job_ << " occurrence=" << orders.occurrence_
+            << " step=" << orders.step_ << " tasks=" << orders.runs_.size()
+            << " first_task=" << orders.runs_.front().index_
+            << " run=" << orders.runs_.front().run_
+            << " sidecar=" << NameOf(aSend.sidecar_) << " term=" << orders.term_
+            << " predicted_wait_ms=" << aSend.predictedWait_.count()
+            << " goal_ms=" << orders.startGoal_.count()
+            << " report_age_ms=" << aSend.reportAge_.count()
+            << " outcome=placed";
+}
+
+void
+JobEntry::Impl::LogRunEnd(const NoteRunEnd& aNote) const
+{
+  const RunReport& report = aNote.report_;
+  LOG(INFO) << "job=" << report.key_.task_.job_
+            << " run=" << ToString(report.key_)
+            << " sidecar=" << NameOf(aNote.sidecar_)
+            << " waited_ms=" << report.waited_.count()
+            << " ran_ms=" << report.runTime_.count()
+            << " failures_before=" << aNote.failures_
+            << " end=" << ToString(report.end_) << " outcome=run_ended";
+}
+
+void
+JobEntry::Impl::LogStall(const NoteStall& aNote) const
+{
+  LOG(INFO) << "job=" << aNote.stalled_.key_.task_.job_
+            << " run=" << ToString(aNote.stalled_.key_)
+            << " sidecar=" << NameOf(aNote.sidecar_)
+            << " age_ms=" << aNote.stalled_.age_.count()
+            << " percent=" << aNote.stalled_.percent_
+            << " slowness=" << aNote.slowness_ << " outcome=run_stalled";
+}
+
 void
 JobEntry::Impl::Answer(const AnswerJob& aAnswer, MonoTime aNow)
 {
--- a/src/libcornelfront/job_sidecar.cpp
+++ b/src/libcornelfront/job_sidecar.cpp
@@ -249,7 +249,12 @@
   const MonoTime now = BootNow();
   CheckPause(now);
   StartDialling(now);
+  const bool extended = table_.MayExtendLease();
   table_.Tick(now);
+  if (extended != table_.MayExtendLease()) {
+    LOG(WARNING) << "lease runs=" << table_.Size() << " outcome="
+                 << (extended ? "left_to_end reason=leader_lost" : "extended");
+  }
   Pump(now);
   SendStatus(now);
   metrics_.SetGauge("runs", static_cast<double>(table_.Size()));
--- a/src/libcornelfront/platform/executor_client.cpp
+++ b/src/libcornelfront/platform/executor_client.cpp
@@ -99,49 +99,54 @@
   return look;
 }
 
-StartAnswer
+struct StartResult
+{
+  StartAnswer answer_ = StartAnswer::Refused;
+  /// Why the run was not started, for the log.
+  std::string reason_;
+};
+
+StartResult
 ParseConflict(const std::string& aBody)
 {
   const std::string reason = TextField(ParseObject(aBody), "reason");
   if (reason == "room") {
-    return StartAnswer::Full;
+    return { StartAnswer::Full, reason };
   }
   if (reason == "late") {
-    return StartAnswer::TooLate;
+    return { StartAnswer::TooLate, reason };
   }
   if (reason == "old") {
-    return StartAnswer::OldNumber;
+    return { StartAnswer::OldNumber, reason };
   }
-  LOG(WARNING) << "start refused reason=" << reason;
-  return StartAnswer::Refused;
+  return { StartAnswer::Refused, reason };
 }
 
-StartAnswer
+StartResult
 ParseStartAnswer(const HttpResult& aResult)
 {
   switch (aResult.failure_) {
     case HttpFailure::NotSent:
-      return StartAnswer::NotSent;
+      return { StartAnswer::NotSent, aResult.error_ };
     case HttpFailure::MayHaveBeenSent:
-      return StartAnswer::Unknown;
+      return { StartAnswer::Unknown, aResult.error_ };
     case HttpFailure::None:
       break;
   }
-  if (aResult.response_.status_ == kStatusOk) {
-    return StartAnswer::Started;
+  const int status = aResult.response_.status_;
+  if (status == kStatusOk) {
+    return { StartAnswer::Started, "" };
   }
-  if (aResult.response_.status_ == kStatusConflict) {
+  if (status == kStatusConflict) {
     try {
       return ParseConflict(aResult.response_.body_);
     } catch (const WireError& error) {
-      LOG(ERROR) << "answer to a start: " << error.what();
+      return { StartAnswer::Refused, error.what() };
     }
-  } else if (!SaysNothingWasDone(aResult.response_.status_)) {
-    return StartAnswer::Unknown;
-  } else {
-    LOG(WARNING) << "start refused status=" << aResult.response_.status_;
   }
-  return StartAnswer::Refused;
+  return { SaysNothingWasDone(status) ? StartAnswer::Refused
+                                      : StartAnswer::Unknown,
+           "status " + std::to_string(status) };
 }
 
 } // namespace
@@ -223,10 +228,18 @@
                    { "fence", info_.bornMs_ } };
   HttpClientRequest request = Request("/run-start", body.dump());
   request.timeout_ = aLimit;
-  orders_.Send(std::move(request),
-               [done = std::move(aDone)](const HttpResult& aResult) {
-                 done(ParseStartAnswer(aResult));
-               });
+  orders_.Send(
+    std::move(request),
+    [key = aOrder.key_, done = std::move(aDone)](const HttpResult& aResult) {
+      const StartResult result = ParseStartAnswer(aResult);
+      if (result.answer_ != StartAnswer::Started) {
+        LOG(INFO) << "job=" << key.task_.job_ << " run=" << ToString(key)
+                  << " reason=\"" << result.reason_ << "\" outcome="
+                  << (result.answer_ == StartAnswer::Unknown ? "start_unknown"
+                                                             : "not_started");
+      }
+      done(result.answer_);
+    });
 }
 
 void
--- a/src/libcornelfront/policy/job_placement.cpp
+++ b/src/libcornelfront/policy/job_placement.cpp
@@ -56,7 +56,7 @@
   if (spec.gang_ && running) {
     return;
   }
-  std::map<MemberId, StartRuns> orders;
+  std::map<MemberId, SendRuns> sends;
   for (uint32_t index = 0; index < step.tasks_.size(); ++index) {
     Task& task = step.tasks_[index];
     if (task.state_ != TaskState::Ready) {
@@ -73,13 +73,17 @@
     task.sent_ = aNow;
     task.stopSent_ = false;
     aJob.anySent_ = true;
-    StartRuns& order = orders[sidecar->first];
-    order.runs_.push_back({ index, task.run_ });
+    SendRuns& send = sends[sidecar->first];
+    send.orders_.runs_.push_back({ index, task.run_ });
+    send.predictedWait_ = FromMs(WaitMs(sidecar->second, aJob, spec));
+    send.reportAge_ =
+      std::chrono::duration_cast<Millis>(aNow - sidecar->second.reported_);
     NoteSent(sidecar->second,
              spec,
              { { aJob.spec_.id_, aJob.occurrence_, aStep, index }, task.run_ });
   }
-  for (auto& [id, order] : orders) {
+  for (auto& [id, send] : sends) {
+    StartRuns& order = send.orders_;
     order.job_ = aJob.spec_.id_;
     order.occurrence_ = aJob.occurrence_;
     order.step_ = aStep;
@@ -94,7 +98,8 @@
     order.startWithin_ =
       std::min(options_.startWithin_,
                std::chrono::duration_cast<Millis>(aJob.deadline_ - aNow));
-    actions_.emplace_back(SendRuns{ id, std::move(order) });
+    send.sidecar_ = id;
+    actions_.emplace_back(std::move(send));
   }
 }
 
--- a/src/libcornelfront/policy/job_runs.cpp
+++ b/src/libcornelfront/policy/job_runs.cpp
@@ -44,6 +44,7 @@
     sidecar.avoidUntil_ = {};
   }
   sidecar.report_ = aReports.upstream_;
+  sidecar.reported_ = aNow;
   while (!sidecar.unreported_.empty() && sidecar.unreported_.front().number_ <=
                                            aReports.upstream_.ordersReceived_) {
     sidecar.unreported_.pop_front();
@@ -82,7 +83,11 @@
   }
   Task& task = *found;
   NoteUnsaved(*job, aSidecar, aReport, task);
-  Learn(sidecar->second, *job, aReport, aNow);
+  Learn(aSidecar, *job, aReport, aNow);
+  if (aReport.end_ != RunEnd::Done) {
+    actions_.emplace_back(
+      NoteRunEnd{ aSidecar, aReport, task.failedRuns_.size() });
+  }
   job->mayHaveRun_ |= aReport.end_ != RunEnd::NotStarted;
   if (aReport.end_ == RunEnd::Done) {
     Millis& longest = job->steps_[name.step_].longestRun_;
@@ -181,18 +186,21 @@
 }
 
 void
-JobEngine::Learn(Sidecar& aSidecar,
+JobEngine::Learn(MemberId aSidecar,
                  const Job& aJob,
                  const RunReport& aReport,
                  MonoTime aNow)
 {
+  Sidecar& sidecar = sidecars_.at(aSidecar);
   const bool failed = aReport.end_ == RunEnd::Failed;
   if (failed || aReport.end_ == RunEnd::Done) {
-    aSidecar.failures_ =
-      Smooth(aSidecar.failures_, failed ? 1.0 : 0.0, kFailureWeight);
-    if (aSidecar.failures_ > kEjectionShare) {
-      aSidecar.avoidUntil_ = aNow + options_.ejection_;
-      aSidecar.failures_ = kEjectionShare;
+    sidecar.failures_ =
+      Smooth(sidecar.failures_, failed ? 1.0 : 0.0, kFailureWeight);
+    if (sidecar.failures_ > kEjectionShare) {
+      actions_.emplace_back(
+        NoteAvoided{ aSidecar, sidecar.failures_, options_.ejection_ });
+      sidecar.avoidUntil_ = aNow + options_.ejection_;
+      sidecar.failures_ = kEjectionShare;
     }
   }
   if (aReport.end_ != RunEnd::Done) {
@@ -205,8 +213,8 @@
   }
   const double ratio = run / std::max(durations.meanMs_, 1.0);
   durations.meanMs_ = Smooth(durations.meanMs_, run, kDurationWeight);
-  aSidecar.slowness_ = Smooth(aSidecar.slowness_, ratio, kSlownessWeight);
-  aSidecar.runMs_ = Smooth(aSidecar.runMs_, run, kDurationWeight);
+  sidecar.slowness_ = Smooth(sidecar.slowness_, ratio, kSlownessWeight);
+  sidecar.runMs_ = Smooth(sidecar.runMs_, run, kDurationWeight);
 }
 
 void
@@ -236,6 +244,8 @@
       !BlamesUpstream(sidecar->second, job->steps_[name.step_], aStalled)) {
     return;
   }
+  actions_.emplace_back(
+    NoteStall{ aSidecar, aStalled, sidecar->second.slowness_ });
   sidecar->second.slowness_ =
     std::max(sidecar->second.slowness_, options_.stalledSlowness_);
   ++task->stalls_;
