Split the run table and both job processes by what their parts are about

The run table's files are orders, looks and reports; each process has one for start and stop, one for each side it talks to, and a private header with its class. Code moved, none changed.

--- /dev/null
+++ b/src/libcornelfront/job_entry_pvt.h
@@ -0,0 +1,119 @@
+#pragma once
+
+/// \file
+/// JobEntry in parts: one file each for start and stop, clients, and sidecars.
+
+#include "cornelfront/job_entry.h"
+
+#include "cornelfront/http_server.h"
+#include "cornelfront/job_engine.h"
+#include "cornelfront/job_metrics.h"
+#include "cornelfront/link.h"
+#include "event_loop_pvt.h"
+#include "platform/batch_writer.h"
+#include "platform/job_api.h"
+#include "platform/operator_state.h"
+#include "platform/store_client.h"
+#include "stored_jobs.h"
+
+#include <map>
+#include <unordered_map>
+
+namespace cornelfront {
+
+/// Time that the balancer takes to see that this entry is leaving.
+inline constexpr Millis kBalancerNotice{ 2200 };
+
+class JobEntry::Impl
+{
+public:
+  explicit Impl(const JobEntrySettings& aSettings);
+  ~Impl();
+
+  void Stop();
+
+private:
+  struct SidecarLink
+  {
+    LinkPtr link_;
+    std::string name_;
+    std::string zone_;
+    /// The sidecar has said what it holds.
+    bool begun_ = false;
+    /// This incarnation replaces another one.
+    bool succeeds_ = false;
+  };
+
+  /// A client that waits for the end of its job.
+  struct Waiting
+  {
+    HttpReply reply_;
+    std::string job_;
+    MonoTime submitted_;
+  };
+
+  void Setup();
+  void Register();
+  void Tick();
+  bool Ready() const;
+  void HandleReadiness(const HttpRequest& aRequest, const HttpReply& aReply);
+  void HandleClient(const HttpRequest& aRequest, const HttpReply& aReply);
+  void Submit(const platform::JobSubmission& aSubmission,
+              const HttpReply& aReply,
+              MonoTime aNow);
+  void SubmitStored(const platform::JobSubmission& aSubmission,
+                    const HttpReply& aReply);
+  void ShowState(const std::string& aJob,
+                 const HttpReply& aReply,
+                 MonoTime aNow);
+  void ShowPending(const std::string& aQueue,
+                   const HttpReply& aReply,
+                   MonoTime aNow);
+  void Cancel(const std::string& aJob, const HttpReply& aReply, MonoTime aNow);
+  void OnHeld(MemberId aSidecar,
+              SidecarLink& aLink,
+              const HeldRuns& aHeld,
+              MonoTime aNow);
+  StoredJobsHooks MakeHooks();
+  void Reply(const HttpReply& aReply, HttpResponse aResponse) const;
+  void OnMessage(const LinkPtr& aLink, Envelope& aEnvelope);
+  void OnHello(const LinkPtr& aLink, const Hello& aHello, MonoTime aNow);
+  void OnLinkEnd(const LinkPtr& aLink, const std::string& aDetail);
+  void Perform(MonoTime aNow);
+  void Answer(const AnswerJob& aAnswer, MonoTime aNow);
+  /// Name of a sidecar that is or was linked, for the log.
+  std::string NameOf(MemberId aSidecar) const;
+  void LogPlacement(const SendRuns& aSend) const;
+  void LogRunEnd(const NoteRunEnd& aNote) const;
+  void LogStall(const NoteStall& aNote) const;
+  template<class Body>
+  void SendTo(MemberId aSidecar, Body aBody);
+
+  const JobEntrySettings settings_;
+  const MemberId self_ = NewMemberId();
+  IoPool pool_{ 1 };
+  JobEngine engine_;
+  std::map<MemberId, SidecarLink> sidecars_;
+  std::map<uint64_t, MemberId> linkOwners_;
+  /// Newest incarnation of each sidecar, by name.
+  std::map<std::string, MemberId> incarnations_;
+  std::unordered_map<JobTicket, Waiting> waiting_;
+  JobTicket nextTicket_ = 1;
+  std::unique_ptr<platform::StoreClient> store_;
+  std::unique_ptr<platform::TopicReader> operatorReader_;
+  platform::OperatorState operator_;
+  std::unique_ptr<StoredJobs> stored_;
+  std::unique_ptr<platform::BatchWriter> registration_;
+  std::shared_ptr<const LinkHandlers> handlers_;
+  std::unique_ptr<LinkServer> server_;
+  std::unique_ptr<HttpServer> clients_;
+  std::unique_ptr<HttpServer> readiness_;
+  JobMetrics metrics_;
+  std::unique_ptr<HttpServer> metricsServer_;
+  bool stopping_ = false;
+  /// New jobs are refused.
+  bool closed_ = false;
+  std::unique_ptr<LoopTimer> ticker_;
+};
+
+} // namespace cornelfront
--- /dev/null
+++ b/src/libcornelfront/job_entry_sidecars.cpp
@@ -0,0 +1,212 @@
+/// \file
+/// JobEntry: links to sidecars, and what the engine wants done.
+
+#include "job_entry_pvt.h"
+
+#include "cornelfront/visitor.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+
+namespace cornelfront {
+
+void
+JobEntry::Impl::OnMessage(const LinkPtr& aLink, Envelope& aEnvelope)
+{
+  const MonoTime now = BootNow();
+  if (const auto* hello = std::get_if<Hello>(&aEnvelope.message_)) {
+    OnHello(aLink, *hello, now);
+    return;
+  }
+  const auto found = linkOwners_.find(aLink->Serial());
+  if (found == linkOwners_.end()) {
+    return;
+  }
+  const MemberId sidecar = found->second;
+  const auto known = sidecars_.find(sidecar);
+  if (known == sidecars_.end() || known->second.link_ != aLink) {
+    return;
+  }
+  if (const auto* held = std::get_if<HeldRuns>(&aEnvelope.message_)) {
+    OnHeld(sidecar, known->second, *held, now);
+  } else if (const auto* reports =
+               std::get_if<RunReports>(&aEnvelope.message_)) {
+    engine_.OnReports(sidecar, *reports, now);
+  } else {
+    return;
+  }
+  Perform(now);
+}
+
+void
+JobEntry::Impl::OnHeld(MemberId aSidecar,
+                       SidecarLink& aLink,
+                       const HeldRuns& aHeld,
+                       MonoTime aNow)
+{
+  const uint64_t term = stored_->Term();
+  if (!aLink.begun_) {
+    aLink.begun_ = true;
+    engine_.OnSidecar(aSidecar, aLink.zone_, aNow);
+    engine_.OnHeld(aSidecar,
+                   aHeld,
+                   aLink.succeeds_ ? RunEnd::Lost : RunEnd::NotStarted,
+                   aNow);
+    if (term > 0) {
+      aLink.link_->Send(TakeOver{ term });
+    }
+    return;
+  }
+  if (term > 0 && aHeld.term_ == term) {
+    engine_.OnTakenOver(aSidecar, aHeld, aNow);
+    stored_->OnTakenOver(aLink.name_, aSidecar, term);
+  }
+}
+
+void
+JobEntry::Impl::OnHello(const LinkPtr& aLink,
+                        const Hello& aHello,
+                        MonoTime aNow)
+{
+  const auto linked =
+    std::find_if(sidecars_.begin(), sidecars_.end(), [&](const auto& aSidecar) {
+      return aSidecar.second.name_ == aHello.name_;
+    });
+  if (linked != sidecars_.end()) {
+    const LinkPtr old = linked->second.link_;
+    engine_.OnSidecarLost(linked->first, aNow);
+    linkOwners_.erase(old->Serial());
+    sidecars_.erase(linked);
+    old->Close();
+  }
+  const auto known = incarnations_.emplace(aHello.name_, aHello.id_).first;
+  const bool succeeds = known->second != aHello.id_;
+  if (succeeds) {
+    engine_.OnSuccessor(known->second, aHello.id_, aNow);
+    known->second = aHello.id_;
+  }
+  sidecars_[aHello.id_] = { .link_ = aLink,
+                            .name_ = aHello.name_,
+                            .zone_ = aHello.zone_,
+                            .succeeds_ = succeeds };
+  linkOwners_[aLink->Serial()] = aHello.id_;
+  LOG(INFO) << "sidecar name=" << aHello.name_ << " id=" << ToString(aHello.id_)
+            << " outcome=linked";
+  aLink->Send(Welcome{ .self_ = { .id_ = self_,
+                                  .zone_ = settings_.zone_,
+                                  .host_ = settings_.messages_.host_,
+                                  .port_ = settings_.messages_.port_ } });
+  Perform(aNow);
+}
+
+void
+JobEntry::Impl::OnLinkEnd(const LinkPtr& aLink, const std::string& aDetail)
+{
+  const auto found = linkOwners_.find(aLink->Serial());
+  if (found == linkOwners_.end()) {
+    return;
+  }
+  const MemberId id = found->second;
+  linkOwners_.erase(found);
+  const auto sidecar = sidecars_.find(id);
+  if (sidecar == sidecars_.end() || sidecar->second.link_ != aLink) {
+    return;
+  }
+  LOG(WARNING) << "sidecar name=" << sidecar->second.name_
+               << " outcome=link_lost reason=\"" << aDetail << "\"";
+  sidecars_.erase(sidecar);
+  const MonoTime now = BootNow();
+  engine_.OnSidecarLost(id, now);
+  Perform(now);
+}
+
+template<class Body>
+void
+JobEntry::Impl::SendTo(MemberId aSidecar, Body aBody)
+{
+  const auto sidecar = sidecars_.find(aSidecar);
+  if (sidecar != sidecars_.end()) {
+    sidecar->second.link_->Send(std::move(aBody));
+  }
+}
+
+void
+JobEntry::Impl::Perform(MonoTime aNow)
+{
+  for (JobAction& action : engine_.TakeActions()) {
+    std::visit(
+      Visitor{ [&](SendRuns& aSend) {
+                LogPlacement(aSend);
+                SendTo(aSend.sidecar_, std::move(aSend.orders_));
+              },
+               [&](SendStops& aSend) {
+                 SendTo(aSend.sidecar_, std::move(aSend.stops_));
+               },
+               [&](const SaveJob& aSave) { stored_->Save(aSave); },
+               [&](SendForget& aForget) {
+                 SendTo(aForget.sidecar_, std::move(aForget.ends_));
+               },
+               [&](const AnswerJob& aAnswer) { Answer(aAnswer, aNow); },
+               [&](const NoteRunEnd& aNote) { LogRunEnd(aNote); },
+               [&](const NoteStall& aNote) { LogStall(aNote); },
+               [&](const NoteAvoided& aNote) {
+                 LOG(WARNING) << "sidecar name=" << NameOf(aNote.sidecar_)
+                              << " failed_share=" << aNote.failedShare_
+                              << " avoided_ms=" << aNote.for_.count()
+                              << " outcome=avoided";
+               } },
+      action);
+  }
+}
+
+std::string
+JobEntry::Impl::NameOf(MemberId aSidecar) const
+{
+  const auto known =
+    std::find_if(incarnations_.begin(),
+                 incarnations_.end(),
+                 [&](const auto& aKnown) { return aKnown.second == aSidecar; });
+  return known == incarnations_.end() ? ToString(aSidecar) : known->first;
+}
+
+void
+JobEntry::Impl::LogPlacement(const SendRuns& aSend) const
+{
+  const StartRuns& orders = aSend.orders_;
+  LOG(INFO) << "job=" << orders.job_ << " occurrence=" << orders.occurrence_
+            << " step=" << orders.step_ << " tasks=" << orders.runs_.size()
+            << " first_task=" << orders.runs_.front().index_
+            << " run=" << orders.runs_.front().run_
+            << " sidecar=" << NameOf(aSend.sidecar_) << " term=" << orders.term_
+            << " predicted_wait_ms=" << aSend.predictedWait_.count()
+            << " goal_ms=" << orders.startGoal_.count()
+            << " report_age_ms=" << aSend.reportAge_.count()
+            << " outcome=placed";
+}
+
+void
+JobEntry::Impl::LogRunEnd(const NoteRunEnd& aNote) const
+{
+  const RunReport& report = aNote.report_;
+  LOG(INFO) << "job=" << report.key_.task_.job_
+            << " run=" << ToString(report.key_)
+            << " sidecar=" << NameOf(aNote.sidecar_)
+            << " waited_ms=" << report.waited_.count()
+            << " ran_ms=" << report.runTime_.count()
+            << " failures_before=" << aNote.failures_
+            << " end=" << ToString(report.end_) << " outcome=run_ended";
+}
+
+void
+JobEntry::Impl::LogStall(const NoteStall& aNote) const
+{
+  LOG(INFO) << "job=" << aNote.stalled_.key_.task_.job_
+            << " run=" << ToString(aNote.stalled_.key_)
+            << " sidecar=" << NameOf(aNote.sidecar_)
+            << " age_ms=" << aNote.stalled_.age_.count()
+            << " percent=" << aNote.stalled_.percent_
+            << " slowness=" << aNote.slowness_ << " outcome=run_stalled";
+}
+
+} // namespace cornelfront
--- /dev/null
+++ b/src/libcornelfront/job_sidecar_entries.cpp
@@ -0,0 +1,171 @@
+/// \file
+/// JobSidecar: links to entries.
+
+#include "job_sidecar_pvt.h"
+
+#include <glog/logging.h>
+
+namespace cornelfront {
+namespace {
+
+/// An order that may have been on its way for longer is not carried out.
+constexpr Millis kMaxOrderAge{ 1000 };
+/// Entries that had not heard of the newest state are told this often.
+constexpr Millis kStatusInterval{ 100 };
+
+Millis
+AgeOf(int64_t aStamp, MonoTime aNow)
+{
+  const auto now = std::chrono::duration_cast<std::chrono::nanoseconds>(
+    aNow.time_since_epoch());
+  return std::chrono::duration_cast<Millis>(now -
+                                            std::chrono::nanoseconds(aStamp));
+}
+
+} // namespace
+
+LinkPtr
+JobSidecar::Impl::OnConnect(asio::ip::tcp::socket aSocket)
+{
+  auto link =
+    std::make_shared<Link>(std::move(aSocket), settings_.links_, handlers_);
+  link->Start();
+  link->Send(Hello{ .role_ = Role::Sidecar,
+                    .id_ = self_,
+                    .name_ = settings_.name_,
+                    .zone_ = settings_.zone_ });
+  return link;
+}
+
+void
+JobSidecar::Impl::OnMessage(const LinkPtr& aLink, Envelope& aEnvelope)
+{
+  const MonoTime now = BootNow();
+  if (const auto* welcome = std::get_if<Welcome>(&aEnvelope.message_)) {
+    OnWelcome(aLink, welcome->self_.id_, now);
+    return;
+  }
+  const auto entry = entries_.find(aLink->Serial());
+  if (entry == entries_.end()) {
+    return;
+  }
+  const MemberId id = entry->second;
+  const auto owner = owners_.find(id);
+  if (owner == owners_.end() || owner->second.link_ != aLink) {
+    return;
+  }
+  table_.OnOwnerHeard(id, now);
+  if (std::holds_alternative<StartRuns>(aEnvelope.message_)) {
+    OnOrders(id, aEnvelope, now);
+  } else if (const auto* stop = std::get_if<StopRuns>(&aEnvelope.message_)) {
+    table_.OnStop(id, *stop, now);
+  } else if (const auto* over = std::get_if<TakeOver>(&aEnvelope.message_)) {
+    OnTakeOver(aLink, id, over->term_, now);
+  } else if (const auto* ends = std::get_if<ForgetEnds>(&aEnvelope.message_)) {
+    table_.OnForgetEnds(*ends);
+  } else {
+    return;
+  }
+  Pump(now);
+}
+
+void
+JobSidecar::Impl::OnTakeOver(const LinkPtr& aLink,
+                             MemberId aEntry,
+                             uint64_t aTerm,
+                             MonoTime aNow)
+{
+  const bool newest = table_.OnTakeOver(aEntry, aTerm, aNow);
+  LOG(INFO) << "leader id=" << ToString(aEntry) << " term=" << aTerm
+            << " outcome=" << (newest ? "followed" : "outdated");
+  if (newest) {
+    aLink->Send(table_.Held(aEntry));
+  }
+}
+
+void
+JobSidecar::Impl::OnWelcome(const LinkPtr& aLink,
+                            MemberId aEntry,
+                            MonoTime aNow)
+{
+  const auto known = owners_.find(aEntry);
+  if (known != owners_.end() && known->second.link_ != aLink) {
+    known->second.link_->Close();
+    entries_.erase(known->second.link_->Serial());
+  }
+  entries_[aLink->Serial()] = aEntry;
+  Owner& owner = owners_[aEntry];
+  owner = { .link_ = aLink };
+  table_.OnOwnerLink(aEntry, aNow);
+  aLink->Send(table_.Held(aEntry));
+  Send(aEntry, owner, {}, table_.Report(aNow), aNow);
+  LOG(INFO) << "entry id=" << ToString(aEntry) << " outcome=linked";
+}
+
+void
+JobSidecar::Impl::OnOrders(MemberId aEntry, Envelope& aEnvelope, MonoTime aNow)
+{
+  auto& orders = std::get<StartRuns>(aEnvelope.message_);
+  const Millis age = AgeOf(aEnvelope.echo_, MonoClock::now());
+  if (age > kMaxOrderAge) {
+    LOG(WARNING) << "orders job=" << orders.job_ << " age_ms=" << age.count()
+                 << " outcome=too_old";
+    orders.startWithin_ = Millis(0);
+  }
+  owners_[aEntry].ordersReceived_ += orders.runs_.size();
+  table_.OnOrders(aEntry, orders, aNow);
+  table_.Tick(aNow);
+}
+
+void
+JobSidecar::Impl::OnLinkEnd(const LinkPtr& aLink, const std::string& aDetail)
+{
+  dialer_->OnLinkEnd(aLink);
+  const auto entry = entries_.find(aLink->Serial());
+  if (entry == entries_.end()) {
+    return;
+  }
+  const auto owner = owners_.find(entry->second);
+  if (owner != owners_.end() && owner->second.link_ == aLink) {
+    owners_.erase(owner);
+    LOG(WARNING) << "entry id=" << ToString(entry->second)
+                 << " outcome=link_lost reason=\"" << aDetail << "\"";
+  }
+  entries_.erase(entry);
+}
+
+void
+JobSidecar::Impl::SendStatus(MonoTime aNow)
+{
+  const UpstreamReport report = table_.Report(aNow);
+  for (auto& [id, owner] : owners_) {
+    const bool changed = owner.toldReady_ != report.ready_ ||
+                         (owner.told_ != report.committed_ &&
+                          aNow - owner.toldAt_ >= kStatusInterval);
+    if (changed) {
+      Send(id, owner, {}, report, aNow);
+    }
+  }
+}
+
+void
+JobSidecar::Impl::Send(MemberId aEntry,
+                       Owner& aOwner,
+                       RunTable::News aNews,
+                       const UpstreamReport& aReport,
+                       MonoTime aNow)
+{
+  RunReports message{ .reports_ = std::move(aNews.reports_),
+                      .stalled_ = std::move(aNews.stalled_),
+                      .started_ = std::move(aNews.started_),
+                      .upstream_ = aReport };
+  message.upstream_.ordersReceived_ = aOwner.ordersReceived_;
+  aOwner.told_ = aReport.committed_;
+  aOwner.toldReady_ = aReport.ready_;
+  aOwner.toldAt_ = aNow;
+  if (!aOwner.link_->Send(std::move(message))) {
+    VLOG(1) << "entry id=" << ToString(aEntry) << " outcome=link_ended";
+  }
+}
+
+} // namespace cornelfront
--- /dev/null
+++ b/src/libcornelfront/job_sidecar_pvt.h
@@ -0,0 +1,117 @@
+#pragma once
+
+/// \file
+/// JobSidecar in parts: one file each for start and stop, the upstream, and
+/// entries.
+
+#include "cornelfront/job_sidecar.h"
+
+#include "cornelfront/http_server.h"
+#include "cornelfront/job_metrics.h"
+#include "cornelfront/link.h"
+#include "cornelfront/run_table.h"
+#include "event_loop_pvt.h"
+#include "platform/batch_writer.h"
+#include "platform/executor_client.h"
+#include "platform/heartbeat_api.h"
+#include "platform/operator_state.h"
+#include "platform/store_client.h"
+
+#include <map>
+
+namespace cornelfront {
+
+/// Bounds on the time after which a call to the upstream counts as unanswered.
+/// It doubles with each such call and shrinks slowly with each answer.
+inline constexpr Millis kLeastPatience{ 20 };
+/// A pause of the process beyond this ends all links.
+inline constexpr Millis kLongestPause{ 600 };
+
+class JobSidecar::Impl
+{
+public:
+  explicit Impl(const JobSidecarSettings& aSettings);
+  ~Impl();
+
+  void Stop();
+
+private:
+  /// An entry that is linked.
+  struct Owner
+  {
+    LinkPtr link_;
+    uint64_t ordersReceived_ = 0;
+    Room told_;
+    bool toldReady_ = false;
+    MonoTime toldAt_;
+  };
+
+  void Setup();
+  void Tick();
+  void CheckPause(MonoTime aNow);
+  void StartDialling(MonoTime aNow);
+  void OnHeartbeat(const platform::Heartbeat& aBeat);
+  void OnUpstreamLeft(const std::string& aId);
+  void OnOperatorRecords(const platform::TopicReader::Records& aRecords);
+  LinkPtr OnConnect(asio::ip::tcp::socket aSocket);
+  void OnMessage(const LinkPtr& aLink, Envelope& aEnvelope);
+  void OnWelcome(const LinkPtr& aLink, MemberId aEntry, MonoTime aNow);
+  void OnOrders(MemberId aEntry, Envelope& aEnvelope, MonoTime aNow);
+  void OnTakeOver(const LinkPtr& aLink,
+                  MemberId aEntry,
+                  uint64_t aTerm,
+                  MonoTime aNow);
+  void Register();
+  void OnLinkEnd(const LinkPtr& aLink, const std::string& aDetail);
+  void Look();
+  Millis LookWait(MonoTime aNow) const;
+  void OnLook(uint64_t aBegin,
+              platform::LookOutcome aOutcome,
+              const UpstreamLook& aLook);
+  /// Sends whatever the table wants sent.
+  void Pump(MonoTime aNow);
+  void SendStart(const StartOrder& aOrder, MonoTime aNow);
+  void SendStatus(MonoTime aNow);
+  void Send(MemberId aEntry,
+            Owner& aOwner,
+            RunTable::News aNews,
+            const UpstreamReport& aReport,
+            MonoTime aNow);
+  UpstreamClock UpstreamNow(MonoTime aNow) const;
+
+  const JobSidecarSettings settings_;
+  const MemberId self_ = NewMemberId();
+  const MonoTime start_ = BootNow();
+  IoPool pool_{ 1 };
+  RunTable table_{ RunTableOptions{} };
+  std::map<MemberId, Owner> owners_;
+  std::map<uint64_t, MemberId> entries_;
+  std::shared_ptr<const LinkHandlers> handlers_;
+  std::unique_ptr<Dialer> dialer_;
+  bool dialling_ = false;
+  std::vector<Endpoint> endpoints_;
+  std::unique_ptr<platform::StoreClient> store_;
+  std::unique_ptr<platform::TopicReader> operatorReader_;
+  std::unique_ptr<platform::TopicReader> memberReader_;
+  platform::OperatorState operator_;
+  std::unique_ptr<platform::ExecutorClient> executor_;
+  std::unique_ptr<HttpServer> heartbeats_;
+  JobMetrics metrics_;
+  std::unique_ptr<HttpServer> metricsServer_;
+  int64_t lastBeat_ = 0;
+  UpstreamClock clock_;
+  MonoTime clockRead_;
+  Millis patience_ = kLeastPatience;
+  /// When a look last remained without answer.
+  MonoTime unanswered_;
+  bool looking_ = false;
+  /// The upstream has answered a look.
+  bool looked_ = false;
+  std::unique_ptr<asio::steady_timer> lookTimer_;
+  std::unique_ptr<platform::BatchWriter> registration_;
+  MonoTime lastTick_;
+  bool stopping_ = false;
+  std::unique_ptr<LoopTimer> ticker_;
+};
+
+} // namespace cornelfront
--- /dev/null
+++ b/src/libcornelfront/policy/run_reports.cpp
@@ -0,0 +1,116 @@
+/// \file
+/// RunTable: what owners are told.
+
+#include "cornelfront/run_table.h"
+
+#include "policy/run_table_pvt.h"
+
+#include <utility>
+
+namespace cornelfront {
+
+std::map<MemberId, RunTable::News>
+RunTable::TakeNews()
+{
+  std::map<MemberId, News> news;
+  for (auto& [id, owner] : owners_) {
+    if (!owner.unsent_.Empty()) {
+      news[id] = std::exchange(owner.unsent_, {});
+    }
+  }
+  return news;
+}
+
+HeldRuns
+RunTable::Held(MemberId aOwner) const
+{
+  HeldRuns held;
+  for (const auto& [key, run] : runs_) {
+    if (run.owner_ == aOwner) {
+      held.runs_.push_back(key);
+    }
+  }
+  if (leader_ == aOwner) {
+    held.term_ = term_;
+  }
+  if (leader_ == aOwner || !leader_) {
+    for (const auto& [number, report] : kept_) {
+      held.reports_.push_back(report);
+    }
+  }
+  const auto owner = owners_.find(aOwner);
+  if (owner != owners_.end()) {
+    for (const auto& [when, report] : owner->second.recent_) {
+      held.reports_.push_back(report);
+    }
+  }
+  return held;
+}
+
+UpstreamReport
+RunTable::Report(MonoTime aNow) const
+{
+  UpstreamReport report;
+  if (!upstream_) {
+    return report;
+  }
+  report.service_ = upstream_->service_;
+  report.upstream_ = upstream_->id_;
+  report.ready_ = !upstream_->draining_ && !closed_ && !lapseBegun_ &&
+                  Since(upstreamHeard_, aNow) <= options_.upstreamDoubt_;
+  report.capacity_ = upstream_->capacity_;
+  report.labels_ = upstream_->labels_;
+  report.committed_ = RoomInUse();
+  for (const auto& [key, run] : runs_) {
+    if (run.state_ == State::Waiting) {
+      report.committed_ += run.room_;
+      report.backlog_.at(run.priority_) += Backlog(run);
+    }
+  }
+  return report;
+}
+
+Room
+RunTable::RoomInUse() const
+{
+  Room used;
+  for (const auto& [key, run] : runs_) {
+    if (run.state_ != State::Waiting) {
+      used += run.room_;
+    }
+  }
+  return used;
+}
+
+int64_t
+RunTable::Backlog(const Run& aRun) const
+{
+  return aRun.room_.cpu_ * aRun.estimate_.count();
+}
+
+RunReport
+RunTable::MakeReport(const RunKey& aKey,
+                     const Run& aRun,
+                     RunEnd aEnd,
+                     MonoTime aNow) const
+{
+  RunReport report{ .key_ = aKey, .end_ = aEnd };
+  if (aRun.state_ == State::Running) {
+    report.runTime_ = Since(aRun.started_, aNow);
+    report.waited_ = Since(aRun.queued_, aRun.started_);
+  } else {
+    report.waited_ = Since(aRun.queued_, aNow);
+  }
+  report.kept_ = aRun.term_ > 0;
+  return report;
+}
+
+void
+RunTable::Tell(MemberId aOwner, const RunReport& aReport, MonoTime aNow)
+{
+  Owner& owner = owners_[aOwner];
+  owner.unsent_.reports_.push_back(aReport);
+  owner.recent_.emplace_back(aNow, aReport);
+}
+
+} // namespace cornelfront
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -1,7 +1,11 @@
+/// \file
+/// RunTable: orders, starts and stops.
+
 #include "cornelfront/run_table.h"
 
+#include "policy/run_table_pvt.h"
+
 #include <algorithm>
-#include <set>
 #include <tuple>
 #include <utility>
 
@@ -12,15 +16,6 @@
 /// from an earlier owner of the same job.
 constexpr uint32_t kRenumberStep = 100;
 
-/// Ends that one look can list; a full list may hide others.
-constexpr size_t kMaxEndsPerLook = 500;
-
-Millis
-Since(MonoTime aThen, MonoTime aNow)
-{
-  return std::chrono::duration_cast<Millis>(aNow - aThen);
-}
-
 } // namespace
 
 std::string
@@ -160,20 +155,6 @@
   return true;
 }
 
-void
-RunTable::OnForgetEnds(const ForgetEnds& aEnds)
-{
-  const std::set<RunKey> keys(aEnds.runs_.begin(), aEnds.runs_.end());
-  std::erase_if(
-    kept_, [&](const auto& aKept) { return keys.contains(aKept.second.key_); });
-}
-
-uint64_t
-RunTable::AcknowledgedEnds() const
-{
-  return kept_.empty() ? newestEnd_ : kept_.begin()->first - 1;
-}
-
 void
 RunTable::OnStop(MemberId aOwner, const StopRuns& aStop, MonoTime aNow)
 {
@@ -303,151 +284,6 @@
   }
 }
 
-uint64_t
-RunTable::BeginLook()
-{
-  return ++looks_;
-}
-
-bool
-RunTable::OnLook(uint64_t aLookBegin, const UpstreamLook& aLook, MonoTime aNow)
-{
-  if (aLookBegin < incarnationLook_) {
-    return false;
-  }
-  upstreamHeard_ = aNow;
-  NoteRunning(aLook, aNow);
-  NoteEnded(aLook, aNow);
-  NoteMissing(aLookBegin, aLook, aNow);
-  return true;
-}
-
-void
-RunTable::NoteRunning(const UpstreamLook& aLook, MonoTime aNow)
-{
-  std::set<RunKey> listed;
-  for (const RunningEntry& entry : aLook.running_) {
-    listed.insert(entry.key_);
-    const auto run = FindUpstreamRun(entry.key_);
-    if (run == runs_.end()) {
-      // Emplace keeps the time at which a stop was last sent.
-      strays_.emplace(entry.key_, MonoTime());
-      continue;
-    }
-    if (run->second.state_ == State::Uncertain) {
-      NoteStarted(run->first, run->second, aNow);
-    }
-    CheckStall(run->first, run->second, entry.percent_, aNow);
-  }
-  std::erase_if(strays_, [&](const auto& aStray) {
-    return !listed.contains(aStray.first);
-  });
-}
-
-void
-RunTable::CheckStall(const RunKey& aKey,
-                     Run& aRun,
-                     int32_t aPercent,
-                     MonoTime aNow)
-{
-  if (aRun.state_ != State::Running ||
-      Since(aRun.stallTold_, aNow) < options_.stallRepeat_) {
-    return;
-  }
-  const Millis age = Since(aRun.started_, aNow);
-  if (age <= options_.stallFloor_ ||
-      age <= options_.stallFactor_ * aRun.estimate_) {
-    return;
-  }
-  constexpr int32_t kWhole = 100;
-  const int32_t left = kWhole - aPercent;
-  // left / percent * age is the time that the rest takes at this pace.
-  if (left * age > aPercent * aRun.estimate_) {
-    aRun.stallTold_ = aNow;
-    owners_[aRun.owner_].unsent_.stalled_.push_back({ aKey, age, aPercent });
-  }
-}
-
-void
-RunTable::NoteEnded(const UpstreamLook& aLook, MonoTime aNow)
-{
-  for (const EndedEntry& entry : aLook.ended_) {
-    if (entry.number_ <= newestEnd_) {
-      continue;
-    }
-    newestEnd_ = entry.number_;
-    const auto run = FindUpstreamRun(entry.key_);
-    const bool matters =
-      entry.end_ == RunEnd::Done || entry.end_ == RunEnd::Failed;
-    if (run == runs_.end() ? matters : run->second.term_ > 0) {
-      Keep(entry, run, aNow);
-    }
-    if (run != runs_.end()) {
-      Finish(run, entry.end_, aNow);
-    }
-  }
-  LimitKept();
-}
-
-/// Keeps the end of a run of a stored job, or of one that a predecessor of
-/// this process may have started, until the leader has taken note of it.
-void
-RunTable::Keep(const EndedEntry& aEnd, Runs::iterator aRun, MonoTime aNow)
-{
-  RunReport report{ .key_ = aEnd.key_, .end_ = aEnd.end_ };
-  if (aRun != runs_.end()) {
-    report = MakeReport(aRun->first, aRun->second, aEnd.end_, aNow);
-  }
-  report.kept_ = true;
-  if (kept_.empty()) {
-    keptSince_ = aNow;
-  }
-  kept_[aEnd.number_] = report;
-  if (aRun == runs_.end() && leader_) {
-    Tell(*leader_, report, aNow);
-  }
-}
-
-void
-RunTable::LimitKept()
-{
-  if (!kept_.empty() &&
-      newestEnd_ - kept_.begin()->first >= options_.maxKeptEnds_) {
-    kept_.clear();
-  }
-}
-
-void
-RunTable::NoteMissing(uint64_t aLookBegin,
-                      const UpstreamLook& aLook,
-                      MonoTime aNow)
-{
-  if (aLook.ended_.size() >= kMaxEndsPerLook) {
-    return;
-  }
-  std::set<RunKey> listed;
-  for (const RunningEntry& entry : aLook.running_) {
-    listed.insert(entry.key_);
-  }
-  for (auto run = runs_.begin(); run != runs_.end();) {
-    const Run& state = run->second;
-    const bool shown =
-      listed.contains({ run->first.task_, state.upstreamRun_ });
-    const bool running =
-      state.state_ == State::Running && state.firstLook_ <= aLookBegin;
-    const bool neverStarts = state.state_ == State::Uncertain &&
-                             state.firstLook_ <= aLookBegin &&
-                             aLook.clock_ > state.deadline_;
-    if (!shown && running) {
-      run = Finish(run, RunEnd::Lost, aNow);
-    } else if (!shown && neverStarts) {
-      run = Finish(run, RunEnd::NotStarted, aNow);
-    } else {
-      ++run;
-    }
-  }
-}
-
 void
 RunTable::Tick(MonoTime aNow)
 {
@@ -495,36 +331,6 @@
   });
 }
 
-void
-RunTable::CheckLeader(MonoTime aNow)
-{
-  if (lapseBegun_) {
-    if (Since(*lapseBegun_, aNow) >= options_.leaseEnd_) {
-      DropKeptEnds();
-      lapseBegun_.reset();
-    }
-    return;
-  }
-  const bool silent = leader_
-                        ? Since(leaderHeard_, aNow) >= options_.leaderSilence_
-                        : Since(keptSince_, aNow) >= options_.unknownLeader_;
-  if (!kept_.empty() && silent) {
-    lapseBegun_ = aNow;
-  }
-}
-
-void
-RunTable::DropKeptEnds()
-{
-  kept_.clear();
-  for (auto& [id, owner] : owners_) {
-    std::erase_if(owner.unsent_.reports_,
-                  [](const RunReport& aReport) { return aReport.kept_; });
-    std::erase_if(owner.recent_,
-                  [](const auto& aRecent) { return aRecent.second.kept_; });
-  }
-}
-
 std::vector<RunKey>
 RunTable::TakeStops(MonoTime aNow)
 {
@@ -546,85 +352,6 @@
   return stops;
 }
 
-std::map<MemberId, RunTable::News>
-RunTable::TakeNews()
-{
-  std::map<MemberId, News> news;
-  for (auto& [id, owner] : owners_) {
-    if (!owner.unsent_.Empty()) {
-      news[id] = std::exchange(owner.unsent_, {});
-    }
-  }
-  return news;
-}
-
-HeldRuns
-RunTable::Held(MemberId aOwner) const
-{
-  HeldRuns held;
-  for (const auto& [key, run] : runs_) {
-    if (run.owner_ == aOwner) {
-      held.runs_.push_back(key);
-    }
-  }
-  if (leader_ == aOwner) {
-    held.term_ = term_;
-  }
-  if (leader_ == aOwner || !leader_) {
-    for (const auto& [number, report] : kept_) {
-      held.reports_.push_back(report);
-    }
-  }
-  const auto owner = owners_.find(aOwner);
-  if (owner != owners_.end()) {
-    for (const auto& [when, report] : owner->second.recent_) {
-      held.reports_.push_back(report);
-    }
-  }
-  return held;
-}
-
-UpstreamReport
-RunTable::Report(MonoTime aNow) const
-{
-  UpstreamReport report;
-  if (!upstream_) {
-    return report;
-  }
-  report.service_ = upstream_->service_;
-  report.upstream_ = upstream_->id_;
-  report.ready_ = !upstream_->draining_ && !closed_ && !lapseBegun_ &&
-                  Since(upstreamHeard_, aNow) <= options_.upstreamDoubt_;
-  report.capacity_ = upstream_->capacity_;
-  report.labels_ = upstream_->labels_;
-  report.committed_ = RoomInUse();
-  for (const auto& [key, run] : runs_) {
-    if (run.state_ == State::Waiting) {
-      report.committed_ += run.room_;
-      report.backlog_.at(run.priority_) += Backlog(run);
-    }
-  }
-  return report;
-}
-
-Room
-RunTable::RoomInUse() const
-{
-  Room used;
-  for (const auto& [key, run] : runs_) {
-    if (run.state_ != State::Waiting) {
-      used += run.room_;
-    }
-  }
-  return used;
-}
-
-int64_t
-RunTable::Backlog(const Run& aRun) const
-{
-  return aRun.room_.cpu_ * aRun.estimate_.count();
-}
-
 RunTable::Runs::iterator
 RunTable::Finish(Runs::iterator aRun, RunEnd aEnd, MonoTime aNow)
 {
@@ -633,31 +360,6 @@
   return runs_.erase(aRun);
 }
 
-RunReport
-RunTable::MakeReport(const RunKey& aKey,
-                     const Run& aRun,
-                     RunEnd aEnd,
-                     MonoTime aNow) const
-{
-  RunReport report{ .key_ = aKey, .end_ = aEnd };
-  if (aRun.state_ == State::Running) {
-    report.runTime_ = Since(aRun.started_, aNow);
-    report.waited_ = Since(aRun.queued_, aRun.started_);
-  } else {
-    report.waited_ = Since(aRun.queued_, aNow);
-  }
-  report.kept_ = aRun.term_ > 0;
-  return report;
-}
-
-void
-RunTable::Tell(MemberId aOwner, const RunReport& aReport, MonoTime aNow)
-{
-  Owner& owner = owners_[aOwner];
-  owner.unsent_.reports_.push_back(aReport);
-  owner.recent_.emplace_back(aNow, aReport);
-}
-
 void
 RunTable::FinishAll(RunEnd aEnd, MonoTime aNow)
 {
@@ -686,20 +388,6 @@
   }
 }
 
-RunTable::Runs::iterator
-RunTable::FindUpstreamRun(const RunKey& aKey)
-{
-  // Keys are ordered by task, so the runs of one task are neighbours.
-  for (auto run = runs_.lower_bound({ aKey.task_, 0 });
-       run != runs_.end() && run->first.task_ == aKey.task_;
-       ++run) {
-    if (run->second.upstreamRun_ == aKey.run_) {
-      return run;
-    }
-  }
-  return runs_.end();
-}
-
 std::vector<RunTable::Runs::iterator>
 RunTable::WaitingInOrder(MonoTime aNow)
 {
--- /dev/null
+++ b/src/libcornelfront/policy/run_table_pvt.h
@@ -0,0 +1,16 @@
+#pragma once
+
+/// \file
+/// Helpers of the files that implement RunTable.
+
+#include "cornelfront/clock.h"
+
+namespace cornelfront {
+
+inline Millis
+Since(MonoTime aThen, MonoTime aNow)
+{
+  return std::chrono::duration_cast<Millis>(aNow - aThen);
+}
+
+} // namespace cornelfront
