--- a/testsuite/harness/platform_cluster.cpp
+++ b/testsuite/harness/platform_cluster.cpp
@@ -318,9 +318,13 @@
 void
 PlatformCluster::Control(const std::string& aUrl, const std::string& aJson)
 {
-  if (!client_.Perform({ .method_ = "POST", .url_ = aUrl, .body_ = aJson })
-         .Ok()) {
-    throw std::runtime_error(aUrl + " refused " + aJson);
+  const HttpResult result =
+    client_.Perform({ .method_ = "POST", .url_ = aUrl, .body_ = aJson });
+  if (!result.Ok()) {
+    throw std::runtime_error(aUrl + " did not take " + aJson + ": " +
+                             (result.error_.empty()
+                                ? std::to_string(result.response_.status_)
+                                : result.error_));
   }
 }
 
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -53,16 +53,13 @@
 }
 
 void
-Run(const Options& aOptions)
+Play(harness::PlatformCluster& aCluster, const Options& aOptions)
 {
-  harness::PlatformCluster cluster({ .entries_ = aOptions.entries_,
-                                     .sidecars_ = aOptions.sidecars_,
-                                     .proxied_ = true });
   CallersOptions callersOptions{ .seed_ = aOptions.seed_,
                                  .threads_ =
                                    kCallersPerEntry * aOptions.entries_ };
   for (unsigned i = 0; i < aOptions.entries_; ++i) {
-    callersOptions.entries_.push_back(cluster.ClientAddress(i));
+    callersOptions.entries_.push_back(aCluster.ClientAddress(i));
   }
   Callers callers(std::move(callersOptions));
   const FaultPlanOptions faults{ .seed_ = aOptions.seed_,
@@ -70,22 +67,22 @@
                                    std::chrono::seconds(aOptions.seconds_),
                                  .entries_ = aOptions.entries_,
                                  .sidecars_ = aOptions.sidecars_ };
-  FaultInjector injector(cluster, faults);
+  FaultInjector injector(aCluster, faults);
   injector.Run(MakeFaultPlan(faults));
-  cluster.WaitReady();
+  aCluster.WaitReady();
   std::this_thread::sleep_for(kCalmTime);
   const Stamp end = StampNow();
   callers.Stop();
   callers.ReadStates(kFinishTime);
   Observations observations{ .jobs_ = callers.Jobs(),
-                             .runs_ = cluster.Runs(),
+                             .runs_ = aCluster.Runs(),
                              .closed_ = injector.ClosedSpans(end),
                              .cuts_ = callers.Cuts(),
                              .calm_ = injector.CalmSpans(end) };
   for (const std::string& violation : FindViolations(observations)) {
     ADD_FAILURE() << violation;
   }
-  CheckServes(cluster, aOptions.entries_);
+  CheckServes(aCluster, aOptions.entries_);
   const auto served = std::count_if(
     observations.jobs_.begin(),
     observations.jobs_.end(),
@@ -97,6 +94,20 @@
             << " closed_spans=" << observations.closed_.size() << std::endl;
 }
 
+void
+Run(const Options& aOptions)
+{
+  harness::PlatformCluster cluster({ .entries_ = aOptions.entries_,
+                                     .sidecars_ = aOptions.sidecars_,
+                                     .proxied_ = true });
+  try {
+    Play(cluster, aOptions);
+  } catch (const std::exception& error) {
+    // Reported before the cluster ends, so that the logs are kept.
+    ADD_FAILURE() << error.what();
+  }
+}
+
 } // namespace
 } // namespace cornelfront::soak
 
