Wait for every answer to leave before a planned stop closes links

Cause: a sidecar's slot took a task off the running count before it sent the answer, and Stop, which polls that count, closed the links in between (PlannedStop.RollingReplacementLosesNothing, known red). The same order was looked for elsewhere. A job entry counted only best-effort jobs, so a submission that was being written to the store lost its connection when the process exited, though the job may have been accepted. A job sidecar exited without waiting for its last reports.

Change: the task table counts answers until they are passed to the links, and a stop waits until it is idle; a job entry waits for all open requests; a job sidecar closes its links and waits until they have sent what is queued.

PlatformStop.APlannedStopWaitsForAStoredJobThatIsBeingWritten fails with the old count ("Server returned nothing") and passes now. The compiler cache now counts paths relative to the checkout, so that another checkout hits it.

--- a/src/cmake/compiler.cmake
+++ b/src/cmake/compiler.cmake
@@ -33,5 +33,9 @@
 
 find_program(CCACHE_PROGRAM ccache)
 if(CCACHE_PROGRAM)
-  set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE_PROGRAM})
+  # Paths count relative to the checkout, so that all checkouts on a machine
+  # share the cache.
+  set(CMAKE_CXX_COMPILER_LAUNCHER
+      ${CMAKE_COMMAND} -E env CCACHE_BASEDIR=${PROJECT_SOURCE_DIR}
+      CCACHE_NOHASHDIR=true ${CCACHE_PROGRAM})
 endif()
--- a/src/libcornelfront/controllers/task_table.cpp
+++ b/src/libcornelfront/controllers/task_table.cpp
@@ -61,6 +61,7 @@
     queue_.push_back({ std::move(task), startBy });
   }
   changed_.notify_all();
+  unsentAnswers_ += refusals.size();
   return refusals;
 }
 
@@ -156,6 +157,7 @@
       answers.push_back(Refuse(id, TaskReason::Cancelled, aNow));
     }
   }
+  unsentAnswers_ += answers.size();
   return answers;
 }
 
@@ -182,6 +184,7 @@
   std::lock_guard lock(mutex_);
   running_.erase(aAnswer.id_);
   RetainAnswer(aAnswer, aNow);
+  ++unsentAnswers_;
 }
 
 std::vector<TaskAnswer>
@@ -203,6 +206,7 @@
             aNow)) {
     EvictOldestAnswer();
   }
+  unsentAnswers_ += answers.size();
   return answers;
 }
 
@@ -215,6 +219,7 @@
     answers.push_back(Refuse(queued.task_.id_, aReason, aNow));
   }
   queue_.clear();
+  unsentAnswers_ += answers.size();
   return answers;
 }
 
@@ -235,6 +240,20 @@
            .queued_ = static_cast<uint32_t>(queue_.size()) };
 }
 
+void
+TaskTable::OnAnswersSent(size_t aCount)
+{
+  std::lock_guard lock(mutex_);
+  unsentAnswers_ -= aCount;
+}
+
+bool
+TaskTable::IsIdle() const
+{
+  std::lock_guard lock(mutex_);
+  return queue_.empty() && running_.empty() && unsentAnswers_ == 0;
+}
+
 void
 TaskTable::Stop()
 {
@@ -259,6 +278,4 @@
   return messages;
 }
 
-;
-
 } // namespace cornelfront
--- a/src/libcornelfront/controllers/task_table.h
+++ b/src/libcornelfront/controllers/task_table.h
@@ -40,6 +40,10 @@
 };
 
 /// Thread-safe. A single lock suffices, since every operation is short.
+///
+/// The caller sends the answers that Accept, Cancel, Finish, Sweep and
+/// RefuseQueued produce, then calls OnAnswersSent; until then the table is not
+/// idle.
 class TaskTable
 {
 public:
@@ -83,6 +87,10 @@
   /// Sets the number of slots that may run tasks. With 0, no task starts.
   void SetSlots(unsigned aSlots);
   LoadReport Load() const;
+  /// Called once this number of answers has been passed to the links.
+  void OnAnswersSent(size_t aCount);
+  /// True if no task is queued or runs and every answer has been sent.
+  bool IsIdle() const;
   /// Makes Take() return nullopt.
   void Stop();
 
@@ -118,6 +126,8 @@
   std::unordered_map<TaskId, RetainedAnswer> retainedAnswers_;
   std::deque<TaskId> evictionOrder_;
   size_t retainedAnswerBytes_ = 0;
+  /// Number of answers that have not been passed to the links yet.
+  size_t unsentAnswers_ = 0;
   /// Highest serial whose answer was evicted.
   std::map<SerialRange, uint64_t> highestEvicted_;
 };
--- a/src/libcornelfront/job_entry.cpp
+++ b/src/libcornelfront/job_entry.cpp
@@ -137,14 +137,14 @@
     const bool balancerDelayPassed = BootNow() - begin >= kBalancerDelay;
     RunOnLoop(pool_.Context(), [&] {
       closed_ = balancerDelayPassed;
-      left = pendingReplies_.size();
+      left = clients_->OpenRequests();
     });
     if (balancerDelayPassed && left == 0) {
       break;
     }
     std::this_thread::sleep_for(kStopPollInterval);
   }
-  LOG(INFO) << "stopped jobs=" << left;
+  LOG(INFO) << "stopped requests=" << left;
 }
 
 void
--- a/src/libcornelfront/job_sidecar.cpp
+++ b/src/libcornelfront/job_sidecar.cpp
@@ -18,7 +18,9 @@
 constexpr Millis kPredecessorRunTimeout{ 1100 };
 constexpr Millis kPredecessorOrderTimeout{ 300 };
 constexpr Millis kStopPollInterval{ 20 };
-constexpr Millis kOperatorWait{ 1000 };
+/// Maximum time for the last reports to leave before the process exits.
+constexpr Millis kFlushTimeout{ 500 };
+constexpr Millis kOperatorWait{ 2000 };
 constexpr Millis kMembersWait{ 5000 };
 
 } // namespace
@@ -114,9 +116,32 @@
     std::this_thread::sleep_for(kStopPollInterval);
     RunOnLoop(pool_.Context(), [&] { left = table_.Size(); });
   }
+  CloseLinks();
   LOG(INFO) << "stopped runs=" << left;
 }
 
+/// Closes all links; each sends what is queued first.
+void
+JobSidecar::Impl::CloseLinks()
+{
+  const MonoTime begin = BootNow();
+  size_t open = 0;
+  RunOnLoop(pool_.Context(), [&] {
+    linksClosed_ = true;
+    for (const auto& [id, owner] : owners_) {
+      owner.link_->Close();
+    }
+    open = owners_.size();
+  });
+  while (open > 0 && BootNow() - begin < kFlushTimeout) {
+    std::this_thread::sleep_for(kStopPollInterval);
+    RunOnLoop(pool_.Context(), [&] { open = owners_.size(); });
+  }
+  if (open > 0) {
+    LOG(WARNING) << "stopped before " << open << " links were closed";
+  }
+}
+
 void
 JobSidecar::Impl::Tick()
 {
--- a/src/libcornelfront/job_sidecar_entries.cpp
+++ b/src/libcornelfront/job_sidecar_entries.cpp
@@ -122,7 +122,9 @@
 void
 JobSidecar::Impl::OnLinkEnd(const LinkPtr& aLink, const std::string& aDetail)
 {
-  connector_->OnLinkEnd(aLink);
+  if (!linksClosed_) {
+    connector_->OnLinkEnd(aLink);
+  }
   const auto entry = entries_.find(aLink->Serial());
   if (entry == entries_.end()) {
     return;
--- a/src/libcornelfront/job_sidecar_pvt.h
+++ b/src/libcornelfront/job_sidecar_pvt.h
@@ -47,6 +47,7 @@
   };
 
   void Setup();
+  void CloseLinks();
   void Tick();
   void DetectSuspension(MonoTime aNow);
   void StartConnecting(MonoTime aNow);
@@ -111,6 +112,8 @@
   std::unique_ptr<platform::BatchWriter> registration_;
   MonoTime lastTick_;
   bool stopping_ = false;
+  /// The process exits; ended links are not connected again.
+  bool linksClosed_ = false;
   std::unique_ptr<LoopTimer> ticker_;
 };
 
--- a/src/libcornelfront/sidecar.cpp
+++ b/src/libcornelfront/sidecar.cpp
@@ -319,6 +319,7 @@
 void
 Sidecar::Impl::SendAnswers(std::vector<TaskAnswer> aAnswers)
 {
+  const size_t count = aAnswers.size();
   std::unordered_map<MemberId, std::vector<TaskAnswer>> byEntry;
   for (TaskAnswer& answer : aAnswers) {
     byEntry[answer.id_.owner_].push_back(std::move(answer));
@@ -329,6 +330,7 @@
       outboundLinks_.Send(entry, std::move(message));
     }
   }
+  tasks_.OnAnswersSent(count);
 }
 
 void
@@ -579,7 +581,7 @@
   SendStatus();
   SendRefusals(tasks_.RefuseQueued(TaskReason::Draining, MonoClock::now()));
   const MonoTime deadline = MonoClock::now() + settings_.drainLimit_;
-  while (tasks_.Load().running_ > 0 && MonoClock::now() < deadline) {
+  while (!tasks_.IsIdle() && MonoClock::now() < deadline) {
     std::this_thread::sleep_for(kStopPollInterval);
   }
   for (const LinkPtr& link : outboundLinks_.Links()) {
--- a/testsuite/process/platform_test.cpp
+++ b/testsuite/process/platform_test.cpp
@@ -347,5 +347,19 @@
   EXPECT_EQ(cluster.Entry(0).WaitExit(), 0);
 }
 
+// The entry waits 2.2 s for the load balancer before it exits. A submission that
+// is being written at that time may be in the store already, so it must not be
+// answered as refused.
+TEST(PlatformStop, APlannedStopWaitsForAStoredJobThatIsBeingWritten)
+{
+  PlatformCluster cluster(1, 1);
+  cluster.Entry(0).Signal(SIGTERM);
+  std::this_thread::sleep_for(Millis(1900));
+  cluster.StoreFault(R"({"down":"silent"})");
+  const HttpResult result = cluster.Submit(0, MakeJobId(1), "", 1, false);
+  EXPECT_EQ(result.response_.status_, 504) << result.error_;
+  EXPECT_EQ(cluster.Entry(0).WaitExit(), 0);
+}
+
 } // namespace
 } // namespace cornelfront::harness
