Back off after failed polls and store reads; sidecars skip the configuration

When the configuration grew to 979 routes, every sidecar parsed it on its event loop for 110 to 120 ms, though it needs only the zones that are out, and its next poll timed out. Entries on links of 2 Mbit/s could not receive the record within the 600 ms that a read may take beyond its wait, and began it again with the same limit.

Change: one class, Backoff, gives the delays of polls, reads and appends: they double up to a maximum, with jitter, counted from the start of the attempt, so that an attempt that timed out waits little longer. A heartbeat of the upstream ends the delay at once. A read that was cut off gets twice the time.

Ruled out: a small receive buffer for reads, so that a large record does not queue on the link ahead of other traffic.

--- a/src/libcornelfront/job_sidecar.cpp
+++ b/src/libcornelfront/job_sidecar.cpp
@@ -159,7 +159,6 @@
   metrics_.SetGauge("runs", static_cast<double>(table_.Size()));
   metrics_.SetGauge("entries", static_cast<double>(owners_.size()));
   metrics_.SetGauge("upstream", table_.HasUpstream() ? 1 : 0);
-  metrics_.SetGauge("configuration", static_cast<double>(operator_.version_));
 }
 
 void
@@ -203,9 +202,9 @@
   const platform::TopicReader::Records& aRecords)
 {
   const MonoTime now = BootNow();
-  operator_ = platform::ReadOperatorState(aRecords, operator_);
-  const bool out = operator_.zonesOut_.contains(settings_.zone_);
-  LOG(INFO) << "operator version=" << operator_.version_ << " zone_out=" << out;
+  // The configuration, which may be large, concerns entries only.
+  const bool out = platform::ReadZonesOut(aRecords).contains(settings_.zone_);
+  LOG(INFO) << "operator zone_out=" << out;
   table_.SetClosed(out || stopping_, now);
   SendPending(now);
   SendStatus(now);
--- a/src/libcornelfront/job_sidecar_pvt.h
+++ b/src/libcornelfront/job_sidecar_pvt.h
@@ -6,6 +6,7 @@
 
 #include "cornelfront/job_sidecar.h"
 
+#include "cornelfront/backoff.h"
 #include "cornelfront/http_server.h"
 #include "cornelfront/job_metrics.h"
 #include "cornelfront/link.h"
@@ -65,6 +66,7 @@
   void Register();
   void OnLinkEnd(const LinkPtr& aLink, const std::string& aDetail);
   void Poll();
+  void PollAfter(Millis aDelay);
   Millis PollWait(MonoTime aNow) const;
   void OnPollResult(uint64_t aPollNumber,
                     platform::PollOutcome aOutcome,
@@ -94,7 +96,6 @@
   std::unique_ptr<platform::StoreClient> store_;
   std::unique_ptr<platform::TopicReader> operatorReader_;
   std::unique_ptr<platform::TopicReader> memberReader_;
-  platform::OperatorState operator_;
   std::unique_ptr<platform::ExecutorClient> executor_;
   std::unique_ptr<HttpServer> heartbeats_;
   JobMetrics metrics_;
@@ -108,6 +109,12 @@
   bool polling_ = false;
   /// The upstream has answered at least one poll.
   bool hasPolled_ = false;
+  MonoTime pollStart_;
+  /// Bounds the polls of an upstream that closes or resets each connection. The
+  /// longest delay leaves several attempts before the lease ends.
+  Backoff pollBackoff_{ { .initial_ = Millis(1), .max_ = Millis(200) } };
+  /// The next poll waits for pollTimer_.
+  bool pollDelayed_ = false;
   std::unique_ptr<asio::steady_timer> pollTimer_;
   std::unique_ptr<platform::BatchWriter> registration_;
   MonoTime lastTick_;
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -16,7 +16,7 @@
 constexpr Millis kDegradedPeriod{ 3000 };
 /// The same while nothing runs; several polls fit into one lease.
 constexpr Millis kIdlePollWait{ 300 };
-constexpr Millis kPollRetryDelay{ 1 };
+constexpr Millis kMinPollRetryDelay{ 1 };
 constexpr Millis kMaxRequestTimeout{ 320 };
 /// The lease is not extended once the upstream has been silent for this long,
 /// so that its expiry time is known.
@@ -61,6 +61,9 @@
   }
   if (!polling_) {
     Poll();
+  } else if (pollDelayed_) {
+    pollBackoff_.Reset();
+    PollAfter(Millis(0));
   }
   SendPending(now);
   SendStatus(now);
@@ -88,6 +91,7 @@
     return;
   }
   polling_ = true;
+  pollStart_ = now;
   std::optional<UpstreamTime> lease;
   if (now - table_.UpstreamHeardAt() < kMaxLeaseSilence &&
       table_.MayExtendLease()) {
@@ -127,6 +131,7 @@
   const MonoTime now = BootNow();
   DetectSuspension(now);
   if (aOutcome == platform::PollOutcome::Ok) {
+    pollBackoff_.Reset();
     requestTimeout_ = std::max(requestTimeout_ * 9 / 10, kMinRequestTimeout);
     if (table_.OnPollResult(aPollNumber, aPollResult, now)) {
       hasPolled_ = true;
@@ -147,9 +152,18 @@
     SendPending(now);
     SendStatus(now);
   }
-  pollTimer_->expires_after(kPollRetryDelay);
+  PollAfter(
+    std::max(pollBackoff_.OnFailure(pollStart_, now), kMinPollRetryDelay));
+}
+
+void
+JobSidecar::Impl::PollAfter(Millis aDelay)
+{
+  pollDelayed_ = true;
+  pollTimer_->expires_after(aDelay);
   pollTimer_->async_wait([this](const asio::error_code& aError) {
     if (!aError) {
+      pollDelayed_ = false;
       Poll();
     }
   });
--- a/src/libcornelfront/platform/batch_writer.cpp
+++ b/src/libcornelfront/platform/batch_writer.cpp
@@ -7,7 +7,6 @@
 
 constexpr size_t kMaxBatchRecords = 400;
 constexpr size_t kMaxBatchBytes = 1U << 20;
-constexpr Millis kRetryPause{ 100 };
 
 } // namespace
 
@@ -104,7 +103,7 @@
 void
 BatchWriter::RetryLater()
 {
-  timer_.expires_after(kRetryPause);
+  timer_.expires_after(backoff_.OnFailure(attemptStart_, BootNow()));
   timer_.async_wait([this, alive = alive_](const asio::error_code& aError) {
     if (*alive && !aError) {
       Send();
@@ -115,6 +114,7 @@
 void
 BatchWriter::Finish(StoreOutcome aOutcome)
 {
+  backoff_.Reset();
   if (aOutcome == StoreOutcome::Ok) {
     ++sequence_;
   }
--- a/src/libcornelfront/platform/batch_writer.h
+++ b/src/libcornelfront/platform/batch_writer.h
@@ -65,6 +65,7 @@
   StoreClient& store_;
   BatchWriterOptions options_;
   asio::steady_timer timer_;
+  Backoff backoff_{ { .initial_ = Millis(100), .max_ = Millis(400) } };
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::deque<PendingWrite> queue_;
   std::vector<PendingWrite> batch_;
--- a/src/libcornelfront/platform/operator_state.cpp
+++ b/src/libcornelfront/platform/operator_state.cpp
@@ -77,23 +77,33 @@
   return best;
 }
 
+std::set<std::string>
+ReadZonesOut(const std::map<std::string, std::string>& aRecords)
+{
+  std::set<std::string> zones;
+  for (const auto& [key, value] : aRecords) {
+    if (key.starts_with(kEvacuationPrefix)) {
+      zones.insert(key.substr(kEvacuationPrefix.size()));
+    }
+  }
+  return zones;
+}
+
 OperatorState
 ReadOperatorState(const std::map<std::string, std::string>& aRecords,
                   const OperatorState& aBefore)
 {
   OperatorState state = aBefore;
-  state.zonesOut_.clear();
-  for (const auto& [key, value] : aRecords) {
-    if (key.starts_with(kEvacuationPrefix)) {
-      state.zonesOut_.insert(key.substr(kEvacuationPrefix.size()));
-    } else if (key == kConfigKey) {
-      try {
-        ApplyConfig(value, state);
-      } catch (const WireFormatError& error) {
-        LOG(ERROR) << "invalid configuration ignored: " << error.what()
-                   << "; version " << state.version_ << " stays in force";
-      }
-    }
+  state.zonesOut_ = ReadZonesOut(aRecords);
+  const auto config = aRecords.find(std::string(kConfigKey));
+  if (config == aRecords.end()) {
+    return state;
+  }
+  try {
+    ApplyConfig(config->second, state);
+  } catch (const WireFormatError& error) {
+    LOG(ERROR) << "invalid configuration ignored: " << error.what()
+               << "; version " << state.version_ << " stays in force";
   }
   return state;
 }
--- a/src/libcornelfront/platform/operator_state.h
+++ b/src/libcornelfront/platform/operator_state.h
@@ -41,6 +41,11 @@
   const Route* FindRoute(std::string_view aHost, std::string_view aPath) const;
 };
 
+/// Returns the zones that the operator has taken out of service, from the
+/// newest record of each key in the operator's topic.
+std::set<std::string>
+ReadZonesOut(const std::map<std::string, std::string>& aRecords);
+
 /// Builds the state from the newest record of each key in the operator's topic.
 /// Unknown keys are ignored. If the configuration is invalid, which is logged,
 /// or not newer, that of \p aBefore stays in force.
--- a/src/libcornelfront/platform/store_client.cpp
+++ b/src/libcornelfront/platform/store_client.cpp
@@ -6,6 +6,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace cornelfront::platform {
@@ -19,10 +20,11 @@
 
 /// Timeout of an append.
 constexpr Millis kAppendTimeout{ 1500 };
-/// Timeout of a read, beyond the wait that it requests.
-constexpr Millis kReadMargin{ 600 };
+/// Timeout of a read, beyond the wait that it requests. It doubles with each
+/// read that is cut off, so that a large record arrives over a slow link.
+constexpr Millis kMinReadMargin{ 600 };
+constexpr Millis kMaxReadMargin{ 4800 };
 constexpr Millis kConnectTimeout{ 700 };
-constexpr Millis kRetryPause{ 200 };
 constexpr Millis kPageTimeout{ 4000 };
 
 constexpr int kStatusOk = 200;
@@ -226,13 +228,14 @@
 StoreClient::Read(const std::string& aTopic,
                   uint64_t aFrom,
                   Millis aWait,
+                  Millis aMargin,
                   std::function<void(StoreRead)> aDone)
 {
   HttpClientRequest request{ .url_ = Url("/log-read", aTopic) +
                                      "&from=" + std::to_string(aFrom) +
                                      "&waitMs=" + std::to_string(aWait.count()),
                              .connectTimeout_ = kConnectTimeout,
-                             .timeout_ = aWait + kReadMargin };
+                             .timeout_ = aWait + aMargin };
   http_.Send(
     std::move(request),
     [aTopic, aFrom, done = std::move(aDone)](const HttpResult& aResult) {
@@ -286,6 +289,7 @@
   : timer_(aLoop)
   , store_(aStore)
   , options_(std::move(aOptions))
+  , readMargin_(kMinReadMargin)
 {
   Restart();
 }
@@ -370,6 +374,7 @@
   store_.Read(options_.topic_,
               next_,
               options_.wait_,
+              readMargin_,
               [this, alive = alive_](const StoreRead& aRead) {
                 if (*alive) {
                   OnTail(aRead);
@@ -385,10 +390,14 @@
     return;
   }
   if (aRead.outcome_ != StoreOutcome::Ok) {
+    if (aRead.outcome_ == StoreOutcome::Unknown) {
+      readMargin_ = std::min(readMargin_ * 2, kMaxReadMargin);
+    }
     NoteReachable(false);
     Retry(&TopicReader::Tail);
     return;
   }
+  readMargin_ = kMinReadMargin;
   NoteReachable(true);
   for (const KeyedRecord& record : aRead.records_) {
     if (record.value_.empty()) {
@@ -408,7 +417,7 @@
 void
 TopicReader::Retry(void (TopicReader::*aStep)())
 {
-  timer_.expires_after(kRetryPause);
+  timer_.expires_after(backoff_.OnFailure(readStart_, BootNow()));
   timer_.async_wait(
     [this, alive = alive_, aStep](const asio::error_code& aError) {
       if (*alive && !aError) {
@@ -420,6 +429,9 @@
 void
 TopicReader::NoteReachable(bool aReachable)
 {
+  if (aReachable) {
+    backoff_.Reset();
+  }
   if (reachable_ == aReachable) {
     return;
   }
--- a/src/libcornelfront/platform/store_client.h
+++ b/src/libcornelfront/platform/store_client.h
@@ -5,6 +5,7 @@
 /// Keyed topics are compacted: they keep the newest record of each key.
 
 #include "cornelfront/async_http_client.h"
+#include "cornelfront/backoff.h"
 #include "cornelfront/clock.h"
 #include "cornelfront/keyed_record.h"
 #include "cornelfront/settings.h"
@@ -82,10 +83,11 @@
               const std::optional<ProducerStamp>& aStamp,
               std::function<void(StoreOutcome)> aDone);
   /// Reads records from offset \p aFrom on; waits up to \p aWait if there are
-  /// none yet.
+  /// none yet. Times out \p aMargin after that.
   void Read(const std::string& aTopic,
             uint64_t aFrom,
             Millis aWait,
+            Millis aMargin,
             std::function<void(StoreRead)> aDone);
   /// Reads a page of the newest records of all keys greater than \p aAfter.
   void Newest(const std::string& aTopic,
@@ -146,6 +148,8 @@
   asio::steady_timer timer_;
   StoreClient& store_;
   const Options options_;
+  Backoff backoff_{ { .initial_ = Millis(100), .max_ = Millis(800) } };
+  Millis readMargin_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   Records records_;
   Records pagedRecords_;
