Read the files of all commands with one function

config check and publish took a file that can't be read for an empty one, and the errors of a file were printed by two copies of one function.

--- a/src/cornelfront/cmd_config.cpp
+++ b/src/cornelfront/cmd_config.cpp
@@ -2,6 +2,7 @@
 /// `cornelfront config check|publish|show|history`.
 
 #include "change_command.h"
+#include "file_input.h"
 #include "report.h"
 #include "table.h"
 
@@ -9,9 +10,7 @@
 #include "cornelfront/dispatch_policy.h"
 #include "cornelfront/schema.h"
 
-#include <fstream>
 #include <iostream>
-#include <iterator>
 #include <memory>
 
 namespace cornelfront {
@@ -38,22 +37,6 @@
   OutputFormat output_ = OutputFormat::Table;
 };
 
-std::string
-ReadFile(const std::string& aPath)
-{
-  std::ifstream file(aPath, std::ios::binary);
-  return { std::istreambuf_iterator<char>(file), {} };
-}
-
-void
-PrintErrors(const std::string& aPath, const FileErrors& aErrors)
-{
-  for (const FileError& error : aErrors.Errors()) {
-    std::cerr << aPath << ':' << error.line_ << ": " << error.key_ << ": "
-              << error.message_ << '\n';
-  }
-}
-
 /// Parses a schema file. Prints the errors and returns nullopt if there are
 /// any.
 std::optional<std::vector<ServiceSchema>>
@@ -62,7 +45,7 @@
   try {
     return ParseSchema(aText);
   } catch (const FileErrors& errors) {
-    PrintErrors(aPath, errors);
+    PrintFileErrors(aPath, errors);
     return std::nullopt;
   }
 }
@@ -75,7 +58,7 @@
     ParseDispatchPolicy(aText);
     return true;
   } catch (const FileErrors& errors) {
-    PrintErrors(aPath, errors);
+    PrintFileErrors(aPath, errors);
     return false;
   }
 }
@@ -83,7 +66,11 @@
 ExitCode
 RunCheck(const std::string& aPath)
 {
-  const auto schemas = CheckSchema(aPath, ReadFile(aPath));
+  const auto text = ReadInputFile(aPath);
+  if (!text) {
+    return ExitCode::BadFile;
+  }
+  const auto schemas = CheckSchema(aPath, *text);
   if (!schemas) {
     return ExitCode::BadFile;
   }
@@ -97,14 +84,17 @@
 ExitCode
 RunPublish(const PublishCommand& aCommand)
 {
-  const std::string text = ReadFile(aCommand.file_);
-  if (aCommand.key_ == kPolicyKey && !CheckPolicy(aCommand.file_, text)) {
+  const auto text = ReadInputFile(aCommand.file_);
+  if (!text) {
+    return ExitCode::BadFile;
+  }
+  if (aCommand.key_ == kPolicyKey && !CheckPolicy(aCommand.file_, *text)) {
     return ExitCode::BadFile;
   }
   if (!aCommand.key_.empty()) {
-    return RunChange(aCommand.change_, aCommand.key_, text);
+    return RunChange(aCommand.change_, aCommand.key_, *text);
   }
-  const auto schemas = CheckSchema(aCommand.file_, text);
+  const auto schemas = CheckSchema(aCommand.file_, *text);
   if (!schemas) {
     return ExitCode::BadFile;
   }
@@ -114,7 +104,7 @@
     return ExitCode::BadFile;
   }
   return RunChange(
-    aCommand.change_, kSchemaPrefix + schemas->front().service_, text);
+    aCommand.change_, kSchemaPrefix + schemas->front().service_, *text);
 }
 
 /// Reads the configuration history from the log. Prints the error and returns
--- a/src/cornelfront/cmd_serve.cpp
+++ b/src/cornelfront/cmd_serve.cpp
@@ -3,6 +3,7 @@
 /// processes.
 
 #include "commands.h"
+#include "file_input.h"
 
 #include "cornelfront/entry.h"
 #include "cornelfront/file.h"
@@ -37,15 +38,6 @@
   bool printSettings_ = false;
 };
 
-void
-PrintErrors(const std::string& aFile, const FileErrors& aErrors)
-{
-  for (const FileError& error : aErrors.Errors()) {
-    std::cerr << aFile << ":" << error.line_ << ": " << error.key_ << ": "
-              << error.message_ << "\n";
-  }
-}
-
 /// Blocks SIGTERM and SIGINT in this thread and in all threads it starts, so
 /// that only sigwait receives them.
 sigset_t
@@ -122,7 +114,7 @@
     }
     aServe(settings);
   } catch (const FileErrors& errors) {
-    PrintErrors(aOptions.settingsFile_, errors);
+    PrintFileErrors(aOptions.settingsFile_, errors);
     throw CLI::RuntimeError(static_cast<int>(ExitCode::BadFile));
   } catch (const std::exception& error) {
     std::cerr << error.what() << "\n";
