Replay load patterns against the scheduling decisions

New command: cornelfront replay FILE. It plays arrivals, run times, wrong estimates, bursts and losses from a YAML pattern against the JobScheduler of each entry and the RunTable of each sidecar in simulated time; an upstream is its capacity, a link a delay.

Candidates of a step are found once and not once a task.

--- a/src/cornelfront/commands.h
+++ b/src/cornelfront/commands.h
@@ -41,6 +41,10 @@
 void
 AddConfigCommands(CLI::App& aApp);
 
+/// Adds `replay`.
+void
+AddReplayCommand(CLI::App& aApp);
+
 /// Adds `zone out`, `in` and `list`.
 void
 AddZoneCommands(CLI::App& aApp);
--- a/src/cornelfront/main.cpp
+++ b/src/cornelfront/main.cpp
@@ -14,6 +14,7 @@
   cornelfront::AddZoneCommands(app);
   cornelfront::AddStatusCommands(app);
   cornelfront::AddTimelineCommands(app);
+  cornelfront::AddReplayCommand(app);
   try {
     app.parse(argc, argv);
   } catch (const CLI::RuntimeError& error) {
--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -173,6 +173,9 @@
 
 struct JobSchedulerOptions
 {
+  /// Identity of this entry; determines its order of preference among
+  /// upstreams.
+  MemberId self_;
   std::string zone_;
   /// A gap between calls longer than this means that the process was suspended;
   /// clients may have submitted their jobs elsewhere meanwhile.
@@ -189,6 +192,9 @@
   Millis startTimeout_{ 1500 };
   /// Added to the cost of an upstream in another zone.
   Millis otherZonePenalty_{ 2 };
+  /// Range of a cost that differs for each pair of entry and upstream, so that
+  /// entries with the same view of the upstreams choose different ones.
+  Millis preferenceRange_{ 0 };
   Millis refusalRetryAfter_{ 1000 };
   /// Factor on the expected run time of a task away from its preferred rack.
   double otherRackFactor_ = 1.5;
@@ -212,6 +218,10 @@
   /// A job is refused if its predicted wait exceeds this share of the slack
   /// that its objective leaves.
   double admittedWaitShare_ = 0.6;
+  /// The same for jobs of the most urgent priority.
+  double urgentAdmittedWaitShare_ = 0.6;
+  /// A task whose orders were returned this often is queued in a sidecar.
+  int maxReturned_ = 0;
   /// Time for which an upstream is avoided once most of its runs fail.
   Millis ejectionTime_{ 2000 };
 };
@@ -324,6 +334,8 @@
     MemberId sidecar_;
     MonoTime sentAt_;
     bool stopSent_ = false;
+    /// Number of orders that a sidecar returned without a start.
+    int returned_ = 0;
     /// Number of runs that were stopped because they stalled.
     int stalls_ = 0;
     /// Sidecars of the upstreams on which a run of this task did not succeed.
@@ -379,6 +391,9 @@
     /// Orders that the sidecar's last report does not include yet.
     std::deque<Order> unreported_;
     std::set<RunKey> runs_;
+    /// Share of the preference range that this entry adds to the cost of the
+    /// upstream.
+    double preference_ = 0.0;
     /// Run time of all tasks on this upstream, exponentially smoothed.
     double meanRunMs_ = 200.0;
     /// Ratio of run times on this upstream to those on all, exponentially
@@ -392,6 +407,16 @@
   };
   using Sidecars = std::map<MemberId, Sidecar>;
 
+  /// An upstream that may run the tasks of a step, with the costs of the next
+  /// one.
+  struct Candidate
+  {
+    Sidecars::iterator sidecar_;
+    bool avoided_ = false;
+    double waitMs_ = 0.0;
+    double costMs_ = 0.0;
+  };
+
   /// Mean run time of a queue's tasks, from its own runs.
   struct Durations
   {
@@ -447,10 +472,19 @@
   void PlaceWaiting(MonoTime aNow);
   void PlaceWaiting(bool aLate, MonoTime aNow);
   void UnblockSteps(Job& aJob);
-  Sidecars::iterator ChooseSidecar(const Job& aJob,
-                                   uint32_t aStep,
-                                   const Task& aTask,
-                                   MonoTime aNow);
+  std::vector<Candidate> FindCandidates(const Job& aJob,
+                                        const StepSpec& aStep,
+                                        MonoTime aNow);
+  void UpdateCosts(Candidate& aCandidate,
+                   const Job& aJob,
+                   const StepSpec& aStep,
+                   double aRunMs) const;
+  /// Returns the candidate with the least cost, or nullptr if none may run the
+  /// task now.
+  Candidate* ChooseCandidate(std::vector<Candidate>& aCandidates,
+                             const Job& aJob,
+                             uint32_t aStep,
+                             const Task& aTask) const;
   bool IsEligible(const Sidecar& aSidecar,
                   const Job& aJob,
                   const StepSpec& aStep) const;
@@ -467,9 +501,10 @@
   double PredictedWaitMs(const Sidecar& aSidecar,
                          const Job& aJob,
                          const StepSpec& aStep) const;
+  /// Cost of a task with expected run time \p aRunMs, besides its wait.
   double PlacementCostMs(const Sidecar& aSidecar,
-                         const Job& aJob,
-                         const StepSpec& aStep) const;
+                         const StepSpec& aStep,
+                         double aRunMs) const;
   double ExpectedRunMs(const Job& aJob, const StepSpec& aStep) const;
   /// Predicted time until the last task of the first step can start.
   double AdmissionWaitMs(const Job& aJob) const;
--- a/src/include/cornelfront/run_messages.h
+++ b/src/include/cornelfront/run_messages.h
@@ -40,11 +40,14 @@
 {
   uint32_t index_ = 0;
   uint32_t run_ = 0;
+  /// The run is returned as not started if it would have to wait in the
+  /// sidecar, so that the entry can place it elsewhere.
+  bool onlyIfFree_ = false;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(index_, run_);
+    aArchive(index_, run_, onlyIfFree_);
   }
 };
 
--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -238,6 +238,7 @@
     MonoTime queuedAt_;
     MonoTime latestStart_;
     MonoTime startBy_;
+    bool onlyIfFree_ = false;
     MonoTime started_;
     /// Time at which the owner was last told of the stall.
     MonoTime stallReportedAt_;
@@ -276,6 +277,9 @@
   void RequestStop(Runs::iterator aRun, MonoTime aNow);
   Runs::iterator FindUpstreamRun(const RunKey& aKey);
   std::vector<Runs::iterator> WaitingInOrder(MonoTime aNow);
+  bool MayStart(MonoTime aNow) const;
+  /// Returns waiting runs that were ordered only for free resources.
+  void ReturnWaiting(MonoTime aNow);
   void CheckStall(const RunKey& aKey,
                   Run& aRun,
                   int32_t aPercent,
--- a/src/libcornelfront/job_entry.cpp
+++ b/src/libcornelfront/job_entry.cpp
@@ -19,7 +19,7 @@
 
 JobEntry::Impl::Impl(const JobEntrySettings& aSettings)
   : settings_(aSettings)
-  , scheduler_(JobSchedulerOptions{ .zone_ = aSettings.zone_ })
+  , scheduler_(JobSchedulerOptions{ .self_ = self_, .zone_ = aSettings.zone_ })
 {
   RunOnLoop(pool_.Context(), [this] { Setup(); });
 }
--- a/src/libcornelfront/job_sidecar_entries.cpp
+++ b/src/libcornelfront/job_sidecar_entries.cpp
@@ -11,8 +11,6 @@
 /// Maximum time that an order may have been in transit; an older one is not
 /// carried out.
 constexpr Millis kMaxOrderAge{ 1000 };
-/// Minimum interval of status messages that only report changed resources.
-constexpr Millis kStatusInterval{ 100 };
 
 Millis
 AgeOf(int64_t aStamp, MonoTime aNow)
@@ -114,7 +112,9 @@
                  << " outcome=too_old";
     orders.startTimeout_ = Millis(0);
   }
-  owners_[aEntry].ordersReceived_ += orders.runs_.size();
+  Owner& owner = owners_[aEntry];
+  owner.ordersReceived_ += orders.runs_.size();
+  owner.reportSchedule_.OnOrders(aNow);
   table_.OnOrders(aEntry, orders, aNow);
   table_.Tick(aNow);
 }
@@ -143,10 +143,7 @@
 {
   const UpstreamReport report = table_.MakeUpstreamReport(aNow);
   for (auto& [id, owner] : owners_) {
-    const bool changed = owner.sentReady_ != report.ready_ ||
-                         (owner.sentCommitted_ != report.committed_ &&
-                          aNow - owner.reportSentAt_ >= kStatusInterval);
-    if (changed) {
+    if (owner.reportSchedule_.IsDue(report, aNow)) {
       Send(id, owner, {}, report, aNow);
     }
   }
@@ -164,9 +161,7 @@
                       .started_ = std::move(aUpdates.started_),
                       .upstream_ = aReport };
   message.upstream_.ordersReceived_ = aOwner.ordersReceived_;
-  aOwner.sentCommitted_ = aReport.committed_;
-  aOwner.sentReady_ = aReport.ready_;
-  aOwner.reportSentAt_ = aNow;
+  aOwner.reportSchedule_.OnSent(aReport, aNow);
   if (!aOwner.link_->Send(std::move(message))) {
     VLOG(1) << "entry id=" << ToString(aEntry) << " outcome=link_ended";
   }
--- a/src/libcornelfront/job_sidecar_pvt.h
+++ b/src/libcornelfront/job_sidecar_pvt.h
@@ -10,6 +10,7 @@
 #include "cornelfront/http_server.h"
 #include "cornelfront/job_metrics.h"
 #include "cornelfront/link.h"
+#include "cornelfront/report_schedule.h"
 #include "cornelfront/run_table.h"
 #include "event_loop_pvt.h"
 #include "platform/batch_writer.h"
@@ -42,9 +43,7 @@
   {
     LinkPtr link_;
     uint64_t ordersReceived_ = 0;
-    Resources sentCommitted_;
-    bool sentReady_ = false;
-    MonoTime reportSentAt_;
+    ReportSchedule reportSchedule_{ ReportScheduleOptions{} };
   };
 
   void Setup();
--- a/src/libcornelfront/policy/job_placement.cpp
+++ b/src/libcornelfront/policy/job_placement.cpp
@@ -58,16 +58,21 @@
     return;
   }
   std::map<MemberId, SendRuns> sends;
+  std::optional<std::vector<Candidate>> candidates;
   for (uint32_t index = 0; index < step.tasks_.size(); ++index) {
     Task& task = step.tasks_[index];
     if (task.state_ != TaskState::Ready) {
       continue;
     }
-    const auto sidecar = ChooseSidecar(aJob, aStep, task, aNow);
-    if (sidecar == sidecars_.end()) {
+    if (!candidates) {
+      candidates = FindCandidates(aJob, spec, aNow);
+    }
+    Candidate* chosen = ChooseCandidate(*candidates, aJob, aStep, task);
+    if (chosen == nullptr) {
       waiting_.insert(RankOf(aJob));
       continue;
     }
+    const auto sidecar = chosen->sidecar_;
     ++task.run_;
     task.state_ = TaskState::Sent;
     task.sidecar_ = sidecar->first;
@@ -75,14 +80,20 @@
     task.stopSent_ = false;
     aJob.anySent_ = true;
     SendRuns& send = sends[sidecar->first];
-    send.orders_.runs_.push_back({ index, task.run_ });
-    send.predictedWait_ = FromMs(PredictedWaitMs(sidecar->second, aJob, spec));
+    // The view of an upstream is as old as its last report, and other entries
+    // may have taken the resources since.
+    const bool onlyIfFree = !spec.gang_ && chosen->waitMs_ <= 0.0 &&
+                            task.returned_ < options_.maxReturned_;
+    send.orders_.runs_.push_back(
+      { .index_ = index, .run_ = task.run_, .onlyIfFree_ = onlyIfFree });
+    send.predictedWait_ = FromMs(chosen->waitMs_);
     send.reportAge_ =
       std::chrono::duration_cast<Millis>(aNow - sidecar->second.reportedAt_);
     RecordSent(
       sidecar->second,
       spec,
       { { aJob.spec_.id_, aJob.occurrence_, aStep, index }, task.run_ });
+    UpdateCosts(*chosen, aJob, spec, ExpectedRunMs(aJob, spec));
   }
   for (auto& [id, send] : sends) {
     StartRuns& order = send.orders_;
@@ -153,34 +164,57 @@
       .work_ = aStep.resources_.cpu_ * aStep.estimate_.count() });
 }
 
-JobScheduler::Sidecars::iterator
-JobScheduler::ChooseSidecar(const Job& aJob,
-                            uint32_t aStep,
-                            const Task& aTask,
-                            MonoTime aNow)
+std::vector<JobScheduler::Candidate>
+JobScheduler::FindCandidates(const Job& aJob,
+                             const StepSpec& aStep,
+                             MonoTime aNow)
 {
-  const StepSpec& spec = aJob.spec_.steps_[aStep];
-  auto best = sidecars_.end();
-  double bestCost = std::numeric_limits<double>::max();
-  bool bestAvoided = true;
+  const double run = ExpectedRunMs(aJob, aStep);
+  std::vector<Candidate> candidates;
+  candidates.reserve(sidecars_.size());
   for (auto it = sidecars_.begin(); it != sidecars_.end(); ++it) {
-    const Sidecar& sidecar = it->second;
-    if (!IsEligible(sidecar, aJob, spec) ||
-        IsAtUpstreamLimit(it->first, aJob, aStep)) {
-      continue;
+    if (IsEligible(it->second, aJob, aStep)) {
+      candidates.push_back(
+        { .sidecar_ = it, .avoided_ = aNow < it->second.avoidUntil_ });
+      UpdateCosts(candidates.back(), aJob, aStep, run);
     }
+  }
+  return candidates;
+}
+
+void
+JobScheduler::UpdateCosts(Candidate& aCandidate,
+                          const Job& aJob,
+                          const StepSpec& aStep,
+                          double aRunMs) const
+{
+  const Sidecar& sidecar = aCandidate.sidecar_->second;
+  aCandidate.waitMs_ = PredictedWaitMs(sidecar, aJob, aStep);
+  aCandidate.costMs_ =
+    aCandidate.waitMs_ + PlacementCostMs(sidecar, aStep, aRunMs);
+}
+
+JobScheduler::Candidate*
+JobScheduler::ChooseCandidate(std::vector<Candidate>& aCandidates,
+                              const Job& aJob,
+                              uint32_t aStep,
+                              const Task& aTask) const
+{
+  Candidate* best = nullptr;
+  bool bestAvoided = true;
+  for (Candidate& candidate : aCandidates) {
+    const MemberId id = candidate.sidecar_->first;
     const bool avoided =
-      aNow < sidecar.avoidUntil_ || aTask.avoidedSidecars_.contains(it->first);
-    const double cost = PlacementCostMs(sidecar, aJob, spec);
-    if (aJob.stored_ &&
-        PredictedWaitMs(sidecar, aJob, spec) > ToMs(options_.maxStoredWait_)) {
+      candidate.avoided_ || aTask.avoidedSidecars_.contains(id);
+    const bool better =
+      best == nullptr || std::tie(avoided, candidate.costMs_) <
+                           std::tie(bestAvoided, best->costMs_);
+    if (!better || IsAtUpstreamLimit(id, aJob, aStep) ||
+        (aJob.stored_ && candidate.waitMs_ > ToMs(options_.maxStoredWait_))) {
       continue;
     }
-    if (std::tie(avoided, cost) < std::tie(bestAvoided, bestCost)) {
-      best = it;
-      bestCost = cost;
-      bestAvoided = avoided;
-    }
+    best = &candidate;
+    bestAvoided = avoided;
   }
   return best;
 }
@@ -237,11 +271,11 @@
 
 double
 JobScheduler::PlacementCostMs(const Sidecar& aSidecar,
-                              const Job& aJob,
-                              const StepSpec& aStep) const
+                              const StepSpec& aStep,
+                              double aRunMs) const
 {
   const UpstreamReport& report = aSidecar.report_;
-  double run = ExpectedRunMs(aJob, aStep) * aSidecar.slowness_;
+  double run = aRunMs * aSidecar.slowness_;
   if (!aStep.preferredRack_.empty() &&
       !Contains(report.labels_, aStep.preferredRack_)) {
     run *= options_.otherRackFactor_;
@@ -253,8 +287,8 @@
     aSidecar.zone_ == options_.zone_
       ? 0.0
       : static_cast<double>(options_.otherZonePenalty_.count());
-  return PredictedWaitMs(aSidecar, aJob, aStep) + run + distance +
-         utilisation * kUtilisationMs;
+  return run + distance + utilisation * kUtilisationMs +
+         aSidecar.preference_ * ToMs(options_.preferenceRange_);
 }
 
 double
--- a/src/libcornelfront/policy/job_runs.cpp
+++ b/src/libcornelfront/policy/job_runs.cpp
@@ -100,6 +100,7 @@
   }
   task.state_ = TaskState::Ready;
   task.avoidedSidecars_.insert(aSidecar);
+  task.returned_ += aReport.end_ == RunEnd::NotStarted ? 1 : 0;
   if (aReport.end_ == RunEnd::Failed) {
     OnTaskFailed(*job, aReport.key_, aNow);
     return;
--- a/src/libcornelfront/policy/job_scheduler.cpp
+++ b/src/libcornelfront/policy/job_scheduler.cpp
@@ -16,6 +16,23 @@
   "given_up",
 };
 
+/// Returns a number in [0, 1) that depends on both ids only: rendezvous hashing
+/// (Thaler and Ravishankar, 1998). 0 if the entry has no id.
+double
+PreferenceOf(MemberId aEntry, MemberId aSidecar)
+{
+  if (aEntry == MemberId{}) {
+    return 0.0;
+  }
+  // The finalizer of SplitMix64 (Steele, Lea and Flood, 2014).
+  uint64_t mixed = aEntry.value_ ^ (aSidecar.value_ * 0x9e3779b97f4a7c15U);
+  mixed = (mixed ^ (mixed >> 30U)) * 0xbf58476d1ce4e5b9U;
+  mixed = (mixed ^ (mixed >> 27U)) * 0x94d049bb133111ebU;
+  mixed ^= mixed >> 31U;
+  constexpr double kRange = 18446744073709551616.0; // 2^64
+  return static_cast<double>(mixed) / kRange;
+}
+
 } // namespace
 
 std::string_view
@@ -71,7 +88,10 @@
     return true;
   }
   const double wait = AdmissionWaitMs(aJob);
-  const double admitted = SlackMs(aJob) * options_.admittedWaitShare_;
+  const double share = aJob.queue_.priority_ == 0
+                         ? options_.urgentAdmittedWaitShare_
+                         : options_.admittedWaitShare_;
+  const double admitted = SlackMs(aJob) * share;
   if (wait <= admitted && aNow + FromMs(wait) < aJob.deadline_) {
     return false;
   }
@@ -152,6 +172,7 @@
   Sidecar& sidecar = sidecars_[aSidecar];
   sidecar.zone_ = aZone;
   sidecar.linked_ = true;
+  sidecar.preference_ = PreferenceOf(options_.self_, aSidecar);
   sidecar.report_ = {};
   sidecar.ordersSent_ = 0;
   sidecar.unreported_.clear();
--- /dev/null
+++ b/src/libcornelfront/policy/report_schedule_test.cpp
@@ -0,0 +1,54 @@
+#include "cornelfront/report_schedule.h"
+
+#include <gtest/gtest.h>
+
+namespace cornelfront {
+namespace {
+
+constexpr ReportScheduleOptions kOptions{ .activeInterval_ = Millis(100),
+                                          .idleInterval_ = Millis(500),
+                                          .activePeriod_ = Millis(1000) };
+const MonoTime kStart{ std::chrono::seconds(100) };
+
+UpstreamReport
+Report(int64_t aCommittedCpu, bool aReady = true)
+{
+  return { .ready_ = aReady, .committed_ = { .cpu_ = aCommittedCpu } };
+}
+
+TEST(ReportSchedule, AChangeOfReadinessIsDueAtOnce)
+{
+  ReportSchedule schedule(kOptions);
+  schedule.OnSent(Report(0), kStart);
+  EXPECT_FALSE(schedule.IsDue(Report(0), kStart));
+  EXPECT_TRUE(schedule.IsDue(Report(0, false), kStart));
+}
+
+TEST(ReportSchedule, WithoutAChangeNothingIsDue)
+{
+  ReportSchedule schedule(kOptions);
+  schedule.OnSent(Report(1000), kStart);
+  EXPECT_FALSE(schedule.IsDue(Report(1000), kStart + Millis(60000)));
+}
+
+TEST(ReportSchedule, AnEntryThatSendsOrdersIsToldMoreOften)
+{
+  ReportSchedule schedule(kOptions);
+  schedule.OnOrders(kStart);
+  schedule.OnSent(Report(0), kStart);
+  EXPECT_FALSE(schedule.IsDue(Report(1000), kStart + Millis(99)));
+  EXPECT_TRUE(schedule.IsDue(Report(1000), kStart + Millis(100)));
+}
+
+TEST(ReportSchedule, AnEntryWithoutRecentOrdersIsToldLessOften)
+{
+  ReportSchedule schedule(kOptions);
+  schedule.OnOrders(kStart);
+  const MonoTime sent = kStart + Millis(1000);
+  schedule.OnSent(Report(0), sent);
+  EXPECT_FALSE(schedule.IsDue(Report(1000), sent + Millis(499)));
+  EXPECT_TRUE(schedule.IsDue(Report(1000), sent + Millis(500)));
+}
+
+} // namespace
+} // namespace cornelfront
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -121,6 +121,7 @@
                    .queuedAt_ = aNow,
                    .latestStart_ = aNow + aOrders.timeToLatestStart_,
                    .startBy_ = aNow + aOrders.startTimeout_,
+                   .onlyIfFree_ = order.onlyIfFree_,
                    .sequence_ = nextSequence_++ };
   }
 }
@@ -177,12 +178,19 @@
   }
 }
 
+bool
+RunTable::MayStart(MonoTime aNow) const
+{
+  return upstream_ && !upstream_->draining_ && !closed_ && !leaseLapseStart_ &&
+         aNow >= fullUntil_;
+}
+
 std::vector<StartRequest>
 RunTable::TakeStarts(MonoTime aNow)
 {
   std::vector<StartRequest> starts;
-  if (!upstream_ || upstream_->draining_ || closed_ || leaseLapseStart_ ||
-      aNow < fullUntil_) {
+  if (!MayStart(aNow)) {
+    ReturnWaiting(aNow);
     return starts;
   }
   // The upstream starts a run once even if it gets the same order twice.
@@ -203,9 +211,20 @@
     used = with;
     SendStart(run, starts);
   }
+  ReturnWaiting(aNow);
   return starts;
 }
 
+void
+RunTable::ReturnWaiting(MonoTime aNow)
+{
+  for (auto run = runs_.begin(); run != runs_.end();) {
+    const bool returned =
+      run->second.state_ == State::Waiting && run->second.onlyIfFree_;
+    run = returned ? Finish(run, RunEnd::NotStarted, aNow) : std::next(run);
+  }
+}
+
 void
 RunTable::SendStart(Runs::iterator aRun, std::vector<StartRequest>& aStarts)
 {
--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -480,5 +480,54 @@
   EXPECT_EQ(Reports().at(0).end_, RunEnd::NotStarted);
 }
 
+// The entry's view was outdated: another entry has taken the resources. The run
+// comes back at once instead of waiting behind it.
+TEST_F(RunTableTest, ReturnsARunThatWasOrderedOnlyForFreeResources)
+{
+  StartRuns orders = Orders(5);
+  for (RunOrder& order : orders.runs_) {
+    order.onlyIfFree_ = true;
+  }
+  table_.OnOrders(kOwner, orders, At(0));
+  EXPECT_EQ(table_.TakeStarts(At(0)).size(), 4U);
+  const auto reports = Reports();
+  ASSERT_EQ(reports.size(), 1U);
+  EXPECT_EQ(reports[0].key_, Key(4));
+  EXPECT_EQ(reports[0].end_, RunEnd::NotStarted);
+  EXPECT_EQ(table_.Size(), 4U);
+}
+
+TEST_F(RunTableTest, ReturnsSuchARunWhileTheUpstreamSaysThatItIsFull)
+{
+  Start(1);
+  StartRuns orders = Orders(2);
+  orders.runs_.erase(orders.runs_.begin());
+  orders.runs_[0].onlyIfFree_ = true;
+  table_.OnOrders(kOwner, orders, At(2));
+  const auto starts = table_.TakeStarts(At(2));
+  ASSERT_EQ(starts.size(), 1U);
+  table_.OnStartAnswer(starts[0].key_, StartAnswer::Full, {}, At(3));
+  EXPECT_TRUE(table_.TakeStarts(At(3)).empty());
+  const auto reports = Reports();
+  ASSERT_EQ(reports.size(), 1U);
+  EXPECT_EQ(reports[0].end_, RunEnd::NotStarted);
+}
+
+// An unanswered order may still be carried out, so the run must not be placed
+// elsewhere.
+TEST_F(RunTableTest, KeepsSuchARunWhileItMayHaveStarted)
+{
+  StartRuns orders = Orders(1);
+  orders.runs_[0].onlyIfFree_ = true;
+  table_.OnOrders(kOwner, orders, At(0));
+  ASSERT_EQ(table_.TakeStarts(At(0)).size(), 1U);
+  table_.OnStartAnswer(Key(0), StartAnswer::Unknown, { Millis(250) }, At(1));
+  table_.TakeStarts(At(2));
+  table_.OnStartAnswer(Key(0), StartAnswer::Full, {}, At(3));
+  table_.TakeStarts(At(4));
+  EXPECT_TRUE(Reports().empty());
+  EXPECT_EQ(table_.Size(), 1U);
+}
+
 } // namespace
 } // namespace cornelfront
