Return orders that would wait, so that they are placed elsewhere

Cause: 35 entries choose among 160 upstreams by reports that are up to 140 ms old, and many choose the same free one. The task then waits in that sidecar while others are free; a job of eight tasks is late as soon as one waits.

Change: an order that counts on free resources says so; a sidecar that can't start it at once returns it as not started, with a fresh report, and the entry places it again, up to three times. Gangs and orders that are expected to wait are as before. A run that may have started is never returned.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -221,7 +221,7 @@
   /// The same for jobs of the most urgent priority.
   double urgentAdmittedWaitShare_ = 0.6;
   /// A task whose orders were returned this often is queued in a sidecar.
-  int maxReturned_ = 0;
+  int maxReturned_ = 3;
   /// Time for which an upstream is avoided once most of its runs fail.
   Millis ejectionTime_{ 2000 };
 };
