Let entries with the same view choose different upstreams

Each pair of entry and upstream has a cost of its own between 0 and 20 ms (rendezvous hashing), so that not all entries choose the same one of several equal upstreams.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -194,7 +194,7 @@
   Millis otherZonePenalty_{ 2 };
   /// Range of a cost that differs for each pair of entry and upstream, so that
   /// entries with the same view of the upstreams choose different ones.
-  Millis preferenceRange_{ 0 };
+  Millis preferenceRange_{ 20 };
   Millis refusalRetryAfter_{ 1000 };
   /// Factor on the expected run time of a task away from its preferred rack.
   double otherRackFactor_ = 1.5;
