Report the state of an upstream less often

Change: 200 ms to entries that sent orders in the last second, 500 ms to others; ends of runs and changes of readiness go out at once as before. Since orders are returned, a view may be older.

--- a/src/include/cornelfront/report_schedule.h
+++ b/src/include/cornelfront/report_schedule.h
@@ -10,9 +10,9 @@
 struct ReportScheduleOptions
 {
   /// Minimum interval of reports to an entry that has recently sent orders.
-  Millis activeInterval_{ 100 };
+  Millis activeInterval_{ 200 };
   /// The same for other entries, which only need a rough view.
-  Millis idleInterval_{ 100 };
+  Millis idleInterval_{ 500 };
   /// Time for which an order counts as recent.
   Millis activePeriod_{ 1000 };
 };
