Refuse less urgent jobs as soon as upstreams are full

Cause: during a burst jobs were accepted as long as they would wait at most 0.6 of the slack of their objective. Nearly all of them then waited that long, and errors of the prediction made them late; late and failed work took the place of work that could have been in time.

Change: jobs of the most urgent priority are admitted as before, all others only if they wait at most 0.05 of their slack. Refused ones are told at once and when to come back.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -217,7 +217,7 @@
   Millis placeInterval_{ 5 };
   /// A job is refused if its predicted wait exceeds this share of the slack
   /// that its objective leaves.
-  double admittedWaitShare_ = 0.6;
+  double admittedWaitShare_ = 0.05;
   /// The same for jobs of the most urgent priority.
   double urgentAdmittedWaitShare_ = 0.6;
   /// A task whose orders were returned this often is queued in a sidecar.
--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <random>
+#include <set>
 
 namespace cornelfront {
 namespace {
@@ -257,6 +258,110 @@
   EXPECT_TRUE(sorted.runs_.empty());
 }
 
+/// A report of an upstream whose resources are all committed, with this much
+/// queued work of priority 0 and 1.
+UpstreamReport
+Full(const std::string& aUpstream, int64_t aUrgentWork, int64_t aOtherWork)
+{
+  UpstreamReport report = Idle(aUpstream);
+  report.committed_ = report.capacity_;
+  report.backlog_[0] = aUrgentWork;
+  report.backlog_[1] = aOtherWork;
+  return report;
+}
+
+// A queue of 40 ms is within the slack of 200 ms of the most urgent job; for
+// others it means that the upstreams are overloaded.
+TEST_F(JobSchedulerTest, RefusesLessUrgentJobsFirst)
+{
+  constexpr int64_t kWork = 4000 * 40;
+  scheduler_.OnReports(kFirst, { .upstream_ = Full("u1", kWork, 0) }, At(0));
+  scheduler_.OnReports(kSecond, { .upstream_ = Full("u2", kWork, 0) }, At(0));
+  JobQueue queue = Queue();
+  queue.priority_ = 1;
+  scheduler_.Submit(1, Job(), queue, At(5000), At(0));
+  const SortedActions refused = Take();
+  ASSERT_EQ(refused.answers_.size(), 1U);
+  EXPECT_EQ(refused.answers_[0].outcome_, JobOutcome::Refused);
+  EXPECT_GT(refused.answers_[0].retryAfter_, Millis(0));
+  queue.priority_ = 0;
+  scheduler_.Submit(2, Job(1, "00000000000000a2"), queue, At(5000), At(0));
+  EXPECT_EQ(Take().Runs(), 1U);
+}
+
+TEST_F(JobSchedulerTest, OrdersForFreeResourcesMayBeReturned)
+{
+  Submit(Job(1));
+  const SortedActions first = Take();
+  ASSERT_EQ(first.Runs(), 1U);
+  EXPECT_TRUE(first.runs_[0].orders_.runs_[0].onlyIfFree_);
+  End(first.runs_[0], RunEnd::NotStarted, 5);
+  const SortedActions second = Take();
+  ASSERT_EQ(second.Runs(), 1U);
+  EXPECT_NE(second.runs_[0].sidecar_, first.runs_[0].sidecar_);
+  EXPECT_TRUE(second.answers_.empty());
+}
+
+TEST_F(JobSchedulerTest, ATaskThatWasReturnedOftenIsQueued)
+{
+  Submit(Job(1));
+  for (int i = 0; i < 3; ++i) {
+    const SortedActions sent = Take();
+    ASSERT_EQ(sent.Runs(), 1U);
+    EXPECT_TRUE(sent.runs_[0].orders_.runs_[0].onlyIfFree_) << i;
+    End(sent.runs_[0], RunEnd::NotStarted, 5 + i);
+  }
+  const SortedActions last = Take();
+  ASSERT_EQ(last.Runs(), 1U);
+  EXPECT_FALSE(last.runs_[0].orders_.runs_[0].onlyIfFree_);
+}
+
+TEST_F(JobSchedulerTest, AnOrderThatIsExpectedToWaitIsNotReturned)
+{
+  scheduler_.OnReports(kFirst, { .upstream_ = Full("u1", 0, 0) }, At(0));
+  scheduler_.OnReports(kSecond, { .upstream_ = Full("u2", 0, 0) }, At(0));
+  Submit(Job(1));
+  const SortedActions sent = Take();
+  ASSERT_EQ(sent.Runs(), 1U);
+  EXPECT_FALSE(sent.runs_[0].orders_.runs_[0].onlyIfFree_);
+}
+
+// The members of a gang start together; a single one must not come back.
+TEST_F(JobSchedulerTest, OrdersOfAGangAreNotReturned)
+{
+  JobDescription job = Job(2);
+  job.steps_[0].gang_ = true;
+  Submit(job);
+  for (const SendRuns& send : Take().runs_) {
+    for (const RunOrder& order : send.orders_.runs_) {
+      EXPECT_FALSE(order.onlyIfFree_);
+    }
+  }
+}
+
+TEST(JobSchedulerPreference, EntriesWithTheSameViewChooseDifferentUpstreams)
+{
+  std::set<MemberId> chosen;
+  for (uint64_t entry = 1; entry <= 10; ++entry) {
+    JobScheduler scheduler(
+      JobSchedulerOptions{ .self_ = { entry }, .zone_ = "z" });
+    for (uint64_t id = 1; id <= 20; ++id) {
+      const MemberId sidecar{ id };
+      scheduler.OnSidecarLinked(sidecar, "z", At(0));
+      scheduler.OnHeldRuns(sidecar, {}, RunEnd::NotStarted, At(0));
+      scheduler.OnReports(
+        sidecar, { .upstream_ = Idle(ToString(sidecar)) }, At(0));
+    }
+    scheduler.Submit(1, Job(1), Queue(), At(5000), At(0));
+    for (const JobAction& action : scheduler.TakeActions()) {
+      if (const auto* send = std::get_if<SendRuns>(&action)) {
+        chosen.insert(send->sidecar_);
+      }
+    }
+  }
+  EXPECT_GE(chosen.size(), 5U);
+}
+
 TEST_F(JobSchedulerTest, WorkOfLowerPriorityDoesNotCountAsWait)
 {
   for (const MemberId sidecar : { kFirst, kSecond }) {
