Let report intervals grow with the number of entries; admission as a part of its own

Cause: intervals of 200 and 500 ms suit 35 entries.

Change: at least 100 ms, and 6 ms (to entries that send orders) or 15 ms for each linked entry: as before the series for up to 6 entries, 210 and 525 ms for 35. LongestAdmittedWaitMs is the admission decision, in a file with the load pattern that it answers. Behaviour of admission is unchanged.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -4,6 +4,7 @@
 /// Scheduling of the jobs of an entry: admission, placement of tasks on
 /// upstreams, restart of tasks, and the answer to the client.
 
+#include "cornelfront/admission_control.h"
 #include "cornelfront/clock.h"
 #include "cornelfront/ids.h"
 #include "cornelfront/job.h"
@@ -215,11 +216,7 @@
   Millis maxStoredWait_{ 100 };
   /// Minimum time between two placement attempts for waiting jobs.
   Millis placeInterval_{ 5 };
-  /// A job is refused if its predicted wait exceeds this share of the slack
-  /// that its objective leaves.
-  double admittedWaitShare_ = 0.05;
-  /// The same for jobs of the most urgent priority.
-  double urgentAdmittedWaitShare_ = 0.6;
+  AdmissionOptions admission_;
   /// A task whose orders were returned this often is queued in a sidecar.
   int maxReturned_ = 3;
   /// Time for which an upstream is avoided once most of its runs fail.
--- a/src/include/cornelfront/report_schedule.h
+++ b/src/include/cornelfront/report_schedule.h
@@ -7,12 +7,16 @@
 
 namespace cornelfront {
 
+/// The intervals grow with the number of linked entries, which bounds the
+/// number of reports that a sidecar sends.
 struct ReportScheduleOptions
 {
-  /// Minimum interval of reports to an entry that has recently sent orders.
-  Millis activeInterval_{ 200 };
-  /// The same for other entries, which only need a rough view.
-  Millis idleInterval_{ 500 };
+  Millis minInterval_{ 100 };
+  /// Minimum interval for each linked entry, for reports to an entry that has
+  /// recently sent orders.
+  Millis activeIntervalPerEntry_{ 6 };
+  /// The same for reports to other entries, which only need a rough view.
+  Millis idleIntervalPerEntry_{ 15 };
   /// Time for which an order counts as recent.
   Millis activePeriod_{ 1000 };
 };
@@ -29,7 +33,9 @@
   void OnSent(const UpstreamReport& aReport, MonoTime aNow);
   /// True if the entry should be sent \p aReport now. A change of readiness is
   /// always due, a change of the committed resources once per interval.
-  bool IsDue(const UpstreamReport& aReport, MonoTime aNow) const;
+  bool IsDue(const UpstreamReport& aReport,
+             size_t aLinkedEntries,
+             MonoTime aNow) const;
 
 private:
   ReportScheduleOptions options_;
--- a/src/libcornelfront/job_sidecar_entries.cpp
+++ b/src/libcornelfront/job_sidecar_entries.cpp
@@ -143,7 +143,7 @@
 {
   const UpstreamReport report = table_.MakeUpstreamReport(aNow);
   for (auto& [id, owner] : owners_) {
-    if (owner.reportSchedule_.IsDue(report, aNow)) {
+    if (owner.reportSchedule_.IsDue(report, owners_.size(), aNow)) {
       Send(id, owner, {}, report, aNow);
     }
   }
--- a/src/libcornelfront/policy/job_scheduler.cpp
+++ b/src/libcornelfront/policy/job_scheduler.cpp
@@ -88,11 +88,13 @@
     return true;
   }
   const double wait = AdmissionWaitMs(aJob);
-  const double share = aJob.queue_.priority_ == 0
-                         ? options_.urgentAdmittedWaitShare_
-                         : options_.admittedWaitShare_;
-  const double admitted = SlackMs(aJob) * share;
-  if (wait <= admitted && aNow + FromMs(wait) < aJob.deadline_) {
+  const double untilDeadline =
+    ToMs(std::chrono::duration_cast<Millis>(aJob.deadline_ - aNow));
+  const double admitted =
+    std::min(LongestAdmittedWaitMs(
+               options_.admission_, SlackMs(aJob), aJob.queue_.priority_),
+             untilDeadline);
+  if (wait <= admitted) {
     return false;
   }
   Finish(aJob,
--- a/src/libcornelfront/policy/load_pattern.cpp
+++ b/src/libcornelfront/policy/load_pattern.cpp
@@ -109,15 +109,18 @@
   reader->Number("max_returned", scheduler.maxReturned_, kReturnBounds);
   reader->Duration(
     "preference_range", scheduler.preferenceRange_, kDelayBounds);
+  AdmissionOptions& admission = scheduler.admission_;
   reader->Number(
-    "admitted_wait_share", scheduler.admittedWaitShare_, kFactorBounds);
-  reader->Number("urgent_admitted_wait_share",
-                 scheduler.urgentAdmittedWaitShare_,
-                 kFactorBounds);
-  reader->Duration(
-    "report_interval", aPattern.reports_.activeInterval_, kDelayBounds);
-  reader->Duration(
-    "idle_report_interval", aPattern.reports_.idleInterval_, kDelayBounds);
+    "urgent_wait_share", admission.urgentWaitShare_, kFactorBounds);
+  reader->Number("wait_share", admission.waitShare_, kFactorBounds);
+  ReportScheduleOptions& reports = aPattern.reports_;
+  reader->Duration("report_interval", reports.minInterval_, kDelayBounds);
+  reader->Duration("active_report_interval_per_entry",
+                   reports.activeIntervalPerEntry_,
+                   kDelayBounds);
+  reader->Duration("idle_report_interval_per_entry",
+                   reports.idleIntervalPerEntry_,
+                   kDelayBounds);
   reader->CheckKeys();
 }
 
--- a/src/libcornelfront/policy/load_replay.cpp
+++ b/src/libcornelfront/policy/load_replay.cpp
@@ -522,7 +522,8 @@
     const UpstreamReport report =
       aSidecar.table_->MakeUpstreamReport(events_.Now());
     for (const auto& [id, owner] : aSidecar.owners_) {
-      if (owner.schedule_.IsDue(report, events_.Now())) {
+      if (owner.schedule_.IsDue(
+            report, aSidecar.owners_.size(), events_.Now())) {
         Report(aSidecar, id, {});
       }
     }
--- a/src/libcornelfront/policy/load_replay_test.cpp
+++ b/src/libcornelfront/policy/load_replay_test.cpp
@@ -122,7 +122,8 @@
 {
   LoadPattern pattern = Scaled(Pattern(GetParam().name_), GetParam().divisor_);
   const LoadReplayResult strict = ReplayLoad(pattern);
-  pattern.scheduler_.admittedWaitShare_ = 0.6;
+  AdmissionOptions& admission = pattern.scheduler_.admission_;
+  admission.waitShare_ = admission.urgentWaitShare_;
   const LoadReplayResult lenient = ReplayLoad(pattern);
   EXPECT_GT(MeanKindWorth(strict), MeanKindWorth(lenient));
   EXPECT_GT(strict.WorstWindow(), lenient.WorstWindow());
--- a/src/libcornelfront/policy/report_schedule_test.cpp
+++ b/src/libcornelfront/policy/report_schedule_test.cpp
@@ -5,9 +5,13 @@
 namespace cornelfront {
 namespace {
 
-constexpr ReportScheduleOptions kOptions{ .activeInterval_ = Millis(100),
-                                          .idleInterval_ = Millis(500),
-                                          .activePeriod_ = Millis(1000) };
+constexpr ReportScheduleOptions kOptions{
+  .minInterval_ = Millis(50),
+  .activeIntervalPerEntry_ = Millis(10),
+  .idleIntervalPerEntry_ = Millis(50),
+  .activePeriod_ = Millis(1000),
+};
+constexpr size_t kEntries = 10;
 const MonoTime kStart{ std::chrono::seconds(100) };
 
 UpstreamReport
@@ -20,15 +24,15 @@
 {
   ReportSchedule schedule(kOptions);
   schedule.OnSent(Report(0), kStart);
-  EXPECT_FALSE(schedule.IsDue(Report(0), kStart));
-  EXPECT_TRUE(schedule.IsDue(Report(0, false), kStart));
+  EXPECT_FALSE(schedule.IsDue(Report(0), kEntries, kStart));
+  EXPECT_TRUE(schedule.IsDue(Report(0, false), kEntries, kStart));
 }
 
 TEST(ReportSchedule, WithoutAChangeNothingIsDue)
 {
   ReportSchedule schedule(kOptions);
   schedule.OnSent(Report(1000), kStart);
-  EXPECT_FALSE(schedule.IsDue(Report(1000), kStart + Millis(60000)));
+  EXPECT_FALSE(schedule.IsDue(Report(1000), kEntries, kStart + Millis(60000)));
 }
 
 TEST(ReportSchedule, AnEntryThatSendsOrdersIsToldMoreOften)
@@ -36,8 +40,8 @@
   ReportSchedule schedule(kOptions);
   schedule.OnOrders(kStart);
   schedule.OnSent(Report(0), kStart);
-  EXPECT_FALSE(schedule.IsDue(Report(1000), kStart + Millis(99)));
-  EXPECT_TRUE(schedule.IsDue(Report(1000), kStart + Millis(100)));
+  EXPECT_FALSE(schedule.IsDue(Report(1000), kEntries, kStart + Millis(99)));
+  EXPECT_TRUE(schedule.IsDue(Report(1000), kEntries, kStart + Millis(100)));
 }
 
 TEST(ReportSchedule, AnEntryWithoutRecentOrdersIsToldLessOften)
@@ -46,8 +50,16 @@
   schedule.OnOrders(kStart);
   const MonoTime sent = kStart + Millis(1000);
   schedule.OnSent(Report(0), sent);
-  EXPECT_FALSE(schedule.IsDue(Report(1000), sent + Millis(499)));
-  EXPECT_TRUE(schedule.IsDue(Report(1000), sent + Millis(500)));
+  EXPECT_FALSE(schedule.IsDue(Report(1000), kEntries, sent + Millis(499)));
+  EXPECT_TRUE(schedule.IsDue(Report(1000), kEntries, sent + Millis(500)));
+}
+
+TEST(ReportSchedule, FewEntriesAreToldOften)
+{
+  ReportSchedule schedule(kOptions);
+  schedule.OnSent(Report(0), kStart);
+  EXPECT_FALSE(schedule.IsDue(Report(1000), 1, kStart + Millis(49)));
+  EXPECT_TRUE(schedule.IsDue(Report(1000), 1, kStart + Millis(50)));
 }
 
 } // namespace
