--- a/testsuite/process/platform_test.cpp
+++ b/testsuite/process/platform_test.cpp
@@ -347,9 +347,9 @@
   EXPECT_EQ(cluster.Entry(0).WaitExit(), 0);
 }
 
-// The entry waits 2.2 s for the load balancer before it exits. A submission that
-// is being written at that time may be in the store already, so it must not be
-// answered as refused.
+// The entry waits 2.2 s for the load balancer before it exits. A submission
+// that is being written at that time may be in the store already, so it must
+// not be answered as refused.
 TEST(PlatformStop, APlannedStopWaitsForAStoredJobThatIsBeingWritten)
 {
   PlatformCluster cluster(1, 1);
