Place a task in a function of its own; no second series of polls

A heartbeat that ends the delay of a poll could come after the timer had queued its handler: then two series of polls would go on side by side. The handler now checks that a poll is still due. Found by reading; not seen in a run.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -414,6 +414,9 @@
     double costMs_ = 0.0;
   };
 
+  /// The orders of one placement, by sidecar.
+  using Sends = std::map<MemberId, SendRuns>;
+
   /// Mean run time of a queue's tasks, from its own runs.
   struct Durations
   {
@@ -459,6 +462,17 @@
                 MonoTime aDeadline);
   void PlaceJob(Job& aJob, MonoTime aNow);
   void PlaceStep(Job& aJob, uint32_t aStep, MonoTime aNow);
+  /// Adds the next run of a task to the orders of the chosen sidecar.
+  void PlaceTask(Job& aJob,
+                 const JobTaskId& aTaskId,
+                 Candidate& aChosen,
+                 Sends& aSends,
+                 MonoTime aNow);
+  /// Fills in what the orders for all tasks of a step have in common.
+  void DescribeStep(const Job& aJob,
+                    uint32_t aStep,
+                    StartRuns& aOrders,
+                    MonoTime aNow) const;
   static WaitRank RankOf(const Job& aJob)
   {
     return { aJob.queue_.priority_,
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -162,7 +162,9 @@
   pollDelayed_ = true;
   pollTimer_->expires_after(aDelay);
   pollTimer_->async_wait([this](const asio::error_code& aError) {
-    if (!aError) {
+    // A handler that was queued before the delay changed must not start a
+    // second series of polls.
+    if (!aError && pollDelayed_) {
       pollDelayed_ = false;
       Poll();
     }
--- a/src/libcornelfront/policy/job_placement.cpp
+++ b/src/libcornelfront/policy/job_placement.cpp
@@ -57,7 +57,7 @@
   if (spec.gang_ && running) {
     return;
   }
-  std::map<MemberId, SendRuns> sends;
+  Sends sends;
   std::optional<std::vector<Candidate>> candidates;
   for (uint32_t index = 0; index < step.tasks_.size(); ++index) {
     Task& task = step.tasks_[index];
@@ -72,50 +72,72 @@
       waiting_.insert(RankOf(aJob));
       continue;
     }
-    const auto sidecar = chosen->sidecar_;
-    ++task.run_;
-    task.state_ = TaskState::Sent;
-    task.sidecar_ = sidecar->first;
-    task.sentAt_ = aNow;
-    task.stopSent_ = false;
-    aJob.anySent_ = true;
-    SendRuns& send = sends[sidecar->first];
-    // The view of an upstream is as old as its last report, and other entries
-    // may have taken the resources since.
-    const bool onlyIfFree = !spec.gang_ && chosen->waitMs_ <= 0.0 &&
-                            task.returned_ < options_.maxReturned_;
-    send.orders_.runs_.push_back(
-      { .index_ = index, .run_ = task.run_, .onlyIfFree_ = onlyIfFree });
-    send.predictedWait_ = FromMs(chosen->waitMs_);
-    send.reportAge_ =
-      std::chrono::duration_cast<Millis>(aNow - sidecar->second.reportedAt_);
-    RecordSent(
-      sidecar->second,
-      spec,
-      { { aJob.spec_.id_, aJob.occurrence_, aStep, index }, task.run_ });
-    UpdateCosts(*chosen, aJob, spec, ExpectedRunMs(aJob, spec));
+    PlaceTask(aJob,
+              { aJob.spec_.id_, aJob.occurrence_, aStep, index },
+              *chosen,
+              sends,
+              aNow);
   }
   for (auto& [id, send] : sends) {
-    StartRuns& order = send.orders_;
-    order.job_ = aJob.spec_.id_;
-    order.occurrence_ = aJob.occurrence_;
-    order.step_ = aStep;
-    order.term_ = aJob.stored_ ? term_ : 0;
-    order.payload_ = aJob.spec_.payload_;
-    order.service_ = aJob.queue_.service_;
-    order.resources_ = spec.resources_;
-    order.priority_ = aJob.queue_.priority_;
-    order.estimate_ = FromMs(ExpectedRunMs(aJob, spec));
-    order.timeToLatestStart_ = std::max(
-      Millis(0), std::chrono::duration_cast<Millis>(aJob.latestStart_ - aNow));
-    order.startTimeout_ =
-      std::min(options_.startTimeout_,
-               std::chrono::duration_cast<Millis>(aJob.deadline_ - aNow));
+    DescribeStep(aJob, aStep, send.orders_, aNow);
     send.sidecar_ = id;
     actions_.emplace_back(std::move(send));
   }
 }
 
+void
+JobScheduler::PlaceTask(Job& aJob,
+                        const JobTaskId& aTaskId,
+                        Candidate& aChosen,
+                        Sends& aSends,
+                        MonoTime aNow)
+{
+  const StepSpec& spec = aJob.spec_.steps_[aTaskId.step_];
+  Task& task = aJob.steps_[aTaskId.step_].tasks_[aTaskId.index_];
+  const auto sidecar = aChosen.sidecar_;
+  ++task.run_;
+  task.state_ = TaskState::Sent;
+  task.sidecar_ = sidecar->first;
+  task.sentAt_ = aNow;
+  task.stopSent_ = false;
+  aJob.anySent_ = true;
+  // The view of an upstream is as old as its last report, and other entries may
+  // have taken the resources since.
+  const bool onlyIfFree = !spec.gang_ && aChosen.waitMs_ <= 0.0 &&
+                          task.returned_ < options_.maxReturned_;
+  SendRuns& send = aSends[sidecar->first];
+  send.orders_.runs_.push_back(
+    { .index_ = aTaskId.index_, .run_ = task.run_, .onlyIfFree_ = onlyIfFree });
+  send.predictedWait_ = FromMs(aChosen.waitMs_);
+  send.reportAge_ =
+    std::chrono::duration_cast<Millis>(aNow - sidecar->second.reportedAt_);
+  RecordSent(sidecar->second, spec, { aTaskId, task.run_ });
+  UpdateCosts(aChosen, aJob, spec, ExpectedRunMs(aJob, spec));
+}
+
+void
+JobScheduler::DescribeStep(const Job& aJob,
+                           uint32_t aStep,
+                           StartRuns& aOrders,
+                           MonoTime aNow) const
+{
+  const StepSpec& spec = aJob.spec_.steps_[aStep];
+  aOrders.job_ = aJob.spec_.id_;
+  aOrders.occurrence_ = aJob.occurrence_;
+  aOrders.step_ = aStep;
+  aOrders.term_ = aJob.stored_ ? term_ : 0;
+  aOrders.payload_ = aJob.spec_.payload_;
+  aOrders.service_ = aJob.queue_.service_;
+  aOrders.resources_ = spec.resources_;
+  aOrders.priority_ = aJob.queue_.priority_;
+  aOrders.estimate_ = FromMs(ExpectedRunMs(aJob, spec));
+  aOrders.timeToLatestStart_ = std::max(
+    Millis(0), std::chrono::duration_cast<Millis>(aJob.latestStart_ - aNow));
+  aOrders.startTimeout_ =
+    std::min(options_.startTimeout_,
+             std::chrono::duration_cast<Millis>(aJob.deadline_ - aNow));
+}
+
 void
 JobScheduler::PlaceWaiting(MonoTime aNow)
 {
