--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -274,7 +274,7 @@
 // others it means that the upstreams are overloaded.
 TEST_F(JobSchedulerTest, RefusesLessUrgentJobsFirst)
 {
-  constexpr int64_t kWork = 4000 * 40;
+  constexpr int64_t kWork = int64_t{ 4000 } * 40;
   scheduler_.OnReports(kFirst, { .upstream_ = Full("u1", kWork, 0) }, At(0));
   scheduler_.OnReports(kSecond, { .upstream_ = Full("u2", kWork, 0) }, At(0));
   JobQueue queue = Queue();
