Tell starts, stops and ends of runs in the log of a sidecar

Cause: the logs could not tell the hypotheses on two runs at the same time apart. A sidecar had no line for a start that succeeded, for a stop or its reason, or for an end; the entry's placement says only what was intended.

Change: RunTable gives the reason of each stop and the time since it was first requested; the sidecar logs starts, stops and ends, and counts stops by reason. RunTable::LeaseEnd decides how far a poll extends the lease, which the sidecar decided before; the decision itself is unchanged.

--- a/src/include/cornelfront/job_metrics.h
+++ b/src/include/cornelfront/job_metrics.h
@@ -6,6 +6,7 @@
 
 #include "cornelfront/http_server.h"
 #include "cornelfront/job_scheduler.h"
+#include "cornelfront/run_table.h"
 #include "cornelfront/settings.h"
 
 #include <prometheus/counter.h>
@@ -35,6 +36,8 @@
   void CountCall(const std::string& aCall, const std::string& aResult);
   /// Counts an ended run and records its wait and its run time.
   void CountRun(const RunReport& aReport);
+  /// Counts a stop that was sent to the upstream, repeated ones included.
+  void CountStop(StopReason aReason);
   /// Counts a call to the upstream that was not answered in time.
   void CountUnanswered();
   void SetGauge(const std::string& aName, double aValue);
@@ -46,6 +49,7 @@
   prometheus::Family<prometheus::Counter>& jobs_;
   prometheus::Family<prometheus::Counter>& calls_;
   prometheus::Family<prometheus::Counter>& runs_;
+  prometheus::Family<prometheus::Counter>& stops_;
   prometheus::Family<prometheus::Gauge>& gauges_;
   prometheus::Counter& unanswered_;
   prometheus::Histogram& jobSeconds_;
--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cornelfront {
@@ -81,6 +82,32 @@
   std::vector<EndedEntry> ended_;
 };
 
+/// Why a run on the upstream must end.
+enum class StopReason : uint8_t
+{
+  /// Its owner has ordered it.
+  Ordered,
+  /// Its owner has been silent for too long.
+  OwnerLost,
+  /// This process was suspended.
+  Suspended,
+  /// It was not ordered through this table.
+  Orphaned,
+};
+
+std::string_view
+ToString(StopReason aReason);
+
+/// A stop order that the sidecar must send to its upstream now.
+struct StopRequest
+{
+  /// Key of the run with the upstream's run number.
+  RunKey key_;
+  StopReason reason_ = StopReason::Ordered;
+  /// Time since the stop was first requested.
+  Millis age_{ 0 };
+};
+
 /// A start order that the sidecar must send to its upstream now.
 struct StartRequest
 {
@@ -101,6 +128,11 @@
   Millis leaderTimeout_{ 3000 };
   /// Unacknowledged ends are kept this long for a first leader to connect.
   Millis firstLeaderTimeout_{ 4000 };
+  /// Length of the upstream's lease, from the poll that extends it.
+  Millis lease_{ 1000 };
+  /// The lease is not extended once the upstream has been silent for this long,
+  /// so that its expiry time is known.
+  Millis maxLeaseSilence_{ 500 };
   /// Time after which a lease that is no longer extended has expired.
   Millis leaseExpiry_{ 1200 };
   /// Maximum number of unacknowledged ends; more could push newer ends off the
@@ -180,9 +212,9 @@
   /// Handles timeouts of owners, leader, upstream and waiting runs.
   void Tick(MonoTime aNow);
 
-  /// Runs that the upstream must be told to stop now, by the upstream's run
-  /// number.
-  std::vector<RunKey> TakeStops(MonoTime aNow);
+  /// Runs that the upstream must be told to stop now. A stop is repeated until
+  /// the run has ended.
+  std::vector<StopRequest> TakeStops(MonoTime aNow);
   /// Pending updates for one owner.
   struct Updates
   {
@@ -206,6 +238,9 @@
   /// reached and will treat the runs as lost, so their ends become void with
   /// the lease.
   bool MayExtendLease() const { return !leaseLapseStart_; }
+  /// Returns the time until which a poll that is sent now may extend the lease,
+  /// or nothing if it must not extend it.
+  std::optional<MonoTime> LeaseEnd(MonoTime aNow) const;
   MonoTime UpstreamHeardAt() const { return upstreamHeardAt_; }
   /// True if the upstream runs something that was not ordered through this
   /// table.
@@ -225,6 +260,14 @@
     Running,
   };
 
+  /// A stop that has been requested and has not taken effect yet.
+  struct Stop
+  {
+    StopReason reason_ = StopReason::Ordered;
+    MonoTime requestedAt_;
+    MonoTime sentAt_;
+  };
+
   struct Run
   {
     MemberId owner_;
@@ -249,8 +292,7 @@
     int unanswered_ = 0;
     /// Polls with a lower number may not show the run yet.
     uint64_t firstPoll_ = 0;
-    bool stopRequested_ = false;
-    MonoTime stopSent_;
+    std::optional<Stop> stop_;
   };
   using Runs = std::map<RunKey, Run>;
 
@@ -274,7 +316,11 @@
   void LimitUnacknowledgedEnds();
   void FinishAll(RunEnd aEnd, MonoTime aNow);
   void FinishWaiting(MonoTime aNow);
-  void RequestStop(Runs::iterator aRun, MonoTime aNow);
+  void RequestStop(Runs::iterator aRun, StopReason aReason, MonoTime aNow);
+  /// Returns the stop if it must be sent now, and records that it is.
+  std::optional<StopRequest> TakeStop(const RunKey& aKey,
+                                      Stop& aStop,
+                                      MonoTime aNow) const;
   Runs::iterator FindUpstreamRun(const RunKey& aKey);
   std::vector<Runs::iterator> WaitingInOrder(MonoTime aNow);
   bool MayStart(MonoTime aNow) const;
@@ -302,8 +348,8 @@
   bool closed_ = false;
   Runs runs_;
   /// Runs on the upstream that were not ordered through this table, by the
-  /// upstream's run number, with the time of the last stop request.
-  std::map<RunKey, MonoTime> orphans_;
+  /// upstream's run number.
+  std::map<RunKey, Stop> orphans_;
   std::map<MemberId, Owner> owners_;
   uint64_t nextSequence_ = 0;
   uint64_t polls_ = 0;
--- a/src/libcornelfront/job_metrics.cpp
+++ b/src/libcornelfront/job_metrics.cpp
@@ -48,6 +48,10 @@
             .Name("cornelfront_runs_total")
             .Help("Runs of tasks, by end")
             .Register(registry_))
+  , stops_(BuildCounter()
+             .Name("cornelfront_stops_sent_total")
+             .Help("Stops sent to the upstream, by reason")
+             .Register(registry_))
   , gauges_(BuildGauge()
               .Name("cornelfront_state")
               .Help("What this process holds at the moment, by name")
@@ -91,6 +95,12 @@
   }
 }
 
+void
+JobMetrics::CountStop(StopReason aReason)
+{
+  stops_.Add({ { "reason", std::string(ToString(aReason)) } }).Increment();
+}
+
 void
 JobMetrics::CountUnanswered()
 {
--- a/src/libcornelfront/job_sidecar_pvt.h
+++ b/src/libcornelfront/job_sidecar_pvt.h
@@ -73,6 +73,7 @@
   /// Sends all pending starts, stops and reports of the table.
   void SendPending(MonoTime aNow);
   void SendStart(const StartRequest& aOrder, MonoTime aNow);
+  static void LogRunEnd(MemberId aOwner, const RunReport& aReport);
   void SendStatus(MonoTime aNow);
   void Send(MemberId aEntry,
             Owner& aOwner,
@@ -85,7 +86,7 @@
   const MemberId self_ = NewMemberId();
   const MonoTime start_ = BootNow();
   IoPool pool_{ 1 };
-  RunTable table_{ RunTableOptions{} };
+  RunTable table_{ RunTableOptions{ .lease_ = settings_.lease_ } };
   std::map<MemberId, Owner> owners_;
   std::map<uint64_t, MemberId> entries_;
   std::shared_ptr<const LinkHandlers> handlers_;
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -18,9 +18,6 @@
 constexpr Millis kIdlePollWait{ 300 };
 constexpr Millis kMinPollRetryDelay{ 1 };
 constexpr Millis kMaxRequestTimeout{ 320 };
-/// The lease is not extended once the upstream has been silent for this long,
-/// so that its expiry time is known.
-constexpr Millis kMaxLeaseSilence{ 500 };
 /// Time after which a start order is void.
 constexpr Millis kStartTimeout{ 250 };
 
@@ -93,9 +90,8 @@
   polling_ = true;
   pollStart_ = now;
   std::optional<UpstreamTime> lease;
-  if (now - table_.UpstreamHeardAt() < kMaxLeaseSilence &&
-      table_.MayExtendLease()) {
-    lease = { UpstreamNow(now).value_ + settings_.lease_ };
+  if (const auto end = table_.LeaseEnd(now)) {
+    lease = UpstreamNow(*end);
   }
   const uint64_t pollNumber = table_.BeginPoll();
   executor_->Poll(table_.AcknowledgedEnds(),
@@ -174,8 +170,13 @@
 void
 JobSidecar::Impl::SendPending(MonoTime aNow)
 {
-  for (const RunKey& key : table_.TakeStops(aNow)) {
-    executor_->Stop(key);
+  for (const StopRequest& stop : table_.TakeStops(aNow)) {
+    LOG(INFO) << "job=" << stop.key_.task_.job_
+              << " run=" << ToString(stop.key_)
+              << " reason=" << ToString(stop.reason_)
+              << " age_ms=" << stop.age_.count() << " outcome=stop_sent";
+    metrics_.CountStop(stop.reason_);
+    executor_->Stop(stop.key_);
   }
   for (const StartRequest& order : table_.TakeStarts(aNow)) {
     SendStart(order, aNow);
@@ -188,6 +189,7 @@
   for (auto& [id, items] : updates) {
     for (const RunReport& item : items.reports_) {
       metrics_.CountRun(item);
+      LogRunEnd(id, item);
     }
     const auto owner = owners_.find(id);
     if (owner != owners_.end()) {
@@ -205,11 +207,27 @@
                    requestTimeout_,
                    [this, key = aOrder.key_, deadline](StartAnswer aAnswer) {
                      const MonoTime now = BootNow();
+                     if (aAnswer == StartAnswer::Started) {
+                       LOG(INFO)
+                         << "job=" << key.task_.job_ << " run=" << ToString(key)
+                         << " outcome=started";
+                     }
                      table_.OnStartAnswer(key, aAnswer, deadline, now);
                      SendPending(now);
                    });
 }
 
+void
+JobSidecar::Impl::LogRunEnd(MemberId aOwner, const RunReport& aReport)
+{
+  LOG(INFO) << "job=" << aReport.key_.task_.job_
+            << " run=" << ToString(aReport.key_)
+            << " entry=" << ToString(aOwner)
+            << " waited_ms=" << aReport.waited_.count()
+            << " ran_ms=" << aReport.runTime_.count()
+            << " end=" << ToString(aReport.end_) << " outcome=run_ended";
+}
+
 UpstreamTime
 JobSidecar::Impl::UpstreamNow(MonoTime aNow) const
 {
--- a/src/libcornelfront/policy/load_replay_sidecars.cpp
+++ b/src/libcornelfront/policy/load_replay_sidecars.cpp
@@ -87,8 +87,8 @@
 void
 LoadReplayer::SendPending(SimulatedSidecar& aSidecar)
 {
-  for (const RunKey& key : aSidecar.table_->TakeStops(events_.Now())) {
-    events_.After(kUpstreamDelay, [this, &aSidecar, key] {
+  for (const StopRequest& stop : aSidecar.table_->TakeStops(events_.Now())) {
+    events_.After(kUpstreamDelay, [this, &aSidecar, key = stop.key_] {
       EndTask(aSidecar, key, RunEnd::Stopped);
     });
   }
--- a/src/libcornelfront/policy/run_polls.cpp
+++ b/src/libcornelfront/policy/run_polls.cpp
@@ -62,8 +62,10 @@
     listed.insert(entry.key_);
     const auto run = FindUpstreamRun(entry.key_);
     if (run == runs_.end()) {
-      // Emplace keeps the time of the last stop request of a known run.
-      orphans_.emplace(entry.key_, MonoTime());
+      // A known orphan keeps its stop.
+      orphans_.try_emplace(
+        entry.key_,
+        Stop{ .reason_ = StopReason::Orphaned, .requestedAt_ = aNow });
       continue;
     }
     if (run->second.state_ == State::Uncertain) {
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -6,6 +6,7 @@
 #include "policy/run_table_pvt.h"
 
 #include <algorithm>
+#include <array>
 #include <tuple>
 #include <utility>
 
@@ -16,8 +17,21 @@
 /// earlier owner of the same job.
 constexpr uint32_t kRenumberStep = 100;
 
+constexpr std::array<std::string_view, 4> kStopReasons = {
+  "ordered",
+  "owner_lost",
+  "suspended",
+  "orphaned",
+};
+
 } // namespace
 
+std::string_view
+ToString(StopReason aReason)
+{
+  return kStopReasons.at(static_cast<size_t>(aReason));
+}
+
 std::string
 ToString(const RunKey& aKey)
 {
@@ -163,7 +177,7 @@
   for (const RunKey& key : aStop.runs_) {
     const auto run = runs_.find(key);
     if (run != runs_.end()) {
-      RequestStop(run, aNow);
+      RequestStop(run, StopReason::Ordered, aNow);
     }
   }
 }
@@ -173,7 +187,7 @@
 {
   for (auto run = runs_.begin(); run != runs_.end();) {
     const auto next = std::next(run);
-    RequestStop(run, aNow);
+    RequestStop(run, StopReason::Suspended, aNow);
     run = next;
   }
 }
@@ -195,7 +209,7 @@
   }
   // The upstream starts a run once even if it gets the same order twice.
   for (auto run = runs_.begin(); run != runs_.end(); ++run) {
-    if (run->second.state_ == State::Uncertain && !run->second.stopRequested_ &&
+    if (run->second.state_ == State::Uncertain && !run->second.stop_ &&
         run->second.unanswered_ <= options_.maxStartRepeats_) {
       SendStart(run, starts);
     }
@@ -298,7 +312,7 @@
       }
       return;
   }
-  if (run.stopRequested_ && run.state_ == State::Waiting) {
+  if (run.stop_ && run.state_ == State::Waiting) {
     Finish(found, RunEnd::NotStarted, aNow);
   }
 }
@@ -337,7 +351,7 @@
     const bool lost = run->second.term_ > 0 ? silence >= options_.leaderTimeout_
                                             : silence > options_.ownerTimeout_;
     if (lost) {
-      RequestStop(run, aNow);
+      RequestStop(run, StopReason::OwnerLost, aNow);
     }
     run = next;
   }
@@ -351,27 +365,48 @@
   });
 }
 
-std::vector<RunKey>
+std::vector<StopRequest>
 RunTable::TakeStops(MonoTime aNow)
 {
-  std::vector<RunKey> stops;
+  std::vector<StopRequest> stops;
+  const auto take = [&](const RunKey& aKey, Stop& aStop) {
+    if (auto stop = TakeStop(aKey, aStop, aNow)) {
+      stops.push_back(std::move(*stop));
+    }
+  };
   for (auto& [key, run] : runs_) {
-    const bool due = run.stopRequested_ && run.state_ != State::Waiting &&
-                     Since(run.stopSent_, aNow) >= options_.stopRepeatInterval_;
-    if (due) {
-      run.stopSent_ = aNow;
-      stops.push_back({ key.task_, run.upstreamRunNumber_ });
+    if (run.stop_ && run.state_ != State::Waiting) {
+      take({ key.task_, run.upstreamRunNumber_ }, *run.stop_);
     }
   }
-  for (auto& [key, sent] : orphans_) {
-    if (Since(sent, aNow) >= options_.stopRepeatInterval_) {
-      sent = aNow;
-      stops.push_back(key);
-    }
+  for (auto& [key, stop] : orphans_) {
+    take(key, stop);
   }
   return stops;
 }
 
+std::optional<StopRequest>
+RunTable::TakeStop(const RunKey& aKey, Stop& aStop, MonoTime aNow) const
+{
+  if (Since(aStop.sentAt_, aNow) < options_.stopRepeatInterval_) {
+    return std::nullopt;
+  }
+  aStop.sentAt_ = aNow;
+  return StopRequest{ .key_ = aKey,
+                      .reason_ = aStop.reason_,
+                      .age_ = Since(aStop.requestedAt_, aNow) };
+}
+
+std::optional<MonoTime>
+RunTable::LeaseEnd(MonoTime aNow) const
+{
+  if (leaseLapseStart_ ||
+      aNow - upstreamHeardAt_ >= options_.maxLeaseSilence_) {
+    return std::nullopt;
+  }
+  return aNow + options_.lease_;
+}
+
 RunTable::Runs::iterator
 RunTable::Finish(Runs::iterator aRun, RunEnd aEnd, MonoTime aNow)
 {
@@ -399,12 +434,12 @@
 }
 
 void
-RunTable::RequestStop(Runs::iterator aRun, MonoTime aNow)
+RunTable::RequestStop(Runs::iterator aRun, StopReason aReason, MonoTime aNow)
 {
   if (aRun->second.state_ == State::Waiting) {
     Finish(aRun, RunEnd::NotStarted, aNow);
-  } else {
-    aRun->second.stopRequested_ = true;
+  } else if (!aRun->second.stop_) {
+    aRun->second.stop_.emplace(aReason, aNow);
   }
 }
 
--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -70,6 +70,15 @@
     return table_.TakeUpdates()[aOwner].reports_;
   }
 
+  std::vector<RunKey> Stops(int aMs)
+  {
+    std::vector<RunKey> keys;
+    for (const StopRequest& stop : table_.TakeStops(At(aMs))) {
+      keys.push_back(stop.key_);
+    }
+    return keys;
+  }
+
   /// A poll that starts and is answered at this time.
   void Poll(const UpstreamPollResult& aPollResult, int aMs)
   {
@@ -253,7 +262,7 @@
   table_.Tick(At(700));
   EXPECT_TRUE(table_.TakeStops(At(700)).empty());
   table_.Tick(At(701));
-  EXPECT_EQ(table_.TakeStops(At(701)), std::vector<RunKey>{ Key(0) });
+  EXPECT_EQ(Stops(701), std::vector<RunKey>{ Key(0) });
   // The stop is repeated until the end is listed.
   EXPECT_TRUE(table_.TakeStops(At(750)).empty());
   EXPECT_FALSE(table_.TakeStops(At(860)).empty());
@@ -271,7 +280,7 @@
 {
   Poll({ .running_ = { { Key(7) } } }, 10);
   EXPECT_TRUE(table_.HasOrphans());
-  EXPECT_EQ(table_.TakeStops(At(10)), std::vector<RunKey>{ Key(7) });
+  EXPECT_EQ(Stops(10), std::vector<RunKey>{ Key(7) });
   Poll({}, 20);
   EXPECT_FALSE(table_.HasOrphans());
 }
