Show that a run may outlive its owner by as long as it has work

Polls are answered and stops are never carried out: the lease of the upstream is extended on, so that a run ends 4,080 ms (by a clock that is 2 % slow) after the last sign of its owner. Its client submits the job again after 1,300 ms, and the owner takes the run as lost after 1,000 ms. A new sidecar extends the lease of runs that it has not seen yet, and a start extends it by 250 ms when the upstream has been silent for 1,600 ms.

RunTableOptions now holds the start timeout, which the sidecar held.

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -133,6 +133,9 @@
   /// The lease is not extended once the upstream has been silent for this long,
   /// so that its expiry time is known.
   Millis maxLeaseSilence_{ 500 };
+  /// Time after which an order to start a run is void. It extends the lease of
+  /// the upstream by as much.
+  Millis startTimeout_{ 250 };
   /// Time after which a lease that is no longer extended has expired.
   Millis leaseExpiry_{ 1200 };
   /// Maximum number of unacknowledged ends; more could push newer ends off the
@@ -168,6 +171,8 @@
 public:
   explicit RunTable(RunTableOptions aOptions);
 
+  const RunTableOptions& Options() const { return options_; }
+
   /// The upstream has sent a heartbeat. A new incarnation ends all runs of the
   /// previous one.
   void OnUpstream(const UpstreamInfo& aInfo, MonoTime aNow);
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -18,8 +18,6 @@
 constexpr Millis kIdlePollWait{ 300 };
 constexpr Millis kMinPollRetryDelay{ 1 };
 constexpr Millis kMaxRequestTimeout{ 320 };
-/// Time after which a start order is void.
-constexpr Millis kStartTimeout{ 250 };
 
 } // namespace
 
@@ -201,7 +199,8 @@
 void
 JobSidecar::Impl::SendStart(const StartRequest& aOrder, MonoTime aNow)
 {
-  const UpstreamTime deadline{ UpstreamNow(aNow).value_ + kStartTimeout };
+  const UpstreamTime deadline{ UpstreamNow(aNow).value_ +
+                               table_.Options().startTimeout_ };
   executor_->Start(aOrder,
                    deadline,
                    requestTimeout_,
--- /dev/null
+++ b/src/libcornelfront/policy/run_lease_test.cpp
@@ -0,0 +1,208 @@
+#include "cornelfront/job_scheduler.h"
+#include "cornelfront/run_table.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace cornelfront {
+namespace {
+
+constexpr MemberId kOwner{ 1 };
+constexpr MemberId kOther{ 2 };
+const std::string kJob = "00000000000000a1";
+
+/// A client whose connection broke submits its job again no earlier.
+constexpr Millis kClientReturn{ 1300 };
+/// Time between two polls of the upstream.
+constexpr Millis kPollInterval{ 20 };
+
+MonoTime
+At(int64_t aMs)
+{
+  return MonoTime(std::chrono::hours(1)) + Millis(aMs);
+}
+
+MonoTime
+At(Millis aTime)
+{
+  return At(aTime.count());
+}
+
+/// The clock by which an upstream measures a time may be 2 % slow.
+Millis
+OnSlowClock(Millis aTime)
+{
+  constexpr int64_t kSlowPercent = 102;
+  constexpr int64_t kPercent = 100;
+  return aTime * kSlowPercent / kPercent;
+}
+
+RunKey
+Key(uint32_t aIndex)
+{
+  return { { kJob, 0, 0, aIndex }, 1 };
+}
+
+/// A sidecar's table whose upstream answers polls, but never carries out a
+/// stop.
+class RunLeaseTest : public testing::Test
+{
+protected:
+  RunLeaseTest()
+  {
+    table_.OnUpstream({ .id_ = "u1",
+                        .startedMs_ = 1,
+                        .service_ = "desk",
+                        .capacity_ = { .cpu_ = 4000, .memoryMb_ = 100 } },
+                      At(0));
+    table_.OnOwnerLinked(kOwner, At(0));
+  }
+
+  void Order(uint32_t aIndex, MonoTime aNow)
+  {
+    StartRuns orders{ .job_ = kJob,
+                      .payload_ = "p",
+                      .service_ = "desk",
+                      .resources_ = { .cpu_ = 1000, .memoryMb_ = 1 },
+                      .estimate_ = Millis(3000),
+                      .timeToLatestStart_ = Millis(500),
+                      .startTimeout_ = Millis(1500) };
+    orders.runs_.push_back({ aIndex, 1 });
+    table_.OnOrders(kOwner, orders, aNow);
+  }
+
+  /// Starts what the table asks for; each start is acknowledged at once.
+  size_t Start(MonoTime aNow)
+  {
+    const auto starts = table_.TakeStarts(aNow);
+    for (const StartRequest& start : starts) {
+      running_.push_back({ start.key_ });
+      table_.OnStartAnswer(start.key_, StartAnswer::Started, {}, aNow);
+    }
+    return starts.size();
+  }
+
+  void AnswerPoll(uint64_t aPoll, MonoTime aNow)
+  {
+    table_.OnPollResult(aPoll, { .running_ = running_ }, aNow);
+  }
+
+  /// Polls from \p aBegin to \p aEnd, and returns for how long after \p aBegin
+  /// the lease lasts.
+  Millis PollUntil(Millis aBegin, Millis aEnd)
+  {
+    Millis lease{ 0 };
+    for (Millis ms = aBegin; ms <= aEnd; ms += kPollInterval) {
+      table_.Tick(At(ms));
+      table_.TakeStops(At(ms));
+      const uint64_t poll = table_.BeginPoll();
+      if (const auto end = table_.LeaseEnd(At(ms))) {
+        lease = std::max(lease,
+                         std::chrono::duration_cast<Millis>(*end - At(aBegin)));
+      }
+      AnswerPoll(poll, At(ms));
+    }
+    return OnSlowClock(lease);
+  }
+
+  std::vector<RunningEntry> running_;
+  RunTable table_{ RunTableOptions{} };
+};
+
+TEST_F(RunLeaseTest, ARunOfALostOwnerEndsBeforeItsClientReturns)
+{
+  Order(0, At(0));
+  ASSERT_EQ(Start(At(0)), 1U);
+  // The owner is killed at 0.
+  EXPECT_LT(PollUntil(Millis(0), Millis(3000)), kClientReturn);
+}
+
+TEST_F(RunLeaseTest, ARunThatItsOwnerStopsEndsBeforeItsClientReturns)
+{
+  Order(0, At(0));
+  ASSERT_EQ(Start(At(0)), 1U);
+  for (Millis ms{ 0 }; ms <= Millis(2000); ms += kPollInterval) {
+    table_.OnOwnerHeard(kOwner, At(ms));
+    AnswerPoll(table_.BeginPoll(), At(ms));
+  }
+  const Millis stopped{ 2000 };
+  table_.OnStop(kOwner, { .runs_ = { Key(0) } }, At(stopped));
+  Millis end{ 0 };
+  for (Millis ms = stopped; ms <= Millis(5000); ms += kPollInterval) {
+    table_.OnOwnerHeard(kOwner, At(ms));
+    const Millis lease = PollUntil(ms, ms);
+    end = lease.count() > 0 ? std::max(end, ms + lease) : end;
+  }
+  EXPECT_LT(end, stopped + kClientReturn);
+}
+
+TEST_F(RunLeaseTest, ARunOfALostOwnerEndsBeforeTheOwnerTakesItAsLost)
+{
+  Order(0, At(0));
+  ASSERT_EQ(Start(At(0)), 1U);
+  // The owner loses the link at 0; what it sent before may arrive 1 s later.
+  const Millis lastHeard{ 1000 };
+  for (Millis ms{ 0 }; ms <= lastHeard; ms += kPollInterval) {
+    table_.OnOwnerHeard(kOwner, At(ms));
+    AnswerPoll(table_.BeginPoll(), At(ms));
+  }
+  EXPECT_LT(lastHeard + PollUntil(lastHeard, Millis(5000)),
+            JobSchedulerOptions{}.lostRunTimeout_);
+}
+
+TEST_F(RunLeaseTest, ASuccessorDoesNotExtendTheLeaseOfRunsThatItDoesNotKnow)
+{
+  EXPECT_FALSE(table_.LeaseEnd(At(0)));
+  running_.push_back({ Key(7) });
+  AnswerPoll(table_.BeginPoll(), At(10));
+  EXPECT_FALSE(table_.LeaseEnd(At(10)));
+  running_.clear();
+  AnswerPoll(table_.BeginPoll(), At(20));
+  EXPECT_EQ(table_.LeaseEnd(At(20)), At(1020));
+}
+
+TEST_F(RunLeaseTest, AStartDoesNotExtendTheLeaseOfASilentUpstream)
+{
+  Order(0, At(0));
+  ASSERT_EQ(Start(At(0)), 1U);
+  AnswerPoll(table_.BeginPoll(), At(0));
+  // Runs count as lost 1.6 s after the last answer; a start extends the lease
+  // of all of them by its timeout.
+  const RunTableOptions options;
+  MonoTime lastStart;
+  for (Millis ms{ 0 }; ms <= options.upstreamTimeout_; ms += kPollInterval) {
+    table_.OnOwnerHeard(kOwner, At(ms));
+    Order(1, At(ms));
+    for (const StartRequest& start : table_.TakeStarts(At(ms))) {
+      lastStart = At(ms);
+      table_.OnStartAnswer(start.key_, StartAnswer::NotSent, {}, At(ms));
+    }
+  }
+  EXPECT_GT(lastStart, At(500));
+  const auto lease = std::chrono::duration_cast<Millis>(lastStart - At(0)) +
+                     options.startTimeout_;
+  EXPECT_LT(OnSlowClock(lease), options.upstreamTimeout_);
+}
+
+TEST_F(RunLeaseTest, AQuietOwnerDoesNotShortenTheLease)
+{
+  table_.OnOwnerLinked(kOther, At(0));
+  Order(0, At(0));
+  ASSERT_EQ(Start(At(0)), 1U);
+  constexpr Millis kKeepAlive{ 375 };
+  for (Millis ms{ 0 }; ms <= Millis(3000); ms += kPollInterval) {
+    if (ms % kKeepAlive < kPollInterval) {
+      table_.OnOwnerHeard(kOwner, At(ms));
+    }
+    AnswerPoll(table_.BeginPoll(), At(ms));
+    table_.Tick(At(ms));
+    const auto end = table_.LeaseEnd(At(ms));
+    ASSERT_TRUE(end);
+    EXPECT_GE(*end - At(ms), Millis(800)) << ms.count();
+    EXPECT_TRUE(table_.TakeStops(At(ms)).empty());
+  }
+}
+
+} // namespace
+} // namespace cornelfront
