Let the lease end when a run's stop has no effect

Seen by callers: a task of a best-effort job ran twice at the same time. The entry or the client had started it again while the first run went on.

Cause: a run's end rested on a stop that the upstream must carry out. The sidecar stopped the runs of an owner that had been silent for 700 ms, or those that their owner ordered to stop, and went on extending the lease of the upstream with each poll. A stop without an answer may be carried out seconds later; until then the run went on for as long as it had work. A start, too, extended the lease of all runs, also of an upstream that had been silent for 1.6 s, when the sidecar reports them as lost.

Change: the sidecar extends the lease no further than 1.2 s after the last message of the owner of each best-effort run, 1 s after a stop that has not taken effect, and 1.5 s after the last answer of the upstream; a start that would extend it further is not sent. The bound needs no answer. Stops are repeated each 60 ms in place of 150, since the end of the lease takes all runs along. The log tells why a lease is left to end.

The stored runs' test of a lost leader asks for LeaseEnd in place of MayExtendLease, which is gone; the lease is now extended again only when the stopped run has ended, which the test checks after the poll that tells so.

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -108,6 +108,30 @@
   Millis age_{ 0 };
 };
 
+/// What limits the lease of an upstream.
+enum class LeaseLimitReason : uint8_t
+{
+  /// Only its length.
+  None,
+  UpstreamSilent,
+  /// The owner of a run has not been heard of.
+  OwnerSilent,
+  /// A run has been stopped and may still go on.
+  StopUnconfirmed,
+  /// The leader of the stored jobs is lost and ends are unacknowledged.
+  LeaderLost,
+};
+
+std::string_view
+ToString(LeaseLimitReason aReason);
+
+/// The latest time to which the lease of an upstream may be extended.
+struct LeaseLimit
+{
+  MonoTime end_;
+  LeaseLimitReason reason_ = LeaseLimitReason::None;
+};
+
 /// A start order that the sidecar must send to its upstream now.
 struct StartRequest
 {
@@ -130,6 +154,10 @@
   Millis firstLeaderTimeout_{ 4000 };
   /// Length of the upstream's lease, from the poll that extends it.
   Millis lease_{ 1000 };
+  /// The lease ends this long after the last message of the owner of a
+  /// best-effort run. Clients whose entry is lost submit again after 1,300 ms,
+  /// and the upstream's clock may be 2 % slow.
+  Millis ownerLease_{ 1200 };
   /// The lease is not extended once the upstream has been silent for this long,
   /// so that its expiry time is known.
   Millis maxLeaseSilence_{ 500 };
@@ -147,8 +175,9 @@
   /// An upstream that has not answered for this long is suspect and gets no new
   /// work.
   Millis upstreamSuspectAfter_{ 600 };
-  /// Interval at which a stop request without effect is repeated.
-  Millis stopRepeatInterval_{ 150 };
+  /// Interval at which a stop request without effect is repeated. Several fit
+  /// into the time that the lease lasts on, since its end takes all runs along.
+  Millis stopRepeatInterval_{ 60 };
   /// Maximum number of times that an unanswered order is sent again.
   int maxStartRepeats_ = 3;
   /// Delay before the next start after the upstream answered that it is full.
@@ -239,10 +268,11 @@
   UpstreamReport MakeUpstreamReport(MonoTime aNow) const;
   /// The upstream may discard ends up to this number.
   uint64_t AcknowledgedEnds() const;
-  /// False while the lease of all runs must expire: the leader cannot be
-  /// reached and will treat the runs as lost, so their ends become void with
-  /// the lease.
-  bool MayExtendLease() const { return !leaseLapseStart_; }
+  /// The lease must end by itself, without an answer of the upstream, once a
+  /// run there may no longer go on: because its owner is silent, because it was
+  /// stopped, or because ends become void that the leader of the stored jobs
+  /// does not know. All orders that extend the lease keep to this limit.
+  LeaseLimit LimitLease(MonoTime aNow) const;
   /// Returns the time until which a poll that is sent now may extend the lease,
   /// or nothing if it must not extend it.
   std::optional<MonoTime> LeaseEnd(MonoTime aNow) const;
@@ -329,6 +359,8 @@
   Runs::iterator FindUpstreamRun(const RunKey& aKey);
   std::vector<Runs::iterator> WaitingInOrder(MonoTime aNow);
   bool MayStart(MonoTime aNow) const;
+  /// Lowers \p aLimit to what this run allows.
+  void LimitLeaseBy(const Run& aRun, LeaseLimit& aLimit) const;
   /// Returns waiting runs that were ordered only for free resources.
   void ReturnWaiting(MonoTime aNow);
   void CheckStall(const RunKey& aKey,
--- a/src/libcornelfront/job_sidecar.cpp
+++ b/src/libcornelfront/job_sidecar.cpp
@@ -148,12 +148,8 @@
   const MonoTime now = BootNow();
   DetectSuspension(now);
   StartConnecting(now);
-  const bool extended = table_.MayExtendLease();
   table_.Tick(now);
-  if (extended != table_.MayExtendLease()) {
-    LOG(WARNING) << "lease runs=" << table_.Size() << " outcome="
-                 << (extended ? "left_to_end reason=leader_lost" : "extended");
-  }
+  LogLeaseLimit(now);
   SendPending(now);
   SendStatus(now);
   metrics_.SetGauge("runs", static_cast<double>(table_.Size()));
@@ -161,6 +157,23 @@
   metrics_.SetGauge("upstream", table_.HasUpstream() ? 1 : 0);
 }
 
+void
+JobSidecar::Impl::LogLeaseLimit(MonoTime aNow)
+{
+  const LeaseLimit limit = table_.LimitLease(aNow);
+  const bool ending = limit.end_ - aNow < settings_.lease_ / 2;
+  const LeaseLimitReason reason =
+    ending ? limit.reason_ : LeaseLimitReason::None;
+  if (reason == leaseLimit_) {
+    return;
+  }
+  leaseLimit_ = reason;
+  LOG(WARNING) << "lease runs=" << table_.Size()
+               << " reason=" << ToString(reason) << " left_ms="
+               << std::chrono::duration_cast<Millis>(limit.end_ - aNow).count()
+               << " outcome=" << (ending ? "left_to_end" : "extended");
+}
+
 void
 JobSidecar::Impl::DetectSuspension(MonoTime aNow)
 {
--- a/src/libcornelfront/job_sidecar_pvt.h
+++ b/src/libcornelfront/job_sidecar_pvt.h
@@ -50,6 +50,8 @@
   void CloseLinks();
   void Tick();
   void DetectSuspension(MonoTime aNow);
+  /// Logs when the lease comes near its end, and when it is extended again.
+  void LogLeaseLimit(MonoTime aNow);
   void StartConnecting(MonoTime aNow);
   void OnHeartbeat(const platform::Heartbeat& aHeartbeat);
   void OnUpstreamLeft(const std::string& aId);
@@ -118,6 +120,8 @@
   std::unique_ptr<asio::steady_timer> pollTimer_;
   std::unique_ptr<platform::BatchWriter> registration_;
   MonoTime lastTick_;
+  /// The last reason that was logged.
+  LeaseLimitReason leaseLimit_ = LeaseLimitReason::None;
   bool stopping_ = false;
   /// The process exits; ended links are not connected again.
   bool linksClosed_ = false;
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -24,8 +24,26 @@
   "orphaned",
 };
 
+constexpr std::array<std::string_view, 5> kLeaseLimitReasons = {
+  "none", "upstream_silent", "owner_silent", "stop_unconfirmed", "leader_lost",
+};
+
+void
+Lower(LeaseLimit& aLimit, MonoTime aEnd, LeaseLimitReason aReason)
+{
+  if (aEnd < aLimit.end_) {
+    aLimit = { aEnd, aReason };
+  }
+}
+
 } // namespace
 
+std::string_view
+ToString(LeaseLimitReason aReason)
+{
+  return kLeaseLimitReasons.at(static_cast<size_t>(aReason));
+}
+
 std::string_view
 ToString(StopReason aReason)
 {
@@ -196,7 +214,8 @@
 RunTable::MayStart(MonoTime aNow) const
 {
   return upstream_ && !upstream_->draining_ && !closed_ && !leaseLapseStart_ &&
-         aNow >= fullUntil_;
+         aNow >= fullUntil_ &&
+         LimitLease(aNow).end_ >= aNow + options_.startTimeout_;
 }
 
 std::vector<StartRequest>
@@ -397,14 +416,45 @@
                       .age_ = Since(aStop.requestedAt_, aNow) };
 }
 
+LeaseLimit
+RunTable::LimitLease(MonoTime aNow) const
+{
+  LeaseLimit limit{ .end_ = aNow + options_.lease_ };
+  if (leaseLapseStart_) {
+    Lower(limit, aNow, LeaseLimitReason::LeaderLost);
+  }
+  Lower(limit,
+        upstreamHeardAt_ + options_.maxLeaseSilence_ + options_.lease_,
+        LeaseLimitReason::UpstreamSilent);
+  for (const auto& [key, run] : runs_) {
+    if (run.state_ != State::Waiting) {
+      LimitLeaseBy(run, limit);
+    }
+  }
+  return limit;
+}
+
+void
+RunTable::LimitLeaseBy(const Run& aRun, LeaseLimit& aLimit) const
+{
+  if (aRun.stop_) {
+    Lower(aLimit,
+          aRun.stop_->requestedAt_ + options_.lease_,
+          LeaseLimitReason::StopUnconfirmed);
+  }
+  const auto owner = owners_.find(aRun.owner_);
+  if (aRun.term_ == 0 && owner != owners_.end()) {
+    Lower(aLimit,
+          owner->second.heardAt_ + options_.ownerLease_,
+          LeaseLimitReason::OwnerSilent);
+  }
+}
+
 std::optional<MonoTime>
 RunTable::LeaseEnd(MonoTime aNow) const
 {
-  if (leaseLapseStart_ ||
-      aNow - upstreamHeardAt_ >= options_.maxLeaseSilence_) {
-    return std::nullopt;
-  }
-  return aNow + options_.lease_;
+  const MonoTime end = LimitLease(aNow).end_;
+  return end > aNow ? std::optional(end) : std::nullopt;
 }
 
 RunTable::Runs::iterator
--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -435,29 +435,31 @@
   Poll(pollResult, 10);
   Poll(pollResult, 2990);
   table_.Tick(At(2999));
-  EXPECT_TRUE(table_.MayExtendLease());
+  EXPECT_TRUE(table_.LeaseEnd(At(2999)));
   table_.Tick(At(3000));
-  EXPECT_FALSE(table_.MayExtendLease());
+  EXPECT_FALSE(table_.LeaseEnd(At(3000)));
   EXPECT_EQ(table_.AcknowledgedEnds(), 0U) << "the lease may still be in force";
   EXPECT_FALSE(table_.MakeUpstreamReport(At(3000)).ready_);
   table_.OnOrders(kOther, Orders(1), At(3010));
   EXPECT_TRUE(table_.TakeStarts(At(3010)).empty()) << "would extend the lease";
   table_.Tick(At(4199));
-  EXPECT_FALSE(table_.MayExtendLease());
+  EXPECT_FALSE(table_.LeaseEnd(At(4199)));
   table_.Tick(At(4200));
-  EXPECT_TRUE(table_.MayExtendLease());
   EXPECT_EQ(table_.AcknowledgedEnds(), 1U);
+  EXPECT_FALSE(table_.LeaseEnd(At(4200))) << "a stopped run may still go on";
   table_.OnTakeOver(kOther, 2, At(4210));
   for (const RunReport& report : table_.MakeHeldRuns(kOther).reports_) {
     EXPECT_EQ(report.end_, RunEnd::NotStarted) << "the order of 3010";
   }
+  Poll({ .ended_ = { { 2, Key(1), RunEnd::LeaseExpired } } }, 4220);
+  EXPECT_EQ(table_.LeaseEnd(At(4220)), At(5220));
 }
 
 TEST_F(StoredRunsTest, ExtendsTheLeaseIfAllEndsAreAcknowledged)
 {
   Poll({ .running_ = { { Key(0) }, { Key(1) } } }, 2990);
   table_.Tick(At(3500));
-  EXPECT_TRUE(table_.MayExtendLease());
+  EXPECT_TRUE(table_.LeaseEnd(At(3500)));
 }
 
 TEST_F(StoredRunsTest, EndsOfAPredecessorsRunsAreReportedToTheLeader)
