Take a lost sidecar's runs as ended only after their longest lease

Seen by callers: two runs of a task at a time, after the link between an entry and a sidecar was lost.

Cause: the entry took best-effort runs as ended 1,000 ms after the loss of the link. The lease alone lasts 1,000 ms from the last poll on a clock that may be 2 % slow, and the sidecar goes on for as long as it has heard of the entry.

Change: lostRunTimeout_ is 2,300 ms: messages up to 1,000 ms old count as a sign of the entry, the lease lasts for 1,200 ms after that, 1,224 on a slow clock, and the rest is for ticks.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -182,8 +182,10 @@
   /// clients may have submitted their jobs elsewhere meanwhile.
   Millis suspensionThreshold_{ 600 };
   /// Time after the loss of a sidecar's link after which its runs of
-  /// best-effort jobs are known to have ended.
-  Millis lostRunTimeout_{ 1000 };
+  /// best-effort jobs are known to have ended: the age at which the sidecar
+  /// still accepts a message of this entry, RunTableOptions::ownerLease_ on a
+  /// clock that is 2 % slow, and a margin for ticks.
+  Millis lostRunTimeout_{ 2300 };
   /// The same for runs of stored jobs, which a sidecar keeps for longer. The
   /// sidecar may be replaced within a second, then waits
   /// RunTableOptions::firstLeaderTimeout_, then lets the lease expire.
