Extend no lease before it is known what runs on the upstream

Cause: a new sidecar extended the lease of its upstream from its first poll on, also while runs that its predecessor had left were being stopped. These lived on for as long as the stops had no effect, while entries, who had lost the predecessor's link, or the new sidecar's own wait of 1.1 s took them as ended.

Change: no lease is extended before the current incarnation has answered a poll, nor while something runs that was not ordered through this table; starts, which extend it as well, wait too.

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -114,6 +114,8 @@
   /// Only its length.
   None,
   UpstreamSilent,
+  /// Something runs that was not ordered through the table.
+  Orphaned,
   /// The owner of a run has not been heard of.
   OwnerSilent,
   /// A run has been stopped and may still go on.
@@ -274,7 +276,8 @@
   /// does not know. All orders that extend the lease keep to this limit.
   LeaseLimit LimitLease(MonoTime aNow) const;
   /// Returns the time until which a poll that is sent now may extend the lease,
-  /// or nothing if it must not extend it.
+  /// or nothing if it must not extend it. Before the first answered poll of an
+  /// incarnation, a predecessor of this process may have left runs there.
   std::optional<MonoTime> LeaseEnd(MonoTime aNow) const;
   MonoTime UpstreamHeardAt() const { return upstreamHeardAt_; }
   /// True if the upstream runs something that was not ordered through this
@@ -392,6 +395,8 @@
   uint64_t polls_ = 0;
   /// Number of the first poll of the current incarnation.
   uint64_t firstIncarnationPoll_ = 0;
+  /// The current incarnation has answered a poll.
+  bool runsKnown_ = false;
   uint64_t newestEnd_ = 0;
   /// Ends that must not be acknowledged yet, by number.
   std::map<uint64_t, RunReport> unacknowledged_;
--- a/src/libcornelfront/policy/run_polls.cpp
+++ b/src/libcornelfront/policy/run_polls.cpp
@@ -48,6 +48,7 @@
     return false;
   }
   upstreamHeardAt_ = aNow;
+  runsKnown_ = true;
   ProcessRunning(aPollResult, aNow);
   ProcessEnded(aPollResult, aNow);
   ProcessMissing(aPollNumber, aPollResult, aNow);
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -24,8 +24,9 @@
   "orphaned",
 };
 
-constexpr std::array<std::string_view, 5> kLeaseLimitReasons = {
-  "none", "upstream_silent", "owner_silent", "stop_unconfirmed", "leader_lost",
+constexpr std::array<std::string_view, 6> kLeaseLimitReasons = {
+  "none",         "upstream_silent",  "orphaned",
+  "owner_silent", "stop_unconfirmed", "leader_lost",
 };
 
 void
@@ -69,6 +70,7 @@
   if (!sameIncarnation) {
     FinishAll(RunEnd::Lost, aNow);
     orphans_.clear();
+    runsKnown_ = false;
     newestEnd_ = 0;
     unacknowledged_.clear();
     leaseLapseStart_.reset();
@@ -423,6 +425,9 @@
   if (leaseLapseStart_) {
     Lower(limit, aNow, LeaseLimitReason::LeaderLost);
   }
+  if (!orphans_.empty()) {
+    Lower(limit, aNow, LeaseLimitReason::Orphaned);
+  }
   Lower(limit,
         upstreamHeardAt_ + options_.maxLeaseSilence_ + options_.lease_,
         LeaseLimitReason::UpstreamSilent);
@@ -453,6 +458,9 @@
 std::optional<MonoTime>
 RunTable::LeaseEnd(MonoTime aNow) const
 {
+  if (!runsKnown_) {
+    return std::nullopt;
+  }
   const MonoTime end = LimitLease(aNow).end_;
   return end > aNow ? std::optional(end) : std::nullopt;
 }
