Stop all runs in the first call after a suspension, whichever it is

What callers would see: a task runs twice at the same time. A sidecar whose process or machine stood still for over 600 ms looked for that only in its timer, each 50 ms, and in answers to polls. If an order, a heartbeat, an answer to a start or a change by the operator was handled first, it started runs that had waited, repeated unanswered starts with a new deadline, and accepted orders of unknown age. The entry may have taken these runs as lost meanwhile and started them elsewhere.

Cause: the bound was checked by a timer, not by the functions that act.

RunTable now compares the time of every call that is given one with that of the last call, as JobScheduler does, and stops all runs before it does anything else. Orders of that very moment are refused. JobSidecar asks the table before it handles a message and before it sends anything, and closes its links as before; messages of these links are then ignored. The log line is unchanged.

Evidence: FirstCallAfterSuspensionTest.StartsNothingThatWaitedThroughIt, one case for each function, and RunTableTest.OrdersThatAreReadRightAfterASuspensionAreRefused failed before: "run_table_test.cpp:568: Value of: table_.TakeStarts(At(603)).empty() Actual: false", "run_table_test.cpp:642: Value of: table_.TakeStarts(At(601)).empty() Actual: false". Both pass now, as does all of core_test except the known CallerContract.RefusesANulInAKey. That JobSidecar closes its links in the same handler is read, not tested: no test can suspend a machine.

Five tests let time pass without a call, which is now a suspension. They tick, and poll, each 50 ms instead, up to the same times and with the same expectations; WaitingRunsOfASilentOwnerNeverStart also expects that the run still waits at 700 ms.

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -118,8 +118,19 @@
   std::string payload_;
 };
 
+/// A time for which this process did not run.
+struct Suspension
+{
+  Millis length_{ 0 };
+  /// Number of runs that were open, all of which are stopped.
+  size_t runs_ = 0;
+};
+
 struct RunTableOptions
 {
+  /// A gap between calls longer than this means that the process was suspended;
+  /// owners may have started its runs elsewhere meanwhile.
+  Millis suspensionThreshold_{ 600 };
   /// Runs of best-effort jobs whose owner has been silent for this long are
   /// stopped.
   Millis ownerTimeout_{ 700 };
@@ -162,7 +173,10 @@
 
 /// Tracks all runs on one upstream, of all owners. Performs no I/O; the caller
 /// sends what the Take functions return. Not thread-safe. All times are from
-/// BootNow.
+/// BootNow. Every function that is given the present time first compares it
+/// with that of the last call; after a suspension all runs are stopped before
+/// anything else is done. Tick must therefore be called regularly, more often
+/// than RunTableOptions::suspensionThreshold_.
 class RunTable
 {
 public:
@@ -188,10 +202,13 @@
   /// leader is known.
   bool OnTakeOver(MemberId aLeader, uint64_t aTerm, MonoTime aNow);
   void OnAcknowledgeEnds(const AcknowledgeEnds& aEnds);
+  /// Orders that are received right after a suspension are refused: they may be
+  /// of any age.
   void OnOrders(MemberId aOwner, const StartRuns& aOrders, MonoTime aNow);
   void OnStop(MemberId aOwner, const StopRuns& aStop, MonoTime aNow);
-  /// Stops all runs of all owners.
-  void StopAll(MonoTime aNow);
+  /// Returns the suspension that was detected last, once. Links that were open
+  /// before must be closed, since orders in their buffers may be of any age.
+  std::optional<Suspension> TakeSuspension(MonoTime aNow);
 
   /// Returns the runs to start now, in order.
   std::vector<StartRequest> TakeStarts(MonoTime aNow);
@@ -303,9 +320,12 @@
     std::deque<std::pair<MonoTime, RunReport>> recentReports_;
   };
 
+  void DetectSuspension(MonoTime aNow);
+  /// Stops all runs of all owners.
+  void StopAll(MonoTime aNow);
   Resources ResourcesInUse() const;
   int64_t Backlog(const Run& aRun) const;
-  bool Accepts(const StartRuns& aOrders) const;
+  bool Accepts(const StartRuns& aOrders, MonoTime aNow) const;
   RunReport MakeReport(const RunKey& aKey,
                        const Run& aRun,
                        RunEnd aEnd,
@@ -344,6 +364,11 @@
   void RevertStart(Run& aRun);
 
   const RunTableOptions options_;
+  /// Newest time that a call was given.
+  std::optional<MonoTime> lastCall_;
+  /// Time of the call that detected the last suspension.
+  std::optional<MonoTime> resumedAt_;
+  std::optional<Suspension> suspension_;
   std::optional<UpstreamInfo> upstream_;
   bool closed_ = false;
   Runs runs_;
--- a/src/libcornelfront/job_sidecar.cpp
+++ b/src/libcornelfront/job_sidecar.cpp
@@ -47,7 +47,6 @@
     [this](const LinkPtr& aLink, const std::string& aDetail) {
       OnLinkEnd(aLink, aDetail);
     });
-  lastTick_ = BootNow();
   pollTimer_ = std::make_unique<asio::steady_timer>(loop);
   executor_ =
     std::make_unique<platform::ExecutorClient>(loop, settings_.upstream_);
@@ -161,22 +160,21 @@
   metrics_.SetGauge("upstream", table_.HasUpstream() ? 1 : 0);
 }
 
-void
+bool
 JobSidecar::Impl::DetectSuspension(MonoTime aNow)
 {
-  const auto gap = std::chrono::duration_cast<Millis>(aNow - lastTick_);
-  lastTick_ = aNow;
-  if (gap <= kSuspensionThreshold) {
-    return;
+  const auto suspension = table_.TakeSuspension(aNow);
+  if (!suspension) {
+    return false;
   }
-  LOG(WARNING) << "suspended ms=" << gap.count() << " runs=" << table_.Size()
-               << " outcome=all_stopped";
+  LOG(WARNING) << "suspended ms=" << suspension->length_.count()
+               << " runs=" << suspension->runs_ << " outcome=all_stopped";
   // Orders in the links' buffers may be older than their receive time suggests.
   for (auto& [id, owner] : owners_) {
     owner.link_->Close();
   }
   owners_.clear();
-  table_.StopAll(aNow);
+  return true;
 }
 
 void
--- a/src/libcornelfront/job_sidecar_entries.cpp
+++ b/src/libcornelfront/job_sidecar_entries.cpp
@@ -40,6 +40,9 @@
 JobSidecar::Impl::OnMessage(const LinkPtr& aLink, Envelope& aEnvelope)
 {
   const MonoTime now = BootNow();
+  if (DetectSuspension(now)) {
+    SendPending(now);
+  }
   if (const auto* welcome = std::get_if<Welcome>(&aEnvelope.message_)) {
     OnWelcome(aLink, welcome->self_.id_, now);
     return;
--- a/src/libcornelfront/job_sidecar_pvt.h
+++ b/src/libcornelfront/job_sidecar_pvt.h
@@ -49,7 +49,9 @@
   void Setup();
   void CloseLinks();
   void Tick();
-  void DetectSuspension(MonoTime aNow);
+  /// Closes all links if the table has found that the process was suspended,
+  /// and returns true then.
+  bool DetectSuspension(MonoTime aNow);
   void StartConnecting(MonoTime aNow);
   void OnHeartbeat(const platform::Heartbeat& aHeartbeat);
   void OnUpstreamLeft(const std::string& aId);
@@ -86,7 +88,9 @@
   const MemberId self_ = NewMemberId();
   const MonoTime start_ = BootNow();
   IoPool pool_{ 1 };
-  RunTable table_{ RunTableOptions{ .lease_ = settings_.lease_ } };
+  RunTable table_{ RunTableOptions{ .suspensionThreshold_ =
+                                      kSuspensionThreshold,
+                                    .lease_ = settings_.lease_ } };
   std::map<MemberId, Owner> owners_;
   std::map<uint64_t, MemberId> entries_;
   std::shared_ptr<const LinkHandlers> handlers_;
@@ -117,7 +121,6 @@
   bool pollDelayed_ = false;
   std::unique_ptr<asio::steady_timer> pollTimer_;
   std::unique_ptr<platform::BatchWriter> registration_;
-  MonoTime lastTick_;
   bool stopping_ = false;
   /// The process exits; ended links are not connected again.
   bool linksClosed_ = false;
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -170,6 +170,7 @@
 void
 JobSidecar::Impl::SendPending(MonoTime aNow)
 {
+  DetectSuspension(aNow);
   for (const StopRequest& stop : table_.TakeStops(aNow)) {
     LOG(INFO) << "job=" << stop.key_.task_.job_
               << " run=" << ToString(stop.key_)
--- a/src/libcornelfront/policy/run_polls.cpp
+++ b/src/libcornelfront/policy/run_polls.cpp
@@ -44,6 +44,7 @@
                        const UpstreamPollResult& aPollResult,
                        MonoTime aNow)
 {
+  DetectSuspension(aNow);
   if (aPollNumber < firstIncarnationPoll_) {
     return false;
   }
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -43,9 +43,31 @@
 {
 }
 
+void
+RunTable::DetectSuspension(MonoTime aNow)
+{
+  const MonoTime last = lastCall_.value_or(aNow);
+  lastCall_ = std::max(last, aNow);
+  const Millis gap = Since(last, aNow);
+  if (gap <= options_.suspensionThreshold_) {
+    return;
+  }
+  suspension_ = { .length_ = gap, .runs_ = runs_.size() };
+  resumedAt_ = aNow;
+  StopAll(aNow);
+}
+
+std::optional<Suspension>
+RunTable::TakeSuspension(MonoTime aNow)
+{
+  DetectSuspension(aNow);
+  return std::exchange(suspension_, std::nullopt);
+}
+
 void
 RunTable::OnUpstream(const UpstreamInfo& aInfo, MonoTime aNow)
 {
+  DetectSuspension(aNow);
   const bool sameIncarnation = upstream_ && upstream_->id_ == aInfo.id_ &&
                                upstream_->startedMs_ == aInfo.startedMs_;
   if (!sameIncarnation) {
@@ -66,6 +88,7 @@
 void
 RunTable::OnUpstreamGone(MonoTime aNow)
 {
+  DetectSuspension(aNow);
   FinishAll(RunEnd::Lost, aNow);
   orphans_.clear();
   upstream_.reset();
@@ -74,6 +97,7 @@
 bool
 RunTable::OnUpstreamReplaced(uint64_t aPollNumber, MonoTime aNow)
 {
+  DetectSuspension(aNow);
   if (aPollNumber < firstIncarnationPoll_) {
     return false;
   }
@@ -84,6 +108,7 @@
 void
 RunTable::SetClosed(bool aClosed, MonoTime aNow)
 {
+  DetectSuspension(aNow);
   closed_ = aClosed;
   if (closed_) {
     FinishWaiting(aNow);
@@ -93,6 +118,7 @@
 void
 RunTable::OnOwnerLinked(MemberId aOwner, MonoTime aNow)
 {
+  DetectSuspension(aNow);
   owners_[aOwner].heardAt_ = aNow;
   if (leader_ == aOwner) {
     leaderHeardAt_ = aNow;
@@ -102,6 +128,7 @@
 void
 RunTable::OnOwnerHeard(MemberId aOwner, MonoTime aNow)
 {
+  DetectSuspension(aNow);
   const auto owner = owners_.find(aOwner);
   if (owner != owners_.end()) {
     OnOwnerLinked(aOwner, aNow);
@@ -112,7 +139,7 @@
 RunTable::OnOrders(MemberId aOwner, const StartRuns& aOrders, MonoTime aNow)
 {
   OnOwnerLinked(aOwner, aNow);
-  const bool accepts = Accepts(aOrders);
+  const bool accepts = Accepts(aOrders, aNow);
   term_ = std::max(term_, aOrders.term_);
   for (const RunOrder& order : aOrders.runs_) {
     const RunKey key{ aOrders.Task(order), order.run_ };
@@ -141,8 +168,11 @@
 }
 
 bool
-RunTable::Accepts(const StartRuns& aOrders) const
+RunTable::Accepts(const StartRuns& aOrders, MonoTime aNow) const
 {
+  if (resumedAt_ && aNow <= *resumedAt_) {
+    return false;
+  }
   const bool current =
     aOrders.term_ == 0 || (registered_ && aOrders.term_ >= term_);
   return current && upstream_ && !upstream_->draining_ && !closed_ &&
@@ -152,6 +182,7 @@
 bool
 RunTable::OnTakeOver(MemberId aLeader, uint64_t aTerm, MonoTime aNow)
 {
+  DetectSuspension(aNow);
   if (aTerm < term_) {
     return false;
   }
@@ -202,6 +233,7 @@
 std::vector<StartRequest>
 RunTable::TakeStarts(MonoTime aNow)
 {
+  DetectSuspension(aNow);
   std::vector<StartRequest> starts;
   if (!MayStart(aNow)) {
     ReturnWaiting(aNow);
@@ -275,6 +307,7 @@
                         UpstreamTime aDeadline,
                         MonoTime aNow)
 {
+  DetectSuspension(aNow);
   const auto found = runs_.find(aKey);
   if (found == runs_.end() || found->second.state_ != State::Starting) {
     return;
@@ -320,6 +353,7 @@
 void
 RunTable::Tick(MonoTime aNow)
 {
+  DetectSuspension(aNow);
   CheckOwners(aNow);
   CheckLeader(aNow);
   if (upstream_ && Since(upstreamHeardAt_, aNow) > options_.upstreamTimeout_) {
@@ -368,6 +402,7 @@
 std::vector<StopRequest>
 RunTable::TakeStops(MonoTime aNow)
 {
+  DetectSuspension(aNow);
   std::vector<StopRequest> stops;
   const auto take = [&](const RunKey& aKey, Stop& aStop) {
     if (auto stop = TakeStop(aKey, aStop, aNow)) {
--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace cornelfront {
 namespace {
 
@@ -86,6 +88,25 @@
     table_.OnPollResult(begin, aPollResult, At(aMs));
   }
 
+  /// Ticks as a running process does, from and up to these times.
+  void Tick(int aFirstMs, int aLastMs)
+  {
+    for (int ms = aFirstMs; ms <= aLastMs; ms += 50) {
+      table_.Tick(At(ms));
+    }
+  }
+
+  /// The same with polls, each with this answer.
+  void PollOften(const UpstreamPollResult& aPollResult,
+                 int aFirstMs,
+                 int aLastMs)
+  {
+    for (int ms = aFirstMs; ms <= aLastMs; ms += 50) {
+      Poll(aPollResult, ms);
+      table_.Tick(At(ms));
+    }
+  }
+
   RunTable table_{ RunTableOptions{} };
 };
 
@@ -259,7 +280,7 @@
 TEST_F(RunTableTest, RunsOfASilentOwnerAreStopped)
 {
   Start(1);
-  table_.Tick(At(700));
+  Tick(50, 700);
   EXPECT_TRUE(table_.TakeStops(At(700)).empty());
   table_.Tick(At(701));
   EXPECT_EQ(Stops(701), std::vector<RunKey>{ Key(0) });
@@ -271,6 +292,8 @@
 TEST_F(RunTableTest, WaitingRunsOfASilentOwnerNeverStart)
 {
   table_.OnOrders(kOwner, Orders(1), At(0));
+  Tick(50, 700);
+  ASSERT_EQ(table_.Size(), 1U);
   table_.Tick(At(701));
   EXPECT_TRUE(table_.TakeStarts(At(701)).empty());
   EXPECT_EQ(Reports().at(0).end_, RunEnd::NotStarted);
@@ -420,7 +443,7 @@
 
 TEST_F(StoredRunsTest, RunsAreStoppedAfterTheLeaderTimeout)
 {
-  Poll({ .running_ = { { Key(0) }, { Key(1) } } }, 2900);
+  PollOften({ .running_ = { { Key(0) }, { Key(1) } } }, 50, 2950);
   table_.Tick(At(2999));
   EXPECT_TRUE(table_.TakeStops(At(2999)).empty());
   table_.Tick(At(3000));
@@ -432,8 +455,7 @@
   const UpstreamPollResult pollResult{
     .running_ = { { Key(1) } }, .ended_ = { { 1, Key(0), RunEnd::Done } }
   };
-  Poll(pollResult, 10);
-  Poll(pollResult, 2990);
+  PollOften(pollResult, 10, 2990);
   table_.Tick(At(2999));
   EXPECT_TRUE(table_.MayExtendLease());
   table_.Tick(At(3000));
@@ -442,6 +464,7 @@
   EXPECT_FALSE(table_.MakeUpstreamReport(At(3000)).ready_);
   table_.OnOrders(kOther, Orders(1), At(3010));
   EXPECT_TRUE(table_.TakeStarts(At(3010)).empty()) << "would extend the lease";
+  Tick(3050, 4150);
   table_.Tick(At(4199));
   EXPECT_FALSE(table_.MayExtendLease());
   table_.Tick(At(4200));
@@ -455,8 +478,7 @@
 
 TEST_F(StoredRunsTest, ExtendsTheLeaseIfAllEndsAreAcknowledged)
 {
-  Poll({ .running_ = { { Key(0) }, { Key(1) } } }, 2990);
-  table_.Tick(At(3500));
+  PollOften({ .running_ = { { Key(0) }, { Key(1) } } }, 50, 3500);
   EXPECT_TRUE(table_.MayExtendLease());
 }
 
@@ -538,5 +560,119 @@
   EXPECT_EQ(table_.Size(), 1U);
 }
 
+/// A call that is the first one after the process was suspended.
+struct FirstCallCase
+{
+  const char* name_;
+  void (*call_)(RunTable&, MonoTime);
+};
+
+class FirstCallAfterSuspensionTest
+  : public RunTableTest
+  , public testing::WithParamInterface<FirstCallCase>
+{};
+
+// Meanwhile the entry may have taken these runs as lost and started them
+// elsewhere.
+TEST_P(FirstCallAfterSuspensionTest, StartsNothingThatWaitedThroughIt)
+{
+  table_.OnOrders(kOwner, Orders(5), At(0));
+  ASSERT_EQ(table_.TakeStarts(At(0)).size(), 4U);
+  table_.OnStartAnswer(Key(0), StartAnswer::Started, {}, At(1));
+  table_.OnStartAnswer(Key(1), StartAnswer::Started, {}, At(1));
+  table_.OnStartAnswer(Key(2), StartAnswer::Unknown, { Millis(250) }, At(1));
+  GetParam().call_(table_, At(602));
+  Poll(
+    { .running_ = { { Key(1) } }, .ended_ = { { 1, Key(0), RunEnd::Done } } },
+    603);
+  EXPECT_TRUE(table_.TakeStarts(At(603)).empty());
+  const auto reports = Reports();
+  EXPECT_TRUE(std::any_of(reports.begin(), reports.end(), [](const auto& aEnd) {
+    return aEnd.key_ == Key(4) && aEnd.end_ == RunEnd::NotStarted;
+  }));
+  const auto stops = Stops(760);
+  EXPECT_NE(std::find(stops.begin(), stops.end(), Key(1)), stops.end());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Calls,
+  FirstCallAfterSuspensionTest,
+  testing::Values(
+    FirstCallCase{ "upstream",
+                   [](RunTable& aTable, MonoTime aNow) {
+                     aTable.OnUpstream(Upstream(), aNow);
+                   } },
+    FirstCallCase{ "late_answer_of_another_incarnation",
+                   [](RunTable& aTable, MonoTime aNow) {
+                     aTable.OnUpstreamReplaced(0, aNow);
+                   } },
+    FirstCallCase{
+      "operator",
+      [](RunTable& aTable, MonoTime aNow) { aTable.SetClosed(false, aNow); } },
+    FirstCallCase{ "owner_linked",
+                   [](RunTable& aTable, MonoTime aNow) {
+                     aTable.OnOwnerLinked(kOwner, aNow);
+                   } },
+    FirstCallCase{ "owner_heard",
+                   [](RunTable& aTable, MonoTime aNow) {
+                     aTable.OnOwnerHeard(kOwner, aNow);
+                   } },
+    FirstCallCase{ "take_over",
+                   [](RunTable& aTable, MonoTime aNow) {
+                     aTable.OnTakeOver(kOther, 1, aNow);
+                   } },
+    FirstCallCase{ "orders",
+                   [](RunTable& aTable, MonoTime aNow) {
+                     aTable.OnOrders(kOther, Orders(1), aNow);
+                   } },
+    FirstCallCase{ "stop",
+                   [](RunTable& aTable, MonoTime aNow) {
+                     aTable.OnStop(kOwner, {}, aNow);
+                   } },
+    FirstCallCase{ "starts",
+                   [](RunTable& aTable, MonoTime aNow) {
+                     EXPECT_TRUE(aTable.TakeStarts(aNow).empty());
+                   } },
+    FirstCallCase{ "start_answer",
+                   [](RunTable& aTable, MonoTime aNow) {
+                     aTable.OnStartAnswer(
+                       Key(3), StartAnswer::DeadlinePassed, {}, aNow);
+                   } },
+    FirstCallCase{ "poll_result",
+                   [](RunTable& aTable, MonoTime aNow) {
+                     aTable.OnPollResult(aTable.BeginPoll(), {}, aNow);
+                   } },
+    FirstCallCase{ "tick",
+                   [](RunTable& aTable, MonoTime aNow) { aTable.Tick(aNow); } },
+    FirstCallCase{
+      "stops",
+      [](RunTable& aTable, MonoTime aNow) { aTable.TakeStops(aNow); } }),
+  [](const auto& aInfo) { return std::string(aInfo.param.name_); });
+
+// Nobody knows how long they waited in the buffer of the link.
+TEST_F(RunTableTest, OrdersThatAreReadRightAfterASuspensionAreRefused)
+{
+  table_.Tick(At(0));
+  table_.OnOwnerHeard(kOwner, At(601));
+  table_.OnOrders(kOwner, Orders(1), At(601));
+  EXPECT_TRUE(table_.TakeStarts(At(601)).empty());
+  ASSERT_EQ(table_.Size(), 0U);
+  EXPECT_EQ(Reports().at(0).end_, RunEnd::NotStarted);
+  table_.OnOrders(kOwner, Orders(1), At(602));
+  EXPECT_EQ(table_.TakeStarts(At(602)).size(), 1U);
+}
+
+TEST_F(RunTableTest, ReportsASuspensionOnceAndOnlyBeyondTheThreshold)
+{
+  Start(2);
+  EXPECT_FALSE(table_.TakeSuspension(At(601)));
+  table_.Tick(At(1202));
+  const auto suspension = table_.TakeSuspension(At(1210));
+  ASSERT_TRUE(suspension);
+  EXPECT_EQ(suspension->length_, Millis(601));
+  EXPECT_EQ(suspension->runs_, 2U);
+  EXPECT_FALSE(table_.TakeSuspension(At(1210)));
+}
+
 } // namespace
 } // namespace cornelfront
