Check the start timeout and the owner's silence where runs are started

What callers would see: a task runs twice at the same time. A run that had waited in a sidecar for longer than its order allows, or whose entry had been silent for over 700 ms (3 s for stored jobs), could still be started, and an unanswered start be repeated with a new deadline, by a message that was handled before the next tick, at most 50 ms later. The entry counts from the loss of the link, not from that tick.

Cause: only RunTable::Tick compared with these bounds; TakeStarts, which acts, did not.

TakeStarts now applies both before it returns anything. An unanswered start is not repeated after the start timeout; the run stays until the upstream's clock has passed the deadline of its last order. JobSidecar no longer needs the tick after each order that was to return too old ones.

Evidence, failed before: RunTableTest. NothingStartsAfterItsStartTimeoutEvenBeforeATick ("run_table_test.cpp:693: Value of: table_.TakeStarts(At(1000)).empty() Actual: false"), NothingStartsForASilentOwnerEvenBeforeATick (":703: Value of: table_.TakeStarts(At(701)).empty() Actual: false"), AnUnansweredStartIsNotRepeatedAfterItsStartTimeout (":716: Value of: table_.TakeStarts(At(1000)).empty() Actual: false").

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -210,7 +210,8 @@
   /// before must be closed, since orders in their buffers may be of any age.
   std::optional<Suspension> TakeSuspension(MonoTime aNow);
 
-  /// Returns the runs to start now, in order.
+  /// Returns the runs to start now, in order. None is older than its order's
+  /// start timeout or has an owner that has been silent for too long.
   std::vector<StartRequest> TakeStarts(MonoTime aNow);
   /// \p aDeadline is the order's deadline on the upstream's clock.
   void OnStartAnswer(const RunKey& aKey,
@@ -344,6 +345,8 @@
   Runs::iterator FindUpstreamRun(const RunKey& aKey);
   std::vector<Runs::iterator> WaitingInOrder(MonoTime aNow);
   bool MayStart(MonoTime aNow) const;
+  /// Returns waiting runs whose time to start has passed.
+  void ReturnLate(MonoTime aNow);
   /// Returns waiting runs that were ordered only for free resources.
   void ReturnWaiting(MonoTime aNow);
   void CheckStall(const RunKey& aKey,
--- a/src/libcornelfront/job_sidecar_entries.cpp
+++ b/src/libcornelfront/job_sidecar_entries.cpp
@@ -119,7 +119,6 @@
   owner.ordersReceived_ += orders.runs_.size();
   owner.reportSchedule_.OnOrders(aNow);
   table_.OnOrders(aEntry, orders, aNow);
-  table_.Tick(aNow);
 }
 
 void
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -234,6 +234,8 @@
 RunTable::TakeStarts(MonoTime aNow)
 {
   DetectSuspension(aNow);
+  CheckOwners(aNow);
+  ReturnLate(aNow);
   std::vector<StartRequest> starts;
   if (!MayStart(aNow)) {
     ReturnWaiting(aNow);
@@ -242,7 +244,8 @@
   // The upstream starts a run once even if it gets the same order twice.
   for (auto run = runs_.begin(); run != runs_.end(); ++run) {
     if (run->second.state_ == State::Uncertain && !run->second.stop_ &&
-        run->second.unanswered_ <= options_.maxStartRepeats_) {
+        run->second.unanswered_ <= options_.maxStartRepeats_ &&
+        aNow < run->second.startBy_) {
       SendStart(run, starts);
     }
   }
@@ -359,6 +362,12 @@
   if (upstream_ && Since(upstreamHeardAt_, aNow) > options_.upstreamTimeout_) {
     FinishAll(RunEnd::Lost, aNow);
   }
+  ReturnLate(aNow);
+}
+
+void
+RunTable::ReturnLate(MonoTime aNow)
+{
   for (auto run = runs_.begin(); run != runs_.end();) {
     const bool late =
       run->second.state_ == State::Waiting && aNow >= run->second.startBy_;
--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -88,6 +88,14 @@
     table_.OnPollResult(begin, aPollResult, At(aMs));
   }
 
+  /// The upstream refuses the starts of these runs.
+  void Refuse(uint32_t aFirst, uint32_t aEnd, int aMs)
+  {
+    for (uint32_t i = aFirst; i < aEnd; ++i) {
+      table_.OnStartAnswer(Key(i), StartAnswer::Refused, {}, At(aMs));
+    }
+  }
+
   /// Ticks as a running process does, from and up to these times.
   void Tick(int aFirstMs, int aLastMs)
   {
@@ -674,5 +682,42 @@
   EXPECT_FALSE(table_.TakeSuspension(At(1210)));
 }
 
+TEST_F(RunTableTest, NothingStartsAfterItsStartTimeoutEvenBeforeATick)
+{
+  table_.OnOrders(kOwner, Orders(5), At(0));
+  ASSERT_EQ(table_.TakeStarts(At(0)).size(), 4U);
+  for (int ms = 500; ms <= 1000; ms += 500) {
+    table_.OnOwnerHeard(kOwner, At(ms));
+  }
+  Refuse(0, 4, 1000);
+  EXPECT_TRUE(table_.TakeStarts(At(1000)).empty());
+  EXPECT_EQ(Reports().size(), 5U);
+}
+
+TEST_F(RunTableTest, NothingStartsForASilentOwnerEvenBeforeATick)
+{
+  table_.OnOrders(kOwner, Orders(5), At(0));
+  ASSERT_EQ(table_.TakeStarts(At(0)).size(), 4U);
+  Refuse(0, 3, 500);
+  table_.OnStartAnswer(Key(3), StartAnswer::Unknown, { Millis(250) }, At(500));
+  EXPECT_TRUE(table_.TakeStarts(At(701)).empty());
+  EXPECT_EQ(Stops(701), std::vector<RunKey>{ Key(3) });
+  EXPECT_EQ(Reports().size(), 4U);
+}
+
+TEST_F(RunTableTest, AnUnansweredStartIsNotRepeatedAfterItsStartTimeout)
+{
+  table_.OnOrders(kOwner, Orders(1), At(0));
+  ASSERT_EQ(table_.TakeStarts(At(0)).size(), 1U);
+  for (int ms = 500; ms <= 1000; ms += 500) {
+    table_.OnOwnerHeard(kOwner, At(ms));
+  }
+  table_.OnStartAnswer(Key(0), StartAnswer::Unknown, { Millis(250) }, At(999));
+  EXPECT_TRUE(table_.TakeStarts(At(1000)).empty());
+  EXPECT_TRUE(Reports().empty()) << "the order may still be carried out";
+  Poll({ .clock_ = { Millis(251) } }, 1010);
+  EXPECT_EQ(Reports().at(0).end_, RunEnd::NotStarted);
+}
+
 } // namespace
 } // namespace cornelfront
