Count suspensions of the machine in the age of an order

What callers would see: a task runs twice at the same time. An order that waited in the buffer of a sidecar's link while its machine was suspended looked fresh and was carried out, although it may have been under way for more than the second that is allowed.

Cause: the stamps that give the age were from the monotonic clock, which stands still meanwhile.

Only the process that made a stamp ever compares it; the other side sends it back unread. The processes entry and sidecar keep the monotonic clock for their stamps, since StartGate compares echoes with it; their clocks are never mixed. No format changes.

No test suspends a machine.

--- a/src/include/cornelfront/link.h
+++ b/src/include/cornelfront/link.h
@@ -75,6 +75,9 @@
   std::function<ConfigEvidence(MonoTime aNow)> evidence_;
   /// Returns the hybrid clock stamp of an outgoing message.
   std::function<uint64_t(WallTime aNow)> hybridStamp_;
+  /// Clock of the stamps of outgoing messages. Their echoes may be compared
+  /// only with times of the same clock.
+  MonoTime (*stampClock_)() = &MonoClock::now;
   /// Called for each message sent or received, with its size on the wire.
   std::function<void(const Message&, size_t aBytes, bool aSent)> onTraffic_;
 };
--- a/src/include/cornelfront/messages.h
+++ b/src/include/cornelfront/messages.h
@@ -331,8 +331,8 @@
   uint64_t sequence_ = 0;
   /// Stamp of the sender's hybrid clock.
   uint64_t hybridStamp_ = 0;
-  /// Time of sending on the sender's monotonic clock, in nanoseconds. Opaque to
-  /// the receiver, which sends it back as echo_.
+  /// Time of sending on the sender's LinkHandlers::stampClock_, in nanoseconds.
+  /// Opaque to the receiver, which sends it back as echo_.
   int64_t stamp_ = 0;
   /// Newest stamp_ received from the other side; 0 if none.
   int64_t echo_ = 0;
--- a/src/libcornelfront/job_sidecar_entries.cpp
+++ b/src/libcornelfront/job_sidecar_entries.cpp
@@ -3,6 +3,8 @@
 
 #include "job_sidecar_pvt.h"
 
+#include "job_links_pvt.h"
+
 #include <glog/logging.h>
 
 namespace cornelfront {
@@ -12,15 +14,6 @@
 /// carried out.
 constexpr Millis kMaxOrderAge{ 1000 };
 
-Millis
-AgeOf(int64_t aStamp, MonoTime aNow)
-{
-  const auto now = std::chrono::duration_cast<std::chrono::nanoseconds>(
-    aNow.time_since_epoch());
-  return std::chrono::duration_cast<Millis>(now -
-                                            std::chrono::nanoseconds(aStamp));
-}
-
 } // namespace
 
 LinkPtr
@@ -109,7 +102,7 @@
 JobSidecar::Impl::OnOrders(MemberId aEntry, Envelope& aEnvelope, MonoTime aNow)
 {
   auto& orders = std::get<StartRuns>(aEnvelope.message_);
-  const Millis age = AgeOf(aEnvelope.echo_, MonoClock::now());
+  const Millis age = MaxAgeOf(aEnvelope, aNow);
   if (age > kMaxOrderAge) {
     LOG(WARNING) << "orders job=" << orders.job_ << " age_ms=" << age.count()
                  << " outcome=too_old";
--- a/src/libcornelfront/net/link.cpp
+++ b/src/libcornelfront/net/link.cpp
@@ -152,7 +152,7 @@
   Envelope envelope;
   envelope.sequence_ = ++sentSequence_;
   envelope.hybridStamp_ = handlers_->hybridStamp_(WallClock::now());
-  envelope.stamp_ = ToStamp(aNow);
+  envelope.stamp_ = ToStamp(handlers_->stampClock_());
   envelope.echo_ = newestStamp_;
   envelope.evidence_ = handlers_->evidence_(aNow);
   envelope.message_ = std::move(aMessage);
