Place no stored task after a suspension before authority is confirmed

What callers would see: a stored task runs twice at the same time, if a leader that stood still for longer than its authority lasts wakes, and a sidecar that does not know the next leader obeys it. It placed stored tasks in the first report or configuration that it handled.

Cause: JobScheduler::hasAuthority_ is a flag that only StoredJobs::Tick clears, each 25 ms, while every handler that places tasks reads it.

After a suspension JobScheduler takes the flag as unconfirmed until the next SetAuthority, which Tick calls with the time compared anew.

Evidence: StoredJobTest. AfterASuspensionNothingStartsUntilAuthorityIsConfirmed failed before ("job_scheduler_test.cpp:782: Take().Runs() Which is: 1, expected 0"). It passes now; core_test has no failure but the known CallerContract.RefusesANulInAKey. Authority that ends without a suspension is still noticed up to 25 ms late.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -572,6 +572,8 @@
   /// Term of this process as leader; 0 while another process leads.
   uint64_t term_ = 0;
   bool hasAuthority_ = false;
+  /// There was a suspension since authority was last confirmed.
+  bool authorityUnconfirmed_ = false;
   bool takingOver_ = false;
   Sidecars sidecars_;
   std::set<std::string> zonesOut_;
--- a/src/libcornelfront/policy/job_placement.cpp
+++ b/src/libcornelfront/policy/job_placement.cpp
@@ -41,8 +41,8 @@
 bool
 JobScheduler::MayPlace(const Job& aJob) const
 {
-  return !aJob.stored_ ||
-         (hasAuthority_ && !(takingOver_ && aJob.fromEarlierLeader_));
+  return !aJob.stored_ || (hasAuthority_ && !authorityUnconfirmed_ &&
+                           !(takingOver_ && aJob.fromEarlierLeader_));
 }
 
 void
--- a/src/libcornelfront/policy/job_scheduler.cpp
+++ b/src/libcornelfront/policy/job_scheduler.cpp
@@ -331,6 +331,7 @@
   if (!suspended) {
     return;
   }
+  authorityUnconfirmed_ = true;
   std::vector<JobInstance> ids;
   for (const auto& [id, job] : jobs_) {
     if (!job.stored_) {
--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -772,6 +772,18 @@
   EXPECT_EQ(Take().Runs(), 1U);
 }
 
+// Another process may lead by now.
+TEST_F(StoredJobTest, AfterASuspensionNothingStartsUntilAuthorityIsConfirmed)
+{
+  Restore(Job());
+  const SortedActions sent = Take();
+  ASSERT_EQ(sent.Runs(), 1U);
+  Report(sent.runs_[0].sidecar_, key_, RunEnd::Stopped, 601);
+  EXPECT_EQ(Take().Runs(), 0U);
+  scheduler_.SetAuthority(true, At(610));
+  EXPECT_EQ(Take().Runs(), 1U);
+}
+
 TEST_F(StoredJobTest, StopsARestartedTaskWhoseEarlierRunWasDone)
 {
   Restore(Job());
--- a/src/libcornelfront/policy/job_stored.cpp
+++ b/src/libcornelfront/policy/job_stored.cpp
@@ -54,7 +54,9 @@
 JobScheduler::SetAuthority(bool aHasAuthority, MonoTime aNow)
 {
   DetectSuspension(aNow);
-  if (hasAuthority_ == aHasAuthority || term_ == 0) {
+  const bool confirmed = std::exchange(authorityUnconfirmed_, false);
+  const bool same = hasAuthority_ == aHasAuthority;
+  if (term_ == 0 || (same && !(confirmed && hasAuthority_))) {
     return;
   }
   hasAuthority_ = aHasAuthority;
