Ignore the late deregistration of an earlier incarnation

Callers could see two runs of one task: a sidecar reported all runs on its upstream as lost, and entries started them elsewhere, while the upstream went on with them.

Cause: a deregistration was matched by the executor's id alone. An executor may start again under its id, and a call that a cut has held up may arrive after the new incarnation has registered. A body that could not be read counted as well.

Change: the call's start time is parsed into UpstreamDeparture, and RunTable ignores the call unless both id and start time are those of the current incarnation. Without a start time the id decides, as before; a body that is malformed (an empty one is not) is answered 400 and ignored. Both cases have a log line with the incarnations compared.

Evidence: with the comparison by id alone, RunTableTest.ALateDeregistrationOfAnEarlierIncarnationEndsNoRun failed with "table_.OnUpstreamLeft(...) Actual: true Expected: false" and "table_.Size() Which is: 0".

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -39,6 +39,14 @@
   bool draining_ = false;
 };
 
+/// An upstream's announcement that it ends.
+struct UpstreamDeparture
+{
+  std::string id_;
+  /// UpstreamInfo::startedMs_ of the incarnation that ends, if it was given.
+  std::optional<int64_t> startedMs_;
+};
+
 /// The upstream's answer to an order to start a run.
 enum class StartAnswer : uint8_t
 {
@@ -139,8 +147,11 @@
   /// The upstream has sent a heartbeat. A new incarnation ends all runs of the
   /// previous one.
   void OnUpstream(const UpstreamInfo& aInfo, MonoTime aNow);
-  /// The upstream has deregistered or is known to be dead.
+  /// The upstream is known to be dead.
   void OnUpstreamGone(MonoTime aNow);
+  /// An incarnation has deregistered. Returns false if it is not the current
+  /// one, whose runs then stay as they are.
+  bool OnUpstreamLeft(const UpstreamDeparture& aDeparture, MonoTime aNow);
   /// A poll was answered by another incarnation. Returns false if the poll was
   /// meant for an incarnation that is no longer current.
   bool OnUpstreamReplaced(uint64_t aPollNumber, MonoTime aNow);
--- a/src/libcornelfront/job_sidecar.cpp
+++ b/src/libcornelfront/job_sidecar.cpp
@@ -67,7 +67,10 @@
           [this](const platform::Heartbeat& aHeartbeat) {
             OnHeartbeat(aHeartbeat);
           },
-        .onLeave_ = [this](const std::string& aId) { OnUpstreamLeft(aId); } }));
+        .onLeave_ =
+          [this](const UpstreamDeparture& aDeparture) {
+            OnUpstreamLeft(aDeparture);
+          } }));
   store_ = std::make_unique<platform::StoreClient>(loop, settings_.store_);
   Register();
   operatorReader_ = std::make_unique<platform::TopicReader>(
--- a/src/libcornelfront/job_sidecar_pvt.h
+++ b/src/libcornelfront/job_sidecar_pvt.h
@@ -52,7 +52,7 @@
   void DetectSuspension(MonoTime aNow);
   void StartConnecting(MonoTime aNow);
   void OnHeartbeat(const platform::Heartbeat& aHeartbeat);
-  void OnUpstreamLeft(const std::string& aId);
+  void OnUpstreamLeft(const UpstreamDeparture& aDeparture);
   void OnOperatorRecords(const platform::TopicReader::Records& aRecords);
   LinkPtr OnConnect(asio::ip::tcp::socket aSocket);
   void OnMessage(const LinkPtr& aLink, Envelope& aEnvelope);
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -70,13 +70,18 @@
 }
 
 void
-JobSidecar::Impl::OnUpstreamLeft(const std::string& aId)
+JobSidecar::Impl::OnUpstreamLeft(const UpstreamDeparture& aDeparture)
 {
-  const auto& known = table_.Upstream();
-  if (known && known->id_ == aId) {
-    LOG(INFO) << "upstream id=" << aId << " outcome=left";
-    const MonoTime now = BootNow();
-    table_.OnUpstreamGone(now);
+  const MonoTime now = BootNow();
+  const auto known = table_.Upstream();
+  const bool left = table_.OnUpstreamLeft(aDeparture, now);
+  LOG(INFO) << "upstream id=" << aDeparture.id_ << " born="
+            << (aDeparture.startedMs_ ? std::to_string(*aDeparture.startedMs_)
+                                      : "absent")
+            << " current=" << (known ? known->id_ : "none")
+            << " current_born=" << (known ? known->startedMs_ : 0)
+            << " outcome=" << (left ? "left" : "left_before");
+  if (left) {
     SendPending(now);
     SendStatus(now);
   }
--- a/src/libcornelfront/platform/executor_client.cpp
+++ b/src/libcornelfront/platform/executor_client.cpp
@@ -191,6 +191,20 @@
   return heartbeat;
 }
 
+UpstreamDeparture
+ParseDeparture(const std::string& aId, std::string_view aBody)
+{
+  UpstreamDeparture departure{ .id_ = aId };
+  if (aBody.empty()) {
+    return departure;
+  }
+  const json body = ParseObject(aBody);
+  if (FindField(body, "born") != nullptr) {
+    departure.startedMs_ = IntegerField(body, "born", 0);
+  }
+  return departure;
+}
+
 ExecutorClient::ExecutorClient(asio::io_context& aLoop,
                                const Endpoint& aExecutor)
   : base_("http://" + aExecutor.host_ + ":" + std::to_string(aExecutor.port_))
--- a/src/libcornelfront/platform/executor_client.h
+++ b/src/libcornelfront/platform/executor_client.h
@@ -28,6 +28,11 @@
 Heartbeat
 ParseHeartbeat(const std::string& aId, std::string_view aBody);
 
+/// Parses the deregistration of the executor \p aId; its body may be empty.
+/// \throws WireFormatError if the body is malformed
+UpstreamDeparture
+ParseDeparture(const std::string& aId, std::string_view aBody);
+
 /// Outcome of polling the executor.
 enum class PollOutcome : uint8_t
 {
--- a/src/libcornelfront/platform/heartbeat_api.cpp
+++ b/src/libcornelfront/platform/heartbeat_api.cpp
@@ -47,6 +47,21 @@
   }
 }
 
+HttpResponse
+HandleDeparture(const HeartbeatHooks& aHooks,
+                const std::string& aId,
+                const std::string& aBody)
+{
+  try {
+    aHooks.onLeave_(ParseDeparture(aId, aBody));
+    return Answer(200);
+  } catch (const WireFormatError& error) {
+    LOG(WARNING) << "deregistration upstream=" << aId
+                 << " outcome=malformed reason=\"" << error.what() << "\"";
+    return Answer(kStatusBadRequest);
+  }
+}
+
 } // namespace
 
 HttpHandler
@@ -62,8 +77,7 @@
     } else if (!heartbeatId.empty()) {
       aReply.Send(HandleHeartbeat(hooks, heartbeatId, aRequest.body_));
     } else {
-      hooks.onLeave_(leavingId);
-      aReply.Send(Answer(200));
+      aReply.Send(HandleDeparture(hooks, leavingId, aRequest.body_));
     }
   };
 }
--- a/src/libcornelfront/platform/heartbeat_api.h
+++ b/src/libcornelfront/platform/heartbeat_api.h
@@ -7,19 +7,18 @@
 #include "platform/executor_client.h"
 
 #include <functional>
-#include <string>
 
 namespace cornelfront::platform {
 
 struct HeartbeatHooks
 {
   std::function<void(const Heartbeat&)> onHeartbeat_;
-  /// Called when the executor with this id deregisters.
-  std::function<void(const std::string& aId)> onLeave_;
+  /// Called when an executor deregisters.
+  std::function<void(const UpstreamDeparture&)> onLeave_;
 };
 
 /// Returns a handler that decodes heartbeats and deregistrations. A malformed
-/// heartbeat is logged and answered with status 400.
+/// one is logged, answered with status 400 and otherwise ignored.
 HttpHandler
 HeartbeatHandler(HeartbeatHooks aHooks);
 
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -57,6 +57,18 @@
   upstream_.reset();
 }
 
+bool
+RunTable::OnUpstreamLeft(const UpstreamDeparture& aDeparture, MonoTime aNow)
+{
+  if (!upstream_ || upstream_->id_ != aDeparture.id_ ||
+      aDeparture.startedMs_.value_or(upstream_->startedMs_) !=
+        upstream_->startedMs_) {
+    return false;
+  }
+  OnUpstreamGone(aNow);
+  return true;
+}
+
 bool
 RunTable::OnUpstreamReplaced(uint64_t aPollNumber, MonoTime aNow)
 {
--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -529,5 +529,35 @@
   EXPECT_EQ(table_.Size(), 1U);
 }
 
+// A cut had held the call up until the executor had started again under its id.
+TEST_F(RunTableTest, ALateDeregistrationOfAnEarlierIncarnationEndsNoRun)
+{
+  table_.OnUpstream(Upstream(2), At(0));
+  Start(1);
+  EXPECT_FALSE(table_.OnUpstreamLeft({ .id_ = "u1", .startedMs_ = 1 }, At(10)));
+  EXPECT_TRUE(Reports().empty());
+  EXPECT_EQ(table_.Size(), 1U);
+  EXPECT_TRUE(table_.HasUpstream());
+}
+
+TEST_F(RunTableTest, ADeregistrationEndsTheRunsOfItsIncarnation)
+{
+  Start(2);
+  EXPECT_FALSE(table_.OnUpstreamLeft({ .id_ = "u2", .startedMs_ = 1 }, At(10)));
+  EXPECT_EQ(table_.Size(), 2U);
+  EXPECT_TRUE(table_.OnUpstreamLeft({ .id_ = "u1", .startedMs_ = 1 }, At(20)));
+  EXPECT_EQ(Reports().size(), 2U);
+  EXPECT_FALSE(table_.HasUpstream());
+}
+
+TEST_F(RunTableTest, ADeregistrationWithoutAStartTimeIsMatchedById)
+{
+  Start(1);
+  EXPECT_FALSE(table_.OnUpstreamLeft({ .id_ = "u2" }, At(10)));
+  EXPECT_EQ(table_.Size(), 1U);
+  EXPECT_TRUE(table_.OnUpstreamLeft({ .id_ = "u1" }, At(20)));
+  EXPECT_EQ(Reports().at(0).end_, RunEnd::Lost);
+}
+
 } // namespace
 } // namespace cornelfront
