End the runs of a silent upstream on a heartbeat only with proof

Callers could see two runs of one task: a sidecar reported the runs of a living upstream as lost, and entries started them elsewhere.

Cause: a heartbeat of an incarnation with an earlier start time was taken as a replacement once the current one had not answered for 600 ms, and one of another id with the same start time at once. Such a heartbeat may come from before: a cut can hold it up until a new incarnation has registered. The current one, cut off or slow, still holds a lease that ends later than after 600 ms.

Change: the decision is RunTable::IdentifySender. Incarnations at one address follow each other, so a later start time proves that the current one is gone and counts at once. Any other start time counts only after upstreamTimeout_ without an answer, when the runs are given up in any case. If the time of day was set back between two starts, a poll that the newer one answers tells at once, as before. The log line has the start times and the silence that were compared.

Evidence: with the old rule RunTableTest.ALateHeartbeatOfAnEarlierIncarnationEndsNoRunBeforeTheLease failed with "table_.IdentifySender(Upstream(1), At(ms)) Which is: 1-byte object <01>" (Successor) at 700 and 1610 ms, and AnEqualStartTimeUnderAnotherIdIsNoProofOfAReplacement likewise at 10 ms.

Remaining: a late heartbeat of an earlier incarnation whose start time is later than that of the current one, which needs a time of day that was set back between their starts.

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -39,6 +39,18 @@
   bool draining_ = false;
 };
 
+/// The sender of a heartbeat, compared with the current upstream.
+enum class HeartbeatSender : uint8_t
+{
+  /// The current incarnation.
+  Current,
+  /// The incarnation that becomes the current one, because there is none or it
+  /// is known to be gone.
+  Successor,
+  /// Another incarnation, which may be an earlier one.
+  Outdated,
+};
+
 /// An upstream's announcement that it ends.
 struct UpstreamDeparture
 {
@@ -144,8 +156,15 @@
 public:
   explicit RunTable(RunTableOptions aOptions);
 
-  /// The upstream has sent a heartbeat. A new incarnation ends all runs of the
-  /// previous one.
+  /// Decides how to take a heartbeat, which may have been under way for long.
+  /// At one address there is one incarnation at a time, so a later start time
+  /// proves that the current one is gone. An earlier one proves nothing, as the
+  /// time of day may have been set back; it counts only once the lease of an
+  /// upstream that does not answer has expired.
+  HeartbeatSender IdentifySender(const UpstreamInfo& aInfo,
+                                 MonoTime aNow) const;
+  /// A heartbeat of the current incarnation or a successor has arrived. A new
+  /// incarnation ends all runs of the previous one.
   void OnUpstream(const UpstreamInfo& aInfo, MonoTime aNow);
   /// The upstream is known to be dead.
   void OnUpstreamGone(MonoTime aNow);
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -31,18 +31,23 @@
 {
   const MonoTime now = BootNow();
   const auto& known = table_.Upstream();
-  const bool same = known && known->id_ == aHeartbeat.info_.id_ &&
-                    known->startedMs_ == aHeartbeat.info_.startedMs_;
+  const HeartbeatSender sender = table_.IdentifySender(aHeartbeat.info_, now);
+  const bool same = sender == HeartbeatSender::Current;
   if (same && aHeartbeat.sequence_ <= lastHeartbeat_) {
     LOG(WARNING) << "heartbeat upstream=" << aHeartbeat.info_.id_
                  << " sequence=" << aHeartbeat.sequence_
                  << " newest=" << lastHeartbeat_ << " outcome=ignored";
     return;
   }
-  if (known && !same && aHeartbeat.info_.startedMs_ < known->startedMs_ &&
-      now - table_.UpstreamHeardAt() < kSuspensionThreshold) {
+  if (sender == HeartbeatSender::Outdated) {
     LOG(WARNING) << "heartbeat upstream=" << aHeartbeat.info_.id_
-                 << " current=" << known->id_ << " outcome=outdated";
+                 << " born=" << aHeartbeat.info_.startedMs_
+                 << " current=" << known->id_
+                 << " current_born=" << known->startedMs_ << " silent_ms="
+                 << std::chrono::duration_cast<Millis>(now -
+                                                       table_.UpstreamHeardAt())
+                      .count()
+                 << " outcome=outdated";
     return;
   }
   lastHeartbeat_ = aHeartbeat.sequence_;
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -29,11 +29,28 @@
 {
 }
 
+HeartbeatSender
+RunTable::IdentifySender(const UpstreamInfo& aInfo, MonoTime aNow) const
+{
+  if (!upstream_) {
+    return HeartbeatSender::Successor;
+  }
+  if (upstream_->id_ == aInfo.id_ &&
+      upstream_->startedMs_ == aInfo.startedMs_) {
+    return HeartbeatSender::Current;
+  }
+  const bool later = aInfo.startedMs_ > upstream_->startedMs_;
+  const bool leaseExpired =
+    Since(upstreamHeardAt_, aNow) > options_.upstreamTimeout_;
+  return later || leaseExpired ? HeartbeatSender::Successor
+                               : HeartbeatSender::Outdated;
+}
+
 void
 RunTable::OnUpstream(const UpstreamInfo& aInfo, MonoTime aNow)
 {
-  const bool sameIncarnation = upstream_ && upstream_->id_ == aInfo.id_ &&
-                               upstream_->startedMs_ == aInfo.startedMs_;
+  const bool sameIncarnation =
+    IdentifySender(aInfo, aNow) == HeartbeatSender::Current;
   if (!sameIncarnation) {
     FinishAll(RunEnd::Lost, aNow);
     orphans_.clear();
--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -559,5 +559,55 @@
   EXPECT_EQ(Reports().at(0).end_, RunEnd::Lost);
 }
 
+// The current incarnation answers nothing, but its runs go on until their lease
+// ends.
+TEST_F(RunTableTest,
+       ALateHeartbeatOfAnEarlierIncarnationEndsNoRunBeforeTheLease)
+{
+  table_.OnUpstream(Upstream(2), At(0));
+  Start(1);
+  Poll({ .running_ = { { Key(0) } } }, 10);
+  for (const int ms : { 20, 600, 700, 1610 }) {
+    EXPECT_EQ(table_.IdentifySender(Upstream(1), At(ms)),
+              HeartbeatSender::Outdated)
+      << ms;
+  }
+  // By then the runs have been given up for the lease's sake.
+  EXPECT_EQ(table_.IdentifySender(Upstream(1), At(1611)),
+            HeartbeatSender::Successor);
+  table_.OnOwnerHeard(kOwner, At(1611));
+  table_.Tick(At(1611));
+  EXPECT_EQ(Reports().at(0).end_, RunEnd::Lost);
+}
+
+TEST_F(RunTableTest, AnEqualStartTimeUnderAnotherIdIsNoProofOfAReplacement)
+{
+  UpstreamInfo other = Upstream(1);
+  other.id_ = "u2";
+  EXPECT_EQ(table_.IdentifySender(other, At(10)), HeartbeatSender::Outdated);
+  EXPECT_EQ(table_.IdentifySender(other, At(1601)), HeartbeatSender::Successor);
+}
+
+TEST_F(RunTableTest, ALaterStartTimeReplacesTheIncarnationAtOnce)
+{
+  EXPECT_EQ(table_.IdentifySender(Upstream(1), At(10)),
+            HeartbeatSender::Current);
+  EXPECT_EQ(table_.IdentifySender(Upstream(2), At(10)),
+            HeartbeatSender::Successor);
+  UpstreamInfo other = Upstream(2);
+  other.id_ = "u2";
+  EXPECT_EQ(table_.IdentifySender(other, At(10)), HeartbeatSender::Successor);
+}
+
+// The time of day was set back between the starts, and the poll tells.
+TEST_F(RunTableTest,
+       AnEarlierStartTimeCountsAtOnceWhenTheUpstreamIsKnownToBeGone)
+{
+  table_.OnUpstream(Upstream(2), At(0));
+  ASSERT_TRUE(table_.OnUpstreamReplaced(table_.BeginPoll(), At(10)));
+  EXPECT_EQ(table_.IdentifySender(Upstream(1), At(11)),
+            HeartbeatSender::Successor);
+}
+
 } // namespace
 } // namespace cornelfront
