Keep runs that a restarted upstream may have taken until it tells

Callers could see two runs of one task on an executor that had crashed and started again under its id, and on another one.

Cause: the executor's id and the fence keep orders for an earlier incarnation away only once the executor has seen a call with its new start time. Until then it has no fence, its id is the same, and an order's deadline lies far ahead on its new clock. So it takes what the sidecar orders before it has noticed the restart. The poll that noticed it, or the heartbeat, then ended all runs as lost and the entry started them elsewhere at once. On the restarted executor they went on as orphans until a poll found and stopped them.

Change: a run remains in the table if its order was answered after the last answered poll was begun, or had no answer at some time. The first poll with the new start time raises the fence and lists what has been taken: the run goes on, or is reported as lost. Without such a poll, runs are given up upstreamTimeout_ after the change was noticed. All others end at once as before, also if the new executor has another id (status 421), since it then refuses the earlier one's orders. The log line says which it was and how many runs are kept.

Not closed: an order without an answer that was given up when its deadline had passed on the earlier clock may still be taken by a restarted executor before its first poll. If the time of day was set back between the starts, the new start time is no fence against earlier orders.

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -51,6 +51,16 @@
   Outdated,
 };
 
+/// The incarnation that answers in place of the current one.
+enum class Replacement : uint8_t
+{
+  /// It has another id and refuses all orders for the current one.
+  OtherId,
+  /// It has the same id. Until it has answered a call with its own start time,
+  /// it may carry out orders that were meant for the current one.
+  SameId,
+};
+
 /// An upstream's announcement that it ends.
 struct UpstreamDeparture
 {
@@ -164,7 +174,8 @@
   HeartbeatSender IdentifySender(const UpstreamInfo& aInfo,
                                  MonoTime aNow) const;
   /// A heartbeat of the current incarnation or a successor has arrived. A new
-  /// incarnation ends all runs of the previous one.
+  /// incarnation ends all runs of the previous one, but a run that the new one
+  /// may have started instead remains until the next poll tells.
   void OnUpstream(const UpstreamInfo& aInfo, MonoTime aNow);
   /// The upstream is known to be dead.
   void OnUpstreamGone(MonoTime aNow);
@@ -172,8 +183,12 @@
   /// one, whose runs then stay as they are.
   bool OnUpstreamLeft(const UpstreamDeparture& aDeparture, MonoTime aNow);
   /// A poll was answered by another incarnation. Returns false if the poll was
-  /// meant for an incarnation that is no longer current.
-  bool OnUpstreamReplaced(uint64_t aPollNumber, MonoTime aNow);
+  /// meant for an incarnation that is no longer current. Runs that the other
+  /// one may have started remain until its first poll tells, or as long as a
+  /// lease takes to expire.
+  bool OnUpstreamReplaced(uint64_t aPollNumber,
+                          Replacement aReplacement,
+                          MonoTime aNow);
   /// While closed, no run starts, and waiting runs are reported as not started.
   void SetClosed(bool aClosed, MonoTime aNow);
 
@@ -303,6 +318,8 @@
   void RecordEnd(const EndedEntry& aEnd, Runs::iterator aRun, MonoTime aNow);
   void LimitUnacknowledgedEnds();
   void FinishAll(RunEnd aEnd, MonoTime aNow);
+  /// Ends the runs of an incarnation that is gone.
+  void FinishReplaced(Replacement aReplacement, MonoTime aNow);
   void FinishWaiting(MonoTime aNow);
   void RequestStop(Runs::iterator aRun, MonoTime aNow);
   Runs::iterator FindUpstreamRun(const RunKey& aKey);
@@ -339,6 +356,8 @@
   uint64_t polls_ = 0;
   /// Number of the first poll of the current incarnation.
   uint64_t firstIncarnationPoll_ = 0;
+  /// Number of the newest poll that the current incarnation answered.
+  uint64_t answeredPoll_ = 0;
   uint64_t newestEnd_ = 0;
   /// Ends that must not be acknowledged yet, by number.
   std::map<uint64_t, RunReport> unacknowledged_;
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -155,9 +155,12 @@
   requestTimeout_ = std::min(requestTimeout_ * 2, kMaxRequestTimeout);
   lastUnanswered_ = now;
   metrics_.CountUnanswered();
-  if (aOutcome == platform::PollOutcome::Replaced) {
-    const bool present = table_.OnUpstreamReplaced(aPollNumber, now);
-    LOG(WARNING) << "upstream outcome="
+  const bool restarted = aOutcome == platform::PollOutcome::Restarted;
+  if (restarted || aOutcome == platform::PollOutcome::Replaced) {
+    const bool present = table_.OnUpstreamReplaced(
+      aPollNumber, restarted ? Replacement::SameId : Replacement::OtherId, now);
+    LOG(WARNING) << "upstream same_id=" << restarted
+                 << " runs_kept=" << table_.Size() << " outcome="
                  << (present ? "replaced" : "was_replaced_before");
     SendPending(now);
     SendStatus(now);
--- a/src/libcornelfront/platform/executor_client.cpp
+++ b/src/libcornelfront/platform/executor_client.cpp
@@ -319,7 +319,7 @@
                   const json answer = ParseObject(aResult.response_.body_);
                   const int64_t answerBorn = IntegerField(answer, "born", born);
                   if (answerBorn != born) {
-                    done(PollOutcome::Replaced, {});
+                    done(PollOutcome::Restarted, {});
                     return;
                   }
                   done(PollOutcome::Ok, ParsePollResponse(answer));
--- a/src/libcornelfront/platform/executor_client.h
+++ b/src/libcornelfront/platform/executor_client.h
@@ -41,8 +41,10 @@
   Silent,
   /// The connection was refused: nothing listens at the address.
   Refused,
-  /// Another incarnation of the executor responded.
+  /// An executor with another id responded.
   Replaced,
+  /// The executor responded and has started again under its id.
+  Restarted,
 };
 
 /// All calls and callbacks are on the thread of the event loop.
--- a/src/libcornelfront/policy/run_polls.cpp
+++ b/src/libcornelfront/policy/run_polls.cpp
@@ -48,6 +48,7 @@
     return false;
   }
   upstreamHeardAt_ = aNow;
+  answeredPoll_ = aPollNumber;
   ProcessRunning(aPollResult, aNow);
   ProcessEnded(aPollResult, aNow);
   ProcessMissing(aPollNumber, aPollResult, aNow);
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -52,7 +52,10 @@
   const bool sameIncarnation =
     IdentifySender(aInfo, aNow) == HeartbeatSender::Current;
   if (!sameIncarnation) {
-    FinishAll(RunEnd::Lost, aNow);
+    FinishReplaced(!upstream_ || upstream_->id_ == aInfo.id_
+                     ? Replacement::SameId
+                     : Replacement::OtherId,
+                   aNow);
     orphans_.clear();
     newestEnd_ = 0;
     unacknowledged_.clear();
@@ -87,12 +90,17 @@
 }
 
 bool
-RunTable::OnUpstreamReplaced(uint64_t aPollNumber, MonoTime aNow)
+RunTable::OnUpstreamReplaced(uint64_t aPollNumber,
+                             Replacement aReplacement,
+                             MonoTime aNow)
 {
   if (aPollNumber < firstIncarnationPoll_) {
     return false;
   }
-  OnUpstreamGone(aNow);
+  FinishReplaced(aReplacement, aNow);
+  orphans_.clear();
+  upstream_.reset();
+  upstreamHeardAt_ = aNow;
   return true;
 }
 
@@ -337,7 +345,7 @@
 {
   CheckOwners(aNow);
   CheckLeader(aNow);
-  if (upstream_ && Since(upstreamHeardAt_, aNow) > options_.upstreamTimeout_) {
+  if (Since(upstreamHeardAt_, aNow) > options_.upstreamTimeout_) {
     FinishAll(RunEnd::Lost, aNow);
   }
   for (auto run = runs_.begin(); run != runs_.end();) {
@@ -418,6 +426,30 @@
   }
 }
 
+void
+RunTable::FinishReplaced(Replacement aReplacement, MonoTime aNow)
+{
+  for (auto run = runs_.begin(); run != runs_.end();) {
+    Run& state = run->second;
+    const bool waiting = state.state_ == State::Waiting;
+    // A poll that was answered after the start has shown who answered the
+    // start.
+    const bool wasThere = state.state_ == State::Running &&
+                          state.firstPoll_ <= answeredPoll_ &&
+                          state.unanswered_ == 0;
+    if (waiting || wasThere || aReplacement == Replacement::OtherId) {
+      run = Finish(run, waiting ? RunEnd::NotStarted : RunEnd::Lost, aNow);
+      continue;
+    }
+    if (state.state_ != State::Running) {
+      state.state_ = State::Running;
+      state.started_ = aNow;
+    }
+    state.firstPoll_ = polls_ + 1;
+    ++run;
+  }
+}
+
 void
 RunTable::FinishWaiting(MonoTime aNow)
 {
