Take no heartbeat of an incarnation that is known to be gone

Callers could see two runs of one task, or orders refused, after a heartbeat that a cut had held up: the sidecar took an executor as its upstream that a poll had shown to be replaced, or that had left.

Cause: without a known upstream any heartbeat was taken. Orders for the earlier incarnation may be carried out by the one that now listens there under the same id. With a known one a later start time decided, though the time of day may have been set back between the two starts; then the runs of the living one were reported as lost, and the higher fence made it refuse all later calls.

Change: RunTable keeps the last 16 incarnations that a poll has shown to be replaced, or that deregistered with their start time, and calls their heartbeats outdated. A deregistration without a start time proves nothing here, since it may be that of an earlier incarnation.

Evidence: with RecordGone without effect, RunTableTest.AnIncarnationThatAPollHasShownToBeGoneNeverReturns failed with "table_.IdentifySender(Upstream(2), At(11)) Which is: 1-byte object <01>" (Successor), likewise at 30 and 1700 ms, and AnIncarnationThatHasLeftNeverReturns at 11 ms.

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cornelfront {
@@ -170,7 +171,8 @@
   /// At one address there is one incarnation at a time, so a later start time
   /// proves that the current one is gone. An earlier one proves nothing, as the
   /// time of day may have been set back; it counts only once the lease of an
-  /// upstream that does not answer has expired.
+  /// upstream that does not answer has expired. One that has left, or that a
+  /// poll has shown to be replaced, never returns.
   HeartbeatSender IdentifySender(const UpstreamInfo& aInfo,
                                  MonoTime aNow) const;
   /// A heartbeat of the current incarnation or a successor has arrived. A new
@@ -318,6 +320,8 @@
   void RecordEnd(const EndedEntry& aEnd, Runs::iterator aRun, MonoTime aNow);
   void LimitUnacknowledgedEnds();
   void FinishAll(RunEnd aEnd, MonoTime aNow);
+  /// Remembers that the current incarnation never returns.
+  void RecordGone();
   /// Ends the runs of an incarnation that is gone.
   void FinishReplaced(Replacement aReplacement, MonoTime aNow);
   void FinishWaiting(MonoTime aNow);
@@ -356,6 +360,8 @@
   uint64_t polls_ = 0;
   /// Number of the first poll of the current incarnation.
   uint64_t firstIncarnationPoll_ = 0;
+  /// The last incarnations that are proved to be gone, by id and start time.
+  std::deque<std::pair<std::string, int64_t>> gone_;
   /// Number of the newest poll that the current incarnation answered.
   uint64_t answeredPoll_ = 0;
   uint64_t newestEnd_ = 0;
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -40,14 +40,13 @@
     return;
   }
   if (sender == HeartbeatSender::Outdated) {
+    const Millis silence =
+      std::chrono::duration_cast<Millis>(now - table_.UpstreamHeardAt());
     LOG(WARNING) << "heartbeat upstream=" << aHeartbeat.info_.id_
                  << " born=" << aHeartbeat.info_.startedMs_
-                 << " current=" << known->id_
-                 << " current_born=" << known->startedMs_ << " silent_ms="
-                 << std::chrono::duration_cast<Millis>(now -
-                                                       table_.UpstreamHeardAt())
-                      .count()
-                 << " outcome=outdated";
+                 << " current=" << (known ? known->id_ : "none")
+                 << " current_born=" << (known ? known->startedMs_ : 0)
+                 << " silent_ms=" << silence.count() << " outcome=outdated";
     return;
   }
   lastHeartbeat_ = aHeartbeat.sequence_;
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -15,6 +15,7 @@
 /// Added to a run's number when the upstream knows a higher number from an
 /// earlier owner of the same job.
 constexpr uint32_t kRenumberStep = 100;
+constexpr size_t kMaxGone = 16;
 
 } // namespace
 
@@ -32,6 +33,10 @@
 HeartbeatSender
 RunTable::IdentifySender(const UpstreamInfo& aInfo, MonoTime aNow) const
 {
+  const auto sender = std::make_pair(aInfo.id_, aInfo.startedMs_);
+  if (std::find(gone_.begin(), gone_.end(), sender) != gone_.end()) {
+    return HeartbeatSender::Outdated;
+  }
   if (!upstream_) {
     return HeartbeatSender::Successor;
   }
@@ -85,6 +90,9 @@
         upstream_->startedMs_) {
     return false;
   }
+  if (aDeparture.startedMs_) {
+    RecordGone();
+  }
   OnUpstreamGone(aNow);
   return true;
 }
@@ -97,6 +105,9 @@
   if (aPollNumber < firstIncarnationPoll_) {
     return false;
   }
+  if (upstream_) {
+    RecordGone();
+  }
   FinishReplaced(aReplacement, aNow);
   orphans_.clear();
   upstream_.reset();
@@ -426,6 +437,19 @@
   }
 }
 
+void
+RunTable::RecordGone()
+{
+  // A heartbeat without a start time does not tell incarnations apart.
+  if (upstream_->startedMs_ == 0) {
+    return;
+  }
+  gone_.emplace_back(upstream_->id_, upstream_->startedMs_);
+  if (gone_.size() > kMaxGone) {
+    gone_.pop_front();
+  }
+}
+
 void
 RunTable::FinishReplaced(Replacement aReplacement, MonoTime aNow)
 {
--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -627,6 +627,42 @@
             HeartbeatSender::Successor);
 }
 
+// Its heartbeat was under way for long, or the time of day was set back between
+// the two starts.
+TEST_F(RunTableTest, AnIncarnationThatAPollHasShownToBeGoneNeverReturns)
+{
+  table_.OnUpstream(Upstream(2), At(0));
+  ASSERT_TRUE(
+    table_.OnUpstreamReplaced(table_.BeginPoll(), Replacement::SameId, At(10)));
+  EXPECT_EQ(table_.IdentifySender(Upstream(2), At(11)),
+            HeartbeatSender::Outdated);
+  table_.OnUpstream(Upstream(1), At(20));
+  for (const int ms : { 30, 1700 }) {
+    EXPECT_EQ(table_.IdentifySender(Upstream(2), At(ms)),
+              HeartbeatSender::Outdated)
+      << ms;
+  }
+  EXPECT_EQ(table_.IdentifySender(Upstream(3), At(30)),
+            HeartbeatSender::Successor);
+}
+
+TEST_F(RunTableTest, AnIncarnationThatHasLeftNeverReturns)
+{
+  table_.OnUpstreamLeft({ .id_ = "u1", .startedMs_ = 1 }, At(10));
+  EXPECT_EQ(table_.IdentifySender(Upstream(1), At(11)),
+            HeartbeatSender::Outdated);
+  EXPECT_EQ(table_.IdentifySender(Upstream(2), At(11)),
+            HeartbeatSender::Successor);
+}
+
+// The call may have been one of an earlier incarnation.
+TEST_F(RunTableTest, ADeregistrationWithoutAStartTimeKeepsNoHeartbeatOut)
+{
+  table_.OnUpstreamLeft({ .id_ = "u1" }, At(10));
+  EXPECT_EQ(table_.IdentifySender(Upstream(1), At(11)),
+            HeartbeatSender::Successor);
+}
+
 /// The upstream crashes and starts again under its id. Until it has seen a call
 /// with its new start time, it takes orders that were meant for the incarnation
 /// before, so that what was ordered last may run there.
