Never call an executor with a lower fence than it has seen

Callers saw nothing run on an executor that had started again under its id after the time of day was set back: it refused every call until its next start. Late orders for the earlier incarnation, with the higher fence, were still taken.

Cause: the fence was the start time of the incarnation. The poll that noticed the restart had left the fence of the earlier incarnation, which was higher than the new start time. A late order or poll for the earlier one does the same.

Change: the fence is the start time, or one more than any fence used before if that is higher. A poll that is answered 409 raises it in steps of 1 s, 2 s, 4 s and so on, which a restarted sidecar needs, as it doesn't know the fences of its predecessor. The log line of the failed poll has the fence.

--- a/src/libcornelfront/platform/executor_client.cpp
+++ b/src/libcornelfront/platform/executor_client.cpp
@@ -5,6 +5,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <array>
 
 namespace cornelfront::platform {
@@ -22,6 +23,11 @@
 constexpr long kRequestConnections = 8;
 constexpr long kPollConnections = 2;
 
+/// Steps by which the fence rises until the executor takes a poll, in
+/// milliseconds like the start times that it begins with.
+constexpr int64_t kFirstFenceStep = 1000;
+constexpr int64_t kMaxFenceStep = 3'600'000;
+
 constexpr int kStatusOk = 200;
 constexpr int kStatusConflict = 409;
 constexpr int kStatusOtherIncarnation = 421;
@@ -217,6 +223,8 @@
 ExecutorClient::SetIncarnation(const UpstreamInfo& aInfo)
 {
   info_ = aInfo;
+  fence_ = std::max(fence_ + 1, aInfo.startedMs_);
+  fenceStep_ = kFirstFenceStep;
 }
 
 HttpClientRequest
@@ -240,13 +248,13 @@
                       Millis aLimit,
                       std::function<void(StartAnswer)> aDone)
 {
-  // The start time of the executor is the fencing token: an executor rejects
-  // requests meant for an earlier incarnation with the same id.
+  // An executor that has seen the fence of its incarnation rejects requests
+  // meant for an earlier one with the same id.
   const json body{ { "task", ToString(aOrder.key_.task_) },
                    { "run", aOrder.upstreamRunNumber_ },
                    { "spec", aOrder.payload_ },
                    { "deadlineMs", aDeadline.value_.count() },
-                   { "fence", info_.startedMs_ } };
+                   { "fence", fence_ } };
   HttpClientRequest request = Request("/run-start", body.dump());
   request.timeout_ = aLimit;
   requests_.Send(
@@ -268,7 +276,7 @@
 {
   const json body{ { "task", ToString(aKey.task_) },
                    { "run", aKey.run_ },
-                   { "fence", info_.startedMs_ } };
+                   { "fence", fence_ } };
   requests_.Send(
     Request("/run-stop", body.dump()), [aKey](const HttpResult& aResult) {
       if (!aResult.Ok()) {
@@ -287,7 +295,7 @@
                      Millis aLimit,
                      std::function<void(PollOutcome, UpstreamPollResult)> aDone)
 {
-  json body{ { "fence", info_.startedMs_ },
+  json body{ { "fence", fence_ },
              { "ackedUpto", aAcknowledged },
              { "waitMs", aWait.count() } };
   if (aLease) {
@@ -295,40 +303,56 @@
   }
   HttpClientRequest request = Request("/hold", body.dump());
   request.timeout_ = aWait + aLimit;
-  const int64_t born = info_.startedMs_;
-  polls_.Send(std::move(request),
-              [born, done = std::move(aDone)](const HttpResult& aResult) {
-                if (aResult.failure_ == HttpFailure::NotSent) {
-                  done(PollOutcome::Refused, {});
-                  return;
-                }
-                if (aResult.failure_ == HttpFailure::None &&
-                    aResult.response_.status_ == kStatusOtherIncarnation) {
-                  done(PollOutcome::Replaced, {});
-                  return;
-                }
-                if (!aResult.Ok()) {
-                  LOG(WARNING) << "poll of the upstream failed: "
-                               << (aResult.error_.empty()
-                                     ? std::to_string(aResult.response_.status_)
-                                     : aResult.error_);
-                  done(PollOutcome::Silent, {});
-                  return;
-                }
-                try {
-                  const json answer = ParseObject(aResult.response_.body_);
-                  const int64_t answerBorn = IntegerField(answer, "born", born);
-                  if (answerBorn != born) {
-                    done(PollOutcome::Restarted, {});
-                    return;
-                  }
-                  done(PollOutcome::Ok, ParsePollResponse(answer));
-                } catch (const WireFormatError& error) {
-                  LOG(ERROR) << "malformed poll response of the upstream: "
-                             << error.what();
-                  done(PollOutcome::Silent, {});
-                }
-              });
+  polls_.Send(
+    std::move(request),
+    [this, born = info_.startedMs_, fence = fence_, done = std::move(aDone)](
+      const HttpResult& aResult) {
+      UpstreamPollResult pollResult;
+      const PollOutcome outcome =
+        ReadPollAnswer(aResult, born, fence, pollResult);
+      done(outcome, pollResult);
+    });
+}
+
+PollOutcome
+ExecutorClient::ReadPollAnswer(const HttpResult& aResult,
+                               int64_t aBorn,
+                               int64_t aFence,
+                               UpstreamPollResult& aPollResult)
+{
+  if (aResult.failure_ == HttpFailure::NotSent) {
+    return PollOutcome::Refused;
+  }
+  const int status = aResult.response_.status_;
+  if (aResult.failure_ == HttpFailure::None &&
+      status == kStatusOtherIncarnation) {
+    return PollOutcome::Replaced;
+  }
+  if (!aResult.Ok()) {
+    LOG(WARNING) << "poll of the upstream failed: "
+                 << (aResult.error_.empty() ? std::to_string(status)
+                                            : aResult.error_)
+                 << " fence=" << aFence;
+    // A conflict means that the executor has seen a higher fence, which is
+    // possible if the time of day was set back before its start.
+    if (aResult.failure_ == HttpFailure::None && status == kStatusConflict &&
+        fence_ == aFence) {
+      fence_ += fenceStep_;
+      fenceStep_ = std::min(2 * fenceStep_, kMaxFenceStep);
+    }
+    return PollOutcome::Silent;
+  }
+  try {
+    const json answer = ParseObject(aResult.response_.body_);
+    if (IntegerField(answer, "born", aBorn) != aBorn) {
+      return PollOutcome::Restarted;
+    }
+    aPollResult = ParsePollResponse(answer);
+    return PollOutcome::Ok;
+  } catch (const WireFormatError& error) {
+    LOG(ERROR) << "malformed poll response of the upstream: " << error.what();
+    return PollOutcome::Silent;
+  }
 }
 
 } // namespace cornelfront::platform
--- a/src/libcornelfront/platform/executor_client.h
+++ b/src/libcornelfront/platform/executor_client.h
@@ -53,8 +53,8 @@
 public:
   ExecutorClient(asio::io_context& aLoop, const Endpoint& aExecutor);
 
-  /// Sets the incarnation that all following calls are meant for; any other
-  /// incarnation rejects them.
+  /// Sets the incarnation that all following calls are meant for. Their fence
+  /// is its start time, or more if the executor may have seen a higher fence.
   void SetIncarnation(const UpstreamInfo& aInfo);
 
   /// Asks the executor to start a run. The executor rejects the request after
@@ -79,9 +79,16 @@
 
 private:
   HttpClientRequest Request(std::string_view aCall, std::string aBody) const;
+  PollOutcome ReadPollAnswer(const HttpResult& aResult,
+                             int64_t aBorn,
+                             int64_t aFence,
+                             UpstreamPollResult& aPollResult);
 
   const std::string base_;
   UpstreamInfo info_;
+  /// The executor does nothing for a call with a lower fence than it has seen.
+  int64_t fence_ = 0;
+  int64_t fenceStep_ = 0;
   AsyncHttpClient requests_;
   AsyncHttpClient polls_;
 };
