--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace cornelfront {
@@ -40,6 +41,36 @@
   bool draining_ = false;
 };
 
+/// The sender of a heartbeat, compared with the current upstream.
+enum class HeartbeatSender : uint8_t
+{
+  /// The current incarnation.
+  Current,
+  /// The incarnation that becomes the current one, because there is none or it
+  /// is known to be gone.
+  Successor,
+  /// Another incarnation, which may be an earlier one.
+  Outdated,
+};
+
+/// The incarnation that answers in place of the current one.
+enum class Replacement : uint8_t
+{
+  /// It has another id and refuses all orders for the current one.
+  OtherId,
+  /// It has the same id. Until it has answered a call with its own start time,
+  /// it may carry out orders that were meant for the current one.
+  SameId,
+};
+
+/// An upstream's announcement that it ends.
+struct UpstreamDeparture
+{
+  std::string id_;
+  /// UpstreamInfo::startedMs_ of the incarnation that ends, if it was given.
+  std::optional<int64_t> startedMs_;
+};
+
 /// The upstream's answer to an order to start a run.
 enum class StartAnswer : uint8_t
 {
@@ -218,14 +249,30 @@
 
   const RunTableOptions& Options() const { return options_; }
 
-  /// The upstream has sent a heartbeat. A new incarnation ends all runs of the
-  /// previous one.
+  /// Decides how to take a heartbeat, which may have been under way for long.
+  /// At one address there is one incarnation at a time, so a later start time
+  /// proves that the current one is gone. An earlier one proves nothing, as the
+  /// time of day may have been set back; it counts only once the lease of an
+  /// upstream that does not answer has expired. One that has left, or that a
+  /// poll has shown to be replaced, never returns.
+  HeartbeatSender IdentifySender(const UpstreamInfo& aInfo,
+                                 MonoTime aNow) const;
+  /// A heartbeat of the current incarnation or a successor has arrived. A new
+  /// incarnation ends all runs of the previous one, but a run that the new one
+  /// may have started instead remains until the next poll tells.
   void OnUpstream(const UpstreamInfo& aInfo, MonoTime aNow);
-  /// The upstream has deregistered or is known to be dead.
+  /// The upstream is known to be dead.
   void OnUpstreamGone(MonoTime aNow);
+  /// An incarnation has deregistered. Returns false if it is not the current
+  /// one, whose runs then stay as they are.
+  bool OnUpstreamLeft(const UpstreamDeparture& aDeparture, MonoTime aNow);
   /// A poll was answered by another incarnation. Returns false if the poll was
-  /// meant for an incarnation that is no longer current.
-  bool OnUpstreamReplaced(uint64_t aPollNumber, MonoTime aNow);
+  /// meant for an incarnation that is no longer current. Runs that the other
+  /// one may have started remain until its first poll tells, or as long as a
+  /// lease takes to expire.
+  bool OnUpstreamReplaced(uint64_t aPollNumber,
+                          Replacement aReplacement,
+                          MonoTime aNow);
   /// While closed, no run starts, and waiting runs are reported as not started.
   void SetClosed(bool aClosed, MonoTime aNow);
 
@@ -374,6 +421,10 @@
   void RecordEnd(const EndedEntry& aEnd, Runs::iterator aRun, MonoTime aNow);
   void LimitUnacknowledgedEnds();
   void FinishAll(RunEnd aEnd, MonoTime aNow);
+  /// Remembers that the current incarnation never returns.
+  void RecordGone();
+  /// Ends the runs of an incarnation that is gone.
+  void FinishReplaced(Replacement aReplacement, MonoTime aNow);
   void FinishWaiting(MonoTime aNow);
   void RequestStop(Runs::iterator aRun, StopReason aReason, MonoTime aNow);
   /// Returns the stop if it must be sent now, and records that it is.
@@ -425,6 +476,10 @@
   uint64_t firstIncarnationPoll_ = 0;
   /// The current incarnation has answered a poll.
   bool runsKnown_ = false;
+  /// The last incarnations that are proved to be gone, by id and start time.
+  std::deque<std::pair<std::string, int64_t>> gone_;
+  /// Number of the newest poll that the current incarnation answered.
+  uint64_t answeredPoll_ = 0;
   uint64_t newestEnd_ = 0;
   /// Ends that must not be acknowledged yet, by number.
   std::map<uint64_t, RunReport> unacknowledged_;
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -26,18 +26,22 @@
 {
   const MonoTime now = BootNow();
   const auto& known = table_.Upstream();
-  const bool same = known && known->id_ == aHeartbeat.info_.id_ &&
-                    known->startedMs_ == aHeartbeat.info_.startedMs_;
+  const HeartbeatSender sender = table_.IdentifySender(aHeartbeat.info_, now);
+  const bool same = sender == HeartbeatSender::Current;
   if (same && aHeartbeat.sequence_ <= lastHeartbeat_) {
     LOG(WARNING) << "heartbeat upstream=" << aHeartbeat.info_.id_
                  << " sequence=" << aHeartbeat.sequence_
                  << " newest=" << lastHeartbeat_ << " outcome=ignored";
     return;
   }
-  if (known && !same && aHeartbeat.info_.startedMs_ < known->startedMs_ &&
-      now - table_.UpstreamHeardAt() < kSuspensionThreshold) {
+  if (sender == HeartbeatSender::Outdated) {
+    const Millis silence =
+      std::chrono::duration_cast<Millis>(now - table_.UpstreamHeardAt());
     LOG(WARNING) << "heartbeat upstream=" << aHeartbeat.info_.id_
-                 << " current=" << known->id_ << " outcome=outdated";
+                 << " born=" << aHeartbeat.info_.startedMs_
+                 << " current=" << (known ? known->id_ : "none")
+                 << " current_born=" << (known ? known->startedMs_ : 0)
+                 << " silent_ms=" << silence.count() << " outcome=outdated";
     return;
   }
   lastHeartbeat_ = aHeartbeat.sequence_;
@@ -65,13 +69,18 @@
 }
 
 void
-JobSidecar::Impl::OnUpstreamLeft(const std::string& aId)
+JobSidecar::Impl::OnUpstreamLeft(const UpstreamDeparture& aDeparture)
 {
-  const auto& known = table_.Upstream();
-  if (known && known->id_ == aId) {
-    LOG(INFO) << "upstream id=" << aId << " outcome=left";
-    const MonoTime now = BootNow();
-    table_.OnUpstreamGone(now);
+  const MonoTime now = BootNow();
+  const auto known = table_.Upstream();
+  const bool left = table_.OnUpstreamLeft(aDeparture, now);
+  LOG(INFO) << "upstream id=" << aDeparture.id_ << " born="
+            << (aDeparture.startedMs_ ? std::to_string(*aDeparture.startedMs_)
+                                      : "absent")
+            << " current=" << (known ? known->id_ : "none")
+            << " current_born=" << (known ? known->startedMs_ : 0)
+            << " outcome=" << (left ? "left" : "left_before");
+  if (left) {
     SendPending(now);
     SendStatus(now);
   }
@@ -139,9 +148,12 @@
   requestTimeout_ = std::min(requestTimeout_ * 2, kMaxRequestTimeout);
   lastUnanswered_ = now;
   metrics_.CountUnanswered();
-  if (aOutcome == platform::PollOutcome::Replaced) {
-    const bool present = table_.OnUpstreamReplaced(aPollNumber, now);
-    LOG(WARNING) << "upstream outcome="
+  const bool restarted = aOutcome == platform::PollOutcome::Restarted;
+  if (restarted || aOutcome == platform::PollOutcome::Replaced) {
+    const bool present = table_.OnUpstreamReplaced(
+      aPollNumber, restarted ? Replacement::SameId : Replacement::OtherId, now);
+    LOG(WARNING) << "upstream same_id=" << restarted
+                 << " runs_kept=" << table_.Size() << " outcome="
                  << (present ? "replaced" : "was_replaced_before");
     SendPending(now);
     SendStatus(now);
--- a/src/libcornelfront/platform/executor_client.h
+++ b/src/libcornelfront/platform/executor_client.h
@@ -28,6 +28,11 @@
 Heartbeat
 ParseHeartbeat(const std::string& aId, std::string_view aBody);
 
+/// Parses the deregistration of the executor \p aId; its body may be empty.
+/// \throws WireFormatError if the body is malformed
+UpstreamDeparture
+ParseDeparture(const std::string& aId, std::string_view aBody);
+
 /// Outcome of polling the executor.
 enum class PollOutcome : uint8_t
 {
@@ -36,8 +41,10 @@
   Silent,
   /// The connection was refused: nothing listens at the address.
   Refused,
-  /// Another incarnation of the executor responded.
+  /// An executor with another id responded.
   Replaced,
+  /// The executor responded and has started again under its id.
+  Restarted,
 };
 
 /// All calls and callbacks are on the thread of the event loop.
@@ -46,8 +53,8 @@
 public:
   ExecutorClient(asio::io_context& aLoop, const Endpoint& aExecutor);
 
-  /// Sets the incarnation that all following calls are meant for; any other
-  /// incarnation rejects them.
+  /// Sets the incarnation that all following calls are meant for. Their fence
+  /// is its start time, or more if the executor may have seen a higher fence.
   void SetIncarnation(const UpstreamInfo& aInfo);
 
   /// Asks the executor to start a run. The executor rejects the request after
@@ -72,9 +79,16 @@
 
 private:
   HttpClientRequest Request(std::string_view aCall, std::string aBody) const;
+  PollOutcome ReadPollAnswer(const HttpResult& aResult,
+                             int64_t aBorn,
+                             int64_t aFence,
+                             UpstreamPollResult& aPollResult);
 
   const std::string base_;
   UpstreamInfo info_;
+  /// The executor does nothing for a call with a lower fence than it has seen.
+  int64_t fence_ = 0;
+  int64_t fenceStep_ = 0;
   AsyncHttpClient requests_;
   AsyncHttpClient polls_;
 };
--- a/src/libcornelfront/policy/run_polls.cpp
+++ b/src/libcornelfront/policy/run_polls.cpp
@@ -50,6 +50,7 @@
   }
   upstreamHeardAt_ = aNow;
   runsKnown_ = true;
+  answeredPoll_ = aPollNumber;
   ProcessRunning(aPollResult, aNow);
   ProcessEnded(aPollResult, aNow);
   ProcessMissing(aPollNumber, aPollResult, aNow);
