Test an executor that restarts under its id with real processes

The executor stand-in restarts by turns under the id that it had and under another one, and does nothing for a lower fence than it has seen; before, each restart had an id of its own, so that no process test and no soak met the case.

The new test restarts an executor eight times, each time just before four jobs.

--- a/testsuite/process/platform_test.cpp
+++ b/testsuite/process/platform_test.cpp
@@ -288,6 +288,27 @@
     KillCase{ "everything", Millis(400), false, true, true }),
   [](const auto& aInfo) { return std::string(aInfo.param.name_); });
 
+// An executor that restarts under its id takes what its sidecar orders before
+// it has noticed the restart.
+TEST(PlatformStored, NoTaskHasTwoRunsWhileAnExecutorRestartsUnderItsId)
+{
+  PlatformCluster cluster(1, 2);
+  unsigned jobs = 0;
+  for (int round = 0; round < 8; ++round) {
+    const unsigned first = jobs;
+    cluster.ExecutorFault(0, R"({"reborn":true})");
+    for (int i = 0; i < 4; ++i) {
+      ASSERT_EQ(cluster.Submit(0, MakeJobId(jobs++), "ms=400", 1, false)
+                  .response_.status_,
+                200);
+    }
+    for (unsigned job = first; job < jobs; ++job) {
+      EXPECT_TRUE(cluster.WaitState(0, MakeJobId(job), "completed")) << job;
+    }
+  }
+  EXPECT_THAT(cluster.OverlappingRuns(), IsEmpty());
+}
+
 TEST(PlatformStored, WhatCannotBeStoredIsRefusedAtOnce)
 {
   PlatformCluster cluster(1, 1);
--- a/testsuite/standins/executor_standin.cpp
+++ b/testsuite/standins/executor_standin.cpp
@@ -4,7 +4,8 @@
 /// "ms=N" runs for N milliseconds, "fail" fails. `GET /control/runs` lists
 /// every run of all incarnations with its start, its end, and when the end was
 /// acknowledged. `POST /control` sets the faults "unanswered", "draining" and
-/// "stalls", and restarts the executor as a new incarnation with "reborn".
+/// "stalls", and restarts the executor as a new incarnation with "reborn": by
+/// turns under the id that it had and under another one.
 
 #include "cornelfront/http_client.h"
 #include "cornelfront/http_server.h"
@@ -106,6 +107,8 @@
       withheldReplies_.push_back(aReply);
     } else if (aRequest.Header("expected-instance", Id()) != Id()) {
       aReply.Send(WithClock(421, now));
+    } else if (IsFenced(body)) {
+      aReply.Send(WithClock(409, now, "fence"));
     } else if (aRequest.path_ == "/run-start") {
       aReply.Send(Start(body, now));
     } else if (aRequest.path_ == "/run-stop") {
@@ -156,6 +159,15 @@
            options_.clockPercent_ / kWholePercent;
   }
 
+  /// Returns true if the call has a lower fence than an earlier one.
+  bool IsFenced(const Json& aBody)
+  {
+    const int64_t fence = aBody.value("fence", int64_t{ 0 });
+    const bool fenced = fence < fence_;
+    fence_ = std::max(fence_, fence);
+    return fenced;
+  }
+
   /// Starts a new incarnation, as after a crash: ends all runs and clears the
   /// state.
   void Restart(MonoTime aNow)
@@ -173,7 +185,9 @@
     lease_ = {};
     lapsed_ = {};
     sequence_ = 0;
-    ++incarnation_;
+    fence_ = 0;
+    keepsId_ = !keepsId_;
+    incarnation_ += keepsId_ ? 0 : 1;
     start_ = aNow;
     born_ = WallMs(aNow);
   }
@@ -354,6 +368,10 @@
   /// End of the last lease that lapsed before it was extended.
   MonoTime lapsed_;
   int64_t sequence_ = 0;
+  /// Highest fence seen in this incarnation.
+  int64_t fence_ = 0;
+  /// The last restart kept the id.
+  bool keepsId_ = false;
   bool unanswered_ = false;
   bool draining_ = false;
   bool stalls_ = false;
