Count a leader's authority from the start of its claim

A new leader started runs for 4 s from when it read its own claim. Others count its silence from when they read that claim, so with a claim that the store carried out late, or a leader whose reads lagged, it still started runs of stored jobs while its successor took them as ended: two runs of one task.

Cause: OnLeader took the time of the read for the start of a confirmed append.

Now the claim's own start counts: it is remembered when the claim is sent, and the read of the claim confirms it. It lies before the claim was carried out, so before any replica read it; what a successor waits from, its read of the last append of the earlier leader, is never before that.

--- a/src/include/cornelfront/leadership.h
+++ b/src/include/cornelfront/leadership.h
@@ -39,6 +39,9 @@
 public:
   Leadership(MemberId aSelf, LeadershipOptions aOptions, MonoTime aNow);
 
+  /// This process is about to append its claim of a term. The read of the claim
+  /// confirms that append.
+  void OnClaim(uint64_t aTerm, MonoTime aStartTime);
   /// A record shows this leader, for the first time or renewed.
   void OnLeader(uint64_t aTerm, MemberId aId, MonoTime aNow);
   /// A record shows that the current leader is active.
@@ -67,9 +70,13 @@
   const LeadershipOptions options_;
   uint64_t term_ = 0;
   MemberId leader_;
+  /// The newest claim of this process, and the start of its append.
+  uint64_t claimedTerm_ = 0;
+  MonoTime claimStart_;
   bool fenced_ = false;
   MonoTime leaderSeenAt_;
-  /// Last activity of the previous leader.
+  /// Last activity of the previous leader, by the time of its read: never
+  /// before the start of the last append that the store took from it.
   MonoTime previousLeaderSeenAt_;
   MonoTime lastReadStart_;
   MonoTime lastConfirmedStart_;
--- a/src/libcornelfront/policy/leadership.cpp
+++ b/src/libcornelfront/policy/leadership.cpp
@@ -12,6 +12,13 @@
 {
 }
 
+void
+Leadership::OnClaim(uint64_t aTerm, MonoTime aStartTime)
+{
+  claimedTerm_ = aTerm;
+  claimStart_ = aStartTime;
+}
+
 void
 Leadership::OnLeader(uint64_t aTerm, MemberId aId, MonoTime aNow)
 {
@@ -21,7 +28,11 @@
   if (aTerm > term_) {
     previousLeaderSeenAt_ = leaderSeenAt_;
     fenced_ = false;
-    lastConfirmedStart_ = aNow;
+    // Others count the silence of this leader from reads of its own, which may
+    // be earlier than this one, but not earlier than the start of the claim.
+    if (aId == self_ && aTerm == claimedTerm_) {
+      OnConfirmed(claimStart_);
+    }
   }
   term_ = aTerm;
   leader_ = aId;
--- a/src/libcornelfront/stored_jobs.cpp
+++ b/src/libcornelfront/stored_jobs.cpp
@@ -173,15 +173,13 @@
                                   .epoch_ = term,
                                   .firstSequence_ = sequence,
                                   .retryUntilApplied_ = true });
+  leadership_.OnClaim(term, aNow);
   claimWriter_->Write(
     { MakeLeaderRecord({ .term_ = term, .id_ = self_, .name_ = name_ }) },
-    [this, term](platform::StoreOutcome aOutcome, MonoTime aStartTime) {
+    [this, term](platform::StoreOutcome aOutcome, MonoTime) {
       LOG(INFO) << "leadership term=" << term << " outcome="
                 << (aOutcome == platform::StoreOutcome::Ok ? "claimed"
                                                            : "lost");
-      if (aOutcome == platform::StoreOutcome::Ok) {
-        leadership_.OnConfirmed(aStartTime);
-      }
       asio::post(loop_, [this] { claimWriter_.reset(); });
     });
   claimedAt_ = aNow;
