Check a leader's authority at each placement

A leader that stood still for seconds, or whose timer was late, placed tasks of stored jobs after the end of its authority if a report of a sidecar, a restored job or the scheduler's own timer came before StoredJobs::Tick: two runs of one task, the other one under the new leader.

Cause: the authority was a flag in the scheduler that only StoredJobs::Tick cleared. BecomeLeader set it as well, though a claim that took long gives none.

Now the scheduler holds the time until which it has authority and compares it with the present time at each placement. Its timer stops the runs at that time. A confirmed append extends it at once instead of at the next tick. BecomeLeader grants none; StoredJobs passes what the claim's start leaves.

Appends after waking need no check: they carry the epoch of the term, and the store fences them once a newer one is claimed.

With a flag as before behind the new signature, the new tests failed: AProcessThatStoodStillStartsNothingWithoutAuthority: Take().Runs() is 1, expected 0, after the report at 4000 ms TheTimerStopsRunsAtTheEndOfTheAuthority: stops_.size() is 0, expected 1 ALeaderHasNoAuthorityUntilItIsGranted: Take().Runs() is 1, expected 0

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -245,13 +245,14 @@
   /// its instances.
   bool Cancel(const std::string& aJob, MonoTime aNow);
 
-  /// This process has become the leader of the stored jobs.
+  /// This process has become the leader of the stored jobs. It has no authority
+  /// until SetAuthority grants it.
   void BecomeLeader(uint64_t aTerm, MonoTime aNow);
   /// Another process leads: drops the stored jobs and leaves their runs to it.
   void BecomeFollower(MonoTime aNow);
-  /// Without authority no run of a stored job starts, and those that run are
-  /// stopped.
-  void SetAuthority(bool aHasAuthority, MonoTime aNow);
+  /// Runs of stored jobs start only before \p aUntil; from then on, those that
+  /// run are stopped.
+  void SetAuthority(MonoTime aUntil, MonoTime aNow);
   /// While true, runs of an earlier leader may still be discovered, so jobs
   /// that it may have started are not placed.
   void SetTakingOver(bool aTakingOver, MonoTime aNow);
@@ -446,7 +447,13 @@
   }
   Job* FindJob(const JobInstance& aInstance);
   Task* FindTask(const JobTaskId& aTaskId);
-  bool MayPlace(const Job& aJob) const;
+  bool HasAuthority(MonoTime aNow) const
+  {
+    return term_ > 0 && aNow < authorityUntil_;
+  }
+  bool MayPlace(const Job& aJob, MonoTime aNow) const;
+  /// Stops the runs of stored jobs if this process leads without authority.
+  void StopRunsWithoutAuthority(MonoTime aNow);
   void AdoptRun(MemberId aSidecar, const RunKey& aKey, MonoTime aNow);
   /// Processes the end of a run that is not current here and that an earlier
   /// leader may have started.
@@ -571,7 +578,7 @@
   std::set<RunKey> saving_;
   /// Term of this process as leader; 0 while another process leads.
   uint64_t term_ = 0;
-  bool hasAuthority_ = false;
+  MonoTime authorityUntil_;
   bool takingOver_ = false;
   Sidecars sidecars_;
   std::set<std::string> zonesOut_;
--- a/src/include/cornelfront/leadership.h
+++ b/src/include/cornelfront/leadership.h
@@ -57,7 +57,10 @@
   /// True if this process should claim the next term.
   bool ShouldClaim(MonoTime aNow) const;
   bool ShouldRenew(MonoTime aNow) const;
-  bool HasAuthority(MonoTime aNow) const;
+  /// Time until which this process may start runs; in the past if another
+  /// process leads.
+  MonoTime AuthorityUntil() const;
+  bool HasAuthority(MonoTime aNow) const { return aNow < AuthorityUntil(); }
   /// True once no run of an earlier leader can exist on an unreachable sidecar.
   bool EarlierRunsEnded(MonoTime aNow) const;
 
--- a/src/libcornelfront/policy/job_placement.cpp
+++ b/src/libcornelfront/policy/job_placement.cpp
@@ -28,7 +28,7 @@
 void
 JobScheduler::PlaceJob(Job& aJob, MonoTime aNow)
 {
-  if (!MayPlace(aJob)) {
+  if (!MayPlace(aJob, aNow)) {
     waiting_.insert(RankOf(aJob));
     return;
   }
@@ -39,10 +39,10 @@
 }
 
 bool
-JobScheduler::MayPlace(const Job& aJob) const
+JobScheduler::MayPlace(const Job& aJob, MonoTime aNow) const
 {
   return !aJob.stored_ ||
-         (hasAuthority_ && !(takingOver_ && aJob.fromEarlierLeader_));
+         (HasAuthority(aNow) && !(takingOver_ && aJob.fromEarlierLeader_));
 }
 
 void
--- a/src/libcornelfront/policy/job_scheduler.cpp
+++ b/src/libcornelfront/policy/job_scheduler.cpp
@@ -256,6 +256,7 @@
 JobScheduler::Tick(MonoTime aNow)
 {
   DetectSuspension(aNow);
+  StopRunsWithoutAuthority(aNow);
   DecaySlowness(std::chrono::duration_cast<Millis>(aNow - lastTick_));
   lastTick_ = aNow;
   std::vector<MemberId> lost;
--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -646,15 +646,17 @@
   StoredJobTest()
   {
     scheduler_.BecomeLeader(1, At(0));
+    scheduler_.SetAuthority(At(100000), At(0));
     scheduler_.SetTakingOver(false, At(0));
   }
 
   void Restore(const JobDescription& aJob,
                const JobProgress& aProgress = {},
-               bool aFromEarlierLeader = false)
+               bool aFromEarlierLeader = false,
+               int aMs = 0)
   {
     scheduler_.Restore(
-      aJob, 0, Queue(), aProgress, Millis(0), aFromEarlierLeader, At(0));
+      aJob, 0, Queue(), aProgress, Millis(0), aFromEarlierLeader, At(aMs));
   }
 
   std::vector<SaveJob> Saves()
@@ -764,14 +766,55 @@
   Restore(Job());
   const SortedActions sent = Take();
   ASSERT_EQ(sent.Runs(), 1U);
-  scheduler_.SetAuthority(false, At(10));
+  scheduler_.SetAuthority(At(10), At(10));
   EXPECT_EQ(Take().stops_.size(), 1U);
   Report(sent.runs_[0].sidecar_, key_, RunEnd::Stopped, 20);
   EXPECT_EQ(Take().Runs(), 0U);
-  scheduler_.SetAuthority(true, At(30));
+  scheduler_.SetAuthority(At(4000), At(30));
   EXPECT_EQ(Take().Runs(), 1U);
 }
 
+TEST_F(StoredJobTest, AProcessThatStoodStillStartsNothingWithoutAuthority)
+{
+  scheduler_.SetAuthority(At(4000), At(0));
+  Restore(Job());
+  const SortedActions sent = Take();
+  ASSERT_EQ(sent.Runs(), 1U);
+  const MemberId sidecar = sent.runs_[0].sidecar_;
+  // Woken after the end of its authority; a report comes before any timer.
+  Report(sidecar, key_, RunEnd::Stopped, 4000);
+  EXPECT_EQ(Take().Runs(), 0U);
+  scheduler_.OnReports(kSecond, { .upstream_ = Idle("u2") }, At(4010));
+  scheduler_.Tick(At(4020));
+  EXPECT_EQ(Take().Runs(), 0U);
+  Restore(Job(1, "00000000000000a2"), {}, false, 4030);
+  EXPECT_EQ(Take().Runs(), 0U);
+  scheduler_.SetAuthority(At(8000), At(4040));
+  EXPECT_EQ(Take().Runs(), 2U);
+}
+
+TEST_F(StoredJobTest, TheTimerStopsRunsAtTheEndOfTheAuthority)
+{
+  scheduler_.SetAuthority(At(4000), At(0));
+  Restore(Job());
+  ASSERT_EQ(Take().Runs(), 1U);
+  scheduler_.Tick(At(3999));
+  EXPECT_TRUE(Take().stops_.empty());
+  scheduler_.Tick(At(4000));
+  EXPECT_EQ(Take().stops_.size(), 1U);
+  scheduler_.Tick(At(4025));
+  EXPECT_TRUE(Take().stops_.empty()) << "stopped already";
+}
+
+TEST_F(StoredJobTest, ALeaderHasNoAuthorityUntilItIsGranted)
+{
+  scheduler_.BecomeFollower(At(0));
+  scheduler_.BecomeLeader(2, At(0));
+  scheduler_.SetTakingOver(false, At(0));
+  Restore(Job());
+  EXPECT_EQ(Take().Runs(), 0U);
+}
+
 TEST_F(StoredJobTest, StopsARestartedTaskWhoseEarlierRunWasDone)
 {
   Restore(Job());
--- a/src/libcornelfront/policy/job_stored.cpp
+++ b/src/libcornelfront/policy/job_stored.cpp
@@ -22,7 +22,7 @@
 {
   DetectSuspension(aNow);
   term_ = aTerm;
-  hasAuthority_ = true;
+  authorityUntil_ = {};
   takingOver_ = true;
 }
 
@@ -31,7 +31,7 @@
 {
   DetectSuspension(aNow);
   term_ = 0;
-  hasAuthority_ = false;
+  authorityUntil_ = {};
   unsaved_.clear();
   saving_.clear();
   for (auto job = jobs_.begin(); job != jobs_.end();) {
@@ -51,22 +51,28 @@
 }
 
 void
-JobScheduler::SetAuthority(bool aHasAuthority, MonoTime aNow)
+JobScheduler::SetAuthority(MonoTime aUntil, MonoTime aNow)
 {
   DetectSuspension(aNow);
-  if (hasAuthority_ == aHasAuthority || term_ == 0) {
-    return;
-  }
-  hasAuthority_ = aHasAuthority;
-  if (hasAuthority_) {
+  const bool had = HasAuthority(aNow);
+  authorityUntil_ = aUntil;
+  StopRunsWithoutAuthority(aNow);
+  if (!had && HasAuthority(aNow)) {
     PlaceWaiting(aNow);
+  }
+}
+
+void
+JobScheduler::StopRunsWithoutAuthority(MonoTime aNow)
+{
+  if (term_ == 0 || HasAuthority(aNow)) {
     return;
   }
   for (auto& [instance, job] : jobs_) {
     for (uint32_t s = 0; job.stored_ && s < job.steps_.size(); ++s) {
       auto& tasks = job.steps_[s].tasks_;
       for (uint32_t i = 0; i < tasks.size(); ++i) {
-        if (tasks[i].state_ == TaskState::Sent) {
+        if (tasks[i].state_ == TaskState::Sent && !tasks[i].stopSent_) {
           StopRun({ instance.job_, instance.occurrence_, s, i }, tasks[i]);
         }
       }
--- a/src/libcornelfront/policy/leadership.cpp
+++ b/src/libcornelfront/policy/leadership.cpp
@@ -76,10 +76,10 @@
   return IsLeader() && aNow - lastConfirmedStart_ >= options_.renewInterval_;
 }
 
-bool
-Leadership::HasAuthority(MonoTime aNow) const
+MonoTime
+Leadership::AuthorityUntil() const
 {
-  return IsLeader() && aNow - lastConfirmedStart_ < options_.authority_;
+  return IsLeader() ? lastConfirmedStart_ + options_.authority_ : MonoTime();
 }
 
 bool
--- a/src/libcornelfront/stored_jobs.cpp
+++ b/src/libcornelfront/stored_jobs.cpp
@@ -205,6 +205,7 @@
                                   .firstSequence_ = nextSequence_,
                                   .retryUntilApplied_ = true });
   scheduler_.BecomeLeader(term, aNow);
+  scheduler_.SetAuthority(leadership_.AuthorityUntil(), aNow);
   std::vector<std::string> jobs;
   for (const auto& [id, entry] : replica_.Jobs()) {
     jobs.push_back(id);
@@ -250,6 +251,8 @@
                          platform::StoreOutcome aOutcome, MonoTime aStartTime) {
                          if (aOutcome == platform::StoreOutcome::Ok) {
                            leadership_.OnConfirmed(aStartTime);
+                           scheduler_.SetAuthority(leadership_.AuthorityUntil(),
+                                                   BootNow());
                            done();
                            return;
                          }
@@ -471,7 +474,7 @@
   if (leadership_.ShouldRenew(aNow) && leaderWriter_->Idle()) {
     Renew();
   }
-  scheduler_.SetAuthority(leadership_.HasAuthority(aNow), aNow);
+  scheduler_.SetAuthority(leadership_.AuthorityUntil(), aNow);
   if (aNow - checkedAt_ < kCheckInterval) {
     return;
   }
