Count authority from the first attempt of an append

A leader whose append was taken, but not answered, repeated it until an answer came, and then counted its authority from the last attempt. The store answers a repeat as it answered the first attempt, so the leader may have had authority for seconds beyond what other processes waited for after they read the append.

Cause: BatchWriter told its callers the start of the last attempt.

Now it tells the start of the first attempt that the store may have taken. An attempt that certainly did nothing, such as one answered 503, doesn't count.

Before the fix TellsTheStartOfTheFirstAttemptThatMayHaveBeenApplied failed: startOf({ 502, 503, 200 }) actual false, expected true

--- a/src/libcornelfront/platform/batch_writer.cpp
+++ b/src/libcornelfront/platform/batch_writer.cpp
@@ -60,6 +60,9 @@
 BatchWriter::Send()
 {
   attemptStart_ = BootNow();
+  if (!uncertain_) {
+    applicableStart_ = attemptStart_;
+  }
   const ProducerStamp stamp{ .producer_ = options_.producer_ + "-" +
                                           std::to_string(producerGeneration_),
                              .epoch_ = options_.epoch_,
@@ -121,11 +124,11 @@
   records_.clear();
   const std::vector<PendingWrite> done = std::exchange(batch_, {});
   inFlight_ = false;
-  const MonoTime attemptStart = attemptStart_;
+  const MonoTime start = applicableStart_;
   const auto alive = alive_;
   for (const PendingWrite& item : done) {
     if (*alive) {
-      item.done_(aOutcome, attemptStart);
+      item.done_(aOutcome, start);
     }
   }
   if (*alive && !inFlight_) {
--- a/src/libcornelfront/platform/batch_writer.h
+++ b/src/libcornelfront/platform/batch_writer.h
@@ -33,8 +33,9 @@
 class BatchWriter
 {
 public:
-  /// \p aAttemptStart is the start time of the last attempt, by BootNow.
-  using Done = std::function<void(StoreOutcome, MonoTime aAttemptStart)>;
+  /// \p aStart is the start time of the first attempt that the store may have
+  /// applied, by BootNow.
+  using Done = std::function<void(StoreOutcome, MonoTime aStart)>;
 
   BatchWriter(asio::io_context& aLoop,
               StoreClient& aStore,
@@ -77,6 +78,8 @@
   uint64_t producerGeneration_ = 0;
   MonoTime batchStart_;
   MonoTime attemptStart_;
+  /// Start of the first attempt of this batch that the store may have applied.
+  MonoTime applicableStart_;
 };
 
 } // namespace cornelfront::platform
--- a/src/libcornelfront/platform/store_client_test.cpp
+++ b/src/libcornelfront/platform/store_client_test.cpp
@@ -143,6 +143,30 @@
   EXPECT_EQ(appends_[2].Query("producer"), appends_[0].Query("producer"));
 }
 
+TEST_F(ScriptedStore, TellsTheStartOfTheFirstAttemptThatMayHaveBeenApplied)
+{
+  BatchWriter writer(
+    loop_,
+    store_,
+    { .topic_ = "t", .producer_ = "p", .retryUntilApplied_ = true });
+  const auto startOf = [&](std::deque<int> aStatuses) {
+    statuses_ = std::move(aStatuses);
+    appends_.clear();
+    std::optional<MonoTime> start;
+    writer.Write({ { "k", "v" } }, [&](StoreOutcome aOutcome, MonoTime aStart) {
+      EXPECT_EQ(aOutcome, StoreOutcome::Ok);
+      start = aStart;
+    });
+    EXPECT_TRUE(RunUntil([&] { return !appends_.empty(); }));
+    const MonoTime answered = BootNow();
+    EXPECT_TRUE(RunUntil([&] { return start.has_value(); }));
+    return start.value_or(MonoTime()) < answered;
+  };
+  EXPECT_TRUE(startOf({ 502, 503, 200 }))
+    << "the store may have applied the first attempt";
+  EXPECT_FALSE(startOf({ 503, 200 })) << "the first attempt did nothing";
+}
+
 TEST_F(ScriptedStore, ChangesTheProducerIdAfterAnUnknownOutcome)
 {
   BatchWriter writer(
