Let only what others see extend a leader's authority

A leader that wrote nothing but deletions of acceptances or of sidecars didn't renew, since each such append counted as a confirmation. Other processes see no sign of life in these records: they claimed the next term after 2 s, while the leader believed to have authority for 4 s after its last deletion. It could start runs up to 4 s longer than the successor waited for.

Cause: StoredJobs::Write confirmed the leadership with any append, but readers take only records of IsWrittenByLeader for a sign of life.

Now only appends with such a record count, so that renewals go on beside the others. Every append that extends the authority is one that readers count.

Before the fix RenewsAlthoughItDeletesAcceptancesOfEndedJobs failed: expected CountRecords("leader", false) > renewals, actual 1 vs 1, after 2 s of resubmissions of an ended job. The test brings a store in memory for StoredJobs, which had no unit tests.

--- a/src/include/cornelfront/leadership.h
+++ b/src/include/cornelfront/leadership.h
@@ -48,8 +48,8 @@
   void OnLeaderActive(MonoTime aNow) { leaderSeenAt_ = aNow; }
   /// The store was read; \p aStartTime is the time at which the read started.
   void OnRead(MonoTime aStartTime);
-  /// An append as leader was confirmed; \p aStartTime is the time at which it
-  /// started.
+  /// An append that others take for a sign of life of the leader was confirmed;
+  /// \p aStartTime is the time at which it started.
   void OnConfirmed(MonoTime aStartTime);
   /// The store has rejected an append because of a newer epoch.
   void OnFenced();
--- a/src/libcornelfront/stored_jobs.cpp
+++ b/src/libcornelfront/stored_jobs.cpp
@@ -246,21 +246,25 @@
   if (!leaderWriter_) {
     return;
   }
-  leaderWriter_->Write(std::move(aRecords),
-                       [this, done = std::move(aDone)](
-                         platform::StoreOutcome aOutcome, MonoTime aStartTime) {
-                         if (aOutcome == platform::StoreOutcome::Ok) {
-                           leadership_.OnConfirmed(aStartTime);
-                           scheduler_.SetAuthority(leadership_.AuthorityUntil(),
-                                                   BootNow());
-                           done();
-                           return;
-                         }
-                         leadership_.OnFenced();
-                         if (leading_) {
-                           StopLeading(BootNow());
-                         }
-                       });
+  const bool signOfLife =
+    std::any_of(aRecords.begin(), aRecords.end(), IsWrittenByLeader);
+  leaderWriter_->Write(
+    std::move(aRecords),
+    [this, signOfLife, done = std::move(aDone)](platform::StoreOutcome aOutcome,
+                                                MonoTime aStartTime) {
+      if (aOutcome == platform::StoreOutcome::Ok) {
+        if (signOfLife) {
+          leadership_.OnConfirmed(aStartTime);
+          scheduler_.SetAuthority(leadership_.AuthorityUntil(), BootNow());
+        }
+        done();
+        return;
+      }
+      leadership_.OnFenced();
+      if (leading_) {
+        StopLeading(BootNow());
+      }
+    });
 }
 
 void
--- /dev/null
+++ b/src/libcornelfront/stored_jobs_test.cpp
@@ -0,0 +1,277 @@
+#include "stored_jobs.h"
+
+#include "cornelfront/codec.h"
+#include "cornelfront/http_server.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace cornelfront {
+namespace {
+
+constexpr MemberId kSelf{ 16 };
+constexpr MemberId kOther{ 32 };
+constexpr MemberId kSidecar{ 7 };
+const std::string kJob = "00000000000000a1";
+
+std::string
+BigEndian(uint64_t aNumber, size_t aSize)
+{
+  std::string bytes;
+  for (size_t i = aSize; i > 0; --i) {
+    bytes.push_back(static_cast<char>(aNumber >> (8U * (i - 1))));
+  }
+  return bytes;
+}
+
+std::vector<KeyedRecord>
+DecodeRecords(std::string_view aBody)
+{
+  std::vector<KeyedRecord> records;
+  while (!aBody.empty()) {
+    size_t length = 0;
+    for (int i = 0; i < 4; ++i) {
+      length = length << 8U | static_cast<unsigned char>(aBody[i]);
+    }
+    const std::string_view record = aBody.substr(4, length);
+    const auto keyBytes = static_cast<unsigned char>(record.front());
+    records.push_back({ std::string(record.substr(1, keyBytes)),
+                        std::string(record.substr(1 + keyBytes)) });
+    aBody.remove_prefix(4 + length);
+  }
+  return records;
+}
+
+/// StoredJobs with a scheduler, beside a store in memory with one partition.
+class StoredJobsTest : public testing::Test
+{
+protected:
+  StoredJobsTest()
+    : server_({ .loop_ = &loop_ },
+              [this](const HttpRequest& aRequest, const HttpReply& aReply) {
+                Serve(aRequest, aReply);
+              })
+    , store_(loop_, { "127.0.0.1", server_.Port() })
+  {
+    stored_ = std::make_unique<StoredJobs>(
+      loop_,
+      store_,
+      scheduler_,
+      kSelf,
+      "self",
+      StoredJobsHooks{
+        .onActions_ = [this] { Perform(); },
+        .onBecomeLeader_ = [](uint64_t) {},
+        .findQueue_ = [this](const std::string&) { return queue_; } });
+  }
+
+  ~StoredJobsTest() override
+  {
+    stored_.reset();
+    reads_.clear();
+    held_.clear();
+  }
+
+  void Serve(const HttpRequest& aRequest, const HttpReply& aReply)
+  {
+    if (aRequest.path_ == "/log-append") {
+      const auto epoch = std::stoull(aRequest.Query("epoch", "0"));
+      uint64_t& newest = epochs_[aRequest.Query("producer")];
+      if (epoch < newest) {
+        aReply.Send({ .status_ = 409 });
+      } else if (holdAppends_) {
+        held_.push_back([this, aRequest, aReply] { Serve(aRequest, aReply); });
+      } else {
+        newest = epoch;
+        Append(DecodeRecords(aRequest.body_));
+        aReply.Send({ .body_ = "{}" });
+      }
+    } else if (aRequest.path_ == "/log-read") {
+      const uint64_t from = std::stoull(aRequest.Query("from"));
+      if (from < records_.size()) {
+        Answer(from, aReply);
+      } else {
+        reads_.push_back(
+          { from,
+            MonoClock::now() + Millis(std::stoll(aRequest.Query("waitMs"))),
+            aReply });
+      }
+    } else {
+      std::map<std::string, std::string> newest;
+      for (const KeyedRecord& record : records_) {
+        newest[record.key_] = record.value_;
+      }
+      nlohmann::json items = nlohmann::json::array();
+      for (const auto& [key, value] : newest) {
+        if (!value.empty()) {
+          items.push_back({ { "key", key }, { "value", EncodeBase64(value) } });
+        }
+      }
+      aReply.Send({ .body_ = nlohmann::json{ { "items", items },
+                                             { "hasMore", false },
+                                             { "end", records_.size() } }
+                               .dump() });
+    }
+  }
+
+  void Answer(uint64_t aFrom, const HttpReply& aReply) const
+  {
+    std::string body = BigEndian(records_.size(), 8) + BigEndian(0, 8);
+    for (size_t i = aFrom; i < records_.size(); ++i) {
+      body += platform::EncodeRecord(records_[i]);
+    }
+    aReply.Send({ .body_ = body });
+  }
+
+  void Append(const std::vector<KeyedRecord>& aRecords)
+  {
+    records_.insert(records_.end(), aRecords.begin(), aRecords.end());
+    for (const Read& read : std::exchange(reads_, {})) {
+      Answer(read.from_, read.reply_);
+    }
+  }
+
+  void EndReads()
+  {
+    std::erase_if(reads_, [this](const Read& aRead) {
+      const bool over = MonoClock::now() >= aRead.until_;
+      if (over) {
+        Answer(aRead.from_, aRead.reply_);
+      }
+      return over;
+    });
+  }
+
+  void ReleaseAppends()
+  {
+    holdAppends_ = false;
+    for (const auto& append : std::exchange(held_, {})) {
+      append();
+    }
+  }
+
+  /// Reports the end of a run of the sidecar.
+  void Report(uint32_t aIndex, RunEnd aEnd)
+  {
+    scheduler_.OnReports(
+      kSidecar,
+      { .reports_ = { { .key_ = { { kJob, 0, 0, aIndex }, 1 },
+                        .end_ = aEnd,
+                        .unacknowledged_ = true } },
+        .upstream_ = Upstream() },
+      BootNow());
+    Perform();
+  }
+
+  static UpstreamReport Upstream()
+  {
+    return { .service_ = "desk",
+             .upstream_ = "u",
+             .ready_ = true,
+             .capacity_ = { .cpu_ = 4000 } };
+  }
+
+  void Perform()
+  {
+    for (JobAction& action : scheduler_.TakeActions()) {
+      if (const auto* save = std::get_if<SaveJob>(&action)) {
+        stored_->Save(*save);
+      } else {
+        actions_.push_back(std::move(action));
+      }
+    }
+  }
+
+  template<class Action>
+  size_t Count() const
+  {
+    return static_cast<size_t>(std::count_if(
+      actions_.begin(), actions_.end(), [](const JobAction& aAction) {
+        return std::holds_alternative<Action>(aAction);
+      }));
+  }
+
+  /// Number of records of this key, those with a value or the deletions.
+  size_t CountRecords(const std::string& aKey, bool aDeletions) const
+  {
+    return static_cast<size_t>(std::count_if(
+      records_.begin(), records_.end(), [&](const KeyedRecord& aRecord) {
+        return aRecord.key_ == aKey && aRecord.value_.empty() == aDeletions;
+      }));
+  }
+
+  /// Runs the loop until the condition holds.
+  bool RunUntil(const std::function<bool()>& aCondition,
+                Millis aLimit = Millis(15000))
+  {
+    const MonoTime end = MonoClock::now() + aLimit;
+    while (!aCondition() && MonoClock::now() < end) {
+      loop_.run_one_for(Millis(5));
+      EndReads();
+      scheduler_.Tick(BootNow());
+      stored_->Tick(BootNow());
+      Perform();
+    }
+    return aCondition();
+  }
+
+  bool RunUntilLeader()
+  {
+    return RunUntil([this] { return stored_->Term() > 0; });
+  }
+
+  void LinkSidecar()
+  {
+    scheduler_.OnSidecarLinked(kSidecar, "z", BootNow());
+    scheduler_.OnReports(kSidecar, { .upstream_ = Upstream() }, BootNow());
+  }
+
+  KeyedRecord Accepted() const
+  {
+    return AcceptanceRecord({ { .id_ = kJob,
+                                .payload_ = "p",
+                                .steps_ = { { .count_ = 2,
+                                              .resources_ = { .cpu_ = 1000 },
+                                              .estimate_ = Millis(100) } } },
+                              "q" });
+  }
+
+  asio::io_context loop_;
+  std::vector<KeyedRecord> records_;
+  std::map<std::string, uint64_t> epochs_;
+  /// Long polls that wait for records.
+  struct Read
+  {
+    uint64_t from_;
+    MonoTime until_;
+    HttpReply reply_;
+  };
+  std::vector<Read> reads_;
+  bool holdAppends_ = false;
+  std::vector<std::function<void()>> held_;
+  std::optional<JobQueue> queue_ = JobQueue{ .name_ = "q", .service_ = "desk" };
+  std::vector<JobAction> actions_;
+  HttpServer server_;
+  platform::StoreClient store_;
+  JobScheduler scheduler_{ JobSchedulerOptions{ .zone_ = "z" } };
+  std::unique_ptr<StoredJobs> stored_;
+};
+
+TEST_F(StoredJobsTest, RenewsAlthoughItDeletesAcceptancesOfEndedJobs)
+{
+  Append({ FinalRecord(kJob, JobState::Completed) });
+  ASSERT_TRUE(RunUntilLeader());
+  const size_t renewals = CountRecords("leader", false);
+  for (int i = 0; i < 10; ++i) {
+    Append({ Accepted() });
+    RunUntil([] { return false; }, Millis(200));
+  }
+  EXPECT_GT(CountRecords("a/" + kJob, true), 5U);
+  EXPECT_GT(CountRecords("leader", false), renewals)
+    << "other processes see no sign of life in the deletions";
+}
+
+} // namespace
+} // namespace cornelfront
