Stop a held run again when its link comes back

A stop that was sent while the link to a sidecar was lost, or just before, went nowhere and was never sent again if the link came back before the sidecar gave the owner up. The run went on for as long as it had work: after the end of the leader's authority (two runs of one task, since a later leader waits for 10.5 s only), after a cancellation, and after a client of a best-effort job had left.

Cause: AdoptRun ignored every held run that the scheduler had already recorded for that sidecar, also one that it had asked to stop or whose job was gone.

Now only a run that is its task's current one, and isn't being stopped, goes on; all others are stopped again.

Before the fix these failed, each with 'stops_.size() is 0, expected 1': StoredJobTest.RepeatsAStopThatWasSentWhileTheLinkWasLost StoredJobTest.StopsARunOfAJobThatWasCancelledWhileTheLinkWasLost JobSchedulerTest.StopsARunWhoseClientLeftWhileTheLinkWasLost

--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -515,6 +515,22 @@
   EXPECT_EQ(Take().Runs(), 1U);
 }
 
+TEST_F(JobSchedulerTest, StopsARunWhoseClientLeftWhileTheLinkWasLost)
+{
+  Submit(Job());
+  const SendRuns sent = Take().runs_.at(0);
+  scheduler_.OnSidecarLost(sent.sidecar_, At(10));
+  scheduler_.OnClientDisconnected(1, At(20));
+  Take();
+  scheduler_.OnSidecarLinked(sent.sidecar_, "z", At(50));
+  scheduler_.OnHeldRuns(
+    sent.sidecar_,
+    { .runs_ = { { sent.orders_.Task(sent.orders_.runs_[0]), 1 } } },
+    RunEnd::NotStarted,
+    At(50));
+  EXPECT_EQ(Take().stops_.size(), 1U);
+}
+
 TEST_F(JobSchedulerTest, RunsThatASidecarStillHoldsContinue)
 {
   Submit(Job());
@@ -851,6 +867,32 @@
   EXPECT_EQ(scheduler_.Jobs(), 0U);
 }
 
+TEST_F(StoredJobTest, RepeatsAStopThatWasSentWhileTheLinkWasLost)
+{
+  Restore(Job());
+  const MemberId sidecar = Take().runs_.at(0).sidecar_;
+  scheduler_.OnSidecarLost(sidecar, At(10));
+  scheduler_.SetAuthority(At(20), At(20));
+  EXPECT_EQ(Take().stops_.size(), 1U);
+  scheduler_.OnSidecarLinked(sidecar, "z", At(100));
+  scheduler_.OnHeldRuns(
+    sidecar, { .runs_ = { key_ } }, RunEnd::NotStarted, At(100));
+  EXPECT_EQ(Take().stops_.size(), 1U);
+}
+
+TEST_F(StoredJobTest, StopsARunOfAJobThatWasCancelledWhileTheLinkWasLost)
+{
+  Restore(Job());
+  const MemberId sidecar = Take().runs_.at(0).sidecar_;
+  scheduler_.OnSidecarLost(sidecar, At(10));
+  scheduler_.Cancel(kJob, At(20));
+  EXPECT_EQ(Take().stops_.size(), 1U);
+  scheduler_.OnSidecarLinked(sidecar, "z", At(100));
+  scheduler_.OnHeldRuns(
+    sidecar, { .runs_ = { key_ } }, RunEnd::NotStarted, At(100));
+  EXPECT_EQ(Take().stops_.size(), 1U);
+}
+
 TEST_F(StoredJobTest, RestartsLongRunningTasksAfterAnyEnd)
 {
   JobDescription job = Job();
--- a/src/libcornelfront/policy/job_stored.cpp
+++ b/src/libcornelfront/policy/job_stored.cpp
@@ -158,16 +158,19 @@
 void
 JobScheduler::AdoptRun(MemberId aSidecar, const RunKey& aKey, MonoTime aNow)
 {
-  Sidecar& sidecar = sidecars_.at(aSidecar);
-  if (sidecar.runs_.contains(aKey)) {
-    return;
-  }
+  const bool known = !sidecars_.at(aSidecar).runs_.insert(aKey).second;
   Task* task = FindTask(aKey.task_);
   Job* job = FindJob(InstanceOf(aKey.task_));
+  const bool goesOn =
+    known && task != nullptr && task->state_ == TaskState::Sent &&
+    task->sidecar_ == aSidecar && task->run_ == aKey.run_ && !task->stopSent_;
+  if (goesOn) {
+    return;
+  }
+  // A stop that was sent before or during the loss of the link may be lost too.
   const bool wanted =
-    task != nullptr && job->stored_ && aKey.run_ > task->endedRun_ &&
+    !known && task != nullptr && job->stored_ && aKey.run_ > task->endedRun_ &&
     (task->state_ == TaskState::Ready || task->state_ == TaskState::Blocked);
-  sidecar.runs_.insert(aKey);
   if (!wanted) {
     actions_.emplace_back(SendStops{ aSidecar, { { aKey } } });
     return;
