Forget losses of sidecars from an earlier term

A process that led for the second time could remove a sidecar from the store at its first check, because it remembered that sidecar as lost in its earlier term. CheckTakeover then counted the takeover as complete without the runs that the sidecar held, and started their tasks again: two runs of one task.

Cause: lostSince_ was kept from term to term, and an entry goes only once the sidecar has handed over.

Now each term starts without losses, so nothing is removed before 60 s of it, by when the takeover has ended.

--- a/src/libcornelfront/stored_jobs.cpp
+++ b/src/libcornelfront/stored_jobs.cpp
@@ -193,6 +193,7 @@
   takenOverSidecars_.clear();
   startedInstances_.clear();
   closingJobs_.clear();
+  lostSince_.clear();
   const uint64_t term = leadership_.Term();
   LOG(INFO) << "leadership term=" << term
             << " outcome=leading jobs=" << replica_.Jobs().size();
--- a/src/libcornelfront/stored_jobs_test.cpp
+++ b/src/libcornelfront/stored_jobs_test.cpp
@@ -210,8 +210,8 @@
     while (!aCondition() && MonoClock::now() < end) {
       loop_.run_one_for(Millis(5));
       EndReads();
-      scheduler_.Tick(BootNow());
-      stored_->Tick(BootNow());
+      scheduler_.Tick(BootNow() + offset_);
+      stored_->Tick(BootNow() + offset_);
       Perform();
     }
     return aCondition();
@@ -253,12 +253,29 @@
   std::vector<std::function<void()>> held_;
   std::optional<JobQueue> queue_ = JobQueue{ .name_ = "q", .service_ = "desk" };
   std::vector<JobAction> actions_;
+  /// Added to the present time of timers.
+  Millis offset_{ 0 };
   HttpServer server_;
   platform::StoreClient store_;
   JobScheduler scheduler_{ JobSchedulerOptions{ .zone_ = "z" } };
   std::unique_ptr<StoredJobs> stored_;
 };
 
+TEST_F(StoredJobsTest, KeepsARegistrationThatWasLostInAnEarlierTermOnly)
+{
+  Append({ SidecarRecord("s", kSidecar) });
+  ASSERT_TRUE(RunUntilLeader());
+  RunUntil([] { return false; }, Millis(300));
+  Append({ MakeLeaderRecord({ .term_ = 2, .id_ = kOther }) });
+  epochs_["leader"] = 2;
+  ASSERT_TRUE(RunUntil([this] { return stored_->Term() == 0; }));
+  ASSERT_TRUE(RunUntilLeader());
+  // 60 s after the loss in the first term, but not in this one.
+  offset_ = Millis(58500);
+  RunUntil([] { return false; }, Millis(300));
+  EXPECT_EQ(CountRecords("w/s", true), 0U);
+}
+
 TEST_F(StoredJobsTest, RenewsAlthoughItDeletesAcceptancesOfEndedJobs)
 {
   Append({ FinalRecord(kJob, JobState::Completed) });
