Place stored jobs only on sidecars whose registration was read

A sidecar that registered after the claim of a new leader, and was reached by the deposed leader only, could be ordered to start a run of a stored job for as long as that leader had authority. The new leader didn't wait for it if all sidecars known at its claim had handed over, and started the same task.

Cause: a leader placed runs on every sidecar that it was linked to. The registration is checked by the sidecar, which can't know whether it lies before or behind a claim.

Now the leader places only on sidecars whose registration it has read in the store. Records are read in order: if the registration lies behind a claim, a deposed leader has read that claim first; if it lies before the claim, the new leader knows the sidecar and waits. Best-effort jobs use all sidecars as before.

The rule needs a registration to be present while runs start. A sidecar that was removed after 60 s without a hand-over stayed unregistered for good, so later leaders did not wait for it, although runs were placed there once it came back. Now nothing is placed there once the removal is sent, a sidecar that holds runs of this leader isn't removed, and a hand-over registers it again.

Before the fix: PlacesNothingOnASidecarWhoseRegistrationItHasNotRead: Count<SendRuns>() > 0 actual true, expected false StoredJobTest.PlacesOnlyOnRegisteredSidecars: sent.runs_.size() is 2, expected 1 RegistersASidecarAgainThatReturnsAfterItsRemoval: CountRecords("w/s", false) == 2 actual false, expected true

--- a/src/include/cornelfront/job_replica.h
+++ b/src/include/cornelfront/job_replica.h
@@ -98,6 +98,10 @@
 bool
 IsWrittenByLeader(const KeyedRecord& aRecord);
 
+/// Returns true if the record registers a sidecar or removes it.
+bool
+IsSidecarRecord(const KeyedRecord& aRecord);
+
 /// State of all stored jobs, the leader and the registered sidecars. Not
 /// thread-safe.
 class JobReplica
--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -253,6 +253,10 @@
   /// Runs of stored jobs start only before \p aUntil; from then on, those that
   /// run are stopped.
   void SetAuthority(MonoTime aUntil, MonoTime aNow);
+  /// Runs of stored jobs are placed only on these sidecars. A leader that has
+  /// read a registration has read all claims before it, and a later leader
+  /// finds the registration before its own claim.
+  void SetRegisteredSidecars(std::set<MemberId> aSidecars);
   /// While true, runs of an earlier leader may still be discovered, so jobs
   /// that it may have started are not placed.
   void SetTakingOver(bool aTakingOver, MonoTime aNow);
@@ -580,6 +584,7 @@
   uint64_t term_ = 0;
   MonoTime authorityUntil_;
   bool takingOver_ = false;
+  std::set<MemberId> registeredSidecars_;
   Sidecars sidecars_;
   std::set<std::string> zonesOut_;
   std::map<std::string, Durations> durations_;
--- a/src/libcornelfront/controllers/job_replica.cpp
+++ b/src/libcornelfront/controllers/job_replica.cpp
@@ -139,6 +139,12 @@
          aRecord.key_.starts_with(kFinal);
 }
 
+bool
+IsSidecarRecord(const KeyedRecord& aRecord)
+{
+  return aRecord.key_.starts_with(kSidecar);
+}
+
 std::string
 JobReplica::Apply(const KeyedRecord& aRecord, MonoTime aNow)
 {
--- a/src/libcornelfront/policy/job_placement.cpp
+++ b/src/libcornelfront/policy/job_placement.cpp
@@ -195,7 +195,9 @@
   std::vector<Candidate> candidates;
   candidates.reserve(sidecars_.size());
   for (auto it = sidecars_.begin(); it != sidecars_.end(); ++it) {
-    if (IsEligible(it->second, aJob, aStep)) {
+    const bool registered =
+      !aJob.stored_ || registeredSidecars_.contains(it->first);
+    if (registered && IsEligible(it->second, aJob, aStep)) {
       candidates.push_back(
         { .sidecar_ = it, .avoided_ = aNow < it->second.avoidUntil_ });
       UpdateCosts(candidates.back(), aJob, aStep, run);
--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -663,6 +663,7 @@
   {
     scheduler_.BecomeLeader(1, At(0));
     scheduler_.SetAuthority(At(100000), At(0));
+    scheduler_.SetRegisteredSidecars({ kFirst, kSecond });
     scheduler_.SetTakingOver(false, At(0));
   }
 
@@ -893,6 +894,20 @@
   EXPECT_EQ(Take().stops_.size(), 1U);
 }
 
+TEST_F(StoredJobTest, PlacesOnlyOnRegisteredSidecars)
+{
+  scheduler_.SetRegisteredSidecars({ kSecond });
+  Restore(Job(2));
+  const SortedActions sent = Take();
+  ASSERT_EQ(sent.runs_.size(), 1U);
+  EXPECT_EQ(sent.runs_[0].sidecar_, kSecond);
+  EXPECT_EQ(sent.Runs(), 2U);
+  Submit(Job(2, "00000000000000a2"));
+  const SortedActions bestEffort = Take();
+  ASSERT_FALSE(bestEffort.runs_.empty());
+  EXPECT_EQ(bestEffort.runs_[0].sidecar_, kFirst) << "best-effort jobs use all";
+}
+
 TEST_F(StoredJobTest, RestartsLongRunningTasksAfterAnyEnd)
 {
   JobDescription job = Job();
--- a/src/libcornelfront/policy/job_stored.cpp
+++ b/src/libcornelfront/policy/job_stored.cpp
@@ -80,6 +80,12 @@
   }
 }
 
+void
+JobScheduler::SetRegisteredSidecars(std::set<MemberId> aSidecars)
+{
+  registeredSidecars_ = std::move(aSidecars);
+}
+
 void
 JobScheduler::SetTakingOver(bool aTakingOver, MonoTime aNow)
 {
--- a/src/libcornelfront/stored_jobs.cpp
+++ b/src/libcornelfront/stored_jobs.cpp
@@ -136,7 +136,9 @@
 {
   const MonoTime now = BootNow();
   std::set<std::string> changed;
+  bool sidecarsChanged = false;
   for (const KeyedRecord& record : aRecords) {
+    sidecarsChanged |= IsSidecarRecord(record);
     const LeaderRecord before = replica_.Leader();
     changed.insert(replica_.Apply(record, now));
     const LeaderRecord& leader = replica_.Leader();
@@ -151,6 +153,9 @@
   } else if (!leading_ && leadership_.IsLeader()) {
     StartLeading(now);
   } else if (leading_) {
+    if (sidecarsChanged) {
+      UpdateRegisteredSidecars();
+    }
     for (const std::string& job : changed) {
       AdvanceJob(job, false, now);
     }
@@ -194,6 +199,8 @@
   startedInstances_.clear();
   closingJobs_.clear();
   lostSince_.clear();
+  removedSidecars_.clear();
+  restoredSidecars_.clear();
   const uint64_t term = leadership_.Term();
   LOG(INFO) << "leadership term=" << term
             << " outcome=leading jobs=" << replica_.Jobs().size();
@@ -207,6 +214,7 @@
                                   .retryUntilApplied_ = true });
   scheduler_.BecomeLeader(term, aNow);
   scheduler_.SetAuthority(leadership_.AuthorityUntil(), aNow);
+  UpdateRegisteredSidecars();
   std::vector<std::string> jobs;
   for (const auto& [id, entry] : replica_.Jobs()) {
     jobs.push_back(id);
@@ -453,18 +461,51 @@
 {
   for (const auto& [name, id] : replica_.Sidecars()) {
     const auto taken = takenOverSidecars_.find(name);
-    if (taken != takenOverSidecars_.end() && taken->second == id) {
+    const bool present =
+      taken != takenOverSidecars_.end() && taken->second == id;
+    if (present || scheduler_.HasOpenRuns(id)) {
       lostSince_.erase(name);
       continue;
     }
     const auto since = lostSince_.emplace(name, aNow).first->second;
     if (aNow - since >= kSidecarRemovalDelay) {
       lostSince_.erase(name);
+      // No later leader will wait for it, so nothing may start there from now
+      // on.
+      removedSidecars_.insert(name);
+      UpdateRegisteredSidecars();
       Write({ { SidecarRecord(name, id).key_, "" } }, [] {});
     }
   }
 }
 
+void
+StoredJobs::RestoreSidecars()
+{
+  for (const auto& [name, id] : takenOverSidecars_) {
+    if (!replica_.Sidecars().contains(name) &&
+        restoredSidecars_.insert(name).second) {
+      Write({ SidecarRecord(name, id) }, [] {});
+    }
+  }
+}
+
+void
+StoredJobs::UpdateRegisteredSidecars()
+{
+  std::set<MemberId> registered;
+  for (const auto& [name, id] : replica_.Sidecars()) {
+    restoredSidecars_.erase(name);
+    if (!removedSidecars_.contains(name)) {
+      registered.insert(id);
+    }
+  }
+  std::erase_if(removedSidecars_, [this](const std::string& aName) {
+    return !replica_.Sidecars().contains(aName);
+  });
+  scheduler_.SetRegisteredSidecars(std::move(registered));
+}
+
 void
 StoredJobs::Tick(MonoTime aNow)
 {
@@ -487,6 +528,7 @@
   CheckTakeover(aNow);
   SaveStartedJobs(aNow);
   RemoveLostSidecars(aNow);
+  RestoreSidecars();
   std::vector<std::string> jobs;
   for (const auto& [id, entry] : replica_.Jobs()) {
     if (entry.IsActive()) {
--- a/src/libcornelfront/stored_jobs.h
+++ b/src/libcornelfront/stored_jobs.h
@@ -85,6 +85,9 @@
   void SaveStartedJobs(MonoTime aNow);
   void CheckTakeover(MonoTime aNow);
   void RemoveLostSidecars(MonoTime aNow);
+  /// Registers sidecars again that were removed and have come back.
+  void RestoreSidecars();
+  void UpdateRegisteredSidecars();
 
   asio::io_context& loop_;
   platform::StoreClient& store_;
@@ -105,6 +108,10 @@
   /// Sidecars that have reported their runs for this term, by name.
   std::map<std::string, MemberId> takenOverSidecars_;
   std::map<std::string, MonoTime> lostSince_;
+  /// Sidecars whose removal is being written. No run is placed there.
+  std::set<std::string> removedSidecars_;
+  /// Sidecars whose registration is being written by this process.
+  std::set<std::string> restoredSidecars_;
   std::set<JobInstance> startedInstances_;
   std::set<std::string> closingJobs_;
   MonoTime claimedAt_;
--- a/src/libcornelfront/stored_jobs_test.cpp
+++ b/src/libcornelfront/stored_jobs_test.cpp
@@ -261,6 +261,17 @@
   std::unique_ptr<StoredJobs> stored_;
 };
 
+TEST_F(StoredJobsTest, PlacesNothingOnASidecarWhoseRegistrationItHasNotRead)
+{
+  LinkSidecar();
+  ASSERT_TRUE(RunUntilLeader());
+  Append({ Accepted() });
+  EXPECT_FALSE(RunUntil([this] { return Count<SendRuns>() > 0; }, Millis(400)))
+    << "a later leader may not wait for its runs";
+  Append({ SidecarRecord("s", kSidecar) });
+  EXPECT_TRUE(RunUntil([this] { return Count<SendRuns>() > 0; }));
+}
+
 TEST_F(StoredJobsTest, KeepsARegistrationThatWasLostInAnEarlierTermOnly)
 {
   Append({ SidecarRecord("s", kSidecar) });
@@ -276,6 +287,17 @@
   EXPECT_EQ(CountRecords("w/s", true), 0U);
 }
 
+TEST_F(StoredJobsTest, RegistersASidecarAgainThatReturnsAfterItsRemoval)
+{
+  Append({ SidecarRecord("s", kSidecar) });
+  ASSERT_TRUE(RunUntilLeader());
+  RunUntil([] { return false; }, Millis(300));
+  offset_ = Millis(61000);
+  ASSERT_TRUE(RunUntil([this] { return CountRecords("w/s", true) == 1; }));
+  stored_->OnTakenOver("s", kSidecar, stored_->Term());
+  EXPECT_TRUE(RunUntil([this] { return CountRecords("w/s", false) == 2; }));
+}
+
 TEST_F(StoredJobsTest, RenewsAlthoughItDeletesAcceptancesOfEndedJobs)
 {
   Append({ FinalRecord(kJob, JobState::Completed) });
