Keep ends of a job until the store shows that it is closed

Ends of stored jobs could be acknowledged although no record told of them: - of another task of a job that had just failed, while the record that closes the job was still being written; - of a job that a new leader didn't schedule yet because it had not read the configuration. The upstream forgets an acknowledged end.

Cause: an end of a job that the scheduler doesn't hold was taken as not needed. StoredJobs::Save and the cancellation of the other occurrences of a failed job did the same.

Now such ends are kept without acknowledgement. They count when the job is restored, before any of its tasks is placed, or are acknowledged once the records read from the store show that the job is closed, cancelled or unknown. Upstreams take acknowledgements in order, so a kept end holds back all later ones; for a job of a queue that the leader still doesn't know after 10 s of its term, ends are acknowledged as before.

Before the fix: AcknowledgesNoEndOfAJobThatIsBeingClosed: Count<SendAcknowledgement>() is 1, expected 0 CountsEndsThatCameBeforeTheQueueWasKnown: Count<SendAcknowledgement>() is 1, expected 0, and task 0 ran again (order.index_ is 0, expected 1) StopsACancelledJobAndAcknowledgesItsEnds expected the acknowledgement at once, which is the fault; it now expects none before the cancellation was read, and exactly one after it.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -272,6 +272,15 @@
                MonoTime aNow);
   /// Called once the ends of a SaveJob are in the store.
   void OnSaved(const std::vector<UnacknowledgedEnd>& aEnds);
+  /// Instances that the scheduler does not hold, but of which sidecars have
+  /// reported ends. These are kept without acknowledgement until the instance
+  /// is restored, or until they are known not to be needed.
+  std::vector<JobInstance> InstancesOfKeptEnds() const;
+  /// Keeps ends of an instance that is being closed or cancelled.
+  void KeepEnds(const JobInstance& aInstance,
+                const std::vector<UnacknowledgedEnd>& aEnds);
+  /// Acknowledges the kept ends of an instance that is closed in the store.
+  void AcknowledgeKeptEnds(const JobInstance& aInstance);
   bool HoldsInstance(const JobInstance& aInstance) const
   {
     return jobs_.contains(aInstance);
@@ -409,6 +418,12 @@
   };
   using Sidecars = std::map<MemberId, Sidecar>;
 
+  struct KeptEnd
+  {
+    MemberId sidecar_;
+    RunReport report_;
+  };
+
   /// An upstream that may run the tasks of a step, with the costs of the next
   /// one.
   struct Candidate
@@ -462,6 +477,9 @@
   /// Processes the end of a run that is not current here and that an earlier
   /// leader may have started.
   void OnStoredEnd(MemberId aSidecar, const RunReport& aReport, MonoTime aNow);
+  void KeepEnd(const JobInstance& aInstance, const KeptEnd& aEnd);
+  /// Counts the kept ends of a restored instance, which may end it.
+  void ReplayKeptEnds(const JobInstance& aInstance, MonoTime aNow);
   void RecordUnsaved(Job& aJob,
                      MemberId aSidecar,
                      const RunReport& aReport,
@@ -580,6 +598,9 @@
   std::set<JobInstance> unsaved_;
   /// Ends that are being written to the store.
   std::set<RunKey> saving_;
+  std::map<JobInstance, std::vector<KeptEnd>> keptEnds_;
+  /// Nothing is placed while some kept ends have not been counted yet.
+  bool replayingEnds_ = false;
   /// Term of this process as leader; 0 while another process leads.
   uint64_t term_ = 0;
   MonoTime authorityUntil_;
--- a/src/libcornelfront/policy/job_placement.cpp
+++ b/src/libcornelfront/policy/job_placement.cpp
@@ -41,8 +41,8 @@
 bool
 JobScheduler::MayPlace(const Job& aJob, MonoTime aNow) const
 {
-  return !aJob.stored_ ||
-         (HasAuthority(aNow) && !(takingOver_ && aJob.fromEarlierLeader_));
+  return !aJob.stored_ || (HasAuthority(aNow) && !replayingEnds_ &&
+                           !(takingOver_ && aJob.fromEarlierLeader_));
 }
 
 void
--- a/src/libcornelfront/policy/job_scheduler.cpp
+++ b/src/libcornelfront/policy/job_scheduler.cpp
@@ -148,7 +148,7 @@
   for (const JobInstance& instance : instances) {
     Job& job = jobs_.at(instance);
     if (job.stored_) {
-      OnSaved(std::exchange(job.unsaved_, {}));
+      KeepEnds(instance, std::exchange(job.unsaved_, {}));
       RemoveJob(job);
     } else {
       Finish(job, JobOutcome::GivenUp, "cancelled");
--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -938,6 +938,11 @@
   EXPECT_TRUE(scheduler_.Cancel(kJob, At(10)));
   EXPECT_EQ(Take().stops_.size(), 1U);
   Report(sidecar, key_, RunEnd::Stopped, 20);
+  EXPECT_TRUE(scheduler_.TakeActions().empty());
+  ASSERT_EQ(scheduler_.InstancesOfKeptEnds(),
+            std::vector<JobInstance>{ { kJob } });
+  // The cancellation was read from the store.
+  scheduler_.AcknowledgeKeptEnds({ kJob });
   const auto actions = scheduler_.TakeActions();
   ASSERT_EQ(actions.size(), 1U);
   EXPECT_TRUE(std::holds_alternative<SendAcknowledgement>(actions[0]));
--- a/src/libcornelfront/policy/job_stored.cpp
+++ b/src/libcornelfront/policy/job_stored.cpp
@@ -34,6 +34,7 @@
   authorityUntil_ = {};
   unsaved_.clear();
   saving_.clear();
+  keptEnds_.clear();
   for (auto job = jobs_.begin(); job != jobs_.end();) {
     if (!job->second.stored_) {
       ++job;
@@ -141,7 +142,72 @@
   }
   UnblockSteps(job);
   UpdateLatestStart(job);
-  PlaceJob(job, aNow);
+  ReplayKeptEnds(instance, aNow);
+  if (Job* restored = FindJob(instance)) {
+    PlaceJob(*restored, aNow);
+  }
+}
+
+std::vector<JobInstance>
+JobScheduler::InstancesOfKeptEnds() const
+{
+  std::vector<JobInstance> instances;
+  for (const auto& [instance, ends] : keptEnds_) {
+    instances.push_back(instance);
+  }
+  return instances;
+}
+
+void
+JobScheduler::KeepEnds(const JobInstance& aInstance,
+                       const std::vector<UnacknowledgedEnd>& aEnds)
+{
+  for (const UnacknowledgedEnd& end : aEnds) {
+    KeepEnd(aInstance,
+            { end.sidecar_, { .key_ = end.key_, .unacknowledged_ = true } });
+  }
+}
+
+void
+JobScheduler::KeepEnd(const JobInstance& aInstance, const KeptEnd& aEnd)
+{
+  auto& ends = keptEnds_[aInstance];
+  const bool known =
+    std::any_of(ends.begin(), ends.end(), [&](const KeptEnd& aKept) {
+      return aKept.sidecar_ == aEnd.sidecar_ &&
+             aKept.report_.key_ == aEnd.report_.key_;
+    });
+  if (!known) {
+    ends.push_back(aEnd);
+  }
+}
+
+void
+JobScheduler::AcknowledgeKeptEnds(const JobInstance& aInstance)
+{
+  const auto kept = keptEnds_.extract(aInstance);
+  if (kept.empty()) {
+    return;
+  }
+  std::vector<UnacknowledgedEnd> ends;
+  for (const KeptEnd& end : kept.mapped()) {
+    ends.push_back({ end.sidecar_, end.report_.key_ });
+  }
+  OnSaved(ends);
+}
+
+void
+JobScheduler::ReplayKeptEnds(const JobInstance& aInstance, MonoTime aNow)
+{
+  const auto kept = keptEnds_.extract(aInstance);
+  if (kept.empty()) {
+    return;
+  }
+  replayingEnds_ = true;
+  for (const KeptEnd& end : kept.mapped()) {
+    OnStoredEnd(end.sidecar_, end.report_, aNow);
+  }
+  replayingEnds_ = false;
 }
 
 void
@@ -274,6 +340,10 @@
   }
   const JobTaskId& taskId = aReport.key_.task_;
   Job* job = FindJob(InstanceOf(taskId));
+  if (job == nullptr) {
+    KeepEnd(InstanceOf(taskId), { aSidecar, aReport });
+    return;
+  }
   Task* task = FindTask(taskId);
   const bool done = aReport.end_ == RunEnd::Done;
   const bool failed = aReport.end_ == RunEnd::Failed;
--- a/src/libcornelfront/stored_jobs.cpp
+++ b/src/libcornelfront/stored_jobs.cpp
@@ -21,6 +21,9 @@
 /// are read.
 constexpr Millis kClaimInterval{ 2000 };
 constexpr Millis kSidecarRemovalDelay{ 60000 };
+/// Time after which a leader has read the configuration; a queue that it does
+/// not know then is gone.
+constexpr Millis kQueueWait{ 10000 };
 constexpr std::string_view kLeaderProducer = "leader";
 /// Range of the random first sequence number of a claim, so that two claims of
 /// the same epoch are not taken for a repeat.
@@ -159,6 +162,7 @@
     for (const std::string& job : changed) {
       AdvanceJob(job, false, now);
     }
+    AcknowledgeKeptEnds(now);
     hooks_.onActions_();
   }
 }
@@ -194,6 +198,7 @@
 StoredJobs::StartLeading(MonoTime aNow)
 {
   leading_ = true;
+  leadingSince_ = aNow;
   takingOver_ = true;
   takenOverSidecars_.clear();
   startedInstances_.clear();
@@ -372,7 +377,7 @@
     hooks_.onActions_();
   };
   if (closed) {
-    scheduler_.OnSaved(aSave.ends_);
+    scheduler_.KeepEnds(aSave.instance_, aSave.ends_);
     return;
   }
   const bool single = found->second.accepted_->job_.repeats_ <= 1;
@@ -431,6 +436,36 @@
   }
 }
 
+bool
+StoredJobs::NeedsEnds(const JobInstance& aInstance, MonoTime aNow) const
+{
+  const auto found = replica_.Jobs().find(aInstance.job_);
+  if (found == replica_.Jobs().end() || !found->second.IsActive()) {
+    return false;
+  }
+  // Sidecars acknowledge ends to their upstreams in order, so an end that is
+  // kept for long holds back all later ones.
+  const bool queueGone = !closingJobs_.contains(aInstance.job_) &&
+                         !hooks_.findQueue_(found->second.accepted_->queue_) &&
+                         aNow - leadingSince_ >= kQueueWait;
+  if (queueGone) {
+    return false;
+  }
+  const auto& instances = found->second.instances_;
+  const auto instance = instances.find(aInstance.occurrence_);
+  return instance == instances.end() || !instance->second.completed_;
+}
+
+void
+StoredJobs::AcknowledgeKeptEnds(MonoTime aNow)
+{
+  for (const JobInstance& instance : scheduler_.InstancesOfKeptEnds()) {
+    if (!NeedsEnds(instance, aNow)) {
+      scheduler_.AcknowledgeKeptEnds(instance);
+    }
+  }
+}
+
 void
 StoredJobs::SaveStartedJobs(MonoTime aNow)
 {
@@ -529,6 +564,7 @@
   SaveStartedJobs(aNow);
   RemoveLostSidecars(aNow);
   RestoreSidecars();
+  AcknowledgeKeptEnds(aNow);
   std::vector<std::string> jobs;
   for (const auto& [id, entry] : replica_.Jobs()) {
     if (entry.IsActive()) {
--- a/src/libcornelfront/stored_jobs.h
+++ b/src/libcornelfront/stored_jobs.h
@@ -83,6 +83,9 @@
                       MonoTime aNow);
   void Close(const std::string& aJob, JobState aState);
   void SaveStartedJobs(MonoTime aNow);
+  /// True if the ends of this instance may still matter to a leader.
+  bool NeedsEnds(const JobInstance& aInstance, MonoTime aNow) const;
+  void AcknowledgeKeptEnds(MonoTime aNow);
   void CheckTakeover(MonoTime aNow);
   void RemoveLostSidecars(MonoTime aNow);
   /// Registers sidecars again that were removed and have come back.
@@ -114,6 +117,7 @@
   std::set<std::string> restoredSidecars_;
   std::set<JobInstance> startedInstances_;
   std::set<std::string> closingJobs_;
+  MonoTime leadingSince_;
   MonoTime claimedAt_;
   MonoTime checkedAt_;
 };
--- a/src/libcornelfront/stored_jobs_test.cpp
+++ b/src/libcornelfront/stored_jobs_test.cpp
@@ -312,5 +312,59 @@
     << "other processes see no sign of life in the deletions";
 }
 
+TEST_F(StoredJobsTest, AcknowledgesNoEndOfAJobThatIsBeingClosed)
+{
+  Append({ SidecarRecord("s", kSidecar), Accepted() });
+  LinkSidecar();
+  ASSERT_TRUE(RunUntilLeader());
+  stored_->OnTakenOver("s", kSidecar, stored_->Term());
+  ASSERT_TRUE(RunUntil([this] { return Count<SendRuns>() > 0; }));
+  holdAppends_ = true;
+  Report(0, RunEnd::Failed);
+  Report(1, RunEnd::Done);
+  RunUntil([] { return false; }, Millis(300));
+  EXPECT_EQ(Count<SendAcknowledgement>(), 0U)
+    << "another leader may restart the task";
+  ReleaseAppends();
+  EXPECT_TRUE(
+    RunUntil([this] { return CountRecords("t/" + kJob, false) > 0; }));
+  EXPECT_TRUE(RunUntil([this] { return Count<SendAcknowledgement>() == 2; }));
+}
+
+TEST_F(StoredJobsTest, CountsEndsThatCameBeforeTheQueueWasKnown)
+{
+  queue_.reset();
+  Append({ SidecarRecord("s", kSidecar), Accepted() });
+  LinkSidecar();
+  ASSERT_TRUE(RunUntilLeader());
+  Report(0, RunEnd::Done);
+  EXPECT_EQ(Count<SendAcknowledgement>(), 0U);
+  queue_ = JobQueue{ .name_ = "q", .service_ = "desk" };
+  stored_->OnTakenOver("s", kSidecar, stored_->Term());
+  ASSERT_TRUE(RunUntil([this] { return Count<SendRuns>() > 0; }));
+  size_t runs = 0;
+  for (const JobAction& action : actions_) {
+    if (const auto* send = std::get_if<SendRuns>(&action)) {
+      for (const RunOrder& order : send->orders_.runs_) {
+        EXPECT_EQ(order.index_, 1U) << "task 0 is done";
+        ++runs;
+      }
+    }
+  }
+  EXPECT_EQ(runs, 1U);
+  EXPECT_TRUE(RunUntil([this] { return Count<SendAcknowledgement>() == 1; }));
+}
+
+TEST_F(StoredJobsTest, EndsOfAQueueThatIsGoneDoNotHoldBackOthers)
+{
+  queue_.reset();
+  Append({ SidecarRecord("s", kSidecar), Accepted() });
+  LinkSidecar();
+  ASSERT_TRUE(RunUntilLeader());
+  Report(0, RunEnd::Done);
+  offset_ = Millis(10500);
+  EXPECT_TRUE(RunUntil([this] { return Count<SendAcknowledgement>() == 1; }));
+}
+
 } // namespace
 } // namespace cornelfront
