Merge the bounds of leadership over stored jobs

Authority is a time that each placement compares, so that the flag which the checks of suspension had added, and its test, give way to it: AProcessThatStoodStillStartsNothingWithoutAuthority covers that case. The simulation of two runs asks the table for suspensions.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -247,13 +247,18 @@
   /// its instances.
   bool Cancel(const std::string& aJob, MonoTime aNow);
 
-  /// This process has become the leader of the stored jobs.
+  /// This process has become the leader of the stored jobs. It has no authority
+  /// until SetAuthority grants it.
   void BecomeLeader(uint64_t aTerm, MonoTime aNow);
   /// Another process leads: drops the stored jobs and leaves their runs to it.
   void BecomeFollower(MonoTime aNow);
-  /// Without authority no run of a stored job starts, and those that run are
-  /// stopped.
-  void SetAuthority(bool aHasAuthority, MonoTime aNow);
+  /// Runs of stored jobs start only before \p aUntil; from then on, those that
+  /// run are stopped.
+  void SetAuthority(MonoTime aUntil, MonoTime aNow);
+  /// Runs of stored jobs are placed only on these sidecars. A leader that has
+  /// read a registration has read all claims before it, and a later leader
+  /// finds the registration before its own claim.
+  void SetRegisteredSidecars(std::set<MemberId> aSidecars);
   /// While true, runs of an earlier leader may still be discovered, so jobs
   /// that it may have started are not placed.
   void SetTakingOver(bool aTakingOver, MonoTime aNow);
@@ -269,6 +274,15 @@
                MonoTime aNow);
   /// Called once the ends of a SaveJob are in the store.
   void OnSaved(const std::vector<UnacknowledgedEnd>& aEnds);
+  /// Instances that the scheduler does not hold, but of which sidecars have
+  /// reported ends. These are kept without acknowledgement until the instance
+  /// is restored, or until they are known not to be needed.
+  std::vector<JobInstance> InstancesOfKeptEnds() const;
+  /// Keeps ends of an instance that is being closed or cancelled.
+  void KeepEnds(const JobInstance& aInstance,
+                const std::vector<UnacknowledgedEnd>& aEnds);
+  /// Acknowledges the kept ends of an instance that is closed in the store.
+  void AcknowledgeKeptEnds(const JobInstance& aInstance);
   bool HoldsInstance(const JobInstance& aInstance) const
   {
     return jobs_.contains(aInstance);
@@ -406,6 +420,12 @@
   };
   using Sidecars = std::map<MemberId, Sidecar>;
 
+  struct KeptEnd
+  {
+    MemberId sidecar_;
+    RunReport report_;
+  };
+
   /// An upstream that may run the tasks of a step, with the costs of the next
   /// one.
   struct Candidate
@@ -448,11 +468,20 @@
   }
   Job* FindJob(const JobInstance& aInstance);
   Task* FindTask(const JobTaskId& aTaskId);
-  bool MayPlace(const Job& aJob) const;
+  bool HasAuthority(MonoTime aNow) const
+  {
+    return term_ > 0 && aNow < authorityUntil_;
+  }
+  bool MayPlace(const Job& aJob, MonoTime aNow) const;
+  /// Stops the runs of stored jobs if this process leads without authority.
+  void StopRunsWithoutAuthority(MonoTime aNow);
   void AdoptRun(MemberId aSidecar, const RunKey& aKey, MonoTime aNow);
   /// Processes the end of a run that is not current here and that an earlier
   /// leader may have started.
   void OnStoredEnd(MemberId aSidecar, const RunReport& aReport, MonoTime aNow);
+  void KeepEnd(const JobInstance& aInstance, const KeptEnd& aEnd);
+  /// Counts the kept ends of a restored instance, which may end it.
+  void ReplayKeptEnds(const JobInstance& aInstance, MonoTime aNow);
   void RecordUnsaved(Job& aJob,
                      MemberId aSidecar,
                      const RunReport& aReport,
@@ -571,12 +600,14 @@
   std::set<JobInstance> unsaved_;
   /// Ends that are being written to the store.
   std::set<RunKey> saving_;
+  std::map<JobInstance, std::vector<KeptEnd>> keptEnds_;
+  /// Nothing is placed while some kept ends have not been counted yet.
+  bool replayingEnds_ = false;
   /// Term of this process as leader; 0 while another process leads.
   uint64_t term_ = 0;
-  bool hasAuthority_ = false;
-  /// There was a suspension since authority was last confirmed.
-  bool authorityUnconfirmed_ = false;
+  MonoTime authorityUntil_;
   bool takingOver_ = false;
+  std::set<MemberId> registeredSidecars_;
   Sidecars sidecars_;
   std::set<std::string> zonesOut_;
   std::map<std::string, Durations> durations_;
--- a/src/include/cornelfront/leadership.h
+++ b/src/include/cornelfront/leadership.h
@@ -39,14 +39,17 @@
 public:
   Leadership(MemberId aSelf, LeadershipOptions aOptions, MonoTime aNow);
 
+  /// This process is about to append its claim of a term. The read of the claim
+  /// confirms that append.
+  void OnClaim(uint64_t aTerm, MonoTime aStartTime);
   /// A record shows this leader, for the first time or renewed.
   void OnLeader(uint64_t aTerm, MemberId aId, MonoTime aNow);
   /// A record shows that the current leader is active.
   void OnLeaderActive(MonoTime aNow) { leaderSeenAt_ = aNow; }
   /// The store was read; \p aStartTime is the time at which the read started.
   void OnRead(MonoTime aStartTime);
-  /// An append as leader was confirmed; \p aStartTime is the time at which it
-  /// started.
+  /// An append that others take for a sign of life of the leader was confirmed;
+  /// \p aStartTime is the time at which it started.
   void OnConfirmed(MonoTime aStartTime);
   /// The store has rejected an append because of a newer epoch.
   void OnFenced();
@@ -54,7 +57,10 @@
   /// True if this process should claim the next term.
   bool ShouldClaim(MonoTime aNow) const;
   bool ShouldRenew(MonoTime aNow) const;
-  bool HasAuthority(MonoTime aNow) const;
+  /// Time until which this process may start runs; in the past if another
+  /// process leads.
+  MonoTime AuthorityUntil() const;
+  bool HasAuthority(MonoTime aNow) const { return aNow < AuthorityUntil(); }
   /// True once no run of an earlier leader can exist on an unreachable sidecar.
   bool EarlierRunsEnded(MonoTime aNow) const;
 
@@ -67,9 +73,13 @@
   const LeadershipOptions options_;
   uint64_t term_ = 0;
   MemberId leader_;
+  /// The newest claim of this process, and the start of its append.
+  uint64_t claimedTerm_ = 0;
+  MonoTime claimStart_;
   bool fenced_ = false;
   MonoTime leaderSeenAt_;
-  /// Last activity of the previous leader.
+  /// Last activity of the previous leader, by the time of its read: never
+  /// before the start of the last append that the store took from it.
   MonoTime previousLeaderSeenAt_;
   MonoTime lastReadStart_;
   MonoTime lastConfirmedStart_;
--- a/src/libcornelfront/policy/job_placement.cpp
+++ b/src/libcornelfront/policy/job_placement.cpp
@@ -28,7 +28,7 @@
 void
 JobScheduler::PlaceJob(Job& aJob, MonoTime aNow)
 {
-  if (!MayPlace(aJob)) {
+  if (!MayPlace(aJob, aNow)) {
     waiting_.insert(RankOf(aJob));
     return;
   }
@@ -39,9 +39,9 @@
 }
 
 bool
-JobScheduler::MayPlace(const Job& aJob) const
+JobScheduler::MayPlace(const Job& aJob, MonoTime aNow) const
 {
-  return !aJob.stored_ || (hasAuthority_ && !authorityUnconfirmed_ &&
+  return !aJob.stored_ || (HasAuthority(aNow) && !replayingEnds_ &&
                            !(takingOver_ && aJob.fromEarlierLeader_));
 }
 
@@ -195,7 +195,9 @@
   std::vector<Candidate> candidates;
   candidates.reserve(sidecars_.size());
   for (auto it = sidecars_.begin(); it != sidecars_.end(); ++it) {
-    if (IsEligible(it->second, aJob, aStep)) {
+    const bool registered =
+      !aJob.stored_ || registeredSidecars_.contains(it->first);
+    if (registered && IsEligible(it->second, aJob, aStep)) {
       candidates.push_back(
         { .sidecar_ = it, .avoided_ = aNow < it->second.avoidUntil_ });
       UpdateCosts(candidates.back(), aJob, aStep, run);
--- a/src/libcornelfront/policy/job_scheduler.cpp
+++ b/src/libcornelfront/policy/job_scheduler.cpp
@@ -148,7 +148,7 @@
   for (const JobInstance& instance : instances) {
     Job& job = jobs_.at(instance);
     if (job.stored_) {
-      OnSaved(std::exchange(job.unsaved_, {}));
+      KeepEnds(instance, std::exchange(job.unsaved_, {}));
       RemoveJob(job);
     } else {
       Finish(job, JobOutcome::GivenUp, "cancelled");
@@ -256,6 +256,7 @@
 JobScheduler::Tick(MonoTime aNow)
 {
   DetectSuspension(aNow);
+  StopRunsWithoutAuthority(aNow);
   DecaySlowness(std::chrono::duration_cast<Millis>(aNow - lastTick_));
   lastTick_ = aNow;
   std::vector<MemberId> lost;
@@ -331,7 +332,6 @@
   if (!suspended) {
     return;
   }
-  authorityUnconfirmed_ = true;
   std::vector<JobInstance> ids;
   for (const auto& [id, job] : jobs_) {
     if (!job.stored_) {
--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -515,6 +515,22 @@
   EXPECT_EQ(Take().Runs(), 1U);
 }
 
+TEST_F(JobSchedulerTest, StopsARunWhoseClientLeftWhileTheLinkWasLost)
+{
+  Submit(Job());
+  const SendRuns sent = Take().runs_.at(0);
+  scheduler_.OnSidecarLost(sent.sidecar_, At(10));
+  scheduler_.OnClientDisconnected(1, At(20));
+  Take();
+  scheduler_.OnSidecarLinked(sent.sidecar_, "z", At(50));
+  scheduler_.OnHeldRuns(
+    sent.sidecar_,
+    { .runs_ = { { sent.orders_.Task(sent.orders_.runs_[0]), 1 } } },
+    RunEnd::NotStarted,
+    At(50));
+  EXPECT_EQ(Take().stops_.size(), 1U);
+}
+
 TEST_F(JobSchedulerTest, RunsThatASidecarStillHoldsContinue)
 {
   Submit(Job());
@@ -646,15 +662,18 @@
   StoredJobTest()
   {
     scheduler_.BecomeLeader(1, At(0));
+    scheduler_.SetAuthority(At(100000), At(0));
+    scheduler_.SetRegisteredSidecars({ kFirst, kSecond });
     scheduler_.SetTakingOver(false, At(0));
   }
 
   void Restore(const JobDescription& aJob,
                const JobProgress& aProgress = {},
-               bool aFromEarlierLeader = false)
+               bool aFromEarlierLeader = false,
+               int aMs = 0)
   {
     scheduler_.Restore(
-      aJob, 0, Queue(), aProgress, Millis(0), aFromEarlierLeader, At(0));
+      aJob, 0, Queue(), aProgress, Millis(0), aFromEarlierLeader, At(aMs));
   }
 
   std::vector<SaveJob> Saves()
@@ -764,24 +783,53 @@
   Restore(Job());
   const SortedActions sent = Take();
   ASSERT_EQ(sent.Runs(), 1U);
-  scheduler_.SetAuthority(false, At(10));
+  scheduler_.SetAuthority(At(10), At(10));
   EXPECT_EQ(Take().stops_.size(), 1U);
   Report(sent.runs_[0].sidecar_, key_, RunEnd::Stopped, 20);
   EXPECT_EQ(Take().Runs(), 0U);
-  scheduler_.SetAuthority(true, At(30));
+  scheduler_.SetAuthority(At(4000), At(30));
   EXPECT_EQ(Take().Runs(), 1U);
 }
 
-// Another process may lead by now.
-TEST_F(StoredJobTest, AfterASuspensionNothingStartsUntilAuthorityIsConfirmed)
+TEST_F(StoredJobTest, AProcessThatStoodStillStartsNothingWithoutAuthority)
 {
+  scheduler_.SetAuthority(At(4000), At(0));
   Restore(Job());
   const SortedActions sent = Take();
   ASSERT_EQ(sent.Runs(), 1U);
-  Report(sent.runs_[0].sidecar_, key_, RunEnd::Stopped, 601);
+  const MemberId sidecar = sent.runs_[0].sidecar_;
+  // Woken after the end of its authority; a report comes before any timer.
+  Report(sidecar, key_, RunEnd::Stopped, 4000);
+  EXPECT_EQ(Take().Runs(), 0U);
+  scheduler_.OnReports(kSecond, { .upstream_ = Idle("u2") }, At(4010));
+  scheduler_.Tick(At(4020));
+  EXPECT_EQ(Take().Runs(), 0U);
+  Restore(Job(1, "00000000000000a2"), {}, false, 4030);
+  EXPECT_EQ(Take().Runs(), 0U);
+  scheduler_.SetAuthority(At(8000), At(4040));
+  EXPECT_EQ(Take().Runs(), 2U);
+}
+
+TEST_F(StoredJobTest, TheTimerStopsRunsAtTheEndOfTheAuthority)
+{
+  scheduler_.SetAuthority(At(4000), At(0));
+  Restore(Job());
+  ASSERT_EQ(Take().Runs(), 1U);
+  scheduler_.Tick(At(3999));
+  EXPECT_TRUE(Take().stops_.empty());
+  scheduler_.Tick(At(4000));
+  EXPECT_EQ(Take().stops_.size(), 1U);
+  scheduler_.Tick(At(4025));
+  EXPECT_TRUE(Take().stops_.empty()) << "stopped already";
+}
+
+TEST_F(StoredJobTest, ALeaderHasNoAuthorityUntilItIsGranted)
+{
+  scheduler_.BecomeFollower(At(0));
+  scheduler_.BecomeLeader(2, At(0));
+  scheduler_.SetTakingOver(false, At(0));
+  Restore(Job());
   EXPECT_EQ(Take().Runs(), 0U);
-  scheduler_.SetAuthority(true, At(610));
-  EXPECT_EQ(Take().Runs(), 1U);
 }
 
 TEST_F(StoredJobTest, StopsARestartedTaskWhoseEarlierRunWasDone)
@@ -820,6 +868,46 @@
   EXPECT_EQ(scheduler_.Jobs(), 0U);
 }
 
+TEST_F(StoredJobTest, RepeatsAStopThatWasSentWhileTheLinkWasLost)
+{
+  Restore(Job());
+  const MemberId sidecar = Take().runs_.at(0).sidecar_;
+  scheduler_.OnSidecarLost(sidecar, At(10));
+  scheduler_.SetAuthority(At(20), At(20));
+  EXPECT_EQ(Take().stops_.size(), 1U);
+  scheduler_.OnSidecarLinked(sidecar, "z", At(100));
+  scheduler_.OnHeldRuns(
+    sidecar, { .runs_ = { key_ } }, RunEnd::NotStarted, At(100));
+  EXPECT_EQ(Take().stops_.size(), 1U);
+}
+
+TEST_F(StoredJobTest, StopsARunOfAJobThatWasCancelledWhileTheLinkWasLost)
+{
+  Restore(Job());
+  const MemberId sidecar = Take().runs_.at(0).sidecar_;
+  scheduler_.OnSidecarLost(sidecar, At(10));
+  scheduler_.Cancel(kJob, At(20));
+  EXPECT_EQ(Take().stops_.size(), 1U);
+  scheduler_.OnSidecarLinked(sidecar, "z", At(100));
+  scheduler_.OnHeldRuns(
+    sidecar, { .runs_ = { key_ } }, RunEnd::NotStarted, At(100));
+  EXPECT_EQ(Take().stops_.size(), 1U);
+}
+
+TEST_F(StoredJobTest, PlacesOnlyOnRegisteredSidecars)
+{
+  scheduler_.SetRegisteredSidecars({ kSecond });
+  Restore(Job(2));
+  const SortedActions sent = Take();
+  ASSERT_EQ(sent.runs_.size(), 1U);
+  EXPECT_EQ(sent.runs_[0].sidecar_, kSecond);
+  EXPECT_EQ(sent.Runs(), 2U);
+  Submit(Job(2, "00000000000000a2"));
+  const SortedActions bestEffort = Take();
+  ASSERT_FALSE(bestEffort.runs_.empty());
+  EXPECT_EQ(bestEffort.runs_[0].sidecar_, kFirst) << "best-effort jobs use all";
+}
+
 TEST_F(StoredJobTest, RestartsLongRunningTasksAfterAnyEnd)
 {
   JobDescription job = Job();
@@ -850,6 +938,11 @@
   EXPECT_TRUE(scheduler_.Cancel(kJob, At(10)));
   EXPECT_EQ(Take().stops_.size(), 1U);
   Report(sidecar, key_, RunEnd::Stopped, 20);
+  EXPECT_TRUE(scheduler_.TakeActions().empty());
+  ASSERT_EQ(scheduler_.InstancesOfKeptEnds(),
+            std::vector<JobInstance>{ { kJob } });
+  // The cancellation was read from the store.
+  scheduler_.AcknowledgeKeptEnds({ kJob });
   const auto actions = scheduler_.TakeActions();
   ASSERT_EQ(actions.size(), 1U);
   EXPECT_TRUE(std::holds_alternative<SendAcknowledgement>(actions[0]));
--- a/src/libcornelfront/policy/job_stored.cpp
+++ b/src/libcornelfront/policy/job_stored.cpp
@@ -22,7 +22,7 @@
 {
   DetectSuspension(aNow);
   term_ = aTerm;
-  hasAuthority_ = true;
+  authorityUntil_ = {};
   takingOver_ = true;
 }
 
@@ -31,9 +31,10 @@
 {
   DetectSuspension(aNow);
   term_ = 0;
-  hasAuthority_ = false;
+  authorityUntil_ = {};
   unsaved_.clear();
   saving_.clear();
+  keptEnds_.clear();
   for (auto job = jobs_.begin(); job != jobs_.end();) {
     if (!job->second.stored_) {
       ++job;
@@ -51,24 +52,28 @@
 }
 
 void
-JobScheduler::SetAuthority(bool aHasAuthority, MonoTime aNow)
+JobScheduler::SetAuthority(MonoTime aUntil, MonoTime aNow)
 {
   DetectSuspension(aNow);
-  const bool confirmed = std::exchange(authorityUnconfirmed_, false);
-  const bool same = hasAuthority_ == aHasAuthority;
-  if (term_ == 0 || (same && !(confirmed && hasAuthority_))) {
-    return;
-  }
-  hasAuthority_ = aHasAuthority;
-  if (hasAuthority_) {
+  const bool had = HasAuthority(aNow);
+  authorityUntil_ = aUntil;
+  StopRunsWithoutAuthority(aNow);
+  if (!had && HasAuthority(aNow)) {
     PlaceWaiting(aNow);
+  }
+}
+
+void
+JobScheduler::StopRunsWithoutAuthority(MonoTime aNow)
+{
+  if (term_ == 0 || HasAuthority(aNow)) {
     return;
   }
   for (auto& [instance, job] : jobs_) {
     for (uint32_t s = 0; job.stored_ && s < job.steps_.size(); ++s) {
       auto& tasks = job.steps_[s].tasks_;
       for (uint32_t i = 0; i < tasks.size(); ++i) {
-        if (tasks[i].state_ == TaskState::Sent) {
+        if (tasks[i].state_ == TaskState::Sent && !tasks[i].stopSent_) {
           StopRun({ instance.job_, instance.occurrence_, s, i }, tasks[i]);
         }
       }
@@ -76,6 +81,12 @@
   }
 }
 
+void
+JobScheduler::SetRegisteredSidecars(std::set<MemberId> aSidecars)
+{
+  registeredSidecars_ = std::move(aSidecars);
+}
+
 void
 JobScheduler::SetTakingOver(bool aTakingOver, MonoTime aNow)
 {
@@ -131,7 +142,72 @@
   }
   UnblockSteps(job);
   UpdateLatestStart(job);
-  PlaceJob(job, aNow);
+  ReplayKeptEnds(instance, aNow);
+  if (Job* restored = FindJob(instance)) {
+    PlaceJob(*restored, aNow);
+  }
+}
+
+std::vector<JobInstance>
+JobScheduler::InstancesOfKeptEnds() const
+{
+  std::vector<JobInstance> instances;
+  for (const auto& [instance, ends] : keptEnds_) {
+    instances.push_back(instance);
+  }
+  return instances;
+}
+
+void
+JobScheduler::KeepEnds(const JobInstance& aInstance,
+                       const std::vector<UnacknowledgedEnd>& aEnds)
+{
+  for (const UnacknowledgedEnd& end : aEnds) {
+    KeepEnd(aInstance,
+            { end.sidecar_, { .key_ = end.key_, .unacknowledged_ = true } });
+  }
+}
+
+void
+JobScheduler::KeepEnd(const JobInstance& aInstance, const KeptEnd& aEnd)
+{
+  auto& ends = keptEnds_[aInstance];
+  const bool known =
+    std::any_of(ends.begin(), ends.end(), [&](const KeptEnd& aKept) {
+      return aKept.sidecar_ == aEnd.sidecar_ &&
+             aKept.report_.key_ == aEnd.report_.key_;
+    });
+  if (!known) {
+    ends.push_back(aEnd);
+  }
+}
+
+void
+JobScheduler::AcknowledgeKeptEnds(const JobInstance& aInstance)
+{
+  const auto kept = keptEnds_.extract(aInstance);
+  if (kept.empty()) {
+    return;
+  }
+  std::vector<UnacknowledgedEnd> ends;
+  for (const KeptEnd& end : kept.mapped()) {
+    ends.push_back({ end.sidecar_, end.report_.key_ });
+  }
+  OnSaved(ends);
+}
+
+void
+JobScheduler::ReplayKeptEnds(const JobInstance& aInstance, MonoTime aNow)
+{
+  const auto kept = keptEnds_.extract(aInstance);
+  if (kept.empty()) {
+    return;
+  }
+  replayingEnds_ = true;
+  for (const KeptEnd& end : kept.mapped()) {
+    OnStoredEnd(end.sidecar_, end.report_, aNow);
+  }
+  replayingEnds_ = false;
 }
 
 void
@@ -154,16 +230,19 @@
 void
 JobScheduler::AdoptRun(MemberId aSidecar, const RunKey& aKey, MonoTime aNow)
 {
-  Sidecar& sidecar = sidecars_.at(aSidecar);
-  if (sidecar.runs_.contains(aKey)) {
-    return;
-  }
+  const bool known = !sidecars_.at(aSidecar).runs_.insert(aKey).second;
   Task* task = FindTask(aKey.task_);
   Job* job = FindJob(InstanceOf(aKey.task_));
+  const bool goesOn =
+    known && task != nullptr && task->state_ == TaskState::Sent &&
+    task->sidecar_ == aSidecar && task->run_ == aKey.run_ && !task->stopSent_;
+  if (goesOn) {
+    return;
+  }
+  // A stop that was sent before or during the loss of the link may be lost too.
   const bool wanted =
-    task != nullptr && job->stored_ && aKey.run_ > task->endedRun_ &&
+    !known && task != nullptr && job->stored_ && aKey.run_ > task->endedRun_ &&
     (task->state_ == TaskState::Ready || task->state_ == TaskState::Blocked);
-  sidecar.runs_.insert(aKey);
   if (!wanted) {
     actions_.emplace_back(SendStops{ aSidecar, { { aKey } } });
     return;
@@ -261,6 +340,10 @@
   }
   const JobTaskId& taskId = aReport.key_.task_;
   Job* job = FindJob(InstanceOf(taskId));
+  if (job == nullptr) {
+    KeepEnd(InstanceOf(taskId), { aSidecar, aReport });
+    return;
+  }
   Task* task = FindTask(taskId);
   const bool done = aReport.end_ == RunEnd::Done;
   const bool failed = aReport.end_ == RunEnd::Failed;
--- a/src/libcornelfront/policy/two_runs_sidecar_test.cpp
+++ b/src/libcornelfront/policy/two_runs_sidecar_test.cpp
@@ -104,19 +104,17 @@
 void
 SidecarProcess::DetectSuspension(MonoTime aNow)
 {
-  const auto gap = std::chrono::duration_cast<Millis>(aNow - lastTick_);
-  lastTick_ = aNow;
-  if (gap <= kSuspensionThreshold) {
+  const auto suspension = table_.TakeSuspension(aNow);
+  if (!suspension) {
     return;
   }
   world_.Record({ .sidecar_ = Machine() },
                 "sidecar notices a suspension of " +
-                  std::to_string(gap.count()) + " ms");
+                  std::to_string(suspension->length_.count()) + " ms");
   for (auto& [id, owner] : owners_) {
     owner.link_->Close(Side::Sidecar);
   }
   owners_.clear();
-  table_.StopAll(aNow);
 }
 
 void
--- a/src/libcornelfront/stored_jobs.cpp
+++ b/src/libcornelfront/stored_jobs.cpp
@@ -21,6 +21,9 @@
 /// are read.
 constexpr Millis kClaimInterval{ 2000 };
 constexpr Millis kSidecarRemovalDelay{ 60000 };
+/// Time after which a leader has read the configuration; a queue that it does
+/// not know then is gone.
+constexpr Millis kQueueWait{ 10000 };
 constexpr std::string_view kLeaderProducer = "leader";
 /// Range of the random first sequence number of a claim, so that two claims of
 /// the same epoch are not taken for a repeat.
@@ -136,7 +139,9 @@
 {
   const MonoTime now = BootNow();
   std::set<std::string> changed;
+  bool sidecarsChanged = false;
   for (const KeyedRecord& record : aRecords) {
+    sidecarsChanged |= IsSidecarRecord(record);
     const LeaderRecord before = replica_.Leader();
     changed.insert(replica_.Apply(record, now));
     const LeaderRecord& leader = replica_.Leader();
@@ -151,9 +156,13 @@
   } else if (!leading_ && leadership_.IsLeader()) {
     StartLeading(now);
   } else if (leading_) {
+    if (sidecarsChanged) {
+      UpdateRegisteredSidecars();
+    }
     for (const std::string& job : changed) {
       AdvanceJob(job, false, now);
     }
+    AcknowledgeKeptEnds(now);
     hooks_.onActions_();
   }
 }
@@ -173,15 +182,13 @@
                                   .epoch_ = term,
                                   .firstSequence_ = sequence,
                                   .retryUntilApplied_ = true });
+  leadership_.OnClaim(term, aNow);
   claimWriter_->Write(
     { MakeLeaderRecord({ .term_ = term, .id_ = self_, .name_ = name_ }) },
-    [this, term](platform::StoreOutcome aOutcome, MonoTime aStartTime) {
+    [this, term](platform::StoreOutcome aOutcome, MonoTime) {
       LOG(INFO) << "leadership term=" << term << " outcome="
                 << (aOutcome == platform::StoreOutcome::Ok ? "claimed"
                                                            : "lost");
-      if (aOutcome == platform::StoreOutcome::Ok) {
-        leadership_.OnConfirmed(aStartTime);
-      }
       asio::post(loop_, [this] { claimWriter_.reset(); });
     });
   claimedAt_ = aNow;
@@ -191,10 +198,14 @@
 StoredJobs::StartLeading(MonoTime aNow)
 {
   leading_ = true;
+  leadingSince_ = aNow;
   takingOver_ = true;
   takenOverSidecars_.clear();
   startedInstances_.clear();
   closingJobs_.clear();
+  lostSince_.clear();
+  removedSidecars_.clear();
+  restoredSidecars_.clear();
   const uint64_t term = leadership_.Term();
   LOG(INFO) << "leadership term=" << term
             << " outcome=leading jobs=" << replica_.Jobs().size();
@@ -207,6 +218,8 @@
                                   .firstSequence_ = nextSequence_,
                                   .retryUntilApplied_ = true });
   scheduler_.BecomeLeader(term, aNow);
+  scheduler_.SetAuthority(leadership_.AuthorityUntil(), aNow);
+  UpdateRegisteredSidecars();
   std::vector<std::string> jobs;
   for (const auto& [id, entry] : replica_.Jobs()) {
     jobs.push_back(id);
@@ -247,19 +260,25 @@
   if (!leaderWriter_) {
     return;
   }
-  leaderWriter_->Write(std::move(aRecords),
-                       [this, done = std::move(aDone)](
-                         platform::StoreOutcome aOutcome, MonoTime aStartTime) {
-                         if (aOutcome == platform::StoreOutcome::Ok) {
-                           leadership_.OnConfirmed(aStartTime);
-                           done();
-                           return;
-                         }
-                         leadership_.OnFenced();
-                         if (leading_) {
-                           StopLeading(BootNow());
-                         }
-                       });
+  const bool signOfLife =
+    std::any_of(aRecords.begin(), aRecords.end(), IsWrittenByLeader);
+  leaderWriter_->Write(
+    std::move(aRecords),
+    [this, signOfLife, done = std::move(aDone)](platform::StoreOutcome aOutcome,
+                                                MonoTime aStartTime) {
+      if (aOutcome == platform::StoreOutcome::Ok) {
+        if (signOfLife) {
+          leadership_.OnConfirmed(aStartTime);
+          scheduler_.SetAuthority(leadership_.AuthorityUntil(), BootNow());
+        }
+        done();
+        return;
+      }
+      leadership_.OnFenced();
+      if (leading_) {
+        StopLeading(BootNow());
+      }
+    });
 }
 
 void
@@ -358,7 +377,7 @@
     hooks_.onActions_();
   };
   if (closed) {
-    scheduler_.OnSaved(aSave.ends_);
+    scheduler_.KeepEnds(aSave.instance_, aSave.ends_);
     return;
   }
   const bool single = found->second.accepted_->job_.repeats_ <= 1;
@@ -417,6 +436,36 @@
   }
 }
 
+bool
+StoredJobs::NeedsEnds(const JobInstance& aInstance, MonoTime aNow) const
+{
+  const auto found = replica_.Jobs().find(aInstance.job_);
+  if (found == replica_.Jobs().end() || !found->second.IsActive()) {
+    return false;
+  }
+  // Sidecars acknowledge ends to their upstreams in order, so an end that is
+  // kept for long holds back all later ones.
+  const bool queueGone = !closingJobs_.contains(aInstance.job_) &&
+                         !hooks_.findQueue_(found->second.accepted_->queue_) &&
+                         aNow - leadingSince_ >= kQueueWait;
+  if (queueGone) {
+    return false;
+  }
+  const auto& instances = found->second.instances_;
+  const auto instance = instances.find(aInstance.occurrence_);
+  return instance == instances.end() || !instance->second.completed_;
+}
+
+void
+StoredJobs::AcknowledgeKeptEnds(MonoTime aNow)
+{
+  for (const JobInstance& instance : scheduler_.InstancesOfKeptEnds()) {
+    if (!NeedsEnds(instance, aNow)) {
+      scheduler_.AcknowledgeKeptEnds(instance);
+    }
+  }
+}
+
 void
 StoredJobs::SaveStartedJobs(MonoTime aNow)
 {
@@ -447,18 +496,51 @@
 {
   for (const auto& [name, id] : replica_.Sidecars()) {
     const auto taken = takenOverSidecars_.find(name);
-    if (taken != takenOverSidecars_.end() && taken->second == id) {
+    const bool present =
+      taken != takenOverSidecars_.end() && taken->second == id;
+    if (present || scheduler_.HasOpenRuns(id)) {
       lostSince_.erase(name);
       continue;
     }
     const auto since = lostSince_.emplace(name, aNow).first->second;
     if (aNow - since >= kSidecarRemovalDelay) {
       lostSince_.erase(name);
+      // No later leader will wait for it, so nothing may start there from now
+      // on.
+      removedSidecars_.insert(name);
+      UpdateRegisteredSidecars();
       Write({ { SidecarRecord(name, id).key_, "" } }, [] {});
     }
   }
 }
 
+void
+StoredJobs::RestoreSidecars()
+{
+  for (const auto& [name, id] : takenOverSidecars_) {
+    if (!replica_.Sidecars().contains(name) &&
+        restoredSidecars_.insert(name).second) {
+      Write({ SidecarRecord(name, id) }, [] {});
+    }
+  }
+}
+
+void
+StoredJobs::UpdateRegisteredSidecars()
+{
+  std::set<MemberId> registered;
+  for (const auto& [name, id] : replica_.Sidecars()) {
+    restoredSidecars_.erase(name);
+    if (!removedSidecars_.contains(name)) {
+      registered.insert(id);
+    }
+  }
+  std::erase_if(removedSidecars_, [this](const std::string& aName) {
+    return !replica_.Sidecars().contains(aName);
+  });
+  scheduler_.SetRegisteredSidecars(std::move(registered));
+}
+
 void
 StoredJobs::Tick(MonoTime aNow)
 {
@@ -473,7 +555,7 @@
   if (leadership_.ShouldRenew(aNow) && leaderWriter_->Idle()) {
     Renew();
   }
-  scheduler_.SetAuthority(leadership_.HasAuthority(aNow), aNow);
+  scheduler_.SetAuthority(leadership_.AuthorityUntil(), aNow);
   if (aNow - checkedAt_ < kCheckInterval) {
     return;
   }
@@ -481,6 +563,8 @@
   CheckTakeover(aNow);
   SaveStartedJobs(aNow);
   RemoveLostSidecars(aNow);
+  RestoreSidecars();
+  AcknowledgeKeptEnds(aNow);
   std::vector<std::string> jobs;
   for (const auto& [id, entry] : replica_.Jobs()) {
     if (entry.IsActive()) {
--- a/src/libcornelfront/stored_jobs.h
+++ b/src/libcornelfront/stored_jobs.h
@@ -83,8 +83,14 @@
                       MonoTime aNow);
   void Close(const std::string& aJob, JobState aState);
   void SaveStartedJobs(MonoTime aNow);
+  /// True if the ends of this instance may still matter to a leader.
+  bool NeedsEnds(const JobInstance& aInstance, MonoTime aNow) const;
+  void AcknowledgeKeptEnds(MonoTime aNow);
   void CheckTakeover(MonoTime aNow);
   void RemoveLostSidecars(MonoTime aNow);
+  /// Registers sidecars again that were removed and have come back.
+  void RestoreSidecars();
+  void UpdateRegisteredSidecars();
 
   asio::io_context& loop_;
   platform::StoreClient& store_;
@@ -105,8 +111,13 @@
   /// Sidecars that have reported their runs for this term, by name.
   std::map<std::string, MemberId> takenOverSidecars_;
   std::map<std::string, MonoTime> lostSince_;
+  /// Sidecars whose removal is being written. No run is placed there.
+  std::set<std::string> removedSidecars_;
+  /// Sidecars whose registration is being written by this process.
+  std::set<std::string> restoredSidecars_;
   std::set<JobInstance> startedInstances_;
   std::set<std::string> closingJobs_;
+  MonoTime leadingSince_;
   MonoTime claimedAt_;
   MonoTime checkedAt_;
 };
