Take the end of a run only for the submission that started it

Seen by callers: a job that is submitted again after its client's connection broke could have two runs of a task; the entry starts a third when the first one's end is told.

Cause: the entry knew a run by task and number, and the runs of each submission began at 1. The end of a run of an earlier submission, told when its sidecar counts as lost, was taken for the end of the present one on another sidecar. And a replaced sidecar counted as lost since the beginning of time until its successor's runs had been read, so that a tick in between started all its runs again.

Evidence: TheEndOfAnEarlierSubmissionsRunStartsNothing (1 run placed, expected 0) and AReplacedSidecarIsNotTakenAsLostBeforeItIsLinked (the same) failed before.

Change: an end counts only if it comes from the sidecar that the task was sent to, and the runs of a job that is submitted again are numbered on from those that were abandoned. A replacement counts as lost from the moment that it is known.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -190,6 +190,9 @@
   /// sidecar may be replaced within a second, then waits
   /// RunTableOptions::firstLeaderTimeout_, then lets the lease expire.
   Millis lostStoredRunTimeout_{ 6500 };
+  /// How long the numbers of abandoned runs are remembered; longer than any of
+  /// them can go on.
+  Millis abandonedRetention_{ 10000 };
   /// Maximum time that a task waits in a sidecar; after that it is placed
   /// again.
   Millis startTimeout_{ 1500 };
@@ -420,6 +423,13 @@
   };
   using Sidecars = std::map<MemberId, Sidecar>;
 
+  /// The job was dropped while runs of it were under way.
+  struct AbandonedRuns
+  {
+    uint32_t highestRun_ = 0;
+    MonoTime since_;
+  };
+
   struct KeptEnd
   {
     MemberId sidecar_;
@@ -564,6 +574,8 @@
   void RecordSent(Sidecar& aSidecar, const StepSpec& aStep, const RunKey& aKey);
   void OnRunEnd(MemberId aSidecar, const RunReport& aReport, MonoTime aNow);
   void OnTaskDone(Job& aJob, const JobTaskId& aTaskId, MonoTime aNow);
+  /// Returns the highest number of a run of this job that may still go on.
+  uint32_t HighestAbandonedRun(const std::string& aJob) const;
   /// Counts a failed run; fails the job once the attempts are used up.
   void OnTaskFailed(Job& aJob, const RunKey& aKey, MonoTime aNow);
   void RestartGang(Job& aJob, uint32_t aStep);
@@ -609,6 +621,9 @@
   bool takingOver_ = false;
   std::set<MemberId> registeredSidecars_;
   Sidecars sidecars_;
+  /// Best-effort jobs by id. If one is submitted again, its runs get higher
+  /// numbers, so that the end of an earlier one is not taken for theirs.
+  std::map<std::string, AbandonedRuns> abandoned_;
   std::set<std::string> zonesOut_;
   std::map<std::string, Durations> durations_;
   std::vector<JobAction> actions_;
--- a/src/libcornelfront/policy/job_runs.cpp
+++ b/src/libcornelfront/policy/job_runs.cpp
@@ -77,9 +77,9 @@
   const JobTaskId& taskId = aReport.key_.task_;
   Job* job = FindJob(InstanceOf(taskId));
   Task* found = FindTask(taskId);
-  const bool current = known && found != nullptr &&
-                       found->state_ == TaskState::Sent &&
-                       found->run_ == aReport.key_.run_;
+  const bool current =
+    known && found != nullptr && found->state_ == TaskState::Sent &&
+    found->sidecar_ == aSidecar && found->run_ == aReport.key_.run_;
   if (!current) {
     OnStoredEnd(aSidecar, aReport, aNow);
     return;
--- a/src/libcornelfront/policy/job_scheduler.cpp
+++ b/src/libcornelfront/policy/job_scheduler.cpp
@@ -67,7 +67,9 @@
   submissions_[aSubmissionId] = instance;
   for (const StepSpec& step : aJob.steps_) {
     job.steps_.push_back(
-      { .tasks_ = std::vector<Task>(step.count_), .openTasks_ = step.count_ });
+      { .tasks_ = std::vector<Task>(
+          step.count_, Task{ .run_ = HighestAbandonedRun(aJob.id_) }),
+        .openTasks_ = step.count_ });
   }
   if (RefuseIfInfeasible(job, aNow)) {
     return;
@@ -105,6 +107,13 @@
   return true;
 }
 
+uint32_t
+JobScheduler::HighestAbandonedRun(const std::string& aJob) const
+{
+  const auto found = abandoned_.find(aJob);
+  return found == abandoned_.end() ? 0 : found->second.highestRun_;
+}
+
 bool
 JobScheduler::Reattach(JobSubmissionId aSubmissionId,
                        const std::string& aJob,
@@ -190,6 +199,8 @@
   if (old == sidecars_.end()) {
     return;
   }
+  // Until the replacement is linked, it counts as lost from now on.
+  sidecars_[aReplacement].lostAt_ = aNow;
   for (const RunKey& key : old->second.runs_) {
     sidecars_[aReplacement].runs_.insert(key);
     Task* task = FindTask(key.task_);
@@ -274,6 +285,9 @@
       sidecars_.erase(id);
     }
   }
+  std::erase_if(abandoned_, [&](const auto& aRuns) {
+    return aNow - aRuns.second.since_ > options_.abandonedRetention_;
+  });
   std::vector<JobInstance> expired;
   for (const auto& [id, job] : jobs_) {
     if (aNow >= job.deadline_) {
@@ -410,12 +424,14 @@
 JobScheduler::RemoveJob(Job& aJob)
 {
   std::map<MemberId, StopRuns> stops;
+  uint32_t highestRun = 0;
   for (uint32_t s = 0; s < aJob.steps_.size(); ++s) {
     auto& tasks = aJob.steps_[s].tasks_;
     for (uint32_t i = 0; i < tasks.size(); ++i) {
       if (tasks[i].state_ == TaskState::Sent) {
         stops[tasks[i].sidecar_].runs_.push_back(
           { { aJob.spec_.id_, aJob.occurrence_, s, i }, tasks[i].run_ });
+        highestRun = std::max(highestRun, tasks[i].run_);
       }
     }
   }
@@ -427,6 +443,9 @@
   unsaved_.erase(id);
   if (!aJob.stored_) {
     submissions_.erase(aJob.submissionId_);
+    if (highestRun > 0) {
+      abandoned_[aJob.spec_.id_] = { highestRun, lastCall_ };
+    }
   }
   jobs_.erase(id);
 }
--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -531,6 +531,34 @@
   EXPECT_EQ(Take().stops_.size(), 1U);
 }
 
+// The client has left and returned while the sidecar of its first submission
+// was lost.
+TEST_F(JobSchedulerTest, TheEndOfAnEarlierSubmissionsRunStartsNothing)
+{
+  Submit(Job());
+  const SendRuns first = Take().runs_.at(0);
+  scheduler_.OnSidecarLost(first.sidecar_, At(10));
+  scheduler_.OnClientDisconnected(1, At(200));
+  Submit(Job(), 1500, 2);
+  const SendRuns second = Take().runs_.at(0);
+  ASSERT_NE(second.sidecar_, first.sidecar_);
+  EXPECT_GT(second.orders_.runs_[0].run_, first.orders_.runs_[0].run_);
+  for (int ms = 1600; ms <= 3000; ms += 100) {
+    scheduler_.Tick(At(ms));
+    EXPECT_EQ(Take().Runs(), 0U) << ms;
+  }
+}
+
+TEST_F(JobSchedulerTest, AReplacedSidecarIsNotTakenAsLostBeforeItIsLinked)
+{
+  Submit(Job());
+  const SendRuns sent = Take().runs_.at(0);
+  constexpr MemberId kReplacement{ 99 };
+  scheduler_.OnSidecarReplaced(sent.sidecar_, kReplacement, At(10));
+  scheduler_.Tick(At(20));
+  EXPECT_EQ(Take().Runs(), 0U);
+}
+
 TEST_F(JobSchedulerTest, RunsThatASidecarStillHoldsContinue)
 {
   Submit(Job());
--- a/src/libcornelfront/policy/two_runs_model_test.h
+++ b/src/libcornelfront/policy/two_runs_model_test.h
@@ -328,7 +328,6 @@
   Backoff pollBackoff_;
   bool pollDelayed_ = false;
   uint64_t pollTimer_ = 0;
-  MonoTime lastTick_;
 };
 
 /// Does what JobEntry does for best-effort jobs.
--- a/src/libcornelfront/policy/two_runs_sidecar_test.cpp
+++ b/src/libcornelfront/policy/two_runs_sidecar_test.cpp
@@ -10,7 +10,6 @@
 constexpr Millis kTickInterval{ 50 };
 constexpr Millis kPredecessorRunTimeout{ 1100 };
 constexpr Millis kPredecessorOrderTimeout{ 300 };
-constexpr Millis kSuspensionThreshold{ 600 };
 constexpr Millis kMinRequestTimeout{ 20 };
 constexpr Millis kMaxRequestTimeout{ 320 };
 constexpr Millis kBusyPollWait{ 50 };
@@ -37,7 +36,6 @@
   , pollBackoff_({ .initial_ = Millis(1),
                    .max_ = Millis(200),
                    .seed_ = aWorld.random_.Next() })
-  , lastTick_(Now())
 {
 }
 
