Bound the lease by waiting runs too, and only by stops that nobody awaits

Seen by callers: two runs of a task at a time, or runs of others that end for no need.

A run that waited while its owner was lost began within 700 ms on a lease that had been given for the others until then, 1,710 ms after the last sign of its owner. 2. Any stop limited the lease, also one of a stalled run whose owner lives and waits for its end: stalls come from sick upstreams, which are the ones that refuse stops, and all runs there ended with the lease. 3. Messages up to any age counted as a sign of their sender, though lostRunTimeout_ rests on 1,000 ms; a larger lease in the settings would have moved all bounds.

Change: waiting runs limit the lease as running ones do; StopRuns says whether the job is abandoned, and only such stops, those of stored runs and those of lost owners limit it. Messages older than 1,000 ms don't count as a sign of their sender. The lease is 1,000 ms at most. Stops are repeated each 100 ms, as long as one may be under way.

ARunThatItsOwnerStopsEndsBeforeItsClientReturns is now about an abandoned run, as the client's return is; AStopThatItsOwnerWaitsForDoesNotEndTheLease and ARunThatStartsAfterItsOwnerWasLostEndsInTimeToo are new.

--- a/src/include/cornelfront/run_messages.h
+++ b/src/include/cornelfront/run_messages.h
@@ -98,11 +98,14 @@
 struct StopRuns
 {
   std::vector<RunKey> runs_;
+  /// The sender does not wait for the ends: the job may be submitted again, to
+  /// any entry, while the runs go on.
+  bool abandoned_ = false;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(runs_);
+    aArchive(runs_, abandoned_);
   }
 };
 
--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -116,8 +116,10 @@
 /// Why a run on the upstream must end.
 enum class StopReason : uint8_t
 {
-  /// Its owner has ordered it.
+  /// Its owner has ordered it, and waits for the end before the next run.
   Ordered,
+  /// Its owner has dropped the job.
+  Abandoned,
   /// Its owner has been silent for too long.
   OwnerLost,
   /// This process was suspended.
@@ -149,7 +151,7 @@
   Orphaned,
   /// The owner of a run has not been heard of.
   OwnerSilent,
-  /// A run has been stopped and may still go on.
+  /// A run that nobody waits for has been stopped and may still go on.
   StopUnconfirmed,
   /// The leader of the stored jobs is lost and ends are unacknowledged.
   LeaderLost,
@@ -221,7 +223,7 @@
   Millis upstreamSuspectAfter_{ 600 };
   /// Interval at which a stop request without effect is repeated. Several fit
   /// into the time that the lease lasts on, since its end takes all runs along.
-  Millis stopRepeatInterval_{ 60 };
+  Millis stopRepeatInterval_{ 100 };
   /// Maximum number of times that an unanswered order is sent again.
   int maxStartRepeats_ = 3;
   /// Delay before the next start after the upstream answered that it is full.
@@ -434,6 +436,8 @@
   Runs::iterator FindUpstreamRun(const RunKey& aKey);
   std::vector<Runs::iterator> WaitingInOrder(MonoTime aNow);
   bool MayStart(MonoTime aNow) const;
+  /// True if the lease may be extended by a start.
+  bool MayExtendByStart(MonoTime aNow) const;
   /// Lowers \p aLimit to what this run allows.
   void LimitLeaseBy(const Run& aRun, LeaseLimit& aLimit) const;
   /// Returns waiting runs whose time to start has passed.
--- a/src/libcornelfront/job_sidecar.cpp
+++ b/src/libcornelfront/job_sidecar.cpp
@@ -163,7 +163,7 @@
 JobSidecar::Impl::LogLeaseLimit(MonoTime aNow)
 {
   const LeaseLimit limit = table_.LimitLease(aNow);
-  const bool ending = limit.end_ - aNow < settings_.lease_ / 2;
+  const bool ending = limit.end_ - aNow < lease_ / 2;
   const LeaseLimitReason reason =
     ending ? limit.reason_ : LeaseLimitReason::None;
   if (reason == leaseLimit_) {
--- a/src/libcornelfront/job_sidecar_entries.cpp
+++ b/src/libcornelfront/job_sidecar_entries.cpp
@@ -10,9 +10,10 @@
 namespace cornelfront {
 namespace {
 
-/// Maximum time that an order may have been in transit; an older one is not
-/// carried out.
-constexpr Millis kMaxOrderAge{ 1000 };
+/// Maximum time that a message may have been in transit. An older order is not
+/// carried out, and an older message is no sign that its sender lives.
+/// JobSchedulerOptions::lostRunTimeout_ rests on it.
+constexpr Millis kMaxMessageAge{ 1000 };
 
 } // namespace
 
@@ -49,7 +50,9 @@
   if (owner == owners_.end() || owner->second.link_ != aLink) {
     return;
   }
-  table_.OnOwnerHeard(id, now);
+  if (MaxAgeOf(aEnvelope, now) <= kMaxMessageAge) {
+    table_.OnOwnerHeard(id, now);
+  }
   if (std::holds_alternative<StartRuns>(aEnvelope.message_)) {
     OnOrders(id, aEnvelope, now);
   } else if (const auto* stop = std::get_if<StopRuns>(&aEnvelope.message_)) {
@@ -103,7 +106,7 @@
 {
   auto& orders = std::get<StartRuns>(aEnvelope.message_);
   const Millis age = MaxAgeOf(aEnvelope, aNow);
-  if (age > kMaxOrderAge) {
+  if (age > kMaxMessageAge) {
     LOG(WARNING) << "orders job=" << orders.job_ << " age_ms=" << age.count()
                  << " outcome=too_old";
     orders.startTimeout_ = Millis(0);
--- a/src/libcornelfront/job_sidecar_pvt.h
+++ b/src/libcornelfront/job_sidecar_pvt.h
@@ -19,6 +19,7 @@
 #include "platform/operator_state.h"
 #include "platform/store_client.h"
 
+#include <algorithm>
 #include <map>
 
 namespace cornelfront {
@@ -90,9 +91,11 @@
   const MemberId self_ = NewMemberId();
   const MonoTime start_ = BootNow();
   IoPool pool_{ 1 };
+  /// The bounds of RunTableOptions and of the entries hold up to its default.
+  const Millis lease_ = std::min(settings_.lease_, RunTableOptions{}.lease_);
   RunTable table_{ RunTableOptions{ .suspensionThreshold_ =
                                       kSuspensionThreshold,
-                                    .lease_ = settings_.lease_ } };
+                                    .lease_ = lease_ } };
   std::map<MemberId, Owner> owners_;
   std::map<uint64_t, MemberId> entries_;
   std::shared_ptr<const LinkHandlers> handlers_;
--- a/src/libcornelfront/policy/job_scheduler.cpp
+++ b/src/libcornelfront/policy/job_scheduler.cpp
@@ -436,6 +436,7 @@
     }
   }
   for (auto& [id, stop] : stops) {
+    stop.abandoned_ = true;
     actions_.emplace_back(SendStops{ id, std::move(stop) });
   }
   const JobInstance id = InstanceOf(aJob);
--- a/src/libcornelfront/policy/job_stored.cpp
+++ b/src/libcornelfront/policy/job_stored.cpp
@@ -233,10 +233,10 @@
   const bool known = !sidecars_.at(aSidecar).runs_.insert(aKey).second;
   Task* task = FindTask(aKey.task_);
   Job* job = FindJob(InstanceOf(aKey.task_));
-  const bool goesOn =
-    known && task != nullptr && task->state_ == TaskState::Sent &&
-    task->sidecar_ == aSidecar && task->run_ == aKey.run_ && !task->stopSent_;
-  if (goesOn) {
+  const bool current = known && task != nullptr &&
+                       task->state_ == TaskState::Sent &&
+                       task->sidecar_ == aSidecar && task->run_ == aKey.run_;
+  if (current && !task->stopSent_) {
     return;
   }
   // A stop that was sent before or during the loss of the link may be lost too.
@@ -244,7 +244,8 @@
     !known && task != nullptr && job->stored_ && aKey.run_ > task->endedRun_ &&
     (task->state_ == TaskState::Ready || task->state_ == TaskState::Blocked);
   if (!wanted) {
-    actions_.emplace_back(SendStops{ aSidecar, { { aKey } } });
+    actions_.emplace_back(
+      SendStops{ aSidecar, { .runs_ = { aKey }, .abandoned_ = !current } });
     return;
   }
   task->state_ = TaskState::Sent;
--- a/src/libcornelfront/policy/run_lease_test.cpp
+++ b/src/libcornelfront/policy/run_lease_test.cpp
@@ -118,7 +118,7 @@
   EXPECT_LT(PollUntil(Millis(0), Millis(3000)), kClientReturn);
 }
 
-TEST_F(RunLeaseTest, ARunThatItsOwnerStopsEndsBeforeItsClientReturns)
+TEST_F(RunLeaseTest, ARunThatItsOwnerAbandonsEndsBeforeItsClientReturns)
 {
   Order(0, At(0));
   ASSERT_EQ(Start(At(0)), 1U);
@@ -127,7 +127,8 @@
     AnswerPoll(table_.BeginPoll(), At(ms));
   }
   const Millis stopped{ 2000 };
-  table_.OnStop(kOwner, { .runs_ = { Key(0) } }, At(stopped));
+  table_.OnStop(
+    kOwner, { .runs_ = { Key(0) }, .abandoned_ = true }, At(stopped));
   Millis end{ 0 };
   for (Millis ms = stopped; ms <= Millis(5000); ms += kPollInterval) {
     table_.OnOwnerHeard(kOwner, At(ms));
@@ -185,6 +186,46 @@
   EXPECT_LT(OnSlowClock(lease), options.upstreamTimeout_);
 }
 
+// Its owner waits for the end; other runs there must not end with it.
+TEST_F(RunLeaseTest, AStopThatItsOwnerWaitsForDoesNotEndTheLease)
+{
+  Order(0, At(0));
+  ASSERT_EQ(Start(At(0)), 1U);
+  AnswerPoll(table_.BeginPoll(), At(0));
+  table_.OnStop(kOwner, { .runs_ = { Key(0) } }, At(10));
+  EXPECT_EQ(table_.TakeStops(At(10)).size(), 1U);
+  for (Millis ms{ 10 }; ms <= Millis(2000); ms += kPollInterval) {
+    table_.OnOwnerHeard(kOwner, At(ms));
+    AnswerPoll(table_.BeginPoll(), At(ms));
+    EXPECT_EQ(table_.LeaseEnd(At(ms)), At(ms + Millis(1000)));
+  }
+  table_.OnStop(kOwner, { .runs_ = { Key(0) }, .abandoned_ = true }, At(2000));
+  EXPECT_EQ(table_.LeaseEnd(At(2500)), At(3000));
+}
+
+// The lease that it starts with was given while it waited.
+TEST_F(RunLeaseTest, ARunThatStartsAfterItsOwnerWasLostEndsInTimeToo)
+{
+  table_.OnOwnerLinked(kOther, At(0));
+  StartRuns others{ .job_ = "00000000000000b2",
+                    .service_ = "desk",
+                    .resources_ = { .cpu_ = 4000, .memoryMb_ = 1 },
+                    .estimate_ = Millis(690),
+                    .startTimeout_ = Millis(1500) };
+  others.runs_.push_back({ 0, 1 });
+  table_.OnOrders(kOther, others, At(0));
+  ASSERT_EQ(Start(At(0)), 1U);
+  Order(0, At(0));
+  for (Millis ms{ 0 }; ms < Millis(690); ms += kPollInterval) {
+    table_.OnOwnerHeard(kOther, At(ms));
+    AnswerPoll(table_.BeginPoll(), At(ms));
+    const auto end = table_.LeaseEnd(At(ms));
+    ASSERT_TRUE(end);
+    EXPECT_LT(OnSlowClock(std::chrono::duration_cast<Millis>(*end - At(0))),
+              kClientReturn);
+  }
+}
+
 TEST_F(RunLeaseTest, AQuietOwnerDoesNotShortenTheLease)
 {
   table_.OnOwnerLinked(kOther, At(0));
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -18,11 +18,8 @@
 constexpr uint32_t kRenumberStep = 100;
 constexpr size_t kMaxGone = 16;
 
-constexpr std::array<std::string_view, 4> kStopReasons = {
-  "ordered",
-  "owner_lost",
-  "suspended",
-  "orphaned",
+constexpr std::array<std::string_view, 5> kStopReasons = {
+  "ordered", "abandoned", "owner_lost", "suspended", "orphaned",
 };
 
 constexpr std::array<std::string_view, 6> kLeaseLimitReasons = {
@@ -206,7 +203,10 @@
 void
 RunTable::OnOrders(MemberId aOwner, const StartRuns& aOrders, MonoTime aNow)
 {
-  OnOwnerLinked(aOwner, aNow);
+  DetectSuspension(aNow);
+  if (aOrders.startTimeout_ > Millis(0)) {
+    OnOwnerLinked(aOwner, aNow);
+  }
   const bool accepts = Accepts(aOrders, aNow);
   term_ = std::max(term_, aOrders.term_);
   for (const RunOrder& order : aOrders.runs_) {
@@ -276,7 +276,10 @@
   for (const RunKey& key : aStop.runs_) {
     const auto run = runs_.find(key);
     if (run != runs_.end()) {
-      RequestStop(run, StopReason::Ordered, aNow);
+      RequestStop(run,
+                  aStop.abandoned_ ? StopReason::Abandoned
+                                   : StopReason::Ordered,
+                  aNow);
     }
   }
 }
@@ -295,8 +298,13 @@
 RunTable::MayStart(MonoTime aNow) const
 {
   return upstream_ && !upstream_->draining_ && !closed_ && !leaseLapseStart_ &&
-         aNow >= fullUntil_ &&
-         LimitLease(aNow).end_ >= aNow + options_.startTimeout_;
+         aNow >= fullUntil_ && MayExtendByStart(aNow);
+}
+
+bool
+RunTable::MayExtendByStart(MonoTime aNow) const
+{
+  return LimitLease(aNow).end_ >= aNow + options_.startTimeout_;
 }
 
 std::vector<StartRequest>
@@ -523,10 +531,9 @@
   Lower(limit,
         upstreamHeardAt_ + options_.maxLeaseSilence_ + options_.lease_,
         LeaseLimitReason::UpstreamSilent);
+  // Waiting runs too: they live on the lease that was given before they start.
   for (const auto& [key, run] : runs_) {
-    if (run.state_ != State::Waiting) {
-      LimitLeaseBy(run, limit);
-    }
+    LimitLeaseBy(run, limit);
   }
   return limit;
 }
@@ -534,7 +541,12 @@
 void
 RunTable::LimitLeaseBy(const Run& aRun, LeaseLimit& aLimit) const
 {
-  if (aRun.stop_) {
+  // A best-effort run that its owner only wants to move elsewhere may go on
+  // until it ends; that of a stored job may have another leader by then.
+  const bool mustEnd =
+    aRun.stop_ &&
+    (aRun.stop_->reason_ != StopReason::Ordered || aRun.term_ > 0);
+  if (mustEnd) {
     Lower(aLimit,
           aRun.stop_->requestedAt_ + options_.lease_,
           LeaseLimitReason::StopUnconfirmed);
@@ -625,8 +637,14 @@
 {
   if (aRun->second.state_ == State::Waiting) {
     Finish(aRun, RunEnd::NotStarted, aNow);
-  } else if (!aRun->second.stop_) {
-    aRun->second.stop_.emplace(aReason, aNow);
+    return;
+  }
+  std::optional<Stop>& stop = aRun->second.stop_;
+  if (!stop) {
+    stop = Stop{ .reason_ = aReason, .requestedAt_ = aNow };
+  } else if (stop->reason_ == StopReason::Ordered) {
+    stop->reason_ = aReason;
+    stop->requestedAt_ = aNow;
   }
 }
 
