Number the runs of each term apart

A task of a stored job could run more often than its queue's attempts allow when leaders followed each other quickly: runs of two leaders had the same number, and failures are counted by number, so two failures counted as one.

Cause: a new leader began at the stored number plus 100. If the earlier leader left no trace in the store, both began at 101. Ends that were handed over raised endedRun_, but not the number from which the next run is counted.

Now a job that an earlier leader may have started begins at 1,000 times the term, and a task's next number is above all its known ends. Members of a gang are brought to one number before they are placed.

Before the fix RunsOfSuccessiveLeadersHaveDifferentNumbers failed with numbers.size() 1 instead of 2, and ARunIsNumberedAfterTheEndsThatWereHandedOver with 101 vs 5000.

--- a/src/libcornelfront/policy/job_placement.cpp
+++ b/src/libcornelfront/policy/job_placement.cpp
@@ -57,6 +57,20 @@
   if (spec.gang_ && running) {
     return;
   }
+  // Ends that an earlier leader's runs had may have been handed over since. All
+  // members of a gang run under the same number.
+  uint32_t highest = 0;
+  for (Task& task : step.tasks_) {
+    if (task.state_ == TaskState::Ready) {
+      task.run_ = std::max(task.run_, task.endedRun_);
+    }
+    highest = std::max(highest, task.run_);
+  }
+  for (Task& task : step.tasks_) {
+    if (spec.gang_ && task.state_ == TaskState::Ready) {
+      task.run_ = highest;
+    }
+  }
   Sends sends;
   std::optional<std::vector<Candidate>> candidates;
   for (uint32_t index = 0; index < step.tasks_.size(); ++index) {
--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -778,6 +778,39 @@
     << "both attempts are used up";
 }
 
+TEST_F(StoredJobTest, RunsOfSuccessiveLeadersHaveDifferentNumbers)
+{
+  std::set<uint32_t> numbers;
+  for (const int term : { 2, 3 }) {
+    const MonoTime now = At(term * 100);
+    scheduler_.BecomeFollower(now);
+    scheduler_.BecomeLeader(static_cast<uint64_t>(term), now);
+    scheduler_.SetAuthority(At(100000), now);
+    Restore(Job(), {}, true);
+    scheduler_.SetTakingOver(false, now);
+    const SortedActions sent = Take();
+    ASSERT_EQ(sent.Runs(), 1U);
+    numbers.insert(sent.runs_[0].orders_.runs_[0].run_);
+  }
+  EXPECT_EQ(numbers.size(), 2U) << "no run of term 2 left a trace";
+}
+
+TEST_F(StoredJobTest, ARunIsNumberedAfterTheEndsThatWereHandedOver)
+{
+  scheduler_.SetTakingOver(true, At(0));
+  Restore(Job(), {}, true);
+  const uint32_t ended = 5000;
+  scheduler_.OnTakenOver(kFirst,
+                         { .reports_ = { { .key_ = { key_.task_, ended },
+                                           .end_ = RunEnd::Failed,
+                                           .unacknowledged_ = true } } },
+                         At(10));
+  scheduler_.SetTakingOver(false, At(20));
+  const SortedActions sent = Take();
+  ASSERT_EQ(sent.Runs(), 1U);
+  EXPECT_GT(sent.runs_[0].orders_.runs_[0].run_, ended);
+}
+
 TEST_F(StoredJobTest, WithoutAuthorityRunsAreStoppedAndNothingStarts)
 {
   Restore(Job());
--- a/src/libcornelfront/policy/job_stored.cpp
+++ b/src/libcornelfront/policy/job_stored.cpp
@@ -11,9 +11,9 @@
 namespace cornelfront {
 namespace {
 
-/// Number of run numbers to skip, since an earlier leader may have used them
-/// without a trace in the store.
-constexpr uint32_t kSkippedRunNumbers = 100;
+/// An earlier leader may have used run numbers without a trace in the store, so
+/// each term has its own.
+constexpr uint32_t kRunNumbersPerTerm = 1000;
 
 } // namespace
 
@@ -135,8 +135,11 @@
           --step.openTasks_;
         }
       }
-      task.run_ =
-        task.endedRun_ + (aFromEarlierLeader ? kSkippedRunNumbers : 0);
+      task.run_ = task.endedRun_;
+      if (aFromEarlierLeader) {
+        task.run_ = std::max(task.run_,
+                             static_cast<uint32_t>(term_ * kRunNumbersPerTerm));
+      }
     }
     job.steps_.push_back(std::move(step));
   }
