--- a/src/libcornelfront/policy/two_runs_sidecar_test.cpp
+++ b/src/libcornelfront/policy/two_runs_sidecar_test.cpp
@@ -18,7 +18,7 @@
 constexpr Millis kIdlePollWait{ 300 };
 constexpr Millis kMinPollRetryDelay{ 1 };
 constexpr Millis kStartTimeout{ 250 };
-constexpr Millis kMaxOrderAge{ 1000 };
+constexpr Millis kMaxMessageAge{ 1000 };
 
 constexpr Millis kReconnectDelay{ 200 };
 constexpr Millis kHeartbeatInterval{ 500 };
@@ -152,6 +152,7 @@
 SidecarProcess::OnMessage(const LinkPtr& aLink, Message& aMessage, Millis aAge)
 {
   const MonoTime now = Now();
+  DetectSuspension(now);
   if (const auto* welcome = std::get_if<Welcome>(&aMessage)) {
     OnWelcome(aLink, welcome->self_.id_, now);
     return;
@@ -165,7 +166,9 @@
   if (owner == owners_.end() || owner->second.link_ != aLink) {
     return;
   }
-  table_.OnOwnerHeard(id, now);
+  if (aAge <= kMaxMessageAge) {
+    table_.OnOwnerHeard(id, now);
+  }
   if (auto* orders = std::get_if<StartRuns>(&aMessage)) {
     OnOrders(id, *orders, aAge);
   } else if (const auto* stop = std::get_if<StopRuns>(&aMessage)) {
@@ -196,7 +199,7 @@
 SidecarProcess::OnOrders(MemberId aEntry, StartRuns& aOrders, Millis aAge)
 {
   const MonoTime now = Now();
-  if (aAge > kMaxOrderAge) {
+  if (aAge > kMaxMessageAge) {
     aOrders.startTimeout_ = Millis(0);
   }
   for (const RunOrder& order : aOrders.runs_) {
@@ -208,7 +211,6 @@
   owner.ordersReceived_ += aOrders.runs_.size();
   owner.reportSchedule_.OnOrders(now);
   table_.OnOrders(aEntry, aOrders, now);
-  table_.Tick(now);
 }
 
 void
