--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -219,11 +219,6 @@
                    requestTimeout_,
                    [this, key = aOrder.key_, deadline](StartAnswer aAnswer) {
                      const MonoTime now = BootNow();
-                     if (aAnswer == StartAnswer::Started) {
-                       LOG(INFO)
-                         << "job=" << key.task_.job_ << " run=" << ToString(key)
-                         << " outcome=started";
-                     }
                      table_.OnStartAnswer(key, aAnswer, deadline, now);
                      SendPending(now);
                    });
