--- /dev/null
+++ b/src/libcornelfront/policy/run_incarnations.cpp
@@ -0,0 +1,146 @@
+/// \file
+/// RunTable: which incarnation of the upstream is the current one, and the end
+/// of the others.
+
+#include "cornelfront/run_table.h"
+
+#include "policy/run_table_pvt.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cornelfront {
+namespace {
+
+/// Number of incarnations that are remembered as gone.
+constexpr size_t kMaxGone = 16;
+
+} // namespace
+
+HeartbeatSender
+RunTable::IdentifySender(const UpstreamInfo& aInfo, MonoTime aNow) const
+{
+  const auto sender = std::make_pair(aInfo.id_, aInfo.startedMs_);
+  if (std::find(gone_.begin(), gone_.end(), sender) != gone_.end()) {
+    return HeartbeatSender::Outdated;
+  }
+  if (!upstream_) {
+    return HeartbeatSender::Successor;
+  }
+  if (upstream_->id_ == aInfo.id_ &&
+      upstream_->startedMs_ == aInfo.startedMs_) {
+    return HeartbeatSender::Current;
+  }
+  const bool later = aInfo.startedMs_ > upstream_->startedMs_;
+  const bool leaseExpired =
+    Since(upstreamHeardAt_, aNow) > options_.upstreamTimeout_;
+  return later || leaseExpired ? HeartbeatSender::Successor
+                               : HeartbeatSender::Outdated;
+}
+
+void
+RunTable::OnUpstream(const UpstreamInfo& aInfo, MonoTime aNow)
+{
+  DetectSuspension(aNow);
+  const bool sameIncarnation =
+    IdentifySender(aInfo, aNow) == HeartbeatSender::Current;
+  if (!sameIncarnation) {
+    FinishReplaced(!upstream_ || upstream_->id_ == aInfo.id_
+                     ? Replacement::SameId
+                     : Replacement::OtherId,
+                   aNow);
+    orphans_.clear();
+    runsKnown_ = false;
+    newestEnd_ = 0;
+    unacknowledged_.clear();
+    leaseLapseStart_.reset();
+    upstreamHeardAt_ = aNow;
+    firstIncarnationPoll_ = polls_ + 1;
+  }
+  upstream_ = aInfo;
+  if (aInfo.draining_) {
+    FinishWaiting(aNow);
+  }
+}
+
+void
+RunTable::OnUpstreamGone(MonoTime aNow)
+{
+  DetectSuspension(aNow);
+  FinishAll(RunEnd::Lost, aNow);
+  orphans_.clear();
+  upstream_.reset();
+}
+
+bool
+RunTable::OnUpstreamLeft(const UpstreamDeparture& aDeparture, MonoTime aNow)
+{
+  if (!upstream_ || upstream_->id_ != aDeparture.id_ ||
+      aDeparture.startedMs_.value_or(upstream_->startedMs_) !=
+        upstream_->startedMs_) {
+    return false;
+  }
+  if (aDeparture.startedMs_) {
+    RecordGone();
+  }
+  OnUpstreamGone(aNow);
+  return true;
+}
+
+bool
+RunTable::OnUpstreamReplaced(uint64_t aPollNumber,
+                             Replacement aReplacement,
+                             MonoTime aNow)
+{
+  DetectSuspension(aNow);
+  if (aPollNumber < firstIncarnationPoll_) {
+    return false;
+  }
+  if (upstream_) {
+    RecordGone();
+  }
+  FinishReplaced(aReplacement, aNow);
+  orphans_.clear();
+  upstream_.reset();
+  upstreamHeardAt_ = aNow;
+  return true;
+}
+
+void
+RunTable::RecordGone()
+{
+  // A heartbeat without a start time does not tell incarnations apart.
+  if (upstream_->startedMs_ == 0) {
+    return;
+  }
+  gone_.emplace_back(upstream_->id_, upstream_->startedMs_);
+  if (gone_.size() > kMaxGone) {
+    gone_.pop_front();
+  }
+}
+
+void
+RunTable::FinishReplaced(Replacement aReplacement, MonoTime aNow)
+{
+  for (auto run = runs_.begin(); run != runs_.end();) {
+    Run& state = run->second;
+    const bool waiting = state.state_ == State::Waiting;
+    // A poll that was answered after the start has shown who answered the
+    // start.
+    const bool wasThere = state.state_ == State::Running &&
+                          state.firstPoll_ <= answeredPoll_ &&
+                          state.unanswered_ == 0;
+    if (waiting || wasThere || aReplacement == Replacement::OtherId) {
+      run = Finish(run, waiting ? RunEnd::NotStarted : RunEnd::Lost, aNow);
+      continue;
+    }
+    if (state.state_ != State::Running) {
+      state.state_ = State::Running;
+      state.started_ = aNow;
+    }
+    state.firstPoll_ = polls_ + 1;
+    ++run;
+  }
+}
+
+} // namespace cornelfront
--- /dev/null
+++ b/src/libcornelfront/policy/run_lease.cpp
@@ -0,0 +1,91 @@
+/// \file
+/// RunTable: the time to which the lease of the upstream may be extended.
+
+#include "cornelfront/run_table.h"
+
+#include "policy/run_table_pvt.h"
+
+#include <array>
+
+namespace cornelfront {
+namespace {
+
+constexpr std::array<std::string_view, 6> kLeaseLimitReasons = {
+  "none",         "upstream_silent",  "orphaned",
+  "owner_silent", "stop_unconfirmed", "leader_lost",
+};
+
+void
+Lower(LeaseLimit& aLimit, MonoTime aEnd, LeaseLimitReason aReason)
+{
+  if (aEnd < aLimit.end_) {
+    aLimit = { aEnd, aReason };
+  }
+}
+
+} // namespace
+
+std::string_view
+ToString(LeaseLimitReason aReason)
+{
+  return kLeaseLimitReasons.at(static_cast<size_t>(aReason));
+}
+
+LeaseLimit
+RunTable::LimitLease(MonoTime aNow) const
+{
+  LeaseLimit limit{ .end_ = aNow + options_.lease_ };
+  if (leaseLapseStart_) {
+    Lower(limit, aNow, LeaseLimitReason::LeaderLost);
+  }
+  if (!orphans_.empty()) {
+    Lower(limit, aNow, LeaseLimitReason::Orphaned);
+  }
+  Lower(limit,
+        upstreamHeardAt_ + options_.maxLeaseSilence_ + options_.lease_,
+        LeaseLimitReason::UpstreamSilent);
+  // Waiting runs too: they live on the lease that was given before they start.
+  for (const auto& [key, run] : runs_) {
+    LimitLeaseBy(run, limit);
+  }
+  return limit;
+}
+
+void
+RunTable::LimitLeaseBy(const Run& aRun, LeaseLimit& aLimit) const
+{
+  // A best-effort run that its owner only wants to move elsewhere may go on
+  // until it ends; that of a stored job may have another leader by then.
+  const bool mustEnd =
+    aRun.stop_ &&
+    (aRun.stop_->reason_ != StopReason::Ordered || aRun.term_ > 0);
+  if (mustEnd) {
+    Lower(aLimit,
+          aRun.stop_->requestedAt_ + options_.lease_,
+          LeaseLimitReason::StopUnconfirmed);
+  }
+  const auto owner = owners_.find(aRun.owner_);
+  if (aRun.term_ == 0 && owner != owners_.end()) {
+    Lower(aLimit,
+          owner->second.heardAt_ + options_.ownerLease_,
+          LeaseLimitReason::OwnerSilent);
+  }
+}
+
+std::optional<MonoTime>
+RunTable::LeaseEnd(MonoTime aNow) const
+{
+  if (!runsKnown_) {
+    return std::nullopt;
+  }
+  const MonoTime end = LimitLease(aNow).end_;
+  return end > aNow ? std::optional(end) : std::nullopt;
+}
+
+bool
+RunTable::MayExtendByStart(MonoTime aNow) const
+{
+  return LimitLease(aNow).end_ >= aNow + options_.startTimeout_;
+}
+
+} // namespace cornelfront
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -16,33 +16,13 @@
 /// Added to a run's number when the upstream knows a higher number from an
 /// earlier owner of the same job.
 constexpr uint32_t kRenumberStep = 100;
-constexpr size_t kMaxGone = 16;
 
 constexpr std::array<std::string_view, 5> kStopReasons = {
   "ordered", "abandoned", "owner_lost", "suspended", "orphaned",
 };
 
-constexpr std::array<std::string_view, 6> kLeaseLimitReasons = {
-  "none",         "upstream_silent",  "orphaned",
-  "owner_silent", "stop_unconfirmed", "leader_lost",
-};
-
-void
-Lower(LeaseLimit& aLimit, MonoTime aEnd, LeaseLimitReason aReason)
-{
-  if (aEnd < aLimit.end_) {
-    aLimit = { aEnd, aReason };
-  }
-}
-
 } // namespace
 
-std::string_view
-ToString(LeaseLimitReason aReason)
-{
-  return kLeaseLimitReasons.at(static_cast<size_t>(aReason));
-}
-
 std::string_view
 ToString(StopReason aReason)
 {
@@ -60,27 +40,6 @@
 {
 }
 
-HeartbeatSender
-RunTable::IdentifySender(const UpstreamInfo& aInfo, MonoTime aNow) const
-{
-  const auto sender = std::make_pair(aInfo.id_, aInfo.startedMs_);
-  if (std::find(gone_.begin(), gone_.end(), sender) != gone_.end()) {
-    return HeartbeatSender::Outdated;
-  }
-  if (!upstream_) {
-    return HeartbeatSender::Successor;
-  }
-  if (upstream_->id_ == aInfo.id_ &&
-      upstream_->startedMs_ == aInfo.startedMs_) {
-    return HeartbeatSender::Current;
-  }
-  const bool later = aInfo.startedMs_ > upstream_->startedMs_;
-  const bool leaseExpired =
-    Since(upstreamHeardAt_, aNow) > options_.upstreamTimeout_;
-  return later || leaseExpired ? HeartbeatSender::Successor
-                               : HeartbeatSender::Outdated;
-}
-
 void
 RunTable::DetectSuspension(MonoTime aNow)
 {
@@ -102,74 +61,6 @@
   return std::exchange(suspension_, std::nullopt);
 }
 
-void
-RunTable::OnUpstream(const UpstreamInfo& aInfo, MonoTime aNow)
-{
-  DetectSuspension(aNow);
-  const bool sameIncarnation =
-    IdentifySender(aInfo, aNow) == HeartbeatSender::Current;
-  if (!sameIncarnation) {
-    FinishReplaced(!upstream_ || upstream_->id_ == aInfo.id_
-                     ? Replacement::SameId
-                     : Replacement::OtherId,
-                   aNow);
-    orphans_.clear();
-    runsKnown_ = false;
-    newestEnd_ = 0;
-    unacknowledged_.clear();
-    leaseLapseStart_.reset();
-    upstreamHeardAt_ = aNow;
-    firstIncarnationPoll_ = polls_ + 1;
-  }
-  upstream_ = aInfo;
-  if (aInfo.draining_) {
-    FinishWaiting(aNow);
-  }
-}
-
-void
-RunTable::OnUpstreamGone(MonoTime aNow)
-{
-  DetectSuspension(aNow);
-  FinishAll(RunEnd::Lost, aNow);
-  orphans_.clear();
-  upstream_.reset();
-}
-
-bool
-RunTable::OnUpstreamLeft(const UpstreamDeparture& aDeparture, MonoTime aNow)
-{
-  if (!upstream_ || upstream_->id_ != aDeparture.id_ ||
-      aDeparture.startedMs_.value_or(upstream_->startedMs_) !=
-        upstream_->startedMs_) {
-    return false;
-  }
-  if (aDeparture.startedMs_) {
-    RecordGone();
-  }
-  OnUpstreamGone(aNow);
-  return true;
-}
-
-bool
-RunTable::OnUpstreamReplaced(uint64_t aPollNumber,
-                             Replacement aReplacement,
-                             MonoTime aNow)
-{
-  DetectSuspension(aNow);
-  if (aPollNumber < firstIncarnationPoll_) {
-    return false;
-  }
-  if (upstream_) {
-    RecordGone();
-  }
-  FinishReplaced(aReplacement, aNow);
-  orphans_.clear();
-  upstream_.reset();
-  upstreamHeardAt_ = aNow;
-  return true;
-}
-
 void
 RunTable::SetClosed(bool aClosed, MonoTime aNow)
 {
@@ -301,12 +192,6 @@
          aNow >= fullUntil_ && MayExtendByStart(aNow);
 }
 
-bool
-RunTable::MayExtendByStart(MonoTime aNow) const
-{
-  return LimitLease(aNow).end_ >= aNow + options_.startTimeout_;
-}
-
 std::vector<StartRequest>
 RunTable::TakeStarts(MonoTime aNow)
 {
@@ -518,57 +403,6 @@
                       .age_ = Since(aStop.requestedAt_, aNow) };
 }
 
-LeaseLimit
-RunTable::LimitLease(MonoTime aNow) const
-{
-  LeaseLimit limit{ .end_ = aNow + options_.lease_ };
-  if (leaseLapseStart_) {
-    Lower(limit, aNow, LeaseLimitReason::LeaderLost);
-  }
-  if (!orphans_.empty()) {
-    Lower(limit, aNow, LeaseLimitReason::Orphaned);
-  }
-  Lower(limit,
-        upstreamHeardAt_ + options_.maxLeaseSilence_ + options_.lease_,
-        LeaseLimitReason::UpstreamSilent);
-  // Waiting runs too: they live on the lease that was given before they start.
-  for (const auto& [key, run] : runs_) {
-    LimitLeaseBy(run, limit);
-  }
-  return limit;
-}
-
-void
-RunTable::LimitLeaseBy(const Run& aRun, LeaseLimit& aLimit) const
-{
-  // A best-effort run that its owner only wants to move elsewhere may go on
-  // until it ends; that of a stored job may have another leader by then.
-  const bool mustEnd =
-    aRun.stop_ &&
-    (aRun.stop_->reason_ != StopReason::Ordered || aRun.term_ > 0);
-  if (mustEnd) {
-    Lower(aLimit,
-          aRun.stop_->requestedAt_ + options_.lease_,
-          LeaseLimitReason::StopUnconfirmed);
-  }
-  const auto owner = owners_.find(aRun.owner_);
-  if (aRun.term_ == 0 && owner != owners_.end()) {
-    Lower(aLimit,
-          owner->second.heardAt_ + options_.ownerLease_,
-          LeaseLimitReason::OwnerSilent);
-  }
-}
-
-std::optional<MonoTime>
-RunTable::LeaseEnd(MonoTime aNow) const
-{
-  if (!runsKnown_) {
-    return std::nullopt;
-  }
-  const MonoTime end = LimitLease(aNow).end_;
-  return end > aNow ? std::optional(end) : std::nullopt;
-}
-
 RunTable::Runs::iterator
 RunTable::Finish(Runs::iterator aRun, RunEnd aEnd, MonoTime aNow)
 {
@@ -586,43 +420,6 @@
   }
 }
 
-void
-RunTable::RecordGone()
-{
-  // A heartbeat without a start time does not tell incarnations apart.
-  if (upstream_->startedMs_ == 0) {
-    return;
-  }
-  gone_.emplace_back(upstream_->id_, upstream_->startedMs_);
-  if (gone_.size() > kMaxGone) {
-    gone_.pop_front();
-  }
-}
-
-void
-RunTable::FinishReplaced(Replacement aReplacement, MonoTime aNow)
-{
-  for (auto run = runs_.begin(); run != runs_.end();) {
-    Run& state = run->second;
-    const bool waiting = state.state_ == State::Waiting;
-    // A poll that was answered after the start has shown who answered the
-    // start.
-    const bool wasThere = state.state_ == State::Running &&
-                          state.firstPoll_ <= answeredPoll_ &&
-                          state.unanswered_ == 0;
-    if (waiting || wasThere || aReplacement == Replacement::OtherId) {
-      run = Finish(run, waiting ? RunEnd::NotStarted : RunEnd::Lost, aNow);
-      continue;
-    }
-    if (state.state_ != State::Running) {
-      state.state_ = State::Running;
-      state.started_ = aNow;
-    }
-    state.firstPoll_ = polls_ + 1;
-    ++run;
-  }
-}
-
 void
 RunTable::FinishWaiting(MonoTime aNow)
 {
