--- a/src/libcornelfront/job_sidecar_pvt.h
+++ b/src/libcornelfront/job_sidecar_pvt.h
@@ -27,8 +27,6 @@
 /// Lower bound of the timeout of a call to the upstream. The timeout doubles
 /// after each unanswered call and shrinks slowly with each answer.
 inline constexpr Millis kMinRequestTimeout{ 20 };
-/// A suspension of the process longer than this ends all links.
-inline constexpr Millis kSuspensionThreshold{ 600 };
 
 class JobSidecar::Impl
 {
@@ -93,9 +91,7 @@
   IoPool pool_{ 1 };
   /// The bounds of RunTableOptions and of the entries hold up to its default.
   const Millis lease_ = std::min(settings_.lease_, RunTableOptions{}.lease_);
-  RunTable table_{ RunTableOptions{ .suspensionThreshold_ =
-                                      kSuspensionThreshold,
-                                    .lease_ = lease_ } };
+  RunTable table_{ RunTableOptions{ .lease_ = lease_ } };
   std::map<MemberId, Owner> owners_;
   std::map<uint64_t, MemberId> entries_;
   std::shared_ptr<const LinkHandlers> handlers_;
