Log failed reads of the store and the age of the configuration

The logs of the incident do not tell when a read began, how long it took, whether it had a connection of its own and whether bytes had come, so that H1 (a time-out that has grown), H2 (silent connections used again) and H3 (a store that answers some machines later) look the same. Each failed read now says so in one line, a 404 says how old the configuration is, and a gauge shows that age.

--- a/src/include/cornelfront/http_client.h
+++ b/src/include/cornelfront/http_client.h
@@ -30,6 +30,11 @@
   /// Error message of libcurl if failure_ is not None.
   std::string error_;
   HttpResponse response_;
+  /// Bytes of the response that arrived, headers included, also if it was cut
+  /// off.
+  size_t receivedBytes_ = 0;
+  /// The request opened a connection of its own.
+  bool openedConnection_ = false;
 
   /// True if a response with a 2xx status arrived.
   bool Ok() const
--- a/src/libcornelfront/job_entry.cpp
+++ b/src/libcornelfront/job_entry.cpp
@@ -159,6 +159,10 @@
   metrics_.SetGauge("ready", Ready() ? 1 : 0);
   metrics_.SetGauge("leads", stored_->Term() > 0 ? 1 : 0);
   metrics_.SetGauge("configuration", static_cast<double>(operator_.version_));
+  if (operatorReader_->Complete()) {
+    const std::chrono::duration<double> age = operatorReader_->Age(now);
+    metrics_.SetGauge("configuration_age_seconds", age.count());
+  }
 }
 
 bool
--- a/src/libcornelfront/job_entry_clients.cpp
+++ b/src/libcornelfront/job_entry_clients.cpp
@@ -42,7 +42,9 @@
                         LOG(INFO) << "request method=" << aRequest.method_
                                   << " path=" << aRequest.path_
                                   << " status=" << aResponse.status_
-                                  << " version=" << operator_.version_;
+                                  << " version=" << operator_.version_
+                                  << " config_age_ms="
+                                  << operatorReader_->Age(now).count();
                         Reply(aReply, aResponse);
                       } },
              call);
--- a/src/libcornelfront/net/curl_transfer.cpp
+++ b/src/libcornelfront/net/curl_transfer.cpp
@@ -54,6 +54,24 @@
   return sentBytes == 0 ? HttpFailure::NotSent : HttpFailure::MayHaveBeenSent;
 }
 
+size_t
+ReceivedBytes(CURL* aEasy)
+{
+  long headerBytes = 0;
+  curl_off_t bodyBytes = 0;
+  curl_easy_getinfo(aEasy, CURLINFO_HEADER_SIZE, &headerBytes);
+  curl_easy_getinfo(aEasy, CURLINFO_SIZE_DOWNLOAD_T, &bodyBytes);
+  return static_cast<size_t>(headerBytes) + static_cast<size_t>(bodyBytes);
+}
+
+bool
+OpenedConnection(CURL* aEasy)
+{
+  long connects = 0;
+  curl_easy_getinfo(aEasy, CURLINFO_NUM_CONNECTS, &connects);
+  return connects > 0;
+}
+
 } // namespace
 
 void
@@ -132,6 +150,8 @@
 CurlTransfer::TakeResult(CURL* aEasy, CURLcode aCode)
 {
   result_.failure_ = Classify(aEasy, aCode);
+  result_.receivedBytes_ = ReceivedBytes(aEasy);
+  result_.openedConnection_ = OpenedConnection(aEasy);
   if (aCode != CURLE_OK) {
     result_.error_ = curl_easy_strerror(aCode);
     return std::move(result_);
--- a/src/libcornelfront/platform/store_client.cpp
+++ b/src/libcornelfront/platform/store_client.cpp
@@ -145,6 +145,22 @@
            : aResult.error_;
 }
 
+/// Logs a read that was not answered with records. \p aStart is the time at
+/// which it began.
+void
+LogFailedRead(const std::string& aTopic,
+              std::string_view aCall,
+              const HttpResult& aResult,
+              MonoTime aStart,
+              MonoTime aNow)
+{
+  LOG(INFO) << "store topic=" << aTopic << " call=" << aCall << " ms="
+            << std::chrono::duration_cast<Millis>(aNow - aStart).count()
+            << " bytes=" << aResult.receivedBytes_
+            << " new_connection=" << aResult.openedConnection_ << " reason=\""
+            << Reason(aResult) << "\" outcome=read_failed";
+}
+
 /// Percent-encodes a value for a URL query.
 std::string
 QueryText(std::string_view aText)
@@ -236,21 +252,24 @@
                                      "&waitMs=" + std::to_string(aWait.count()),
                              .connectTimeout_ = kConnectTimeout,
                              .timeout_ = aWait + aMargin };
-  http_.Send(
-    std::move(request),
-    [aTopic, aFrom, done = std::move(aDone)](const HttpResult& aResult) {
-      StoreRead read{ .outcome_ = OutcomeOf(aResult), .next_ = aFrom };
-      try {
-        if (read.outcome_ == StoreOutcome::Ok) {
-          DecodeRead(aResult.response_.body_, aFrom, read);
-        }
-      } catch (const WireFormatError& error) {
-        LOG(ERROR) << "malformed response to a read of " << aTopic << ": "
-                   << error.what();
-        read.outcome_ = StoreOutcome::NotApplied;
-      }
-      done(std::move(read));
-    });
+  http_.Send(std::move(request),
+             [aTopic, aFrom, start = BootNow(), done = std::move(aDone)](
+               const HttpResult& aResult) {
+               StoreRead read{ .outcome_ = OutcomeOf(aResult), .next_ = aFrom };
+               if (read.outcome_ != StoreOutcome::Ok) {
+                 LogFailedRead(aTopic, "tail", aResult, start, BootNow());
+               }
+               try {
+                 if (read.outcome_ == StoreOutcome::Ok) {
+                   DecodeRead(aResult.response_.body_, aFrom, read);
+                 }
+               } catch (const WireFormatError& error) {
+                 LOG(ERROR) << "malformed response to a read of " << aTopic
+                            << ": " << error.what();
+                 read.outcome_ = StoreOutcome::NotApplied;
+               }
+               done(std::move(read));
+             });
 }
 
 void
@@ -265,14 +284,14 @@
     request.url_ += "&after=" + QueryText(aAfter);
   }
   http_.Send(std::move(request),
-             [aTopic, done = std::move(aDone)](const HttpResult& aResult) {
+             [aTopic, start = BootNow(), done = std::move(aDone)](
+               const HttpResult& aResult) {
                StorePage page{ .outcome_ = OutcomeOf(aResult) };
                try {
                  if (page.outcome_ == StoreOutcome::Ok) {
                    DecodePage(aResult.response_.body_, page);
                  } else {
-                   VLOG(1) << "read of the newest records of " << aTopic
-                           << " failed: " << Reason(aResult);
+                   LogFailedRead(aTopic, "newest", aResult, start, BootNow());
                  }
                } catch (const WireFormatError& error) {
                  LOG(ERROR) << "malformed response with the newest records of "
--- a/src/libcornelfront/platform/store_client.h
+++ b/src/libcornelfront/platform/store_client.h
@@ -135,6 +135,13 @@
   /// Returns the start time of the newest successful read, by BootNow.
   MonoTime LastReadStart() const { return lastReadStart_; }
 
+  /// Returns the time since the newest successful read began: what the store
+  /// accepted before then is known here.
+  Millis Age(MonoTime aNow) const
+  {
+    return std::chrono::duration_cast<Millis>(aNow - lastReadStart_);
+  }
+
 private:
   void ReadPage(const std::string& aAfter);
   void OnPage(const std::string& aAfter, const StorePage& aPage);
