Test that a change is read in time after the store was silent; fails

A store on sockets of its own that goes silent, and a reader of a topic: after 4 and 8 s of silence a record is not read within the 2 s of configApplyMs; a reader that starts 0.5 s before the end of a silence needs its whole 4 s; a record of 200 KB at 50 KB/s is cut off three times.

--- /dev/null
+++ b/src/libcornelfront/platform/topic_reader_test.cpp
@@ -0,0 +1,105 @@
+#include "platform/store_stub_test.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <optional>
+
+namespace cornelfront::platform {
+namespace {
+
+/// Shortest time of all deployments in which a configuration has to be in force
+/// (configApplyMs).
+constexpr Millis kConfigBound{ 2000 };
+
+class TopicReaderTest : public testing::Test
+{
+protected:
+  TopicReaderTest()
+    : store_(loop_)
+    , client_(loop_, store_.Address())
+  {
+  }
+
+  void StartReader()
+  {
+    reader_.emplace(
+      loop_,
+      client_,
+      TopicReader::Options{
+        .topic_ = "keyed.op",
+        .onChange_ = [this](const TopicReader::Records& aRecords) {
+          records_ = aRecords;
+        } });
+  }
+
+  void RunFor(Millis aTime) { loop_.run_for(aTime); }
+
+  /// Runs the loop until the condition holds; returns false after \p aLimit.
+  bool RunUntil(Millis aLimit, const std::function<bool()>& aCondition)
+  {
+    const MonoTime end = MonoClock::now() + aLimit;
+    while (!aCondition() && MonoClock::now() < end) {
+      loop_.run_one_for(Millis(10));
+    }
+    return aCondition();
+  }
+
+  bool ReadsInTime(const std::string& aValue)
+  {
+    return RunUntil(kConfigBound, [&] { return records_["config"] == aValue; });
+  }
+
+  asio::io_context loop_;
+  StoreStub store_;
+  StoreClient client_;
+  TopicReader::Records records_;
+  std::optional<TopicReader> reader_;
+};
+
+// The time-out of a read had grown while the store was silent.
+TEST_F(TopicReaderTest, AChangeIsReadInTimeAfterTheStoreWasSilent)
+{
+  store_.Append("config", "1");
+  StartReader();
+  ASSERT_TRUE(ReadsInTime("1"));
+  for (const Millis silence : { Millis(4000), Millis(8000) }) {
+    store_.SetSilent(true);
+    RunFor(silence);
+    store_.SetSilent(false);
+    const std::string value = std::to_string(silence.count());
+    store_.Append("config", value);
+    EXPECT_TRUE(ReadsInTime(value)) << "after " << value << " ms of silence";
+    RunUntil(Millis(10000), [&] { return records_["config"] == value; });
+  }
+}
+
+// The first read of an entry had 4 s, whatever the store did meanwhile.
+TEST_F(TopicReaderTest, AReaderThatStartsWhileTheStoreIsSilentReadsInTime)
+{
+  store_.Append("config", "1");
+  store_.SetSilent(true);
+  StartReader();
+  RunFor(Millis(500));
+  store_.SetSilent(false);
+  EXPECT_TRUE(ReadsInTime("1"));
+}
+
+TEST_F(TopicReaderTest, ALargeRecordArrivesOverASlowLink)
+{
+  constexpr size_t kRecordBytes = 200000;
+  constexpr Millis kTransferTime{ 4000 };
+  constexpr Millis kInterval{ 100 };
+  store_.Append("config", "1");
+  StartReader();
+  ASSERT_TRUE(ReadsInTime("1"));
+  store_.SetPace({ .bytes_ = kRecordBytes * kInterval / kTransferTime,
+                   .interval_ = kInterval });
+  const std::string large(kRecordBytes, 'x');
+  store_.Append("config", large);
+  EXPECT_TRUE(
+    RunUntil(2 * kTransferTime, [&] { return records_["config"] == large; }));
+}
+
+} // namespace
+} // namespace cornelfront::platform
