--- a/src/libcornelfront/job_entry_pvt.h
+++ b/src/libcornelfront/job_entry_pvt.h
@@ -15,6 +15,7 @@
 #include "platform/job_api.h"
 #include "platform/operator_state.h"
 #include "platform/store_client.h"
+#include "platform/topic_reader.h"
 #include "stored_jobs.h"
 
 #include <map>
--- a/src/libcornelfront/job_sidecar_pvt.h
+++ b/src/libcornelfront/job_sidecar_pvt.h
@@ -18,6 +18,7 @@
 #include "platform/heartbeat_api.h"
 #include "platform/operator_state.h"
 #include "platform/store_client.h"
+#include "platform/topic_reader.h"
 
 #include <algorithm>
 #include <map>
--- a/src/libcornelfront/platform/batch_writer.h
+++ b/src/libcornelfront/platform/batch_writer.h
@@ -5,6 +5,7 @@
 /// the next append. Appends are idempotent, so an append without a response is
 /// retried.
 
+#include "cornelfront/backoff.h"
 #include "platform/store_client.h"
 
 #include <deque>
--- a/src/libcornelfront/platform/member_topic.h
+++ b/src/libcornelfront/platform/member_topic.h
@@ -5,7 +5,7 @@
 /// addresses.
 
 #include "cornelfront/settings.h"
-#include "platform/store_client.h"
+#include "platform/topic_reader.h"
 
 #include <string>
 #include <string_view>
--- /dev/null
+++ b/src/libcornelfront/platform/topic_reader.cpp
@@ -0,0 +1,178 @@
+#include "platform/topic_reader.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace cornelfront::platform {
+namespace {
+
+/// Timeout of a read, beyond the wait that it requests. It doubles with each
+/// read that is cut off, so that a large record arrives over a slow link.
+constexpr Millis kMinReadMargin{ 600 };
+constexpr Millis kMaxReadMargin{ 4800 };
+
+} // namespace
+
+TopicReader::TopicReader(asio::io_context& aLoop,
+                         StoreClient& aStore,
+                         Options aOptions)
+  : timer_(aLoop)
+  , store_(aStore)
+  , options_(std::move(aOptions))
+  , readMargin_(kMinReadMargin)
+{
+  Restart();
+}
+
+TopicReader::~TopicReader()
+{
+  *alive_ = false;
+}
+
+void
+TopicReader::ReadPage(const std::string& aAfter)
+{
+  readStart_ = BootNow();
+  store_.Newest(options_.topic_,
+                aAfter,
+                [this, alive = alive_, aAfter](const StorePage& aPage) {
+                  if (*alive) {
+                    OnPage(aAfter, aPage);
+                  }
+                });
+}
+
+void
+TopicReader::OnPage(const std::string& aAfter, const StorePage& aPage)
+{
+  if (aPage.outcome_ != StoreOutcome::Ok) {
+    NoteReachable(false);
+    Retry(&TopicReader::Restart);
+    return;
+  }
+  NoteReachable(true);
+  if (aAfter.empty()) {
+    // The pages are not a consistent snapshot. Reading continues from the end
+    // as of the first page, so changes made during paging are read again.
+    pagedRecords_.clear();
+    next_ = aPage.end_;
+  }
+  for (const KeyedRecord& record : aPage.records_) {
+    pagedRecords_[record.key_] = record.value_;
+  }
+  if (aPage.hasMore_ && !aPage.records_.empty()) {
+    ReadPage(aPage.records_.back().key_);
+    return;
+  }
+  std::vector<KeyedRecord> changes;
+  for (const auto& [key, value] : records_) {
+    if (!pagedRecords_.contains(key)) {
+      changes.push_back({ .key_ = key });
+    }
+  }
+  for (const auto& [key, value] : pagedRecords_) {
+    const auto known = records_.find(key);
+    if (known == records_.end() || known->second != value) {
+      changes.push_back({ key, value });
+    }
+  }
+  const bool first = !complete_;
+  records_ = std::exchange(pagedRecords_, {});
+  complete_ = true;
+  lastReadStart_ = readStart_;
+  if (first || !changes.empty()) {
+    Publish(changes);
+  }
+  Tail();
+}
+
+void
+TopicReader::Publish(const std::vector<KeyedRecord>& aChanges)
+{
+  if (options_.onRecords_) {
+    options_.onRecords_(aChanges);
+  }
+  if (options_.onChange_) {
+    options_.onChange_(records_);
+  }
+}
+
+void
+TopicReader::Tail()
+{
+  readStart_ = BootNow();
+  store_.Read(options_.topic_,
+              next_,
+              options_.wait_,
+              readMargin_,
+              [this, alive = alive_](const StoreRead& aRead) {
+                if (*alive) {
+                  OnTail(aRead);
+                }
+              });
+}
+
+void
+TopicReader::OnTail(const StoreRead& aRead)
+{
+  if (aRead.outcome_ == StoreOutcome::Gone) {
+    Restart();
+    return;
+  }
+  if (aRead.outcome_ != StoreOutcome::Ok) {
+    if (aRead.outcome_ == StoreOutcome::Unknown) {
+      readMargin_ = std::min(readMargin_ * 2, kMaxReadMargin);
+    }
+    NoteReachable(false);
+    Retry(&TopicReader::Tail);
+    return;
+  }
+  readMargin_ = kMinReadMargin;
+  NoteReachable(true);
+  for (const KeyedRecord& record : aRead.records_) {
+    if (record.value_.empty()) {
+      records_.erase(record.key_);
+    } else {
+      records_[record.key_] = record.value_;
+    }
+  }
+  next_ = aRead.next_;
+  lastReadStart_ = readStart_;
+  if (!aRead.records_.empty()) {
+    Publish(aRead.records_);
+  }
+  Tail();
+}
+
+void
+TopicReader::Retry(void (TopicReader::*aStep)())
+{
+  timer_.expires_after(backoff_.OnFailure(readStart_, BootNow()));
+  timer_.async_wait(
+    [this, alive = alive_, aStep](const asio::error_code& aError) {
+      if (*alive && !aError) {
+        (this->*aStep)();
+      }
+    });
+}
+
+void
+TopicReader::NoteReachable(bool aReachable)
+{
+  if (aReachable) {
+    backoff_.Reset();
+  }
+  if (reachable_ == aReachable) {
+    return;
+  }
+  reachable_ = aReachable;
+  LOG(INFO) << "store topic=" << options_.topic_
+            << (aReachable ? " reachable" : " unreachable");
+  if (options_.onReachable_) {
+    options_.onReachable_(aReachable);
+  }
+}
+
+} // namespace cornelfront::platform
--- a/src/libcornelfront/platform/topic_reader_test.cpp
+++ b/src/libcornelfront/platform/topic_reader_test.cpp
@@ -1,4 +1,5 @@
 #include "platform/store_stub_test.h"
+#include "platform/topic_reader.h"
 
 #include <gtest/gtest.h>
 
--- a/src/libcornelfront/stored_jobs.h
+++ b/src/libcornelfront/stored_jobs.h
@@ -10,6 +10,7 @@
 #include "platform/batch_writer.h"
 #include "platform/operator_state.h"
 #include "platform/store_client.h"
+#include "platform/topic_reader.h"
 
 #include <asio.hpp>
 
