Limit the time in which an answer of the store makes no progress

Cause: a read's time-out was one figure for two causes that differ in what can be seen. A slow transfer delivers bytes, a silent store delivers none. To let a large record arrive over a slow link, doubled the margin of a read with each one that was cut off, up to 4.8 s; a page of the newest records had 4 s at once. While the store was silent, the margin grew; when it answered again, an attempt begun before waited for its own end, up to 5.8 s.

Change: AsyncHttpClient takes limits on the time without progress: to the first byte of a response, and from byte to byte. A read gives up after 0.6 s beyond its wait without a byte; the next one does not wait for new records and has 1.2 s, as a page has. A transfer that goes on may take 10 s. After the store's return the longest sum is 1.2 s and one answer. No back-off is left then, since it counts from the start of the attempt.

--- a/src/libcornelfront/net/async_http_client.cpp
+++ b/src/libcornelfront/net/async_http_client.cpp
@@ -15,17 +15,22 @@
 
 struct Exchange
 {
-  explicit Exchange(HttpClientRequest aRequest, AsyncHttpClient::Callback aDone)
+  Exchange(asio::io_context& aLoop,
+           HttpClientRequest aRequest,
+           AsyncHttpClient::Callback aDone)
     : request_(std::move(aRequest))
     , transfer_(request_)
     , done_(std::move(aDone))
+    , progressTimer_(aLoop)
   {
   }
 
   const HttpClientRequest request_;
   CurlTransfer transfer_;
   AsyncHttpClient::Callback done_;
+  asio::steady_timer progressTimer_;
 };
+using ExchangePtr = std::shared_ptr<Exchange>;
 
 } // namespace
 
@@ -71,12 +76,16 @@
 
   void Send(HttpClientRequest aRequest, Callback aDone)
   {
-    CURL* easy = AcquireHandle();
-    auto exchange =
-      std::make_unique<Exchange>(std::move(aRequest), std::move(aDone));
-    exchange->transfer_.Prepare(easy);
-    exchanges_.emplace(easy, std::move(exchange));
-    curl_multi_add_handle(multi_, easy);
+    Start(std::move(aRequest), std::move(aDone));
+  }
+
+  void Send(HttpClientRequest aRequest, ProgressLimits aLimits, Callback aDone)
+  {
+    CURL* easy = Start(std::move(aRequest), std::move(aDone));
+    WatchProgress(easy,
+                  exchanges_.at(easy),
+                  aLimits,
+                  MonoClock::now() + aLimits.firstByte_);
   }
 
 private:
@@ -96,6 +105,53 @@
   };
   using WatchPtr = std::shared_ptr<Watch>;
 
+  CURL* Start(HttpClientRequest aRequest, Callback aDone)
+  {
+    CURL* easy = AcquireHandle();
+    auto exchange =
+      std::make_shared<Exchange>(loop_, std::move(aRequest), std::move(aDone));
+    exchange->transfer_.Prepare(easy);
+    exchanges_.emplace(easy, std::move(exchange));
+    curl_multi_add_handle(multi_, easy);
+    return easy;
+  }
+
+  /// Ends a transfer of which no byte has arrived by \p aEnd, or in the time
+  /// since its newest byte that \p aLimits allow.
+  void WatchProgress(CURL* aEasy,
+                     const ExchangePtr& aExchange,
+                     ProgressLimits aLimits,
+                     MonoTime aEnd)
+  {
+    aExchange->progressTimer_.expires_at(aEnd);
+    aExchange->progressTimer_.async_wait(
+      [this,
+       alive = alive_,
+       aEasy,
+       weak = std::weak_ptr<Exchange>(aExchange),
+       aLimits](const asio::error_code& aError) {
+        const ExchangePtr exchange = weak.lock();
+        if (*alive && !aError && exchange) {
+          CheckProgress(aEasy, exchange, aLimits, MonoClock::now());
+        }
+      });
+  }
+
+  void CheckProgress(CURL* aEasy,
+                     const ExchangePtr& aExchange,
+                     ProgressLimits aLimits,
+                     MonoTime aNow)
+  {
+    const auto lastByte = aExchange->transfer_.LastByte();
+    if (lastByte && aNow < *lastByte + aLimits.nextByte_) {
+      WatchProgress(aEasy, aExchange, aLimits, *lastByte + aLimits.nextByte_);
+      return;
+    }
+    HttpResult result = EndTransfer(aEasy, CURLE_OPERATION_TIMEDOUT);
+    result.error_ = lastByte ? "the response stopped" : "no response";
+    aExchange->done_(std::move(result));
+  }
+
   CURL* AcquireHandle()
   {
     if (!idle_.empty()) {
@@ -221,13 +277,9 @@
         continue;
       }
       CURL* easy = message->easy_handle;
-      const auto exchange = exchanges_.find(easy);
-      HttpResult result =
-        exchange->second->transfer_.TakeResult(easy, message->data.result);
-      done.emplace_back(std::move(exchange->second->done_), std::move(result));
-      curl_multi_remove_handle(multi_, easy);
-      exchanges_.erase(exchange);
-      ReleaseHandle(easy);
+      Callback callback = std::move(exchanges_.at(easy)->done_);
+      done.emplace_back(std::move(callback),
+                        EndTransfer(easy, message->data.result));
     }
     const auto alive = alive_;
     for (auto& [callback, result] : done) {
@@ -237,6 +289,17 @@
     }
   }
 
+  /// Removes a transfer; one that is under way loses its connection.
+  HttpResult EndTransfer(CURL* aEasy, CURLcode aCode)
+  {
+    const auto exchange = exchanges_.find(aEasy);
+    HttpResult result = exchange->second->transfer_.TakeResult(aEasy, aCode);
+    curl_multi_remove_handle(multi_, aEasy);
+    exchanges_.erase(exchange);
+    ReleaseHandle(aEasy);
+    return result;
+  }
+
   void ReleaseHandle(CURL* aEasy)
   {
     if (idle_.size() < kMaxIdleHandles) {
@@ -251,7 +314,7 @@
   asio::steady_timer timer_;
   CURLM* multi_ = nullptr;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-  std::unordered_map<CURL*, std::unique_ptr<Exchange>> exchanges_;
+  std::unordered_map<CURL*, ExchangePtr> exchanges_;
   std::unordered_map<curl_socket_t, WatchPtr> watches_;
   std::vector<CURL*> idle_;
 };
@@ -270,4 +333,12 @@
   impl_->Send(std::move(aRequest), std::move(aDone));
 }
 
+void
+AsyncHttpClient::Send(HttpClientRequest aRequest,
+                      ProgressLimits aLimits,
+                      Callback aDone)
+{
+  impl_->Send(std::move(aRequest), aLimits, std::move(aDone));
+}
+
 } // namespace cornelfront
--- a/src/libcornelfront/net/curl_transfer.cpp
+++ b/src/libcornelfront/net/curl_transfer.cpp
@@ -6,28 +6,6 @@
 
 namespace {
 
-size_t
-CollectHeader(char* aData, size_t aSize, size_t aCount, void* aTarget)
-{
-  const std::string line(aData, aSize * aCount);
-  const auto colon = line.find(':');
-  if (colon != std::string::npos) {
-    std::string name = line.substr(0, colon);
-    for (char& c : name) {
-      c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-    }
-    const auto first = line.find_first_not_of(' ', colon + 1);
-    const auto last = line.find_last_not_of("\r\n");
-    std::string value;
-    if (first != std::string::npos && last >= first) {
-      value = line.substr(first, last - first + 1);
-    }
-    static_cast<HttpResponse*>(aTarget)->headers_.emplace_back(
-      std::move(name), std::move(value));
-  }
-  return aSize * aCount;
-}
-
 void
 SetBody(CURL* aEasy, const HttpClientRequest& aRequest)
 {
@@ -107,6 +85,33 @@
 {
 }
 
+size_t
+CurlTransfer::CollectHeader(char* aData,
+                            size_t aSize,
+                            size_t aCount,
+                            void* aTransfer)
+{
+  auto* transfer = static_cast<CurlTransfer*>(aTransfer);
+  transfer->lastByte_ = MonoClock::now();
+  const std::string line(aData, aSize * aCount);
+  const auto colon = line.find(':');
+  if (colon != std::string::npos) {
+    std::string name = line.substr(0, colon);
+    for (char& c : name) {
+      c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    }
+    const auto first = line.find_first_not_of(' ', colon + 1);
+    const auto last = line.find_last_not_of("\r\n");
+    std::string value;
+    if (first != std::string::npos && last >= first) {
+      value = line.substr(first, last - first + 1);
+    }
+    transfer->result_.response_.headers_.emplace_back(std::move(name),
+                                                      std::move(value));
+  }
+  return aSize * aCount;
+}
+
 size_t
 CurlTransfer::CollectBody(char* aData,
                           size_t aSize,
@@ -114,6 +119,7 @@
                           void* aTransfer)
 {
   auto* transfer = static_cast<CurlTransfer*>(aTransfer);
+  transfer->lastByte_ = MonoClock::now();
   std::string& body = transfer->result_.response_.body_;
   const size_t bytes = aSize * aCount;
   if (body.size() + bytes > transfer->request_.maxResponseBytes_) {
@@ -138,8 +144,8 @@
     aEasy, CURLOPT_TIMEOUT_MS, static_cast<long>(request_.timeout_.count()));
   curl_easy_setopt(aEasy, CURLOPT_WRITEFUNCTION, &CurlTransfer::CollectBody);
   curl_easy_setopt(aEasy, CURLOPT_WRITEDATA, this);
-  curl_easy_setopt(aEasy, CURLOPT_HEADERFUNCTION, &CollectHeader);
-  curl_easy_setopt(aEasy, CURLOPT_HEADERDATA, &result_.response_);
+  curl_easy_setopt(aEasy, CURLOPT_HEADERFUNCTION, &CurlTransfer::CollectHeader);
+  curl_easy_setopt(aEasy, CURLOPT_HEADERDATA, this);
   if (request_.freshConnection_) {
     curl_easy_setopt(aEasy, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(aEasy, CURLOPT_FORBID_REUSE, 1L);
--- a/src/libcornelfront/net/curl_transfer_pvt.h
+++ b/src/libcornelfront/net/curl_transfer_pvt.h
@@ -8,6 +8,8 @@
 
 #include <curl/curl.h>
 
+#include <optional>
+
 namespace cornelfront {
 
 /// Initialises libcurl on the first call.
@@ -45,8 +47,15 @@
   void Prepare(CURL* aEasy);
   /// Moves out the result after the transfer has ended with \p aCode.
   HttpResult TakeResult(CURL* aEasy, CURLcode aCode);
+  /// Returns when the newest byte of the response arrived, or nothing if none
+  /// has.
+  std::optional<MonoTime> LastByte() const { return lastByte_; }
 
 private:
+  static size_t CollectHeader(char* aData,
+                              size_t aSize,
+                              size_t aCount,
+                              void* aTransfer);
   static size_t CollectBody(char* aData,
                             size_t aSize,
                             size_t aCount,
@@ -55,6 +64,7 @@
   const HttpClientRequest& request_;
   const CurlHeaders headers_;
   HttpResult result_;
+  std::optional<MonoTime> lastByte_;
 };
 
 } // namespace cornelfront
--- a/src/libcornelfront/platform/store_client.cpp
+++ b/src/libcornelfront/platform/store_client.cpp
@@ -20,7 +20,8 @@
 /// Timeout of an append.
 constexpr Millis kAppendTimeout{ 1500 };
 constexpr Millis kConnectTimeout{ 700 };
-constexpr Millis kPageTimeout{ 4000 };
+/// Longest transfer of a response of which bytes keep arriving.
+constexpr Millis kTransferTimeout{ 10000 };
 
 constexpr int kStatusOk = 200;
 constexpr int kStatusConflict = 409;
@@ -238,16 +239,17 @@
 void
 StoreClient::Read(const std::string& aTopic,
                   uint64_t aFrom,
-                  Millis aWait,
-                  Millis aMargin,
+                  ReadAttempt aAttempt,
                   std::function<void(StoreRead)> aDone)
 {
-  HttpClientRequest request{ .url_ = Url("/log-read", aTopic) +
-                                     "&from=" + std::to_string(aFrom) +
-                                     "&waitMs=" + std::to_string(aWait.count()),
-                             .connectTimeout_ = kConnectTimeout,
-                             .timeout_ = aWait + aMargin };
+  HttpClientRequest request{
+    .url_ = Url("/log-read", aTopic) + "&from=" + std::to_string(aFrom) +
+            "&waitMs=" + std::to_string(aAttempt.wait_.count()),
+    .connectTimeout_ = kConnectTimeout,
+    .timeout_ = kTransferTimeout
+  };
   http_.Send(std::move(request),
+             aAttempt.limits_,
              [aTopic, aFrom, start = BootNow(), done = std::move(aDone)](
                const HttpResult& aResult) {
                StoreRead read{ .outcome_ = OutcomeOf(aResult), .next_ = aFrom };
@@ -270,15 +272,17 @@
 void
 StoreClient::Newest(const std::string& aTopic,
                     const std::string& aAfter,
+                    ReadAttempt aAttempt,
                     std::function<void(StorePage)> aDone)
 {
   HttpClientRequest request{ .url_ = Url("/log-newest", aTopic),
                              .connectTimeout_ = kConnectTimeout,
-                             .timeout_ = kPageTimeout };
+                             .timeout_ = kTransferTimeout };
   if (!aAfter.empty()) {
     request.url_ += "&after=" + QueryText(aAfter);
   }
   http_.Send(std::move(request),
+             aAttempt.limits_,
              [aTopic, start = BootNow(), done = std::move(aDone)](
                const HttpResult& aResult) {
                StorePage page{ .outcome_ = OutcomeOf(aResult) };
--- a/src/libcornelfront/platform/store_client.h
+++ b/src/libcornelfront/platform/store_client.h
@@ -69,6 +69,16 @@
   uint64_t end_ = 0;
 };
 
+/// How one attempt to read is made.
+struct ReadAttempt
+{
+  /// The store answers without records only after this time.
+  Millis wait_{ 0 };
+  /// The first byte of the answer counts from the start of the attempt, \p
+  /// wait_ included.
+  ProgressLimits limits_;
+};
+
 /// Uses only partition 0 of each topic. All calls and callbacks are on the
 /// thread of the event loop.
 class StoreClient
@@ -80,16 +90,15 @@
               const std::vector<KeyedRecord>& aRecords,
               const std::optional<ProducerStamp>& aStamp,
               std::function<void(StoreOutcome)> aDone);
-  /// Reads records from offset \p aFrom on; waits up to \p aWait if there are
-  /// none yet. Times out \p aMargin after that.
+  /// Reads records from offset \p aFrom on, or waits for the first one.
   void Read(const std::string& aTopic,
             uint64_t aFrom,
-            Millis aWait,
-            Millis aMargin,
+            ReadAttempt aAttempt,
             std::function<void(StoreRead)> aDone);
   /// Reads a page of the newest records of all keys greater than \p aAfter.
   void Newest(const std::string& aTopic,
               const std::string& aAfter,
+              ReadAttempt aAttempt,
               std::function<void(StorePage)> aDone);
 
 private:
--- a/src/libcornelfront/platform/topic_reader.cpp
+++ b/src/libcornelfront/platform/topic_reader.cpp
@@ -8,10 +8,35 @@
 namespace cornelfront::platform {
 namespace {
 
-/// Timeout of a read, beyond the wait that it requests. It doubles with each
-/// read that is cut off, so that a large record arrives over a slow link.
-constexpr Millis kMinReadMargin{ 600 };
-constexpr Millis kMaxReadMargin{ 4800 };
+/// Limit on the first byte of an answer, beyond the wait of the read. The next
+/// attempt begins at once after it, so that a change is read within this time
+/// after a silent store answers again.
+constexpr Millis kAnswerLimit{ 600 };
+/// The same after an attempt without an answer, and for pages, which a store
+/// that serves many starting processes may answer later.
+constexpr Millis kLongAnswerLimit{ 1200 };
+/// Limit between two bytes of an answer.
+constexpr Millis kStallLimit{ 1000 };
+
+/// Returns the next attempt to read records that follow the known ones. It does
+/// not wait for new ones after an attempt without an answer, so that an answer
+/// comes soon if the store gives any.
+ReadAttempt
+TailAttempt(Millis aWait, bool aUnanswered)
+{
+  const Millis wait = aUnanswered ? Millis(0) : aWait;
+  const Millis limit = aUnanswered ? kLongAnswerLimit : kAnswerLimit;
+  return { .wait_ = wait,
+           .limits_ = { .firstByte_ = wait + limit,
+                        .nextByte_ = kStallLimit } };
+}
+
+ReadAttempt
+PageAttempt()
+{
+  return { .limits_ = { .firstByte_ = kLongAnswerLimit,
+                        .nextByte_ = kStallLimit } };
+}
 
 } // namespace
 
@@ -21,7 +46,6 @@
   : timer_(aLoop)
   , store_(aStore)
   , options_(std::move(aOptions))
-  , readMargin_(kMinReadMargin)
 {
   Restart();
 }
@@ -37,6 +61,7 @@
   readStart_ = BootNow();
   store_.Newest(options_.topic_,
                 aAfter,
+                PageAttempt(),
                 [this, alive = alive_, aAfter](const StorePage& aPage) {
                   if (*alive) {
                     OnPage(aAfter, aPage);
@@ -105,8 +130,7 @@
   readStart_ = BootNow();
   store_.Read(options_.topic_,
               next_,
-              options_.wait_,
-              readMargin_,
+              TailAttempt(options_.wait_, unanswered_),
               [this, alive = alive_](const StoreRead& aRead) {
                 if (*alive) {
                   OnTail(aRead);
@@ -122,14 +146,12 @@
     return;
   }
   if (aRead.outcome_ != StoreOutcome::Ok) {
-    if (aRead.outcome_ == StoreOutcome::Unknown) {
-      readMargin_ = std::min(readMargin_ * 2, kMaxReadMargin);
-    }
+    unanswered_ = aRead.outcome_ == StoreOutcome::Unknown;
     NoteReachable(false);
     Retry(&TopicReader::Tail);
     return;
   }
-  readMargin_ = kMinReadMargin;
+  unanswered_ = false;
   NoteReachable(true);
   for (const KeyedRecord& record : aRead.records_) {
     if (record.value_.empty()) {
--- a/src/libcornelfront/platform/topic_reader.h
+++ b/src/libcornelfront/platform/topic_reader.h
@@ -74,7 +74,8 @@
   StoreClient& store_;
   const Options options_;
   Backoff backoff_{ { .initial_ = Millis(100), .max_ = Millis(800) } };
-  Millis readMargin_;
+  /// The newest attempt ended without an answer.
+  bool unanswered_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   Records records_;
   Records pagedRecords_;
