Answer 404 only while the configuration is known to be current

Cause: the class of the incident, a promise with a bound that nothing compares with the age of what it rests on. 410 for a job has had such a bound (1.8 s since the replica's newest read began), 404 for a queue had none.

Change: a call that matches no route gets 503 with Retry-After 1 when the newest read of the configuration began over 1.8 s ago; configApplyMs is 2 s at least on all deployments. Known routes are served on while the store is away.

Evidence: ARouteIsUnknownOnlyWhileTheConfigurationIsCurrent fails without the bound (404) and passes with it.

--- a/src/libcornelfront/job_entry_clients.cpp
+++ b/src/libcornelfront/job_entry_clients.cpp
@@ -25,7 +25,9 @@
                              const HttpReply& aReply)
 {
   const MonoTime now = BootNow();
-  const platform::JobCall call = platform::ParseJobCall(aRequest, operator_);
+  const Millis configAge = operatorReader_->Age(now);
+  const platform::JobCall call =
+    platform::ParseJobCall(aRequest, operator_, configAge);
   std::visit(Visitor{ [&](const platform::JobSubmission& aSubmission) {
                        Submit(aSubmission, aReply, now);
                      },
@@ -43,8 +45,7 @@
                                   << " path=" << aRequest.path_
                                   << " status=" << aResponse.status_
                                   << " version=" << operator_.version_
-                                  << " config_age_ms="
-                                  << operatorReader_->Age(now).count();
+                                  << " config_age_ms=" << configAge.count();
                         Reply(aReply, aResponse);
                       } },
              call);
--- a/src/libcornelfront/platform/job_api.cpp
+++ b/src/libcornelfront/platform/job_api.cpp
@@ -19,6 +19,9 @@
 /// Timeout if neither the client nor the route specifies one.
 constexpr Millis kDefaultWait{ 30000 };
 constexpr Millis kConfigRetry{ 1000 };
+/// Maximum age of the configuration at which a missing route counts as unknown.
+/// A route has to be served 2 s after it was accepted.
+constexpr Millis kMaxConfigAge{ 1800 };
 constexpr Millis kStoreRetry{ 1000 };
 
 HttpResponse
@@ -68,13 +71,18 @@
 } // namespace
 
 JobCall
-ParseJobCall(const HttpRequest& aRequest, const OperatorState& aState)
+ParseJobCall(const HttpRequest& aRequest,
+             const OperatorState& aState,
+             Millis aConfigAge)
 {
   if (aState.version_ == 0) {
     return RefusedResponse("no configuration has been read yet", kConfigRetry);
   }
   const Route* route =
     aState.FindRoute(aRequest.Header("host"), aRequest.path_);
+  if (route == nullptr && aConfigAge > kMaxConfigAge) {
+    return RefusedResponse("the configuration can't be read", kConfigRetry);
+  }
   if (route == nullptr) {
     return ErrorResponse(kStatusNotFound, "no such queue");
   }
--- a/src/libcornelfront/platform/job_api.h
+++ b/src/libcornelfront/platform/job_api.h
@@ -47,9 +47,14 @@
                              QueueLengthQuery,
                              HttpResponse>;
 
-/// Parses a call on the route that matches its host and path.
+/// Parses a call on the route that matches its host and path. \p aConfigAge is
+/// the time since the read began that brought the configuration in \p aState:
+/// without a match, a caller is told that there is no such queue only while
+/// that is known.
 JobCall
-ParseJobCall(const HttpRequest& aRequest, const OperatorState& aState);
+ParseJobCall(const HttpRequest& aRequest,
+             const OperatorState& aState,
+             Millis aConfigAge);
 
 HttpResponse
 UnknownJobResponse();
--- a/src/libcornelfront/platform/wire_job_test.cpp
+++ b/src/libcornelfront/platform/wire_job_test.cpp
@@ -3,11 +3,15 @@
 #include "platform/json_fields_pvt.h"
 #include "platform/wire_job.h"
 
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 namespace cornelfront::platform {
 namespace {
 
+using testing::Contains;
+using testing::Pair;
+
 const std::string kJob = "5c0e7a21d94b36f8";
 
 TEST(ParseJobTest, ReadsEveryField)
@@ -113,25 +117,33 @@
   return request;
 }
 
+JobCall
+Parse(const HttpRequest& aRequest,
+      const OperatorState& aState,
+      Millis aConfigAge = Millis(1000))
+{
+  return ParseJobCall(aRequest, aState, aConfigAge);
+}
+
 TEST(ParseJobCallTest, DistinguishesCalls)
 {
   const OperatorState state = State();
-  const JobCall submission = ParseJobCall(Request("POST", "/q/" + kJob), state);
+  const JobCall submission = Parse(Request("POST", "/q/" + kJob), state);
   ASSERT_TRUE(std::holds_alternative<JobSubmission>(submission));
   EXPECT_EQ(std::get<JobSubmission>(submission).clientTimeout_, Millis(1500));
   EXPECT_TRUE(std::holds_alternative<JobQuery>(
-    ParseJobCall(Request("GET", "/q/" + kJob), state)));
+    Parse(Request("GET", "/q/" + kJob), state)));
   EXPECT_TRUE(std::holds_alternative<QueueLengthQuery>(
-    ParseJobCall(Request("GET", "/q/"), state)));
+    Parse(Request("GET", "/q/"), state)));
   EXPECT_TRUE(std::holds_alternative<JobCancellation>(
-    ParseJobCall(Request("DELETE", "/q/" + kJob), state)));
+    Parse(Request("DELETE", "/q/" + kJob), state)));
 }
 
 TEST(ParseJobCallTest, RespondsToInvalidCalls)
 {
   const auto status = [](const HttpRequest& aRequest,
                          const OperatorState& aState) {
-    return std::get<HttpResponse>(ParseJobCall(aRequest, aState)).status_;
+    return std::get<HttpResponse>(Parse(aRequest, aState)).status_;
   };
   EXPECT_EQ(status(Request("POST", "/q/" + kJob), {}), 503);
   EXPECT_EQ(status(Request("POST", "/x/" + kJob), State()), 404);
@@ -139,17 +151,32 @@
   EXPECT_EQ(status(Request("POST", "/q/short"), State()), 400);
 }
 
+// An entry that could not read the configuration answered 404 for a route that
+// had been added meanwhile.
+TEST(ParseJobCallTest, ARouteIsUnknownOnlyWhileTheConfigurationIsCurrent)
+{
+  constexpr Millis kConfigBound{ 2000 };
+  const auto answer = [](const char* aPath, Millis aAge) {
+    return Parse(Request("GET", aPath), State(), aAge);
+  };
+  EXPECT_EQ(std::get<HttpResponse>(answer("/x/", Millis(1100))).status_, 404);
+  const auto late = std::get<HttpResponse>(answer("/x/", kConfigBound));
+  EXPECT_EQ(late.status_, 503);
+  EXPECT_THAT(late.headers_, Contains(Pair("Retry-After", "1")));
+  EXPECT_TRUE(
+    std::holds_alternative<QueueLengthQuery>(answer("/q/", Millis(60000))))
+    << "known routes are served on";
+}
+
 TEST(ParseJobCallTest, UsesTheClientTimeout)
 {
   HttpRequest request = Request("POST", "/q/" + kJob);
   request.headers_["request-deadline"] = "250";
-  EXPECT_EQ(
-    std::get<JobSubmission>(ParseJobCall(request, State())).clientTimeout_,
-    Millis(250));
+  EXPECT_EQ(std::get<JobSubmission>(Parse(request, State())).clientTimeout_,
+            Millis(250));
   request.headers_["request-deadline"] = "soon";
-  EXPECT_EQ(
-    std::get<JobSubmission>(ParseJobCall(request, State())).clientTimeout_,
-    Millis(1500));
+  EXPECT_EQ(std::get<JobSubmission>(Parse(request, State())).clientTimeout_,
+            Millis(1500));
 }
 
 TEST(OutcomeResponseTest, RefusesOnlyJobsThatHaveNotRun)
