Open new connections to the store after a call without an answer

What callers would see: after all open connections to the store have gone silent, while new ones work, a change is in force late, and a leader of stored jobs loses its authority.

Cause: waits that add up. The client keeps up to eight connections, and a retry takes an idle one that may be silent as well; each costs a whole time-out, 1.2 s for a read and 1.5 s for an append.

Change: StoreClient replaces its pool of connections after a call without one byte of an answer. Calls under way go on in the earlier pool, which is closed after the last of them.

Evidence: two tests with six idle silent connections: a change was not read within contactMs (3 s), an append of a leader not applied within its authority (4 s); after the change 1.6 and 1.5 s.

--- a/src/include/cornelfront/async_http_client.h
+++ b/src/include/cornelfront/async_http_client.h
@@ -48,6 +48,8 @@
   void Send(HttpClientRequest aRequest, Callback aDone);
   /// As above; also ends the request when a limit on its progress is reached.
   void Send(HttpClientRequest aRequest, ProgressLimits aLimits, Callback aDone);
+  /// True if no request is under way.
+  bool Idle() const;
 
 private:
   class Impl;
--- a/src/libcornelfront/net/async_http_client.cpp
+++ b/src/libcornelfront/net/async_http_client.cpp
@@ -88,6 +88,8 @@
                   MonoClock::now() + aLimits.firstByte_);
   }
 
+  bool Idle() const { return exchanges_.empty(); }
+
 private:
   /// Events that libcurl waits for on one socket.
   struct Watch
@@ -341,4 +343,10 @@
   impl_->Send(std::move(aRequest), aLimits, std::move(aDone));
 }
 
+bool
+AsyncHttpClient::Idle() const
+{
+  return impl_->Idle();
+}
+
 } // namespace cornelfront
--- a/src/libcornelfront/platform/store_client.cpp
+++ b/src/libcornelfront/platform/store_client.cpp
@@ -195,11 +195,50 @@
 }
 
 StoreClient::StoreClient(asio::io_context& aLoop, const Endpoint& aStore)
-  : base_("http://" + aStore.host_ + ":" + std::to_string(aStore.port_))
-  , http_(aLoop, {})
+  : loop_(aLoop)
+  , base_("http://" + aStore.host_ + ":" + std::to_string(aStore.port_))
+  , pool_(std::make_shared<AsyncHttpClient>(aLoop, AsyncHttpClientOptions{}))
 {
 }
 
+void
+StoreClient::Send(HttpClientRequest aRequest,
+                  ProgressLimits aLimits,
+                  AsyncHttpClient::Callback aDone)
+{
+  CloseRetiredPools();
+  pool_->Send(
+    std::move(aRequest),
+    aLimits,
+    [this, pool = pool_.get(), done = std::move(aDone)](HttpResult aResult) {
+      const bool answered =
+        aResult.failure_ == HttpFailure::None || aResult.receivedBytes_ > 0;
+      if (!answered && pool == pool_.get()) {
+        ReplacePool();
+      }
+      done(std::move(aResult));
+    });
+}
+
+void
+StoreClient::ReplacePool()
+{
+  retiredPools_.push_back(std::move(pool_));
+  pool_ = std::make_shared<AsyncHttpClient>(loop_, AsyncHttpClientOptions{});
+}
+
+void
+StoreClient::CloseRetiredPools()
+{
+  for (Pool& pool : retiredPools_) {
+    if (pool->Idle()) {
+      // This may run in a callback of that pool.
+      asio::post(loop_, [closed = std::move(pool)] {});
+    }
+  }
+  std::erase(retiredPools_, nullptr);
+}
+
 std::string
 StoreClient::Url(std::string_view aCall, const std::string& aTopic) const
 {
@@ -225,15 +264,16 @@
   for (const KeyedRecord& record : aRecords) {
     request.body_ += EncodeRecord(record);
   }
-  http_.Send(std::move(request),
-             [aTopic, done = std::move(aDone)](const HttpResult& aResult) {
-               const StoreOutcome outcome = OutcomeOf(aResult);
-               if (outcome != StoreOutcome::Ok) {
-                 LOG(WARNING)
-                   << "append to " << aTopic << " failed: " << Reason(aResult);
-               }
-               done(outcome);
-             });
+  Send(std::move(request),
+       { .firstByte_ = kAppendTimeout, .nextByte_ = kAppendTimeout },
+       [aTopic, done = std::move(aDone)](const HttpResult& aResult) {
+         const StoreOutcome outcome = OutcomeOf(aResult);
+         if (outcome != StoreOutcome::Ok) {
+           LOG(WARNING) << "append to " << aTopic
+                        << " failed: " << Reason(aResult);
+         }
+         done(outcome);
+       });
 }
 
 void
@@ -248,25 +288,25 @@
     .connectTimeout_ = kConnectTimeout,
     .timeout_ = kTransferTimeout
   };
-  http_.Send(std::move(request),
-             aAttempt.limits_,
-             [aTopic, aFrom, start = BootNow(), done = std::move(aDone)](
-               const HttpResult& aResult) {
-               StoreRead read{ .outcome_ = OutcomeOf(aResult), .next_ = aFrom };
-               if (read.outcome_ != StoreOutcome::Ok) {
-                 LogFailedRead(aTopic, "tail", aResult, start, BootNow());
-               }
-               try {
-                 if (read.outcome_ == StoreOutcome::Ok) {
-                   DecodeRead(aResult.response_.body_, aFrom, read);
-                 }
-               } catch (const WireFormatError& error) {
-                 LOG(ERROR) << "malformed response to a read of " << aTopic
-                            << ": " << error.what();
-                 read.outcome_ = StoreOutcome::NotApplied;
-               }
-               done(std::move(read));
-             });
+  Send(std::move(request),
+       aAttempt.limits_,
+       [aTopic, aFrom, start = BootNow(), done = std::move(aDone)](
+         const HttpResult& aResult) {
+         StoreRead read{ .outcome_ = OutcomeOf(aResult), .next_ = aFrom };
+         if (read.outcome_ != StoreOutcome::Ok) {
+           LogFailedRead(aTopic, "tail", aResult, start, BootNow());
+         }
+         try {
+           if (read.outcome_ == StoreOutcome::Ok) {
+             DecodeRead(aResult.response_.body_, aFrom, read);
+           }
+         } catch (const WireFormatError& error) {
+           LOG(ERROR) << "malformed response to a read of " << aTopic << ": "
+                      << error.what();
+           read.outcome_ = StoreOutcome::NotApplied;
+         }
+         done(std::move(read));
+       });
 }
 
 void
@@ -281,24 +321,24 @@
   if (!aAfter.empty()) {
     request.url_ += "&after=" + QueryText(aAfter);
   }
-  http_.Send(std::move(request),
-             aAttempt.limits_,
-             [aTopic, start = BootNow(), done = std::move(aDone)](
-               const HttpResult& aResult) {
-               StorePage page{ .outcome_ = OutcomeOf(aResult) };
-               try {
-                 if (page.outcome_ == StoreOutcome::Ok) {
-                   DecodePage(aResult.response_.body_, page);
-                 } else {
-                   LogFailedRead(aTopic, "newest", aResult, start, BootNow());
-                 }
-               } catch (const WireFormatError& error) {
-                 LOG(ERROR) << "malformed response with the newest records of "
-                            << aTopic << ": " << error.what();
-                 page.outcome_ = StoreOutcome::NotApplied;
-               }
-               done(std::move(page));
-             });
+  Send(std::move(request),
+       aAttempt.limits_,
+       [aTopic, start = BootNow(), done = std::move(aDone)](
+         const HttpResult& aResult) {
+         StorePage page{ .outcome_ = OutcomeOf(aResult) };
+         try {
+           if (page.outcome_ == StoreOutcome::Ok) {
+             DecodePage(aResult.response_.body_, page);
+           } else {
+             LogFailedRead(aTopic, "newest", aResult, start, BootNow());
+           }
+         } catch (const WireFormatError& error) {
+           LOG(ERROR) << "malformed response with the newest records of "
+                      << aTopic << ": " << error.what();
+           page.outcome_ = StoreOutcome::NotApplied;
+         }
+         done(std::move(page));
+       });
 }
 
 } // namespace cornelfront::platform
--- a/src/libcornelfront/platform/store_client.h
+++ b/src/libcornelfront/platform/store_client.h
@@ -102,10 +102,23 @@
               std::function<void(StorePage)> aDone);
 
 private:
+  using Pool = std::shared_ptr<AsyncHttpClient>;
+
   std::string Url(std::string_view aCall, const std::string& aTopic) const;
+  void Send(HttpClientRequest aRequest,
+            ProgressLimits aLimits,
+            AsyncHttpClient::Callback aDone);
+  void ReplacePool();
+  void CloseRetiredPools();
 
+  asio::io_context& loop_;
   const std::string base_;
-  AsyncHttpClient http_;
+  /// Connections for new calls. A call without an answer replaces the pool,
+  /// since whatever made its connection silent may have done so to the idle
+  /// ones.
+  Pool pool_;
+  /// Earlier pools, until their last call has ended.
+  std::vector<Pool> retiredPools_;
 };
 
 } // namespace cornelfront::platform
--- a/src/libcornelfront/platform/store_stub_test.h
+++ b/src/libcornelfront/platform/store_stub_test.h
@@ -20,7 +20,7 @@
 namespace cornelfront::platform {
 
 /// Serves reads on the thread of the event loop, one request at a time on each
-/// connection.
+/// connection. Appends are answered and not kept.
 class StoreStub
 {
 public:
@@ -125,9 +125,27 @@
         }
         const std::string head = aConnection->received_.substr(0, aSize);
         aConnection->received_.erase(0, aSize);
+        ReceiveBody(aConnection, head);
+      });
+  }
+
+  void ReceiveBody(const ConnectionPtr& aConnection, const std::string& aHead)
+  {
+    const size_t size = Number(aHead, "Content-Length: ");
+    const size_t missing = size - std::min(size, aConnection->received_.size());
+    asio::async_read(
+      aConnection->socket_,
+      asio::dynamic_buffer(aConnection->received_),
+      asio::transfer_exactly(missing),
+      [this, aConnection, aHead, size](const asio::error_code& aError, size_t) {
+        if (aError) {
+          connections_.remove(aConnection);
+          return;
+        }
+        aConnection->received_.erase(0, size);
         ++requests_;
         if (!aConnection->silent_) {
-          Handle(aConnection, head);
+          Handle(aConnection, aHead);
         }
         Receive(aConnection);
       });
@@ -135,25 +153,29 @@
 
   static uint64_t Number(const std::string& aHead, const std::string& aName)
   {
-    const auto at = aHead.find(aName + "=");
+    const auto at = aHead.find(aName);
     return at == std::string::npos
              ? 0
-             : std::stoull(aHead.substr(at + aName.size() + 1));
+             : std::stoull(aHead.substr(at + aName.size()));
   }
 
   void Handle(const ConnectionPtr& aConnection, const std::string& aHead)
   {
+    if (aHead.find("/log-append") != std::string::npos) {
+      Send(aConnection, "{}");
+      return;
+    }
     if (aHead.find("/log-newest") != std::string::npos) {
       Send(aConnection, NewestBody());
       return;
     }
-    aConnection->from_ = Number(aHead, "from");
+    aConnection->from_ = Number(aHead, "from=");
     if (aConnection->from_ < records_.size()) {
       Answer(aConnection, aConnection->from_);
       return;
     }
     aConnection->waiting_ = true;
-    aConnection->timer_.expires_after(Millis(Number(aHead, "waitMs")));
+    aConnection->timer_.expires_after(Millis(Number(aHead, "waitMs=")));
     aConnection->timer_.async_wait(
       [this, aConnection](const asio::error_code& aError) {
         if (!aError && aConnection->waiting_) {
--- a/src/libcornelfront/platform/topic_reader_test.cpp
+++ b/src/libcornelfront/platform/topic_reader_test.cpp
@@ -1,3 +1,4 @@
+#include "platform/batch_writer.h"
 #include "platform/store_stub_test.h"
 #include "platform/topic_reader.h"
 
@@ -12,7 +13,14 @@
 /// Shortest time of all deployments in which a configuration has to be in force
 /// (configApplyMs).
 constexpr Millis kConfigBound{ 2000 };
+/// Shortest time of all deployments after which a machine whose connections
+/// went silent has to keep all bounds again (contactMs).
+constexpr Millis kContactBound{ 3000 };
+/// Time for which a leader acts without a confirmed append; see
+/// LeadershipOptions.
+constexpr Millis kAuthority{ 4000 };
 
+/// A reader and a writer beside a store whose connections may go silent.
 class TopicReaderTest : public testing::Test
 {
 protected:
@@ -51,6 +59,19 @@
     return RunUntil(kConfigBound, [&] { return records_["config"] == aValue; });
   }
 
+  /// Leaves several idle connections in the client's pool.
+  void OpenConnections()
+  {
+    constexpr size_t kConnections = 6;
+    size_t answers = 0;
+    for (size_t i = 0; i < kConnections; ++i) {
+      client_.Newest("keyed.op", "", {}, [&](const StorePage&) { ++answers; });
+    }
+    ASSERT_TRUE(
+      RunUntil(kConfigBound, [&] { return answers == kConnections; }));
+    ASSERT_GE(store_.OpenConnections(), kConnections);
+  }
+
   asio::io_context loop_;
   StoreStub store_;
   StoreClient client_;
@@ -102,5 +123,35 @@
     RunUntil(2 * kTransferTime, [&] { return records_["config"] == large; }));
 }
 
+// Each idle connection of the client that had gone silent took a whole
+// time-out.
+TEST_F(TopicReaderTest, AChangeIsReadInTimeAfterAllConnectionsWentSilent)
+{
+  store_.Append("config", "1");
+  StartReader();
+  ASSERT_TRUE(ReadsInTime("1"));
+  OpenConnections();
+  store_.SilenceOpenConnections();
+  store_.Append("config", "2");
+  EXPECT_TRUE(
+    RunUntil(kContactBound, [&] { return records_["config"] == "2"; }));
+}
+
+// The same for appends: a leader lost its authority although the store
+// answered.
+TEST_F(TopicReaderTest, AnAppendIsAppliedInTimeAfterAllConnectionsWentSilent)
+{
+  OpenConnections();
+  store_.SilenceOpenConnections();
+  BatchWriter writer(
+    loop_,
+    client_,
+    { .topic_ = "t", .producer_ = "leader", .retryUntilApplied_ = true });
+  bool applied = false;
+  writer.Write({ { "k", "v" } },
+               [&](StoreOutcome, MonoTime) { applied = true; });
+  EXPECT_TRUE(RunUntil(kAuthority, [&] { return applied; }));
+}
+
 } // namespace
 } // namespace cornelfront::platform
