Count only a read up to the end of a topic as current

A read whose answer holds a part of the records (1 MB) counted as a read of all of them, and the pages of the newest records counted from the start of the last page, although reading goes on from the end as of the first one.

OnlyAReadUpToTheEndCountsAsCurrent failed (age 300 ms while two of three records were unread) and passes; all pages count from the start of the first one.

--- a/src/libcornelfront/platform/store_client.cpp
+++ b/src/libcornelfront/platform/store_client.cpp
@@ -70,7 +70,7 @@
 void
 DecodeRead(std::string_view aBody, uint64_t aFrom, StoreRead& aRead)
 {
-  TakeBigEndian(aBody, kOffsetBytes);
+  aRead.end_ = TakeBigEndian(aBody, kOffsetBytes);
   TakeBigEndian(aBody, kOffsetBytes);
   aRead.next_ = aFrom;
   while (!aBody.empty()) {
--- a/src/libcornelfront/platform/store_client.h
+++ b/src/libcornelfront/platform/store_client.h
@@ -56,6 +56,9 @@
   StoreOutcome outcome_ = StoreOutcome::NotApplied;
   /// Offset after the last record returned.
   uint64_t next_ = 0;
+  /// End of the partition when it was read; beyond next_ if more records follow
+  /// than one answer holds.
+  uint64_t end_ = 0;
   std::vector<KeyedRecord> records_;
 };
 
--- a/src/libcornelfront/platform/store_stub_test.h
+++ b/src/libcornelfront/platform/store_stub_test.h
@@ -11,6 +11,7 @@
 #include <asio.hpp>
 #include <nlohmann/json.hpp>
 
+#include <limits>
 #include <list>
 #include <map>
 #include <memory>
@@ -74,6 +75,8 @@
   }
 
   void SetPace(Pace aPace) { pace_ = aPace; }
+  /// Answers of reads have at most this many records.
+  void SetMaxRecords(size_t aRecords) { maxRecords_ = aRecords; }
   size_t Requests() const { return requests_; }
   size_t OpenConnections() const { return connections_.size(); }
 
@@ -198,7 +201,8 @@
   void Answer(const ConnectionPtr& aConnection, size_t aFrom)
   {
     std::string body = BigEndian(records_.size()) + BigEndian(0);
-    for (size_t i = aFrom; i < records_.size(); ++i) {
+    const size_t end = std::min(records_.size(), aFrom + maxRecords_);
+    for (size_t i = aFrom; i < end; ++i) {
       body += EncodeRecord(records_[i]);
     }
     Send(aConnection, body);
@@ -258,6 +262,7 @@
   std::list<ConnectionPtr> connections_;
   std::vector<KeyedRecord> records_;
   Pace pace_;
+  size_t maxRecords_ = std::numeric_limits<uint32_t>::max();
   size_t requests_ = 0;
   bool silent_ = false;
 };
--- a/src/libcornelfront/platform/topic_reader.cpp
+++ b/src/libcornelfront/platform/topic_reader.cpp
@@ -59,6 +59,9 @@
 TopicReader::ReadPage(const std::string& aAfter)
 {
   readStart_ = BootNow();
+  if (aAfter.empty()) {
+    firstPageStart_ = readStart_;
+  }
   store_.Newest(options_.topic_,
                 aAfter,
                 PageAttempt(),
@@ -106,7 +109,7 @@
   const bool first = !complete_;
   records_ = std::exchange(pagedRecords_, {});
   complete_ = true;
-  lastReadStart_ = readStart_;
+  lastReadStart_ = firstPageStart_;
   if (first || !changes.empty()) {
     Publish(changes);
   }
@@ -161,7 +164,9 @@
     }
   }
   next_ = aRead.next_;
-  lastReadStart_ = readStart_;
+  if (next_ >= aRead.end_) {
+    lastReadStart_ = readStart_;
+  }
   if (!aRead.records_.empty()) {
     Publish(aRead.records_);
   }
--- a/src/libcornelfront/platform/topic_reader.h
+++ b/src/libcornelfront/platform/topic_reader.h
@@ -50,11 +50,12 @@
   /// True once all records have been read for the first time.
   bool Complete() const { return complete_; }
 
-  /// Returns the start time of the newest successful read, by BootNow.
+  /// Returns the start time of the newest successful read up to the end of the
+  /// topic, by BootNow.
   MonoTime LastReadStart() const { return lastReadStart_; }
 
-  /// Returns the time since the newest successful read began: what the store
-  /// accepted before then is known here.
+  /// Returns the time since then: what the store accepted earlier is known
+  /// here.
   Millis Age(MonoTime aNow) const
   {
     return std::chrono::duration_cast<Millis>(aNow - lastReadStart_);
@@ -81,6 +82,7 @@
   Records pagedRecords_;
   uint64_t next_ = 0;
   MonoTime readStart_;
+  MonoTime firstPageStart_;
   MonoTime lastReadStart_;
   bool complete_ = false;
   bool reachable_ = true;
--- a/src/libcornelfront/platform/topic_reader_test.cpp
+++ b/src/libcornelfront/platform/topic_reader_test.cpp
@@ -123,6 +123,28 @@
     RunUntil(2 * kTransferTime, [&] { return records_["config"] == large; }));
 }
 
+// An answer with a part of the records counted as a read of all of them.
+TEST_F(TopicReaderTest, OnlyAReadUpToTheEndCountsAsCurrent)
+{
+  constexpr Millis kAnswerInterval{ 300 };
+  store_.Append("config", "1");
+  StartReader();
+  ASSERT_TRUE(ReadsInTime("1"));
+  store_.SetSilent(true);
+  for (const char* value : { "2", "3", "4" }) {
+    store_.Append("config", value);
+  }
+  RunFor(Millis(1000));
+  store_.SetMaxRecords(1);
+  store_.SetPace({ .bytes_ = 60, .interval_ = kAnswerInterval });
+  store_.SetSilent(false);
+  ASSERT_TRUE(ReadsInTime("2"));
+  EXPECT_GT(reader_->Age(BootNow()), Millis(1000));
+  ASSERT_TRUE(
+    RunUntil(kContactBound, [&] { return records_["config"] == "4"; }));
+  EXPECT_LT(reader_->Age(BootNow()), Millis(1000));
+}
+
 // Each idle connection of the client that had gone silent took a whole
 // time-out.
 TEST_F(TopicReaderTest, AChangeIsReadInTimeAfterAllConnectionsWentSilent)
