Count crashes of upstreams against the tasks that they had

Cause: nothing counts a crash against a task. Runs that ended failed count against the attempts, but a run whose upstream vanished is placed again, for ever; and whatever an entry or leader had learnt would end with it. The class: a retry without a limit of its own, and a limit that dies with its keeper.

Change: a sidecar remembers the crashes of its upstream with the tasks that it had, and tells all entries, also those that link later, before it reports the ends of the runs. A crash is suspected while the upstream is silent, proven when another incarnation has taken its place without a departure, and withdrawn when it answers. Each entry keeps a CrashLedger. A task under which one upstream has crashed runs alone, with all resources of one of a small share of upstreams that all entries choose alike, so that the next crash tells who is to blame. It is deadly after two crashes if it was alone in one of them, otherwise after three; its job fails at once, in whatever entry holds it or gets it again. With three crashes of which some are only suspected, it waits.

--- a/src/include/cornelfront/job_metrics.h
+++ b/src/include/cornelfront/job_metrics.h
@@ -38,6 +38,10 @@
   void CountRun(const RunReport& aReport);
   /// Counts a stop that was sent to the upstream, repeated ones included.
   void CountStop(StopReason aReason);
+  /// Counts what a sidecar learns of a crash of its upstream.
+  void CountCrash(CrashState aState);
+  /// Counts a job that was given up because a task of it crashes upstreams.
+  void CountDeadlyTask(const std::string& aQueue);
   /// Counts a call to the upstream that was not answered in time.
   void CountUnanswered();
   void SetGauge(const std::string& aName, double aValue);
@@ -50,6 +54,8 @@
   prometheus::Family<prometheus::Counter>& calls_;
   prometheus::Family<prometheus::Counter>& runs_;
   prometheus::Family<prometheus::Counter>& stops_;
+  prometheus::Family<prometheus::Counter>& crashes_;
+  prometheus::Family<prometheus::Counter>& deadlyTasks_;
   prometheus::Family<prometheus::Gauge>& gauges_;
   prometheus::Counter& unanswered_;
   prometheus::Histogram& jobSeconds_;
--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -6,6 +6,7 @@
 
 #include "cornelfront/admission_control.h"
 #include "cornelfront/clock.h"
+#include "cornelfront/crash_ledger.h"
 #include "cornelfront/ids.h"
 #include "cornelfront/job.h"
 #include "cornelfront/run_messages.h"
@@ -127,6 +128,16 @@
   Millis duration_{ 0 };
 };
 
+/// For the log: a job is given up, since one of its tasks crashes its
+/// upstreams.
+struct DeadlyTaskEvent
+{
+  JobTaskId task_;
+  std::string queue_;
+  /// Number of upstreams that have crashed under it.
+  size_t crashes_ = 0;
+};
+
 struct SendStops
 {
   MemberId sidecar_;
@@ -170,7 +181,8 @@
                                SendAcknowledgement,
                                RunEndEvent,
                                StallEvent,
-                               EjectionEvent>;
+                               EjectionEvent,
+                               DeadlyTaskEvent>;
 
 struct JobSchedulerOptions
 {
@@ -226,6 +238,10 @@
   int maxReturned_ = 3;
   /// Time for which an upstream is avoided once most of its runs fail.
   Millis ejectionTime_{ 2000 };
+  CrashLedgerOptions crashes_;
+  /// Share of the upstreams on which tasks are tried alone that other upstreams
+  /// have crashed under.
+  double isolationShare_ = 0.15;
 };
 
 /// Schedules the best-effort jobs of this entry and, on the leader, the stored
@@ -310,6 +326,11 @@
   /// A sidecar has reported the runs of earlier leaders to this leader.
   void OnTakenOver(MemberId aSidecar, const HeldRuns& aHeld, MonoTime aNow);
   void OnReports(MemberId aSidecar, const RunReports& aReports, MonoTime aNow);
+  /// Upstreams have crashed, under runs of this entry or of others. Jobs with a
+  /// task that crashes its upstreams are answered as failed.
+  void OnUpstreamCrashes(MemberId aSidecar,
+                         const UpstreamCrashes& aCrashes,
+                         MonoTime aNow);
   /// The link to a sidecar has ended; the sidecar may still hold runs.
   void OnSidecarLost(MemberId aSidecar, MonoTime aNow);
 
@@ -442,12 +463,16 @@
   {
     Sidecars::iterator sidecar_;
     bool avoided_ = false;
+    /// Takes tasks that have to run alone. All entries choose the same
+    /// upstreams for that.
+    bool isolates_ = false;
     double waitMs_ = 0.0;
     double costMs_ = 0.0;
   };
 
-  /// The orders of one placement, by sidecar.
-  using Sends = std::map<MemberId, SendRuns>;
+  /// The orders of one placement, by sidecar and by whether the runs have to be
+  /// alone there.
+  using Sends = std::map<std::pair<MemberId, bool>, SendRuns>;
 
   /// Mean run time of a queue's tasks, from its own runs.
   struct Durations
@@ -501,12 +526,22 @@
   bool Reattach(JobSubmissionId aSubmissionId,
                 const std::string& aJob,
                 MonoTime aDeadline);
+  /// Places the tasks that are ready. May end the job and remove it.
   void PlaceJob(Job& aJob, MonoTime aNow);
+  /// Fails a job of which a task crashes its upstreams, and returns whether it
+  /// did.
+  bool FailIfDeadly(Job& aJob);
+  bool IsHeld(const JobTaskId& aTaskId) const;
+  /// True if the next run of the task has to be the only one on its upstream.
+  bool MustRunAlone(const JobTaskId& aTaskId, const StepSpec& aStep) const;
+  bool HasHeldTask(const Job& aJob, uint32_t aStep) const;
   void PlaceStep(Job& aJob, uint32_t aStep, MonoTime aNow);
-  /// Adds the next run of a task to the orders of the chosen sidecar.
+  /// Adds the next run of a task to the orders of the chosen sidecar. A run
+  /// that has to be alone takes all resources of its upstream.
   void PlaceTask(Job& aJob,
                  const JobTaskId& aTaskId,
                  Candidate& aChosen,
+                 bool aAlone,
                  Sends& aSends,
                  MonoTime aNow);
   /// Fills in what the orders for all tasks of a step have in common.
@@ -536,7 +571,10 @@
   Candidate* ChooseCandidate(std::vector<Candidate>& aCandidates,
                              const Job& aJob,
                              uint32_t aStep,
-                             const Task& aTask) const;
+                             const Task& aTask,
+                             bool aAlone) const;
+  /// Marks the candidates that take tasks which have to run alone.
+  void ChooseIsolating(std::vector<Candidate>& aCandidates) const;
   bool IsEligible(const Sidecar& aSidecar,
                   const Job& aJob,
                   const StepSpec& aStep) const;
@@ -571,7 +609,10 @@
   /// depends on it.
   void UpdateLatestStart(Job& aJob);
   bool RefuseIfInfeasible(Job& aJob, MonoTime aNow);
-  void RecordSent(Sidecar& aSidecar, const StepSpec& aStep, const RunKey& aKey);
+  static void RecordSent(Sidecar& aSidecar,
+                         const Resources& aResources,
+                         Millis aEstimate,
+                         const RunKey& aKey);
   void OnRunEnd(MemberId aSidecar, const RunReport& aReport, MonoTime aNow);
   void OnTaskDone(Job& aJob, const JobTaskId& aTaskId, MonoTime aNow);
   /// Returns the highest number of a run of this job that may still go on.
@@ -626,6 +667,7 @@
   std::map<std::string, AbandonedRuns> abandoned_;
   std::set<std::string> zonesOut_;
   std::map<std::string, Durations> durations_;
+  CrashLedger crashes_;
   std::vector<JobAction> actions_;
   MonoTime lastTick_;
   MonoTime lastCall_;
--- a/src/include/cornelfront/messages.h
+++ b/src/include/cornelfront/messages.h
@@ -295,7 +295,8 @@
                              RunReports,
                              HeldRuns,
                              TakeOver,
-                             AcknowledgeEnds>;
+                             AcknowledgeEnds,
+                             UpstreamCrashes>;
 
 /// Returns the name of the message type for metrics and events, such as
 /// "start_tasks".
--- a/src/include/cornelfront/run_messages.h
+++ b/src/include/cornelfront/run_messages.h
@@ -10,6 +10,7 @@
 #include <array>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cornelfront {
@@ -234,4 +235,48 @@
   }
 };
 
+/// How certain it is that an upstream has crashed.
+enum class CrashState : uint8_t
+{
+  /// It does not answer.
+  Suspected,
+  /// Another incarnation has taken its place, although it had not announced its
+  /// end.
+  Proven,
+  /// It answers again, or has announced its end.
+  Withdrawn,
+};
+
+std::string_view
+ToString(CrashState aState);
+
+struct UpstreamCrash
+{
+  /// Identifies the crash among those of one sidecar.
+  uint64_t number_ = 0;
+  CrashState state_ = CrashState::Suspected;
+  /// The tasks that ran there or were being started.
+  std::vector<JobTaskId> tasks_;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(number_, state_, tasks_);
+  }
+};
+
+/// Crashes of a sidecar's upstream. A sidecar sends new ones to all entries,
+/// and all that it remembers when a link is established, before the ends of the
+/// runs that the upstream had.
+struct UpstreamCrashes
+{
+  std::vector<UpstreamCrash> crashes_;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(crashes_);
+  }
+};
+
 } // namespace cornelfront
--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -333,6 +333,12 @@
   /// Returns the updates that have not been taken yet, by owner.
   std::map<MemberId, Updates> TakeUpdates();
 
+  /// Returns the crashes of the upstream that are new or have changed since the
+  /// last call.
+  std::vector<UpstreamCrash> TakeCrashes();
+  /// Returns the last crashes of the upstream, for an entry that links.
+  std::vector<UpstreamCrash> KnownCrashes() const;
+
   HeldRuns MakeHeldRuns(MemberId aOwner) const;
   UpstreamReport MakeUpstreamReport(MonoTime aNow) const;
   /// The upstream may discard ends up to this number.
@@ -423,6 +429,12 @@
   void RecordEnd(const EndedEntry& aEnd, Runs::iterator aRun, MonoTime aNow);
   void LimitUnacknowledgedEnds();
   void FinishAll(RunEnd aEnd, MonoTime aNow);
+  /// The upstream has been silent for too long.
+  void SuspectCrash();
+  /// Another incarnation has taken the place of the current one.
+  void RecordCrash();
+  void WithdrawCrash();
+  std::vector<JobTaskId> StartedTasks() const;
   /// Remembers that the current incarnation never returns.
   void RecordGone();
   /// Ends the runs of an incarnation that is gone.
@@ -497,6 +509,11 @@
   bool registered_ = false;
   MonoTime upstreamHeardAt_;
   MonoTime fullUntil_;
+  uint64_t lastCrash_ = 0;
+  /// The current incarnation is suspected to have crashed.
+  std::optional<UpstreamCrash> suspected_;
+  std::deque<UpstreamCrash> crashes_;
+  std::vector<UpstreamCrash> newCrashes_;
 };
 
 } // namespace cornelfront
--- a/src/libcornelfront/job_entry_sidecars.cpp
+++ b/src/libcornelfront/job_entry_sidecars.cpp
@@ -33,6 +33,9 @@
   } else if (const auto* reports =
                std::get_if<RunReports>(&aEnvelope.message_)) {
     scheduler_.OnReports(sidecar, *reports, now);
+  } else if (const auto* crashes =
+               std::get_if<UpstreamCrashes>(&aEnvelope.message_)) {
+    scheduler_.OnUpstreamCrashes(sidecar, *crashes, now);
   } else {
     return;
   }
@@ -152,6 +155,14 @@
                [&](const AnswerJob& aAnswer) { Answer(aAnswer, aNow); },
                [&](const RunEndEvent& aEvent) { LogRunEnd(aEvent); },
                [&](const StallEvent& aEvent) { LogStall(aEvent); },
+               [&](const DeadlyTaskEvent& aEvent) {
+                 metrics_.CountDeadlyTask(aEvent.queue_);
+                 LOG(WARNING)
+                   << "job=" << aEvent.task_.job_
+                   << " task=" << ToString(aEvent.task_)
+                   << " queue=" << aEvent.queue_
+                   << " crashes=" << aEvent.crashes_ << " outcome=deadly";
+               },
                [&](const EjectionEvent& aEvent) {
                  LOG(WARNING) << "sidecar name=" << NameOf(aEvent.sidecar_)
                               << " failed_share=" << aEvent.failedShare_
--- a/src/libcornelfront/job_metrics.cpp
+++ b/src/libcornelfront/job_metrics.cpp
@@ -52,6 +52,15 @@
              .Name("cornelfront_stops_sent_total")
              .Help("Stops sent to the upstream, by reason")
              .Register(registry_))
+  , crashes_(BuildCounter()
+               .Name("cornelfront_upstream_crashes_total")
+               .Help("Crashes of the upstream, by what is known of them")
+               .Register(registry_))
+  , deadlyTasks_(BuildCounter()
+                   .Name("cornelfront_deadly_tasks_total")
+                   .Help("Jobs given up because a task crashes its upstreams, "
+                         "by queue")
+                   .Register(registry_))
   , gauges_(BuildGauge()
               .Name("cornelfront_state")
               .Help("What this process holds at the moment, by name")
@@ -101,6 +110,18 @@
   stops_.Add({ { "reason", std::string(ToString(aReason)) } }).Increment();
 }
 
+void
+JobMetrics::CountCrash(CrashState aState)
+{
+  crashes_.Add({ { "outcome", std::string(ToString(aState)) } }).Increment();
+}
+
+void
+JobMetrics::CountDeadlyTask(const std::string& aQueue)
+{
+  deadlyTasks_.Add({ { "queue", aQueue } }).Increment();
+}
+
 void
 JobMetrics::CountUnanswered()
 {
--- a/src/libcornelfront/job_sidecar_entries.cpp
+++ b/src/libcornelfront/job_sidecar_entries.cpp
@@ -96,6 +96,9 @@
   Owner& owner = owners_[aEntry];
   owner = { .link_ = aLink };
   table_.OnOwnerLinked(aEntry, aNow);
+  if (auto crashes = table_.KnownCrashes(); !crashes.empty()) {
+    aLink->Send(UpstreamCrashes{ std::move(crashes) });
+  }
   aLink->Send(table_.MakeHeldRuns(aEntry));
   Send(aEntry, owner, {}, table_.MakeUpstreamReport(aNow), aNow);
   LOG(INFO) << "entry id=" << ToString(aEntry) << " outcome=linked";
@@ -147,6 +150,29 @@
   }
 }
 
+void
+JobSidecar::Impl::SendCrashes()
+{
+  const UpstreamCrashes message{ table_.TakeCrashes() };
+  if (message.crashes_.empty()) {
+    return;
+  }
+  for (const UpstreamCrash& crash : message.crashes_) {
+    metrics_.CountCrash(crash.state_);
+    LOG(WARNING) << "upstream crash=" << crash.number_
+                 << " tasks=" << crash.tasks_.size()
+                 << " outcome=" << ToString(crash.state_);
+    for (const JobTaskId& task : crash.tasks_) {
+      LOG(INFO) << "job=" << task.job_ << " task=" << ToString(task)
+                << " crash=" << crash.number_
+                << " outcome=" << ToString(crash.state_);
+    }
+  }
+  for (auto& [id, owner] : owners_) {
+    owner.link_->Send(message);
+  }
+}
+
 void
 JobSidecar::Impl::Send(MemberId aEntry,
                        Owner& aOwner,
--- a/src/libcornelfront/job_sidecar_pvt.h
+++ b/src/libcornelfront/job_sidecar_pvt.h
@@ -76,6 +76,8 @@
                     const UpstreamPollResult& aPollResult);
   /// Sends all pending starts, stops and reports of the table.
   void SendPending(MonoTime aNow);
+  /// Tells all entries what is new of crashes of the upstream.
+  void SendCrashes();
   void SendStart(const StartRequest& aOrder, MonoTime aNow);
   static void LogRunEnd(MemberId aOwner, const RunReport& aReport);
   void SendStatus(MonoTime aNow);
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -181,6 +181,7 @@
 JobSidecar::Impl::SendPending(MonoTime aNow)
 {
   DetectSuspension(aNow);
+  SendCrashes();
   for (const StopRequest& stop : table_.TakeStops(aNow)) {
     LOG(INFO) << "job=" << stop.key_.task_.job_
               << " run=" << ToString(stop.key_)
--- a/src/libcornelfront/net/messages.cpp
+++ b/src/libcornelfront/net/messages.cpp
@@ -20,11 +20,25 @@
 
 /// Names of the message types, in the order of the alternatives of Message.
 constexpr std::array<std::string_view, std::variant_size_v<Message>> kKinds = {
-  "hello",           "welcome",         "pulse",         "config_update",
-  "upstream_status", "start_tasks",     "task_answers",  "cancel_tasks",
-  "resolve_tasks",   "forward_request", "forward_reply", "leaving",
-  "start_runs",      "stop_runs",       "run_reports",   "held_runs",
-  "take_over",       "forget_ends",
+  "hello",
+  "welcome",
+  "pulse",
+  "config_update",
+  "upstream_status",
+  "start_tasks",
+  "task_answers",
+  "cancel_tasks",
+  "resolve_tasks",
+  "forward_request",
+  "forward_reply",
+  "leaving",
+  "start_runs",
+  "stop_runs",
+  "run_reports",
+  "held_runs",
+  "take_over",
+  "forget_ends",
+  "upstream_crashes",
 };
 
 constexpr std::array<std::string_view, 15> kReasons = {
--- a/src/libcornelfront/net/messages_test.cpp
+++ b/src/libcornelfront/net/messages_test.cpp
@@ -37,6 +37,7 @@
     HeldRuns{ .term_ = 1, .runs_ = { { { "j", 0, 1, 2 }, 3 } } },
     TakeOver{ 7 },
     AcknowledgeEnds{ { { { "j", 0, 1, 2 }, 3 } } },
+    UpstreamCrashes{ { { 1, CrashState::Proven, { { "j", 0, 1, 2 } } } } },
   };
   std::vector<Envelope> samples;
   samples.reserve(messages.size());
--- /dev/null
+++ b/src/libcornelfront/policy/crash_ledger.cpp
@@ -0,0 +1,124 @@
+#include "cornelfront/crash_ledger.h"
+
+#include <algorithm>
+#include <array>
+
+namespace cornelfront {
+namespace {
+
+constexpr std::array<std::string_view, 4> kTaskVerdicts = {
+  "clear",
+  "suspect",
+  "held",
+  "deadly",
+};
+
+} // namespace
+
+std::string_view
+ToString(TaskVerdict aVerdict)
+{
+  return kTaskVerdicts.at(static_cast<size_t>(aVerdict));
+}
+
+CrashLedger::CrashLedger(CrashLedgerOptions aOptions)
+  : options_(aOptions)
+{
+}
+
+void
+CrashLedger::Record(MemberId aSidecar,
+                    const UpstreamCrash& aCrash,
+                    MonoTime aNow)
+{
+  const CrashId id{ aSidecar, aCrash.number_ };
+  const auto known = crashes_.find(id);
+  if (known != crashes_.end()) {
+    Forget(known);
+  }
+  if (aCrash.state_ == CrashState::Withdrawn) {
+    return;
+  }
+  if (crashes_.size() >= options_.maxEntries_) {
+    ForgetOldest();
+  }
+  crashes_[id] = { .report_ = aCrash, .reportedAt_ = aNow };
+  for (const JobTaskId& task : aCrash.tasks_) {
+    byTask_[task].insert(id);
+  }
+}
+
+CrashLedger::Crashes::iterator
+CrashLedger::Forget(Crashes::iterator aCrash)
+{
+  for (const JobTaskId& task : aCrash->second.report_.tasks_) {
+    const auto found = byTask_.find(task);
+    if (found == byTask_.end()) {
+      continue;
+    }
+    found->second.erase(aCrash->first);
+    if (found->second.empty()) {
+      byTask_.erase(found);
+    }
+  }
+  return crashes_.erase(aCrash);
+}
+
+void
+CrashLedger::ForgetOldest()
+{
+  Forget(std::min_element(
+    crashes_.begin(), crashes_.end(), [](const auto& aA, const auto& aB) {
+      return aA.second.reportedAt_ < aB.second.reportedAt_;
+    }));
+}
+
+void
+CrashLedger::Expire(MonoTime aNow)
+{
+  for (auto crash = crashes_.begin(); crash != crashes_.end();) {
+    const bool proven = crash->second.report_.state_ == CrashState::Proven;
+    const Millis limit =
+      proven ? options_.retention_ : options_.suspicionTimeout_;
+    crash = aNow - crash->second.reportedAt_ > limit ? Forget(crash)
+                                                     : std::next(crash);
+  }
+}
+
+TaskVerdict
+CrashLedger::VerdictOf(const JobTaskId& aTask) const
+{
+  const auto found = byTask_.find(aTask);
+  if (found == byTask_.end()) {
+    return TaskVerdict::Clear;
+  }
+  size_t proven = 0;
+  bool alone = false;
+  for (const CrashId& id : found->second) {
+    const UpstreamCrash& crash = crashes_.at(id).report_;
+    if (crash.state_ == CrashState::Proven) {
+      ++proven;
+      alone |= crash.tasks_.size() == 1;
+    }
+  }
+  if (proven >= (alone ? options_.maxCrashesAlone_ : options_.maxCrashes_)) {
+    return TaskVerdict::Deadly;
+  }
+  return found->second.size() >= options_.maxCrashes_ ? TaskVerdict::Held
+                                                      : TaskVerdict::Suspect;
+}
+
+size_t
+CrashLedger::CrashesUnder(const JobTaskId& aTask) const
+{
+  const auto found = byTask_.find(aTask);
+  if (found == byTask_.end()) {
+    return 0;
+  }
+  return static_cast<size_t>(std::count_if(
+    found->second.begin(), found->second.end(), [&](const CrashId& aId) {
+      return crashes_.at(aId).report_.state_ == CrashState::Proven;
+    }));
+}
+
+} // namespace cornelfront
--- a/src/libcornelfront/policy/deadly_task_test.cpp
+++ b/src/libcornelfront/policy/deadly_task_test.cpp
@@ -76,6 +76,8 @@
       sidecars.insert(upstream->sidecar_);
       upstream->table_->OnOwnerLinked(entryId_, now_);
       entry_->OnSidecarLinked(upstream->sidecar_, "z", now_);
+      entry_->OnUpstreamCrashes(
+        upstream->sidecar_, { upstream->table_->KnownCrashes() }, now_);
       entry_->OnHeldRuns(upstream->sidecar_,
                          upstream->table_->MakeHeldRuns(entryId_),
                          RunEnd::Lost,
@@ -233,6 +235,8 @@
       Poll(aUpstream);
     }
     table.Tick(now_);
+    entry_->OnUpstreamCrashes(
+      aUpstream.sidecar_, { table.TakeCrashes() }, now_);
     for (const StartRequest& start : table.TakeStarts(now_)) {
       StartTask(aUpstream, start);
     }
--- /dev/null
+++ b/src/libcornelfront/policy/job_crashes.cpp
@@ -0,0 +1,92 @@
+/// \file
+/// JobScheduler: jobs with tasks under which upstreams crash.
+
+#include "cornelfront/job_scheduler.h"
+
+#include <cmath>
+
+namespace cornelfront {
+
+void
+JobScheduler::OnUpstreamCrashes(MemberId aSidecar,
+                                const UpstreamCrashes& aCrashes,
+                                MonoTime aNow)
+{
+  DetectSuspension(aNow);
+  std::set<JobInstance> affected;
+  for (const UpstreamCrash& crash : aCrashes.crashes_) {
+    crashes_.Record(aSidecar, crash, aNow);
+    for (const JobTaskId& task : crash.tasks_) {
+      affected.insert(InstanceOf(task));
+    }
+  }
+  for (const JobInstance& instance : affected) {
+    if (Job* job = FindJob(instance)) {
+      PlaceJob(*job, aNow);
+    }
+  }
+}
+
+bool
+JobScheduler::IsHeld(const JobTaskId& aTaskId) const
+{
+  return crashes_.VerdictOf(aTaskId) == TaskVerdict::Held;
+}
+
+bool
+JobScheduler::MustRunAlone(const JobTaskId& aTaskId,
+                           const StepSpec& aStep) const
+{
+  return !aStep.gang_ && crashes_.VerdictOf(aTaskId) == TaskVerdict::Suspect;
+}
+
+void
+JobScheduler::ChooseIsolating(std::vector<Candidate>& aCandidates) const
+{
+  // Candidates are ordered by id, which is the same for all entries.
+  const auto count = static_cast<size_t>(std::ceil(
+    static_cast<double>(aCandidates.size()) * options_.isolationShare_));
+  for (size_t i = 0; i < count; ++i) {
+    aCandidates[i].isolates_ = true;
+  }
+}
+
+bool
+JobScheduler::HasHeldTask(const Job& aJob, uint32_t aStep) const
+{
+  const auto count = static_cast<uint32_t>(aJob.steps_[aStep].tasks_.size());
+  for (uint32_t i = 0; i < count; ++i) {
+    if (IsHeld({ aJob.spec_.id_, aJob.occurrence_, aStep, i })) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool
+JobScheduler::FailIfDeadly(Job& aJob)
+{
+  if (crashes_.Empty()) {
+    return false;
+  }
+  for (uint32_t s = 0; s < aJob.steps_.size(); ++s) {
+    const std::vector<Task>& tasks = aJob.steps_[s].tasks_;
+    for (uint32_t i = 0; i < tasks.size(); ++i) {
+      const JobTaskId id{ aJob.spec_.id_, aJob.occurrence_, s, i };
+      if (tasks[i].state_ == TaskState::Done ||
+          crashes_.VerdictOf(id) != TaskVerdict::Deadly) {
+        continue;
+      }
+      const size_t crashes = crashes_.CrashesUnder(id);
+      actions_.emplace_back(DeadlyTaskEvent{ id, aJob.queue_.name_, crashes });
+      Finish(aJob,
+             JobOutcome::Failed,
+             std::to_string(crashes) + " upstreams crashed under " +
+               ToString(id));
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace cornelfront
--- a/src/libcornelfront/policy/job_placement.cpp
+++ b/src/libcornelfront/policy/job_placement.cpp
@@ -33,6 +33,9 @@
     return;
   }
   waiting_.erase(RankOf(aJob));
+  if (FailIfDeadly(aJob)) {
+    return;
+  }
   for (uint32_t step = 0; step < aJob.steps_.size(); ++step) {
     PlaceStep(aJob, step, aNow);
   }
@@ -71,6 +74,7 @@
       task.run_ = highest;
     }
   }
+  const bool gangIsHeld = spec.gang_ && HasHeldTask(aJob, aStep);
   Sends sends;
   std::optional<std::vector<Candidate>> candidates;
   for (uint32_t index = 0; index < step.tasks_.size(); ++index) {
@@ -78,22 +82,28 @@
     if (task.state_ != TaskState::Ready) {
       continue;
     }
+    const JobTaskId id{ aJob.spec_.id_, aJob.occurrence_, aStep, index };
+    if (gangIsHeld || IsHeld(id)) {
+      waiting_.insert(RankOf(aJob));
+      continue;
+    }
     if (!candidates) {
       candidates = FindCandidates(aJob, spec, aNow);
     }
-    Candidate* chosen = ChooseCandidate(*candidates, aJob, aStep, task);
+    const bool alone = MustRunAlone(id, spec);
+    Candidate* chosen = ChooseCandidate(*candidates, aJob, aStep, task, alone);
     if (chosen == nullptr) {
       waiting_.insert(RankOf(aJob));
       continue;
     }
-    PlaceTask(aJob,
-              { aJob.spec_.id_, aJob.occurrence_, aStep, index },
-              *chosen,
-              sends,
-              aNow);
+    PlaceTask(aJob, id, *chosen, alone, sends, aNow);
   }
-  for (auto& [id, send] : sends) {
+  for (auto& [target, send] : sends) {
+    const auto& [id, alone] = target;
     DescribeStep(aJob, aStep, send.orders_, aNow);
+    if (alone) {
+      send.orders_.resources_ = sidecars_.at(id).report_.capacity_;
+    }
     send.sidecar_ = id;
     actions_.emplace_back(std::move(send));
   }
@@ -103,6 +113,7 @@
 JobScheduler::PlaceTask(Job& aJob,
                         const JobTaskId& aTaskId,
                         Candidate& aChosen,
+                        bool aAlone,
                         Sends& aSends,
                         MonoTime aNow)
 {
@@ -117,15 +128,18 @@
   aJob.anySent_ = true;
   // The view of an upstream is as old as its last report, and other entries may
   // have taken the resources since.
-  const bool onlyIfFree = !spec.gang_ && aChosen.waitMs_ <= 0.0 &&
+  const bool onlyIfFree = !spec.gang_ && !aAlone && aChosen.waitMs_ <= 0.0 &&
                           task.returned_ < options_.maxReturned_;
-  SendRuns& send = aSends[sidecar->first];
+  SendRuns& send = aSends[{ sidecar->first, aAlone }];
   send.orders_.runs_.push_back(
     { .index_ = aTaskId.index_, .run_ = task.run_, .onlyIfFree_ = onlyIfFree });
   send.predictedWait_ = FromMs(aChosen.waitMs_);
   send.reportAge_ =
     std::chrono::duration_cast<Millis>(aNow - sidecar->second.reportedAt_);
-  RecordSent(sidecar->second, spec, { aTaskId, task.run_ });
+  RecordSent(sidecar->second,
+             aAlone ? sidecar->second.report_.capacity_ : spec.resources_,
+             spec.estimate_,
+             { aTaskId, task.run_ });
   UpdateCosts(aChosen, aJob, spec, ExpectedRunMs(aJob, spec));
 }
 
@@ -170,19 +184,18 @@
   constexpr int kMaxFailures = 8;
   constexpr size_t kMaxTried = 64;
   int failures = 0;
-  std::vector<JobInstance> tried;
+  std::vector<WaitRank> tried;
   for (const WaitRank& rank : waiting_) {
     if ((rank.latestStart_ < aNow) == aLate) {
-      tried.push_back(rank.instance_);
+      tried.push_back(rank);
     }
     if (tried.size() >= kMaxTried) {
       break;
     }
   }
-  for (const JobInstance& instance : tried) {
-    Job& job = jobs_.at(instance);
-    PlaceJob(job, aNow);
-    if (waiting_.contains(RankOf(job)) && ++failures >= kMaxFailures) {
+  for (const WaitRank& rank : tried) {
+    PlaceJob(jobs_.at(rank.instance_), aNow);
+    if (waiting_.contains(rank) && ++failures >= kMaxFailures) {
       return;
     }
   }
@@ -190,14 +203,15 @@
 
 void
 JobScheduler::RecordSent(Sidecar& aSidecar,
-                         const StepSpec& aStep,
+                         const Resources& aResources,
+                         Millis aEstimate,
                          const RunKey& aKey)
 {
   aSidecar.runs_.insert(aKey);
   aSidecar.unreported_.push_back(
     { .number_ = ++aSidecar.ordersSent_,
-      .resources_ = aStep.resources_,
-      .work_ = aStep.resources_.cpu_ * aStep.estimate_.count() });
+      .resources_ = aResources,
+      .work_ = aResources.cpu_ * aEstimate.count() });
 }
 
 std::vector<JobScheduler::Candidate>
@@ -217,6 +231,7 @@
       UpdateCosts(candidates.back(), aJob, aStep, run);
     }
   }
+  ChooseIsolating(candidates);
   return candidates;
 }
 
@@ -236,7 +251,8 @@
 JobScheduler::ChooseCandidate(std::vector<Candidate>& aCandidates,
                               const Job& aJob,
                               uint32_t aStep,
-                              const Task& aTask) const
+                              const Task& aTask,
+                              bool aAlone) const
 {
   Candidate* best = nullptr;
   bool bestAvoided = true;
@@ -247,8 +263,11 @@
     const bool better =
       best == nullptr || std::tie(avoided, candidate.costMs_) <
                            std::tie(bestAvoided, best->costMs_);
-    if (!better || IsAtUpstreamLimit(id, aJob, aStep) ||
-        (aJob.stored_ && candidate.waitMs_ > ToMs(options_.maxStoredWait_))) {
+    // Only an order makes an upstream empty for a run that has to be alone.
+    const bool waitsTooLong = aJob.stored_ && !aAlone &&
+                              candidate.waitMs_ > ToMs(options_.maxStoredWait_);
+    if (!better || waitsTooLong || (aAlone && !candidate.isolates_) ||
+        IsAtUpstreamLimit(id, aJob, aStep)) {
       continue;
     }
     best = &candidate;
--- a/src/libcornelfront/policy/job_scheduler.cpp
+++ b/src/libcornelfront/policy/job_scheduler.cpp
@@ -43,6 +43,7 @@
 
 JobScheduler::JobScheduler(JobSchedulerOptions aOptions)
   : options_(std::move(aOptions))
+  , crashes_(options_.crashes_)
 {
 }
 
@@ -288,6 +289,7 @@
   std::erase_if(abandoned_, [&](const auto& aRuns) {
     return aNow - aRuns.second.since_ > options_.abandonedRetention_;
   });
+  crashes_.Expire(aNow);
   std::vector<JobInstance> expired;
   for (const auto& [id, job] : jobs_) {
     if (aNow >= job.deadline_) {
--- a/src/libcornelfront/policy/run_incarnations.cpp
+++ b/src/libcornelfront/policy/run_incarnations.cpp
@@ -45,6 +45,7 @@
   const bool sameIncarnation =
     IdentifySender(aInfo, aNow) == HeartbeatSender::Current;
   if (!sameIncarnation) {
+    RecordCrash();
     FinishReplaced(!upstream_ || upstream_->id_ == aInfo.id_
                      ? Replacement::SameId
                      : Replacement::OtherId,
@@ -67,6 +68,7 @@
 RunTable::OnUpstreamGone(MonoTime aNow)
 {
   DetectSuspension(aNow);
+  WithdrawCrash();
   FinishAll(RunEnd::Lost, aNow);
   orphans_.clear();
   upstream_.reset();
@@ -99,6 +101,7 @@
   if (upstream_) {
     RecordGone();
   }
+  RecordCrash();
   FinishReplaced(aReplacement, aNow);
   orphans_.clear();
   upstream_.reset();
--- a/src/libcornelfront/policy/run_polls.cpp
+++ b/src/libcornelfront/policy/run_polls.cpp
@@ -48,6 +48,7 @@
   if (aPollNumber < firstIncarnationPoll_) {
     return false;
   }
+  WithdrawCrash();
   upstreamHeardAt_ = aNow;
   runsKnown_ = true;
   answeredPoll_ = aPollNumber;
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -322,6 +322,7 @@
   CheckOwners(aNow);
   CheckLeader(aNow);
   if (Since(upstreamHeardAt_, aNow) > options_.upstreamTimeout_) {
+    SuspectCrash();
     FinishAll(RunEnd::Lost, aNow);
   }
   ReturnLate(aNow);
