--- a/src/include/cornelfront/crash_ledger.h
+++ b/src/include/cornelfront/crash_ledger.h
@@ -10,7 +10,9 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
+#include <string>
 #include <string_view>
 
 namespace cornelfront {
@@ -63,10 +65,12 @@
   void Expire(MonoTime aNow);
 
   TaskVerdict VerdictOf(const JobTaskId& aTask) const;
+  /// Returns a task of a job's occurrence that is deadly, if there is one.
+  std::optional<JobTaskId> FindDeadly(const std::string& aJob,
+                                      uint32_t aOccurrence) const;
   /// Returns the number of upstreams that are known to have crashed under a
   /// task.
   size_t CrashesUnder(const JobTaskId& aTask) const;
-  bool Empty() const { return crashes_.empty(); }
 
 private:
   struct CrashId
--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -242,6 +242,9 @@
   /// Share of the upstreams on which tasks are tried alone that other upstreams
   /// have crashed under.
   double isolationShare_ = 0.15;
+  /// Tasks with a longer estimate are not tried alone, since they would keep an
+  /// upstream to themselves for too long.
+  Millis maxIsolatedRun_{ 2000 };
 };
 
 /// Schedules the best-effort jobs of this entry and, on the leader, the stored
--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -434,7 +434,9 @@
   /// Another incarnation has taken the place of the current one.
   void RecordCrash();
   void WithdrawCrash();
-  std::vector<JobTaskId> StartedTasks() const;
+  /// Returns a crash under the runs that have been started, or nothing if there
+  /// are none.
+  std::optional<UpstreamCrash> MakeCrash();
   /// Remembers that the current incarnation never returns.
   void RecordGone();
   /// Ends the runs of an incarnation that is gone.
--- a/src/libcornelfront/policy/crash_ledger.cpp
+++ b/src/libcornelfront/policy/crash_ledger.cpp
@@ -108,6 +108,20 @@
                                                       : TaskVerdict::Suspect;
 }
 
+std::optional<JobTaskId>
+CrashLedger::FindDeadly(const std::string& aJob, uint32_t aOccurrence) const
+{
+  for (auto found = byTask_.lower_bound({ aJob, aOccurrence });
+       found != byTask_.end() && found->first.job_ == aJob &&
+       found->first.occurrence_ == aOccurrence;
+       ++found) {
+    if (VerdictOf(found->first) == TaskVerdict::Deadly) {
+      return found->first;
+    }
+  }
+  return std::nullopt;
+}
+
 size_t
 CrashLedger::CrashesUnder(const JobTaskId& aTask) const
 {
--- a/src/libcornelfront/policy/deadly_task_test.cpp
+++ b/src/libcornelfront/policy/deadly_task_test.cpp
@@ -16,6 +16,9 @@
 
 constexpr Millis kStep{ 10 };
 constexpr Millis kDownTime{ 3200 };
+/// In thousandths of a core.
+constexpr int64_t kUpstreamCpu = 8000;
+constexpr int64_t kTaskCpu = 1000;
 /// Crashes after which a task may be started only so many times more.
 constexpr size_t kCrashes = 3;
 constexpr size_t kStartsAfterCrashes = 3;
@@ -61,7 +64,7 @@
     aUpstream.table_->OnUpstream({ .id_ = ToString(aUpstream.sidecar_),
                                    .startedMs_ = aUpstream.started_,
                                    .service_ = "service",
-                                   .capacity_ = { .cpu_ = 8000 } },
+                                   .capacity_ = { .cpu_ = kUpstreamCpu } },
                                  now_);
   }
 
@@ -98,7 +101,7 @@
   {
     return { .id_ = aId,
              .steps_ = { { .count_ = aTasks,
-                           .resources_ = { .cpu_ = 1000 },
+                           .resources_ = { .cpu_ = kTaskCpu },
                            .estimate_ = Millis(300) } } };
   }
 
@@ -150,6 +153,8 @@
       std::visit(
         Visitor{
           [&](SendRuns& aSend) {
+            int64_t& cpu = orderedCpu_[aSend.orders_.job_];
+            cpu = std::max(cpu, aSend.orders_.resources_.cpu_);
             Of(aSend.sidecar_).table_->OnOrders(entryId_, aSend.orders_, now_);
           },
           [&](SendStops& aSend) {
@@ -268,6 +273,8 @@
   JobSubmissionId submission_ = 0;
   std::map<std::string, JobProgress> progress_;
   std::map<std::string, JobOutcome> outcomes_;
+  /// Largest order of each job.
+  std::map<std::string, int64_t> orderedCpu_;
   size_t crashes_ = 0;
   size_t startsAfterCrashes_ = 0;
 };
@@ -322,5 +329,20 @@
   EXPECT_EQ(outcomes_[kInnocentJob], JobOutcome::Completed);
 }
 
+// One that lasts would keep the upstream to itself.
+TEST_F(DeadlyTaskTest, ALongRunningTaskIsNotTriedAlone)
+{
+  Lead(1);
+  JobDescription job = Job(kInnocentJob, 6);
+  job.steps_.front().longRunning_ = true;
+  entry_->Restore(job, 0, Queue(), {}, Millis(0), false, now_);
+  Perform();
+  Store(kDeadlyJob, 1);
+  RunFor(Millis(20000));
+  EXPECT_EQ(outcomes_[kDeadlyJob], JobOutcome::Failed);
+  EXPECT_EQ(orderedCpu_[kDeadlyJob], kUpstreamCpu);
+  EXPECT_EQ(orderedCpu_[kInnocentJob], kTaskCpu);
+}
+
 } // namespace
 } // namespace cornelfront
--- a/src/libcornelfront/policy/job_crashes.cpp
+++ b/src/libcornelfront/policy/job_crashes.cpp
@@ -37,7 +37,10 @@
 JobScheduler::MustRunAlone(const JobTaskId& aTaskId,
                            const StepSpec& aStep) const
 {
-  return !aStep.gang_ && crashes_.VerdictOf(aTaskId) == TaskVerdict::Suspect;
+  const bool isShort =
+    !aStep.longRunning_ && aStep.estimate_ <= options_.maxIsolatedRun_;
+  return isShort && !aStep.gang_ &&
+         crashes_.VerdictOf(aTaskId) == TaskVerdict::Suspect;
 }
 
 void
@@ -66,27 +69,18 @@
 bool
 JobScheduler::FailIfDeadly(Job& aJob)
 {
-  if (crashes_.Empty()) {
+  const auto deadly = crashes_.FindDeadly(aJob.spec_.id_, aJob.occurrence_);
+  const Task* task = deadly ? FindTask(*deadly) : nullptr;
+  if (task == nullptr || task->state_ == TaskState::Done) {
     return false;
   }
-  for (uint32_t s = 0; s < aJob.steps_.size(); ++s) {
-    const std::vector<Task>& tasks = aJob.steps_[s].tasks_;
-    for (uint32_t i = 0; i < tasks.size(); ++i) {
-      const JobTaskId id{ aJob.spec_.id_, aJob.occurrence_, s, i };
-      if (tasks[i].state_ == TaskState::Done ||
-          crashes_.VerdictOf(id) != TaskVerdict::Deadly) {
-        continue;
-      }
-      const size_t crashes = crashes_.CrashesUnder(id);
-      actions_.emplace_back(DeadlyTaskEvent{ id, aJob.queue_.name_, crashes });
-      Finish(aJob,
-             JobOutcome::Failed,
-             std::to_string(crashes) + " upstreams crashed under " +
-               ToString(id));
-      return true;
-    }
-  }
-  return false;
+  const size_t crashes = crashes_.CrashesUnder(*deadly);
+  actions_.emplace_back(DeadlyTaskEvent{ *deadly, aJob.queue_.name_, crashes });
+  Finish(aJob,
+         JobOutcome::Failed,
+         std::to_string(crashes) + " upstreams crashed under " +
+           ToString(*deadly));
+  return true;
 }
 
 } // namespace cornelfront
--- a/src/libcornelfront/policy/run_crashes.cpp
+++ b/src/libcornelfront/policy/run_crashes.cpp
@@ -26,28 +26,32 @@
   return kCrashStates.at(static_cast<size_t>(aState));
 }
 
-std::vector<JobTaskId>
-RunTable::StartedTasks() const
+std::optional<UpstreamCrash>
+RunTable::MakeCrash()
 {
-  std::vector<JobTaskId> tasks;
+  UpstreamCrash crash;
   for (const auto& [key, run] : runs_) {
     if (run.state_ != State::Waiting) {
-      tasks.push_back(key.task_);
+      crash.tasks_.push_back(key.task_);
     }
   }
-  return tasks;
+  if (crash.tasks_.empty()) {
+    return std::nullopt;
+  }
+  crash.number_ = ++lastCrash_;
+  return crash;
 }
 
 void
 RunTable::SuspectCrash()
 {
-  std::vector<JobTaskId> tasks = StartedTasks();
-  if (suspected_ || tasks.empty()) {
+  if (suspected_) {
     return;
   }
-  suspected_ =
-    UpstreamCrash{ .number_ = ++lastCrash_, .tasks_ = std::move(tasks) };
-  newCrashes_.push_back(*suspected_);
+  suspected_ = MakeCrash();
+  if (suspected_) {
+    newCrashes_.push_back(*suspected_);
+  }
 }
 
 void
@@ -57,13 +61,14 @@
     WithdrawCrash();
     return;
   }
-  SuspectCrash();
-  if (!suspected_) {
+  auto crash =
+    suspected_ ? std::exchange(suspected_, std::nullopt) : MakeCrash();
+  if (!crash) {
     return;
   }
-  suspected_->state_ = CrashState::Proven;
-  newCrashes_.push_back(*suspected_);
-  crashes_.push_back(*std::exchange(suspected_, std::nullopt));
+  crash->state_ = CrashState::Proven;
+  newCrashes_.push_back(*crash);
+  crashes_.push_back(std::move(*crash));
   if (crashes_.size() > kMaxCrashes) {
     crashes_.pop_front();
   }
