Name crashing tasks in the field's words

CrashSuspicion has none, suspect, held and confirmed; a task crashes its upstreams; the log says crashes_upstreams and the counter is cornelfront_crashing_tasks_total. An unused ToString is gone, and the comment on the limits of reads says which limit the bound rests on. No change of behaviour.

--- a/src/include/cornelfront/crash_ledger.h
+++ b/src/include/cornelfront/crash_ledger.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// \file
-/// Which tasks are to blame for crashes of upstreams.
+/// Attributes crashes of upstreams to the tasks that they ran.
 
 #include "cornelfront/clock.h"
 #include "cornelfront/ids.h"
@@ -13,30 +13,27 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <string_view>
 
 namespace cornelfront {
 
-/// What is known of a task from the crashes of upstreams that ran it.
-enum class TaskVerdict : uint8_t
+/// How likely it is that a task crashes the upstreams that start it.
+enum class CrashSuspicion : uint8_t
 {
   /// No upstream has crashed under it.
-  Clear,
-  /// An upstream has crashed under it, for which other tasks may be to blame.
+  None,
+  /// An upstream has crashed under it, but other tasks may be the cause.
   Suspect,
   /// Too many upstreams may have crashed under it to start it again before it
   /// is known whether they have.
   Held,
   /// It crashes its upstreams.
-  Deadly,
+  Confirmed,
 };
 
-std::string_view
-ToString(TaskVerdict aVerdict);
-
 struct CrashLedgerOptions
 {
-  /// A task is deadly once this many upstreams have crashed under it.
+  /// A task is confirmed as the cause once this many upstreams have crashed
+  /// under it.
   size_t maxCrashes_ = 3;
   /// The same if nothing else ran on one of them.
   size_t maxCrashesAlone_ = 2;
@@ -49,10 +46,9 @@
   size_t maxEntries_ = 2000;
 };
 
-/// Collects the crashes that sidecars report, and judges tasks by them.
-/// Sidecars report to all entries, and to one that links later, so that what is
-/// known of a task outlives the entry that started it. Not thread-safe. All
-/// times are from BootNow.
+/// Collects the crashes that sidecars report. Sidecars report to all entries,
+/// and to one that links later, so that what is known of a task outlives the
+/// entry that started it. Not thread-safe. All times are from BootNow.
 class CrashLedger
 {
 public:
@@ -64,10 +60,10 @@
   /// Forgets crashes that are too old.
   void Expire(MonoTime aNow);
 
-  TaskVerdict VerdictOf(const JobTaskId& aTask) const;
-  /// Returns a task of a job's occurrence that is deadly, if there is one.
-  std::optional<JobTaskId> FindDeadly(const std::string& aJob,
-                                      uint32_t aOccurrence) const;
+  CrashSuspicion SuspicionOf(const JobTaskId& aTask) const;
+  /// Returns a task of a job's occurrence that is confirmed, if there is one.
+  std::optional<JobTaskId> FindConfirmed(const std::string& aJob,
+                                         uint32_t aOccurrence) const;
   /// Returns the number of upstreams that are known to have crashed under a
   /// task.
   size_t CrashesUnder(const JobTaskId& aTask) const;
--- a/src/include/cornelfront/job_metrics.h
+++ b/src/include/cornelfront/job_metrics.h
@@ -41,7 +41,7 @@
   /// Counts what a sidecar learns of a crash of its upstream.
   void CountCrash(CrashState aState);
   /// Counts a job that was given up because a task of it crashes upstreams.
-  void CountDeadlyTask(const std::string& aQueue);
+  void CountCrashingTask(const std::string& aQueue);
   /// Counts a call to the upstream that was not answered in time.
   void CountUnanswered();
   void SetGauge(const std::string& aName, double aValue);
@@ -55,7 +55,7 @@
   prometheus::Family<prometheus::Counter>& runs_;
   prometheus::Family<prometheus::Counter>& stops_;
   prometheus::Family<prometheus::Counter>& crashes_;
-  prometheus::Family<prometheus::Counter>& deadlyTasks_;
+  prometheus::Family<prometheus::Counter>& crashingTasks_;
   prometheus::Family<prometheus::Gauge>& gauges_;
   prometheus::Counter& unanswered_;
   prometheus::Histogram& jobSeconds_;
--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -130,7 +130,7 @@
 
 /// For the log: a job is given up, since one of its tasks crashes its
 /// upstreams.
-struct DeadlyTaskEvent
+struct CrashingTaskEvent
 {
   JobTaskId task_;
   std::string queue_;
@@ -182,7 +182,7 @@
                                RunEndEvent,
                                StallEvent,
                                EjectionEvent,
-                               DeadlyTaskEvent>;
+                               CrashingTaskEvent>;
 
 struct JobSchedulerOptions
 {
@@ -533,7 +533,7 @@
   void PlaceJob(Job& aJob, MonoTime aNow);
   /// Fails a job of which a task crashes its upstreams, and returns whether it
   /// did.
-  bool FailIfDeadly(Job& aJob);
+  bool FailIfCrashing(Job& aJob);
   bool IsHeld(const JobTaskId& aTaskId) const;
   /// True if the next run of the task has to be the only one on its upstream.
   bool MustRunAlone(const JobTaskId& aTaskId, const StepSpec& aStep) const;
--- a/src/libcornelfront/job_entry_sidecars.cpp
+++ b/src/libcornelfront/job_entry_sidecars.cpp
@@ -155,13 +155,13 @@
                [&](const AnswerJob& aAnswer) { Answer(aAnswer, aNow); },
                [&](const RunEndEvent& aEvent) { LogRunEnd(aEvent); },
                [&](const StallEvent& aEvent) { LogStall(aEvent); },
-               [&](const DeadlyTaskEvent& aEvent) {
-                 metrics_.CountDeadlyTask(aEvent.queue_);
-                 LOG(WARNING)
-                   << "job=" << aEvent.task_.job_
-                   << " task=" << ToString(aEvent.task_)
-                   << " queue=" << aEvent.queue_
-                   << " crashes=" << aEvent.crashes_ << " outcome=deadly";
+               [&](const CrashingTaskEvent& aEvent) {
+                 metrics_.CountCrashingTask(aEvent.queue_);
+                 LOG(WARNING) << "job=" << aEvent.task_.job_
+                              << " task=" << ToString(aEvent.task_)
+                              << " queue=" << aEvent.queue_
+                              << " crashes=" << aEvent.crashes_
+                              << " outcome=crashes_upstreams";
                },
                [&](const EjectionEvent& aEvent) {
                  LOG(WARNING) << "sidecar name=" << NameOf(aEvent.sidecar_)
--- a/src/libcornelfront/job_metrics.cpp
+++ b/src/libcornelfront/job_metrics.cpp
@@ -56,11 +56,12 @@
                .Name("cornelfront_upstream_crashes_total")
                .Help("Crashes of the upstream, by what is known of them")
                .Register(registry_))
-  , deadlyTasks_(BuildCounter()
-                   .Name("cornelfront_deadly_tasks_total")
-                   .Help("Jobs given up because a task crashes its upstreams, "
-                         "by queue")
-                   .Register(registry_))
+  , crashingTasks_(
+      BuildCounter()
+        .Name("cornelfront_crashing_tasks_total")
+        .Help("Jobs given up because a task crashes its upstreams, "
+              "by queue")
+        .Register(registry_))
   , gauges_(BuildGauge()
               .Name("cornelfront_state")
               .Help("What this process holds at the moment, by name")
@@ -117,9 +118,9 @@
 }
 
 void
-JobMetrics::CountDeadlyTask(const std::string& aQueue)
+JobMetrics::CountCrashingTask(const std::string& aQueue)
 {
-  deadlyTasks_.Add({ { "queue", aQueue } }).Increment();
+  crashingTasks_.Add({ { "queue", aQueue } }).Increment();
 }
 
 void
--- a/src/libcornelfront/platform/topic_reader.cpp
+++ b/src/libcornelfront/platform/topic_reader.cpp
@@ -8,12 +8,12 @@
 namespace cornelfront::platform {
 namespace {
 
-/// Limit on the first byte of an answer, beyond the wait of the read. The next
-/// attempt begins at once after it, so that a change is read within this time
-/// after a silent store answers again.
+/// Limit on the first byte of an answer, beyond the wait of the read.
 constexpr Millis kAnswerLimit{ 600 };
 /// The same after an attempt without an answer, and for pages, which a store
-/// that serves many starting processes may answer later.
+/// that serves many starting processes may answer later. A change is read
+/// within this time after a silent store answers again, since the next attempt
+/// begins at once.
 constexpr Millis kLongAnswerLimit{ 1200 };
 /// Limit between two bytes of an answer.
 constexpr Millis kStallLimit{ 1000 };
--- a/src/libcornelfront/policy/crash_ledger.cpp
+++ b/src/libcornelfront/policy/crash_ledger.cpp
@@ -1,26 +1,8 @@
 #include "cornelfront/crash_ledger.h"
 
 #include <algorithm>
-#include <array>
 
 namespace cornelfront {
-namespace {
-
-constexpr std::array<std::string_view, 4> kTaskVerdicts = {
-  "clear",
-  "suspect",
-  "held",
-  "deadly",
-};
-
-} // namespace
-
-std::string_view
-ToString(TaskVerdict aVerdict)
-{
-  return kTaskVerdicts.at(static_cast<size_t>(aVerdict));
-}
-
 CrashLedger::CrashLedger(CrashLedgerOptions aOptions)
   : options_(aOptions)
 {
@@ -85,12 +67,12 @@
   }
 }
 
-TaskVerdict
-CrashLedger::VerdictOf(const JobTaskId& aTask) const
+CrashSuspicion
+CrashLedger::SuspicionOf(const JobTaskId& aTask) const
 {
   const auto found = byTask_.find(aTask);
   if (found == byTask_.end()) {
-    return TaskVerdict::Clear;
+    return CrashSuspicion::None;
   }
   size_t proven = 0;
   bool alone = false;
@@ -102,20 +84,20 @@
     }
   }
   if (proven >= (alone ? options_.maxCrashesAlone_ : options_.maxCrashes_)) {
-    return TaskVerdict::Deadly;
+    return CrashSuspicion::Confirmed;
   }
-  return found->second.size() >= options_.maxCrashes_ ? TaskVerdict::Held
-                                                      : TaskVerdict::Suspect;
+  return found->second.size() >= options_.maxCrashes_ ? CrashSuspicion::Held
+                                                      : CrashSuspicion::Suspect;
 }
 
 std::optional<JobTaskId>
-CrashLedger::FindDeadly(const std::string& aJob, uint32_t aOccurrence) const
+CrashLedger::FindConfirmed(const std::string& aJob, uint32_t aOccurrence) const
 {
   for (auto found = byTask_.lower_bound({ aJob, aOccurrence });
        found != byTask_.end() && found->first.job_ == aJob &&
        found->first.occurrence_ == aOccurrence;
        ++found) {
-    if (VerdictOf(found->first) == TaskVerdict::Deadly) {
+    if (SuspicionOf(found->first) == CrashSuspicion::Confirmed) {
       return found->first;
     }
   }
--- a/src/libcornelfront/policy/crash_ledger_test.cpp
+++ b/src/libcornelfront/policy/crash_ledger_test.cpp
@@ -28,26 +28,26 @@
   CrashLedger ledger_{ {} };
 };
 
-TEST_F(CrashLedgerTest, ATaskIsDeadlyAfterThreeCrashes)
+TEST_F(CrashLedgerTest, ATaskIsConfirmedAfterThreeCrashes)
 {
-  EXPECT_EQ(ledger_.VerdictOf(kTask), TaskVerdict::Clear);
+  EXPECT_EQ(ledger_.SuspicionOf(kTask), CrashSuspicion::None);
   Record(kFirst, 1, CrashState::Proven, { kTask, kOther });
-  EXPECT_EQ(ledger_.VerdictOf(kTask), TaskVerdict::Suspect);
+  EXPECT_EQ(ledger_.SuspicionOf(kTask), CrashSuspicion::Suspect);
   Record(kFirst, 2, CrashState::Proven, { kTask, kOther });
-  EXPECT_EQ(ledger_.VerdictOf(kTask), TaskVerdict::Suspect);
+  EXPECT_EQ(ledger_.SuspicionOf(kTask), CrashSuspicion::Suspect);
   Record(kSecond, 1, CrashState::Proven, { kTask });
-  EXPECT_EQ(ledger_.VerdictOf(kTask), TaskVerdict::Deadly);
-  EXPECT_EQ(ledger_.VerdictOf(kOther), TaskVerdict::Suspect);
-  EXPECT_EQ(ledger_.FindDeadly(kTask.job_, 0), kTask);
-  EXPECT_EQ(ledger_.FindDeadly(kTask.job_, 1), std::nullopt);
-  EXPECT_EQ(ledger_.FindDeadly(kOther.job_, 0), std::nullopt);
+  EXPECT_EQ(ledger_.SuspicionOf(kTask), CrashSuspicion::Confirmed);
+  EXPECT_EQ(ledger_.SuspicionOf(kOther), CrashSuspicion::Suspect);
+  EXPECT_EQ(ledger_.FindConfirmed(kTask.job_, 0), kTask);
+  EXPECT_EQ(ledger_.FindConfirmed(kTask.job_, 1), std::nullopt);
+  EXPECT_EQ(ledger_.FindConfirmed(kOther.job_, 0), std::nullopt);
 }
 
 TEST_F(CrashLedgerTest, TwoCrashesSufficeIfItWasAlone)
 {
   Record(kFirst, 1, CrashState::Proven, { kTask, kOther });
   Record(kSecond, 1, CrashState::Proven, { kTask });
-  EXPECT_EQ(ledger_.VerdictOf(kTask), TaskVerdict::Deadly);
+  EXPECT_EQ(ledger_.SuspicionOf(kTask), CrashSuspicion::Confirmed);
 }
 
 TEST_F(CrashLedgerTest, SuspectedCrashesOnlyHoldATask)
@@ -55,12 +55,12 @@
   for (const MemberId sidecar : { kFirst, kSecond, kThird }) {
     Record(sidecar, 1, CrashState::Suspected, { kTask });
   }
-  EXPECT_EQ(ledger_.VerdictOf(kTask), TaskVerdict::Held);
+  EXPECT_EQ(ledger_.SuspicionOf(kTask), CrashSuspicion::Held);
   Record(kFirst, 1, CrashState::Withdrawn, { kTask });
-  EXPECT_EQ(ledger_.VerdictOf(kTask), TaskVerdict::Suspect);
+  EXPECT_EQ(ledger_.SuspicionOf(kTask), CrashSuspicion::Suspect);
   Record(kSecond, 1, CrashState::Proven, { kTask });
   Record(kThird, 1, CrashState::Proven, { kTask });
-  EXPECT_EQ(ledger_.VerdictOf(kTask), TaskVerdict::Deadly);
+  EXPECT_EQ(ledger_.SuspicionOf(kTask), CrashSuspicion::Confirmed);
 }
 
 TEST_F(CrashLedgerTest, ForgetsWhatIsOld)
@@ -69,10 +69,10 @@
   Record(kFirst, 1, CrashState::Suspected, { kTask });
   Record(kSecond, 1, CrashState::Proven, { kOther });
   ledger_.Expire(now_ + options.suspicionTimeout_ + Millis(1));
-  EXPECT_EQ(ledger_.VerdictOf(kTask), TaskVerdict::Clear);
-  EXPECT_EQ(ledger_.VerdictOf(kOther), TaskVerdict::Suspect);
+  EXPECT_EQ(ledger_.SuspicionOf(kTask), CrashSuspicion::None);
+  EXPECT_EQ(ledger_.SuspicionOf(kOther), CrashSuspicion::Suspect);
   ledger_.Expire(now_ + options.retention_ + Millis(1));
-  EXPECT_EQ(ledger_.VerdictOf(kOther), TaskVerdict::Clear);
+  EXPECT_EQ(ledger_.SuspicionOf(kOther), CrashSuspicion::None);
 }
 
 TEST_F(CrashLedgerTest, HoldsABoundedNumberOfCrashes)
@@ -83,7 +83,7 @@
     now_ += Millis(1);
     Record(kSecond, i, CrashState::Proven, { kOther });
   }
-  EXPECT_EQ(ledger_.VerdictOf(kTask), TaskVerdict::Clear);
+  EXPECT_EQ(ledger_.SuspicionOf(kTask), CrashSuspicion::None);
   EXPECT_EQ(ledger_.CrashesUnder(kOther), options.maxEntries_);
 }
 
--- a/src/libcornelfront/policy/deadly_task_test.cpp
+++ b/src/libcornelfront/policy/crashing_task_test.cpp
@@ -23,11 +23,11 @@
 constexpr size_t kCrashes = 3;
 constexpr size_t kStartsAfterCrashes = 3;
 
-const std::string kDeadlyJob = "00000000000000dd";
-const std::string kInnocentJob = "00000000000000aa";
+const std::string kCrashingJob = "00000000000000dd";
+const std::string kOtherJob = "00000000000000aa";
 
-/// An upstream that ends as soon as it starts a task of the deadly job, and its
-/// sidecar.
+/// An upstream that ends as soon as it starts a task of the crashing job, and
+/// its sidecar.
 struct Upstream
 {
   MemberId sidecar_;
@@ -42,10 +42,10 @@
 
 /// One entry at a time, and upstreams with their sidecars, in simulated time.
 /// Messages arrive at once.
-class DeadlyTaskTest : public testing::Test
+class CrashingTaskTest : public testing::Test
 {
 protected:
-  DeadlyTaskTest()
+  CrashingTaskTest()
   {
     constexpr uint64_t kUpstreams = 6;
     for (uint64_t i = 0; i < kUpstreams; ++i) {
@@ -171,7 +171,7 @@
             entry_->OnSaved(aSave.ends_);
           },
           [&](const AnswerJob& aAnswer) {
-            outcomes_[kDeadlyJob] = aAnswer.outcome_;
+            outcomes_[kCrashingJob] = aAnswer.outcome_;
           },
           [](const auto&) {} },
         action);
@@ -190,8 +190,8 @@
 
   void StartTask(Upstream& aUpstream, const StartRequest& aStart)
   {
-    const bool deadly = aStart.key_.task_.job_ == kDeadlyJob;
-    if (deadly && aUpstream.up_) {
+    const bool crashing = aStart.key_.task_.job_ == kCrashingJob;
+    if (crashing && aUpstream.up_) {
       startsAfterCrashes_ += crashes_ >= kCrashes ? 1 : 0;
       Crash(aUpstream);
     }
@@ -279,69 +279,69 @@
   size_t startsAfterCrashes_ = 0;
 };
 
-TEST_F(DeadlyTaskTest, ATaskThatCrashesItsUpstreamsIsNotStartedForEver)
+TEST_F(CrashingTaskTest, ATaskThatCrashesItsUpstreamsIsNotStartedForEver)
 {
   Lead(1);
-  Store(kDeadlyJob, 1);
+  Store(kCrashingJob, 1);
   RunFor(Millis(60000));
   EXPECT_LE(startsAfterCrashes_, kStartsAfterCrashes);
   EXPECT_LE(crashes_, kCrashes);
-  EXPECT_EQ(outcomes_[kDeadlyJob], JobOutcome::Failed);
+  EXPECT_EQ(outcomes_[kCrashingJob], JobOutcome::Failed);
 }
 
 // Each leader counted from the beginning.
-TEST_F(DeadlyTaskTest, LeadersThatReplaceEachOtherDoNotStartItForEver)
+TEST_F(CrashingTaskTest, LeadersThatReplaceEachOtherDoNotStartItForEver)
 {
   for (uint64_t term = 1; term <= 12; ++term) {
     Lead(term);
-    if (outcomes_.count(kDeadlyJob) == 0) {
-      Store(kDeadlyJob, 1);
+    if (outcomes_.count(kCrashingJob) == 0) {
+      Store(kCrashingJob, 1);
     }
     RunFor(Millis(5000));
     StartEntry();
   }
   EXPECT_LE(startsAfterCrashes_, kStartsAfterCrashes);
-  EXPECT_EQ(outcomes_[kDeadlyJob], JobOutcome::Failed);
+  EXPECT_EQ(outcomes_[kCrashingJob], JobOutcome::Failed);
 }
 
 // Its client submits the job again, to another entry each time.
-TEST_F(DeadlyTaskTest, EntriesDoNotStartASubmissionAgainForEver)
+TEST_F(CrashingTaskTest, EntriesDoNotStartASubmissionAgainForEver)
 {
-  for (int i = 0; i < 12 && outcomes_.count(kDeadlyJob) == 0; ++i) {
-    Submit(kDeadlyJob, 1);
+  for (int i = 0; i < 12 && outcomes_.count(kCrashingJob) == 0; ++i) {
+    Submit(kCrashingJob, 1);
     RunFor(Millis(1300));
     StartEntry();
   }
   RunFor(Millis(10000));
-  Submit(kDeadlyJob, 1);
+  Submit(kCrashingJob, 1);
   RunFor(Millis(10000));
   EXPECT_LE(startsAfterCrashes_, kStartsAfterCrashes);
-  EXPECT_EQ(outcomes_[kDeadlyJob], JobOutcome::Failed);
+  EXPECT_EQ(outcomes_[kCrashingJob], JobOutcome::Failed);
 }
 
-// A task that shared its upstreams with a deadly one is not at fault.
-TEST_F(DeadlyTaskTest, ATaskBesideADeadlyOneIsCompleted)
+// A task that shared its upstreams with a crashing one is not the cause.
+TEST_F(CrashingTaskTest, ATaskBesideACrashingOneIsCompleted)
 {
   Lead(1);
-  Store(kInnocentJob, 24);
-  Store(kDeadlyJob, 1);
+  Store(kOtherJob, 24);
+  Store(kCrashingJob, 1);
   RunFor(Millis(60000));
-  EXPECT_EQ(outcomes_[kInnocentJob], JobOutcome::Completed);
+  EXPECT_EQ(outcomes_[kOtherJob], JobOutcome::Completed);
 }
 
 // One that lasts would keep the upstream to itself.
-TEST_F(DeadlyTaskTest, ALongRunningTaskIsNotTriedAlone)
+TEST_F(CrashingTaskTest, ALongRunningTaskIsNotTriedAlone)
 {
   Lead(1);
-  JobDescription job = Job(kInnocentJob, 6);
+  JobDescription job = Job(kOtherJob, 6);
   job.steps_.front().longRunning_ = true;
   entry_->Restore(job, 0, Queue(), {}, Millis(0), false, now_);
   Perform();
-  Store(kDeadlyJob, 1);
+  Store(kCrashingJob, 1);
   RunFor(Millis(20000));
-  EXPECT_EQ(outcomes_[kDeadlyJob], JobOutcome::Failed);
-  EXPECT_EQ(orderedCpu_[kDeadlyJob], kUpstreamCpu);
-  EXPECT_EQ(orderedCpu_[kInnocentJob], kTaskCpu);
+  EXPECT_EQ(outcomes_[kCrashingJob], JobOutcome::Failed);
+  EXPECT_EQ(orderedCpu_[kCrashingJob], kUpstreamCpu);
+  EXPECT_EQ(orderedCpu_[kOtherJob], kTaskCpu);
 }
 
 } // namespace
--- a/src/libcornelfront/policy/job_crashes.cpp
+++ b/src/libcornelfront/policy/job_crashes.cpp
@@ -30,7 +30,7 @@
 bool
 JobScheduler::IsHeld(const JobTaskId& aTaskId) const
 {
-  return crashes_.VerdictOf(aTaskId) == TaskVerdict::Held;
+  return crashes_.SuspicionOf(aTaskId) == CrashSuspicion::Held;
 }
 
 bool
@@ -40,7 +40,7 @@
   const bool isShort =
     !aStep.longRunning_ && aStep.estimate_ <= options_.maxIsolatedRun_;
   return isShort && !aStep.gang_ &&
-         crashes_.VerdictOf(aTaskId) == TaskVerdict::Suspect;
+         crashes_.SuspicionOf(aTaskId) == CrashSuspicion::Suspect;
 }
 
 void
@@ -67,19 +67,21 @@
 }
 
 bool
-JobScheduler::FailIfDeadly(Job& aJob)
+JobScheduler::FailIfCrashing(Job& aJob)
 {
-  const auto deadly = crashes_.FindDeadly(aJob.spec_.id_, aJob.occurrence_);
-  const Task* task = deadly ? FindTask(*deadly) : nullptr;
+  const auto crashing =
+    crashes_.FindConfirmed(aJob.spec_.id_, aJob.occurrence_);
+  const Task* task = crashing ? FindTask(*crashing) : nullptr;
   if (task == nullptr || task->state_ == TaskState::Done) {
     return false;
   }
-  const size_t crashes = crashes_.CrashesUnder(*deadly);
-  actions_.emplace_back(DeadlyTaskEvent{ *deadly, aJob.queue_.name_, crashes });
+  const size_t crashes = crashes_.CrashesUnder(*crashing);
+  actions_.emplace_back(
+    CrashingTaskEvent{ *crashing, aJob.queue_.name_, crashes });
   Finish(aJob,
          JobOutcome::Failed,
          std::to_string(crashes) + " upstreams crashed under " +
-           ToString(*deadly));
+           ToString(*crashing));
   return true;
 }
 
--- a/src/libcornelfront/policy/job_placement.cpp
+++ b/src/libcornelfront/policy/job_placement.cpp
@@ -33,7 +33,7 @@
     return;
   }
   waiting_.erase(RankOf(aJob));
-  if (FailIfDeadly(aJob)) {
+  if (FailIfCrashing(aJob)) {
     return;
   }
   for (uint32_t step = 0; step < aJob.steps_.size(); ++step) {
