--- a/src/libcornelfront/policy/two_runs_faults_test.cpp
+++ b/src/libcornelfront/policy/two_runs_faults_test.cpp
@@ -10,6 +10,7 @@
 constexpr Millis kSidecarRestart{ 500 };
 constexpr Millis kSlowSidecarRestart{ 3000 };
 constexpr Millis kMaxHeartbeatDelay{ 1500 };
+constexpr Millis kMaxDowntime{ 2500 };
 constexpr Millis kMaxCallDelay{ 2 };
 constexpr size_t kMaxClients = 4;
 /// Share of the late calls that are late by less than a second.
@@ -102,6 +103,7 @@
   add(scenario_.callsUnanswered_, [this] { LoseSome(false); });
   add(scenario_.stopsUnanswered_, [this] { LoseSome(true); });
   add(scenario_.clientsReset_, [this] { ResetClients(); });
+  add(scenario_.upstreamsRestarted_, [this] { CrashUpstream(); });
   return faults;
 }
 
@@ -260,4 +262,23 @@
   }
 }
 
+void
+World::CrashUpstream()
+{
+  const Millis downtime = random_.Between(Millis(0), kMaxDowntime);
+  const Millis heartbeatDelay =
+    random_.Chance(0.5) ? random_.Between(Millis(0), Millis(2))
+                        : random_.Between(Millis(0), kMaxHeartbeatDelay);
+  upstreams_[random_.Below(kSidecars)]->Crash(downtime, heartbeatDelay);
+}
+
+void
+World::OnHeartbeat(size_t aMachine)
+{
+  if (const auto sidecar = sidecars_[aMachine]) {
+    sidecar->Post(Millis(1),
+                  [sidecar = sidecar.get()] { sidecar->OnHeartbeat(); });
+  }
+}
+
 } // namespace cornelfront::two_runs
--- a/src/libcornelfront/policy/two_runs_model_test.h
+++ b/src/libcornelfront/policy/two_runs_model_test.h
@@ -46,6 +46,7 @@
   bool callsUnanswered_ = false;
   bool stopsUnanswered_ = false;
   bool clientsReset_ = false;
+  bool upstreamsRestarted_ = false;
 };
 
 class Random
@@ -109,25 +110,44 @@
 
 struct PollOrder
 {
+  int64_t fence_ = 0;
   uint64_t acknowledged_ = 0;
   std::optional<UpstreamTime> lease_;
   Millis wait_{ 0 };
 };
 
+struct PollAnswer
+{
+  /// Start time of the incarnation that answers.
+  int64_t startedMs_ = 0;
+  /// False if the incarnation has seen a higher fence.
+  bool accepted_ = true;
+  UpstreamPollResult result_;
+};
+
 /// An upstream with one lease for all that runs there. Its calls are carried
-/// out at once; what happens to them on their way is for the caller.
+/// out at once; what happens to them on their way is for the caller. It may
+/// crash and start again under its id, with nothing left of before.
 class Upstream
 {
 public:
-  using PollReply = std::function<void(const UpstreamPollResult&)>;
+  using PollReply = std::function<void(const PollAnswer&)>;
+  using Call = std::function<void()>;
 
   Upstream(World& aWorld, size_t aMachine, double aPace);
 
   UpstreamTime Clock() const;
   const UpstreamInfo& Info() const { return info_; }
-  StartAnswer Start(const RunKey& aKey, UpstreamTime aDeadline);
-  void Stop(const RunKey& aKey);
+  /// Carries out a call that has arrived. While the upstream is down, the call
+  /// is lost or waits until it has started again.
+  void Receive(Call aCall);
+  StartAnswer Start(const RunKey& aKey, UpstreamTime aDeadline, int64_t aFence);
+  void Stop(const RunKey& aKey, int64_t aFence);
   void Poll(const PollOrder& aOrder, PollReply aReply);
+  /// Ends all that runs; the upstream starts again after \p aDowntime and sends
+  /// its first heartbeat \p aHeartbeatDelay later.
+  void Crash(Millis aDowntime, Millis aHeartbeatDelay);
+  bool SendsHeartbeats() const { return sendsHeartbeats_; }
   /// Number of a run of the task, other than \p aKey, that runs here.
   std::optional<uint32_t> OtherRun(const RunKey& aKey, bool aHere) const;
   std::string DescribeLease() const;
@@ -141,6 +161,9 @@
     bool stopping_ = false;
   };
 
+  /// Records the highest fence; returns false for a lower one.
+  bool PassFence(int64_t aFence);
+  void StartAgain(Millis aHeartbeatDelay);
   void Begin(const RunKey& aKey);
   void End(const RunKey& aKey, uint64_t aSerial, RunEnd aEnd);
   void ExtendLease(UpstreamTime aEnd, const std::string& aCall);
@@ -156,6 +179,14 @@
   /// Speed of the upstream's clock.
   const double pace_;
   UpstreamInfo info_;
+  bool up_ = true;
+  bool sendsHeartbeats_ = true;
+  MonoTime startedAt_;
+  int64_t fence_ = 0;
+  /// Number of the incarnation.
+  uint64_t incarnation_ = 1;
+  /// Calls that arrived while the upstream was down.
+  std::vector<Call> heldCalls_;
   UpstreamTime leaseEnd_;
   std::string leaseCall_;
   MonoTime leaseExtendedAt_;
@@ -279,6 +310,8 @@
   SidecarProcess(World& aWorld, size_t aMachine);
 
   void Start(Millis aHeartbeatDelay);
+  /// A heartbeat of the upstream has arrived.
+  void OnHeartbeat();
   void OnMessage(const LinkPtr& aLink, Message& aMessage, Millis aAge) override;
   void OnLinkEnd(const LinkPtr& aLink) override;
 
@@ -301,8 +334,13 @@
   void Poll();
   void PollAfter(Millis aDelay);
   Millis PollWait(MonoTime aNow) const;
-  void OnPollResult(uint64_t aPollNumber,
-                    const std::optional<UpstreamPollResult>& aPollResult);
+  /// \p aAsked is the start time of the incarnation that the poll was meant
+  /// for, \p aFence the fence that it carried.
+  void OnPollAnswer(uint64_t aPollNumber,
+                    int64_t aAsked,
+                    int64_t aFence,
+                    const std::optional<PollAnswer>& aAnswer);
+  void OnPollUnanswered(MonoTime aNow);
   void SendPending(MonoTime aNow);
   void SendStart(const StartRequest& aOrder, MonoTime aNow);
   void SendStop(const StopRequest& aStop);
@@ -319,6 +357,9 @@
   std::map<MemberId, Owner> owners_;
   std::map<uint64_t, MemberId> entries_;
   bool connecting_ = false;
+  /// As in ExecutorClient.
+  int64_t fence_ = 0;
+  int64_t fenceStep_ = 0;
   UpstreamTime clock_;
   MonoTime clockRead_;
   Millis requestTimeout_;
@@ -386,6 +427,7 @@
   uint64_t submitted_ = 0;
   uint64_t completed_ = 0;
   uint64_t resubmitted_ = 0;
+  uint64_t upstreamRestarts_ = 0;
   std::map<RunEnd, uint64_t> ends_;
 };
 
@@ -429,6 +471,7 @@
 
   void Record(Subject aSubject, std::string aText);
   void OnRunStarted(size_t aMachine, const RunKey& aKey);
+  void OnHeartbeat(size_t aMachine);
   void OnRunEnded(RunEnd aEnd) { ++counts_.ends_[aEnd]; }
   void OnAnswer(JobSubmissionId aSubmissionId, JobOutcome aOutcome);
   Millis RunTime(const JobTaskId& aTask) const;
@@ -469,6 +512,7 @@
   void LoseSome(bool aOnlyStops);
   CallWay DrawWay();
   void ResetClients();
+  void CrashUpstream();
 
   const Scenario scenario_;
   History history_;
--- a/src/libcornelfront/policy/two_runs_sidecar_test.cpp
+++ b/src/libcornelfront/policy/two_runs_sidecar_test.cpp
@@ -19,6 +19,7 @@
 constexpr Millis kMinPollRetryDelay{ 1 };
 constexpr Millis kStartTimeout{ 250 };
 constexpr Millis kMaxMessageAge{ 1000 };
+constexpr int64_t kFirstFenceStep = 1000;
 
 constexpr Millis kReconnectDelay{ 200 };
 constexpr Millis kHeartbeatInterval{ 500 };
@@ -67,11 +68,28 @@
 
 void
 SidecarProcess::Heartbeat()
+{
+  if (MyUpstream().SendsHeartbeats()) {
+    OnHeartbeat();
+  }
+  Post(kHeartbeatInterval, [this] { Heartbeat(); });
+}
+
+void
+SidecarProcess::OnHeartbeat()
 {
   const MonoTime now = Now();
-  const bool first = !table_.HasUpstream();
-  table_.OnUpstream(MyUpstream().Info(), now);
-  if (first) {
+  const UpstreamInfo& info = MyUpstream().Info();
+  const HeartbeatSender sender = table_.IdentifySender(info, now);
+  if (sender == HeartbeatSender::Outdated) {
+    return;
+  }
+  table_.OnUpstream(info, now);
+  if (sender == HeartbeatSender::Successor) {
+    world_.Record({ .sidecar_ = Machine() },
+                  "first heartbeat of an incarnation arrives");
+    fence_ = std::max(fence_ + 1, info.startedMs_);
+    fenceStep_ = kFirstFenceStep;
     clock_ = MyUpstream().Clock();
     clockRead_ = now;
   }
@@ -83,7 +101,6 @@
   }
   SendPending(now);
   SendStatus(now);
-  Post(kHeartbeatInterval, [this] { Heartbeat(); });
 }
 
 /// Stands for the leader, which acknowledges the ends of runs of jobs that are
@@ -233,6 +250,10 @@
 SidecarProcess::Poll()
 {
   const MonoTime now = Now();
+  if (!table_.HasUpstream()) {
+    polling_ = false;
+    return;
+  }
   polling_ = true;
   pollStart_ = now;
   std::optional<UpstreamTime> lease;
@@ -240,36 +261,38 @@
     lease = UpstreamNow(*end);
   }
   const uint64_t number = table_.BeginPoll();
-  const PollOrder order{ .acknowledged_ = table_.AcknowledgedEnds(),
+  const PollOrder order{ .fence_ = fence_,
+                         .acknowledged_ = table_.AcknowledgedEnds(),
                          .lease_ = lease,
                          .wait_ = PollWait(now) };
   const auto settled = std::make_shared<bool>(false);
-  const auto settle = [this, number, settled](const auto& aResult) {
+  const auto settle = [this,
+                       number,
+                       asked = table_.Upstream()->startedMs_,
+                       fence = fence_,
+                       settled](const std::optional<PollAnswer>& aAnswer) {
     if (!std::exchange(*settled, true)) {
-      OnPollResult(number, aResult);
+      OnPollAnswer(number, asked, fence, aAnswer);
     }
   };
-  Post(order.wait_ + requestTimeout_,
-       [settle] { settle(std::optional<UpstreamPollResult>()); });
+  Post(order.wait_ + requestTimeout_, [settle] { settle(std::nullopt); });
   const auto reply = [weak = weak_from_this(),
-                      settle](const UpstreamPollResult& aResult) {
+                      settle](const PollAnswer& aAnswer) {
     if (const auto self = weak.lock()) {
-      self->Post(kAnswerDelay, [settle, aResult] {
-        settle(std::optional<UpstreamPollResult>(aResult));
-      });
+      self->Post(kAnswerDelay, [settle, aAnswer] { settle(aAnswer); });
     }
   };
   const CallFate fate = world_.DrawFate(Machine(), false);
   if (!fate.delay_) {
     return;
   }
-  world_.events_.After(*fate.delay_,
-                       [&upstream = MyUpstream(), order, reply, fate] {
-                         upstream.Poll(
-                           order,
-                           fate.answered_ ? Upstream::PollReply(reply)
-                                          : [](const UpstreamPollResult&) {});
-                       });
+  Upstream& upstream = MyUpstream();
+  const Upstream::PollReply answer =
+    fate.answered_ ? Upstream::PollReply(reply) : [](const PollAnswer&) {};
+  world_.events_.After(*fate.delay_, [&upstream, order, answer] {
+    upstream.Receive(
+      [&upstream, order, answer] { upstream.Poll(order, answer); });
+  });
 }
 
 Millis
@@ -286,30 +309,52 @@
 }
 
 void
-SidecarProcess::OnPollResult(
-  uint64_t aPollNumber,
-  const std::optional<UpstreamPollResult>& aPollResult)
+SidecarProcess::OnPollAnswer(uint64_t aPollNumber,
+                             int64_t aAsked,
+                             int64_t aFence,
+                             const std::optional<PollAnswer>& aAnswer)
 {
   const MonoTime now = Now();
   DetectSuspension(now);
-  if (!aPollResult) {
-    requestTimeout_ = std::min(requestTimeout_ * 2, kMaxRequestTimeout);
-    lastUnanswered_ = now;
-    PollAfter(
-      std::max(pollBackoff_.OnFailure(pollStart_, now), kMinPollRetryDelay));
+  if (!aAnswer) {
+    OnPollUnanswered(now);
+    return;
+  }
+  if (!aAnswer->accepted_) {
+    if (fence_ == aFence) {
+      fence_ += fenceStep_;
+      fenceStep_ *= 2;
+    }
+    OnPollUnanswered(now);
+    return;
+  }
+  if (aAnswer->startedMs_ != aAsked) {
+    table_.OnUpstreamReplaced(aPollNumber, Replacement::SameId, now);
+    SendPending(now);
+    SendStatus(now);
+    OnPollUnanswered(now);
     return;
   }
   pollBackoff_.Reset();
   requestTimeout_ = std::max(requestTimeout_ * 9 / 10, kMinRequestTimeout);
-  if (table_.OnPollResult(aPollNumber, *aPollResult, now)) {
+  if (table_.OnPollResult(aPollNumber, aAnswer->result_, now)) {
     hasPolled_ = true;
-    clock_ = aPollResult->clock_;
+    clock_ = aAnswer->result_.clock_;
     clockRead_ = now;
   }
   SendPending(now);
   Poll();
 }
 
+void
+SidecarProcess::OnPollUnanswered(MonoTime aNow)
+{
+  requestTimeout_ = std::min(requestTimeout_ * 2, kMaxRequestTimeout);
+  lastUnanswered_ = aNow;
+  PollAfter(
+    std::max(pollBackoff_.OnFailure(pollStart_, aNow), kMinPollRetryDelay));
+}
+
 void
 SidecarProcess::PollAfter(Millis aDelay)
 {
@@ -364,7 +409,10 @@
   if (fate.delay_) {
     world_.events_.After(
       *fate.delay_,
-      [&upstream = MyUpstream(), key = aStop.key_] { upstream.Stop(key); });
+      [&upstream = MyUpstream(), key = aStop.key_, fence = fence_] {
+        upstream.Receive(
+          [&upstream, key, fence] { upstream.Stop(key, fence); });
+      });
   }
 }
 
@@ -393,20 +441,22 @@
   if (!fate.delay_) {
     return;
   }
-  world_.events_.After(
-    *fate.delay_,
-    [&upstream = MyUpstream(),
-     upstreamKey,
-     deadline,
-     settle,
-     fate,
-     weak = weak_from_this()] {
-      const StartAnswer answer = upstream.Start(upstreamKey, deadline);
-      const auto self = weak.lock();
-      if (fate.answered_ && self) {
-        self->Post(kAnswerDelay, [settle, answer] { settle(answer); });
-      }
-    });
+  Upstream& upstream = MyUpstream();
+  const auto start = [&upstream,
+                      upstreamKey,
+                      deadline,
+                      settle,
+                      fence = fence_,
+                      answered = fate.answered_,
+                      weak = weak_from_this()] {
+    const StartAnswer answer = upstream.Start(upstreamKey, deadline, fence);
+    const auto self = weak.lock();
+    if (answered && self) {
+      self->Post(kAnswerDelay, [settle, answer] { settle(answer); });
+    }
+  };
+  world_.events_.After(*fate.delay_,
+                       [&upstream, start] { upstream.Receive(start); });
 }
 
 void
--- a/src/libcornelfront/policy/two_runs_test.cpp
+++ b/src/libcornelfront/policy/two_runs_test.cpp
@@ -61,6 +61,7 @@
     sum.submitted_ += world.counts_.submitted_;
     sum.completed_ += world.counts_.completed_;
     sum.resubmitted_ += world.counts_.resubmitted_;
+    sum.upstreamRestarts_ += world.counts_.upstreamRestarts_;
     for (const auto& [end, count] : world.counts_.ends_) {
       sum.ends_[end] += count;
     }
@@ -76,6 +77,7 @@
   EXPECT_GT(sum.resubmitted_, 0U);
   EXPECT_GT(sum.ends_[RunEnd::Stopped], 0U);
   const Scenario& scenario = GetParam();
+  EXPECT_EQ(scenario.upstreamsRestarted_, sum.upstreamRestarts_ > 0);
   if (scenario.sidecarsReplaced_ || scenario.sidecarsSuspended_ ||
       scenario.callsUnanswered_) {
     EXPECT_GT(sum.ends_[RunEnd::LeaseExpired], 0U);
@@ -109,6 +111,21 @@
   { .name_ = "SidecarSuspendedWhileAnswersAreLost",
     .sidecarsSuspended_ = true,
     .callsUnanswered_ = true },
+  { .name_ = "UpstreamRestartsUnderItsId",
+    .clientsReset_ = true,
+    .upstreamsRestarted_ = true },
+  { .name_ = "UpstreamRestartsWhileAnswersAreLost",
+    .callsUnanswered_ = true,
+    .upstreamsRestarted_ = true },
+  { .name_ = "UpstreamRestartsWhileAnswersAreLostAndClientsLeave",
+    .callsUnanswered_ = true,
+    .clientsReset_ = true,
+    .upstreamsRestarted_ = true },
+  { .name_ = "UpstreamRestartsWhileSidecarsAreReplaced",
+    .sidecarsReplaced_ = true,
+    .callsUnanswered_ = true,
+    .clientsReset_ = true,
+    .upstreamsRestarted_ = true },
   { .name_ = "Everything",
     .entriesKilled_ = true,
     .sidecarsReplaced_ = true,
--- a/src/libcornelfront/policy/two_runs_upstream_test.cpp
+++ b/src/libcornelfront/policy/two_runs_upstream_test.cpp
@@ -11,6 +11,8 @@
 
 constexpr Millis kMaxLease{ 1000 };
 constexpr Millis kMaxStopTime{ 50 };
+/// Calls that were held arrive within this time of the start.
+constexpr Millis kMaxHeldCallDelay{ 3 };
 constexpr int64_t kCpu = 8000;
 /// Resources of each task.
 constexpr int64_t kTaskCpu = 1000;
@@ -25,6 +27,7 @@
            .startedMs_ = 1,
            .service_ = "service",
            .capacity_ = { .cpu_ = kCpu } }
+  , startedAt_(kReplayStart)
 {
 }
 
@@ -32,7 +35,7 @@
 Upstream::Clock() const
 {
   const std::chrono::duration<double, std::milli> elapsed =
-    world_.events_.Now() - kReplayStart;
+    world_.events_.Now() - startedAt_;
   return { Millis(static_cast<int64_t>(std::floor(elapsed.count() * pace_))) };
 }
 
@@ -42,9 +45,81 @@
   return { .task_ = ToString(aKey.task_), .sidecar_ = machine_ };
 }
 
+void
+Upstream::Receive(Call aCall)
+{
+  if (up_) {
+    aCall();
+  } else if (world_.random_.Chance(0.5)) {
+    heldCalls_.push_back(std::move(aCall));
+  }
+}
+
+void
+Upstream::Crash(Millis aDowntime, Millis aHeartbeatDelay)
+{
+  if (!up_) {
+    return;
+  }
+  world_.Record({ .sidecar_ = machine_ },
+                "UPSTREAM CRASHES, down for " +
+                  std::to_string(aDowntime.count()) + " ms");
+  for (const auto& [key, run] : running_) {
+    world_.Record(SubjectOf(key), "run ends in the crash: " + ToString(key));
+  }
+  up_ = false;
+  sendsHeartbeats_ = false;
+  running_.clear();
+  waiters_.clear();
+  world_.events_.After(
+    aDowntime, [this, aHeartbeatDelay] { StartAgain(aHeartbeatDelay); });
+}
+
+void
+Upstream::StartAgain(Millis aHeartbeatDelay)
+{
+  const MonoTime now = world_.events_.Now();
+  up_ = true;
+  startedAt_ = now;
+  info_.startedMs_ =
+    1 + std::chrono::duration_cast<Millis>(now - kReplayStart).count();
+  fence_ = 0;
+  ++incarnation_;
+  leaseEnd_ = {};
+  leaseCall_.clear();
+  leaseChecked_ = false;
+  ended_.clear();
+  ends_ = 0;
+  used_.clear();
+  ++world_.counts_.upstreamRestarts_;
+  world_.Record({ .sidecar_ = machine_ }, "upstream starts again");
+  for (Call& call : std::exchange(heldCalls_, {})) {
+    world_.events_.After(
+      world_.random_.Between(Millis(0), kMaxHeldCallDelay),
+      [this, call = std::move(call)]() mutable { Receive(std::move(call)); });
+  }
+  world_.events_.After(aHeartbeatDelay, [this, incarnation = incarnation_] {
+    if (up_ && incarnation == incarnation_) {
+      sendsHeartbeats_ = true;
+      world_.OnHeartbeat(machine_);
+    }
+  });
+}
+
+bool
+Upstream::PassFence(int64_t aFence)
+{
+  fence_ = std::max(fence_, aFence);
+  return aFence >= fence_;
+}
+
 StartAnswer
-Upstream::Start(const RunKey& aKey, UpstreamTime aDeadline)
+Upstream::Start(const RunKey& aKey, UpstreamTime aDeadline, int64_t aFence)
 {
+  if (!PassFence(aFence)) {
+    world_.Record(SubjectOf(aKey), "start of " + ToString(aKey) + ": fence");
+    return StartAnswer::Refused;
+  }
   const bool here = running_.contains(aKey);
   if (!here && Clock() > aDeadline) {
     world_.Record(SubjectOf(aKey), "start of " + ToString(aKey) + ": late");
@@ -85,8 +160,11 @@
 }
 
 void
-Upstream::Stop(const RunKey& aKey)
+Upstream::Stop(const RunKey& aKey, int64_t aFence)
 {
+  if (!PassFence(aFence)) {
+    return;
+  }
   world_.Record(SubjectOf(aKey), "stop of " + ToString(aKey) + " carried out");
   uint32_t& used = used_[aKey.task_];
   used = std::max(used, aKey.run_);
@@ -149,7 +227,11 @@
   }
   const auto delay = static_cast<double>(left.count()) / pace_;
   world_.events_.After(Millis(std::max<int64_t>(1, std::llround(delay))),
-                       [this] { CheckLease(); });
+                       [this, incarnation = incarnation_] {
+                         if (up_ && incarnation == incarnation_) {
+                           CheckLease();
+                         }
+                       });
 }
 
 void
@@ -170,6 +252,10 @@
 void
 Upstream::Poll(const PollOrder& aOrder, PollReply aReply)
 {
+  if (!PassFence(aOrder.fence_)) {
+    aReply({ .startedMs_ = info_.startedMs_, .accepted_ = false });
+    return;
+  }
   if (aOrder.lease_) {
     ExtendLease(*aOrder.lease_, "poll");
   }
@@ -190,7 +276,7 @@
 {
   const auto waiter = waiters_.extract(aWaiter);
   if (!waiter.empty()) {
-    waiter.mapped()(Lists());
+    waiter.mapped()({ .startedMs_ = info_.startedMs_, .result_ = Lists() });
   }
 }
 
