Keep runs whose order has no answer when their upstream falls silent

Callers saw a task run twice at the same time: an order to a crashed upstream had no answer, after 1,600 ms of silence the task was started elsewhere, and the upstream started again under its id and carried out the order. The lease proves that runs which began have ended; it proves nothing of an order that is under way. Its deadline is a time on the clock of another incarnation, its fence is not outdated before the next one has seen a call, and its id fits.

Such runs stay with the sidecar until a poll with the fence of the next incarnation has told what runs there, an incarnation with another id refuses the orders, or they are 12 s old (6 s for stored jobs, whose tasks must not wait for longer while there is room). The same after a deregistration.

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -216,7 +216,8 @@
   /// upstream's list.
   size_t maxUnacknowledgedEnds_ = 400;
   /// Runs of an upstream that has not answered for this long have ended, since
-  /// its lease is shorter.
+  /// its lease is shorter. An order without an answer proves nothing of the
+  /// kind, see maxOrderDelay_.
   Millis upstreamTimeout_{ 1600 };
   /// An upstream that has not answered for this long is suspect and gets no new
   /// work.
@@ -226,6 +227,12 @@
   Millis stopRepeatInterval_{ 100 };
   /// Maximum number of times that an unanswered order is sent again.
   int maxStartRepeats_ = 3;
+  /// An order without an answer may still be carried out this long after it was
+  /// sent, by the incarnation that it was meant for or by one with the same id.
+  Millis maxOrderDelay_{ 12000 };
+  /// The same for stored jobs, whose tasks must not wait for longer than this
+  /// while upstreams are free.
+  Millis maxStoredOrderDelay_{ 6000 };
   /// Delay before the next start after the upstream answered that it is full.
   Millis fullBackoff_{ 15 };
   /// A run is stalled once its age exceeds both stallFloor_ and this many times
@@ -401,6 +408,8 @@
     UpstreamTime deadline_;
     /// Number of unanswered orders.
     int unanswered_ = 0;
+    /// Time at which the last order was sent.
+    MonoTime orderedAt_;
     /// Polls with a lower number may not show the run yet.
     uint64_t firstPoll_ = 0;
     std::optional<Stop> stop_;
@@ -428,7 +437,6 @@
   Runs::iterator Finish(Runs::iterator aRun, RunEnd aEnd, MonoTime aNow);
   void RecordEnd(const EndedEntry& aEnd, Runs::iterator aRun, MonoTime aNow);
   void LimitUnacknowledgedEnds();
-  void FinishAll(RunEnd aEnd, MonoTime aNow);
   /// The upstream has been silent for too long.
   void SuspectCrash();
   /// Another incarnation has taken the place of the current one.
@@ -441,6 +449,11 @@
   void RecordGone();
   /// Ends the runs of an incarnation that is gone.
   void FinishReplaced(Replacement aReplacement, MonoTime aNow);
+  /// Ends the runs of an incarnation that is gone, but for those that the next
+  /// one with its id may begin.
+  void FinishGone(MonoTime aNow);
+  /// True if an order of the run that has no answer may still be carried out.
+  bool MayBeginLate(const Run& aRun, MonoTime aNow) const;
   void FinishWaiting(MonoTime aNow);
   void RequestStop(Runs::iterator aRun, StopReason aReason, MonoTime aNow);
   /// Returns the stop if it must be sent now, and records that it is.
@@ -472,7 +485,9 @@
   /// Discards ends that no leader took over before the lease expired.
   void DiscardUnacknowledgedEnds();
   void MarkRunning(const RunKey& aKey, Run& aRun, MonoTime aNow);
-  void SendStart(Runs::iterator aRun, std::vector<StartRequest>& aStarts);
+  void SendStart(Runs::iterator aRun,
+                 std::vector<StartRequest>& aStarts,
+                 MonoTime aNow);
   void RevertStart(Run& aRun);
 
   const RunTableOptions options_;
@@ -494,6 +509,8 @@
   uint64_t firstIncarnationPoll_ = 0;
   /// The current incarnation has answered a poll.
   bool runsKnown_ = false;
+  /// Id of the last known incarnation.
+  std::string lastId_;
   /// The last incarnations that are proved to be gone, by id and start time.
   std::deque<std::pair<std::string, int64_t>> gone_;
   /// Number of the newest poll that the current incarnation answered.
--- a/src/libcornelfront/policy/run_incarnations.cpp
+++ b/src/libcornelfront/policy/run_incarnations.cpp
@@ -46,10 +46,8 @@
     IdentifySender(aInfo, aNow) == HeartbeatSender::Current;
   if (!sameIncarnation) {
     RecordCrash();
-    FinishReplaced(!upstream_ || upstream_->id_ == aInfo.id_
-                     ? Replacement::SameId
-                     : Replacement::OtherId,
-                   aNow);
+    FinishReplaced(
+      lastId_ == aInfo.id_ ? Replacement::SameId : Replacement::OtherId, aNow);
     orphans_.clear();
     runsKnown_ = false;
     newestEnd_ = 0;
@@ -59,6 +57,7 @@
     firstIncarnationPoll_ = polls_ + 1;
   }
   upstream_ = aInfo;
+  lastId_ = aInfo.id_;
   if (aInfo.draining_) {
     FinishWaiting(aNow);
   }
@@ -69,7 +68,7 @@
 {
   DetectSuspension(aNow);
   WithdrawCrash();
-  FinishAll(RunEnd::Lost, aNow);
+  FinishGone(aNow);
   orphans_.clear();
   upstream_.reset();
 }
@@ -140,10 +139,36 @@
     if (state.state_ != State::Running) {
       state.state_ = State::Running;
       state.started_ = aNow;
+      state.unanswered_ = std::max(state.unanswered_, 1);
     }
     state.firstPoll_ = polls_ + 1;
     ++run;
   }
 }
 
+void
+RunTable::FinishGone(MonoTime aNow)
+{
+  for (auto run = runs_.begin(); run != runs_.end();) {
+    if (MayBeginLate(run->second, aNow)) {
+      ++run;
+      continue;
+    }
+    const bool waiting = run->second.state_ == State::Waiting;
+    run = Finish(run, waiting ? RunEnd::NotStarted : RunEnd::Lost, aNow);
+  }
+}
+
+bool
+RunTable::MayBeginLate(const Run& aRun, MonoTime aNow) const
+{
+  if (aRun.state_ == State::Waiting) {
+    return false;
+  }
+  const bool answered = aRun.state_ == State::Running && aRun.unanswered_ == 0;
+  const Millis delay =
+    aRun.term_ > 0 ? options_.maxStoredOrderDelay_ : options_.maxOrderDelay_;
+  return !answered && Since(aRun.orderedAt_, aNow) <= delay;
+}
+
 } // namespace cornelfront
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -208,7 +208,7 @@
     if (run->second.state_ == State::Uncertain && !run->second.stop_ &&
         run->second.unanswered_ <= options_.maxStartRepeats_ &&
         aNow < run->second.startBy_) {
-      SendStart(run, starts);
+      SendStart(run, starts, aNow);
     }
   }
   Resources used = ResourcesInUse();
@@ -220,7 +220,7 @@
       break;
     }
     used = with;
-    SendStart(run, starts);
+    SendStart(run, starts, aNow);
   }
   ReturnWaiting(aNow);
   return starts;
@@ -237,10 +237,13 @@
 }
 
 void
-RunTable::SendStart(Runs::iterator aRun, std::vector<StartRequest>& aStarts)
+RunTable::SendStart(Runs::iterator aRun,
+                    std::vector<StartRequest>& aStarts,
+                    MonoTime aNow)
 {
   aRun->second.state_ = State::Starting;
   aRun->second.firstPoll_ = polls_ + 1;
+  aRun->second.orderedAt_ = aNow;
   aStarts.push_back({ .key_ = aRun->first,
                       .upstreamRunNumber_ = aRun->second.upstreamRunNumber_,
                       .payload_ = aRun->second.payload_ });
@@ -323,7 +326,7 @@
   CheckLeader(aNow);
   if (Since(upstreamHeardAt_, aNow) > options_.upstreamTimeout_) {
     SuspectCrash();
-    FinishAll(RunEnd::Lost, aNow);
+    FinishGone(aNow);
   }
   ReturnLate(aNow);
 }
@@ -412,15 +415,6 @@
   return runs_.erase(aRun);
 }
 
-void
-RunTable::FinishAll(RunEnd aEnd, MonoTime aNow)
-{
-  for (auto run = runs_.begin(); run != runs_.end();) {
-    const bool waiting = run->second.state_ == State::Waiting;
-    run = Finish(run, waiting ? RunEnd::NotStarted : aEnd, aNow);
-  }
-}
-
 void
 RunTable::FinishWaiting(MonoTime aNow)
 {
