Tell all entries of orders that may still be carried out

Callers saw a task run twice after their connection had ended: they submit the job again after 1.3 s, to an entry that knows nothing of an order without an answer at a silent upstream, and it starts the task elsewhere. The order is carried out when the upstream has started again under its id.

A sidecar lists such tasks to all entries while it can't tell what its upstream runs, that is, after 600 ms of silence and up to the first answered poll of an incarnation. No entry starts a listed task; the list outlives the sidecar for 12 s.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -9,6 +9,7 @@
 #include "cornelfront/crash_ledger.h"
 #include "cornelfront/ids.h"
 #include "cornelfront/job.h"
+#include "cornelfront/late_order_ledger.h"
 #include "cornelfront/run_messages.h"
 
 #include <cstdint>
@@ -239,6 +240,10 @@
   /// Time for which an upstream is avoided once most of its runs fail.
   Millis ejectionTime_{ 2000 };
   CrashLedgerOptions crashes_;
+  /// How long the last list of late orders of a sidecar counts. Orders reach it
+  /// after RunTableOptions::upstreamSuspectAfter_ and may be carried out up to
+  /// RunTableOptions::maxOrderDelay_.
+  Millis lateOrderRetention_{ 12000 };
   /// Share of the upstreams on which tasks are tried alone that other upstreams
   /// have crashed under.
   double isolationShare_ = 0.15;
@@ -334,6 +339,10 @@
   void OnUpstreamCrashes(MemberId aSidecar,
                          const UpstreamCrashes& aCrashes,
                          MonoTime aNow);
+  /// Tasks that must not be started while a sidecar lists them.
+  void OnLateOrders(MemberId aSidecar,
+                    const LateOrders& aOrders,
+                    MonoTime aNow);
   /// The link to a sidecar has ended; the sidecar may still hold runs.
   void OnSidecarLost(MemberId aSidecar, MonoTime aNow);
 
@@ -534,7 +543,10 @@
   /// Fails a job of which a task crashes its upstreams, and returns whether it
   /// did.
   bool FailIfCrashing(Job& aJob);
+  /// True if the task must not be started now: it may crash its upstream, or an
+  /// order of it may still be carried out.
   bool IsHeld(const JobTaskId& aTaskId) const;
+  void PlaceJobsOf(const std::vector<JobTaskId>& aTasks, MonoTime aNow);
   /// True if the next run of the task has to be the only one on its upstream.
   bool MustRunAlone(const JobTaskId& aTaskId, const StepSpec& aStep) const;
   bool HasHeldTask(const Job& aJob, uint32_t aStep) const;
@@ -671,6 +683,7 @@
   std::set<std::string> zonesOut_;
   std::map<std::string, Durations> durations_;
   CrashLedger crashes_;
+  LateOrderLedger lateOrders_;
   std::vector<JobAction> actions_;
   MonoTime lastTick_;
   MonoTime lastCall_;
--- a/src/include/cornelfront/messages.h
+++ b/src/include/cornelfront/messages.h
@@ -296,7 +296,8 @@
                              HeldRuns,
                              TakeOver,
                              AcknowledgeEnds,
-                             UpstreamCrashes>;
+                             UpstreamCrashes,
+                             LateOrders>;
 
 /// Returns the name of the message type for metrics and events, such as
 /// "start_tasks".
--- a/src/include/cornelfront/run_messages.h
+++ b/src/include/cornelfront/run_messages.h
@@ -279,4 +279,18 @@
   }
 };
 
+/// Tasks of which an order without an answer may still be carried out, while
+/// the sender can't tell: its upstream is silent or has just restarted. No
+/// entry may start them elsewhere. Replaces the sender's previous list.
+struct LateOrders
+{
+  std::vector<JobTaskId> tasks_;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(tasks_);
+  }
+};
+
 } // namespace cornelfront
--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -346,6 +346,12 @@
   /// Returns the last crashes of the upstream, for an entry that links.
   std::vector<UpstreamCrash> KnownCrashes() const;
 
+  /// Returns the tasks of which an order may still be carried out, while it is
+  /// not known what the upstream runs: it has been silent for
+  /// RunTableOptions::upstreamSuspectAfter_, or has not answered its first
+  /// poll.
+  LateOrders FindLateOrders(MonoTime aNow) const;
+
   HeldRuns MakeHeldRuns(MemberId aOwner) const;
   UpstreamReport MakeUpstreamReport(MonoTime aNow) const;
   /// The upstream may discard ends up to this number.
--- a/src/libcornelfront/job_entry_sidecars.cpp
+++ b/src/libcornelfront/job_entry_sidecars.cpp
@@ -36,6 +36,10 @@
   } else if (const auto* crashes =
                std::get_if<UpstreamCrashes>(&aEnvelope.message_)) {
     scheduler_.OnUpstreamCrashes(sidecar, *crashes, now);
+  } else if (const auto* late = std::get_if<LateOrders>(&aEnvelope.message_)) {
+    LOG(INFO) << "sidecar name=" << known->second.name_
+              << " tasks=" << late->tasks_.size() << " outcome=late_orders";
+    scheduler_.OnLateOrders(sidecar, *late, now);
   } else {
     return;
   }
--- a/src/libcornelfront/job_sidecar_pvt.h
+++ b/src/libcornelfront/job_sidecar_pvt.h
@@ -78,6 +78,9 @@
   void SendPending(MonoTime aNow);
   /// Tells all entries what is new of crashes of the upstream.
   void SendCrashes();
+  /// Tells all entries which tasks they must not start elsewhere, if that has
+  /// changed.
+  void SendLateOrders(MonoTime aNow);
   void SendStart(const StartRequest& aOrder, MonoTime aNow);
   static void LogRunEnd(MemberId aOwner, const RunReport& aReport);
   void SendStatus(MonoTime aNow);
@@ -124,6 +127,8 @@
   /// The next poll waits for pollTimer_.
   bool pollDelayed_ = false;
   std::unique_ptr<asio::steady_timer> pollTimer_;
+  /// What was last sent to all entries.
+  LateOrders lateOrders_;
   std::unique_ptr<platform::BatchWriter> registration_;
   /// The last reason that was logged.
   LeaseLimitReason leaseLimit_ = LeaseLimitReason::None;
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -182,6 +182,7 @@
 {
   DetectSuspension(aNow);
   SendCrashes();
+  SendLateOrders(aNow);
   for (const StopRequest& stop : table_.TakeStops(aNow)) {
     LOG(INFO) << "job=" << stop.key_.task_.job_
               << " run=" << ToString(stop.key_)
--- a/src/libcornelfront/net/messages.cpp
+++ b/src/libcornelfront/net/messages.cpp
@@ -39,6 +39,7 @@
   "take_over",
   "forget_ends",
   "upstream_crashes",
+  "late_orders",
 };
 
 constexpr std::array<std::string_view, 15> kReasons = {
--- a/src/libcornelfront/net/messages_test.cpp
+++ b/src/libcornelfront/net/messages_test.cpp
@@ -38,6 +38,7 @@
     TakeOver{ 7 },
     AcknowledgeEnds{ { { { "j", 0, 1, 2 }, 3 } } },
     UpstreamCrashes{ { { 1, CrashState::Proven, { { "j", 0, 1, 2 } } } } },
+    LateOrders{ { { "j", 0, 1, 2 } } },
   };
   std::vector<Envelope> samples;
   samples.reserve(messages.size());
--- a/src/libcornelfront/policy/job_crashes.cpp
+++ b/src/libcornelfront/policy/job_crashes.cpp
@@ -1,5 +1,6 @@
 /// \file
-/// JobScheduler: jobs with tasks under which upstreams crash.
+/// JobScheduler: tasks that must not be started for now, because upstreams have
+/// crashed under them or an order of them may still be carried out.
 
 #include "cornelfront/job_scheduler.h"
 
@@ -13,14 +14,31 @@
                                 MonoTime aNow)
 {
   DetectSuspension(aNow);
-  std::set<JobInstance> affected;
+  std::vector<JobTaskId> affected;
   for (const UpstreamCrash& crash : aCrashes.crashes_) {
     crashes_.Record(aSidecar, crash, aNow);
-    for (const JobTaskId& task : crash.tasks_) {
-      affected.insert(InstanceOf(task));
-    }
+    affected.insert(affected.end(), crash.tasks_.begin(), crash.tasks_.end());
+  }
+  PlaceJobsOf(affected, aNow);
+}
+
+void
+JobScheduler::OnLateOrders(MemberId aSidecar,
+                           const LateOrders& aOrders,
+                           MonoTime aNow)
+{
+  DetectSuspension(aNow);
+  PlaceJobsOf(lateOrders_.Record(aSidecar, aOrders, aNow), aNow);
+}
+
+void
+JobScheduler::PlaceJobsOf(const std::vector<JobTaskId>& aTasks, MonoTime aNow)
+{
+  std::set<JobInstance> instances;
+  for (const JobTaskId& task : aTasks) {
+    instances.insert(InstanceOf(task));
   }
-  for (const JobInstance& instance : affected) {
+  for (const JobInstance& instance : instances) {
     if (Job* job = FindJob(instance)) {
       PlaceJob(*job, aNow);
     }
@@ -30,7 +48,8 @@
 bool
 JobScheduler::IsHeld(const JobTaskId& aTaskId) const
 {
-  return crashes_.SuspicionOf(aTaskId) == CrashSuspicion::Held;
+  return lateOrders_.Contains(aTaskId) ||
+         crashes_.SuspicionOf(aTaskId) == CrashSuspicion::Held;
 }
 
 bool
--- a/src/libcornelfront/policy/job_scheduler.cpp
+++ b/src/libcornelfront/policy/job_scheduler.cpp
@@ -44,6 +44,7 @@
 JobScheduler::JobScheduler(JobSchedulerOptions aOptions)
   : options_(std::move(aOptions))
   , crashes_(options_.crashes_)
+  , lateOrders_(options_.lateOrderRetention_)
 {
 }
 
@@ -290,6 +291,7 @@
     return aNow - aRuns.second.since_ > options_.abandonedRetention_;
   });
   crashes_.Expire(aNow);
+  PlaceJobsOf(lateOrders_.Expire(aNow), aNow);
   std::vector<JobInstance> expired;
   for (const auto& [id, job] : jobs_) {
     if (aNow >= job.deadline_) {
--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -125,6 +125,24 @@
   JobScheduler scheduler_{ JobSchedulerOptions{ .zone_ = "z" } };
 };
 
+// An order of it may still be carried out at an upstream that is silent.
+TEST_F(JobSchedulerTest, ATaskWithALateOrderIsNotStartedElsewhere)
+{
+  const JobDescription job = Job(2);
+  const JobTaskId late{ job.id_, 0, 0, 1 };
+  scheduler_.OnLateOrders(kFirst, { { late } }, At(0));
+  Submit(job);
+  SortedActions sent = Take();
+  ASSERT_EQ(sent.Runs(), 1U);
+  EXPECT_EQ(sent.runs_[0].orders_.Task(sent.runs_[0].orders_.runs_[0]),
+            (JobTaskId{ job.id_, 0, 0, 0 }));
+  scheduler_.OnSidecarLost(kFirst, At(10));
+  scheduler_.Tick(At(10));
+  EXPECT_EQ(Take().Runs(), 0U);
+  scheduler_.OnLateOrders(kFirst, {}, At(20));
+  EXPECT_EQ(Take().Runs(), 1U) << "settled, so it is started at once";
+}
+
 TEST_F(JobSchedulerTest, CompletesAJobWithItsLastTask)
 {
   Submit(Job(2));
--- a/src/libcornelfront/policy/run_incarnations.cpp
+++ b/src/libcornelfront/policy/run_incarnations.cpp
@@ -171,4 +171,22 @@
   return !answered && Since(aRun.orderedAt_, aNow) <= delay;
 }
 
+LateOrders
+RunTable::FindLateOrders(MonoTime aNow) const
+{
+  LateOrders orders;
+  const bool known =
+    upstream_ && runsKnown_ &&
+    Since(upstreamHeardAt_, aNow) <= options_.upstreamSuspectAfter_;
+  if (known) {
+    return orders;
+  }
+  for (const auto& [key, run] : runs_) {
+    if (MayBeginLate(run, aNow)) {
+      orders.tasks_.push_back(key.task_);
+    }
+  }
+  return orders;
+}
+
 } // namespace cornelfront
--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -983,6 +983,22 @@
   EXPECT_EQ(table_.Size(), 1U);
 }
 
+// The client may submit the job again, to an entry that sent none of the
+// orders.
+TEST_F(RestartedUpstreamTest, ListsLateOrdersUntilTheNextIncarnationTells)
+{
+  Wait(20, 600);
+  EXPECT_TRUE(table_.FindLateOrders(At(605)).tasks_.empty());
+  const std::vector<JobTaskId> late{ Key(2).task_, Key(3).task_ };
+  EXPECT_EQ(table_.FindLateOrders(At(606)).tasks_, late);
+  Wait(610, 1700);
+  EXPECT_EQ(table_.FindLateOrders(At(1700)).tasks_, late);
+  table_.OnUpstream(Upstream(2), At(1710));
+  EXPECT_EQ(table_.FindLateOrders(At(1710)).tasks_, late);
+  Poll({ .running_ = { { Key(2) } } }, 1720);
+  EXPECT_TRUE(table_.FindLateOrders(At(1720)).tasks_.empty());
+}
+
 TEST_F(RestartedUpstreamTest, AnExecutorWithAnotherIdEndsWhatASilentOneLeft)
 {
   Wait(20, 1700);
--- a/src/libcornelfront/policy/two_runs_entry_test.cpp
+++ b/src/libcornelfront/policy/two_runs_entry_test.cpp
@@ -76,6 +76,8 @@
     OnHeldRuns(sidecar, known->second, *held);
   } else if (const auto* reports = std::get_if<RunReports>(&aMessage)) {
     scheduler_.OnReports(sidecar, *reports, Now());
+  } else if (const auto* late = std::get_if<LateOrders>(&aMessage)) {
+    scheduler_.OnLateOrders(sidecar, *late, Now());
   } else {
     return;
   }
--- a/src/libcornelfront/policy/two_runs_model_test.h
+++ b/src/libcornelfront/policy/two_runs_model_test.h
@@ -342,6 +342,7 @@
                     const std::optional<PollAnswer>& aAnswer);
   void OnPollUnanswered(MonoTime aNow);
   void SendPending(MonoTime aNow);
+  void SendLateOrders(MonoTime aNow);
   void SendStart(const StartRequest& aOrder, MonoTime aNow);
   void SendStop(const StopRequest& aStop);
   void SendStatus(MonoTime aNow);
@@ -370,6 +371,7 @@
   Backoff pollBackoff_;
   bool pollDelayed_ = false;
   uint64_t pollTimer_ = 0;
+  LateOrders lateOrders_;
 };
 
 /// Does what JobEntry does for best-effort jobs.
--- a/src/libcornelfront/policy/two_runs_sidecar_test.cpp
+++ b/src/libcornelfront/policy/two_runs_sidecar_test.cpp
@@ -208,6 +208,9 @@
   Owner& owner = owners_[aEntry];
   owner = { .link_ = aLink };
   table_.OnOwnerLinked(aEntry, aNow);
+  if (!lateOrders_.tasks_.empty()) {
+    aLink->Send(Side::Sidecar, lateOrders_);
+  }
   aLink->Send(Side::Sidecar, table_.MakeHeldRuns(aEntry));
   Send(owner, {}, table_.MakeUpstreamReport(aNow), aNow);
 }
@@ -370,6 +373,7 @@
 void
 SidecarProcess::SendPending(MonoTime aNow)
 {
+  SendLateOrders(aNow);
   for (const StopRequest& stop : table_.TakeStops(aNow)) {
     SendStop(stop);
   }
@@ -396,6 +400,23 @@
   }
 }
 
+void
+SidecarProcess::SendLateOrders(MonoTime aNow)
+{
+  LateOrders orders = table_.FindLateOrders(aNow);
+  if (orders.tasks_ == lateOrders_.tasks_) {
+    return;
+  }
+  for (const JobTaskId& task : orders.tasks_) {
+    world_.Record({ ToString(task), Machine(), std::nullopt },
+                  "sidecar lists a late order");
+  }
+  lateOrders_ = std::move(orders);
+  for (auto& [id, owner] : owners_) {
+    owner.link_->Send(Side::Sidecar, lateOrders_);
+  }
+}
+
 void
 SidecarProcess::SendStop(const StopRequest& aStop)
 {
