List late orders of runs that have ended, and runs begun by one

A run that has ended may have an order under way that was sent again without an answer; a run that the next incarnation has begun goes on for some time after its client has left. Both ways a task was started elsewhere, although it ran or could begin at an upstream that restarted.

Runs that were kept past a restart, and what runs there without an order of this process, are listed until they have ended.

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -416,6 +416,9 @@
     int unanswered_ = 0;
     /// Time at which the last order was sent.
     MonoTime orderedAt_;
+    /// The incarnation that it was ordered from is gone, and a later one with
+    /// the same id may have begun it.
+    bool keptPastRestart_ = false;
     /// Polls with a lower number may not show the run yet.
     uint64_t firstPoll_ = 0;
     std::optional<Stop> stop_;
@@ -458,7 +461,9 @@
   /// Ends the runs of an incarnation that is gone, but for those that the next
   /// one with its id may begin.
   void FinishGone(MonoTime aNow);
-  /// True if an order of the run that has no answer may still be carried out.
+  /// Returns the time until which an order of the run that has no answer may
+  /// still be carried out, or nothing if all were answered.
+  std::optional<MonoTime> MayBeginUntil(const Run& aRun) const;
   bool MayBeginLate(const Run& aRun, MonoTime aNow) const;
   void FinishWaiting(MonoTime aNow);
   void RequestStop(Runs::iterator aRun, StopReason aReason, MonoTime aNow);
@@ -515,6 +520,9 @@
   uint64_t firstIncarnationPoll_ = 0;
   /// The current incarnation has answered a poll.
   bool runsKnown_ = false;
+  /// Tasks of ended runs with an order that has no answer, by the time until
+  /// which it may be carried out.
+  std::map<JobTaskId, MonoTime> lateOrders_;
   /// Id of the last known incarnation.
   std::string lastId_;
   /// The last incarnations that are proved to be gone, by id and start time.
--- a/src/libcornelfront/policy/run_incarnations.cpp
+++ b/src/libcornelfront/policy/run_incarnations.cpp
@@ -7,6 +7,7 @@
 #include "policy/run_table_pvt.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace cornelfront {
@@ -136,6 +137,7 @@
       run = Finish(run, waiting ? RunEnd::NotStarted : RunEnd::Lost, aNow);
       continue;
     }
+    state.keptPastRestart_ = true;
     if (state.state_ != State::Running) {
       state.state_ = State::Running;
       state.started_ = aNow;
@@ -144,6 +146,9 @@
     state.firstPoll_ = polls_ + 1;
     ++run;
   }
+  if (aReplacement == Replacement::OtherId) {
+    lateOrders_.clear();
+  }
 }
 
 void
@@ -159,34 +164,46 @@
   }
 }
 
-bool
-RunTable::MayBeginLate(const Run& aRun, MonoTime aNow) const
+std::optional<MonoTime>
+RunTable::MayBeginUntil(const Run& aRun) const
 {
-  if (aRun.state_ == State::Waiting) {
-    return false;
-  }
   const bool answered = aRun.state_ == State::Running && aRun.unanswered_ == 0;
+  if (aRun.state_ == State::Waiting || answered) {
+    return std::nullopt;
+  }
   const Millis delay =
     aRun.term_ > 0 ? options_.maxStoredOrderDelay_ : options_.maxOrderDelay_;
-  return !answered && Since(aRun.orderedAt_, aNow) <= delay;
+  return aRun.orderedAt_ + delay;
+}
+
+bool
+RunTable::MayBeginLate(const Run& aRun, MonoTime aNow) const
+{
+  const auto until = MayBeginUntil(aRun);
+  return until && aNow <= *until;
 }
 
 LateOrders
 RunTable::FindLateOrders(MonoTime aNow) const
 {
-  LateOrders orders;
   const bool known =
     upstream_ && runsKnown_ &&
     Since(upstreamHeardAt_, aNow) <= options_.upstreamSuspectAfter_;
-  if (known) {
-    return orders;
-  }
+  std::set<JobTaskId> tasks;
   for (const auto& [key, run] : runs_) {
-    if (MayBeginLate(run, aNow)) {
-      orders.tasks_.push_back(key.task_);
+    if (run.keptPastRestart_ || (!known && MayBeginLate(run, aNow))) {
+      tasks.insert(key.task_);
+    }
+  }
+  for (const auto& [key, stop] : orphans_) {
+    tasks.insert(key.task_);
+  }
+  for (const auto& [task, until] : lateOrders_) {
+    if (!known && aNow <= until) {
+      tasks.insert(task);
     }
   }
-  return orders;
+  return { { tasks.begin(), tasks.end() } };
 }
 
 } // namespace cornelfront
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -329,6 +329,8 @@
     FinishGone(aNow);
   }
   ReturnLate(aNow);
+  std::erase_if(lateOrders_,
+                [aNow](const auto& aOrder) { return aNow > aOrder.second; });
 }
 
 void
@@ -412,6 +414,10 @@
 {
   const auto report = MakeReport(aRun->first, aRun->second, aEnd, aNow);
   QueueReport(aRun->second.owner_, report, aNow);
+  if (const auto until = MayBeginUntil(aRun->second)) {
+    MonoTime& latest = lateOrders_[aRun->first.task_];
+    latest = std::max(latest, *until);
+  }
   return runs_.erase(aRun);
 }
 
