Count the silence of an entry from when its messages were sent

Each message proves a least offset between both clocks, its echo minus its stamp. The highest such figure of the last 10 to 20 s bounds how long any message of the link was under way, without further messages. Silence counts from the time of sending by that bound; orders and stops by themselves are no signs of life any longer, whatever their age.

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -285,8 +285,11 @@
   /// While closed, no run starts, and waiting runs are reported as not started.
   void SetClosed(bool aClosed, MonoTime aNow);
 
-  void OnOwnerLinked(MemberId aOwner, MonoTime aNow);
-  void OnOwnerHeard(MemberId aOwner, MonoTime aNow);
+  /// A link to an owner has been established, or a message of a linked owner
+  /// has arrived. \p aAge is the longest time for which the message can have
+  /// been under way: silence counts from the time of sending.
+  void OnOwnerLinked(MemberId aOwner, MonoTime aNow, Millis aAge = Millis(0));
+  void OnOwnerHeard(MemberId aOwner, MonoTime aNow, Millis aAge = Millis(0));
   /// Orders for stored jobs are accepted only once this sidecar is registered
   /// in the store, where any later leader finds it.
   void SetRegistered() { registered_ = true; }
@@ -297,7 +300,7 @@
   /// Orders that are received right after a suspension are refused: they may be
   /// of any age.
   void OnOrders(MemberId aOwner, const StartRuns& aOrders, MonoTime aNow);
-  void OnStop(MemberId aOwner, const StopRuns& aStop, MonoTime aNow);
+  void OnStop(const StopRuns& aStop, MonoTime aNow);
   /// Returns the suspension that was detected last, once. Links that were open
   /// before must be closed, since orders in their buffers may be of any age.
   std::optional<Suspension> TakeSuspension(MonoTime aNow);
--- a/src/libcornelfront/job_links_pvt.h
+++ b/src/libcornelfront/job_links_pvt.h
@@ -4,6 +4,7 @@
 /// Links between job entries and sidecars.
 
 #include "cornelfront/link.h"
+#include "cornelfront/transit_bound.h"
 
 #include <functional>
 #include <memory>
@@ -21,6 +22,13 @@
     aNow - MonoTime(std::chrono::nanoseconds(aEnvelope.echo_)));
 }
 
+inline MessageTimes
+TimesOf(const Envelope& aEnvelope)
+{
+  return { .stamp_ = std::chrono::nanoseconds(aEnvelope.stamp_),
+           .echo_ = std::chrono::nanoseconds(aEnvelope.echo_) };
+}
+
 /// Returns handlers for links that carry neither configuration evidence nor
 /// hybrid stamps. Stamps are from BootNow.
 inline std::shared_ptr<const LinkHandlers>
--- a/src/libcornelfront/job_sidecar_entries.cpp
+++ b/src/libcornelfront/job_sidecar_entries.cpp
@@ -10,9 +10,8 @@
 namespace cornelfront {
 namespace {
 
-/// Maximum time that a message may have been in transit. An older order is not
-/// carried out, and an older message is no sign that its sender lives.
-/// JobSchedulerOptions::lostRunTimeout_ rests on it.
+/// Maximum time that an order may have been under way. An older one is not
+/// carried out. JobSchedulerOptions::lostRunTimeout_ rests on it.
 constexpr Millis kMaxMessageAge{ 1000 };
 
 } // namespace
@@ -38,7 +37,7 @@
     SendPending(now);
   }
   if (const auto* welcome = std::get_if<Welcome>(&aEnvelope.message_)) {
-    OnWelcome(aLink, welcome->self_.id_, now);
+    OnWelcome(aLink, welcome->self_.id_, TimesOf(aEnvelope), now);
     return;
   }
   const auto entry = entries_.find(aLink->Serial());
@@ -50,13 +49,14 @@
   if (owner == owners_.end() || owner->second.link_ != aLink) {
     return;
   }
-  if (MaxAgeOf(aEnvelope, now) <= kMaxMessageAge) {
-    table_.OnOwnerHeard(id, now);
+  if (const auto age =
+        owner->second.transit_.Measure(TimesOf(aEnvelope), now)) {
+    table_.OnOwnerHeard(id, now, *age);
   }
   if (std::holds_alternative<StartRuns>(aEnvelope.message_)) {
     OnOrders(id, aEnvelope, now);
   } else if (const auto* stop = std::get_if<StopRuns>(&aEnvelope.message_)) {
-    table_.OnStop(id, *stop, now);
+    table_.OnStop(*stop, now);
   } else if (const auto* over = std::get_if<TakeOver>(&aEnvelope.message_)) {
     OnTakeOver(aLink, id, over->term_, now);
   } else if (const auto* ends =
@@ -85,6 +85,7 @@
 void
 JobSidecar::Impl::OnWelcome(const LinkPtr& aLink,
                             MemberId aEntry,
+                            const MessageTimes& aTimes,
                             MonoTime aNow)
 {
   const auto known = owners_.find(aEntry);
@@ -95,7 +96,10 @@
   entries_[aLink->Serial()] = aEntry;
   Owner& owner = owners_[aEntry];
   owner = { .link_ = aLink };
-  table_.OnOwnerLinked(aEntry, aNow);
+  table_.OnOwnerLinked(
+    aEntry,
+    aNow,
+    owner.transit_.Measure(aTimes, aNow).value_or(kMaxMessageAge));
   if (auto crashes = table_.KnownCrashes(); !crashes.empty()) {
     aLink->Send(UpstreamCrashes{ std::move(crashes) });
   }
--- a/src/libcornelfront/job_sidecar_pvt.h
+++ b/src/libcornelfront/job_sidecar_pvt.h
@@ -12,6 +12,7 @@
 #include "cornelfront/link.h"
 #include "cornelfront/report_schedule.h"
 #include "cornelfront/run_table.h"
+#include "cornelfront/transit_bound.h"
 #include "event_loop_pvt.h"
 #include "platform/batch_writer.h"
 #include "platform/executor_client.h"
@@ -44,6 +45,8 @@
     LinkPtr link_;
     uint64_t ordersReceived_ = 0;
     ReportSchedule reportSchedule_{ ReportScheduleOptions{} };
+    /// Of the messages of this link.
+    TransitBound transit_;
   };
 
   void Setup();
@@ -60,7 +63,10 @@
   void OnOperatorRecords(const platform::TopicReader::Records& aRecords);
   LinkPtr OnConnect(asio::ip::tcp::socket aSocket);
   void OnMessage(const LinkPtr& aLink, Envelope& aEnvelope);
-  void OnWelcome(const LinkPtr& aLink, MemberId aEntry, MonoTime aNow);
+  void OnWelcome(const LinkPtr& aLink,
+                 MemberId aEntry,
+                 const MessageTimes& aTimes,
+                 MonoTime aNow);
   void OnOrders(MemberId aEntry, Envelope& aEnvelope, MonoTime aNow);
   void OnTakeOver(const LinkPtr& aLink,
                   MemberId aEntry,
--- a/src/libcornelfront/policy/load_replay_entries.cpp
+++ b/src/libcornelfront/policy/load_replay_entries.cpp
@@ -216,7 +216,7 @@
                  sidecar = FindSidecar(aSend.sidecar_),
                  stops = aSend.stops_] {
                   if (sidecar != nullptr && sidecar->up_) {
-                    sidecar->table_->OnStop(from, stops, events_.Now());
+                    sidecar->table_->OnStop(stops, events_.Now());
                     SendPending(*sidecar);
                   }
                 });
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -72,22 +72,22 @@
 }
 
 void
-RunTable::OnOwnerLinked(MemberId aOwner, MonoTime aNow)
+RunTable::OnOwnerLinked(MemberId aOwner, MonoTime aNow, Millis aAge)
 {
   DetectSuspension(aNow);
-  owners_[aOwner].heardAt_ = aNow;
+  MonoTime& heardAt = owners_[aOwner].heardAt_;
+  heardAt = std::max(heardAt, aNow - aAge);
   if (leader_ == aOwner) {
-    leaderHeardAt_ = aNow;
+    leaderHeardAt_ = std::max(leaderHeardAt_, heardAt);
   }
 }
 
 void
-RunTable::OnOwnerHeard(MemberId aOwner, MonoTime aNow)
+RunTable::OnOwnerHeard(MemberId aOwner, MonoTime aNow, Millis aAge)
 {
   DetectSuspension(aNow);
-  const auto owner = owners_.find(aOwner);
-  if (owner != owners_.end()) {
-    OnOwnerLinked(aOwner, aNow);
+  if (owners_.contains(aOwner)) {
+    OnOwnerLinked(aOwner, aNow, aAge);
   }
 }
 
@@ -95,7 +95,7 @@
 RunTable::OnOrders(MemberId aOwner, const StartRuns& aOrders, MonoTime aNow)
 {
   DetectSuspension(aNow);
-  if (aOrders.startTimeout_ > Millis(0)) {
+  if (aOrders.startTimeout_ > Millis(0) && !owners_.contains(aOwner)) {
     OnOwnerLinked(aOwner, aNow);
   }
   const bool accepts = Accepts(aOrders, aNow);
@@ -161,9 +161,9 @@
 }
 
 void
-RunTable::OnStop(MemberId aOwner, const StopRuns& aStop, MonoTime aNow)
+RunTable::OnStop(const StopRuns& aStop, MonoTime aNow)
 {
-  OnOwnerHeard(aOwner, aNow);
+  DetectSuspension(aNow);
   for (const RunKey& key : aStop.runs_) {
     const auto run = runs_.find(key);
     if (run != runs_.end()) {
--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -661,10 +661,9 @@
                    [](RunTable& aTable, MonoTime aNow) {
                      aTable.OnOrders(kOther, Orders(1), aNow);
                    } },
-    FirstCallCase{ "stop",
-                   [](RunTable& aTable, MonoTime aNow) {
-                     aTable.OnStop(kOwner, {}, aNow);
-                   } },
+    FirstCallCase{
+      "stop",
+      [](RunTable& aTable, MonoTime aNow) { aTable.OnStop({}, aNow); } },
     FirstCallCase{ "starts",
                    [](RunTable& aTable, MonoTime aNow) {
                      EXPECT_TRUE(aTable.TakeStarts(aNow).empty());
--- a/src/libcornelfront/policy/two_runs_entry_test.cpp
+++ b/src/libcornelfront/policy/two_runs_entry_test.cpp
@@ -57,7 +57,9 @@
 }
 
 void
-EntryProcess::OnMessage(const LinkPtr& aLink, Message& aMessage, Millis)
+EntryProcess::OnMessage(const LinkPtr& aLink,
+                        Message& aMessage,
+                        const MessageTimes&)
 {
   if (const auto* hello = std::get_if<Hello>(&aMessage)) {
     OnHello(aLink, *hello);
--- a/src/libcornelfront/policy/two_runs_links_test.cpp
+++ b/src/libcornelfront/policy/two_runs_links_test.cpp
@@ -187,7 +187,8 @@
   end.newestStamp_ = frame.stamp_;
   owner->OnMessage(shared_from_this(),
                    *frame.message_,
-                   std::chrono::duration_cast<Millis>(now - frame.echo_));
+                   { .stamp_ = frame.stamp_.time_since_epoch(),
+                     .echo_ = frame.echo_.time_since_epoch() });
 }
 
 void
--- a/src/libcornelfront/policy/two_runs_model_test.h
+++ b/src/libcornelfront/policy/two_runs_model_test.h
@@ -11,6 +11,7 @@
 #include "cornelfront/messages.h"
 #include "cornelfront/report_schedule.h"
 #include "cornelfront/run_table.h"
+#include "cornelfront/transit_bound.h"
 #include "policy/event_queue_pvt.h"
 
 #include <array>
@@ -223,7 +224,7 @@
   void AddLink(const LinkPtr& aLink);
   virtual void OnMessage(const LinkPtr& aLink,
                          Message& aMessage,
-                         Millis aAge) = 0;
+                         const MessageTimes& aTimes) = 0;
   virtual void OnLinkEnd(const LinkPtr& aLink) = 0;
 
 protected:
@@ -312,7 +313,9 @@
   void Start(Millis aHeartbeatDelay);
   /// A heartbeat of the upstream has arrived.
   void OnHeartbeat();
-  void OnMessage(const LinkPtr& aLink, Message& aMessage, Millis aAge) override;
+  void OnMessage(const LinkPtr& aLink,
+                 Message& aMessage,
+                 const MessageTimes& aTimes) override;
   void OnLinkEnd(const LinkPtr& aLink) override;
 
 private:
@@ -321,6 +324,7 @@
     LinkPtr link_;
     uint64_t ordersReceived_ = 0;
     ReportSchedule reportSchedule_{ ReportScheduleOptions{} };
+    TransitBound transit_;
   };
 
   void Tick();
@@ -329,7 +333,10 @@
   void DetectSuspension(MonoTime aNow);
   void StartConnecting(MonoTime aNow);
   void Connect(size_t aEntry);
-  void OnWelcome(const LinkPtr& aLink, MemberId aEntry, MonoTime aNow);
+  void OnWelcome(const LinkPtr& aLink,
+                 MemberId aEntry,
+                 const MessageTimes& aTimes,
+                 MonoTime aNow);
   void OnOrders(MemberId aEntry, StartRuns& aOrders, Millis aAge);
   void Poll();
   void PollAfter(Millis aDelay);
@@ -385,7 +392,9 @@
               const JobDescription& aJob,
               Millis aTimeout);
   void OnClientDisconnected(JobSubmissionId aSubmissionId);
-  void OnMessage(const LinkPtr& aLink, Message& aMessage, Millis aAge) override;
+  void OnMessage(const LinkPtr& aLink,
+                 Message& aMessage,
+                 const MessageTimes& aTimes) override;
   void OnLinkEnd(const LinkPtr& aLink) override;
 
 private:
--- a/src/libcornelfront/policy/two_runs_sidecar_test.cpp
+++ b/src/libcornelfront/policy/two_runs_sidecar_test.cpp
@@ -166,12 +166,14 @@
 }
 
 void
-SidecarProcess::OnMessage(const LinkPtr& aLink, Message& aMessage, Millis aAge)
+SidecarProcess::OnMessage(const LinkPtr& aLink,
+                          Message& aMessage,
+                          const MessageTimes& aTimes)
 {
   const MonoTime now = Now();
   DetectSuspension(now);
   if (const auto* welcome = std::get_if<Welcome>(&aMessage)) {
-    OnWelcome(aLink, welcome->self_.id_, now);
+    OnWelcome(aLink, welcome->self_.id_, aTimes, now);
     return;
   }
   const auto entry = entries_.find(aLink->Serial());
@@ -183,13 +185,14 @@
   if (owner == owners_.end() || owner->second.link_ != aLink) {
     return;
   }
-  if (aAge <= kMaxMessageAge) {
-    table_.OnOwnerHeard(id, now);
+  if (const auto age = owner->second.transit_.Measure(aTimes, now)) {
+    table_.OnOwnerHeard(id, now, *age);
   }
   if (auto* orders = std::get_if<StartRuns>(&aMessage)) {
-    OnOrders(id, *orders, aAge);
+    const auto age = now.time_since_epoch() - aTimes.echo_;
+    OnOrders(id, *orders, std::chrono::duration_cast<Millis>(age));
   } else if (const auto* stop = std::get_if<StopRuns>(&aMessage)) {
-    table_.OnStop(id, *stop, now);
+    table_.OnStop(*stop, now);
   } else {
     return;
   }
@@ -197,7 +200,10 @@
 }
 
 void
-SidecarProcess::OnWelcome(const LinkPtr& aLink, MemberId aEntry, MonoTime aNow)
+SidecarProcess::OnWelcome(const LinkPtr& aLink,
+                          MemberId aEntry,
+                          const MessageTimes& aTimes,
+                          MonoTime aNow)
 {
   const auto known = owners_.find(aEntry);
   if (known != owners_.end() && known->second.link_ != aLink) {
@@ -207,7 +213,10 @@
   entries_[aLink->Serial()] = aEntry;
   Owner& owner = owners_[aEntry];
   owner = { .link_ = aLink };
-  table_.OnOwnerLinked(aEntry, aNow);
+  table_.OnOwnerLinked(
+    aEntry,
+    aNow,
+    owner.transit_.Measure(aTimes, aNow).value_or(kMaxMessageAge));
   if (!lateOrders_.tasks_.empty()) {
     aLink->Send(Side::Sidecar, lateOrders_);
   }
