Poll a new incarnation at once

After a restart under the same id, orders that were meant for the earlier incarnation are carried out until a call with the new fence has arrived. A poll of the earlier one that still waited for its answer held that call up for as long as 335 ms; the sidecar now begins a new series of polls.

--- a/src/libcornelfront/job_sidecar_pvt.h
+++ b/src/libcornelfront/job_sidecar_pvt.h
@@ -75,6 +75,7 @@
   void Register();
   void OnLinkEnd(const LinkPtr& aLink, const std::string& aDetail);
   void Poll();
+  void RestartPolling();
   void PollAfter(Millis aDelay);
   Millis PollWait(MonoTime aNow) const;
   void OnPollResult(uint64_t aPollNumber,
@@ -130,6 +131,9 @@
   /// Bounds the polls of an upstream that closes or resets each connection. The
   /// longest delay leaves several attempts before the lease ends.
   Backoff pollBackoff_{ { .initial_ = Millis(1), .max_ = Millis(200) } };
+  /// Number of the present series of polls; results of earlier ones are
+  /// ignored.
+  uint64_t pollSeries_ = 0;
   /// The next poll waits for pollTimer_.
   bool pollDelayed_ = false;
   std::unique_ptr<asio::steady_timer> pollTimer_;
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -58,7 +58,9 @@
     clock_ = aHeartbeat.clock_.value_or(UpstreamTime{});
     clockRead_ = now;
   }
-  if (!polling_) {
+  if (!same) {
+    RestartPolling();
+  } else if (!polling_) {
     Poll();
   } else if (pollDelayed_) {
     pollBackoff_.Reset();
@@ -68,6 +70,19 @@
   SendStatus(now);
 }
 
+/// Polls a new incarnation at once, although a poll of the earlier one may
+/// still wait for its answer. Until a call with its own fence has reached it,
+/// the new one carries out orders that were meant for the earlier one.
+void
+JobSidecar::Impl::RestartPolling()
+{
+  ++pollSeries_;
+  pollDelayed_ = false;
+  pollTimer_->cancel();
+  pollBackoff_.Reset();
+  Poll();
+}
+
 void
 JobSidecar::Impl::OnUpstreamLeft(const UpstreamDeparture& aDeparture)
 {
@@ -101,14 +116,17 @@
     lease = UpstreamNow(*end);
   }
   const uint64_t pollNumber = table_.BeginPoll();
-  executor_->Poll(table_.AcknowledgedEnds(),
-                  lease,
-                  PollWait(now),
-                  requestTimeout_,
-                  [this, pollNumber](platform::PollOutcome aOutcome,
-                                     const UpstreamPollResult& aPollResult) {
-                    OnPollResult(pollNumber, aOutcome, aPollResult);
-                  });
+  executor_->Poll(
+    table_.AcknowledgedEnds(),
+    lease,
+    PollWait(now),
+    requestTimeout_,
+    [this, pollNumber, series = pollSeries_](
+      platform::PollOutcome aOutcome, const UpstreamPollResult& aPollResult) {
+      if (series == pollSeries_) {
+        OnPollResult(pollNumber, aOutcome, aPollResult);
+      }
+    });
 }
 
 Millis
--- a/src/libcornelfront/policy/two_runs_model_test.h
+++ b/src/libcornelfront/policy/two_runs_model_test.h
@@ -378,6 +378,7 @@
   Backoff pollBackoff_;
   bool pollDelayed_ = false;
   uint64_t pollTimer_ = 0;
+  uint64_t pollSeries_ = 0;
   LateOrders lateOrders_;
 };
 
--- a/src/libcornelfront/policy/two_runs_sidecar_test.cpp
+++ b/src/libcornelfront/policy/two_runs_sidecar_test.cpp
@@ -92,8 +92,11 @@
     fenceStep_ = kFirstFenceStep;
     clock_ = MyUpstream().Clock();
     clockRead_ = now;
-  }
-  if (!polling_) {
+    ++pollSeries_;
+    pollDelayed_ = false;
+    pollBackoff_.Reset();
+    Poll();
+  } else if (!polling_) {
     Poll();
   } else if (pollDelayed_) {
     pollBackoff_.Reset();
@@ -282,8 +285,9 @@
                        number,
                        asked = table_.Upstream()->startedMs_,
                        fence = fence_,
+                       series = pollSeries_,
                        settled](const std::optional<PollAnswer>& aAnswer) {
-    if (!std::exchange(*settled, true)) {
+    if (!std::exchange(*settled, true) && series == pollSeries_) {
       OnPollAnswer(number, asked, fence, aAnswer);
     }
   };
