Take the timeout of calls from the time that answers take

Where a tenth of the calls to executors had no answer, jobs were late or refused throughout: the timeout doubled with each poll without an answer and shrank by a tenth with each answer, which has no steady state above about 13 % of lost calls, ran into its cap of 320 ms and stayed there.

The timeout is now four mean deviations above the mean time to an answer (RFC 6298), 20 to 320 ms. Lost calls leave the estimate alone; it doubles with the third call in a row without an answer, since the upstream may have become slower, until the first answer. Starts count as polls do.

--- a/src/libcornelfront/job_sidecar_pvt.h
+++ b/src/libcornelfront/job_sidecar_pvt.h
@@ -7,6 +7,7 @@
 #include "cornelfront/job_sidecar.h"
 
 #include "cornelfront/backoff.h"
+#include "cornelfront/call_timeout.h"
 #include "cornelfront/http_server.h"
 #include "cornelfront/job_metrics.h"
 #include "cornelfront/link.h"
@@ -26,10 +27,6 @@
 
 namespace cornelfront {
 
-/// Lower bound of the timeout of a call to the upstream. The timeout doubles
-/// after each unanswered call and shrinks slowly with each answer.
-inline constexpr Millis kMinRequestTimeout{ 20 };
-
 class JobSidecar::Impl
 {
 public:
@@ -79,6 +76,7 @@
   void PollAfter(Millis aDelay);
   Millis PollWait(MonoTime aNow) const;
   void OnPollResult(uint64_t aPollNumber,
+                    Millis aWait,
                     platform::PollOutcome aOutcome,
                     const UpstreamPollResult& aPollResult);
   /// Sends all pending starts, stops and reports of the table.
@@ -121,7 +119,7 @@
   int64_t lastHeartbeat_ = 0;
   UpstreamTime clock_;
   MonoTime clockRead_;
-  Millis requestTimeout_ = kMinRequestTimeout;
+  CallTimeout callTimeout_{ CallTimeoutOptions{} };
   /// Time at which a poll last failed.
   MonoTime lastUnanswered_;
   bool polling_ = false;
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -17,7 +17,6 @@
 /// The same while nothing runs; several polls fit into one lease.
 constexpr Millis kIdlePollWait{ 300 };
 constexpr Millis kMinPollRetryDelay{ 1 };
-constexpr Millis kMaxRequestTimeout{ 320 };
 
 } // namespace
 
@@ -115,16 +114,17 @@
   if (const auto end = table_.LeaseEnd(now)) {
     lease = UpstreamNow(*end);
   }
+  const Millis wait = PollWait(now);
   const uint64_t pollNumber = table_.BeginPoll();
   executor_->Poll(
     table_.AcknowledgedEnds(),
     lease,
-    PollWait(now),
-    requestTimeout_,
-    [this, pollNumber, series = pollSeries_](
+    wait,
+    callTimeout_.Current(),
+    [this, pollNumber, wait, series = pollSeries_](
       platform::PollOutcome aOutcome, const UpstreamPollResult& aPollResult) {
       if (series == pollSeries_) {
-        OnPollResult(pollNumber, aOutcome, aPollResult);
+        OnPollResult(pollNumber, wait, aOutcome, aPollResult);
       }
     });
 }
@@ -146,6 +146,7 @@
 
 void
 JobSidecar::Impl::OnPollResult(uint64_t aPollNumber,
+                               Millis aWait,
                                platform::PollOutcome aOutcome,
                                const UpstreamPollResult& aPollResult)
 {
@@ -153,7 +154,11 @@
   DetectSuspension(now);
   if (aOutcome == platform::PollOutcome::Ok) {
     pollBackoff_.Reset();
-    requestTimeout_ = std::max(requestTimeout_ * 9 / 10, kMinRequestTimeout);
+    const auto time = std::chrono::duration_cast<Millis>(now - pollStart_);
+    // An end that was listed earlier cut the wait short.
+    if (time >= aWait) {
+      callTimeout_.OnAnswer(time - aWait);
+    }
     if (table_.OnPollResult(aPollNumber, aPollResult, now)) {
       hasPolled_ = true;
       clock_ = aPollResult.clock_;
@@ -163,9 +168,13 @@
     Poll();
     return;
   }
-  requestTimeout_ = std::min(requestTimeout_ * 2, kMaxRequestTimeout);
+  if (aOutcome == platform::PollOutcome::Silent) {
+    callTimeout_.OnNoAnswer(pollStart_, now);
+  }
   lastUnanswered_ = now;
   metrics_.CountUnanswered();
+  metrics_.SetGauge("call_timeout_ms",
+                    static_cast<double>(callTimeout_.Current().count()));
   const bool restarted = aOutcome == platform::PollOutcome::Restarted;
   if (restarted || aOutcome == platform::PollOutcome::Replaced) {
     const bool present = table_.OnUpstreamReplaced(
@@ -234,14 +243,21 @@
 {
   const UpstreamTime deadline{ UpstreamNow(aNow).value_ +
                                table_.Options().startTimeout_ };
-  executor_->Start(aOrder,
-                   deadline,
-                   requestTimeout_,
-                   [this, key = aOrder.key_, deadline](StartAnswer aAnswer) {
-                     const MonoTime now = BootNow();
-                     table_.OnStartAnswer(key, aAnswer, deadline, now);
-                     SendPending(now);
-                   });
+  executor_->Start(
+    aOrder,
+    deadline,
+    callTimeout_.Current(),
+    [this, key = aOrder.key_, deadline, aNow](StartAnswer aAnswer) {
+      const MonoTime now = BootNow();
+      if (aAnswer == StartAnswer::Unknown) {
+        callTimeout_.OnNoAnswer(aNow, now);
+        metrics_.CountUnanswered();
+      } else if (aAnswer != StartAnswer::NotSent) {
+        callTimeout_.OnAnswer(std::chrono::duration_cast<Millis>(now - aNow));
+      }
+      table_.OnStartAnswer(key, aAnswer, deadline, now);
+      SendPending(now);
+    });
 }
 
 void
--- a/src/libcornelfront/policy/two_runs_model_test.h
+++ b/src/libcornelfront/policy/two_runs_model_test.h
@@ -7,6 +7,7 @@
 /// JobSidecar and Link do.
 
 #include "cornelfront/backoff.h"
+#include "cornelfront/call_timeout.h"
 #include "cornelfront/job_scheduler.h"
 #include "cornelfront/messages.h"
 #include "cornelfront/report_schedule.h"
@@ -346,6 +347,7 @@
   void OnPollAnswer(uint64_t aPollNumber,
                     int64_t aAsked,
                     int64_t aFence,
+                    Millis aWait,
                     const std::optional<PollAnswer>& aAnswer);
   void OnPollUnanswered(MonoTime aNow);
   void SendPending(MonoTime aNow);
@@ -370,7 +372,7 @@
   int64_t fenceStep_ = 0;
   UpstreamTime clock_;
   MonoTime clockRead_;
-  Millis requestTimeout_;
+  CallTimeout callTimeout_{ CallTimeoutOptions{} };
   MonoTime lastUnanswered_;
   bool polling_ = false;
   bool hasPolled_ = false;
--- a/src/libcornelfront/policy/two_runs_sidecar_test.cpp
+++ b/src/libcornelfront/policy/two_runs_sidecar_test.cpp
@@ -10,8 +10,6 @@
 constexpr Millis kTickInterval{ 50 };
 constexpr Millis kPredecessorRunTimeout{ 1100 };
 constexpr Millis kPredecessorOrderTimeout{ 300 };
-constexpr Millis kMinRequestTimeout{ 20 };
-constexpr Millis kMaxRequestTimeout{ 320 };
 constexpr Millis kBusyPollWait{ 50 };
 constexpr Millis kDegradedPollWait{ 15 };
 constexpr Millis kDegradedPeriod{ 3000 };
@@ -33,7 +31,6 @@
 SidecarProcess::SidecarProcess(World& aWorld, size_t aMachine)
   : Process(aWorld, aMachine)
   , start_(Now())
-  , requestTimeout_(kMinRequestTimeout)
   , pollBackoff_({ .initial_ = Millis(1),
                    .max_ = Millis(200),
                    .seed_ = aWorld.random_.Next() })
@@ -285,13 +282,15 @@
                        number,
                        asked = table_.Upstream()->startedMs_,
                        fence = fence_,
+                       wait = order.wait_,
                        series = pollSeries_,
                        settled](const std::optional<PollAnswer>& aAnswer) {
     if (!std::exchange(*settled, true) && series == pollSeries_) {
-      OnPollAnswer(number, asked, fence, aAnswer);
+      OnPollAnswer(number, asked, fence, wait, aAnswer);
     }
   };
-  Post(order.wait_ + requestTimeout_, [settle] { settle(std::nullopt); });
+  Post(order.wait_ + callTimeout_.Current(),
+       [settle] { settle(std::nullopt); });
   const auto reply = [weak = weak_from_this(),
                       settle](const PollAnswer& aAnswer) {
     if (const auto self = weak.lock()) {
@@ -328,6 +327,7 @@
 SidecarProcess::OnPollAnswer(uint64_t aPollNumber,
                              int64_t aAsked,
                              int64_t aFence,
+                             Millis aWait,
                              const std::optional<PollAnswer>& aAnswer)
 {
   const MonoTime now = Now();
@@ -352,7 +352,10 @@
     return;
   }
   pollBackoff_.Reset();
-  requestTimeout_ = std::max(requestTimeout_ * 9 / 10, kMinRequestTimeout);
+  const auto time = std::chrono::duration_cast<Millis>(now - pollStart_);
+  if (time >= aWait) {
+    callTimeout_.OnAnswer(time - aWait);
+  }
   if (table_.OnPollResult(aPollNumber, aAnswer->result_, now)) {
     hasPolled_ = true;
     clock_ = aAnswer->result_.clock_;
@@ -365,7 +368,7 @@
 void
 SidecarProcess::OnPollUnanswered(MonoTime aNow)
 {
-  requestTimeout_ = std::min(requestTimeout_ * 2, kMaxRequestTimeout);
+  callTimeout_.OnNoAnswer(pollStart_, aNow);
   lastUnanswered_ = aNow;
   PollAfter(
     std::max(pollBackoff_.OnFailure(pollStart_, aNow), kMinPollRetryDelay));
@@ -457,14 +460,19 @@
   const RunKey upstreamKey{ aOrder.key_.task_, aOrder.upstreamRunNumber_ };
   const auto settled = std::make_shared<bool>(false);
   const auto settle =
-    [this, key = aOrder.key_, deadline, settled](StartAnswer aAnswer) {
+    [this, key = aOrder.key_, deadline, aNow, settled](StartAnswer aAnswer) {
       if (!std::exchange(*settled, true)) {
         const MonoTime now = Now();
+        if (aAnswer == StartAnswer::Unknown) {
+          callTimeout_.OnNoAnswer(aNow, now);
+        } else {
+          callTimeout_.OnAnswer(std::chrono::duration_cast<Millis>(now - aNow));
+        }
         table_.OnStartAnswer(key, aAnswer, deadline, now);
         SendPending(now);
       }
     };
-  Post(requestTimeout_, [settle] { settle(StartAnswer::Unknown); });
+  Post(callTimeout_.Current(), [settle] { settle(StartAnswer::Unknown); });
   const CallFate fate = world_.DrawFate(Machine(), false);
   world_.Record({ ToString(aOrder.key_.task_), Machine(), std::nullopt },
                 "sends start of " + ToString(upstreamKey) +
