--- a/src/libcornelfront/platform/heartbeat_api_test.cpp
+++ b/src/libcornelfront/platform/heartbeat_api_test.cpp
@@ -65,6 +65,21 @@
   EXPECT_TRUE(departures_.empty());
 }
 
+// It names no executor to use, and the present one stays.
+TEST_F(HeartbeatApiTest, AHeartbeatWithAMalformedStartTimeIsIgnored)
+{
+  for (const char* born :
+       { "\"1\"", "1.5", "-1", "[1]", "true", "99999999999999999999" }) {
+    EXPECT_EQ(Post("/instances/i-1/heartbeat",
+                   R"({"service":"desk","state":"ready","seq":1,
+"capacity":{"cpu":1},"born":)" +
+                     std::string(born) + "}"),
+              400)
+      << born;
+  }
+  EXPECT_TRUE(heartbeats_.empty());
+}
+
 TEST_F(HeartbeatApiTest, DistinguishesHeartbeatsFromDeregistrations)
 {
   EXPECT_EQ(Post("/instances/i-1/heartbeat",
--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -296,6 +296,27 @@
   EXPECT_EQ(table_.Size(), 0U);
 }
 
+// What is being stopped still counts.
+TEST_F(RunTableTest, ACapacityThatShrinksAdmitsNoStartBeyondIt)
+{
+  Start(2);
+  UpstreamInfo shrunk = Upstream();
+  shrunk.capacity_.cpu_ = 2500;
+  table_.OnUpstream(shrunk, At(5));
+  EXPECT_EQ(table_.MakeUpstreamReport(At(5)).capacity_.cpu_, 2500);
+  table_.OnOrders(kOwner, Orders(4), At(6));
+  EXPECT_TRUE(table_.TakeStarts(At(6)).empty());
+  table_.OnStop({ .runs_ = { Key(0) } }, At(7));
+  EXPECT_TRUE(table_.TakeStarts(At(7)).empty());
+  Poll({ .running_ = { { Key(1) } },
+         .ended_ = { { 1, Key(0), RunEnd::Stopped } } },
+       10);
+  EXPECT_EQ(table_.TakeStarts(At(10)).size(), 1U);
+  EXPECT_TRUE(table_.TakeStarts(At(11)).empty());
+  table_.OnUpstream(Upstream(), At(12));
+  EXPECT_EQ(table_.TakeStarts(At(12)).size(), 1U) << "it has grown again";
+}
+
 TEST_F(RunTableTest, RunsOfASilentUpstreamAreLostOnlyAfterItsLease)
 {
   Start(1);
