Let calls time out after 10 ms while calls are being lost

A lost call hides for 20 ms what has ended at the executor, whose answers take 1 to 3 ms. For 3 s after a lost call the least timeout is 10 ms.

--- a/src/include/cornelfront/call_timeout.h
+++ b/src/include/cornelfront/call_timeout.h
@@ -12,6 +12,11 @@
 struct CallTimeoutOptions
 {
   Millis min_{ 20 };
+  /// Minimum while calls are being lost. A lost call hides what has ended for
+  /// as long, which is worth some more calls then.
+  Millis minAfterLoss_{ 10 };
+  /// How long a lost call has this effect.
+  Millis lossPeriod_{ 3000 };
   /// Several attempts fit into the time after which the upstream's lease ends.
   Millis max_{ 320 };
   /// Number of unanswered calls in a row that are taken as lost.
@@ -33,7 +38,7 @@
 
   /// Returns the time after which a call that is sent now counts as
   /// unanswered.
-  Millis Current() const;
+  Millis Current(MonoTime aNow) const;
   /// \p aTime is the time that the answer took, without any wait that the call
   /// asked for.
   void OnAnswer(Millis aTime);
@@ -49,6 +54,7 @@
   int unanswered_ = 0;
   int factor_ = 1;
   MonoTime widenedAt_;
+  std::optional<MonoTime> lostAt_;
 };
 
 } // namespace cornelfront
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -120,7 +120,7 @@
     table_.AcknowledgedEnds(),
     lease,
     wait,
-    callTimeout_.Current(),
+    callTimeout_.Current(now),
     [this, pollNumber, wait, series = pollSeries_](
       platform::PollOutcome aOutcome, const UpstreamPollResult& aPollResult) {
       if (series == pollSeries_) {
@@ -174,7 +174,7 @@
   lastUnanswered_ = now;
   metrics_.CountUnanswered();
   metrics_.SetGauge("call_timeout_ms",
-                    static_cast<double>(callTimeout_.Current().count()));
+                    static_cast<double>(callTimeout_.Current(now).count()));
   const bool restarted = aOutcome == platform::PollOutcome::Restarted;
   if (restarted || aOutcome == platform::PollOutcome::Replaced) {
     const bool present = table_.OnUpstreamReplaced(
@@ -246,7 +246,7 @@
   executor_->Start(
     aOrder,
     deadline,
-    callTimeout_.Current(),
+    callTimeout_.Current(aNow),
     [this, key = aOrder.key_, deadline, aNow](StartAnswer aAnswer) {
       const MonoTime now = BootNow();
       if (aAnswer == StartAnswer::Unknown) {
--- a/src/libcornelfront/policy/call_timeout.cpp
+++ b/src/libcornelfront/policy/call_timeout.cpp
@@ -21,11 +21,13 @@
 }
 
 Millis
-CallTimeout::Current() const
+CallTimeout::Current(MonoTime aNow) const
 {
+  const bool losing = lostAt_ && aNow - *lostAt_ < options_.lossPeriod_;
+  const Millis least = losing ? options_.minAfterLoss_ : options_.min_;
   const double estimate = meanMs_.value_or(0.0) + kDeviations * deviationMs_;
   const Millis base =
-    std::clamp(Millis(std::lround(estimate)), options_.min_, options_.max_);
+    std::clamp(Millis(std::lround(estimate)), least, options_.max_);
   return std::min(base * factor_, options_.max_);
 }
 
@@ -48,6 +50,7 @@
 void
 CallTimeout::OnNoAnswer(MonoTime aSent, MonoTime aNow)
 {
+  lostAt_ = aNow;
   if (aSent < widenedAt_ || ++unanswered_ <= options_.maxLost_) {
     return;
   }
