List orders without an answer after 100 ms of silence

A sidecar that was killed or suspended within 600 ms of the crash of its upstream had not listed its orders without an answer yet, and the task was started elsewhere by another entry. An order that had no answer in time is now listed once the upstream has been silent for 100 ms; one that still awaits its answer, after 600 ms as before, so that idle upstreams cause no messages.

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -222,6 +222,10 @@
   /// An upstream that has not answered for this long is suspect and gets no new
   /// work.
   Millis upstreamSuspectAfter_{ 600 };
+  /// An order without an answer is listed by FindLateOrders once the upstream
+  /// has not answered for this long; one that awaits its answer, once the
+  /// upstream is suspect.
+  Millis listUnansweredAfter_{ 100 };
   /// Interval at which a stop request without effect is repeated. Several fit
   /// into the time that the lease lasts on, since its end takes all runs along.
   Millis stopRepeatInterval_{ 100 };
@@ -349,10 +353,10 @@
   /// Returns the last crashes of the upstream, for an entry that links.
   std::vector<UpstreamCrash> KnownCrashes() const;
 
-  /// Returns the tasks of which an order may still be carried out, while it is
-  /// not known what the upstream runs: it has been silent for
-  /// RunTableOptions::upstreamSuspectAfter_, or has not answered its first
-  /// poll.
+  /// Returns the tasks that no entry may start elsewhere: those of which an
+  /// order may still be carried out, while it is not known what the upstream
+  /// runs, and those that run there although the order was meant for an earlier
+  /// incarnation or was not one of this table.
   LateOrders FindLateOrders(MonoTime aNow) const;
 
   HeldRuns MakeHeldRuns(MemberId aOwner) const;
--- a/src/libcornelfront/policy/run_incarnations.cpp
+++ b/src/libcornelfront/policy/run_incarnations.cpp
@@ -186,12 +186,14 @@
 LateOrders
 RunTable::FindLateOrders(MonoTime aNow) const
 {
-  const bool known =
-    upstream_ && runsKnown_ &&
-    Since(upstreamHeardAt_, aNow) <= options_.upstreamSuspectAfter_;
+  const Millis silence = Since(upstreamHeardAt_, aNow);
+  const bool known = upstream_ && runsKnown_;
+  const bool suspect = !known || silence > options_.upstreamSuspectAfter_;
+  const bool quiet = suspect || silence > options_.listUnansweredAfter_;
   std::set<JobTaskId> tasks;
   for (const auto& [key, run] : runs_) {
-    if (run.keptPastRestart_ || (!known && MayBeginLate(run, aNow))) {
+    const bool listed = suspect || (quiet && run.unanswered_ > 0);
+    if (run.keptPastRestart_ || (listed && MayBeginLate(run, aNow))) {
       tasks.insert(key.task_);
     }
   }
@@ -199,7 +201,7 @@
     tasks.insert(key.task_);
   }
   for (const auto& [task, until] : lateOrders_) {
-    if (!known && aNow <= until) {
+    if (quiet && aNow <= until) {
       tasks.insert(task);
     }
   }
--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -1007,8 +1007,12 @@
 // orders.
 TEST_F(RestartedUpstreamTest, ListsLateOrdersUntilTheNextIncarnationTells)
 {
-  Wait(20, 600);
-  EXPECT_TRUE(table_.FindLateOrders(At(605)).tasks_.empty());
+  Wait(20, 100);
+  EXPECT_TRUE(table_.FindLateOrders(At(105)).tasks_.empty());
+  EXPECT_EQ(table_.FindLateOrders(At(106)).tasks_,
+            std::vector<JobTaskId>{ Key(2).task_ })
+    << "it has no answer";
+  Wait(110, 600);
   const std::vector<JobTaskId> late{ Key(2).task_, Key(3).task_ };
   EXPECT_EQ(table_.FindLateOrders(At(606)).tasks_, late);
   Wait(610, 1700);
