Soak: a fault disturbs until its end has been carried out

Its logs: the end of stop_entry, due 5 s after the SIGTERM at 12.5 s, was carried out at 35.0 s, since the injector's calls were that late on the busy machine. It replaced entry 1, which another fault's end had started meanwhile, in the middle of two requests. The check counted the fault up to the time at which its end was due.

Each fault now counts until its end has been carried out, and never less than before.

--- a/testsuite/soak/faults.cpp
+++ b/testsuite/soak/faults.cpp
@@ -265,11 +265,24 @@
                 << " ms=" << change.fault_.length_.count() << "\n";
     } else {
       End(change.fault_);
+      RecordHealed(change.fault_, WallMillisNow());
     }
   }
   HealAll();
 }
 
+void
+FaultInjector::RecordHealed(const Fault& aFault, WallMillis aNow)
+{
+  for (Injected& injected : injected_) {
+    const Fault& known = injected.fault_;
+    if (known.kind_ == aFault.kind_ && known.target_ == aFault.target_ &&
+        known.leg_ == aFault.leg_ && known.at_ == aFault.at_) {
+      injected.healed_ = aNow;
+    }
+  }
+}
+
 bool
 FaultInjector::Begin(const Fault& aFault)
 {
@@ -394,7 +407,8 @@
 {
   return std::any_of(
     injected_.begin(), injected_.end(), [&](const Injected& aInjected) {
-      return aInjected.from_ < aTo && aInjected.to_ + kReconnectMs > aFrom &&
+      return aInjected.from_ < aTo &&
+             aInjected.LastEffect() + kReconnectMs > aFrom &&
              aDisturbs(aInjected.fault_);
     });
 }
@@ -465,11 +479,12 @@
     std::vector<std::pair<WallMillis, WallMillis>> disturbed;
     for (const Injected& injected : injected_) {
       if (!IsPlanned(injected.fault_.kind_)) {
-        disturbed.emplace_back(injected.from_, injected.to_ + kReconnectMs);
+        disturbed.emplace_back(injected.from_,
+                               injected.LastEffect() + kReconnectMs);
       } else if (injected.fault_.kind_ == FaultKind::StopEntry &&
                  injected.fault_.target_ == entry) {
         disturbed.emplace_back(injected.from_ + kStopNoticeMs,
-                               injected.to_ + kReconnectMs);
+                               injected.LastEffect() + kReconnectMs);
       }
     }
     std::sort(disturbed.begin(), disturbed.end());
--- a/testsuite/soak/faults.h
+++ b/testsuite/soak/faults.h
@@ -7,6 +7,7 @@
 
 #include "checks.h"
 
+#include <algorithm>
 #include <random>
 #include <vector>
 
@@ -94,12 +95,18 @@
   {
     Fault fault_;
     WallMillis from_ = 0;
+    /// When its end is due.
     WallMillis to_ = 0;
+    /// When its end had been carried out; on a busy machine later than due.
+    WallMillis healed_ = 0;
+
+    WallMillis LastEffect() const { return std::max(to_, healed_); }
   };
 
   /// Returns false if the fault could not be injected.
   bool Begin(const Fault& aFault);
   void End(const Fault& aFault);
+  void RecordHealed(const Fault& aFault, WallMillis aNow);
   void HealAll();
   /// Writes the evacuation record of the target's zone; an empty value deletes
   /// it. Returns false if the store did not acknowledge it.
