Count an order without an answer for one crash only

A caller was told that its job had failed, since two upstreams had crashed under one of its tasks, which had run at most once: the upstream was reborn twice within 130 ms, and the run that was kept past the first restart, not known to have begun, counted for the second crash again.

A run that no incarnation has listed since an earlier crash has counted for that one. The test fails before and passes after.

--- a/src/libcornelfront/policy/run_crashes.cpp
+++ b/src/libcornelfront/policy/run_crashes.cpp
@@ -31,7 +31,10 @@
 {
   UpstreamCrash crash;
   for (const auto& [key, run] : runs_) {
-    if (run.state_ != State::Waiting) {
+    // A run that no incarnation has listed since an earlier crash has counted
+    // for that one.
+    const bool counted = run.keptPastRestart_ && run.firstPoll_ > answeredPoll_;
+    if (run.state_ != State::Waiting && !counted) {
       crash.tasks_.push_back(key.task_);
     }
   }
--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -1027,6 +1027,22 @@
   EXPECT_TRUE(table_.FindLateOrders(At(1730)).tasks_.empty());
 }
 
+TEST_F(RestartedUpstreamTest, AnOrderWithoutAnAnswerCountsForOneCrashOnly)
+{
+  table_.OnUpstream(Upstream(2), At(10));
+  auto crashes = table_.TakeCrashes();
+  ASSERT_EQ(crashes.size(), 1U);
+  EXPECT_EQ(crashes[0].tasks_.size(), 4U);
+  table_.OnUpstream(Upstream(3), At(20));
+  EXPECT_TRUE(table_.TakeCrashes().empty())
+    << "the second incarnation is not known to have begun any";
+  Poll({ .running_ = { { Key(2) } } }, 30);
+  table_.OnUpstream(Upstream(4), At(40));
+  crashes = table_.TakeCrashes();
+  ASSERT_EQ(crashes.size(), 1U);
+  EXPECT_EQ(crashes[0].tasks_, std::vector<JobTaskId>{ Key(2).task_ });
+}
+
 // An order that was sent again may be under way although its run has ended.
 TEST_F(RestartedUpstreamTest, ListsLateOrdersOfRunsThatHaveEnded)
 {
