--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -240,9 +240,8 @@
   /// Time for which an upstream is avoided once most of its runs fail.
   Millis ejectionTime_{ 2000 };
   CrashLedgerOptions crashes_;
-  /// How long the last list of late orders of a sidecar counts. Orders reach it
-  /// after RunTableOptions::upstreamSuspectAfter_ and may be carried out up to
-  /// RunTableOptions::maxOrderDelay_.
+  /// How long the last list of late orders of a sidecar counts: none of them is
+  /// carried out later than RunTableOptions::maxOrderDelay_ after it was sent.
   Millis lateOrderRetention_{ 12000 };
   /// Share of the upstreams on which tasks are tried alone that other upstreams
   /// have crashed under.
