--- a/review/common/deployment.cpp
+++ b/review/common/deployment.cpp
@@ -304,6 +304,30 @@
     LogOf(name)));
 }
 
+void
+Deployment::RestartEntry(unsigned aEntry)
+{
+  const std::string name = "front-z" + std::to_string(aEntry) + "-1";
+  entries_[aEntry] = std::make_unique<Child>(
+    std::vector<std::string>{
+      product_, "job-entry", "--settings", directory_ + "/" + name + ".yaml" },
+    LogOf(name));
+  record_.Line("entry " + std::to_string(aEntry) + " is started again");
+}
+
+void
+Deployment::RestartSidecar(unsigned aSidecar)
+{
+  const std::string name = "side-z" + std::to_string(aSidecar) + "-1";
+  sidecars_[aSidecar] = std::make_unique<Child>(
+    std::vector<std::string>{ product_,
+                              "job-sidecar",
+                              "--settings",
+                              directory_ + "/" + name + ".yaml" },
+    LogOf(name));
+  record_.Line("sidecar " + std::to_string(aSidecar) + " is started again");
+}
+
 void
 Deployment::StartExecutor(unsigned aExecutor)
 {
--- a/review/common/deployment.h
+++ b/review/common/deployment.h
@@ -89,6 +89,9 @@
   /// Starts a crashed executor again, under its id and address.
   void StartExecutor(unsigned aExecutor);
 
+  /// Starts an entry or a sidecar that was killed again, with its settings.
+  void RestartEntry(unsigned aEntry);
+  void RestartSidecar(unsigned aSidecar);
   Child& Entry(unsigned aEntry) { return *entries_.at(aEntry); }
   Child& Sidecar(unsigned aSidecar) { return *sidecars_.at(aSidecar); }
   /// The entry that leads according to its metrics; -1 if none does.
