--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cmake -S review -B build-review -G Ninja -DCMAKE_BUILD_TYPE=Release
-cmake --build build-review --target play_case store_standin executor_standin fault_proxy
+cmake --build build-review --target play_case store_standin executor_standin \
+  fault_proxy late_executor
--- a/review/common/deployment.cpp
+++ b/review/common/deployment.cpp
@@ -337,7 +337,7 @@
   }
   const std::string id = "i-" + std::to_string(aExecutor);
   executors_[aExecutor] = std::make_unique<Child>(
-    std::vector<std::string>{ standins_ + "executor_standin",
+    std::vector<std::string>{ standins_ + options_.executorProgram_,
                               "--port",
                               std::to_string(executorPorts_[aExecutor]),
                               "--id",
@@ -351,6 +351,20 @@
   record_.Line("executor " + id + " is up");
 }
 
+void
+Deployment::ControlExecutor(unsigned aExecutor, const std::string& aFields)
+{
+  record_.Line("executor i-" + std::to_string(aExecutor) + " " + aFields);
+  const HttpResult result =
+    Perform({ .method_ = "POST",
+              .url_ = "http://127.0.0.1:" +
+                      std::to_string(executorPorts_.at(aExecutor)) + "/control",
+              .body_ = aFields });
+  if (!result.Ok()) {
+    throw CannotRun("an executor does not answer");
+  }
+}
+
 void
 Deployment::CrashExecutor(unsigned aExecutor)
 {
--- a/review/common/deployment.h
+++ b/review/common/deployment.h
@@ -23,6 +23,8 @@
   unsigned executors_ = 3;
   /// Capacity of an executor, in thousandths of a core.
   int cpu_ = 4000;
+  /// Program that stands in for an executor.
+  std::string executorProgram_ = "executor_standin";
   /// Places a proxy before the store, for each entry.
   bool storeProxies_ = false;
   /// Places a proxy between the sidecars and each entry.
@@ -84,6 +86,8 @@
   /// Records all runs.
   void RecordRuns();
 
+  /// Sends a request to the control address of an executor.
+  void ControlExecutor(unsigned aExecutor, const std::string& aFields);
   /// SIGKILL of an executor.
   void CrashExecutor(unsigned aExecutor);
   /// Starts a crashed executor again, under its id and address.
