--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -347,6 +347,10 @@
   /// Returns the updates that have not been taken yet, by owner.
   std::map<MemberId, Updates> TakeUpdates();
 
+  /// Returns the runs on the upstream that were not ordered through this table
+  /// and have been found since the last call, with the upstream's run numbers.
+  std::vector<RunKey> TakeFoundOrphans();
+
   /// Returns the crashes of the upstream that are new or have changed since the
   /// last call.
   std::vector<UpstreamCrash> TakeCrashes();
@@ -520,6 +524,7 @@
   /// Runs on the upstream that were not ordered through this table, by the
   /// upstream's run number.
   std::map<RunKey, Stop> orphans_;
+  std::vector<RunKey> foundOrphans_;
   std::map<MemberId, Owner> owners_;
   uint64_t nextSequence_ = 0;
   uint64_t polls_ = 0;
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -164,6 +164,7 @@
       clock_ = aPollResult.clock_;
       clockRead_ = now;
     }
+    LogOrphans();
     SendPending(now);
     Poll();
     return;
@@ -189,6 +190,18 @@
     std::max(pollBackoff_.OnFailure(pollStart_, now), kMinPollRetryDelay));
 }
 
+void
+JobSidecar::Impl::LogOrphans()
+{
+  const auto& known = table_.Upstream();
+  for (const RunKey& key : table_.TakeFoundOrphans()) {
+    LOG(WARNING) << "job=" << key.task_.job_ << " run=" << ToString(key)
+                 << " upstream=" << (known ? known->id_ : "none")
+                 << " born=" << (known ? known->startedMs_ : 0)
+                 << " outcome=found_unordered";
+  }
+}
+
 void
 JobSidecar::Impl::PollAfter(Millis aDelay)
 {
--- a/src/libcornelfront/platform/executor_client.cpp
+++ b/src/libcornelfront/platform/executor_client.cpp
@@ -257,18 +257,23 @@
                    { "fence", fence_ } };
   HttpClientRequest request = Request("/run-start", body.dump());
   request.timeout_ = aLimit;
-  requests_.Send(
-    std::move(request),
-    [key = aOrder.key_, done = std::move(aDone)](const HttpResult& aResult) {
-      const StartResult result = ParseStartAnswer(aResult);
-      if (result.answer_ != StartAnswer::Started) {
-        LOG(INFO) << "job=" << key.task_.job_ << " run=" << ToString(key)
-                  << " reason=\"" << result.reason_ << "\" outcome="
-                  << (result.answer_ == StartAnswer::Unknown ? "start_unknown"
-                                                             : "not_started");
-      }
-      done(result.answer_);
-    });
+  requests_.Send(std::move(request),
+                 [key = aOrder.key_,
+                  fence = fence_,
+                  born = info_.startedMs_,
+                  done = std::move(aDone)](const HttpResult& aResult) {
+                   const StartResult result = ParseStartAnswer(aResult);
+                   if (result.answer_ != StartAnswer::Started) {
+                     LOG(INFO)
+                       << "job=" << key.task_.job_ << " run=" << ToString(key)
+                       << " fence=" << fence << " born=" << born << " reason=\""
+                       << result.reason_ << "\" outcome="
+                       << (result.answer_ == StartAnswer::Unknown
+                             ? "start_unknown"
+                             : "not_started");
+                   }
+                   done(result.answer_);
+                 });
 }
 
 void
@@ -277,15 +282,17 @@
   const json body{ { "task", ToString(aKey.task_) },
                    { "run", aKey.run_ },
                    { "fence", fence_ } };
-  requests_.Send(
-    Request("/run-stop", body.dump()), [aKey](const HttpResult& aResult) {
-      if (!aResult.Ok()) {
-        LOG(WARNING) << "stop run=" << ToString(aKey) << " failed: "
-                     << (aResult.error_.empty()
-                           ? std::to_string(aResult.response_.status_)
-                           : aResult.error_);
-      }
-    });
+  requests_.Send(Request("/run-stop", body.dump()),
+                 [aKey, fence = fence_](const HttpResult& aResult) {
+                   if (!aResult.Ok()) {
+                     LOG(WARNING)
+                       << "stop run=" << ToString(aKey) << " fence=" << fence
+                       << " failed: "
+                       << (aResult.error_.empty()
+                             ? std::to_string(aResult.response_.status_)
+                             : aResult.error_);
+                   }
+                 });
 }
 
 void
--- a/src/libcornelfront/policy/run_polls.cpp
+++ b/src/libcornelfront/policy/run_polls.cpp
@@ -7,6 +7,7 @@
 #include "policy/run_table_pvt.h"
 
 #include <set>
+#include <utility>
 
 namespace cornelfront {
 namespace {
@@ -67,9 +68,10 @@
     const auto run = FindUpstreamRun(entry.key_);
     if (run == runs_.end()) {
       // A known orphan keeps its stop.
-      orphans_.try_emplace(
-        entry.key_,
-        Stop{ .reason_ = StopReason::Orphaned, .requestedAt_ = aNow });
+      const Stop stop{ .reason_ = StopReason::Orphaned, .requestedAt_ = aNow };
+      if (orphans_.try_emplace(entry.key_, stop).second) {
+        foundOrphans_.push_back(entry.key_);
+      }
       continue;
     }
     if (run->second.state_ == State::Uncertain) {
@@ -218,6 +220,12 @@
   }
 }
 
+std::vector<RunKey>
+RunTable::TakeFoundOrphans()
+{
+  return std::exchange(foundOrphans_, {});
+}
+
 RunTable::Runs::iterator
 RunTable::FindUpstreamRun(const RunKey& aKey)
 {
