Raise the fence with each call to an upstream that has no answer

Callers saw two runs of one task: one begun by a newer order, one by an order without an answer that their upstream carried out after it had started again under its id.

Cause: polls that are sent while an upstream is silent carried the fence of its unanswered orders. The next incarnation answered such a poll, and its fence was then no higher than theirs, until the first heartbeat, up to 1.5 s later.

OrderFence (policy/) raises the fence with each call without an answer, so that the next one that is answered ends all orders before it, whichever incarnation answers; a poll that shows a restart is followed at once by a call with a higher fence. An order that such a call overtakes is refused for its fence and sent again.

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -81,6 +81,8 @@
   DeadlinePassed,
   /// A run of the task with this or a higher number has already ended there.
   RunNumberUsed,
+  /// A call with a higher fence had arrived before; the order is sent again.
+  Fenced,
   /// Refused for good; the run does not start.
   Refused,
   /// No connection, so the run is known not to have started.
--- a/src/libcornelfront/job_sidecar_pvt.h
+++ b/src/libcornelfront/job_sidecar_pvt.h
@@ -74,6 +74,7 @@
   void Poll();
   void RestartPolling();
   void PollAfter(Millis aDelay);
+  void SendFence(MonoTime aNow);
   Millis PollWait(MonoTime aNow) const;
   void OnPollResult(uint64_t aPollNumber,
                     Millis aWait,
@@ -134,6 +135,9 @@
   /// Number of the present series of polls; results of earlier ones are
   /// ignored.
   uint64_t pollSeries_ = 0;
+  /// The upstream has started again under its id, and has not answered a call
+  /// with a higher fence than the poll that showed it.
+  bool fenceOpen_ = false;
   /// The next poll waits for pollTimer_.
   bool pollDelayed_ = false;
   std::unique_ptr<asio::steady_timer> pollTimer_;
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -53,9 +53,9 @@
   }
   table_.OnUpstream(aHeartbeat.info_, now);
   if (!same) {
-    executor_->SetIncarnation(aHeartbeat.info_);
     clock_ = aHeartbeat.clock_.value_or(UpstreamTime{});
     clockRead_ = now;
+    executor_->SetIncarnation(aHeartbeat.info_, clock_);
   }
   if (!same) {
     RestartPolling();
@@ -77,6 +77,7 @@
 {
   ++pollSeries_;
   pollDelayed_ = false;
+  fenceOpen_ = false;
   pollTimer_->cancel();
   pollBackoff_.Reset();
   Poll();
@@ -104,12 +105,15 @@
 JobSidecar::Impl::Poll()
 {
   const MonoTime now = BootNow();
-  if (!table_.HasUpstream()) {
-    polling_ = false;
+  polling_ = table_.HasUpstream() || fenceOpen_;
+  if (!polling_) {
     return;
   }
-  polling_ = true;
   pollStart_ = now;
+  if (!table_.HasUpstream()) {
+    SendFence(now);
+    return;
+  }
   std::optional<UpstreamTime> lease;
   if (const auto end = table_.LeaseEnd(now)) {
     lease = UpstreamNow(*end);
@@ -129,6 +133,22 @@
     });
 }
 
+/// Ends the orders that were sent with the fence of the poll that showed a
+/// restart, without waiting for the first heartbeat after it.
+void
+JobSidecar::Impl::SendFence(MonoTime aNow)
+{
+  executor_->SendFence(callTimeout_.Current(aNow),
+                       [this, series = pollSeries_](bool aAnswered) {
+                         if (series != pollSeries_) {
+                           return;
+                         }
+                         fenceOpen_ = !aAnswered;
+                         const MonoTime now = BootNow();
+                         PollAfter(pollBackoff_.OnFailure(pollStart_, now));
+                       });
+}
+
 Millis
 JobSidecar::Impl::PollWait(MonoTime aNow) const
 {
@@ -180,6 +200,7 @@
   if (restarted || aOutcome == platform::PollOutcome::Replaced) {
     const bool present = table_.OnUpstreamReplaced(
       aPollNumber, restarted ? Replacement::SameId : Replacement::OtherId, now);
+    fenceOpen_ = restarted && present;
     LOG(WARNING) << "upstream same_id=" << restarted
                  << " runs_kept=" << table_.Size() << " outcome="
                  << (present ? "replaced" : "was_replaced_before");
--- a/src/libcornelfront/platform/executor_client.cpp
+++ b/src/libcornelfront/platform/executor_client.cpp
@@ -23,11 +23,6 @@
 constexpr long kRequestConnections = 8;
 constexpr long kPollConnections = 2;
 
-/// Steps by which the fence rises until the executor takes a poll, in
-/// milliseconds like the start times that it begins with.
-constexpr int64_t kFirstFenceStep = 1000;
-constexpr int64_t kMaxFenceStep = 3'600'000;
-
 constexpr int kStatusOk = 200;
 constexpr int kStatusConflict = 409;
 constexpr int kStatusOtherIncarnation = 421;
@@ -131,6 +126,9 @@
   if (reason == "old") {
     return { StartAnswer::RunNumberUsed, reason };
   }
+  if (reason == "fence") {
+    return { StartAnswer::Fenced, reason };
+  }
   return { StartAnswer::Refused, reason };
 }
 
@@ -220,11 +218,10 @@
 }
 
 void
-ExecutorClient::SetIncarnation(const UpstreamInfo& aInfo)
+ExecutorClient::SetIncarnation(const UpstreamInfo& aInfo, UpstreamTime aClock)
 {
   info_ = aInfo;
-  fence_ = std::max(fence_ + 1, aInfo.startedMs_);
-  fenceStep_ = kFirstFenceStep;
+  fence_.OnIncarnation(aInfo.startedMs_, aClock);
 }
 
 HttpClientRequest
@@ -254,12 +251,13 @@
                    { "run", aOrder.upstreamRunNumber_ },
                    { "spec", aOrder.payload_ },
                    { "deadlineMs", aDeadline.value_.count() },
-                   { "fence", fence_ } };
+                   { "fence", fence_.Value() } };
   HttpClientRequest request = Request("/run-start", body.dump());
   request.timeout_ = aLimit;
   requests_.Send(std::move(request),
-                 [key = aOrder.key_,
-                  fence = fence_,
+                 [this,
+                  key = aOrder.key_,
+                  fence = fence_.Value(),
                   born = info_.startedMs_,
                   done = std::move(aDone)](const HttpResult& aResult) {
                    const StartResult result = ParseStartAnswer(aResult);
@@ -272,6 +270,11 @@
                              ? "start_unknown"
                              : "not_started");
                    }
+                   if (result.answer_ == StartAnswer::Unknown) {
+                     fence_.OnNoAnswer();
+                   } else if (result.answer_ == StartAnswer::Fenced) {
+                     fence_.OnRefused(fence);
+                   }
                    done(result.answer_);
                  });
 }
@@ -281,9 +284,9 @@
 {
   const json body{ { "task", ToString(aKey.task_) },
                    { "run", aKey.run_ },
-                   { "fence", fence_ } };
+                   { "fence", fence_.Value() } };
   requests_.Send(Request("/run-stop", body.dump()),
-                 [aKey, fence = fence_](const HttpResult& aResult) {
+                 [aKey, fence = fence_.Value()](const HttpResult& aResult) {
                    if (!aResult.Ok()) {
                      LOG(WARNING)
                        << "stop run=" << ToString(aKey) << " fence=" << fence
@@ -302,7 +305,7 @@
                      Millis aLimit,
                      std::function<void(PollOutcome, UpstreamPollResult)> aDone)
 {
-  json body{ { "fence", fence_ },
+  json body{ { "fence", fence_.Value() },
              { "ackedUpto", aAcknowledged },
              { "waitMs", aWait.count() } };
   if (aLease) {
@@ -310,15 +313,39 @@
   }
   HttpClientRequest request = Request("/hold", body.dump());
   request.timeout_ = aWait + aLimit;
-  polls_.Send(
-    std::move(request),
-    [this, born = info_.startedMs_, fence = fence_, done = std::move(aDone)](
-      const HttpResult& aResult) {
-      UpstreamPollResult pollResult;
-      const PollOutcome outcome =
-        ReadPollAnswer(aResult, born, fence, pollResult);
-      done(outcome, pollResult);
-    });
+  polls_.Send(std::move(request),
+              [this,
+               born = info_.startedMs_,
+               fence = fence_.Value(),
+               done = std::move(aDone)](const HttpResult& aResult) {
+                UpstreamPollResult pollResult;
+                const PollOutcome outcome =
+                  ReadPollAnswer(aResult, born, fence, pollResult);
+                if (outcome == PollOutcome::Fenced) {
+                  fence_.OnRefused(fence);
+                } else if (outcome != PollOutcome::Ok) {
+                  fence_.OnNoAnswer();
+                }
+                done(outcome, pollResult);
+              });
+}
+
+void
+ExecutorClient::SendFence(Millis aLimit, std::function<void(bool)> aDone)
+{
+  const json body{ { "fence", fence_.Value() },
+                   { "ackedUpto", 0 },
+                   { "waitMs", 0 } };
+  HttpClientRequest request = Request("/hold", body.dump());
+  request.timeout_ = aLimit;
+  polls_.Send(std::move(request),
+              [this, done = std::move(aDone)](const HttpResult& aResult) {
+                const bool answered = aResult.failure_ == HttpFailure::None;
+                if (!answered) {
+                  fence_.OnNoAnswer();
+                }
+                done(answered);
+              });
 }
 
 PollOutcome
@@ -340,14 +367,9 @@
                  << (aResult.error_.empty() ? std::to_string(status)
                                             : aResult.error_)
                  << " fence=" << aFence;
-    // A conflict means that the executor has seen a higher fence, which is
-    // possible if the time of day was set back before its start.
-    if (aResult.failure_ == HttpFailure::None && status == kStatusConflict &&
-        fence_ == aFence) {
-      fence_ += fenceStep_;
-      fenceStep_ = std::min(2 * fenceStep_, kMaxFenceStep);
-    }
-    return PollOutcome::Silent;
+    const bool fenced =
+      aResult.failure_ == HttpFailure::None && status == kStatusConflict;
+    return fenced ? PollOutcome::Fenced : PollOutcome::Silent;
   }
   try {
     const json answer = ParseObject(aResult.response_.body_);
--- a/src/libcornelfront/platform/executor_client.h
+++ b/src/libcornelfront/platform/executor_client.h
@@ -4,6 +4,7 @@
 /// Client of an executor, the upstream served by a job sidecar.
 
 #include "cornelfront/async_http_client.h"
+#include "cornelfront/order_fence.h"
 #include "cornelfront/run_table.h"
 #include "cornelfront/settings.h"
 
@@ -45,6 +46,9 @@
   Replaced,
   /// The executor responded and has started again under its id.
   Restarted,
+  /// The executor has seen a call with a higher fence. Polls that are sent from
+  /// now on carry a higher one.
+  Fenced,
 };
 
 /// All calls and callbacks are on the thread of the event loop.
@@ -53,9 +57,9 @@
 public:
   ExecutorClient(asio::io_context& aLoop, const Endpoint& aExecutor);
 
-  /// Sets the incarnation that all following calls are meant for. Their fence
-  /// is its start time, or more if the executor may have seen a higher fence.
-  void SetIncarnation(const UpstreamInfo& aInfo);
+  /// Sets the incarnation that all following calls are meant for, and what is
+  /// known of its clock.
+  void SetIncarnation(const UpstreamInfo& aInfo, UpstreamTime aClock);
 
   /// Asks the executor to start a run. The executor rejects the request after
   /// \p aDeadline. Without a response within \p aLimit the answer is
@@ -76,6 +80,9 @@
             Millis aWait,
             Millis aLimit,
             std::function<void(PollOutcome, UpstreamPollResult)> aDone);
+  /// Sends a call whose only effect is its fence. \p aDone is told whether it
+  /// was answered within \p aLimit.
+  void SendFence(Millis aLimit, std::function<void(bool)> aDone);
 
 private:
   HttpClientRequest Request(std::string_view aCall, std::string aBody) const;
@@ -86,9 +93,7 @@
 
   const std::string base_;
   UpstreamInfo info_;
-  /// The executor does nothing for a call with a lower fence than it has seen.
-  int64_t fence_ = 0;
-  int64_t fenceStep_ = 0;
+  OrderFence fence_;
   AsyncHttpClient requests_;
   AsyncHttpClient polls_;
 };
--- a/src/libcornelfront/platform/executor_client_test.cpp
+++ b/src/libcornelfront/platform/executor_client_test.cpp
@@ -19,6 +19,11 @@
               [this](const HttpRequest& aRequest, const HttpReply& aReply) {
                 const auto body = ParseObject(aRequest.body_);
                 const int64_t fence = IntegerField(body, "fence", 0);
+                if (mute_) {
+                  withheld_.push_back(aReply);
+                  unansweredFence_ = fence;
+                  return;
+                }
                 const bool taken = fence >= fence_;
                 fence_ = std::max(fence, fence_);
                 aReply.Send(
@@ -54,11 +59,11 @@
     return outcome.value_or(PollOutcome::Silent);
   }
 
-  StartAnswer Start(ExecutorClient& aClient)
+  StartAnswer Start(ExecutorClient& aClient, Millis aLimit = Millis(5000))
   {
     std::optional<StartAnswer> answer;
     aClient.Start(
-      {}, {}, Millis(5000), [&](StartAnswer aAnswer) { answer = aAnswer; });
+      {}, {}, aLimit, [&](StartAnswer aAnswer) { answer = aAnswer; });
     EXPECT_TRUE(RunUntil([&] { return answer.has_value(); }));
     return answer.value_or(StartAnswer::Unknown);
   }
@@ -71,18 +76,48 @@
   asio::io_context loop_;
   int64_t born_ = 0;
   int64_t fence_ = 0;
+  /// Calls get no answer.
+  bool mute_ = false;
+  int64_t unansweredFence_ = 0;
+  std::vector<HttpReply> withheld_;
   HttpServer server_;
 };
 
+TEST_F(FencedExecutor, ACallThatIsAnsweredEndsOrdersWithoutAnAnswer)
+{
+  ExecutorClient client(loop_, { "127.0.0.1", server_.Port() });
+  client.SetIncarnation(Born(4000), {});
+  born_ = 9000;
+  mute_ = true;
+  EXPECT_EQ(Start(client, Millis(30)), StartAnswer::Unknown);
+  mute_ = false;
+  EXPECT_EQ(Poll(client), PollOutcome::Restarted);
+  EXPECT_GT(fence_, unansweredFence_);
+}
+
+TEST_F(FencedExecutor, AfterARestartACallWithAHigherFenceFollowsThePoll)
+{
+  ExecutorClient client(loop_, { "127.0.0.1", server_.Port() });
+  client.SetIncarnation(Born(4000), {});
+  born_ = 9000;
+  EXPECT_EQ(Poll(client), PollOutcome::Restarted);
+  const int64_t polled = fence_;
+  std::optional<bool> answered;
+  client.SendFence(Millis(5000), [&](bool aAnswered) { answered = aAnswered; });
+  ASSERT_TRUE(RunUntil([&] { return answered.has_value(); }));
+  EXPECT_TRUE(*answered);
+  EXPECT_GT(fence_, polled);
+}
+
 // The time of day was set back between the starts. The poll that tells of the
 // restart leaves the higher fence of the earlier incarnation.
 TEST_F(FencedExecutor, ARestartWithAnEarlierStartTimeDoesNotFenceTheSidecarOut)
 {
   ExecutorClient client(loop_, { "127.0.0.1", server_.Port() });
-  client.SetIncarnation(Born(9000));
+  client.SetIncarnation(Born(9000), {});
   born_ = 4000;
   EXPECT_EQ(Poll(client), PollOutcome::Restarted);
-  client.SetIncarnation(Born(4000));
+  client.SetIncarnation(Born(4000), {});
   EXPECT_EQ(Poll(client), PollOutcome::Ok);
   EXPECT_EQ(Start(client), StartAnswer::Started);
   EXPECT_GT(fence_, 9000) << "late orders for the earlier one stay out";
@@ -93,7 +128,7 @@
   ExecutorClient client(loop_, { "127.0.0.1", server_.Port() });
   born_ = 4000;
   fence_ = 9001;
-  client.SetIncarnation(Born(4000));
+  client.SetIncarnation(Born(4000), {});
   int polls = 1;
   while (Poll(client) != PollOutcome::Ok && polls < 10) {
     ++polls;
@@ -106,12 +141,12 @@
 {
   ExecutorClient client(loop_, { "127.0.0.1", server_.Port() });
   born_ = 4000;
-  client.SetIncarnation(Born(4000));
+  client.SetIncarnation(Born(4000), {});
   EXPECT_EQ(Poll(client), PollOutcome::Ok);
   EXPECT_EQ(fence_, 4000);
   born_ = 9000;
   fence_ = 0;
-  client.SetIncarnation(Born(9000));
+  client.SetIncarnation(Born(9000), {});
   EXPECT_EQ(Poll(client), PollOutcome::Ok);
   EXPECT_EQ(fence_, 9000);
 }
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -298,6 +298,9 @@
     case StartAnswer::DeadlinePassed:
       RevertStart(run);
       break;
+    case StartAnswer::Fenced:
+      run.state_ = run.unanswered_ > 0 ? State::Uncertain : State::Waiting;
+      break;
     case StartAnswer::RunNumberUsed:
       // After an unanswered order, the run that has ended is this one.
       if (run.unanswered_ == 0) {
--- a/src/libcornelfront/policy/two_runs_model_test.h
+++ b/src/libcornelfront/policy/two_runs_model_test.h
@@ -10,6 +10,7 @@
 #include "cornelfront/call_timeout.h"
 #include "cornelfront/job_scheduler.h"
 #include "cornelfront/messages.h"
+#include "cornelfront/order_fence.h"
 #include "cornelfront/report_schedule.h"
 #include "cornelfront/run_table.h"
 #include "cornelfront/transit_bound.h"
@@ -349,7 +350,8 @@
                     int64_t aFence,
                     Millis aWait,
                     const std::optional<PollAnswer>& aAnswer);
-  void OnPollUnanswered(MonoTime aNow);
+  void RetryPoll(MonoTime aNow);
+  void SendFence(MonoTime aNow);
   void SendPending(MonoTime aNow);
   void SendLateOrders(MonoTime aNow);
   void SendStart(const StartRequest& aOrder, MonoTime aNow);
@@ -367,9 +369,9 @@
   std::map<MemberId, Owner> owners_;
   std::map<uint64_t, MemberId> entries_;
   bool connecting_ = false;
-  /// As in ExecutorClient.
-  int64_t fence_ = 0;
-  int64_t fenceStep_ = 0;
+  OrderFence fence_;
+  /// As in JobSidecar.
+  bool fenceOpen_ = false;
   UpstreamTime clock_;
   MonoTime clockRead_;
   CallTimeout callTimeout_{ CallTimeoutOptions{} };
--- a/src/libcornelfront/policy/two_runs_sidecar_test.cpp
+++ b/src/libcornelfront/policy/two_runs_sidecar_test.cpp
@@ -17,7 +17,6 @@
 constexpr Millis kMinPollRetryDelay{ 1 };
 constexpr Millis kStartTimeout{ 250 };
 constexpr Millis kMaxMessageAge{ 1000 };
-constexpr int64_t kFirstFenceStep = 1000;
 
 constexpr Millis kReconnectDelay{ 200 };
 constexpr Millis kHeartbeatInterval{ 500 };
@@ -85,10 +84,10 @@
   if (sender == HeartbeatSender::Successor) {
     world_.Record({ .sidecar_ = Machine() },
                   "first heartbeat of an incarnation arrives");
-    fence_ = std::max(fence_ + 1, info.startedMs_);
-    fenceStep_ = kFirstFenceStep;
     clock_ = MyUpstream().Clock();
     clockRead_ = now;
+    fence_.OnIncarnation(info.startedMs_, clock_);
+    fenceOpen_ = false;
     ++pollSeries_;
     pollDelayed_ = false;
     pollBackoff_.Reset();
@@ -262,18 +261,21 @@
 SidecarProcess::Poll()
 {
   const MonoTime now = Now();
-  if (!table_.HasUpstream()) {
-    polling_ = false;
+  polling_ = table_.HasUpstream() || fenceOpen_;
+  if (!polling_) {
     return;
   }
-  polling_ = true;
   pollStart_ = now;
+  if (!table_.HasUpstream()) {
+    SendFence(now);
+    return;
+  }
   std::optional<UpstreamTime> lease;
   if (const auto end = table_.LeaseEnd(now)) {
     lease = UpstreamNow(*end);
   }
   const uint64_t number = table_.BeginPoll();
-  const PollOrder order{ .fence_ = fence_,
+  const PollOrder order{ .fence_ = fence_.Value(),
                          .acknowledged_ = table_.AcknowledgedEnds(),
                          .lease_ = lease,
                          .wait_ = PollWait(now) };
@@ -281,7 +283,7 @@
   const auto settle = [this,
                        number,
                        asked = table_.Upstream()->startedMs_,
-                       fence = fence_,
+                       fence = fence_.Value(),
                        wait = order.wait_,
                        series = pollSeries_,
                        settled](const std::optional<PollAnswer>& aAnswer) {
@@ -310,6 +312,42 @@
   });
 }
 
+void
+SidecarProcess::SendFence(MonoTime aNow)
+{
+  const auto settled = std::make_shared<bool>(false);
+  const auto settle = [this, series = pollSeries_, settled](bool aAnswered) {
+    if (std::exchange(*settled, true) || series != pollSeries_) {
+      return;
+    }
+    fenceOpen_ = !aAnswered;
+    if (!aAnswered) {
+      fence_.OnNoAnswer();
+    }
+    PollAfter(pollBackoff_.OnFailure(pollStart_, Now()));
+  };
+  Post(callTimeout_.Current(aNow), [settle] { settle(false); });
+  const CallFate fate = world_.DrawFate(Machine(), false);
+  if (!fate.delay_) {
+    return;
+  }
+  const auto reply = [weak = weak_from_this(), settle](const PollAnswer&) {
+    if (const auto self = weak.lock()) {
+      self->Post(kAnswerDelay, [settle] { settle(true); });
+    }
+  };
+  const Upstream::PollReply answer =
+    fate.answered_ ? Upstream::PollReply(reply) : [](const PollAnswer&) {};
+  world_.events_.After(*fate.delay_,
+                       [&upstream = MyUpstream(),
+                        order = PollOrder{ .fence_ = fence_.Value() },
+                        answer] {
+                         upstream.Receive([&upstream, order, answer] {
+                           upstream.Poll(order, answer);
+                         });
+                       });
+}
+
 Millis
 SidecarProcess::PollWait(MonoTime aNow) const
 {
@@ -333,22 +371,23 @@
   const MonoTime now = Now();
   DetectSuspension(now);
   if (!aAnswer) {
-    OnPollUnanswered(now);
+    callTimeout_.OnNoAnswer(pollStart_, now);
+    fence_.OnNoAnswer();
+    RetryPoll(now);
     return;
   }
   if (!aAnswer->accepted_) {
-    if (fence_ == aFence) {
-      fence_ += fenceStep_;
-      fenceStep_ *= 2;
-    }
-    OnPollUnanswered(now);
+    fence_.OnRefused(aFence);
+    RetryPoll(now);
     return;
   }
   if (aAnswer->startedMs_ != aAsked) {
-    table_.OnUpstreamReplaced(aPollNumber, Replacement::SameId, now);
+    fence_.OnNoAnswer();
+    fenceOpen_ =
+      table_.OnUpstreamReplaced(aPollNumber, Replacement::SameId, now);
     SendPending(now);
     SendStatus(now);
-    OnPollUnanswered(now);
+    RetryPoll(now);
     return;
   }
   pollBackoff_.Reset();
@@ -366,9 +405,8 @@
 }
 
 void
-SidecarProcess::OnPollUnanswered(MonoTime aNow)
+SidecarProcess::RetryPoll(MonoTime aNow)
 {
-  callTimeout_.OnNoAnswer(pollStart_, aNow);
   lastUnanswered_ = aNow;
   PollAfter(
     std::max(pollBackoff_.OnFailure(pollStart_, aNow), kMinPollRetryDelay));
@@ -446,7 +484,7 @@
   if (fate.delay_) {
     world_.events_.After(
       *fate.delay_,
-      [&upstream = MyUpstream(), key = aStop.key_, fence = fence_] {
+      [&upstream = MyUpstream(), key = aStop.key_, fence = fence_.Value()] {
         upstream.Receive(
           [&upstream, key, fence] { upstream.Stop(key, fence); });
       });
@@ -460,12 +498,17 @@
   const RunKey upstreamKey{ aOrder.key_.task_, aOrder.upstreamRunNumber_ };
   const auto settled = std::make_shared<bool>(false);
   const auto settle =
-    [this, key = aOrder.key_, deadline, aNow, settled](StartAnswer aAnswer) {
+    [this, key = aOrder.key_, deadline, aNow, fence = fence_.Value(), settled](
+      StartAnswer aAnswer) {
       if (!std::exchange(*settled, true)) {
         const MonoTime now = Now();
         if (aAnswer == StartAnswer::Unknown) {
           callTimeout_.OnNoAnswer(aNow, now);
+          fence_.OnNoAnswer();
         } else {
+          if (aAnswer == StartAnswer::Fenced) {
+            fence_.OnRefused(fence);
+          }
           callTimeout_.OnAnswer(std::chrono::duration_cast<Millis>(now - aNow));
         }
         table_.OnStartAnswer(key, aAnswer, deadline, now);
@@ -488,7 +531,7 @@
                       upstreamKey,
                       deadline,
                       settle,
-                      fence = fence_,
+                      fence = fence_.Value(),
                       answered = fate.answered_,
                       weak = weak_from_this()] {
     const StartAnswer answer = upstream.Start(upstreamKey, deadline, fence);
--- a/src/libcornelfront/policy/two_runs_upstream_test.cpp
+++ b/src/libcornelfront/policy/two_runs_upstream_test.cpp
@@ -118,7 +118,7 @@
 {
   if (!PassFence(aFence)) {
     world_.Record(SubjectOf(aKey), "start of " + ToString(aKey) + ": fence");
-    return StartAnswer::Refused;
+    return StartAnswer::Fenced;
   }
   const bool here = running_.contains(aKey);
   if (!here && Clock() > aDeadline) {
