Begin the fence of a replaced sidecar above that of its predecessor

Callers saw two runs of one task: one of them ordered by a sidecar that had been killed.

Cause: a new sidecar process began with its upstream's start time, the very value that its predecessor had begun with. Once that one had raised its fence, the successor's calls were refused until it had caught up by steps, and they ended none of the orders under way.

The first fence is now the start time plus the upstream's clock: it rises while that incarnation lives, from one process of ours to the next, and doesn't rest on the time of day of the sidecar. A call without an answer takes at least a millisecond, so a predecessor can't have raised its fence past the clock for long.

Evidence: OrderFenceTest.AReplacedProcessBeginsAboveItsPredecessor failed before.

--- a/src/include/cornelfront/order_fence.h
+++ b/src/include/cornelfront/order_fence.h
@@ -13,9 +13,12 @@
 /// An upstream does nothing for a call with a lower fence than it has seen.
 /// Each incarnation begins anew, so that one which starts again under the id
 /// that it had takes orders for the earlier one until a call with a higher
-/// fence has reached it. The fence therefore rises with each call without an
-/// answer: the next call that is answered ends all orders before it, whichever
-/// incarnation answers. Not thread-safe.
+/// fence has reached it. The fence therefore rises
+/// - with each call without an answer: the next call that is answered ends all
+///   orders before it, whichever incarnation answers;
+/// - with the upstream's clock from one process of ours to the next: a
+///   replacement begins above all that its predecessor has sent.
+/// Not thread-safe.
 class OrderFence
 {
 public:
--- a/src/libcornelfront/policy/order_fence.cpp
+++ b/src/libcornelfront/policy/order_fence.cpp
@@ -11,10 +11,10 @@
 } // namespace
 
 void
-OrderFence::OnIncarnation(int64_t aStartedMs, UpstreamTime)
+OrderFence::OnIncarnation(int64_t aStartedMs, UpstreamTime aClock)
 {
   // The time of day may have been set back between two starts.
-  value_ = std::max(value_ + 1, aStartedMs);
+  value_ = std::max(value_ + 1, aStartedMs + aClock.value_.count());
   step_ = kFirstStepMs;
 }
 
--- a/src/libcornelfront/policy/order_fence_test.cpp
+++ b/src/libcornelfront/policy/order_fence_test.cpp
@@ -20,6 +20,18 @@
   EXPECT_GT(fence.Value(), unanswered);
 }
 
+TEST(OrderFenceTest, AReplacedProcessBeginsAboveItsPredecessor)
+{
+  OrderFence earlier;
+  earlier.OnIncarnation(4000, Clock(2000));
+  for (int i = 0; i < 300; ++i) {
+    earlier.OnNoAnswer();
+  }
+  OrderFence later;
+  later.OnIncarnation(4000, Clock(2500));
+  EXPECT_GT(later.Value(), earlier.Value());
+}
+
 TEST(OrderFenceTest, TheNextIncarnationIsAboveAllEarlierOrders)
 {
   OrderFence fence;
