Start a task with a late order only where that order is late

Callers saw two runs of one task: run 2 was running when the upstream of run 1 crashed, started again under its id, and began an order of run 1 that had had no answer, in the millisecond of its start. No fence can come before that.

Cause: what may still begin was known to the sidecar alone, listed only while its upstream was silent, and asked of a list, not of the order: a task was started elsewhere as soon as its run had ended, or 2.3 s after its sidecar was lost, whatever had become of its orders.

An order without an answer is now a record of its own (LateOrderBook), which outlives its run and is told to all entries at once, as changes: held while the sidecar can't tell whether the task runs on its upstream, and else startable there only, since a restart that lets the late order begin also ends the run that the task has there. Entries ask one rule, LateOrderLedger::LimitOf, for lists, lost sidecars (the orders of which may have had no answer) and replaced ones (their successor inherits the limits). Jobs that wait for one upstream no longer count as a sign that no other job fits.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -240,9 +240,11 @@
   /// Time for which an upstream is avoided once most of its runs fail.
   Millis ejectionTime_{ 2000 };
   CrashLedgerOptions crashes_;
-  /// How long the last list of late orders of a sidecar counts: none of them is
-  /// carried out later than RunTableOptions::maxOrderDelay_ after it was sent.
-  Millis lateOrderRetention_{ 12000 };
+  /// An order of a run that was lost with its sidecar may be carried out this
+  /// long after it was sent; as RunTableOptions::maxOrderDelay_.
+  Millis maxOrderDelay_{ 12000 };
+  /// The same for stored jobs; as RunTableOptions::maxStoredOrderDelay_.
+  Millis maxStoredOrderDelay_{ 6000 };
   /// Share of the upstreams on which tasks are tried alone that other upstreams
   /// have crashed under.
   double isolationShare_ = 0.15;
@@ -338,7 +340,8 @@
   void OnUpstreamCrashes(MemberId aSidecar,
                          const UpstreamCrashes& aCrashes,
                          MonoTime aNow);
-  /// Tasks that must not be started while a sidecar lists them.
+  /// Orders without an answer that may still be carried out; they limit where
+  /// their tasks may be started.
   void OnLateOrders(MemberId aSidecar,
                     const LateOrders& aOrders,
                     MonoTime aNow);
@@ -416,6 +419,9 @@
     MonoTime deadline_;
     std::vector<Step> steps_;
     bool anySent_ = false;
+    /// At its last placement, a task waited for room at any upstream, rather
+    /// than for one upstream or for the end of a limit.
+    bool waitsForRoom_ = false;
     bool hasStarted_ = false;
     /// A run may have started, so the job can no longer be refused.
     bool mayHaveRun_ = false;
@@ -542,20 +548,27 @@
   /// Fails a job of which a task crashes its upstreams, and returns whether it
   /// did.
   bool FailIfCrashing(Job& aJob);
-  /// True if the task must not be started now: it may crash its upstream, or an
-  /// order of it may still be carried out.
-  bool IsHeld(const JobTaskId& aTaskId) const;
+  /// Returns where the task may be started now: it may crash its upstream, or
+  /// an order of it may still be carried out.
+  StartLimit LimitOf(const JobTaskId& aTaskId) const;
+  /// Records the run of a task that was lost with its sidecar.
+  void RecordLostOrder(MemberId aSidecar,
+                       const RunKey& aKey,
+                       bool aReplaced,
+                       MonoTime aNow);
   void PlaceJobsOf(const std::vector<JobTaskId>& aTasks, MonoTime aNow);
   /// True if the next run of the task has to be the only one on its upstream.
   bool MustRunAlone(const JobTaskId& aTaskId, const StepSpec& aStep) const;
   bool HasHeldTask(const Job& aJob, uint32_t aStep) const;
   void PlaceStep(Job& aJob, uint32_t aStep, MonoTime aNow);
   /// Adds the next run of a task to the orders of the chosen sidecar. A run
-  /// that has to be alone takes all resources of its upstream.
+  /// that has to be alone takes all resources of its upstream. \p aMayReturn
+  /// says that the sidecar may return the order instead of letting it wait.
   void PlaceTask(Job& aJob,
                  const JobTaskId& aTaskId,
                  Candidate& aChosen,
                  bool aAlone,
+                 bool aMayReturn,
                  Sends& aSends,
                  MonoTime aNow);
   /// Fills in what the orders for all tasks of a step have in common.
@@ -584,8 +597,8 @@
   /// task now.
   Candidate* ChooseCandidate(std::vector<Candidate>& aCandidates,
                              const Job& aJob,
-                             uint32_t aStep,
-                             const Task& aTask,
+                             const JobTaskId& aTaskId,
+                             const StartLimit& aLimit,
                              bool aAlone) const;
   /// Marks the candidates that take tasks which have to run alone.
   void ChooseIsolating(std::vector<Candidate>& aCandidates) const;
@@ -683,6 +696,7 @@
   std::map<std::string, Durations> durations_;
   CrashLedger crashes_;
   LateOrderLedger lateOrders_;
+  MonoTime lateOrdersExpiredAt_;
   std::vector<JobAction> actions_;
   MonoTime lastTick_;
   MonoTime lastCall_;
--- /dev/null
+++ b/src/include/cornelfront/late_order_book.h
@@ -0,0 +1,71 @@
+#pragma once
+
+/// \file
+/// A sidecar's record of orders without an answer whose runs have ended, and of
+/// what it has told the entries of late orders.
+
+#include "cornelfront/clock.h"
+#include "cornelfront/ids.h"
+#include "cornelfront/run_messages.h"
+#include "cornelfront/upstream_time.h"
+
+#include <cstdint>
+#include <map>
+
+namespace cornelfront {
+
+/// An order that had no answer when its run ended. While it is under way, the
+/// present incarnation of the upstream may carry it out until it is proved that
+/// it does not; a later one with the same id always may.
+struct OpenOrder
+{
+  /// Until then it may be carried out.
+  MonoTime until_;
+  /// The present incarnation refuses the order if its clock is past this in the
+  /// answer to a poll with this number or a higher one.
+  UpstreamTime deadline_;
+  uint64_t firstPoll_ = 0;
+  bool refusedHere_ = false;
+};
+
+/// Not thread-safe. All times are from BootNow.
+class LateOrderBook
+{
+public:
+  void Add(const JobTaskId& aTask, const OpenOrder& aOrder);
+  /// The present incarnation has answered a poll.
+  void OnPollResult(uint64_t aPollNumber, UpstreamTime aClock);
+  /// Another incarnation with the same id is the present one, and will see a
+  /// higher fence than these orders with the poll of this number.
+  void OnRestart(uint64_t aFirstPoll);
+  /// An incarnation with another id is the present one, which refuses orders
+  /// for the earlier one.
+  void Clear() { orders_.clear(); }
+  void Expire(MonoTime aNow);
+  const std::map<JobTaskId, OpenOrder>& Orders() const { return orders_; }
+
+private:
+  std::map<JobTaskId, OpenOrder> orders_;
+};
+
+/// Turns the late orders of a sidecar into the changes that entries are told.
+class LateOrderReport
+{
+public:
+  /// Returns what has changed since the last call.
+  LateOrders Update(const std::map<JobTaskId, LateOrder>& aOrders,
+                    MonoTime aNow);
+  /// Number of orders that entries have been told of.
+  size_t Size() const { return told_.size(); }
+
+private:
+  struct Told
+  {
+    LateOrderState state_ = LateOrderState::Held;
+    MonoTime until_;
+  };
+
+  std::map<JobTaskId, Told> told_;
+};
+
+} // namespace cornelfront
--- a/src/include/cornelfront/late_order_ledger.h
+++ b/src/include/cornelfront/late_order_ledger.h
@@ -1,51 +1,81 @@
 #pragma once
 
 /// \file
-/// What an entry knows of orders that may still be carried out, from the lists
-/// of the sidecars.
+/// What an entry knows of orders that may still be carried out: from the lists
+/// of the sidecars, and from the runs that it has lost with a sidecar.
 
 #include "cornelfront/clock.h"
 #include "cornelfront/ids.h"
 #include "cornelfront/run_messages.h"
 
 #include <map>
-#include <set>
+#include <optional>
 #include <vector>
 
 namespace cornelfront {
 
-/// Keeps the newest list of each sidecar. A list outlives its sidecar, whose
-/// successor does not know of the orders. Not thread-safe. All times are from
-/// BootNow.
+/// Where a task may be started.
+struct StartLimit
+{
+  enum class Where : uint8_t
+  {
+    Anywhere,
+    OnlyAt,
+    Nowhere,
+  };
+
+  Where where_ = Where::Anywhere;
+  /// Set with OnlyAt.
+  MemberId sidecar_;
+};
+
+/// A late order counts until its time has passed, also after the loss of its
+/// sidecar, whose replacement does not know of it. Not thread-safe. All times
+/// are from BootNow.
 class LateOrderLedger
 {
 public:
-  /// \p aRetention is the time for which a list counts after it was received.
-  explicit LateOrderLedger(Millis aRetention);
-
-  /// Replaces the list of a sidecar. Returns the tasks that no list has any
-  /// longer.
+  /// Records a list of a sidecar. Returns the tasks that may be started at more
+  /// sidecars than before.
   std::vector<JobTaskId> Record(MemberId aSidecar,
                                 const LateOrders& aOrders,
                                 MonoTime aNow);
-  /// Forgets lists that are too old. Returns the tasks that no list has any
-  /// longer.
+  /// A run of the task has been lost with its sidecar, so it is not known
+  /// whether its order was answered. \p aReplaced says that \p aSidecar is a
+  /// new process, whose lists don't include the order.
+  void RecordLost(MemberId aSidecar,
+                  const JobTaskId& aTask,
+                  bool aReplaced,
+                  MonoTime aUntil);
+  /// A sidecar has been replaced by a new process beside the same upstream.
+  void OnReplaced(MemberId aSidecar, MemberId aReplacement);
+  /// Forgets what is too old. Returns the tasks that may be started at more
+  /// sidecars than before.
   std::vector<JobTaskId> Expire(MonoTime aNow);
-  bool Contains(const JobTaskId& aTask) const;
-  /// Number of tasks that are listed.
-  size_t Size() const;
+  /// An upstream that has the task alone keeps it; a task of several has to
+  /// wait.
+  StartLimit LimitOf(const JobTaskId& aTask) const;
+  /// Number of tasks that are limited.
+  size_t Size() const { return tasks_.size(); }
 
 private:
-  struct List
+  /// What is known of one task and one sidecar.
+  struct Order
   {
-    std::set<JobTaskId> tasks_;
-    MonoTime receivedAt_;
+    /// As listed by the sidecar.
+    std::optional<LateOrderState> listed_;
+    MonoTime listedUntil_;
+    /// Of a run that was lost with this process.
+    MonoTime lostUntil_;
+    /// Of an earlier process beside the same upstream.
+    MonoTime inheritedUntil_;
   };
+  using Orders = std::map<MemberId, Order>;
 
-  std::vector<JobTaskId> Unlisted(const std::set<JobTaskId>& aTasks) const;
+  static bool EraseOld(Orders& aOrders, MonoTime aNow);
+  static void Update(Order& aOrder, const LateOrder& aListed, MonoTime aNow);
 
-  const Millis retention_;
-  std::map<MemberId, List> lists_;
+  std::map<JobTaskId, Orders> tasks_;
 };
 
 } // namespace cornelfront
--- a/src/include/cornelfront/order_fence.h
+++ b/src/include/cornelfront/order_fence.h
@@ -4,7 +4,7 @@
 /// Fencing token of the calls to one upstream: orders that may still be under
 /// way are refused by an upstream that has seen a later call.
 
-#include "cornelfront/run_table.h"
+#include "cornelfront/upstream_time.h"
 
 #include <cstdint>
 
--- a/src/include/cornelfront/run_messages.h
+++ b/src/include/cornelfront/run_messages.h
@@ -279,17 +279,47 @@
   }
 };
 
-/// Tasks of which an order without an answer may still be carried out, while
-/// the sender can't tell: its upstream is silent or has just restarted. No
-/// entry may start them elsewhere. Replaces the sender's previous list.
+/// Where a task may be started of which an order may still be carried out.
+enum class LateOrderState : uint8_t
+{
+  /// Nowhere: the sender can't tell whether the task runs on its upstream.
+  Held,
+  /// At the sender only: a restart of its upstream, which would let the order
+  /// begin a run, also ends the run that the task has there.
+  OnlyHere,
+  /// Anywhere; the order is not carried out any more.
+  Settled,
+};
+
+std::string_view
+ToString(LateOrderState aState);
+
+struct LateOrder
+{
+  JobTaskId task_;
+  LateOrderState state_ = LateOrderState::Held;
+  /// Time after which the order is not carried out any more.
+  Millis left_{ 0 };
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(task_, state_, left_);
+  }
+};
+
+/// Orders without an answer that the sender's upstream, or a later incarnation
+/// of it with the same id, may still carry out.
 struct LateOrders
 {
-  std::vector<JobTaskId> tasks_;
+  /// True if these are all of the sender's, false if they are what has changed.
+  bool all_ = false;
+  std::vector<LateOrder> orders_;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(tasks_);
+    aArchive(all_, orders_);
   }
 };
 
--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -6,9 +6,10 @@
 
 #include "cornelfront/clock.h"
 #include "cornelfront/ids.h"
+#include "cornelfront/late_order_book.h"
 #include "cornelfront/run_messages.h"
+#include "cornelfront/upstream_time.h"
 
-#include <compare>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -20,14 +21,6 @@
 
 namespace cornelfront {
 
-/// Time on an upstream's monotonic clock, which restarts with each incarnation.
-struct UpstreamTime
-{
-  Millis value_{ 0 };
-
-  auto operator<=>(const UpstreamTime&) const = default;
-};
-
 /// An upstream's description of itself.
 struct UpstreamInfo
 {
@@ -224,10 +217,9 @@
   /// An upstream that has not answered for this long is suspect and gets no new
   /// work.
   Millis upstreamSuspectAfter_{ 600 };
-  /// An order without an answer is listed by FindLateOrders once the upstream
-  /// has not answered for this long; one that awaits its answer, once the
-  /// upstream is suspect.
-  Millis listUnansweredAfter_{ 100 };
+  /// A task with an order that has no answer may be started again at the
+  /// upstream only while that has answered within this time.
+  Millis upstreamQuietAfter_{ 100 };
   /// Interval at which a stop request without effect is repeated. Several fit
   /// into the time that the lease lasts on, since its end takes all runs along.
   Millis stopRepeatInterval_{ 100 };
@@ -359,11 +351,13 @@
   /// Returns the last crashes of the upstream, for an entry that links.
   std::vector<UpstreamCrash> KnownCrashes() const;
 
-  /// Returns the tasks that no entry may start elsewhere: those of which an
-  /// order may still be carried out, while it is not known what the upstream
-  /// runs, and those that run there although the order was meant for an earlier
-  /// incarnation or was not one of this table.
-  LateOrders FindLateOrders(MonoTime aNow) const;
+  /// Returns what has changed of the orders that may still be carried out, for
+  /// all entries. Entries must know of it before the ends of the runs.
+  LateOrders TakeLateOrders(MonoTime aNow);
+  /// Returns all such orders, for an entry that links.
+  LateOrders KnownLateOrders(MonoTime aNow) const;
+  /// Number of orders that entries have been told of.
+  size_t LateOrderCount() const { return lateOrderReport_.Size(); }
 
   HeldRuns MakeHeldRuns(MemberId aOwner) const;
   UpstreamReport MakeUpstreamReport(MonoTime aNow) const;
@@ -397,6 +391,16 @@
     Running,
   };
 
+  /// How far it is known what runs on the upstream.
+  enum class UpstreamKnowledge : uint8_t
+  {
+    /// It is suspect, or has not answered a poll since it started.
+    None,
+    /// It has not answered for some time.
+    Quiet,
+    Full,
+  };
+
   /// A stop that has been requested and has not taken effect yet.
   struct Stop
   {
@@ -478,6 +482,9 @@
   /// still be carried out, or nothing if all were answered.
   std::optional<MonoTime> MayBeginUntil(const Run& aRun) const;
   bool MayBeginLate(const Run& aRun, MonoTime aNow) const;
+  UpstreamKnowledge KnowledgeOfUpstream(MonoTime aNow) const;
+  std::map<JobTaskId, LateOrder> FindLateOrders(MonoTime aNow) const;
+  bool HasOrphanOf(const JobTaskId& aTask) const;
   void FinishWaiting(MonoTime aNow);
   void RequestStop(Runs::iterator aRun, StopReason aReason, MonoTime aNow);
   /// Returns the stop if it must be sent now, and records that it is.
@@ -534,9 +541,12 @@
   uint64_t firstIncarnationPoll_ = 0;
   /// The current incarnation has answered a poll.
   bool runsKnown_ = false;
-  /// Tasks of ended runs with an order that has no answer, by the time until
-  /// which it may be carried out.
-  std::map<JobTaskId, MonoTime> lateOrders_;
+  /// Orders without an answer whose runs have ended.
+  LateOrderBook lateOrders_;
+  LateOrderReport lateOrderReport_;
+  /// The late orders may differ from those that were taken last.
+  bool lateOrdersChanged_ = false;
+  UpstreamKnowledge reportedKnowledge_ = UpstreamKnowledge::None;
   /// Id of the last known incarnation.
   std::string lastId_;
   /// The last incarnations that are proved to be gone, by id and start time.
--- a/src/libcornelfront/job_entry_sidecars.cpp
+++ b/src/libcornelfront/job_entry_sidecars.cpp
@@ -38,7 +38,8 @@
     scheduler_.OnUpstreamCrashes(sidecar, *crashes, now);
   } else if (const auto* late = std::get_if<LateOrders>(&aEnvelope.message_)) {
     LOG(INFO) << "sidecar name=" << known->second.name_
-              << " tasks=" << late->tasks_.size() << " outcome=late_orders";
+              << " orders=" << late->orders_.size() << " all=" << late->all_
+              << " outcome=late_orders";
     scheduler_.OnLateOrders(sidecar, *late, now);
   } else {
     return;
--- a/src/libcornelfront/job_sidecar_entries.cpp
+++ b/src/libcornelfront/job_sidecar_entries.cpp
@@ -103,9 +103,7 @@
   if (auto crashes = table_.KnownCrashes(); !crashes.empty()) {
     aLink->Send(UpstreamCrashes{ std::move(crashes) });
   }
-  if (!lateOrders_.tasks_.empty()) {
-    aLink->Send(lateOrders_);
-  }
+  aLink->Send(table_.KnownLateOrders(aNow));
   aLink->Send(table_.MakeHeldRuns(aEntry));
   Send(aEntry, owner, {}, table_.MakeUpstreamReport(aNow), aNow);
   LOG(INFO) << "entry id=" << ToString(aEntry) << " outcome=linked";
@@ -183,25 +181,19 @@
 void
 JobSidecar::Impl::SendLateOrders(MonoTime aNow)
 {
-  LateOrders orders = table_.FindLateOrders(aNow);
-  if (orders.tasks_ == lateOrders_.tasks_) {
+  const LateOrders changes = table_.TakeLateOrders(aNow);
+  if (changes.orders_.empty()) {
     return;
   }
-  LOG(WARNING) << "late orders tasks=" << orders.tasks_.size()
-               << " before=" << lateOrders_.tasks_.size()
-               << " outcome=" << (orders.tasks_.empty() ? "settled" : "listed");
-  for (const JobTaskId& task : orders.tasks_) {
-    const auto& known = lateOrders_.tasks_;
-    if (std::find(known.begin(), known.end(), task) == known.end()) {
-      LOG(INFO) << "job=" << task.job_ << " task=" << ToString(task)
-                << " outcome=order_may_be_late";
-    }
+  for (const LateOrder& order : changes.orders_) {
+    LOG(INFO) << "job=" << order.task_.job_ << " task=" << ToString(order.task_)
+              << " left_ms=" << order.left_.count()
+              << " late_order=" << ToString(order.state_);
   }
-  lateOrders_ = std::move(orders);
   metrics_.SetGauge("late_orders",
-                    static_cast<double>(lateOrders_.tasks_.size()));
+                    static_cast<double>(table_.LateOrderCount()));
   for (auto& [id, owner] : owners_) {
-    owner.link_->Send(lateOrders_);
+    owner.link_->Send(changes);
   }
 }
 
--- a/src/libcornelfront/job_sidecar_pvt.h
+++ b/src/libcornelfront/job_sidecar_pvt.h
@@ -86,7 +86,7 @@
   void SendPending(MonoTime aNow);
   /// Tells all entries what is new of crashes of the upstream.
   void SendCrashes();
-  /// Tells all entries which tasks they must not start elsewhere, if that has
+  /// Tells all entries of orders that may be carried out late, if that has
   /// changed.
   void SendLateOrders(MonoTime aNow);
   void SendStart(const StartRequest& aOrder, MonoTime aNow);
@@ -141,8 +141,6 @@
   /// The next poll waits for pollTimer_.
   bool pollDelayed_ = false;
   std::unique_ptr<asio::steady_timer> pollTimer_;
-  /// What was last sent to all entries.
-  LateOrders lateOrders_;
   std::unique_ptr<platform::BatchWriter> registration_;
   /// The last reason that was logged.
   LeaseLimitReason leaseLimit_ = LeaseLimitReason::None;
--- a/src/libcornelfront/policy/job_holds.cpp
+++ b/src/libcornelfront/policy/job_holds.cpp
@@ -45,11 +45,35 @@
   }
 }
 
-bool
-JobScheduler::IsHeld(const JobTaskId& aTaskId) const
+StartLimit
+JobScheduler::LimitOf(const JobTaskId& aTaskId) const
+{
+  if (crashes_.SuspicionOf(aTaskId) == CrashSuspicion::Held) {
+    return { .where_ = StartLimit::Where::Nowhere };
+  }
+  return lateOrders_.LimitOf(aTaskId);
+}
+
+void
+JobScheduler::RecordLostOrder(MemberId aSidecar,
+                              const RunKey& aKey,
+                              bool aReplaced,
+                              MonoTime aNow)
 {
-  return lateOrders_.Contains(aTaskId) ||
-         crashes_.SuspicionOf(aTaskId) == CrashSuspicion::Held;
+  const Job* job = FindJob(InstanceOf(aKey.task_));
+  const Task* task = FindTask(aKey.task_);
+  if (task == nullptr || task->run_ != aKey.run_) {
+    return;
+  }
+  // The order may have waited in the sidecar; a stored task must not wait for
+  // longer than its own limit.
+  const Millis delay = job->stored_
+                         ? options_.maxStoredOrderDelay_
+                         : options_.startTimeout_ + options_.maxOrderDelay_;
+  const MonoTime until = task->sentAt_ + delay;
+  if (aNow < until) {
+    lateOrders_.RecordLost(aSidecar, aKey.task_, aReplaced, until);
+  }
 }
 
 bool
@@ -78,7 +102,9 @@
 {
   const auto count = static_cast<uint32_t>(aJob.steps_[aStep].tasks_.size());
   for (uint32_t i = 0; i < count; ++i) {
-    if (IsHeld({ aJob.spec_.id_, aJob.occurrence_, aStep, i })) {
+    const StartLimit limit =
+      LimitOf({ aJob.spec_.id_, aJob.occurrence_, aStep, i });
+    if (limit.where_ == StartLimit::Where::Nowhere) {
       return true;
     }
   }
--- a/src/libcornelfront/policy/job_placement.cpp
+++ b/src/libcornelfront/policy/job_placement.cpp
@@ -36,6 +36,7 @@
   if (FailIfCrashing(aJob)) {
     return;
   }
+  aJob.waitsForRoom_ = false;
   for (uint32_t step = 0; step < aJob.steps_.size(); ++step) {
     PlaceStep(aJob, step, aNow);
   }
@@ -83,7 +84,8 @@
       continue;
     }
     const JobTaskId id{ aJob.spec_.id_, aJob.occurrence_, aStep, index };
-    if (gangIsHeld || IsHeld(id)) {
+    const StartLimit limit = LimitOf(id);
+    if (gangIsHeld || limit.where_ == StartLimit::Where::Nowhere) {
       waiting_.insert(RankOf(aJob));
       continue;
     }
@@ -91,12 +93,14 @@
       candidates = FindCandidates(aJob, spec, aNow);
     }
     const bool alone = MustRunAlone(id, spec);
-    Candidate* chosen = ChooseCandidate(*candidates, aJob, aStep, task, alone);
+    Candidate* chosen = ChooseCandidate(*candidates, aJob, id, limit, alone);
     if (chosen == nullptr) {
+      aJob.waitsForRoom_ |= limit.where_ == StartLimit::Where::Anywhere;
       waiting_.insert(RankOf(aJob));
       continue;
     }
-    PlaceTask(aJob, id, *chosen, alone, sends, aNow);
+    const bool mayReturn = limit.where_ == StartLimit::Where::Anywhere;
+    PlaceTask(aJob, id, *chosen, alone, mayReturn, sends, aNow);
   }
   for (auto& [target, send] : sends) {
     const auto& [id, alone] = target;
@@ -114,6 +118,7 @@
                         const JobTaskId& aTaskId,
                         Candidate& aChosen,
                         bool aAlone,
+                        bool aMayReturn,
                         Sends& aSends,
                         MonoTime aNow)
 {
@@ -128,7 +133,8 @@
   aJob.anySent_ = true;
   // The view of an upstream is as old as its last report, and other entries may
   // have taken the resources since.
-  const bool onlyIfFree = !spec.gang_ && !aAlone && aChosen.waitMs_ <= 0.0 &&
+  const bool onlyIfFree = aMayReturn && !spec.gang_ && !aAlone &&
+                          aChosen.waitMs_ <= 0.0 &&
                           task.returned_ < options_.maxReturned_;
   SendRuns& send = aSends[{ sidecar->first, aAlone }];
   send.orders_.runs_.push_back(
@@ -195,7 +201,10 @@
   }
   for (const WaitRank& rank : tried) {
     PlaceJob(jobs_.at(rank.instance_), aNow);
-    if (waiting_.contains(rank) && ++failures >= kMaxFailures) {
+    const bool waits =
+      waiting_.contains(rank) && jobs_.at(rank.instance_).waitsForRoom_;
+    failures += waits ? 1 : 0;
+    if (failures >= kMaxFailures) {
       return;
     }
   }
@@ -250,24 +259,29 @@
 JobScheduler::Candidate*
 JobScheduler::ChooseCandidate(std::vector<Candidate>& aCandidates,
                               const Job& aJob,
-                              uint32_t aStep,
-                              const Task& aTask,
+                              const JobTaskId& aTaskId,
+                              const StartLimit& aLimit,
                               bool aAlone) const
 {
+  const uint32_t step = aTaskId.step_;
+  const Task& task = aJob.steps_[step].tasks_[aTaskId.index_];
+  const bool anywhere = aLimit.where_ == StartLimit::Where::Anywhere;
   Candidate* best = nullptr;
   bool bestAvoided = true;
   for (Candidate& candidate : aCandidates) {
     const MemberId id = candidate.sidecar_->first;
     const bool avoided =
-      candidate.avoided_ || aTask.avoidedSidecars_.contains(id);
+      candidate.avoided_ || task.avoidedSidecars_.contains(id);
     const bool better =
       best == nullptr || std::tie(avoided, candidate.costMs_) <
                            std::tie(bestAvoided, best->costMs_);
     // Only an order makes an upstream empty for a run that has to be alone.
     const bool waitsTooLong = aJob.stored_ && !aAlone &&
                               candidate.waitMs_ > ToMs(options_.maxStoredWait_);
-    if (!better || waitsTooLong || (aAlone && !candidate.isolates_) ||
-        IsAtUpstreamLimit(id, aJob, aStep)) {
+    const bool allowed =
+      anywhere ? !aAlone || candidate.isolates_ : id == aLimit.sidecar_;
+    if (!better || waitsTooLong || !allowed ||
+        IsAtUpstreamLimit(id, aJob, step)) {
       continue;
     }
     best = &candidate;
--- a/src/libcornelfront/policy/job_runs.cpp
+++ b/src/libcornelfront/policy/job_runs.cpp
@@ -228,6 +228,7 @@
   for (const RunKey& key : runs) {
     const Job* job = FindJob(InstanceOf(key.task_));
     if (aStoredToo || job == nullptr || !job->stored_) {
+      RecordLostOrder(aSidecar, key, false, aNow);
       OnRunEnd(aSidecar, { .key_ = key, .end_ = RunEnd::Lost }, aNow);
     }
   }
--- a/src/libcornelfront/policy/job_scheduler.cpp
+++ b/src/libcornelfront/policy/job_scheduler.cpp
@@ -16,6 +16,8 @@
   "given_up",
 };
 
+constexpr Millis kExpiryInterval{ 250 };
+
 /// Returns a number in [0, 1) that depends on both ids only: rendezvous hashing
 /// (Thaler and Ravishankar, 1998). 0 if the entry has no id.
 double
@@ -44,7 +46,6 @@
 JobScheduler::JobScheduler(JobSchedulerOptions aOptions)
   : options_(std::move(aOptions))
   , crashes_(options_.crashes_)
-  , lateOrders_(options_.lateOrderRetention_)
 {
 }
 
@@ -197,6 +198,7 @@
                                 MonoTime aNow)
 {
   DetectSuspension(aNow);
+  lateOrders_.OnReplaced(aSidecar, aReplacement);
   const auto old = sidecars_.find(aSidecar);
   if (old == sidecars_.end()) {
     return;
@@ -235,6 +237,9 @@
                       held.end(),
                       std::back_inserter(missing));
   for (const RunKey& key : missing) {
+    if (aMissingEnd == RunEnd::Lost) {
+      RecordLostOrder(aSidecar, key, true, aNow);
+    }
     OnRunEnd(aSidecar, { .key_ = key, .end_ = aMissingEnd }, aNow);
   }
   for (const RunKey& key : aHeld.runs_) {
@@ -291,7 +296,10 @@
     return aNow - aRuns.second.since_ > options_.abandonedRetention_;
   });
   crashes_.Expire(aNow);
-  PlaceJobsOf(lateOrders_.Expire(aNow), aNow);
+  if (aNow - lateOrdersExpiredAt_ >= kExpiryInterval) {
+    lateOrdersExpiredAt_ = aNow;
+    PlaceJobsOf(lateOrders_.Expire(aNow), aNow);
+  }
   std::vector<JobInstance> expired;
   for (const auto& [id, job] : jobs_) {
     if (aNow >= job.deadline_) {
--- /dev/null
+++ b/src/libcornelfront/policy/late_order_book.cpp
@@ -0,0 +1,83 @@
+#include "cornelfront/late_order_book.h"
+
+#include <algorithm>
+
+namespace cornelfront {
+namespace {
+
+/// Entries are told of a longer time, so that one that grows with each run need
+/// not be told each time.
+constexpr Millis kMargin{ 500 };
+
+} // namespace
+
+void
+LateOrderBook::Add(const JobTaskId& aTask, const OpenOrder& aOrder)
+{
+  const auto [known, added] = orders_.try_emplace(aTask, aOrder);
+  if (added) {
+    return;
+  }
+  OpenOrder& order = known->second;
+  order.until_ = std::max(order.until_, aOrder.until_);
+  order.deadline_ = std::max(order.deadline_, aOrder.deadline_);
+  order.firstPoll_ = std::max(order.firstPoll_, aOrder.firstPoll_);
+  order.refusedHere_ = order.refusedHere_ && aOrder.refusedHere_;
+}
+
+void
+LateOrderBook::OnPollResult(uint64_t aPollNumber, UpstreamTime aClock)
+{
+  for (auto& [task, order] : orders_) {
+    order.refusedHere_ |=
+      aPollNumber >= order.firstPoll_ && aClock > order.deadline_;
+  }
+}
+
+void
+LateOrderBook::OnRestart(uint64_t aFirstPoll)
+{
+  // Deadlines of the earlier incarnation say nothing on the clock of this one.
+  constexpr UpstreamTime kAnyTime{ Millis(-1) };
+  for (auto& [task, order] : orders_) {
+    order.deadline_ = kAnyTime;
+    order.firstPoll_ = aFirstPoll;
+    order.refusedHere_ = false;
+  }
+}
+
+void
+LateOrderBook::Expire(MonoTime aNow)
+{
+  std::erase_if(orders_, [aNow](const auto& aOrder) {
+    return aNow > aOrder.second.until_;
+  });
+}
+
+LateOrders
+LateOrderReport::Update(const std::map<JobTaskId, LateOrder>& aOrders,
+                        MonoTime aNow)
+{
+  LateOrders changes;
+  for (const auto& [task, order] : aOrders) {
+    const MonoTime until = aNow + order.left_;
+    const auto [told, added] = told_.try_emplace(task);
+    if (added || told->second.state_ != order.state_ ||
+        told->second.until_ < until) {
+      told->second = { order.state_, until + kMargin };
+      changes.orders_.push_back(order);
+      changes.orders_.back().left_ += kMargin;
+    }
+  }
+  std::erase_if(told_, [&](const auto& aTold) {
+    const bool settled = !aOrders.contains(aTold.first);
+    if (settled) {
+      changes.orders_.push_back(
+        { .task_ = aTold.first, .state_ = LateOrderState::Settled });
+    }
+    return settled;
+  });
+  return changes;
+}
+
+} // namespace cornelfront
--- a/src/libcornelfront/policy/late_order_ledger.cpp
+++ b/src/libcornelfront/policy/late_order_ledger.cpp
@@ -1,13 +1,19 @@
 #include "cornelfront/late_order_ledger.h"
 
 #include <algorithm>
-#include <utility>
+#include <set>
 
 namespace cornelfront {
 
-LateOrderLedger::LateOrderLedger(Millis aRetention)
-  : retention_(aRetention)
+void
+LateOrderLedger::Update(Order& aOrder, const LateOrder& aListed, MonoTime aNow)
 {
+  if (aListed.state_ == LateOrderState::Settled) {
+    aOrder.listed_.reset();
+    return;
+  }
+  aOrder.listed_ = aListed.state_;
+  aOrder.listedUntil_ = aNow + aListed.left_;
 }
 
 std::vector<JobTaskId>
@@ -15,59 +21,103 @@
                         const LateOrders& aOrders,
                         MonoTime aNow)
 {
-  const std::set<JobTaskId> before =
-    std::exchange(lists_[aSidecar],
-                  { .tasks_ = { aOrders.tasks_.begin(), aOrders.tasks_.end() },
-                    .receivedAt_ = aNow })
-      .tasks_;
-  if (aOrders.tasks_.empty()) {
-    lists_.erase(aSidecar);
+  std::set<JobTaskId> changed;
+  if (aOrders.all_) {
+    for (auto& [task, orders] : tasks_) {
+      const auto order = orders.find(aSidecar);
+      if (order != orders.end()) {
+        order->second.listed_.reset();
+        order->second.lostUntil_ = {};
+        changed.insert(task);
+      }
+    }
+  }
+  for (const LateOrder& listed : aOrders.orders_) {
+    Update(tasks_[listed.task_][aSidecar], listed, aNow);
+    changed.insert(listed.task_);
+  }
+  for (const JobTaskId& task : changed) {
+    const auto found = tasks_.find(task);
+    EraseOld(found->second, aNow);
+    if (found->second.empty()) {
+      tasks_.erase(found);
+    }
   }
-  return Unlisted(before);
+  return { changed.begin(), changed.end() };
 }
 
-std::vector<JobTaskId>
-LateOrderLedger::Expire(MonoTime aNow)
+/// Returns true if some order does not count any longer.
+bool
+LateOrderLedger::EraseOld(Orders& aOrders, MonoTime aNow)
 {
-  std::set<JobTaskId> expired;
-  std::erase_if(lists_, [&](const auto& aList) {
-    const List& list = aList.second;
-    const bool old = aNow - list.receivedAt_ > retention_;
-    if (old) {
-      expired.insert(list.tasks_.begin(), list.tasks_.end());
+  for (auto& [sidecar, order] : aOrders) {
+    if (order.listed_ && aNow > order.listedUntil_) {
+      order.listed_.reset();
     }
-    return old;
+  }
+  const size_t erased = std::erase_if(aOrders, [aNow](const auto& aOrder) {
+    const Order& order = aOrder.second;
+    return !order.listed_ && aNow > order.lostUntil_ &&
+           aNow > order.inheritedUntil_;
   });
-  return Unlisted(expired);
+  return erased > 0;
 }
 
-bool
-LateOrderLedger::Contains(const JobTaskId& aTask) const
+void
+LateOrderLedger::RecordLost(MemberId aSidecar,
+                            const JobTaskId& aTask,
+                            bool aReplaced,
+                            MonoTime aUntil)
 {
-  return std::any_of(lists_.begin(), lists_.end(), [&](const auto& aList) {
-    return aList.second.tasks_.contains(aTask);
-  });
+  Order& order = tasks_[aTask][aSidecar];
+  MonoTime& until = aReplaced ? order.inheritedUntil_ : order.lostUntil_;
+  until = std::max(until, aUntil);
 }
 
-size_t
-LateOrderLedger::Size() const
+void
+LateOrderLedger::OnReplaced(MemberId aSidecar, MemberId aReplacement)
 {
-  size_t size = 0;
-  for (const auto& [sidecar, list] : lists_) {
-    size += list.tasks_.size();
+  for (auto& [task, orders] : tasks_) {
+    const auto found = orders.find(aSidecar);
+    if (found == orders.end()) {
+      continue;
+    }
+    const Order old = found->second;
+    orders.erase(found);
+    MonoTime& until = orders[aReplacement].inheritedUntil_;
+    until = std::max({ until, old.lostUntil_, old.inheritedUntil_ });
+    if (old.listed_) {
+      until = std::max(until, old.listedUntil_);
+    }
   }
-  return size;
 }
 
 std::vector<JobTaskId>
-LateOrderLedger::Unlisted(const std::set<JobTaskId>& aTasks) const
+LateOrderLedger::Expire(MonoTime aNow)
+{
+  std::vector<JobTaskId> freed;
+  for (auto task = tasks_.begin(); task != tasks_.end();) {
+    if (EraseOld(task->second, aNow)) {
+      freed.push_back(task->first);
+    }
+    task = task->second.empty() ? tasks_.erase(task) : std::next(task);
+  }
+  return freed;
+}
+
+StartLimit
+LateOrderLedger::LimitOf(const JobTaskId& aTask) const
 {
-  std::vector<JobTaskId> unlisted;
-  std::copy_if(aTasks.begin(),
-               aTasks.end(),
-               std::back_inserter(unlisted),
-               [&](const JobTaskId& aTask) { return !Contains(aTask); });
-  return unlisted;
+  const auto found = tasks_.find(aTask);
+  if (found == tasks_.end() || found->second.empty()) {
+    return {};
+  }
+  const auto& [sidecar, order] = *found->second.begin();
+  const bool held =
+    found->second.size() > 1 || order.listed_ == LateOrderState::Held;
+  return held ? StartLimit{ .where_ = StartLimit::Where::Nowhere }
+              : StartLimit{ .where_ = StartLimit::Where::OnlyAt,
+                            .sidecar_ = sidecar };
 }
 
 } // namespace cornelfront
--- a/src/libcornelfront/policy/run_incarnations.cpp
+++ b/src/libcornelfront/policy/run_incarnations.cpp
@@ -7,7 +7,6 @@
 #include "policy/run_table_pvt.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace cornelfront {
@@ -138,6 +137,8 @@
       continue;
     }
     state.keptPastRestart_ = true;
+    // Its deadline says nothing on the clock of the next incarnation.
+    state.deadline_ = UpstreamTime{ Millis(-1) };
     if (state.state_ != State::Running) {
       state.state_ = State::Running;
       state.started_ = aNow;
@@ -147,8 +148,11 @@
     ++run;
   }
   if (aReplacement == Replacement::OtherId) {
-    lateOrders_.clear();
+    lateOrders_.Clear();
+  } else {
+    lateOrders_.OnRestart(polls_ + 1);
   }
+  lateOrdersChanged_ = true;
 }
 
 void
@@ -164,48 +168,4 @@
   }
 }
 
-std::optional<MonoTime>
-RunTable::MayBeginUntil(const Run& aRun) const
-{
-  const bool answered = aRun.state_ == State::Running && aRun.unanswered_ == 0;
-  if (aRun.state_ == State::Waiting || answered) {
-    return std::nullopt;
-  }
-  const Millis delay =
-    aRun.term_ > 0 ? options_.maxStoredOrderDelay_ : options_.maxOrderDelay_;
-  return aRun.orderedAt_ + delay;
-}
-
-bool
-RunTable::MayBeginLate(const Run& aRun, MonoTime aNow) const
-{
-  const auto until = MayBeginUntil(aRun);
-  return until && aNow <= *until;
-}
-
-LateOrders
-RunTable::FindLateOrders(MonoTime aNow) const
-{
-  const Millis silence = Since(upstreamHeardAt_, aNow);
-  const bool known = upstream_ && runsKnown_;
-  const bool suspect = !known || silence > options_.upstreamSuspectAfter_;
-  const bool quiet = suspect || silence > options_.listUnansweredAfter_;
-  std::set<JobTaskId> tasks;
-  for (const auto& [key, run] : runs_) {
-    const bool listed = suspect || (quiet && run.unanswered_ > 0);
-    if (run.keptPastRestart_ || (listed && MayBeginLate(run, aNow))) {
-      tasks.insert(key.task_);
-    }
-  }
-  for (const auto& [key, stop] : orphans_) {
-    tasks.insert(key.task_);
-  }
-  for (const auto& [task, until] : lateOrders_) {
-    if (quiet && aNow <= until) {
-      tasks.insert(task);
-    }
-  }
-  return { { tasks.begin(), tasks.end() } };
-}
-
 } // namespace cornelfront
--- /dev/null
+++ b/src/libcornelfront/policy/run_late_orders.cpp
@@ -0,0 +1,129 @@
+/// \file
+/// RunTable: orders without an answer that may still be carried out, and where
+/// their tasks may be started meanwhile.
+
+#include "cornelfront/run_table.h"
+
+#include "policy/run_table_pvt.h"
+
+#include <algorithm>
+#include <array>
+
+namespace cornelfront {
+namespace {
+
+constexpr std::array<std::string_view, 3> kLateOrderStates = {
+  "held",
+  "only_here",
+  "settled",
+};
+
+} // namespace
+
+std::string_view
+ToString(LateOrderState aState)
+{
+  return kLateOrderStates.at(static_cast<size_t>(aState));
+}
+
+std::optional<MonoTime>
+RunTable::MayBeginUntil(const Run& aRun) const
+{
+  const bool answered = aRun.state_ == State::Running && aRun.unanswered_ == 0;
+  if (aRun.state_ == State::Waiting || answered) {
+    return std::nullopt;
+  }
+  const Millis delay =
+    aRun.term_ > 0 ? options_.maxStoredOrderDelay_ : options_.maxOrderDelay_;
+  return aRun.orderedAt_ + delay;
+}
+
+bool
+RunTable::MayBeginLate(const Run& aRun, MonoTime aNow) const
+{
+  const auto until = MayBeginUntil(aRun);
+  return until && aNow <= *until;
+}
+
+bool
+RunTable::HasOrphanOf(const JobTaskId& aTask) const
+{
+  const auto orphan = orphans_.lower_bound({ aTask, 0 });
+  return orphan != orphans_.end() && orphan->first.task_ == aTask;
+}
+
+RunTable::UpstreamKnowledge
+RunTable::KnowledgeOfUpstream(MonoTime aNow) const
+{
+  const Millis silence = Since(upstreamHeardAt_, aNow);
+  if (!upstream_ || !runsKnown_ || silence > options_.upstreamSuspectAfter_) {
+    return UpstreamKnowledge::None;
+  }
+  return silence > options_.upstreamQuietAfter_ ? UpstreamKnowledge::Quiet
+                                                : UpstreamKnowledge::Full;
+}
+
+std::map<JobTaskId, LateOrder>
+RunTable::FindLateOrders(MonoTime aNow) const
+{
+  const UpstreamKnowledge knowledge = KnowledgeOfUpstream(aNow);
+  std::map<JobTaskId, LateOrder> found;
+  const auto add =
+    [&](const JobTaskId& aTask, LateOrderState aState, MonoTime aUntil) {
+      const LateOrder order{ .task_ = aTask,
+                             .state_ = aState,
+                             .left_ = Since(aNow, aUntil) };
+      const auto [known, added] = found.try_emplace(aTask, order);
+      if (!added) {
+        known->second.state_ = std::min(known->second.state_, aState);
+        known->second.left_ = std::max(known->second.left_, order.left_);
+      }
+    };
+  const MonoTime latest = aNow + options_.maxOrderDelay_;
+  for (const auto& [key, run] : runs_) {
+    const bool listed =
+      run.unanswered_ > 0 || knowledge == UpstreamKnowledge::None;
+    if (run.keptPastRestart_) {
+      add(key.task_, LateOrderState::Held, latest);
+    } else if (listed && MayBeginLate(run, aNow)) {
+      add(key.task_, LateOrderState::Held, *MayBeginUntil(run));
+    }
+  }
+  for (const auto& [key, stop] : orphans_) {
+    add(key.task_, LateOrderState::Held, latest);
+  }
+  for (const auto& [task, order] : lateOrders_.Orders()) {
+    const bool settledHere =
+      knowledge == UpstreamKnowledge::Full && order.refusedHere_;
+    if (aNow <= order.until_) {
+      add(task,
+          settledHere ? LateOrderState::OnlyHere : LateOrderState::Held,
+          order.until_);
+    }
+  }
+  return found;
+}
+
+LateOrders
+RunTable::TakeLateOrders(MonoTime aNow)
+{
+  const UpstreamKnowledge knowledge = KnowledgeOfUpstream(aNow);
+  if (!lateOrdersChanged_ && knowledge == reportedKnowledge_) {
+    return {};
+  }
+  lateOrdersChanged_ = false;
+  reportedKnowledge_ = knowledge;
+  return lateOrderReport_.Update(FindLateOrders(aNow), aNow);
+}
+
+LateOrders
+RunTable::KnownLateOrders(MonoTime aNow) const
+{
+  LateOrders known{ .all_ = true };
+  for (const auto& [task, order] : FindLateOrders(aNow)) {
+    known.orders_.push_back(order);
+  }
+  return known;
+}
+
+} // namespace cornelfront
--- a/src/libcornelfront/policy/run_polls.cpp
+++ b/src/libcornelfront/policy/run_polls.cpp
@@ -56,6 +56,10 @@
   ProcessRunning(aPollResult, aNow);
   ProcessEnded(aPollResult, aNow);
   ProcessMissing(aPollNumber, aPollResult, aNow);
+  if (!lateOrders_.Orders().empty()) {
+    lateOrders_.OnPollResult(aPollNumber, aPollResult.clock_);
+    lateOrdersChanged_ = true;
+  }
   return true;
 }
 
@@ -71,6 +75,7 @@
       const Stop stop{ .reason_ = StopReason::Orphaned, .requestedAt_ = aNow };
       if (orphans_.try_emplace(entry.key_, stop).second) {
         foundOrphans_.push_back(entry.key_);
+        lateOrdersChanged_ = true;
       }
       continue;
     }
@@ -79,9 +84,10 @@
     }
     CheckStall(run->first, run->second, entry.percent_, aNow);
   }
-  std::erase_if(orphans_, [&](const auto& aOrphan) {
+  const size_t gone = std::erase_if(orphans_, [&](const auto& aOrphan) {
     return !listed.contains(aOrphan.first);
   });
+  lateOrdersChanged_ |= gone > 0;
 }
 
 void
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -105,7 +105,7 @@
     const auto sameTask = runs_.lower_bound({ key.task_, 0 });
     const bool known =
       sameTask != runs_.end() && sameTask->first.task_ == key.task_;
-    if (!accepts || known) {
+    if (!accepts || known || HasOrphanOf(key.task_)) {
       const RunReport report{ .key_ = key };
       owners_[aOwner].unsent_.reports_.push_back(report);
       continue;
@@ -241,6 +241,7 @@
                     std::vector<StartRequest>& aStarts,
                     MonoTime aNow)
 {
+  lateOrdersChanged_ |= reportedKnowledge_ == UpstreamKnowledge::None;
   aRun->second.state_ = State::Starting;
   aRun->second.firstPoll_ = polls_ + 1;
   aRun->second.orderedAt_ = aNow;
@@ -290,6 +291,7 @@
       run.state_ = State::Uncertain;
       run.deadline_ = std::max(run.deadline_, aDeadline);
       ++run.unanswered_;
+      lateOrdersChanged_ = true;
       return;
     case StartAnswer::Full:
       fullUntil_ = aNow + options_.fullBackoff_;
@@ -332,8 +334,9 @@
     FinishGone(aNow);
   }
   ReturnLate(aNow);
-  std::erase_if(lateOrders_,
-                [aNow](const auto& aOrder) { return aNow > aOrder.second; });
+  // What has been listed ends with its time also if nothing else changes.
+  lateOrders_.Expire(aNow);
+  lateOrdersChanged_ |= lateOrderReport_.Size() > 0;
 }
 
 void
@@ -417,10 +420,19 @@
 {
   const auto report = MakeReport(aRun->first, aRun->second, aEnd, aNow);
   QueueReport(aRun->second.owner_, report, aNow);
-  if (const auto until = MayBeginUntil(aRun->second)) {
-    MonoTime& latest = lateOrders_[aRun->first.task_];
-    latest = std::max(latest, *until);
-  }
+  const Run& run = aRun->second;
+  if (const auto until = MayBeginUntil(run)) {
+    // A listed end, or one because of a deadline that has passed, shows that
+    // this incarnation does not begin the run any more.
+    const bool refusedHere = aEnd != RunEnd::Lost;
+    lateOrders_.Add(aRun->first.task_,
+                    { .until_ = *until,
+                      .deadline_ = run.deadline_,
+                      .firstPoll_ = run.firstPoll_,
+                      .refusedHere_ = refusedHere });
+    lateOrdersChanged_ = true;
+  }
+  lateOrdersChanged_ |= run.keptPastRestart_;
   return runs_.erase(aRun);
 }
 
