Play a late order after a restart under the same id, on real processes

The harness sends each call with a client of its own, so that a test may submit and look at the runs at the same time.

--- a/testsuite/harness/platform_cluster.cpp
+++ b/testsuite/harness/platform_cluster.cpp
@@ -205,7 +205,7 @@
   request.headers_.emplace_back("Host", "desk.example");
   request.headers_.emplace_back("Request-Deadline",
                                 std::to_string(aTimeout.count()));
-  return client_.Perform(request);
+  return HttpClient().Perform(request);
 }
 
 HttpResult
--- a/testsuite/harness/platform_cluster.h
+++ b/testsuite/harness/platform_cluster.h
@@ -59,7 +59,7 @@
   PlatformCluster(unsigned aEntries, unsigned aSidecars);
   explicit PlatformCluster(const PlatformClusterOptions& aOptions);
 
-  /// Sends one request to an entry.
+  /// Sends one request to an entry. May be called from any thread.
   HttpResult Call(unsigned aEntry,
                   const std::string& aMethod,
                   const std::string& aPath,
--- a/testsuite/process/platform_test.cpp
+++ b/testsuite/process/platform_test.cpp
@@ -7,6 +7,7 @@
 #include <gmock/gmock.h>
 
 #include <csignal>
+#include <future>
 #include <thread>
 
 namespace cornelfront::harness {
@@ -309,6 +310,43 @@
   EXPECT_THAT(cluster.OverlappingRuns(), IsEmpty());
 }
 
+class LateOrder : public testing::TestWithParam<const char*>
+{};
+
+// The order of a run that has failed is carried out when its executor has
+// started again under its id, while the task has another run.
+TEST_P(LateOrder, BeginsNoRunBesideANewerOneAfterARestart)
+{
+  constexpr unsigned kExecutors = 3;
+  const std::string job = MakeJobId(1);
+  PlatformCluster cluster(1, kExecutors);
+  for (unsigned i = 0; i < kExecutors; ++i) {
+    cluster.ExecutorFault(i, R"({"lose_starts":1})");
+  }
+  auto answer = std::async(std::launch::async, [&] {
+    return cluster.Submit(0, job, "ms=2500", 1, true);
+  });
+  ASSERT_TRUE(WaitUntil([&] { return cluster.CountRuns(job) == 1; }));
+  const unsigned first = cluster.Runs().at(0).executor_;
+  for (unsigned i = 0; i < kExecutors; ++i) {
+    cluster.ExecutorFault(i, "{}");
+  }
+  cluster.ExecutorFault(first, R"({"fail_running":true})");
+  EXPECT_TRUE(WaitUntil([&] { return cluster.CountRuns(job) == 2; }));
+  std::this_thread::sleep_for(Millis(300));
+  cluster.ExecutorFault(first, GetParam());
+  EXPECT_EQ(answer.get().response_.body_, R"({"state":"completed"})");
+  EXPECT_THAT(cluster.OverlappingRuns(), IsEmpty());
+}
+
+INSTANTIATE_TEST_SUITE_P(Restarts,
+                         LateOrder,
+                         testing::Values(R"({"reborn":true,"late_ms":0})",
+                                         R"({"reborn":true,"late_ms":100})"),
+                         [](const auto& aInfo) {
+                           return aInfo.index == 0 ? "AtOnce" : "Later";
+                         });
+
 TEST(PlatformStored, WhatCannotBeStoredIsRefusedAtOnce)
 {
   PlatformCluster cluster(1, 1);
--- a/testsuite/standins/executor_standin.cpp
+++ b/testsuite/standins/executor_standin.cpp
@@ -4,8 +4,10 @@
 /// "ms=N" runs for N milliseconds, "fail" fails. `GET /control/runs` lists
 /// every run of all incarnations with its start, its end, and when the end was
 /// acknowledged. `POST /control` sets the faults "unanswered", "draining" and
-/// "stalls", and restarts the executor as a new incarnation with "reborn": by
-/// turns under the id that it had and under another one.
+/// "stalls", ends what runs as failed with "fail_running", leaves the next
+/// "lose_starts" orders without an answer, and restarts the executor as a new
+/// incarnation with "reborn": by turns under the id that it had and under
+/// another one. The lost orders arrive "late_ms" after a restart.
 
 #include "cornelfront/http_client.h"
 #include "cornelfront/http_server.h"
@@ -19,6 +21,7 @@
 #include <iostream>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -99,10 +102,19 @@
       unanswered_ = body.value("unanswered", false);
       draining_ = body.value("draining", draining_);
       stalls_ = body.value("stalls", stalls_);
+      loseStarts_ = body.value("lose_starts", 0);
+      if (body.value("fail_running", false)) {
+        FailRunning(now);
+      }
       if (body.value("reborn", false)) {
         Restart(now);
+        lateFrom_ = now + Millis(body.value("late_ms", 0));
       }
       aReply.Send({ .body_ = "{}" });
+    } else if (aRequest.path_ == "/run-start" && loseStarts_ > 0) {
+      --loseStarts_;
+      lostStarts_.push_back(body);
+      withheldReplies_.push_back(aReply);
     } else if (unanswered_) {
       withheldReplies_.push_back(aReply);
     } else if (aRequest.Header("expected-instance", Id()) != Id()) {
@@ -129,6 +141,7 @@
     std::lock_guard lock(mutex_);
     const MonoTime now = MonoClock::now();
     EndDue(now);
+    CarryOutLate(now);
     AnswerPolls(now);
   }
 
@@ -168,6 +181,29 @@
     return fenced;
   }
 
+  void FailRunning(MonoTime aNow)
+  {
+    for (Run& run : runs_) {
+      if (run.outcome_.empty()) {
+        End(run, "failed", aNow);
+      }
+    }
+  }
+
+  /// Carries out the orders that were lost before the last restart.
+  void CarryOutLate(MonoTime aNow)
+  {
+    if (!lateFrom_ || aNow < *lateFrom_) {
+      return;
+    }
+    lateFrom_.reset();
+    for (const Json& order : std::exchange(lostStarts_, {})) {
+      if (!IsFenced(order)) {
+        Start(order, aNow);
+      }
+    }
+  }
+
   /// Starts a new incarnation, as after a crash: ends all runs and clears the
   /// state.
   void Restart(MonoTime aNow)
@@ -372,6 +408,10 @@
   int64_t fence_ = 0;
   /// The last restart kept the id.
   bool keepsId_ = false;
+  /// Number of orders to leave without an answer.
+  int loseStarts_ = 0;
+  std::vector<Json> lostStarts_;
+  std::optional<MonoTime> lateFrom_;
   bool unanswered_ = false;
   bool draining_ = false;
   bool stalls_ = false;
