Let the lease end before unacknowledged ends are forgotten

Cause: once the newest end was 400 numbers above the oldest one that the leader had not stored, RunTable forgot all of them, which acknowledges them; the next leader knew nothing of these ends. The class: a list that is full forgets what a promise rests on.

Now no run of a stored job starts while 300 of them have ended without an acknowledgement or go on; if ends of other jobs stretch the list to its limit all the same, the lease ends first, as for a lost leader, which makes the ends void.

NoneStartsWhileManyEndsAreUnacknowledged is new; UnacknowledgedEndsNeverHideNewerOnes asked for the acknowledgement at once and now asks for it after the end of the lease, and not before. Both fail on the code before.

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -207,8 +207,12 @@
   Millis startTimeout_{ 250 };
   /// Time after which a lease that is no longer extended has expired.
   Millis leaseExpiry_{ 1200 };
-  /// Maximum number of unacknowledged ends; more could push newer ends off the
-  /// upstream's list.
+  /// No run of a stored job starts while this many have ended without an
+  /// acknowledgement or go on.
+  size_t maxOpenStoredRuns_ = 300;
+  /// Maximum distance of the newest end from the oldest unacknowledged one;
+  /// beyond it, newer ends could be pushed off the upstream's list. The lease
+  /// then ends, which makes the unacknowledged ends void.
   size_t maxUnacknowledgedEnds_ = 400;
   /// Runs of an upstream that has not answered for this long have ended, since
   /// its lease is shorter. An order without an answer proves nothing of the
@@ -462,7 +466,8 @@
   void QueueReport(MemberId aOwner, const RunReport& aReport, MonoTime aNow);
   Runs::iterator Finish(Runs::iterator aRun, RunEnd aEnd, MonoTime aNow);
   void RecordEnd(const EndedEntry& aEnd, Runs::iterator aRun, MonoTime aNow);
-  void LimitUnacknowledgedEnds();
+  void LimitUnacknowledgedEnds(MonoTime aNow);
+  size_t OpenStoredRuns() const;
   /// The upstream has been silent for too long.
   void SuspectCrash();
   /// Another incarnation has taken the place of the current one.
--- a/src/libcornelfront/policy/run_polls.cpp
+++ b/src/libcornelfront/policy/run_polls.cpp
@@ -6,6 +6,7 @@
 
 #include "policy/run_table_pvt.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -132,7 +133,7 @@
       Finish(run, entry.end_, aNow);
     }
   }
-  LimitUnacknowledgedEnds();
+  LimitUnacknowledgedEnds(aNow);
 }
 
 /// Records the end of a run of a stored job, or of one that a predecessor of
@@ -154,15 +155,28 @@
   }
 }
 
+/// To acknowledge an end that the leader has not stored would let the next
+/// leader start its task again.
 void
-RunTable::LimitUnacknowledgedEnds()
+RunTable::LimitUnacknowledgedEnds(MonoTime aNow)
 {
-  if (!unacknowledged_.empty() && newestEnd_ - unacknowledged_.begin()->first >=
-                                    options_.maxUnacknowledgedEnds_) {
-    unacknowledged_.clear();
+  if (!unacknowledged_.empty() && !leaseLapseStart_ &&
+      newestEnd_ - unacknowledged_.begin()->first >=
+        options_.maxUnacknowledgedEnds_) {
+    leaseLapseStart_ = aNow;
   }
 }
 
+size_t
+RunTable::OpenStoredRuns() const
+{
+  const auto started =
+    std::count_if(runs_.begin(), runs_.end(), [](const auto& aRun) {
+      return aRun.second.term_ > 0 && aRun.second.state_ != State::Waiting;
+    });
+  return unacknowledged_.size() + static_cast<size_t>(started);
+}
+
 void
 RunTable::ProcessMissing(uint64_t aPollNumber,
                          const UpstreamPollResult& aPollResult,
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -212,7 +212,13 @@
     }
   }
   Resources used = ResourcesInUse();
+  size_t openStored = OpenStoredRuns();
   for (const auto run : WaitingInOrder(aNow)) {
+    const bool stored = run->second.term_ > 0;
+    if (stored && openStored >= options_.maxOpenStoredRuns_) {
+      continue;
+    }
+    openStored += stored ? 1 : 0;
     Resources with = used;
     with += run->second.resources_;
     if (!upstream_->capacity_.CanFit(with)) {
--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -551,15 +551,44 @@
   EXPECT_EQ(table_.AcknowledgedEnds(), 3U);
 }
 
+// An end that is acknowledged although the leader has not stored it would let
+// the next leader start its task again.
 TEST_F(StoredRunsTest, UnacknowledgedEndsNeverHideNewerOnes)
 {
-  Poll({ .running_ = { { Key(1) } },
-         .ended_ = { { 1, Key(0), RunEnd::Done },
-                     { 401, Key(9), RunEnd::Done } } },
-       10);
+  const UpstreamPollResult full{ .running_ = { { Key(1) } },
+                                 .ended_ = { { 1, Key(0), RunEnd::Done },
+                                             { 401, Key(9), RunEnd::Done } } };
+  Poll(full, 10);
+  EXPECT_EQ(table_.AcknowledgedEnds(), 0U);
+  EXPECT_FALSE(table_.LeaseEnd(At(10))) << "its end makes them void";
+  PollOften(full, 20, 1180);
+  EXPECT_EQ(table_.AcknowledgedEnds(), 0U);
+  PollOften(full, 1190, 1260);
   EXPECT_EQ(table_.AcknowledgedEnds(), 401U);
 }
 
+TEST_F(StoredRunsTest, NoneStartsWhileManyEndsAreUnacknowledged)
+{
+  constexpr uint32_t kMaxOpen = 300;
+  UpstreamPollResult result;
+  for (uint32_t i = 0; i < kMaxOpen - 1; ++i) {
+    result.ended_.push_back({ i + 1, Key(100 + i), RunEnd::Done });
+  }
+  result.running_ = { { Key(0) } };
+  Poll(result, 10);
+  StartRuns orders = Orders(2);
+  orders.runs_ = { { 50, 1 } };
+  orders.term_ = 1;
+  table_.OnOrders(kOwner, orders, At(20));
+  EXPECT_TRUE(table_.TakeStarts(At(20)).empty());
+  StartRuns bestEffort = Orders(1);
+  bestEffort.job_ = "fedcba9876543210";
+  table_.OnOrders(kOwner, bestEffort, At(21));
+  EXPECT_EQ(table_.TakeStarts(At(21)).size(), 1U) << "these leave no ends";
+  table_.OnAcknowledgeEnds({ { Key(100), Key(101) } });
+  EXPECT_EQ(table_.TakeStarts(At(22)).size(), 1U);
+}
+
 TEST_F(RunTableTest, StoredJobsAreRefusedBeforeRegistration)
 {
   StartRuns orders = Orders(1);
