Park jobs that no upstream can run until an upstream changes

Cause: a pass over the waiting jobs ends after eight that can't be placed, or 64 in all, and jobs that no upstream can ever run stay among the oldest for good. The class: one that can't go ahead keeps those behind it back.

Placement now tells why a task waits: for room, for one upstream or the end of a limit, or because no upstream may run it. Jobs of the last kind leave the queue until an upstream's readiness, service, capacity or labels, the registered sidecars or the zones change. Only jobs that wait for room count as a sign that those behind them don't fit either.

JobsThatNoUpstreamCanRunDoNotKeepOthersWaiting fails on the code before.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -401,6 +401,16 @@
     Millis longestRun_{ 0 };
   };
 
+  struct PlacementObstacles
+  {
+    /// All upstreams that may run a task are full.
+    bool noRoom_ = false;
+    /// No upstream may run a task, however little it has to do.
+    bool noUpstream_ = false;
+    /// A task has to wait for one upstream, or for the end of a limit.
+    bool limited_ = false;
+  };
+
   struct Job
   {
     JobSubmissionId submissionId_ = 0;
@@ -419,9 +429,8 @@
     MonoTime deadline_;
     std::vector<Step> steps_;
     bool anySent_ = false;
-    /// At its last placement, a task waited for room at any upstream, rather
-    /// than for one upstream or for the end of a limit.
-    bool waitsForRoom_ = false;
+    /// Why tasks of it could not be placed at its last placement.
+    PlacementObstacles obstacles_;
     bool hasStarted_ = false;
     /// A run may have started, so the job can no longer be refused.
     bool mayHaveRun_ = false;
@@ -585,6 +594,11 @@
   }
   void PlaceWaiting(MonoTime aNow);
   void PlaceWaiting(bool aLate, MonoTime aNow);
+  /// Removes the job from the queues of jobs to place.
+  void Unqueue(const Job& aJob);
+  /// Jobs that no upstream could run are tried again, as an upstream has
+  /// changed.
+  void RetryParked() { waiting_.merge(parked_); }
   void UnblockSteps(Job& aJob);
   std::vector<Candidate> FindCandidates(const Job& aJob,
                                         const StepSpec& aStep,
@@ -675,6 +689,9 @@
   /// Jobs with tasks that no upstream could take, in the order in which
   /// placement is retried.
   std::set<WaitRank> waiting_;
+  /// Jobs with tasks that no upstream may run, until an upstream changes. They
+  /// must not keep those behind them waiting.
+  std::set<WaitRank> parked_;
   MonoTime placedAt_;
   /// Stored instances with progress that is not in the store yet.
   std::set<JobInstance> unsaved_;
--- a/src/libcornelfront/policy/job_placement.cpp
+++ b/src/libcornelfront/policy/job_placement.cpp
@@ -32,14 +32,27 @@
     waiting_.insert(RankOf(aJob));
     return;
   }
-  waiting_.erase(RankOf(aJob));
+  Unqueue(aJob);
   if (FailIfCrashing(aJob)) {
     return;
   }
-  aJob.waitsForRoom_ = false;
+  aJob.obstacles_ = {};
   for (uint32_t step = 0; step < aJob.steps_.size(); ++step) {
     PlaceStep(aJob, step, aNow);
   }
+  const PlacementObstacles& obstacles = aJob.obstacles_;
+  if (obstacles.noRoom_ || obstacles.limited_) {
+    waiting_.insert(RankOf(aJob));
+  } else if (obstacles.noUpstream_) {
+    parked_.insert(RankOf(aJob));
+  }
+}
+
+void
+JobScheduler::Unqueue(const Job& aJob)
+{
+  waiting_.erase(RankOf(aJob));
+  parked_.erase(RankOf(aJob));
 }
 
 bool
@@ -86,7 +99,7 @@
     const JobTaskId id{ aJob.spec_.id_, aJob.occurrence_, aStep, index };
     const StartLimit limit = LimitOf(id);
     if (gangIsHeld || limit.where_ == StartLimit::Where::Nowhere) {
-      waiting_.insert(RankOf(aJob));
+      aJob.obstacles_.limited_ = true;
       continue;
     }
     if (!candidates) {
@@ -95,8 +108,10 @@
     const bool alone = MustRunAlone(id, spec);
     Candidate* chosen = ChooseCandidate(*candidates, aJob, id, limit, alone);
     if (chosen == nullptr) {
-      aJob.waitsForRoom_ |= limit.where_ == StartLimit::Where::Anywhere;
-      waiting_.insert(RankOf(aJob));
+      const bool limited = limit.where_ != StartLimit::Where::Anywhere;
+      aJob.obstacles_.limited_ |= limited;
+      aJob.obstacles_.noUpstream_ |= !limited && candidates->empty();
+      aJob.obstacles_.noRoom_ |= !limited && !candidates->empty();
       continue;
     }
     const bool mayReturn = limit.where_ == StartLimit::Where::Anywhere;
@@ -202,7 +217,7 @@
   for (const WaitRank& rank : tried) {
     PlaceJob(jobs_.at(rank.instance_), aNow);
     const bool waits =
-      waiting_.contains(rank) && jobs_.at(rank.instance_).waitsForRoom_;
+      waiting_.contains(rank) && jobs_.at(rank.instance_).obstacles_.noRoom_;
     failures += waits ? 1 : 0;
     if (failures >= kMaxFailures) {
       return;
@@ -422,7 +437,7 @@
 void
 JobScheduler::UpdateLatestStart(Job& aJob)
 {
-  waiting_.erase(RankOf(aJob));
+  Unqueue(aJob);
   aJob.latestStart_ = LatestStartOf(aJob);
 }
 
--- a/src/libcornelfront/policy/job_runs.cpp
+++ b/src/libcornelfront/policy/job_runs.cpp
@@ -26,6 +26,14 @@
   return aOld + (aNew - aOld) * aWeight;
 }
 
+/// True if the upstream may run other tasks than before.
+bool
+MayRunOthers(const UpstreamReport& aBefore, const UpstreamReport& aNow)
+{
+  return aBefore.ready_ != aNow.ready_ || aBefore.service_ != aNow.service_ ||
+         aBefore.capacity_ != aNow.capacity_ || aBefore.labels_ != aNow.labels_;
+}
+
 } // namespace
 
 void
@@ -44,6 +52,9 @@
     sidecar.failures_ = 0.0;
     sidecar.avoidUntil_ = {};
   }
+  if (MayRunOthers(sidecar.report_, aReports.upstream_)) {
+    RetryParked();
+  }
   sidecar.report_ = aReports.upstream_;
   sidecar.reportedAt_ = aNow;
   while (!sidecar.unreported_.empty() && sidecar.unreported_.front().number_ <=
--- a/src/libcornelfront/policy/job_scheduler.cpp
+++ b/src/libcornelfront/policy/job_scheduler.cpp
@@ -174,6 +174,7 @@
 {
   DetectSuspension(aNow);
   zonesOut_ = std::move(aZones);
+  RetryParked();
   PlaceWaiting(aNow);
 }
 
@@ -452,7 +453,7 @@
     actions_.emplace_back(SendStops{ id, std::move(stop) });
   }
   const JobInstance id = InstanceOf(aJob);
-  waiting_.erase(RankOf(aJob));
+  Unqueue(aJob);
   unsaved_.erase(id);
   if (!aJob.stored_) {
     submissions_.erase(aJob.submissionId_);
--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -813,6 +813,39 @@
   const RunKey key_{ { kJob, 0, 0, 0 }, 1 };
 };
 
+// They are the oldest, and all jobs are too late for their objective.
+TEST_F(StoredJobTest, JobsThatNoUpstreamCanRunDoNotKeepOthersWaiting)
+{
+  for (int i = 0; i < 80; ++i) {
+    JobDescription huge = Job(1, "huge-" + std::to_string(100 + i));
+    huge.steps_[0].resources_.cpu_ = 64000;
+    Restore(huge);
+  }
+  UpstreamReport full = Idle("u1");
+  full.backlog_ = { kTwoSecondsOfWork };
+  full.committed_ = full.capacity_;
+  scheduler_.OnReports(kFirst, { .upstream_ = full }, At(1));
+  scheduler_.OnReports(kSecond, { .upstream_ = full }, At(1));
+  Restore(Job(), {}, false, 100);
+  EXPECT_EQ(Take().Runs(), 0U);
+  for (int ms = 500; ms <= 9500; ms += 500) {
+    scheduler_.Tick(At(ms));
+  }
+  EXPECT_EQ(Take().Runs(), 0U);
+  scheduler_.OnReports(kFirst, { .upstream_ = Idle("u1") }, At(9900));
+  EXPECT_EQ(Take().Runs(), 1U);
+}
+
+TEST_F(StoredJobTest, AJobStartsOnceAnUpstreamCanRunIt)
+{
+  JobDescription huge = Job();
+  huge.steps_[0].resources_.cpu_ = 64000;
+  Restore(huge);
+  EXPECT_EQ(Take().Runs(), 0U);
+  scheduler_.OnReports(kFirst, { .upstream_ = Idle("u1", 64000) }, At(20));
+  EXPECT_EQ(Take().Runs(), 1U);
+}
+
 TEST_F(StoredJobTest, AcknowledgesEndsOnlyWhenSaved)
 {
   Restore(Job(2));
--- a/src/libcornelfront/policy/job_stored.cpp
+++ b/src/libcornelfront/policy/job_stored.cpp
@@ -40,7 +40,7 @@
       ++job;
       continue;
     }
-    waiting_.erase(RankOf(job->second));
+    Unqueue(job->second);
     job = jobs_.erase(job);
   }
   // The new leader takes over these runs; this process must not act on them.
@@ -85,6 +85,7 @@
 JobScheduler::SetRegisteredSidecars(std::set<MemberId> aSidecars)
 {
   registeredSidecars_ = std::move(aSidecars);
+  RetryParked();
 }
 
 void
