Run a suspect beside others once it could not run alone

Cause: a task under which an upstream has crashed is tried alone, on 15 % of the upstreams. Where a task that lasts runs on each of these, none of them ever becomes empty: the order comes back after 1.5 s and is sent again, without end, and holds up the queue of its sidecar meanwhile.

An order for a run alone that comes back without a start now ends the wish: the next run of the task is placed beside others, as that of a task with a long estimate is.

ATaskThatCouldNotRunAloneRunsBesideOthers fails on the code before.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -389,6 +389,11 @@
     int returned_ = 0;
     /// Number of runs that were stopped because they stalled.
     int stalls_ = 0;
+    /// Its last order is for a run that has to be alone.
+    bool alone_ = false;
+    /// Such an order was returned without a start, since the upstream did not
+    /// become empty in time.
+    bool couldNotRunAlone_ = false;
     /// Sidecars of the upstreams on which a run of this task did not succeed.
     std::set<MemberId> avoidedSidecars_;
   };
@@ -567,7 +572,9 @@
                        MonoTime aNow);
   void PlaceJobsOf(const std::vector<JobTaskId>& aTasks, MonoTime aNow);
   /// True if the next run of the task has to be the only one on its upstream.
-  bool MustRunAlone(const JobTaskId& aTaskId, const StepSpec& aStep) const;
+  bool MustRunAlone(const JobTaskId& aTaskId,
+                    const StepSpec& aStep,
+                    const Task& aTask) const;
   bool HasHeldTask(const Job& aJob, uint32_t aStep) const;
   void PlaceStep(Job& aJob, uint32_t aStep, MonoTime aNow);
   /// Adds the next run of a task to the orders of the chosen sidecar. A run
--- a/src/libcornelfront/policy/job_holds.cpp
+++ b/src/libcornelfront/policy/job_holds.cpp
@@ -78,11 +78,12 @@
 
 bool
 JobScheduler::MustRunAlone(const JobTaskId& aTaskId,
-                           const StepSpec& aStep) const
+                           const StepSpec& aStep,
+                           const Task& aTask) const
 {
   const bool isShort =
     !aStep.longRunning_ && aStep.estimate_ <= options_.maxIsolatedRun_;
-  return isShort && !aStep.gang_ &&
+  return isShort && !aStep.gang_ && !aTask.couldNotRunAlone_ &&
          crashes_.SuspicionOf(aTaskId) == CrashSuspicion::Suspect;
 }
 
--- a/src/libcornelfront/policy/job_placement.cpp
+++ b/src/libcornelfront/policy/job_placement.cpp
@@ -105,7 +105,7 @@
     if (!candidates) {
       candidates = FindCandidates(aJob, spec, aNow);
     }
-    const bool alone = MustRunAlone(id, spec);
+    const bool alone = MustRunAlone(id, spec, task);
     Candidate* chosen = ChooseCandidate(*candidates, aJob, id, limit, alone);
     if (chosen == nullptr) {
       const bool limited = limit.where_ != StartLimit::Where::Anywhere;
@@ -145,6 +145,7 @@
   task.sidecar_ = sidecar->first;
   task.sentAt_ = aNow;
   task.stopSent_ = false;
+  task.alone_ = aAlone;
   aJob.anySent_ = true;
   // The view of an upstream is as old as its last report, and other entries may
   // have taken the resources since.
--- a/src/libcornelfront/policy/job_runs.cpp
+++ b/src/libcornelfront/policy/job_runs.cpp
@@ -111,7 +111,9 @@
   }
   task.state_ = TaskState::Ready;
   task.avoidedSidecars_.insert(aSidecar);
-  task.returned_ += aReport.end_ == RunEnd::NotStarted ? 1 : 0;
+  const bool returned = aReport.end_ == RunEnd::NotStarted;
+  task.returned_ += returned ? 1 : 0;
+  task.couldNotRunAlone_ |= returned && task.alone_;
   if (aReport.end_ == RunEnd::Failed) {
     OnTaskFailed(*job, aReport.key_, aNow);
     return;
--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -846,6 +846,26 @@
   EXPECT_EQ(Take().Runs(), 1U);
 }
 
+// On each upstream that takes tasks alone, something may run for good.
+TEST_F(StoredJobTest, ATaskThatCouldNotRunAloneRunsBesideOthers)
+{
+  Restore(Job());
+  scheduler_.OnUpstreamCrashes(kFirst,
+                               { { { .number_ = 1,
+                                     .state_ = CrashState::Proven,
+                                     .tasks_ = { key_.task_ } } } },
+                               At(0));
+  Report(Take().runs_.at(0).sidecar_, key_, RunEnd::Lost, 10);
+  SortedActions sent = Take();
+  ASSERT_EQ(sent.Runs(), 1U);
+  EXPECT_EQ(sent.runs_[0].orders_.resources_.cpu_, 4000) << "alone";
+  const RunKey alone{ key_.task_, sent.runs_[0].orders_.runs_[0].run_ };
+  Report(sent.runs_[0].sidecar_, alone, RunEnd::NotStarted, 1600);
+  sent = Take();
+  ASSERT_EQ(sent.Runs(), 1U);
+  EXPECT_EQ(sent.runs_[0].orders_.resources_.cpu_, 1000) << "beside others";
+}
+
 TEST_F(StoredJobTest, AcknowledgesEndsOnlyWhenSaved)
 {
   Restore(Job(2));
