Keep a done occurrence closed until the store shows it

Cause: an occurrence that is done leaves the scheduler at once, its record goes to the store, and until the record has been read back nothing marked it as done; the check each 200 ms restored it with the progress of before. The class: a fact is decided but not yet read back, and the place that forgets first is asked. Jobs without occurrences had closingJobs_.

The leader now remembers such occurrences until the store shows them, or the end of the job.

AnOccurrenceThatIsDoneDoesNotStartAgainWhileTheStoreIsSlow fails without the check.

--- a/src/libcornelfront/platform/stored_jobs_test.cpp
+++ b/src/libcornelfront/platform/stored_jobs_test.cpp
@@ -153,11 +153,11 @@
   }
 
   /// Reports the end of a run of the sidecar.
-  void Report(uint32_t aIndex, RunEnd aEnd)
+  void Report(uint32_t aIndex, RunEnd aEnd, uint32_t aRun = 1)
   {
     scheduler_.OnReports(
       kSidecar,
-      { .reports_ = { { .key_ = { { kJob, 0, 0, aIndex }, 1 },
+      { .reports_ = { { .key_ = { { kJob, 0, 0, aIndex }, aRun },
                         .end_ = aEnd,
                         .unacknowledged_ = true } },
         .upstream_ = Upstream() },
@@ -272,6 +272,40 @@
   EXPECT_TRUE(RunUntil([this] { return Count<SendRuns>() > 0; }));
 }
 
+TEST_F(StoredJobsTest,
+       AnOccurrenceThatIsDoneDoesNotStartAgainWhileTheStoreIsSlow)
+{
+  LinkSidecar();
+  Append({ SidecarRecord("s", kSidecar) });
+  ASSERT_TRUE(RunUntilLeader());
+  stored_->OnTakenOver("s", kSidecar, stored_->Term());
+  const auto now = std::chrono::duration_cast<Millis>(
+    std::chrono::system_clock::now().time_since_epoch());
+  Append({ AcceptanceRecord({ { .id_ = kJob,
+                                .payload_ = "p",
+                                .steps_ = { { .count_ = 1,
+                                              .resources_ = { .cpu_ = 1000 },
+                                              .estimate_ = Millis(100) } },
+                                .repeats_ = 2,
+                                .firstDue_ = now,
+                                .interval_ = Millis(60000) },
+                              "q" }) });
+  ASSERT_TRUE(RunUntil([this] { return Count<SendRuns>() == 1; }));
+  const auto sent = std::find_if(
+    actions_.begin(), actions_.end(), [](const JobAction& aAction) {
+      return std::holds_alternative<SendRuns>(aAction);
+    });
+  const uint32_t run = std::get<SendRuns>(*sent).orders_.runs_.at(0).run_;
+  holdAppends_ = true;
+  Report(0, RunEnd::Done, run);
+  RunUntil([] { return false; }, Millis(500));
+  EXPECT_EQ(Count<SendRuns>(), 1U);
+  ReleaseAppends();
+  RunUntil([] { return false; }, Millis(500));
+  EXPECT_EQ(Count<SendRuns>(), 1U);
+  EXPECT_EQ(Count<SendAcknowledgement>(), 1U);
+}
+
 TEST_F(StoredJobsTest, KeepsARegistrationThatWasLostInAnEarlierTermOnly)
 {
   Append({ SidecarRecord("s", kSidecar) });
--- a/src/libcornelfront/stored_jobs.cpp
+++ b/src/libcornelfront/stored_jobs.cpp
@@ -203,6 +203,7 @@
   takenOverSidecars_.clear();
   startedInstances_.clear();
   closingJobs_.clear();
+  completedInstances_.clear();
   lostSince_.clear();
   removedSidecars_.clear();
   restoredSidecars_.clear();
@@ -288,12 +289,12 @@
 {
   const auto found = replica_.Jobs().find(aJob);
   if (found == replica_.Jobs().end()) {
-    closingJobs_.erase(aJob);
+    ForgetClosing(aJob);
     return;
   }
   const JobReplica::StoredJob& entry = found->second;
   if (entry.finalState_) {
-    closingJobs_.erase(aJob);
+    ForgetClosing(aJob);
     if (entry.accepted_) {
       // The job was submitted again after its end.
       Write({ { AcceptanceRecord(*entry.accepted_).key_, "" } }, [] {});
@@ -314,6 +315,16 @@
                  aNow);
 }
 
+/// The store shows the end of the job.
+void
+StoredJobs::ForgetClosing(const std::string& aJob)
+{
+  closingJobs_.erase(aJob);
+  std::erase_if(completedInstances_, [&](const JobInstance& aInstance) {
+    return aInstance.job_ == aJob;
+  });
+}
+
 void
 StoredJobs::StartInstances(const std::string& aJob,
                            const JobReplica::StoredJob& aEntry,
@@ -331,6 +342,7 @@
   for (uint32_t k = 0; k < instances; ++k) {
     const auto record = aEntry.instances_.find(k);
     if (record != aEntry.instances_.end() && record->second.completed_) {
+      completedInstances_.erase({ aJob, k });
       ++completed;
       continue;
     }
@@ -338,6 +350,7 @@
       break;
     }
     if (!scheduler_.HoldsInstance({ aJob, k }) &&
+        !completedInstances_.contains({ aJob, k }) &&
         !closingJobs_.contains(aJob)) {
       scheduler_.Restore(
         job,
@@ -395,10 +408,13 @@
     scheduler_.Cancel(id, BootNow());
     return;
   }
+  const bool completed = aSave.outcome_ == JobOutcome::Completed;
+  if (completed) {
+    completedInstances_.insert(aSave.instance_);
+  }
   Write({ ProgressRecord(
           aSave.instance_,
-          { .progress_ = aSave.progress_,
-            .completed_ = aSave.outcome_ == JobOutcome::Completed }) },
+          { .progress_ = aSave.progress_, .completed_ = completed }) },
         saved);
 }
 
--- a/src/libcornelfront/stored_jobs.h
+++ b/src/libcornelfront/stored_jobs.h
@@ -83,6 +83,7 @@
                       bool aFromEarlierLeader,
                       MonoTime aNow);
   void Close(const std::string& aJob, JobState aState);
+  void ForgetClosing(const std::string& aJob);
   void SaveStartedJobs(MonoTime aNow);
   /// True if the ends of this instance may still matter to a leader.
   bool NeedsEnds(const JobInstance& aInstance, MonoTime aNow) const;
@@ -118,6 +119,8 @@
   std::set<std::string> restoredSidecars_;
   std::set<JobInstance> startedInstances_;
   std::set<std::string> closingJobs_;
+  /// Occurrences that have ended well; the store does not show it yet.
+  std::set<JobInstance> completedInstances_;
   MonoTime leadingSince_;
   MonoTime claimedAt_;
   MonoTime checkedAt_;
