--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -610,16 +610,23 @@
   std::vector<Candidate> FindCandidates(const Job& aJob,
                                         const StepSpec& aStep,
                                         MonoTime aNow);
+  /// Adds the sidecar if its upstream may run a task of the step.
+  void AddCandidate(std::vector<Candidate>& aCandidates,
+                    Sidecars::iterator aSidecar,
+                    const Job& aJob,
+                    const StepSpec& aStep,
+                    double aRunMs,
+                    MonoTime aNow);
   void UpdateCosts(Candidate& aCandidate,
                    const Job& aJob,
                    const StepSpec& aStep,
                    double aRunMs) const;
   /// Returns the candidate with the least cost, or nullptr if none may run the
-  /// task now.
+  /// task now. \p aIsolatingOnly leaves out those that take no runs alone.
   Candidate* ChooseCandidate(std::vector<Candidate>& aCandidates,
                              const Job& aJob,
                              const JobTaskId& aTaskId,
-                             const StartLimit& aLimit,
+                             bool aIsolatingOnly,
                              bool aAlone) const;
   /// Marks the candidates that take tasks which have to run alone.
   void ChooseIsolating(std::vector<Candidate>& aCandidates) const;
--- a/src/libcornelfront/policy/job_placement.cpp
+++ b/src/libcornelfront/policy/job_placement.cpp
@@ -102,20 +102,29 @@
       aJob.obstacles_.limited_ = true;
       continue;
     }
-    if (!candidates) {
+    const bool limited = limit.where_ == StartLimit::Where::OnlyAt;
+    std::vector<Candidate> only;
+    if (limited) {
+      AddCandidate(only,
+                   sidecars_.find(limit.sidecar_),
+                   aJob,
+                   spec,
+                   ExpectedRunMs(aJob, spec),
+                   aNow);
+    } else if (!candidates) {
       candidates = FindCandidates(aJob, spec, aNow);
     }
+    std::vector<Candidate>& eligible = limited ? only : *candidates;
     const bool alone = MustRunAlone(id, spec, task);
-    Candidate* chosen = ChooseCandidate(*candidates, aJob, id, limit, alone);
+    Candidate* chosen =
+      ChooseCandidate(eligible, aJob, id, alone && !limited, alone);
     if (chosen == nullptr) {
-      const bool limited = limit.where_ != StartLimit::Where::Anywhere;
       aJob.obstacles_.limited_ |= limited;
-      aJob.obstacles_.noUpstream_ |= !limited && candidates->empty();
-      aJob.obstacles_.noRoom_ |= !limited && !candidates->empty();
+      aJob.obstacles_.noUpstream_ |= !limited && eligible.empty();
+      aJob.obstacles_.noRoom_ |= !limited && !eligible.empty();
       continue;
     }
-    const bool mayReturn = limit.where_ == StartLimit::Where::Anywhere;
-    PlaceTask(aJob, id, *chosen, alone, mayReturn, sends, aNow);
+    PlaceTask(aJob, id, *chosen, alone, !limited, sends, aNow);
   }
   for (auto& [target, send] : sends) {
     const auto& [id, alone] = target;
@@ -248,18 +257,32 @@
   std::vector<Candidate> candidates;
   candidates.reserve(sidecars_.size());
   for (auto it = sidecars_.begin(); it != sidecars_.end(); ++it) {
-    const bool registered =
-      !aJob.stored_ || registeredSidecars_.contains(it->first);
-    if (registered && IsEligible(it->second, aJob, aStep)) {
-      candidates.push_back(
-        { .sidecar_ = it, .avoided_ = aNow < it->second.avoidUntil_ });
-      UpdateCosts(candidates.back(), aJob, aStep, run);
-    }
+    AddCandidate(candidates, it, aJob, aStep, run, aNow);
   }
   ChooseIsolating(candidates);
   return candidates;
 }
 
+void
+JobScheduler::AddCandidate(std::vector<Candidate>& aCandidates,
+                           Sidecars::iterator aSidecar,
+                           const Job& aJob,
+                           const StepSpec& aStep,
+                           double aRunMs,
+                           MonoTime aNow)
+{
+  if (aSidecar == sidecars_.end()) {
+    return;
+  }
+  const auto& [id, sidecar] = *aSidecar;
+  const bool registered = !aJob.stored_ || registeredSidecars_.contains(id);
+  if (registered && IsEligible(sidecar, aJob, aStep)) {
+    aCandidates.push_back(
+      { .sidecar_ = aSidecar, .avoided_ = aNow < sidecar.avoidUntil_ });
+    UpdateCosts(aCandidates.back(), aJob, aStep, aRunMs);
+  }
+}
+
 void
 JobScheduler::UpdateCosts(Candidate& aCandidate,
                           const Job& aJob,
@@ -276,12 +299,11 @@
 JobScheduler::ChooseCandidate(std::vector<Candidate>& aCandidates,
                               const Job& aJob,
                               const JobTaskId& aTaskId,
-                              const StartLimit& aLimit,
+                              bool aIsolatingOnly,
                               bool aAlone) const
 {
   const uint32_t step = aTaskId.step_;
   const Task& task = aJob.steps_[step].tasks_[aTaskId.index_];
-  const bool anywhere = aLimit.where_ == StartLimit::Where::Anywhere;
   Candidate* best = nullptr;
   bool bestAvoided = true;
   for (Candidate& candidate : aCandidates) {
@@ -294,9 +316,7 @@
     // Only an order makes an upstream empty for a run that has to be alone.
     const bool waitsTooLong = aJob.stored_ && !aAlone &&
                               candidate.waitMs_ > ToMs(options_.maxStoredWait_);
-    const bool allowed =
-      anywhere ? !aAlone || candidate.isolates_ : id == aLimit.sidecar_;
-    if (!better || waitsTooLong || !allowed ||
+    if (!better || waitsTooLong || (aIsolatingOnly && !candidate.isolates_) ||
         IsAtUpstreamLimit(id, aJob, step)) {
       continue;
     }
