Poll often while orders may be carried out late

Tasks with a late order are held while the upstream has not answered for 100 ms, and an idle sidecar's polls wait for 300 ms: such a task would have waited for the next answer, and each change would have gone to all entries at every poll. Found by reading. Polls wait for 50 ms at most while there are such orders.

--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -157,7 +157,9 @@
     // be stopped without delay.
     return Millis(0);
   }
-  if (table_.Size() == 0) {
+  // A longer wait would be taken for silence, which holds tasks with late
+  // orders.
+  if (table_.Size() == 0 && table_.LateOrderCount() == 0) {
     return kIdlePollWait;
   }
   return aNow - lastUnanswered_ < kDegradedPeriod ? kDegradedPollWait
--- a/src/libcornelfront/policy/two_runs_sidecar_test.cpp
+++ b/src/libcornelfront/policy/two_runs_sidecar_test.cpp
@@ -352,7 +352,7 @@
   if (!hasPolled_) {
     return Millis(0);
   }
-  if (table_.Size() == 0) {
+  if (table_.Size() == 0 && table_.LateOrderCount() == 0) {
     return kIdlePollWait;
   }
   return aNow - lastUnanswered_ < kDegradedPeriod ? kDegradedPollWait
