Take an answer with an earlier clock for one of a later incarnation

The simulation showed two runs of one task: an upstream crashed and started again within the 0.6 s in which its silence isn't noticed, its new incarnation answered an order that was meant for the earlier one, then nothing more.

Each answer tells the upstream's clock; one that is behind the clock that was known when the order was sent is of a later incarnation, and the order counts as unanswered.

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -84,6 +84,15 @@
   Unknown,
 };
 
+/// Returns what the answer to an order proves of the incarnation that it was
+/// meant for. A clock that is behind \p aKnown, which was read before the order
+/// was sent, shows that a later incarnation has answered: to the present one,
+/// the order is without an answer.
+StartAnswer
+CheckIncarnation(StartAnswer aAnswer,
+                 std::optional<UpstreamTime> aAnswerClock,
+                 UpstreamTime aKnown);
+
 /// A run that an upstream lists as running.
 struct RunningEntry
 {
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -283,7 +283,8 @@
     aOrder,
     deadline,
     callTimeout_.Current(aNow),
-    [this, key = aOrder.key_, deadline, aNow](StartAnswer aAnswer) {
+    [this, key = aOrder.key_, deadline, known = clock_, aNow](
+      StartAnswer aAnswer, std::optional<UpstreamTime> aClock) {
       const MonoTime now = BootNow();
       if (aAnswer == StartAnswer::Unknown) {
         callTimeout_.OnNoAnswer(aNow, now);
@@ -291,7 +292,8 @@
       } else if (aAnswer != StartAnswer::NotSent) {
         callTimeout_.OnAnswer(std::chrono::duration_cast<Millis>(now - aNow));
       }
-      table_.OnStartAnswer(key, aAnswer, deadline, now);
+      table_.OnStartAnswer(
+        key, CheckIncarnation(aAnswer, aClock, known), deadline, now);
       SendPending(now);
     });
 }
--- a/src/libcornelfront/platform/executor_client.cpp
+++ b/src/libcornelfront/platform/executor_client.cpp
@@ -111,8 +111,24 @@
   StartAnswer answer_ = StartAnswer::Refused;
   /// Reason why the run was not started, for the log.
   std::string reason_;
+  std::optional<UpstreamTime> clock_;
 };
 
+/// Returns the executor's clock, or nothing if the body has none.
+std::optional<UpstreamTime>
+ReadClock(const std::string& aBody)
+{
+  try {
+    const json body = ParseObject(aBody);
+    if (FindField(body, "clockMs") != nullptr) {
+      return UpstreamTime{ Millis(IntegerField(body, "clockMs", 0)) };
+    }
+  } catch (const WireFormatError& error) {
+    LOG(WARNING) << "malformed answer to a start: " << error.what();
+  }
+  return std::nullopt;
+}
+
 StartResult
 ParseConflict(const std::string& aBody)
 {
@@ -145,7 +161,8 @@
   }
   const int status = aResult.response_.status_;
   if (status == kStatusOk) {
-    return { StartAnswer::Started, "" };
+    return { .answer_ = StartAnswer::Started,
+             .clock_ = ReadClock(aResult.response_.body_) };
   }
   if (status == kStatusConflict) {
     try {
@@ -243,7 +260,7 @@
 ExecutorClient::Start(const StartRequest& aOrder,
                       UpstreamTime aDeadline,
                       Millis aLimit,
-                      std::function<void(StartAnswer)> aDone)
+                      StartCallback aDone)
 {
   // An executor that has seen the fence of its incarnation rejects requests
   // meant for an earlier one with the same id.
@@ -275,7 +292,7 @@
                    } else if (result.answer_ == StartAnswer::Fenced) {
                      fence_.OnRefused(fence);
                    }
-                   done(result.answer_);
+                   done(result.answer_, result.clock_);
                  });
 }
 
--- a/src/libcornelfront/platform/executor_client.h
+++ b/src/libcornelfront/platform/executor_client.h
@@ -61,13 +61,16 @@
   /// known of its clock.
   void SetIncarnation(const UpstreamInfo& aInfo, UpstreamTime aClock);
 
+  /// Takes the answer and, if it has one, the clock of the executor.
+  using StartCallback =
+    std::function<void(StartAnswer, std::optional<UpstreamTime>)>;
   /// Asks the executor to start a run. The executor rejects the request after
   /// \p aDeadline. Without a response within \p aLimit the answer is
   /// StartAnswer::Unknown.
   void Start(const StartRequest& aOrder,
              UpstreamTime aDeadline,
              Millis aLimit,
-             std::function<void(StartAnswer)> aDone);
+             StartCallback aDone);
   /// Asks the executor to stop a run. The request is sent once; its effect
   /// shows in the next poll.
   void Stop(const RunKey& aKey);
--- a/src/libcornelfront/platform/executor_client_test.cpp
+++ b/src/libcornelfront/platform/executor_client_test.cpp
@@ -63,7 +63,9 @@
   {
     std::optional<StartAnswer> answer;
     aClient.Start(
-      {}, {}, aLimit, [&](StartAnswer aAnswer) { answer = aAnswer; });
+      {}, {}, aLimit, [&](StartAnswer aAnswer, std::optional<UpstreamTime>) {
+        answer = aAnswer;
+      });
     EXPECT_TRUE(RunUntil([&] { return answer.has_value(); }));
     return answer.value_or(StartAnswer::Unknown);
   }
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -29,6 +29,16 @@
   return kStopReasons.at(static_cast<size_t>(aReason));
 }
 
+StartAnswer
+CheckIncarnation(StartAnswer aAnswer,
+                 std::optional<UpstreamTime> aAnswerClock,
+                 UpstreamTime aKnown)
+{
+  const bool other = aAnswerClock && *aAnswerClock < aKnown;
+  return other && aAnswer == StartAnswer::Started ? StartAnswer::Unknown
+                                                  : aAnswer;
+}
+
 std::string
 ToString(const RunKey& aKey)
 {
--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -1088,6 +1088,21 @@
     << "the upstream is quiet";
 }
 
+// The upstream has crashed and started again since its last poll, and its lease
+// is not the one that this sidecar knows.
+TEST_F(RestartedUpstreamTest, AStartOfALaterIncarnationProvesNothingOfThisOne)
+{
+  constexpr UpstreamTime kKnown{ Millis(5000) };
+  const auto check = [&](StartAnswer aAnswer, int64_t aClock) {
+    return CheckIncarnation(aAnswer, UpstreamTime{ Millis(aClock) }, kKnown);
+  };
+  EXPECT_EQ(check(StartAnswer::Started, 5000), StartAnswer::Started);
+  EXPECT_EQ(check(StartAnswer::Started, 3), StartAnswer::Unknown);
+  EXPECT_EQ(check(StartAnswer::Full, 3), StartAnswer::Full);
+  EXPECT_EQ(CheckIncarnation(StartAnswer::Started, std::nullopt, kKnown),
+            StartAnswer::Started);
+}
+
 // Two runs of a task would go on at one upstream.
 TEST_F(RestartedUpstreamTest, ATaskThatRunsWithoutAnOrderIsNotStartedBesideIt)
 {
--- a/src/libcornelfront/policy/two_runs_sidecar_test.cpp
+++ b/src/libcornelfront/policy/two_runs_sidecar_test.cpp
@@ -495,25 +495,32 @@
   const UpstreamTime deadline{ UpstreamNow(aNow).value_ + kStartTimeout };
   const RunKey upstreamKey{ aOrder.key_.task_, aOrder.upstreamRunNumber_ };
   const auto settled = std::make_shared<bool>(false);
-  const auto settle =
-    [this, key = aOrder.key_, deadline, aNow, fence = fence_.Value(), settled](
-      StartAnswer aAnswer) {
-      if (!std::exchange(*settled, true)) {
-        const MonoTime now = Now();
-        if (aAnswer == StartAnswer::Unknown) {
-          callTimeout_.OnNoAnswer(aNow, now);
-          fence_.OnNoAnswer();
-        } else {
-          if (aAnswer == StartAnswer::Fenced) {
-            fence_.OnRefused(fence);
-          }
-          callTimeout_.OnAnswer(std::chrono::duration_cast<Millis>(now - aNow));
+  const auto settle = [this,
+                       key = aOrder.key_,
+                       deadline,
+                       aNow,
+                       fence = fence_.Value(),
+                       known = clock_,
+                       settled](StartAnswer aAnswer,
+                                std::optional<UpstreamTime> aClock) {
+    if (!std::exchange(*settled, true)) {
+      const MonoTime now = Now();
+      if (aAnswer == StartAnswer::Unknown) {
+        callTimeout_.OnNoAnswer(aNow, now);
+        fence_.OnNoAnswer();
+      } else {
+        if (aAnswer == StartAnswer::Fenced) {
+          fence_.OnRefused(fence);
         }
-        table_.OnStartAnswer(key, aAnswer, deadline, now);
-        SendPending(now);
+        callTimeout_.OnAnswer(std::chrono::duration_cast<Millis>(now - aNow));
       }
-    };
-  Post(callTimeout_.Current(aNow), [settle] { settle(StartAnswer::Unknown); });
+      table_.OnStartAnswer(
+        key, CheckIncarnation(aAnswer, aClock, known), deadline, now);
+      SendPending(now);
+    }
+  };
+  Post(callTimeout_.Current(aNow),
+       [settle] { settle(StartAnswer::Unknown, std::nullopt); });
   const CallFate fate = world_.DrawFate(Machine(), false);
   world_.Record({ ToString(aOrder.key_.task_), Machine(), std::nullopt },
                 "sends start of " + ToString(upstreamKey) +
@@ -535,7 +542,9 @@
     const StartAnswer answer = upstream.Start(upstreamKey, deadline, fence);
     const auto self = weak.lock();
     if (answered && self) {
-      self->Post(kAnswerDelay, [settle, answer] { settle(answer); });
+      self->Post(kAnswerDelay, [settle, answer, clock = upstream.Clock()] {
+        settle(answer, clock);
+      });
     }
   };
   world_.events_.After(*fate.delay_,
