--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -555,6 +555,9 @@
   uint64_t firstIncarnationPoll_ = 0;
   /// The current incarnation has answered a poll.
   bool runsKnown_ = false;
+  /// The current incarnation has the id of the one before it, and may have
+  /// begun runs by orders for that one.
+  bool restarted_ = false;
   /// Orders without an answer whose runs have ended.
   LateOrderBook lateOrders_;
   LateOrderReport lateOrderReport_;
--- a/src/libcornelfront/policy/run_incarnations.cpp
+++ b/src/libcornelfront/policy/run_incarnations.cpp
@@ -46,8 +46,9 @@
     IdentifySender(aInfo, aNow) == HeartbeatSender::Current;
   if (!sameIncarnation) {
     RecordCrash();
-    FinishReplaced(
-      lastId_ == aInfo.id_ ? Replacement::SameId : Replacement::OtherId, aNow);
+    restarted_ = lastId_ == aInfo.id_;
+    FinishReplaced(restarted_ ? Replacement::SameId : Replacement::OtherId,
+                   aNow);
     orphans_.clear();
     runsKnown_ = false;
     newestEnd_ = 0;
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -199,7 +199,8 @@
 RunTable::MayStart(MonoTime aNow) const
 {
   return upstream_ && !upstream_->draining_ && !closed_ && !leaseLapseStart_ &&
-         aNow >= fullUntil_ && MayExtendByStart(aNow);
+         (runsKnown_ || !restarted_) && aNow >= fullUntil_ &&
+         MayExtendByStart(aNow);
 }
 
 std::vector<StartRequest>
--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -1103,6 +1103,19 @@
             StartAnswer::Started);
 }
 
+// It may have begun a run of the task by an order for the one before.
+TEST_F(RestartedUpstreamTest,
+       NothingStartsBeforeTheRunsOfTheNextIncarnationAreKnown)
+{
+  table_.OnUpstream(Upstream(2), At(10));
+  StartRuns orders = Orders(1);
+  orders.runs_ = { { 9, 1 } };
+  table_.OnOrders(kOwner, orders, At(11));
+  EXPECT_TRUE(table_.TakeStarts(At(11)).empty());
+  Poll({ .running_ = { { Key(2) } } }, 20);
+  EXPECT_EQ(table_.TakeStarts(At(20)).size(), 1U);
+}
+
 // Two runs of a task would go on at one upstream.
 TEST_F(RestartedUpstreamTest, ATaskThatRunsWithoutAnOrderIsNotStartedBesideIt)
 {
