Red test: a held task is started at a restarted upstream

Cause: RunTable lists a task as held after a restart of its upstream, but takes and sends orders for it all the same; only the entry keeps to the state. An order that crosses the message on its way (or waits in the sidecar) is sent with a new fence before the first answer of the new incarnation, which may have begun the late order in the moment of its start: two runs at one upstream (TWICE).

--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -1149,6 +1149,25 @@
   EXPECT_EQ(table_.Size(), 0U);
 }
 
+// The entry may send it before it hears that the task is held. The restarted
+// upstream may have begun the late order in the moment of its start.
+TEST_F(RestartedUpstreamTest, AHeldTaskIsNotStartedAfterARestart)
+{
+  Poll({ .ended_ = { { 1, Key(2), RunEnd::Failed } } }, 20);
+  ASSERT_EQ(LateTasksOf(table_.KnownLateOrders(At(20))),
+            (LateTasks{ { Key(2).task_, LateOrderState::OnlyHere } }));
+  table_.OnUpstream(Upstream(2), At(30));
+  ASSERT_EQ(LateTasksOf(table_.KnownLateOrders(At(30))).at(Key(2).task_),
+            LateOrderState::Held);
+  StartRuns orders = Orders(1);
+  orders.runs_ = { { 2, 2 } };
+  table_.OnOrders(kOwner, orders, At(31));
+  for (const StartRequest& start : table_.TakeStarts(At(31))) {
+    EXPECT_NE(start.key_.task_, Key(2).task_)
+      << "before the first answer of this incarnation";
+  }
+}
+
 // A task of a stored job must not wait for longer while upstreams are free.
 TEST_F(RunTableTest, AnUnansweredOrderOfAStoredJobIsGivenUpEarlier)
 {
