Red test: a held task is started at a silent upstream

Cause: as for a restarted upstream. After 100 ms of silence the sidecar lists the task as held, since the upstream may have started again and begun the late order, but TakeStarts still sends the order of its next run.

--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -1168,6 +1168,21 @@
   }
 }
 
+// A silent upstream may have started again and begun the late order.
+TEST_F(RestartedUpstreamTest, AHeldTaskIsNotStartedAtASilentUpstream)
+{
+  Poll({ .ended_ = { { 1, Key(2), RunEnd::Failed } } }, 20);
+  Wait(30, 200);
+  ASSERT_EQ(LateTasksOf(table_.KnownLateOrders(At(205))).at(Key(2).task_),
+            LateOrderState::Held);
+  StartRuns orders = Orders(1);
+  orders.runs_ = { { 2, 2 } };
+  table_.OnOrders(kOwner, orders, At(205));
+  for (const StartRequest& start : table_.TakeStarts(At(205))) {
+    EXPECT_NE(start.key_.task_, Key(2).task_);
+  }
+}
+
 // A task of a stored job must not wait for longer while upstreams are free.
 TEST_F(RunTableTest, AnUnansweredOrderOfAStoredJobIsGivenUpEarlier)
 {
