Red test: a replacement that is lost early forgets late orders

Cause: Tick marks the runs that a replacement has taken over as lost with the replacement itself (aReplaced = false, lostUntil_), and the replacement's first whole list clears lostUntil_, although it knows nothing of its predecessor's orders. Happens if the first link of a new sidecar process ends before HeldRuns and the next comes after 2.3 s. The task is then started anywhere (TWICE).

--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -1287,5 +1287,23 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, RandomEventsTest, testing::Range(1U, 41U));
 
+// Its first link may end before it has told which runs it holds.
+TEST_F(JobSchedulerTest, AReplacementThatIsLostKeepsWhatItsPredecessorLeft)
+{
+  constexpr MemberId kReplacement{ 9 };
+  scheduler_.Submit(1, Job(), Queue(), At(20000), At(0));
+  const SendRuns sent = Take().runs_.at(0);
+  scheduler_.OnSidecarLost(sent.sidecar_, At(10));
+  scheduler_.OnSidecarReplaced(sent.sidecar_, kReplacement, At(50));
+  scheduler_.OnSidecarLost(kReplacement, At(60));
+  for (int ms = 100; ms <= 3000; ms += 100) {
+    scheduler_.Tick(At(ms));
+    EXPECT_EQ(Take().Runs(), 0U) << ms;
+  }
+  // The same process links again; its list is of its own orders.
+  scheduler_.OnLateOrders(kReplacement, { .all_ = true }, At(3010));
+  EXPECT_EQ(Take().Runs(), 0U) << "not elsewhere";
+}
+
 } // namespace
 } // namespace cornelfront
