Red test: an abandoned run of a lost sidecar limits nothing

Cause: RecordLostOrder asks the job that the scheduler holds, not the orders that it sent. The runs of a job whose client has left, or that was given up, leave no record when their sidecar is lost or replaced, so that the job, submitted again, starts elsewhere while the first order may be carried out (TWICE). TheEndOfAnEarlierSubmissionsRunStartsNothing asserts that the second run is elsewhere and needs another, equally strict form with the mend.

--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -1305,5 +1305,23 @@
   EXPECT_EQ(Take().Runs(), 0U) << "not elsewhere";
 }
 
+// The client has left and returned. The order of its first submission may have
+// had no answer, as any run that was lost with its sidecar.
+TEST_F(JobSchedulerTest, AnAbandonedRunOfALostSidecarKeepsItsTask)
+{
+  scheduler_.Submit(1, Job(), Queue(), At(20000), At(0));
+  const SendRuns first = Take().runs_.at(0);
+  scheduler_.OnSidecarLost(first.sidecar_, At(10));
+  scheduler_.OnClientDisconnected(1, At(200));
+  Take();
+  scheduler_.Submit(2, Job(), Queue(), At(21500), At(600));
+  for (int ms = 1000; ms <= 12000; ms += 500) {
+    scheduler_.Tick(At(ms));
+    for (const SendRuns& sent : Take().runs_) {
+      EXPECT_EQ(sent.sidecar_, first.sidecar_) << ms;
+    }
+  }
+}
+
 } // namespace
 } // namespace cornelfront
