--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -1323,5 +1323,36 @@
   }
 }
 
+// Jobs whose tasks wait for a late order are older than a stored job, for which
+// there is room.
+TEST_F(StoredJobTest, ManyLateOrdersDoNotKeepOtherJobsWaiting)
+{
+  for (uint64_t i = 1; i <= 80; ++i) {
+    const JobDescription held = Job(1, "held-" + std::to_string(100 + i));
+    scheduler_.OnLateOrders(
+      kFirst,
+      { .orders_ = { { { held.id_, 0, 0, 0 },
+                       LateOrderState::Held,
+                       Millis(12500) } } },
+      At(0));
+    scheduler_.Submit(i, held, Queue(), At(20000), At(0));
+  }
+  UpstreamReport full = Idle("u1");
+  full.backlog_ = { kTwoSecondsOfWork };
+  full.committed_ = full.capacity_;
+  scheduler_.OnReports(kFirst, { .upstream_ = full }, At(1));
+  scheduler_.OnReports(kSecond, { .upstream_ = full }, At(1));
+  Restore(Job(), {}, false, 100);
+  for (int ms = 500; ms <= 1500; ms += 500) {
+    scheduler_.Tick(At(ms));
+  }
+  ASSERT_EQ(Take().Runs(), 0U);
+  scheduler_.OnReports(kSecond, { .upstream_ = Idle("u2") }, At(1900));
+  for (int ms = 2000; ms <= 9000; ms += 500) {
+    scheduler_.Tick(At(ms));
+  }
+  EXPECT_EQ(Take().Runs(), 1U) << "7 s after the upstream became free";
+}
+
 } // namespace
 } // namespace cornelfront
