Red test: a task never leaves an upstream that answers no order

Cause: each order without an answer keeps its task at its upstream for 6 s (12 s) anew, and the entry must send the next attempt there. While the upstream answers polls but no order, the task stays there for ever, beside an idle one (LOST after 7 s).

--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -1,5 +1,7 @@
 #include "cornelfront/job_scheduler.h"
 
+#include "cornelfront/run_table.h"
+
 #include <gtest/gtest.h>
 
 #include <random>
@@ -1354,5 +1356,55 @@
   EXPECT_EQ(Take().Runs(), 1U) << "7 s after the upstream became free";
 }
 
+// Each attempt leaves an order without an answer, which keeps the task there.
+TEST_F(StoredJobTest, ATaskLeavesAnUpstreamThatAnswersNoOrder)
+{
+  constexpr MemberId kEntry{ 50 };
+  RunTable table{ RunTableOptions{} };
+  table.OnUpstream({ .id_ = "u1",
+                     .startedMs_ = 1,
+                     .service_ = "desk",
+                     .capacity_ = { .cpu_ = 4000 } },
+                   At(0));
+  table.SetRegistered();
+  table.OnTakeOver(kEntry, 1, At(0));
+  UpstreamReport full = Idle("u2");
+  full.backlog_ = { kTwoSecondsOfWork };
+  full.committed_ = full.capacity_;
+  scheduler_.OnReports(kSecond, { .upstream_ = full }, At(0));
+  Restore(Job());
+  bool elsewhere = false;
+  size_t orders = 0;
+  for (int ms = 10; ms <= 9000 && !elsewhere; ms += 10) {
+    if (ms == 100) {
+      scheduler_.OnReports(kSecond, { .upstream_ = Idle("u2") }, At(ms));
+    }
+    scheduler_.Tick(At(ms));
+    for (const SendRuns& send : Take().runs_) {
+      elsewhere |= send.sidecar_ == kSecond;
+      if (send.sidecar_ == kFirst) {
+        ++orders;
+        table.OnOrders(kEntry, send.orders_, At(ms));
+      }
+    }
+    table.OnOwnerHeard(kEntry, At(ms));
+    table.Tick(At(ms));
+    table.OnPollResult(
+      table.BeginPoll(), { .clock_ = UpstreamTime{ Millis(ms) } }, At(ms));
+    for (const StartRequest& start : table.TakeStarts(At(ms))) {
+      table.OnStartAnswer(
+        start.key_, StartAnswer::Unknown, { Millis(ms + 250) }, At(ms));
+    }
+    scheduler_.OnLateOrders(kFirst, table.TakeLateOrders(At(ms)), At(ms));
+    UpstreamReport report = Idle("u1");
+    report.ordersReceived_ = orders;
+    scheduler_.OnReports(kFirst,
+                         { .reports_ = table.TakeUpdates()[kEntry].reports_,
+                           .upstream_ = report },
+                         At(ms));
+  }
+  EXPECT_TRUE(elsewhere) << orders << " orders at the first one";
+}
+
 } // namespace
 } // namespace cornelfront
