--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -1406,5 +1406,30 @@
   EXPECT_TRUE(elsewhere) << orders << " orders at the first one";
 }
 
+// Its upstream may refuse each start while it answers polls.
+TEST_F(JobSchedulerTest, ATaskThatMayStartAtOneUpstreamIsNotSentWithoutEnd)
+{
+  scheduler_.OnLateOrders(kFirst,
+                          { .orders_ = { { { kJob, 0, 0, 0 },
+                                           LateOrderState::OnlyHere,
+                                           Millis(12000) } } },
+                          At(0));
+  Submit(Job());
+  SortedActions sent = Take();
+  size_t orders = sent.Runs();
+  ASSERT_EQ(orders, 1U);
+  for (int ms = 1; ms <= 1000; ++ms) {
+    if (sent.Runs() > 0) {
+      ASSERT_EQ(sent.runs_[0].sidecar_, kFirst);
+      End(sent.runs_[0], RunEnd::NotStarted, ms);
+    } else {
+      scheduler_.Tick(At(ms));
+    }
+    sent = Take();
+    orders += sent.Runs();
+  }
+  EXPECT_LE(orders, 100U) << "in 1 s";
+}
+
 } // namespace
 } // namespace cornelfront
