--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -1,5 +1,7 @@
 #include "cornelfront/job_scheduler.h"
 
+#include "cornelfront/run_table.h"
+
 #include <gtest/gtest.h>
 
 #include <random>
@@ -1287,5 +1289,147 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, RandomEventsTest, testing::Range(1U, 41U));
 
+// Its first link may end before it has told which runs it holds.
+TEST_F(JobSchedulerTest, AReplacementThatIsLostKeepsWhatItsPredecessorLeft)
+{
+  constexpr MemberId kReplacement{ 9 };
+  scheduler_.Submit(1, Job(), Queue(), At(20000), At(0));
+  const SendRuns sent = Take().runs_.at(0);
+  scheduler_.OnSidecarLost(sent.sidecar_, At(10));
+  scheduler_.OnSidecarReplaced(sent.sidecar_, kReplacement, At(50));
+  scheduler_.OnSidecarLost(kReplacement, At(60));
+  for (int ms = 100; ms <= 3000; ms += 100) {
+    scheduler_.Tick(At(ms));
+    EXPECT_EQ(Take().Runs(), 0U) << ms;
+  }
+  // The same process links again; its list is of its own orders.
+  scheduler_.OnLateOrders(kReplacement, { .all_ = true }, At(3010));
+  EXPECT_EQ(Take().Runs(), 0U) << "not elsewhere";
+}
+
+// The client has left and returned. The order of its first submission may have
+// had no answer, as any run that was lost with its sidecar.
+TEST_F(JobSchedulerTest, AnAbandonedRunOfALostSidecarKeepsItsTask)
+{
+  scheduler_.Submit(1, Job(), Queue(), At(20000), At(0));
+  const SendRuns first = Take().runs_.at(0);
+  scheduler_.OnSidecarLost(first.sidecar_, At(10));
+  scheduler_.OnClientDisconnected(1, At(200));
+  Take();
+  scheduler_.Submit(2, Job(), Queue(), At(21500), At(600));
+  for (int ms = 1000; ms <= 12000; ms += 500) {
+    scheduler_.Tick(At(ms));
+    for (const SendRuns& sent : Take().runs_) {
+      EXPECT_EQ(sent.sidecar_, first.sidecar_) << ms;
+    }
+  }
+}
+
+// Jobs whose tasks wait for a late order are older than a stored job, for which
+// there is room.
+TEST_F(StoredJobTest, ManyLateOrdersDoNotKeepOtherJobsWaiting)
+{
+  for (uint64_t i = 1; i <= 80; ++i) {
+    const JobDescription held = Job(1, "held-" + std::to_string(100 + i));
+    scheduler_.OnLateOrders(
+      kFirst,
+      { .orders_ = { { { held.id_, 0, 0, 0 },
+                       LateOrderState::Held,
+                       Millis(12500) } } },
+      At(0));
+    scheduler_.Submit(i, held, Queue(), At(20000), At(0));
+  }
+  UpstreamReport full = Idle("u1");
+  full.backlog_ = { kTwoSecondsOfWork };
+  full.committed_ = full.capacity_;
+  scheduler_.OnReports(kFirst, { .upstream_ = full }, At(1));
+  scheduler_.OnReports(kSecond, { .upstream_ = full }, At(1));
+  Restore(Job(), {}, false, 100);
+  for (int ms = 500; ms <= 1500; ms += 500) {
+    scheduler_.Tick(At(ms));
+  }
+  ASSERT_EQ(Take().Runs(), 0U);
+  scheduler_.OnReports(kSecond, { .upstream_ = Idle("u2") }, At(1900));
+  for (int ms = 2000; ms <= 9000; ms += 500) {
+    scheduler_.Tick(At(ms));
+  }
+  EXPECT_EQ(Take().Runs(), 1U) << "7 s after the upstream became free";
+}
+
+// Each attempt leaves an order without an answer, which keeps the task there.
+TEST_F(StoredJobTest, ATaskLeavesAnUpstreamThatAnswersNoOrder)
+{
+  constexpr MemberId kEntry{ 50 };
+  RunTable table{ RunTableOptions{} };
+  table.OnUpstream({ .id_ = "u1",
+                     .startedMs_ = 1,
+                     .service_ = "desk",
+                     .capacity_ = { .cpu_ = 4000 } },
+                   At(0));
+  table.SetRegistered();
+  table.OnTakeOver(kEntry, 1, At(0));
+  UpstreamReport full = Idle("u2");
+  full.backlog_ = { kTwoSecondsOfWork };
+  full.committed_ = full.capacity_;
+  scheduler_.OnReports(kSecond, { .upstream_ = full }, At(0));
+  Restore(Job());
+  bool elsewhere = false;
+  size_t orders = 0;
+  for (int ms = 10; ms <= 9000 && !elsewhere; ms += 10) {
+    if (ms == 100) {
+      scheduler_.OnReports(kSecond, { .upstream_ = Idle("u2") }, At(ms));
+    }
+    scheduler_.Tick(At(ms));
+    for (const SendRuns& send : Take().runs_) {
+      elsewhere |= send.sidecar_ == kSecond;
+      if (send.sidecar_ == kFirst) {
+        ++orders;
+        table.OnOrders(kEntry, send.orders_, At(ms));
+      }
+    }
+    table.OnOwnerHeard(kEntry, At(ms));
+    table.Tick(At(ms));
+    table.OnPollResult(
+      table.BeginPoll(), { .clock_ = UpstreamTime{ Millis(ms) } }, At(ms));
+    for (const StartRequest& start : table.TakeStarts(At(ms))) {
+      table.OnStartAnswer(
+        start.key_, StartAnswer::Unknown, { Millis(ms + 250) }, At(ms));
+    }
+    scheduler_.OnLateOrders(kFirst, table.TakeLateOrders(At(ms)), At(ms));
+    UpstreamReport report = Idle("u1");
+    report.ordersReceived_ = orders;
+    scheduler_.OnReports(kFirst,
+                         { .reports_ = table.TakeUpdates()[kEntry].reports_,
+                           .upstream_ = report },
+                         At(ms));
+  }
+  EXPECT_TRUE(elsewhere) << orders << " orders at the first one";
+}
+
+// Its upstream may refuse each start while it answers polls.
+TEST_F(JobSchedulerTest, ATaskThatMayStartAtOneUpstreamIsNotSentWithoutEnd)
+{
+  scheduler_.OnLateOrders(kFirst,
+                          { .orders_ = { { { kJob, 0, 0, 0 },
+                                           LateOrderState::OnlyHere,
+                                           Millis(12000) } } },
+                          At(0));
+  Submit(Job());
+  SortedActions sent = Take();
+  size_t orders = sent.Runs();
+  ASSERT_EQ(orders, 1U);
+  for (int ms = 1; ms <= 1000; ++ms) {
+    if (sent.Runs() > 0) {
+      ASSERT_EQ(sent.runs_[0].sidecar_, kFirst);
+      End(sent.runs_[0], RunEnd::NotStarted, ms);
+    } else {
+      scheduler_.Tick(At(ms));
+    }
+    sent = Take();
+    orders += sent.Runs();
+  }
+  EXPECT_LE(orders, 100U) << "in 1 s";
+}
+
 } // namespace
 } // namespace cornelfront
--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -1177,6 +1177,55 @@
   EXPECT_EQ(table_.Size(), 0U);
 }
 
+// The entry may send it before it hears that the task is held. The restarted
+// upstream may have begun the late order in the moment of its start.
+TEST_F(RestartedUpstreamTest, AHeldTaskIsNotStartedAfterARestart)
+{
+  Poll({ .ended_ = { { 1, Key(2), RunEnd::Failed } } }, 20);
+  ASSERT_EQ(LateTasksOf(table_.KnownLateOrders(At(20))),
+            (LateTasks{ { Key(2).task_, LateOrderState::OnlyHere } }));
+  table_.OnUpstream(Upstream(2), At(30));
+  ASSERT_EQ(LateTasksOf(table_.KnownLateOrders(At(30))).at(Key(2).task_),
+            LateOrderState::Held);
+  StartRuns orders = Orders(1);
+  orders.runs_ = { { 2, 2 } };
+  table_.OnOrders(kOwner, orders, At(31));
+  for (const StartRequest& start : table_.TakeStarts(At(31))) {
+    EXPECT_NE(start.key_.task_, Key(2).task_)
+      << "before the first answer of this incarnation";
+  }
+}
+
+// A silent upstream may have started again and begun the late order.
+TEST_F(RestartedUpstreamTest, AHeldTaskIsNotStartedAtASilentUpstream)
+{
+  Poll({ .ended_ = { { 1, Key(2), RunEnd::Failed } } }, 20);
+  Wait(30, 200);
+  ASSERT_EQ(LateTasksOf(table_.KnownLateOrders(At(205))).at(Key(2).task_),
+            LateOrderState::Held);
+  StartRuns orders = Orders(1);
+  orders.runs_ = { { 2, 2 } };
+  table_.OnOrders(kOwner, orders, At(205));
+  for (const StartRequest& start : table_.TakeStarts(At(205))) {
+    EXPECT_NE(start.key_.task_, Key(2).task_);
+  }
+}
+
+// The entry holds a task as long as listed, also once the sidecar is lost.
+TEST_F(RunTableTest, ATaskOfAStoredJobIsNotListedForLonger)
+{
+  table_.SetRegistered();
+  table_.OnTakeOver(kOwner, 1, At(0));
+  StartRuns orders = Orders(1);
+  orders.term_ = 1;
+  table_.OnOrders(kOwner, orders, At(0));
+  ASSERT_EQ(table_.TakeStarts(At(0)).size(), 1U);
+  table_.OnStartAnswer(Key(0), StartAnswer::Unknown, { Millis(250) }, At(1));
+  EXPECT_LE(table_.TakeLateOrders(At(2)).orders_.at(0).left_, Millis(6500));
+  table_.OnUpstream(Upstream(2), At(10));
+  EXPECT_LE(table_.TakeLateOrders(At(10)).orders_.at(0).left_, Millis(6500));
+}
+
 // A task of a stored job must not wait for longer while upstreams are free.
 TEST_F(RunTableTest, AnUnansweredOrderOfAStoredJobIsGivenUpEarlier)
 {
