Start no old order on a lease that outlives its owner

Cause: the limit of an owner lowers what polls extend from then on, but a lease never gets shorter. What polls had granted before the order came was not compared with the limit. The class: a bound that is a sum, one term of which nobody had compared.

The sidecar remembers to what time its polls may have extended the lease, and a run of a best-effort job starts only once the limit of its owner lies behind that. Runs that have waited here are not held up, since they limit the polls meanwhile.

AnOldOrderDoesNotStartOnALeaseThatOutlivesItsOwner is new; it fails without the comparison.

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -10,6 +10,7 @@
 #include "cornelfront/run_messages.h"
 #include "cornelfront/upstream_time.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -385,6 +386,12 @@
   /// or nothing if it must not extend it. Before the first answered poll of an
   /// incarnation, a predecessor of this process may have left runs there.
   std::optional<MonoTime> LeaseEnd(MonoTime aNow) const;
+  /// A poll that extends the lease to \p aEnd is being sent. A lease never gets
+  /// shorter, so a run starts only once its owner's limit lies behind it.
+  void OnLeaseGranted(MonoTime aEnd)
+  {
+    leaseGranted_ = std::max(leaseGranted_, aEnd);
+  }
   MonoTime UpstreamHeardAt() const { return upstreamHeardAt_; }
   /// True if the upstream runs something that was not ordered through this
   /// table.
@@ -517,6 +524,9 @@
   bool MayStart(MonoTime aNow) const;
   /// True if the lease may be extended by a start.
   bool MayExtendByStart(MonoTime aNow) const;
+  /// True if the run would not outlive the limit of its owner on the lease that
+  /// has been given before it starts.
+  bool LeaseFits(const Run& aRun) const;
   /// Lowers \p aLimit to what this run allows.
   void LimitLeaseBy(const Run& aRun, LeaseLimit& aLimit) const;
   /// Returns waiting runs whose time to start has passed.
@@ -589,6 +599,8 @@
   std::optional<MonoTime> leaseLapseStart_;
   bool registered_ = false;
   MonoTime upstreamHeardAt_;
+  /// Latest time to which the lease may have been extended by polls.
+  MonoTime leaseGranted_;
   MonoTime fullUntil_;
   uint64_t lastCrash_ = 0;
   /// The current incarnation is suspected to have crashed.
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -116,6 +116,7 @@
   }
   std::optional<UpstreamTime> lease;
   if (const auto end = table_.LeaseEnd(now)) {
+    table_.OnLeaseGranted(*end);
     lease = UpstreamNow(*end);
   }
   const Millis wait = PollWait(now);
--- a/src/libcornelfront/policy/run_lease.cpp
+++ b/src/libcornelfront/policy/run_lease.cpp
@@ -72,6 +72,14 @@
   }
 }
 
+bool
+RunTable::LeaseFits(const Run& aRun) const
+{
+  const auto owner = owners_.find(aRun.owner_);
+  return aRun.term_ > 0 || owner == owners_.end() ||
+         leaseGranted_ <= owner->second.heardAt_ + options_.ownerLease_;
+}
+
 std::optional<MonoTime>
 RunTable::LeaseEnd(MonoTime aNow) const
 {
--- a/src/libcornelfront/policy/run_lease_test.cpp
+++ b/src/libcornelfront/policy/run_lease_test.cpp
@@ -110,6 +110,29 @@
   RunTable table_{ RunTableOptions{} };
 };
 
+// It was under way for 0.5 s, and its entry may be gone since. The lease that
+// the upstream has would let the run go on past the return of its client, if
+// this process is killed and stops nothing.
+TEST_F(RunLeaseTest, AnOldOrderDoesNotStartOnALeaseThatOutlivesItsOwner)
+{
+  AnswerPoll(table_.BeginPoll(), At(0));
+  table_.OnLeaseGranted(*table_.LeaseEnd(At(0)));
+  constexpr MemberId kSilent{ 77 };
+  table_.OnOwnerLinked(kSilent, At(10), Millis(500));
+  StartRuns orders{ .job_ = "a-silent-owners-job",
+                    .payload_ = "p",
+                    .service_ = "desk",
+                    .resources_ = { .cpu_ = 1000, .memoryMb_ = 1 },
+                    .estimate_ = Millis(100),
+                    .timeToLatestStart_ = Millis(500),
+                    .startTimeout_ = Millis(1500) };
+  orders.runs_.push_back({ 0, 1 });
+  table_.OnOrders(kSilent, orders, At(10));
+  EXPECT_EQ(Start(At(10)), 0U);
+  table_.OnOwnerHeard(kSilent, At(20));
+  EXPECT_EQ(Start(At(20)), 1U) << "the owner is there";
+}
+
 TEST_F(RunLeaseTest, ARunOfALostOwnerEndsBeforeItsClientReturns)
 {
   Order(0, At(0));
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -217,7 +217,7 @@
   // The upstream starts a run once even if it gets the same order twice.
   for (auto run = runs_.begin(); run != runs_.end(); ++run) {
     if (run->second.state_ == State::Uncertain && !run->second.stop_ &&
-        !IsHeldHere(run->first.task_, aNow) &&
+        !IsHeldHere(run->first.task_, aNow) && LeaseFits(run->second) &&
         run->second.unanswered_ <= options_.maxStartRepeats_ &&
         aNow < run->second.startBy_) {
       SendStart(run, starts, aNow);
@@ -228,7 +228,7 @@
   for (const auto run : WaitingInOrder(aNow)) {
     const bool stored = run->second.term_ > 0;
     if ((stored && openStored >= options_.maxOpenStoredRuns_) ||
-        IsHeldHere(run->first.task_, aNow)) {
+        IsHeldHere(run->first.task_, aNow) || !LeaseFits(run->second)) {
       continue;
     }
     openStored += stored ? 1 : 0;
--- a/src/libcornelfront/policy/two_runs_sidecar_test.cpp
+++ b/src/libcornelfront/policy/two_runs_sidecar_test.cpp
@@ -270,6 +270,7 @@
   }
   std::optional<UpstreamTime> lease;
   if (const auto end = table_.LeaseEnd(now)) {
+    table_.OnLeaseGranted(*end);
     lease = UpstreamNow(*end);
   }
   const uint64_t number = table_.BeginPoll();
