--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -589,6 +589,9 @@
                     const Task& aTask) const;
   bool HasHeldTask(const Job& aJob, uint32_t aStep) const;
   void PlaceStep(Job& aJob, uint32_t aStep, MonoTime aNow);
+  /// Raises the run numbers of the tasks that are ready to those that are known
+  /// to have ended, and those of a gang to its highest one.
+  static void AlignRunNumbers(Step& aStep, bool aGang);
   /// Adds the next run of a task to the orders of the chosen sidecar. A run
   /// that has to be alone takes all resources of its upstream. \p aMayReturn
   /// says that the sidecar may return the order instead of letting it wait.
--- a/src/libcornelfront/policy/job_placement.cpp
+++ b/src/libcornelfront/policy/job_placement.cpp
@@ -66,31 +66,37 @@
 }
 
 void
-JobScheduler::PlaceStep(Job& aJob, uint32_t aStep, MonoTime aNow)
+JobScheduler::AlignRunNumbers(Step& aStep, bool aGang)
 {
-  const StepSpec& spec = aJob.spec_.steps_[aStep];
-  Step& step = aJob.steps_[aStep];
-  const bool running =
-    std::any_of(step.tasks_.begin(), step.tasks_.end(), [](const Task& aTask) {
-      return aTask.state_ == TaskState::Sent;
-    });
-  if (spec.gang_ && running) {
-    return;
-  }
   // Ends that an earlier leader's runs had may have been handed over since. All
   // members of a gang run under the same number.
   uint32_t highest = 0;
-  for (Task& task : step.tasks_) {
+  for (Task& task : aStep.tasks_) {
     if (task.state_ == TaskState::Ready) {
       task.run_ = std::max(task.run_, task.endedRun_);
     }
     highest = std::max(highest, task.run_);
   }
-  for (Task& task : step.tasks_) {
-    if (spec.gang_ && task.state_ == TaskState::Ready) {
+  for (Task& task : aStep.tasks_) {
+    if (aGang && task.state_ == TaskState::Ready) {
       task.run_ = highest;
     }
   }
+}
+
+void
+JobScheduler::PlaceStep(Job& aJob, uint32_t aStep, MonoTime aNow)
+{
+  const StepSpec& spec = aJob.spec_.steps_[aStep];
+  Step& step = aJob.steps_[aStep];
+  const bool running =
+    std::any_of(step.tasks_.begin(), step.tasks_.end(), [](const Task& aTask) {
+      return aTask.state_ == TaskState::Sent;
+    });
+  if (spec.gang_ && running) {
+    return;
+  }
+  AlignRunNumbers(step, spec.gang_);
   const bool gangIsHeld = spec.gang_ && HasHeldTask(aJob, aStep);
   Sends sends;
   std::optional<std::vector<Candidate>> candidates;
