Acknowledge void ends only once the upstream's clock proves the lapse

What callers could see: a task of a stored job that is done starts again (TWICE), because its end was acknowledged as void although the executor's lease had not lapsed.

Cause: CheckLeader took the lease for lapsed 1,200 ms after it had stopped extending it, on the sidecar's clock. What was sent before may be carried out late, the upstream's clock may stand still or run slowly, and a replaced sidecar counted from its own start, each time anew (firstLeaderTimeout_ 4,000), so that ends stayed good for longer than a new leader waits.

Now RunTable remembers the latest deadline of all orders that can extend the lease, on the upstream's clock; for a predecessor's orders, 1,200 ms from the first answer. A deadline is an absolute time there, so a late order can't go beyond it. The ends are void once an answer has a later clock, and not before. Nothing extends the lease while ends are kept for a leader that is not known, so a series of restarts keeps nothing alive. The state of a lapse that has begun is gone with it: the condition is asked anew.

DiscardsEndsWithTheLeaseOfALostLeader and UnacknowledgedEndsNeverHideNewerOnes counted the sidecar's time and now ask for the upstream's clock, 1 ms before and after the proof. EndsAreVoidOnlyOnceTheUpstreamsClockIsPastAllOrders and WithoutALeaderThePredecessorsEndsLapse are new.

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -201,8 +201,6 @@
   /// The same for stored jobs; longer, so that another leader can take them
   /// over.
   Millis leaderTimeout_{ 3000 };
-  /// Unacknowledged ends are kept this long for a first leader to connect.
-  Millis firstLeaderTimeout_{ 4000 };
   /// Length of the upstream's lease, from the poll that extends it.
   Millis lease_{ 1000 };
   /// The lease ends this long after the last message of the owner of a
@@ -217,12 +215,15 @@
   Millis startTimeout_{ 250 };
   /// Time after which a lease that is no longer extended has expired.
   Millis leaseExpiry_{ 1200 };
+  /// An upstream may notice this long after the end of its lease that it must
+  /// end its runs.
+  Millis lapseDelay_{ 100 };
   /// No run of a stored job starts while this many have ended without an
   /// acknowledgement or go on.
   size_t maxOpenStoredRuns_ = 300;
   /// Maximum distance of the newest end from the oldest unacknowledged one;
   /// beyond it, newer ends could be pushed off the upstream's list. The lease
-  /// then ends, which makes the unacknowledged ends void.
+  /// then lapses, which makes the unacknowledged ends void.
   size_t maxUnacknowledgedEnds_ = 400;
   /// Runs of an upstream that has not answered for this long have ended, since
   /// its lease is shorter. An order without an answer proves nothing of the
@@ -386,11 +387,19 @@
   /// or nothing if it must not extend it. Before the first answered poll of an
   /// incarnation, a predecessor of this process may have left runs there.
   std::optional<MonoTime> LeaseEnd(MonoTime aNow) const;
-  /// A poll that extends the lease to \p aEnd is being sent. A lease never gets
-  /// shorter, so a run starts only once its owner's limit lies behind it.
-  void OnLeaseGranted(MonoTime aEnd)
+  /// A poll that extends the lease to \p aEnd, which is \p aDeadline on the
+  /// upstream's clock, is being sent. A lease never gets shorter, so a run
+  /// starts only once its owner's limit lies behind it.
+  void OnLeaseGranted(MonoTime aEnd, UpstreamTime aDeadline)
   {
     leaseGranted_ = std::max(leaseGranted_, aEnd);
+    OnDeadlineSent(aDeadline);
+  }
+  /// An order is being sent that extends the lease to \p aDeadline on the
+  /// upstream's clock, whenever it is carried out.
+  void OnDeadlineSent(UpstreamTime aDeadline)
+  {
+    latestDeadline_ = std::max(latestDeadline_, aDeadline);
   }
   MonoTime UpstreamHeardAt() const { return upstreamHeardAt_; }
   /// True if the upstream runs something that was not ordered through this
@@ -543,9 +552,14 @@
                       const UpstreamPollResult& aPollResult,
                       MonoTime aNow);
   void CheckOwners(MonoTime aNow);
-  void CheckLeader(MonoTime aNow);
-  /// Discards ends that no leader took over before the lease expired.
-  void DiscardUnacknowledgedEnds();
+  bool IsLeaderLost(MonoTime aNow) const;
+  /// True while the lease must not be extended, since ends are unacknowledged
+  /// that no leader may store any more, or so many that newer ones could be
+  /// pushed off the upstream's list. Once it has lapsed they are void.
+  bool MustLetLeaseLapse(MonoTime aNow) const;
+  /// Discards unacknowledged ends if the upstream's clock proves that the lease
+  /// has lapsed since.
+  void DiscardVoidEnds(UpstreamTime aClock, MonoTime aNow);
   void MarkRunning(const RunKey& aKey, Run& aRun, MonoTime aNow);
   void SendStart(Runs::iterator aRun,
                  std::vector<StartRequest>& aStarts,
@@ -594,9 +608,9 @@
   uint64_t term_ = 0;
   std::optional<MemberId> leader_;
   MonoTime leaderHeardAt_;
-  /// Time since which there have been unacknowledged ends.
-  MonoTime unacknowledgedSince_;
-  std::optional<MonoTime> leaseLapseStart_;
+  /// Latest time, on the clock of the present incarnation, to which any order
+  /// may extend the lease.
+  UpstreamTime latestDeadline_;
   bool registered_ = false;
   MonoTime upstreamHeardAt_;
   /// Latest time to which the lease may have been extended by polls.
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -116,8 +116,8 @@
   }
   std::optional<UpstreamTime> lease;
   if (const auto end = table_.LeaseEnd(now)) {
-    table_.OnLeaseGranted(*end);
     lease = UpstreamNow(*end);
+    table_.OnLeaseGranted(*end, *lease);
   }
   const Millis wait = PollWait(now);
   const uint64_t pollNumber = table_.BeginPoll();
@@ -280,6 +280,7 @@
 {
   const UpstreamTime deadline{ UpstreamNow(aNow).value_ +
                                table_.Options().startTimeout_ };
+  table_.OnDeadlineSent(deadline);
   executor_->Start(
     aOrder,
     deadline,
--- a/src/libcornelfront/policy/run_incarnations.cpp
+++ b/src/libcornelfront/policy/run_incarnations.cpp
@@ -53,7 +53,7 @@
     runsKnown_ = false;
     newestEnd_ = 0;
     unacknowledged_.clear();
-    leaseLapseStart_.reset();
+    latestDeadline_ = {};
     upstreamHeardAt_ = aNow;
     firstIncarnationPoll_ = polls_ + 1;
   }
--- a/src/libcornelfront/policy/run_lease.cpp
+++ b/src/libcornelfront/policy/run_lease.cpp
@@ -35,7 +35,7 @@
 RunTable::LimitLease(MonoTime aNow) const
 {
   LeaseLimit limit{ .end_ = aNow + options_.lease_ };
-  if (leaseLapseStart_) {
+  if (MustLetLeaseLapse(aNow)) {
     Lower(limit, aNow, LeaseLimitReason::LeaderLost);
   }
   if (!orphans_.empty()) {
--- a/src/libcornelfront/policy/run_lease_test.cpp
+++ b/src/libcornelfront/policy/run_lease_test.cpp
@@ -116,7 +116,7 @@
 TEST_F(RunLeaseTest, AnOldOrderDoesNotStartOnALeaseThatOutlivesItsOwner)
 {
   AnswerPoll(table_.BeginPoll(), At(0));
-  table_.OnLeaseGranted(*table_.LeaseEnd(At(0)));
+  table_.OnLeaseGranted(*table_.LeaseEnd(At(0)), {});
   constexpr MemberId kSilent{ 77 };
   table_.OnOwnerLinked(kSilent, At(10), Millis(500));
   StartRuns orders{ .job_ = "a-silent-owners-job",
--- a/src/libcornelfront/policy/run_polls.cpp
+++ b/src/libcornelfront/policy/run_polls.cpp
@@ -52,11 +52,16 @@
   }
   WithdrawCrash();
   upstreamHeardAt_ = aNow;
+  if (!runsKnown_) {
+    // A predecessor of this process may have sent orders until just now.
+    OnDeadlineSent({ aPollResult.clock_.value_ + options_.leaseExpiry_ });
+  }
   runsKnown_ = true;
   answeredPoll_ = aPollNumber;
   ProcessRunning(aPollResult, aNow);
   ProcessEnded(aPollResult, aNow);
   ProcessMissing(aPollNumber, aPollResult, aNow);
+  DiscardVoidEnds(aPollResult.clock_, aNow);
   if (!lateOrders_.Orders().empty()) {
     lateOrders_.OnPollResult(aPollNumber, aPollResult.clock_);
     lateOrdersChanged_ = true;
@@ -133,7 +138,6 @@
       Finish(run, entry.end_, aNow);
     }
   }
-  LimitUnacknowledgedEnds(aNow);
 }
 
 /// Records the end of a run of a stored job, or of one that a predecessor of
@@ -146,25 +150,21 @@
     report = MakeReport(aRun->first, aRun->second, aEnd.end_, aNow);
   }
   report.unacknowledged_ = true;
-  if (unacknowledged_.empty()) {
-    unacknowledgedSince_ = aNow;
-  }
   unacknowledged_[aEnd.number_] = report;
   if (aRun == runs_.end() && leader_) {
     QueueReport(*leader_, report, aNow);
   }
 }
 
-/// To acknowledge an end that the leader has not stored would let the next
-/// leader start its task again.
-void
-RunTable::LimitUnacknowledgedEnds(MonoTime aNow)
+bool
+RunTable::MustLetLeaseLapse(MonoTime aNow) const
 {
-  if (!unacknowledged_.empty() && !leaseLapseStart_ &&
-      newestEnd_ - unacknowledged_.begin()->first >=
-        options_.maxUnacknowledgedEnds_) {
-    leaseLapseStart_ = aNow;
+  if (unacknowledged_.empty()) {
+    return false;
   }
+  const bool full = newestEnd_ - unacknowledged_.begin()->first >=
+                    options_.maxUnacknowledgedEnds_;
+  return full || IsLeaderLost(aNow);
 }
 
 size_t
@@ -208,27 +208,15 @@
   }
 }
 
+/// To acknowledge an end that no leader has stored, without a lapse, would let
+/// the next leader start its task again.
 void
-RunTable::CheckLeader(MonoTime aNow)
+RunTable::DiscardVoidEnds(UpstreamTime aClock, MonoTime aNow)
 {
-  if (leaseLapseStart_) {
-    if (Since(*leaseLapseStart_, aNow) >= options_.leaseExpiry_) {
-      DiscardUnacknowledgedEnds();
-      leaseLapseStart_.reset();
-    }
+  const UpstreamTime lapsed{ latestDeadline_.value_ + options_.lapseDelay_ };
+  if (!MustLetLeaseLapse(aNow) || aClock <= lapsed) {
     return;
   }
-  const bool silent =
-    leader_ ? Since(leaderHeardAt_, aNow) >= options_.leaderTimeout_
-            : Since(unacknowledgedSince_, aNow) >= options_.firstLeaderTimeout_;
-  if (!unacknowledged_.empty() && silent) {
-    leaseLapseStart_ = aNow;
-  }
-}
-
-void
-RunTable::DiscardUnacknowledgedEnds()
-{
   unacknowledged_.clear();
   for (auto& [id, owner] : owners_) {
     std::erase_if(owner.unsent_.reports_, [](const RunReport& aReport) {
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -92,6 +92,12 @@
   }
 }
 
+bool
+RunTable::IsLeaderLost(MonoTime aNow) const
+{
+  return !leader_ || Since(leaderHeardAt_, aNow) >= options_.leaderTimeout_;
+}
+
 void
 RunTable::OnOwnerHeard(MemberId aOwner, MonoTime aNow, Millis aAge)
 {
@@ -198,7 +204,7 @@
 bool
 RunTable::MayStart(MonoTime aNow) const
 {
-  return upstream_ && !upstream_->draining_ && !closed_ && !leaseLapseStart_ &&
+  return upstream_ && !upstream_->draining_ && !closed_ &&
          (runsKnown_ || !restarted_) && aNow >= fullUntil_ &&
          MayExtendByStart(aNow);
 }
@@ -347,7 +353,6 @@
 {
   DetectSuspension(aNow);
   CheckOwners(aNow);
-  CheckLeader(aNow);
   if (Since(upstreamHeardAt_, aNow) > options_.upstreamTimeout_) {
     SuspectCrash();
     FinishGone(aNow);
--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -113,12 +113,12 @@
     }
   }
 
-  /// The same with polls, each with this answer.
-  void PollOften(const UpstreamPollResult& aPollResult,
-                 int aFirstMs,
-                 int aLastMs)
+  /// The same with polls, each with this answer. The upstream's clock shows the
+  /// time of the test.
+  void PollOften(UpstreamPollResult aPollResult, int aFirstMs, int aLastMs)
   {
     for (int ms = aFirstMs; ms <= aLastMs; ms += 50) {
+      aPollResult.clock_ = UpstreamTime{ Millis(ms) };
       Poll(aPollResult, ms);
       table_.Tick(At(ms));
     }
@@ -519,10 +519,11 @@
   EXPECT_FALSE(table_.MakeUpstreamReport(At(3000)).ready_);
   table_.OnOrders(kOther, Orders(1), At(3010));
   EXPECT_TRUE(table_.TakeStarts(At(3010)).empty()) << "would extend the lease";
-  Tick(3050, 4150);
-  table_.Tick(At(4199));
-  EXPECT_FALSE(table_.LeaseEnd(At(4199)));
-  table_.Tick(At(4200));
+  table_.OnDeadlineSent({ Millis(4000) });
+  PollOften(pollResult, 3050, 4100);
+  EXPECT_EQ(table_.AcknowledgedEnds(), 0U) << "the lease may be in force";
+  EXPECT_FALSE(table_.LeaseEnd(At(4100)));
+  PollOften(pollResult, 4101, 4101);
   EXPECT_EQ(table_.AcknowledgedEnds(), 1U);
   EXPECT_FALSE(table_.LeaseEnd(At(4200))) << "a stopped run may still go on";
   table_.OnTakeOver(kOther, 2, At(4210));
@@ -563,10 +564,45 @@
   EXPECT_FALSE(table_.LeaseEnd(At(10))) << "its end makes them void";
   PollOften(full, 20, 1180);
   EXPECT_EQ(table_.AcknowledgedEnds(), 0U);
-  PollOften(full, 1190, 1260);
+  PollOften(full, 1190, 1290);
+  EXPECT_EQ(table_.AcknowledgedEnds(), 0U) << "its lease may be in force";
+  PollOften(full, 1301, 1301);
   EXPECT_EQ(table_.AcknowledgedEnds(), 401U);
 }
 
+// A poll that was sent shortly before and is carried out late gives the
+// upstream a new lease; without a lapse its ends are good, and to acknowledge
+// them would let the next leader start their tasks again.
+TEST_F(StoredRunsTest, EndsAreVoidOnlyOnceTheUpstreamsClockIsPastAllOrders)
+{
+  UpstreamPollResult slow{ .ended_ = { { 1, Key(0), RunEnd::Done } } };
+  PollOften(slow, 10, 2990);
+  table_.OnLeaseGranted(At(3990), { Millis(3990) });
+  slow.clock_ = UpstreamTime{ Millis(4090) };
+  for (int ms = 3000; ms <= 9000; ms += 50) {
+    Poll(slow, ms);
+    table_.Tick(At(ms));
+  }
+  EXPECT_EQ(table_.AcknowledgedEnds(), 0U) << "its clock stood still";
+  slow.clock_ = UpstreamTime{ Millis(4091) };
+  Poll(slow, 9010);
+  EXPECT_EQ(table_.AcknowledgedEnds(), 1U);
+}
+
+// A sidecar that is killed again and again must not keep ends good for longer
+// than its predecessors heard of a leader.
+TEST_F(RunTableTest, WithoutALeaderThePredecessorsEndsLapse)
+{
+  const UpstreamPollResult pollResult{ .ended_ = {
+                                         { 1, Key(0), RunEnd::Done } } };
+  PollOften(pollResult, 10, 1260);
+  EXPECT_FALSE(table_.LeaseEnd(At(1260)));
+  EXPECT_EQ(table_.AcknowledgedEnds(), 0U) << "the predecessor's lease";
+  PollOften(pollResult, 1311, 1311);
+  EXPECT_EQ(table_.AcknowledgedEnds(), 1U);
+  EXPECT_TRUE(table_.LeaseEnd(At(1311)));
+}
+
 TEST_F(StoredRunsTest, NoneStartsWhileManyEndsAreUnacknowledged)
 {
   constexpr uint32_t kMaxOpen = 300;
--- a/src/libcornelfront/policy/two_runs_sidecar_test.cpp
+++ b/src/libcornelfront/policy/two_runs_sidecar_test.cpp
@@ -270,8 +270,8 @@
   }
   std::optional<UpstreamTime> lease;
   if (const auto end = table_.LeaseEnd(now)) {
-    table_.OnLeaseGranted(*end);
     lease = UpstreamNow(*end);
+    table_.OnLeaseGranted(*end, *lease);
   }
   const uint64_t number = table_.BeginPoll();
   const PollOrder order{ .fence_ = fence_.Value(),
