Let a leader keep ends and runs alive only as long as its authority

What callers saw: tasks of a stored job that had ended `done` started again, and the earlier ends were acknowledged (TWICE).

Timeline of the kept logs: the store is silent for 60 s for all; five tasks end; the leader can't write it and loses its authority after 4 s, but stays linked, and its sidecars hear of it. When the store returns, another entry leads. It takes all that an earlier leader left for ended, since 10.5 s have passed, starts a task again, and 0.3 ms later hears of the five ends.

Cause: RunTable counted any message of the entry that led last as a sign of the leader. What the next leader counts is the authority of the earlier one (Leadership::EarlierRunsEnded). Ruled out: a late message (the ends were sent at once), a lapse (none in the log).

The leader now tells its sidecars how long its authority lasts, with TakeOver and, each time the store has confirmed it for 500 ms more, with LeaderAuthority; the time counts from the sending, however late the message arrives. A sidecar counts what it hears of the leader up to that time only. Its runs stop 3 s later and its ends are void at most 1.02 s after that, which is within the 6.5 s of the wait.

ALinkedLeaderWithoutAuthorityKeepsNoEnds and AnOldMessageOfTheLeaderProlongsNothing are new. Messages between entries and sidecars change: replace all of them.

--- a/src/include/cornelfront/messages.h
+++ b/src/include/cornelfront/messages.h
@@ -297,7 +297,8 @@
                              TakeOver,
                              AcknowledgeEnds,
                              UpstreamCrashes,
-                             LateOrders>;
+                             LateOrders,
+                             LeaderAuthority>;
 
 /// Returns the name of the message type for metrics and events, such as
 /// "start_tasks".
--- a/src/include/cornelfront/run_messages.h
+++ b/src/include/cornelfront/run_messages.h
@@ -197,11 +197,29 @@
 struct TakeOver
 {
   uint64_t term_ = 0;
+  /// As LeaderAuthority::left_.
+  Millis authority_{ 0 };
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(term_);
+    aArchive(term_, authority_);
+  }
+};
+
+/// How long the sender may still act as the leader of this term. Sent whenever
+/// the store has confirmed it again. A leader that only stays linked, without
+/// the store, keeps nothing alive beyond this time.
+struct LeaderAuthority
+{
+  uint64_t term_ = 0;
+  /// Counted from the sending.
+  Millis left_{ 0 };
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(term_, left_);
   }
 };
 
--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -307,8 +307,16 @@
   /// in the store, where any later leader finds it.
   void SetRegistered() { registered_ = true; }
   /// Hands all runs of stored jobs to \p aLeader. Returns false if a newer
-  /// leader is known.
-  bool OnTakeOver(MemberId aLeader, uint64_t aTerm, MonoTime aNow);
+  /// leader is known. \p aAge is as for OnOwnerLinked.
+  bool OnTakeOver(MemberId aLeader,
+                  const TakeOver& aTakeOver,
+                  MonoTime aNow,
+                  Millis aAge = Millis(0));
+  /// The store has confirmed the leader again.
+  void OnLeaderAuthority(MemberId aLeader,
+                         const LeaderAuthority& aAuthority,
+                         MonoTime aNow,
+                         Millis aAge = Millis(0));
   void OnAcknowledgeEnds(const AcknowledgeEnds& aEnds);
   /// Orders that are received right after a suspension are refused: they may be
   /// of any age.
@@ -552,6 +560,11 @@
                       const UpstreamPollResult& aPollResult,
                       MonoTime aNow);
   void CheckOwners(MonoTime aNow);
+  /// How long the owner of the run has been silent.
+  Millis OwnerSilence(const Run& aRun, MonoTime aNow) const;
+  /// Counts the time at which the leader was last heard of, up to the end of
+  /// its authority.
+  void UpdateLeaderHeard();
   bool IsLeaderLost(MonoTime aNow) const;
   /// True while the lease must not be extended, since ends are unacknowledged
   /// that no leader may store any more, or so many that newer ones could be
@@ -607,7 +620,10 @@
   /// Newest known term of a leader of the stored jobs.
   uint64_t term_ = 0;
   std::optional<MemberId> leader_;
+  /// Time at which the leader was last heard of with authority.
   MonoTime leaderHeardAt_;
+  /// End of the leader's authority, as far as known here.
+  MonoTime authorityUntil_;
   /// Latest time, on the clock of the present incarnation, to which any order
   /// may extend the lease.
   UpstreamTime latestDeadline_;
--- a/src/libcornelfront/job_entry.cpp
+++ b/src/libcornelfront/job_entry.cpp
@@ -88,15 +88,16 @@
 StoredJobsHooks
 JobEntry::Impl::MakeHooks()
 {
+  const auto sendToAll = [this](const auto& aMessage) {
+    for (const auto& [id, sidecar] : sidecars_) {
+      if (sidecar.receivedHeldRuns_) {
+        sidecar.link_->Send(aMessage);
+      }
+    }
+  };
   return { .onActions_ = [this] { PerformActions(BootNow()); },
-           .onBecomeLeader_ =
-             [this](uint64_t aTerm) {
-               for (const auto& [id, sidecar] : sidecars_) {
-                 if (sidecar.receivedHeldRuns_) {
-                   sidecar.link_->Send(TakeOver{ aTerm });
-                 }
-               }
-             },
+           .onBecomeLeader_ = sendToAll,
+           .onAuthority_ = sendToAll,
            .findQueue_ =
              [this](const std::string& aName) -> std::optional<JobQueue> {
              for (const platform::Route& route : operator_.routes_) {
--- a/src/libcornelfront/job_entry_sidecars.cpp
+++ b/src/libcornelfront/job_entry_sidecars.cpp
@@ -63,7 +63,7 @@
                                                  : RunEnd::NotStarted,
                           aNow);
     if (term > 0) {
-      aLink.link_->Send(TakeOver{ term });
+      aLink.link_->Send(TakeOver{ term, stored_->AuthorityLeft(aNow) });
     }
     return;
   }
--- a/src/libcornelfront/job_sidecar_entries.cpp
+++ b/src/libcornelfront/job_sidecar_entries.cpp
@@ -49,16 +49,20 @@
   if (owner == owners_.end() || owner->second.link_ != aLink) {
     return;
   }
-  if (const auto age =
-        owner->second.transit_.Measure(TimesOf(aEnvelope), now)) {
-    table_.OnOwnerHeard(id, now, *age);
+  const auto knownAge = owner->second.transit_.Measure(TimesOf(aEnvelope), now);
+  if (knownAge) {
+    table_.OnOwnerHeard(id, now, *knownAge);
   }
+  const Millis age = knownAge.value_or(kMaxMessageAge);
   if (std::holds_alternative<StartRuns>(aEnvelope.message_)) {
     OnOrders(id, aEnvelope, now);
   } else if (const auto* stop = std::get_if<StopRuns>(&aEnvelope.message_)) {
     table_.OnStop(*stop, now);
   } else if (const auto* over = std::get_if<TakeOver>(&aEnvelope.message_)) {
-    OnTakeOver(aLink, id, over->term_, now);
+    OnTakeOver(aLink, id, *over, now, age);
+  } else if (const auto* authority =
+               std::get_if<LeaderAuthority>(&aEnvelope.message_)) {
+    table_.OnLeaderAuthority(id, *authority, now, age);
   } else if (const auto* ends =
                std::get_if<AcknowledgeEnds>(&aEnvelope.message_)) {
     table_.OnAcknowledgeEnds(*ends);
@@ -71,11 +75,13 @@
 void
 JobSidecar::Impl::OnTakeOver(const LinkPtr& aLink,
                              MemberId aEntry,
-                             uint64_t aTerm,
-                             MonoTime aNow)
+                             const TakeOver& aTakeOver,
+                             MonoTime aNow,
+                             Millis aAge)
 {
-  const bool newest = table_.OnTakeOver(aEntry, aTerm, aNow);
-  LOG(INFO) << "leader id=" << ToString(aEntry) << " term=" << aTerm
+  const bool newest = table_.OnTakeOver(aEntry, aTakeOver, aNow, aAge);
+  LOG(INFO) << "leader id=" << ToString(aEntry) << " term=" << aTakeOver.term_
+            << " authority_ms=" << aTakeOver.authority_.count()
             << " outcome=" << (newest ? "followed" : "outdated");
   if (newest) {
     aLink->Send(table_.MakeHeldRuns(aEntry));
--- a/src/libcornelfront/job_sidecar_pvt.h
+++ b/src/libcornelfront/job_sidecar_pvt.h
@@ -67,8 +67,9 @@
   void OnOrders(MemberId aEntry, Envelope& aEnvelope, MonoTime aNow);
   void OnTakeOver(const LinkPtr& aLink,
                   MemberId aEntry,
-                  uint64_t aTerm,
-                  MonoTime aNow);
+                  const TakeOver& aTakeOver,
+                  MonoTime aNow,
+                  Millis aAge);
   void Register();
   void OnLinkEnd(const LinkPtr& aLink, const std::string& aDetail);
   void Poll();
--- a/src/libcornelfront/net/messages.cpp
+++ b/src/libcornelfront/net/messages.cpp
@@ -40,6 +40,7 @@
   "forget_ends",
   "upstream_crashes",
   "late_orders",
+  "leader_authority",
 };
 
 constexpr std::array<std::string_view, 15> kReasons = {
--- a/src/libcornelfront/net/messages_test.cpp
+++ b/src/libcornelfront/net/messages_test.cpp
@@ -35,13 +35,14 @@
                 .stalled_ = { { { { "j", 0, 1, 2 }, 4 }, Millis(5), 6 } },
                 .upstream_ = { .service_ = "desk", .labels_ = { "a" } } },
     HeldRuns{ .term_ = 1, .runs_ = { { { "j", 0, 1, 2 }, 3 } } },
-    TakeOver{ 7 },
+    TakeOver{ 7, Millis(8) },
     AcknowledgeEnds{ { { { "j", 0, 1, 2 }, 3 } } },
     UpstreamCrashes{ { { 1, CrashState::Proven, { { "j", 0, 1, 2 } } } } },
     LateOrders{ true,
                 { { .task_ = { "j", 0, 1, 2 },
                     .state_ = LateOrderState::OnlyHere,
                     .left_ = Millis(7) } } },
+    LeaderAuthority{ 7, Millis(8) },
   };
   std::vector<Envelope> samples;
   samples.reserve(messages.size());
--- a/src/libcornelfront/platform/stored_jobs_test.cpp
+++ b/src/libcornelfront/platform/stored_jobs_test.cpp
@@ -63,7 +63,8 @@
       "self",
       StoredJobsHooks{
         .onActions_ = [this] { Perform(); },
-        .onBecomeLeader_ = [](uint64_t) {},
+        .onBecomeLeader_ = [](const TakeOver&) {},
+        .onAuthority_ = [](const LeaderAuthority&) {},
         .findQueue_ = [this](const std::string&) { return queue_; } });
   }
 
--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -1368,7 +1368,7 @@
                      .capacity_ = { .cpu_ = 4000 } },
                    At(0));
   table.SetRegistered();
-  table.OnTakeOver(kEntry, 1, At(0));
+  table.OnTakeOver(kEntry, { 1, Millis(60000) }, At(0));
   UpstreamReport full = Idle("u2");
   full.backlog_ = { kTwoSecondsOfWork };
   full.committed_ = full.capacity_;
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -88,7 +88,17 @@
   MonoTime& heardAt = owners_[aOwner].heardAt_;
   heardAt = std::max(heardAt, aNow - aAge);
   if (leader_ == aOwner) {
-    leaderHeardAt_ = std::max(leaderHeardAt_, heardAt);
+    UpdateLeaderHeard();
+  }
+}
+
+void
+RunTable::UpdateLeaderHeard()
+{
+  const auto owner = owners_.find(*leader_);
+  if (owner != owners_.end()) {
+    leaderHeardAt_ = std::max(
+      leaderHeardAt_, std::min(owner->second.heardAt_, authorityUntil_));
   }
 }
 
@@ -155,19 +165,27 @@
 }
 
 bool
-RunTable::OnTakeOver(MemberId aLeader, uint64_t aTerm, MonoTime aNow)
+RunTable::OnTakeOver(MemberId aLeader,
+                     const TakeOver& aTakeOver,
+                     MonoTime aNow,
+                     Millis aAge)
 {
   DetectSuspension(aNow);
-  if (aTerm < term_) {
+  if (aTakeOver.term_ < term_) {
     return false;
   }
-  term_ = aTerm;
+  if (aTakeOver.term_ > term_ || leader_ != aLeader) {
+    authorityUntil_ = {};
+  }
+  term_ = aTakeOver.term_;
   leader_ = aLeader;
-  OnOwnerLinked(aLeader, aNow);
+  OnOwnerLinked(aLeader, aNow, aAge);
+  OnLeaderAuthority(
+    aLeader, { aTakeOver.term_, aTakeOver.authority_ }, aNow, aAge);
   for (auto& [key, run] : runs_) {
     if (run.term_ > 0) {
       run.owner_ = aLeader;
-      run.term_ = aTerm;
+      run.term_ = term_;
       if (run.state_ == State::Running) {
         owners_[aLeader].unsent_.started_.push_back(key);
       }
@@ -176,6 +194,19 @@
   return true;
 }
 
+void
+RunTable::OnLeaderAuthority(MemberId aLeader,
+                            const LeaderAuthority& aAuthority,
+                            MonoTime aNow,
+                            Millis aAge)
+{
+  DetectSuspension(aNow);
+  if (leader_ == aLeader && term_ == aAuthority.term_) {
+    authorityUntil_ = std::max(authorityUntil_, aNow - aAge + aAuthority.left_);
+    UpdateLeaderHeard();
+  }
+}
+
 void
 RunTable::OnStop(const StopRuns& aStop, MonoTime aNow)
 {
@@ -385,10 +416,7 @@
   }
   for (auto run = runs_.begin(); run != runs_.end();) {
     const auto next = std::next(run);
-    const auto owner = owners_.find(run->second.owner_);
-    const Millis silence = owner == owners_.end()
-                             ? options_.leaderTimeout_
-                             : Since(owner->second.heardAt_, aNow);
+    const Millis silence = OwnerSilence(run->second, aNow);
     const bool lost = run->second.term_ > 0 ? silence >= options_.leaderTimeout_
                                             : silence > options_.ownerTimeout_;
     if (lost) {
@@ -406,6 +434,17 @@
   });
 }
 
+Millis
+RunTable::OwnerSilence(const Run& aRun, MonoTime aNow) const
+{
+  if (aRun.term_ > 0 && leader_ == aRun.owner_) {
+    return Since(leaderHeardAt_, aNow);
+  }
+  const auto owner = owners_.find(aRun.owner_);
+  return owner == owners_.end() ? options_.leaderTimeout_
+                                : Since(owner->second.heardAt_, aNow);
+}
+
 std::vector<StopRequest>
 RunTable::TakeStops(MonoTime aNow)
 {
--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -10,6 +10,8 @@
 constexpr MemberId kOwner{ 1 };
 constexpr MemberId kOther{ 2 };
 const std::string kJob = "00000000000000a1";
+/// Longer than any test lasts.
+constexpr Millis kAuthority{ 60000 };
 
 MonoTime
 At(int aMs)
@@ -450,7 +452,7 @@
   StoredRunsTest()
   {
     table_.SetRegistered();
-    table_.OnTakeOver(kOwner, 1, At(0));
+    table_.OnTakeOver(kOwner, { 1, kAuthority }, At(0));
     StartRuns orders = Orders(2);
     orders.term_ = 1;
     table_.OnOrders(kOwner, orders, At(0));
@@ -476,7 +478,7 @@
   Poll(
     { .running_ = { { Key(1) } }, .ended_ = { { 1, Key(0), RunEnd::Done } } },
     10);
-  EXPECT_TRUE(table_.OnTakeOver(kOther, 2, At(20)));
+  EXPECT_TRUE(table_.OnTakeOver(kOther, { 2, kAuthority }, At(20)));
   const HeldRuns held = table_.MakeHeldRuns(kOther);
   EXPECT_EQ(held.term_, 2U);
   EXPECT_EQ(held.runs_, std::vector<RunKey>{ Key(1) });
@@ -486,8 +488,8 @@
 
 TEST_F(StoredRunsTest, OrdersOfAnEarlierLeaderAreRefused)
 {
-  table_.OnTakeOver(kOther, 2, At(20));
-  EXPECT_FALSE(table_.OnTakeOver(kOwner, 1, At(30)));
+  table_.OnTakeOver(kOther, { 2, kAuthority }, At(20));
+  EXPECT_FALSE(table_.OnTakeOver(kOwner, { 1, kAuthority }, At(30)));
   StartRuns late = Orders(0);
   late.term_ = 1;
   late.runs_ = { { 7, 1 } };
@@ -526,7 +528,7 @@
   PollOften(pollResult, 4101, 4101);
   EXPECT_EQ(table_.AcknowledgedEnds(), 1U);
   EXPECT_FALSE(table_.LeaseEnd(At(4200))) << "a stopped run may still go on";
-  table_.OnTakeOver(kOther, 2, At(4210));
+  table_.OnTakeOver(kOther, { 2, kAuthority }, At(4210));
   for (const RunReport& report : table_.MakeHeldRuns(kOther).reports_) {
     EXPECT_EQ(report.end_, RunEnd::NotStarted) << "the order of 3010";
   }
@@ -589,6 +591,49 @@
   EXPECT_EQ(table_.AcknowledgedEnds(), 1U);
 }
 
+// The store is silent for all, so no other process leads, and the leader stays
+// linked; the next one would take its ends for void after 10.5 s.
+TEST_F(StoredRunsTest, ALinkedLeaderWithoutAuthorityKeepsNoEnds)
+{
+  table_.OnTakeOver(kOther, { 2, Millis(1000) }, At(5));
+  const UpstreamPollResult pollResult{
+    .running_ = { { Key(1) } }, .ended_ = { { 1, Key(0), RunEnd::Done } }
+  };
+  std::optional<int> firstStop;
+  for (int ms = 10; ms <= 5160; ms += 50) {
+    if (ms == 510) {
+      table_.OnLeaderAuthority(kOther, { 2, Millis(500) }, At(ms));
+    }
+    table_.OnOwnerHeard(kOther, At(ms));
+    PollOften(pollResult, ms, ms);
+    if (!firstStop && !table_.TakeStops(At(ms)).empty()) {
+      firstStop = ms;
+    }
+    if (const auto end = table_.LeaseEnd(At(ms))) {
+      EXPECT_LT(ms, 4010);
+      table_.OnLeaseGranted(*end, { Millis(ms + 1000) });
+    }
+  }
+  EXPECT_EQ(firstStop, 4010);
+  EXPECT_EQ(table_.AcknowledgedEnds(), 1U);
+}
+
+// The kernel or a suspended leader may keep a message for long; what it says of
+// the authority counts from its sending.
+TEST_F(StoredRunsTest, AnOldMessageOfTheLeaderProlongsNothing)
+{
+  table_.OnTakeOver(kOther, { 2, Millis(1000) }, At(5));
+  for (int ms = 10; ms <= 3960; ms += 50) {
+    table_.OnOwnerHeard(kOther, At(ms));
+    PollOften({ .running_ = { { Key(0) }, { Key(1) } } }, ms, ms);
+  }
+  table_.OnLeaderAuthority(kOther, { 2, Millis(1000) }, At(3990), Millis(4000));
+  table_.OnLeaderAuthority(kOwner, { 1, Millis(4000) }, At(3990));
+  EXPECT_TRUE(table_.TakeStops(At(3990)).empty());
+  table_.Tick(At(4005));
+  EXPECT_EQ(table_.TakeStops(At(4005)).size(), 2U);
+}
+
 // A sidecar that is killed again and again must not keep ends good for longer
 // than its predecessors heard of a leader.
 TEST_F(RunTableTest, WithoutALeaderThePredecessorsEndsLapse)
@@ -741,7 +786,7 @@
                    } },
     FirstCallCase{ "take_over",
                    [](RunTable& aTable, MonoTime aNow) {
-                     aTable.OnTakeOver(kOther, 1, aNow);
+                     aTable.OnTakeOver(kOther, { 1, kAuthority }, aNow);
                    } },
     FirstCallCase{ "orders",
                    [](RunTable& aTable, MonoTime aNow) {
@@ -1252,7 +1297,7 @@
 TEST_F(RunTableTest, ATaskOfAStoredJobIsNotListedForLonger)
 {
   table_.SetRegistered();
-  table_.OnTakeOver(kOwner, 1, At(0));
+  table_.OnTakeOver(kOwner, { 1, kAuthority }, At(0));
   StartRuns orders = Orders(1);
   orders.term_ = 1;
   table_.OnOrders(kOwner, orders, At(0));
@@ -1267,7 +1312,7 @@
 TEST_F(RunTableTest, AnUnansweredOrderOfAStoredJobIsGivenUpEarlier)
 {
   table_.SetRegistered();
-  table_.OnTakeOver(kOwner, 1, At(0));
+  table_.OnTakeOver(kOwner, { 1, kAuthority }, At(0));
   StartRuns orders = Orders(1);
   orders.term_ = 1;
   table_.OnOrders(kOwner, orders, At(0));
--- a/src/libcornelfront/stored_jobs.cpp
+++ b/src/libcornelfront/stored_jobs.cpp
@@ -21,6 +21,9 @@
 /// are read.
 constexpr Millis kClaimInterval{ 2000 };
 constexpr Millis kSidecarRemovalDelay{ 60000 };
+/// Sidecars are told of a longer authority in steps of this, not with each
+/// append.
+constexpr Millis kAuthorityStep{ 500 };
 /// Time after which a leader has read the configuration; a queue that it does
 /// not know then is gone.
 constexpr Millis kQueueWait{ 10000 };
@@ -134,6 +137,14 @@
   return leading_ ? leadership_.Term() : 0;
 }
 
+Millis
+StoredJobs::AuthorityLeft(MonoTime aNow) const
+{
+  const auto left =
+    std::chrono::duration_cast<Millis>(leadership_.AuthorityUntil() - aNow);
+  return std::max(left, Millis(0));
+}
+
 void
 StoredJobs::OnRecords(const std::vector<KeyedRecord>& aRecords)
 {
@@ -228,7 +239,8 @@
   for (const std::string& id : jobs) {
     AdvanceJob(id, true, aNow);
   }
-  hooks_.onBecomeLeader_(term);
+  announcedAuthority_ = leadership_.AuthorityUntil();
+  hooks_.onBecomeLeader_({ term, AuthorityLeft(aNow) });
   hooks_.onActions_();
 }
 
@@ -254,6 +266,16 @@
         [] {});
 }
 
+void
+StoredJobs::AnnounceAuthority(MonoTime aNow)
+{
+  const MonoTime until = leadership_.AuthorityUntil();
+  if (until - announcedAuthority_ >= kAuthorityStep) {
+    announcedAuthority_ = until;
+    hooks_.onAuthority_({ leadership_.Term(), AuthorityLeft(aNow) });
+  }
+}
+
 void
 StoredJobs::Write(std::vector<KeyedRecord> aRecords,
                   std::function<void()> aDone)
@@ -572,6 +594,7 @@
     Renew();
   }
   scheduler_.SetAuthority(leadership_.AuthorityUntil(), aNow);
+  AnnounceAuthority(aNow);
   if (aNow - checkedAt_ < kCheckInterval) {
     return;
   }
--- a/src/libcornelfront/stored_jobs.h
+++ b/src/libcornelfront/stored_jobs.h
@@ -28,7 +28,9 @@
   /// Called when the scheduler may have queued actions.
   std::function<void()> onActions_;
   /// Tells all linked sidecars that this process leads.
-  std::function<void(uint64_t aTerm)> onBecomeLeader_;
+  std::function<void(const TakeOver&)> onBecomeLeader_;
+  /// Tells all linked sidecars that the store has confirmed this leader again.
+  std::function<void(const LeaderAuthority&)> onAuthority_;
   /// Returns the queue of this name in the configuration; nullopt if there is
   /// none any more.
   std::function<std::optional<JobQueue>(const std::string&)> findQueue_;
@@ -63,6 +65,8 @@
 
   /// Term of this process as leader; 0 if another process leads.
   uint64_t Term() const;
+  /// Time for which this process may still act as the leader; 0 if not at all.
+  Millis AuthorityLeft(MonoTime aNow) const;
   /// A sidecar has reported the runs that it holds for this term.
   void OnTakenOver(const std::string& aSidecar, MemberId aId, uint64_t aTerm);
   void Save(const SaveJob& aSave);
@@ -74,6 +78,8 @@
   void StartLeading(MonoTime aNow);
   void StopLeading(MonoTime aNow);
   void Renew();
+  /// Tells the sidecars of the authority if it now lasts longer.
+  void AnnounceAuthority(MonoTime aNow);
   void Write(std::vector<KeyedRecord> aRecords, std::function<void()> aDone);
   void AdvanceJob(const std::string& aJob,
                   bool aFromEarlierLeader,
@@ -122,6 +128,8 @@
   /// Occurrences that have ended well; the store does not show it yet.
   std::set<JobInstance> completedInstances_;
   MonoTime leadingSince_;
+  /// End of the authority that the sidecars know of.
+  MonoTime announcedAuthority_;
   MonoTime claimedAt_;
   MonoTime checkedAt_;
 };
