Take an end of a lasting task that is told again for no new one

Cause: a sidecar repeats its reports of the last 3 s on a new link, and OnStoredEnd took any `done` for a new one, also that of an earlier run; it stopped the present run and placed the task again without waiting for its end. For other tasks `done` ends the matter, so only lasting ones were concerned.

An end of a lasting task now counts only while the task doesn't run again and the end is newer than the last one that counted. AnEndThatIsToldAgainRestartsNoLongRunningTask failed before with a start and a stop for each repeat.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -556,6 +556,9 @@
   void AdoptRun(MemberId aSidecar, const RunKey& aKey, MonoTime aNow);
   /// Processes the end of a run that is not current here and that an earlier
   /// leader may have started.
+  /// True if the end, which may have been told before, changes what is known of
+  /// its task.
+  static bool CountsStoredEnd(const Job& aJob, const RunReport& aReport);
   void OnStoredEnd(MemberId aSidecar, const RunReport& aReport, MonoTime aNow);
   void KeepEnd(const JobInstance& aInstance, const KeptEnd& aEnd);
   /// Counts the kept ends of a restored instance, which may end it.
--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -1112,6 +1112,36 @@
   EXPECT_EQ(bestEffort.runs_[0].sidecar_, kFirst) << "best-effort jobs use all";
 }
 
+// A sidecar repeats its latest reports when a link is established again; to
+// take the end for a new one would start the task beside its present run.
+TEST_F(StoredJobTest, AnEndThatIsToldAgainRestartsNoLongRunningTask)
+{
+  JobDescription job = Job();
+  job.steps_[0].longRunning_ = true;
+  Restore(job);
+  std::vector<SendRuns> sent;
+  for (int ms = 10; ms <= 30; ms += 10) {
+    sent.push_back(Take().runs_.at(0));
+    const RunOrder& order = sent.back().orders_.runs_[0];
+    if (ms < 30) {
+      Report(sent.back().sidecar_,
+             { sent.back().orders_.Task(order), order.run_ },
+             RunEnd::Done,
+             ms);
+    }
+  }
+  for (int i = 0; i < 2; ++i) {
+    const RunOrder& order = sent[i].orders_.runs_[0];
+    for (const RunEnd end : { RunEnd::Done, RunEnd::Failed }) {
+      Report(
+        sent[i].sidecar_, { sent[i].orders_.Task(order), order.run_ }, end, 40);
+      const SortedActions again = Take();
+      EXPECT_EQ(again.Runs(), 0U) << i << ToString(end);
+      EXPECT_TRUE(again.stops_.empty()) << i << ToString(end);
+    }
+  }
+}
+
 TEST_F(StoredJobTest, RestartsLongRunningTasksAfterAnyEnd)
 {
   JobDescription job = Job();
--- a/src/libcornelfront/policy/job_stored.cpp
+++ b/src/libcornelfront/policy/job_stored.cpp
@@ -335,6 +335,26 @@
   unsaved_.insert(InstanceOf(aJob));
 }
 
+bool
+JobScheduler::CountsStoredEnd(const Job& aJob, const RunReport& aReport)
+{
+  const JobTaskId& taskId = aReport.key_.task_;
+  const Task& task = aJob.steps_[taskId.step_].tasks_[taskId.index_];
+  if (task.state_ == TaskState::Done) {
+    return false;
+  }
+  const bool done = aReport.end_ == RunEnd::Done;
+  const bool failed = aReport.end_ == RunEnd::Failed;
+  const bool endsTask = done || failed;
+  if (!endsTask || aJob.spec_.steps_[taskId.step_].longRunning_) {
+    // Such an end only matters to a task that does not run again yet.
+    return aReport.key_.run_ > task.endedRun_ && task.state_ != TaskState::Sent;
+  }
+  // The end of an earlier run counts even if the task runs again, since
+  // sidecars report ends in any order.
+  return done || !task.failedRuns_.contains(aReport.key_.run_);
+}
+
 void
 JobScheduler::OnStoredEnd(MemberId aSidecar,
                           const RunReport& aReport,
@@ -352,16 +372,7 @@
   Task* task = FindTask(taskId);
   const bool done = aReport.end_ == RunEnd::Done;
   const bool failed = aReport.end_ == RunEnd::Failed;
-  const auto isNew = [&] {
-    // The end of an earlier run counts even if the task runs again, since
-    // sidecars report ends in any order.
-    return done || (failed ? !task->failedRuns_.contains(aReport.key_.run_)
-                           : aReport.key_.run_ > task->endedRun_ &&
-                               task->state_ != TaskState::Sent);
-  };
-  const bool counts = task != nullptr && job->stored_ &&
-                      task->state_ != TaskState::Done && isNew();
-  if (!counts) {
+  if (task == nullptr || !job->stored_ || !CountsStoredEnd(*job, aReport)) {
     if (!saving_.contains(aReport.key_)) {
       actions_.emplace_back(
         SendAcknowledgement{ aSidecar, { { aReport.key_ } } });
