Give what the leader has decided and not read back one owner

DecidedJobs holds them by job, with one rule for forgetting: what the replica shows. A decided end answers for the occurrence and for its whole job, so that no caller has to ask two sets.

Each transition was walked with a store that holds its answers. By reading only: a job that is submitted again while its end is on its way (the acceptance is deleted once the final state is read), a leader change between any two (the store rejects the earlier term's appends, sidecars tell the kept ends again).

--- a/src/libcornelfront/platform/stored_jobs_test.cpp
+++ b/src/libcornelfront/platform/stored_jobs_test.cpp
@@ -153,6 +153,16 @@
     }
   }
 
+  /// Number of the first run that was sent.
+  uint32_t FirstRun() const
+  {
+    const auto sent = std::find_if(
+      actions_.begin(), actions_.end(), [](const JobAction& aAction) {
+        return std::holds_alternative<SendRuns>(aAction);
+      });
+    return std::get<SendRuns>(*sent).orders_.runs_.at(0).run_;
+  }
+
   /// Reports the end of a run of the sidecar.
   void Report(uint32_t aIndex, RunEnd aEnd, uint32_t aRun = 1)
   {
@@ -292,13 +302,8 @@
                                 .interval_ = Millis(60000) },
                               "q" }) });
   ASSERT_TRUE(RunUntil([this] { return Count<SendRuns>() == 1; }));
-  const auto sent = std::find_if(
-    actions_.begin(), actions_.end(), [](const JobAction& aAction) {
-      return std::holds_alternative<SendRuns>(aAction);
-    });
-  const uint32_t run = std::get<SendRuns>(*sent).orders_.runs_.at(0).run_;
   holdAppends_ = true;
-  Report(0, RunEnd::Done, run);
+  Report(0, RunEnd::Done, FirstRun());
   RunUntil([] { return false; }, Millis(500));
   EXPECT_EQ(Count<SendRuns>(), 1U);
   ReleaseAppends();
@@ -307,6 +312,42 @@
   EXPECT_EQ(Count<SendAcknowledgement>(), 1U);
 }
 
+// Its cancellation is read while the end is on its way to the store.
+TEST_F(StoredJobsTest, AFailedOccurrenceStartsNothingWhileTheStoreIsSlow)
+{
+  LinkSidecar();
+  Append({ SidecarRecord("s", kSidecar) });
+  ASSERT_TRUE(RunUntilLeader());
+  stored_->OnTakenOver("s", kSidecar, stored_->Term());
+  const auto now = std::chrono::duration_cast<Millis>(
+    std::chrono::system_clock::now().time_since_epoch());
+  Append({ AcceptanceRecord({ { .id_ = kJob,
+                                .payload_ = "p",
+                                .steps_ = { { .count_ = 1,
+                                              .resources_ = { .cpu_ = 1000 },
+                                              .estimate_ = Millis(100) } },
+                                .repeats_ = 3,
+                                .firstDue_ = now,
+                                .interval_ = Millis(50) },
+                              "q" }) });
+  const auto done = [this] { return Count<SendRuns>() == 3; };
+  ASSERT_TRUE(RunUntil(done));
+  holdAppends_ = true;
+  const uint32_t run = FirstRun();
+  for (int attempt = 0; attempt < 3; ++attempt) {
+    Report(0, RunEnd::Failed, run + static_cast<uint32_t>(attempt));
+    RunUntil([] { return false; }, Millis(50));
+  }
+  const size_t sent = Count<SendRuns>();
+  Append({ CancellationRecord(kJob) });
+  RunUntil([] { return false; }, Millis(500));
+  EXPECT_EQ(Count<SendRuns>(), sent);
+  ReleaseAppends();
+  RunUntil([] { return false; }, Millis(500));
+  EXPECT_EQ(Count<SendRuns>(), sent);
+  EXPECT_EQ(stored_->State(kJob), JobState::Failed);
+}
+
 TEST_F(StoredJobsTest, KeepsARegistrationThatWasLostInAnEarlierTermOnly)
 {
   Append({ SidecarRecord("s", kSidecar) });
--- a/src/libcornelfront/stored_jobs.cpp
+++ b/src/libcornelfront/stored_jobs.cpp
@@ -212,9 +212,7 @@
   leadingSince_ = aNow;
   takingOver_ = true;
   takenOverSidecars_.clear();
-  startedInstances_.clear();
-  closingJobs_.clear();
-  completedInstances_.clear();
+  decided_.Clear();
   lostSince_.clear();
   removedSidecars_.clear();
   restoredSidecars_.clear();
@@ -311,19 +309,19 @@
 {
   const auto found = replica_.Jobs().find(aJob);
   if (found == replica_.Jobs().end()) {
-    ForgetClosing(aJob);
+    decided_.OnShown(aJob, nullptr);
     return;
   }
   const JobReplica::StoredJob& entry = found->second;
+  decided_.OnShown(aJob, &entry);
   if (entry.finalState_) {
-    ForgetClosing(aJob);
     if (entry.accepted_) {
       // The job was submitted again after its end.
       Write({ { AcceptanceRecord(*entry.accepted_).key_, "" } }, [] {});
     }
     return;
   }
-  if (!entry.accepted_ || closingJobs_.contains(aJob)) {
+  if (!entry.accepted_ || decided_.IsClosed(aJob)) {
     return;
   }
   if (entry.cancelled_) {
@@ -337,16 +335,6 @@
                  aNow);
 }
 
-/// The store shows the end of the job.
-void
-StoredJobs::ForgetClosing(const std::string& aJob)
-{
-  closingJobs_.erase(aJob);
-  std::erase_if(completedInstances_, [&](const JobInstance& aInstance) {
-    return aInstance.job_ == aJob;
-  });
-}
-
 void
 StoredJobs::StartInstances(const std::string& aJob,
                            const JobReplica::StoredJob& aEntry,
@@ -364,7 +352,6 @@
   for (uint32_t k = 0; k < instances; ++k) {
     const auto record = aEntry.instances_.find(k);
     if (record != aEntry.instances_.end() && record->second.completed_) {
-      completedInstances_.erase({ aJob, k });
       ++completed;
       continue;
     }
@@ -372,8 +359,7 @@
       break;
     }
     if (!scheduler_.HoldsInstance({ aJob, k }) &&
-        !completedInstances_.contains({ aJob, k }) &&
-        !closingJobs_.contains(aJob)) {
+        !decided_.HasEnded({ aJob, k })) {
       scheduler_.Restore(
         job,
         k,
@@ -394,7 +380,7 @@
 void
 StoredJobs::Close(const std::string& aJob, JobState aState)
 {
-  closingJobs_.insert(aJob);
+  decided_.Close(aJob);
   LOG(INFO) << "job=" << aJob << " outcome=" << ToString(aState)
             << " term=" << leadership_.Term();
   Write(replica_.ClosingRecords(aJob, aState), [] {});
@@ -405,8 +391,8 @@
 {
   const std::string& id = aSave.instance_.job_;
   const auto found = replica_.Jobs().find(id);
-  const bool closed = found == replica_.Jobs().end() ||
-                      closingJobs_.contains(id) || !found->second.accepted_;
+  const bool closed = found == replica_.Jobs().end() || decided_.IsClosed(id) ||
+                      !found->second.accepted_;
   const auto saved = [this, ends = aSave.ends_] {
     scheduler_.OnSaved(ends);
     hooks_.onActions_();
@@ -424,7 +410,7 @@
     LOG(INFO) << "job=" << id << " outcome=" << ToString(state)
               << " term=" << leadership_.Term() << " reason=\"" << aSave.reason_
               << "\"";
-    closingJobs_.insert(id);
+    decided_.Close(id);
     Write(replica_.ClosingRecords(id, state), saved);
     // Cancels the other occurrences of the failed job.
     scheduler_.Cancel(id, BootNow());
@@ -432,7 +418,7 @@
   }
   const bool completed = aSave.outcome_ == JobOutcome::Completed;
   if (completed) {
-    completedInstances_.insert(aSave.instance_);
+    decided_.Complete(aSave.instance_);
   }
   Write({ ProgressRecord(
           aSave.instance_,
@@ -483,7 +469,7 @@
   }
   // Sidecars acknowledge ends to their upstreams in order, so an end that is
   // kept for long holds back all later ones.
-  const bool queueGone = !closingJobs_.contains(aInstance.job_) &&
+  const bool queueGone = !decided_.IsClosed(aInstance.job_) &&
                          !hooks_.findQueue_(found->second.accepted_->queue_) &&
                          aNow - leadingSince_ >= kQueueWait;
   if (queueGone) {
@@ -511,8 +497,7 @@
   for (const auto& [id, entry] : replica_.Jobs()) {
     const JobInstance instance{ id };
     if (entry.IsActive() && entry.instances_.empty() &&
-        scheduler_.HasStarted(instance) &&
-        startedInstances_.insert(instance).second) {
+        scheduler_.HasStarted(instance) && decided_.Start(instance)) {
       records.push_back(ProgressRecord(
         instance, { .progress_ = scheduler_.Progress(instance) }));
     }
@@ -520,9 +505,6 @@
   if (!records.empty()) {
     Write(std::move(records), [] {});
   }
-  std::erase_if(startedInstances_, [this](const JobInstance& aInstance) {
-    return !replica_.Jobs().contains(aInstance.job_);
-  });
   auto expired = replica_.ExpiredRecords(aNow - kEndedJobRetention);
   if (!expired.empty()) {
     Write(std::move(expired), [] {});
--- a/src/libcornelfront/stored_jobs.h
+++ b/src/libcornelfront/stored_jobs.h
@@ -4,6 +4,7 @@
 /// Jobs that survive the failure of any process. Every entry accepts them and
 /// reports their state; the leader runs them.
 
+#include "cornelfront/decided_jobs.h"
 #include "cornelfront/job_replica.h"
 #include "cornelfront/job_scheduler.h"
 #include "cornelfront/leadership.h"
@@ -89,7 +90,6 @@
                       bool aFromEarlierLeader,
                       MonoTime aNow);
   void Close(const std::string& aJob, JobState aState);
-  void ForgetClosing(const std::string& aJob);
   void SaveStartedJobs(MonoTime aNow);
   /// True if the ends of this instance may still matter to a leader.
   bool NeedsEnds(const JobInstance& aInstance, MonoTime aNow) const;
@@ -123,10 +123,7 @@
   std::set<std::string> removedSidecars_;
   /// Sidecars whose registration is being written by this process.
   std::set<std::string> restoredSidecars_;
-  std::set<JobInstance> startedInstances_;
-  std::set<std::string> closingJobs_;
-  /// Occurrences that have ended well; the store does not show it yet.
-  std::set<JobInstance> completedInstances_;
+  DecidedJobs decided_;
   MonoTime leadingSince_;
   /// End of the authority that the sidecars know of.
   MonoTime announcedAuthority_;
