Refuse a waiting job at once when all its zones are out of service

What callers saw: a call that came in the same millisecond as an evacuation was answered only when its time was over, instead of being refused at once.

Timeline of the kept logs: 19.642467 the job is placed at a sidecar, 19.642517 that sidecar reads the evacuation, 19.642603 so does the entry, 19.642786 the run comes back as not started. The job then waited for an upstream; only a job that is just being submitted was asked whether any can run it. Ruled out: the present change of leadership (the job is best-effort).

A best-effort job of which nothing has run or can start is now refused when upstreams could run it, but only in zones that the operator has taken out. Other causes still let it wait: an upstream that is suspect or a link that is being established may be back in time. RefusesAtOnceOnceAllZonesAreOut failed before by construction (nothing answered such a job) and passes now; it was not run on the code before.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -649,6 +649,11 @@
                              bool aAlone) const;
   /// Marks the candidates that take tasks which have to run alone.
   void ChooseIsolating(std::vector<Candidate>& aCandidates) const;
+  /// True if the upstream could run the step, leaving aside zones that are out
+  /// of service.
+  static bool CanRun(const Sidecar& aSidecar,
+                     const Job& aJob,
+                     const StepSpec& aStep);
   bool IsEligible(const Sidecar& aSidecar,
                   const Job& aJob,
                   const StepSpec& aStep) const;
@@ -716,6 +721,11 @@
   void RemoveJob(Job& aJob);
   void RecordIfUnlinked(MemberId aSidecar, const RunKey& aKey);
   bool IsFeasible(const Job& aJob) const;
+  /// True if upstreams could run the job, but only in zones that the operator
+  /// has taken out of service.
+  bool IsTakenOut(const Job& aJob) const;
+  /// True if no task has started, and none can by an order that was sent.
+  static bool HasNotRun(const Job& aJob);
 
   const JobSchedulerOptions options_;
   std::map<JobInstance, Job> jobs_;
--- a/src/libcornelfront/policy/job_placement.cpp
+++ b/src/libcornelfront/policy/job_placement.cpp
@@ -46,6 +46,13 @@
   } else if (obstacles.limited_) {
     limited_.insert(RankOf(aJob));
   } else if (obstacles.noUpstream_) {
+    if (!aJob.stored_ && HasNotRun(aJob) && IsTakenOut(aJob)) {
+      Finish(aJob,
+             JobOutcome::Refused,
+             "all zones that can run it are out of service",
+             options_.refusalRetryAfter_);
+      return;
+    }
     parked_.insert(RankOf(aJob));
   }
 }
@@ -360,12 +367,19 @@
 JobScheduler::IsEligible(const Sidecar& aSidecar,
                          const Job& aJob,
                          const StepSpec& aStep) const
+{
+  return CanRun(aSidecar, aJob, aStep) && !zonesOut_.contains(aSidecar.zone_);
+}
+
+bool
+JobScheduler::CanRun(const Sidecar& aSidecar,
+                     const Job& aJob,
+                     const StepSpec& aStep)
 {
   const UpstreamReport& report = aSidecar.report_;
   return aSidecar.linked_ && report.ready_ &&
          report.service_ == aJob.queue_.service_ &&
          report.capacity_.CanFit(aStep.resources_) &&
-         !zonesOut_.contains(aSidecar.zone_) &&
          (aStep.requiredLabel_.empty() ||
           Contains(report.labels_, aStep.requiredLabel_));
 }
@@ -572,4 +586,20 @@
   });
 }
 
+bool
+JobScheduler::IsTakenOut(const Job& aJob) const
+{
+  const auto& steps = aJob.spec_.steps_;
+  return std::any_of(steps.begin(), steps.end(), [&](const StepSpec& aStep) {
+    const auto canRun = [&](const auto& aSidecar) {
+      return CanRun(aSidecar.second, aJob, aStep);
+    };
+    const auto inService = [&](const auto& aSidecar) {
+      return IsEligible(aSidecar.second, aJob, aStep);
+    };
+    return std::any_of(sidecars_.begin(), sidecars_.end(), canRun) &&
+           std::none_of(sidecars_.begin(), sidecars_.end(), inService);
+  });
+}
+
 } // namespace cornelfront
--- a/src/libcornelfront/policy/job_scheduler.cpp
+++ b/src/libcornelfront/policy/job_scheduler.cpp
@@ -402,6 +402,15 @@
 
 void
 JobScheduler::GiveUp(Job& aJob, const std::string& aReason)
+{
+  Finish(aJob,
+         HasNotRun(aJob) ? JobOutcome::Refused : JobOutcome::GivenUp,
+         aReason,
+         options_.refusalRetryAfter_);
+}
+
+bool
+JobScheduler::HasNotRun(const Job& aJob)
 {
   const bool outstanding =
     std::any_of(aJob.steps_.begin(), aJob.steps_.end(), [](const Step& aStep) {
@@ -410,11 +419,7 @@
           return aTask.state_ == TaskState::Sent;
         });
     });
-  const bool notRun = !aJob.mayHaveRun_ && !outstanding;
-  Finish(aJob,
-         notRun ? JobOutcome::Refused : JobOutcome::GivenUp,
-         aReason,
-         options_.refusalRetryAfter_);
+  return !aJob.mayHaveRun_ && !outstanding;
 }
 
 void
--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -320,6 +320,21 @@
   EXPECT_TRUE(sorted.runs_.empty());
 }
 
+// It was sent just before the operator's change was read; the sidecar, which
+// had read it, returned the run.
+TEST_F(JobSchedulerTest, RefusesAtOnceOnceAllZonesAreOut)
+{
+  Submit(Job());
+  const SendRuns sent = Take().runs_.at(0);
+  scheduler_.SetZonesOut(
+    { "zone-" + ToString(kFirst), "zone-" + ToString(kSecond) }, At(1));
+  EXPECT_TRUE(Take().answers_.empty()) << "the run may start";
+  End(sent, RunEnd::NotStarted, 2);
+  const SortedActions refused = Take();
+  ASSERT_EQ(refused.answers_.size(), 1U);
+  EXPECT_EQ(refused.answers_[0].outcome_, JobOutcome::Refused);
+}
+
 TEST_F(JobSchedulerTest, RefusesAJobThatWouldMissItsObjective)
 {
   for (const MemberId sidecar : { kFirst, kSecond }) {
