--- a/testsuite/soak/callers.cpp
+++ b/testsuite/soak/callers.cpp
@@ -18,7 +18,6 @@
 constexpr Millis kStatePollInterval{ 100 };
 constexpr int kMaxAttempts = 6;
 constexpr unsigned kMaxTasks = 6;
-constexpr int kMaxTaskMs = 400;
 constexpr int kMaxPauseMs = 60;
 
 constexpr int kStatusOk = 200;
@@ -99,6 +98,7 @@
 public:
   Caller(const CallersOptions& aOptions, unsigned aThread)
     : thread_(aThread)
+    , maxTaskMs_(static_cast<int>(aOptions.maxTask_.count()))
     , random_(aOptions.seed_ * 1000 + aThread)
     , connections_(aOptions.entries_)
   {
@@ -163,7 +163,7 @@
 
   std::string BodyOf(const JobRecord& aJob)
   {
-    const int ms = Pick(20, kMaxTaskMs);
+    const int ms = Pick(20, maxTaskMs_);
     Json body{ { "spec",
                  (aJob.fails_ ? "fail ms=" : "ms=") + std::to_string(ms) },
                { "steps",
@@ -192,13 +192,14 @@
     if (aJob.accepted_ == 0 || !Chance(10)) {
       return;
     }
-    std::this_thread::sleep_for(Millis(Pick(0, kMaxTaskMs)));
+    std::this_thread::sleep_for(Millis(Pick(0, maxTaskMs_)));
     // The cancellation may take effect even without an answer.
     connections_.Cancel(PickEntry(), aJob.id_);
     aJob.cancelled_ = WallMillisNow();
   }
 
   const unsigned thread_;
+  const int maxTaskMs_;
   unsigned number_ = 0;
   std::mt19937_64 random_;
   Connections connections_;
--- a/testsuite/soak/callers.h
+++ b/testsuite/soak/callers.h
@@ -19,6 +19,8 @@
 {
   uint64_t seed_ = 1;
   unsigned threads_ = 4;
+  /// Longest task.
+  Millis maxTask_{ 400 };
   /// "<ip>:<port>" of every entry.
   std::vector<std::string> entries_;
 };
--- a/testsuite/soak/faults.cpp
+++ b/testsuite/soak/faults.cpp
@@ -34,6 +34,10 @@
 constexpr int kRepeatPercent = 25;
 constexpr unsigned kMaxRepetitions = 3;
 constexpr Millis kRepeatInterval{ 250 };
+/// The processes of a loss of power are killed within this time, and started
+/// again up to kMaxPowerLossMs later.
+constexpr int kPowerLossSpreadMs = 100;
+constexpr int kMaxPowerLossMs = 900;
 
 /// Time after a fault during which a process may still be disconnected.
 constexpr WallMillis kReconnectMs = 3000;
@@ -90,6 +94,18 @@
   }
 
   std::vector<Fault> Plan()
+  {
+    std::vector<Fault> plan =
+      options_.powerLossInterval_ > Millis(0) ? PowerLosses() : MixedFaults();
+    std::stable_sort(
+      plan.begin(), plan.end(), [](const Fault& aA, const Fault& aB) {
+        return aA.at_ < aB.at_;
+      });
+    return plan;
+  }
+
+private:
+  std::vector<Fault> MixedFaults()
   {
     std::vector<Fault> plan;
     Millis at = NextGap();
@@ -105,14 +121,30 @@
       }
       at += NextGap();
     }
-    std::stable_sort(
-      plan.begin(), plan.end(), [](const Fault& aA, const Fault& aB) {
-        return aA.at_ < aB.at_;
-      });
     return plan;
   }
 
-private:
+  std::vector<Fault> PowerLosses()
+  {
+    std::vector<Fault> plan;
+    const auto add = [&](FaultKind aKind, unsigned aTarget, Millis aAt) {
+      plan.push_back({ .kind_ = aKind,
+                       .at_ = aAt + Millis(Pick(0, kPowerLossSpreadMs)),
+                       .length_ = Millis(Pick(kMinDurationMs, kMaxPowerLossMs)),
+                       .target_ = aTarget });
+    };
+    for (Millis at = options_.powerLossInterval_; at < options_.length_;
+         at += options_.powerLossInterval_) {
+      for (unsigned i = 0; i < options_.entries_; ++i) {
+        add(FaultKind::KillEntry, i, at);
+      }
+      for (unsigned i = 0; i < options_.sidecars_; ++i) {
+        add(FaultKind::KillSidecar, i, at);
+      }
+    }
+    return plan;
+  }
+
   int Pick(int aMin, int aMax)
   {
     return std::uniform_int_distribution<int>(aMin, aMax)(random_);
--- a/testsuite/soak/faults.h
+++ b/testsuite/soak/faults.h
@@ -70,6 +70,10 @@
   Millis length_{ 15000 };
   unsigned entries_ = 2;
   unsigned sidecars_ = 4;
+  /// If not 0, the plan consists of losses of power at this interval: all
+  /// entries and sidecars are killed and started again, each a little later
+  /// than the others.
+  Millis powerLossInterval_{ 0 };
 };
 
 /// Returns faults ordered by time. The same options always give the same plan.
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -5,6 +5,7 @@
 /// timing depends on the machine.
 ///
 /// usage: soak --seed N [--seconds N] [--entries N] [--sidecars N]
+///             [--power-loss-ms N] [--max-task-ms N]
 /// Exits with 1 if a guarantee was violated, and then keeps the logs of all
 /// processes.
 
@@ -33,6 +34,8 @@
   unsigned seconds_ = 15;
   unsigned entries_ = 2;
   unsigned sidecars_ = 4;
+  unsigned powerLossMs_ = 0;
+  unsigned maxTaskMs_ = 400;
 };
 
 /// Checks that every entry serves a job once all faults have ended.
@@ -60,7 +63,8 @@
 {
   CallersOptions callersOptions{ .seed_ = aOptions.seed_,
                                  .threads_ =
-                                   kCallersPerEntry * aOptions.entries_ };
+                                   kCallersPerEntry * aOptions.entries_,
+                                 .maxTask_ = Millis(aOptions.maxTaskMs_) };
   for (unsigned i = 0; i < aOptions.entries_; ++i) {
     callersOptions.entries_.push_back(aCluster.ClientAddress(i));
   }
@@ -69,7 +73,9 @@
                                  .length_ =
                                    std::chrono::seconds(aOptions.seconds_),
                                  .entries_ = aOptions.entries_,
-                                 .sidecars_ = aOptions.sidecars_ };
+                                 .sidecars_ = aOptions.sidecars_,
+                                 .powerLossInterval_ =
+                                   Millis(aOptions.powerLossMs_) };
   FaultInjector injector(aCluster, faults);
   injector.Run(MakeFaultPlan(faults));
   aCluster.WaitReady();
@@ -127,6 +133,14 @@
     "--seconds", options.seconds_, "Duration of the fault injection in s");
   app.add_option("--entries", options.entries_, "Number of entries");
   app.add_option("--sidecars", options.sidecars_, "Number of sidecars");
+  app.add_option("--power-loss-ms",
+                 options.powerLossMs_,
+                 "Instead of mixed faults, kill all entries and sidecars each "
+                 "time this many ms have passed; 0: mixed faults");
+  app
+    .add_option(
+      "--max-task-ms", options.maxTaskMs_, "Duration of the longest task in ms")
+    ->check(CLI::Range(20, 60000));
   CLI11_PARSE(app, argc, argv);
   testing::InitGoogleTest();
   try {
