Hold the reload signal from the first statement of main

Cause, shown by starting job-entry 5 times for each of 14 delays and sending SIGHUP: the default action ends the process until ServeJobs blocks the signal, after command line and settings have been read: 5 of 5 up to 8 ms, 3 of 5 at 10 ms, 2 of 5 at 12 ms, none from 15 ms.

Partial: up to 8 ms it is still 5 of 5, since the dynamic linker has not reached main by then; nothing of the process can act there. A test between processes can't place the signal in the window that was closed, so there is none.

--- a/src/cornelfront/cmd_serve.cpp
+++ b/src/cornelfront/cmd_serve.cpp
@@ -29,6 +29,9 @@
 
 namespace {
 
+constexpr std::string_view kJobEntry = "job-entry";
+constexpr std::string_view kJobSidecar = "job-sidecar";
+
 /// Interval at which buffered log lines are written to standard output.
 constexpr Millis kLogFlushInterval{ 200 };
 
@@ -85,8 +88,7 @@
 ServeJobs(const Settings& aSettings)
 {
   sigset_t signals = BlockStopSignals();
-  sigaddset(&signals, SIGHUP);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  sigaddset(&signals, SIGHUP); // held since HoldReloadSignal
   StdoutLog log;
   const Ticker flusher(kLogFlushInterval, [&log] { log.Flush(); });
   Process process(aSettings);
@@ -140,6 +142,17 @@
 
 } // namespace
 
+void
+HoldReloadSignal(std::string_view aCommand)
+{
+  if (aCommand == kJobEntry || aCommand == kJobSidecar) {
+    sigset_t reload;
+    sigemptyset(&reload);
+    sigaddset(&reload, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &reload, nullptr);
+  }
+}
+
 void
 AddServeCommands(CLI::App& aApp)
 {
@@ -153,8 +166,10 @@
     ->callback(
       [sidecar] { RunServe(*sidecar, ParseSidecarSettings, ServeSidecar); });
   auto jobEntry = std::make_shared<ServeOptions>();
-  AddServeCommand(
-    aApp, "job-entry", "Take jobs from the platform's clients", jobEntry)
+  AddServeCommand(aApp,
+                  std::string(kJobEntry),
+                  "Take jobs from the platform's clients",
+                  jobEntry)
     ->callback([jobEntry] {
       RunServe(*jobEntry,
                ParseJobEntrySettings,
@@ -162,7 +177,7 @@
     });
   auto jobSidecar = std::make_shared<ServeOptions>();
   AddServeCommand(aApp,
-                  "job-sidecar",
+                  std::string(kJobSidecar),
                   "Run tasks on one executor of the platform",
                   jobSidecar)
     ->callback([jobSidecar] {
--- a/src/cornelfront/commands.h
+++ b/src/cornelfront/commands.h
@@ -5,6 +5,8 @@
 
 #include <CLI/CLI.hpp>
 
+#include <string_view>
+
 namespace cornelfront {
 
 /// Exit codes of the binary; part of its command-line interface.
@@ -29,6 +31,11 @@
 void
 AddServeCommands(CLI::App& aApp);
 
+/// Blocks SIGHUP if \p aCommand is one that reloads on it. The platform may
+/// send it right after the start, and its default action would end the process.
+void
+HoldReloadSignal(std::string_view aCommand);
+
 /// Adds `status`, `members` and `version`.
 void
 AddStatusCommands(CLI::App& aApp);
--- a/src/cornelfront/main.cpp
+++ b/src/cornelfront/main.cpp
@@ -5,6 +5,9 @@
 int
 main(int argc, char** argv)
 {
+  if (argc > 1) {
+    cornelfront::HoldReloadSignal(argv[1]);
+  }
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(argv[0]);
   CLI::App app("Dispatcher for sub-second tasks", "cornelfront");
