--- a/src/libcornelfront/platform/stored_jobs_test.cpp
+++ b/src/libcornelfront/platform/stored_jobs_test.cpp
@@ -153,6 +153,22 @@
     }
   }
 
+  /// Accepts a job of one task, the first occurrence of which is due now.
+  void AppendScheduledJob(uint32_t aRepeats, Millis aInterval)
+  {
+    const auto now = std::chrono::duration_cast<Millis>(
+      std::chrono::system_clock::now().time_since_epoch());
+    Append({ AcceptanceRecord({ { .id_ = kJob,
+                                  .payload_ = "p",
+                                  .steps_ = { { .count_ = 1,
+                                                .resources_ = { .cpu_ = 1000 },
+                                                .estimate_ = Millis(100) } },
+                                  .repeats_ = aRepeats,
+                                  .firstDue_ = now,
+                                  .interval_ = aInterval },
+                                "q" }) });
+  }
+
   /// Number of the first run that was sent.
   uint32_t FirstRun() const
   {
@@ -290,17 +306,7 @@
   Append({ SidecarRecord("s", kSidecar) });
   ASSERT_TRUE(RunUntilLeader());
   stored_->OnTakenOver("s", kSidecar, stored_->Term());
-  const auto now = std::chrono::duration_cast<Millis>(
-    std::chrono::system_clock::now().time_since_epoch());
-  Append({ AcceptanceRecord({ { .id_ = kJob,
-                                .payload_ = "p",
-                                .steps_ = { { .count_ = 1,
-                                              .resources_ = { .cpu_ = 1000 },
-                                              .estimate_ = Millis(100) } },
-                                .repeats_ = 2,
-                                .firstDue_ = now,
-                                .interval_ = Millis(60000) },
-                              "q" }) });
+  AppendScheduledJob(2, Millis(60000));
   ASSERT_TRUE(RunUntil([this] { return Count<SendRuns>() == 1; }));
   holdAppends_ = true;
   Report(0, RunEnd::Done, FirstRun());
@@ -319,17 +325,7 @@
   Append({ SidecarRecord("s", kSidecar) });
   ASSERT_TRUE(RunUntilLeader());
   stored_->OnTakenOver("s", kSidecar, stored_->Term());
-  const auto now = std::chrono::duration_cast<Millis>(
-    std::chrono::system_clock::now().time_since_epoch());
-  Append({ AcceptanceRecord({ { .id_ = kJob,
-                                .payload_ = "p",
-                                .steps_ = { { .count_ = 1,
-                                              .resources_ = { .cpu_ = 1000 },
-                                              .estimate_ = Millis(100) } },
-                                .repeats_ = 3,
-                                .firstDue_ = now,
-                                .interval_ = Millis(50) },
-                              "q" }) });
+  AppendScheduledJob(3, Millis(50));
   const auto done = [this] { return Count<SendRuns>() == 3; };
   ASSERT_TRUE(RunUntil(done));
   holdAppends_ = true;
--- /dev/null
+++ b/src/libcornelfront/policy/run_table_restart_test.cpp
@@ -0,0 +1,350 @@
+/// \file
+/// Upstreams that start again, and orders that are carried out late.
+
+#include "policy/run_table_fixture_test.h"
+
+#include <algorithm>
+#include <map>
+
+namespace cornelfront::run_table_test {
+namespace {
+
+/// The upstream crashes and starts again under its id. Until it has seen a call
+/// with its new start time, it takes orders that were meant for the incarnation
+/// before, so that what was ordered last may run there.
+class RestartedUpstreamTest : public RunTableTest
+{
+protected:
+  /// Run 0 is listed by the first incarnation. Runs 1 to 3 were ordered after
+  /// its last answer: one was started, one has no answer, one awaits it.
+  RestartedUpstreamTest()
+  {
+    Start(1);
+    Poll({ .running_ = { { Key(0) } } }, 5);
+    table_.OnOrders(kOwner, Orders(4), At(6));
+    Reports();
+    for (const StartRequest& order : table_.TakeStarts(At(6))) {
+      started_.push_back(order.key_);
+    }
+    table_.OnStartAnswer(Key(1), StartAnswer::Started, {}, At(7));
+    table_.OnStartAnswer(Key(2), StartAnswer::Unknown, { Millis(250) }, At(7));
+  }
+
+  std::vector<RunKey> started_;
+};
+
+TEST_F(RestartedUpstreamTest, ARunThatItMayHaveTakenIsNotReportedAsLost)
+{
+  ASSERT_EQ(started_, (std::vector<RunKey>{ Key(1), Key(2), Key(3) }));
+  ASSERT_TRUE(
+    table_.OnUpstreamReplaced(table_.BeginPoll(), Replacement::SameId, At(10)));
+  auto reports = Reports();
+  ASSERT_EQ(reports.size(), 1U);
+  EXPECT_EQ(reports[0].key_, Key(0)) << "the first one had listed it";
+  EXPECT_EQ(reports[0].end_, RunEnd::Lost);
+  EXPECT_TRUE(table_.TakeStarts(At(10)).empty());
+  table_.OnUpstream(Upstream(2), At(20));
+  EXPECT_TRUE(Reports().empty());
+  EXPECT_TRUE(table_.TakeStarts(At(20)).empty()) << "ordered once";
+  table_.OnStartAnswer(Key(3), StartAnswer::Unknown, { Millis(250) }, At(21));
+  EXPECT_TRUE(table_.TakeStarts(At(21)).empty()) << "ordered once";
+  Poll({ .running_ = { { Key(1) }, { Key(3) } } }, 30);
+  EXPECT_FALSE(table_.HasOrphans());
+  reports = Reports();
+  ASSERT_EQ(reports.size(), 1U);
+  EXPECT_EQ(reports[0].key_, Key(2));
+  EXPECT_EQ(reports[0].end_, RunEnd::Lost);
+  EXPECT_EQ(reports[0].runTime_, Millis(20));
+  Poll(
+    { .running_ = { { Key(3) } }, .ended_ = { { 1, Key(1), RunEnd::Done } } },
+    40);
+  EXPECT_EQ(Reports().at(0).end_, RunEnd::Done);
+  EXPECT_EQ(table_.Size(), 1U);
+}
+
+TEST_F(RestartedUpstreamTest, AHeartbeatDoesNotEndARunThatItMayHaveTaken)
+{
+  table_.OnUpstream(Upstream(2), At(10));
+  ASSERT_EQ(Reports().size(), 1U);
+  Poll({ .running_ = { { Key(1) }, { Key(2) } } }, 30);
+  const auto reports = Reports();
+  ASSERT_EQ(reports.size(), 1U);
+  EXPECT_EQ(reports[0].key_, Key(3));
+  EXPECT_EQ(table_.Size(), 2U);
+}
+
+// The order that had no answer may arrive after its repetition was carried out.
+TEST_F(RestartedUpstreamTest, ARepeatedOrderMayBeTakenAlthoughTheRunWasListed)
+{
+  ASSERT_EQ(table_.TakeStarts(At(8)).size(), 1U);
+  table_.OnStartAnswer(Key(2), StartAnswer::Started, {}, At(9));
+  Poll({ .running_ = { { Key(0) }, { Key(1) }, { Key(2) } } }, 20);
+  table_.OnUpstream(Upstream(2), At(30));
+  EXPECT_EQ(Reports().size(), 2U) << "runs 0 and 1";
+  Poll({ .running_ = { { Key(2) } } }, 40);
+  EXPECT_EQ(Reports().at(0).key_, Key(3));
+  EXPECT_EQ(table_.Size(), 1U);
+}
+
+TEST_F(RestartedUpstreamTest, SilenceEndsOnlyRunsWhoseOrdersWereAnswered)
+{
+  ASSERT_TRUE(
+    table_.OnUpstreamReplaced(table_.BeginPoll(), Replacement::SameId, At(10)));
+  Reports();
+  Wait(20, 1610);
+  EXPECT_TRUE(Reports().empty());
+  Wait(1611, 1611);
+  auto reports = Reports();
+  ASSERT_EQ(reports.size(), 1U);
+  EXPECT_EQ(reports[0].key_, Key(1));
+  EXPECT_EQ(reports[0].end_, RunEnd::Lost);
+  Wait(1620, 12006);
+  EXPECT_TRUE(Reports().empty()) << "their orders may be carried out";
+  Wait(12007, 12007);
+  EXPECT_EQ(Reports().size(), 2U);
+  EXPECT_EQ(table_.Size(), 0U);
+}
+
+TEST_F(RestartedUpstreamTest, AnUnansweredOrderOutlivesTheSilenceBeforeARestart)
+{
+  Wait(20, 1700);
+  auto reports = Reports();
+  ASSERT_EQ(reports.size(), 2U) << "runs 0 and 1";
+  table_.OnUpstream(Upstream(2), At(1710));
+  Poll({ .running_ = { { Key(2) } } }, 1720);
+  EXPECT_FALSE(table_.HasOrphans());
+  reports = Reports();
+  ASSERT_EQ(reports.size(), 1U);
+  EXPECT_EQ(reports[0].key_, Key(3));
+}
+
+TEST_F(RestartedUpstreamTest, AnUnansweredOrderOutlivesADeregistration)
+{
+  ASSERT_TRUE(table_.OnUpstreamLeft({ .id_ = "u1", .startedMs_ = 1 }, At(10)));
+  EXPECT_EQ(Reports().size(), 2U) << "runs 0 and 1";
+  table_.OnUpstream(Upstream(2), At(20));
+  Poll({ .running_ = { { Key(2) } } }, 30);
+  EXPECT_FALSE(table_.HasOrphans());
+  EXPECT_EQ(table_.Size(), 1U);
+}
+
+using LateTasks = std::map<JobTaskId, LateOrderState>;
+
+LateTasks
+LateTasksOf(const LateOrders& aOrders)
+{
+  LateTasks tasks;
+  for (const LateOrder& order : aOrders.orders_) {
+    tasks[order.task_] = order.state_;
+  }
+  return tasks;
+}
+
+// The client may submit the job again, to an entry that sent none of the
+// orders.
+TEST_F(RestartedUpstreamTest, ListsLateOrdersUntilTheNextIncarnationTells)
+{
+  const auto late = [&](int aMs) {
+    return LateTasksOf(table_.KnownLateOrders(At(aMs)));
+  };
+  const LateTasks unanswered{ { Key(2).task_, LateOrderState::Held } };
+  EXPECT_EQ(late(10), unanswered) << "it has no answer";
+  Wait(20, 600);
+  const LateTasks both{ { Key(2).task_, LateOrderState::Held },
+                        { Key(3).task_, LateOrderState::Held } };
+  EXPECT_EQ(late(606), both);
+  Wait(610, 1700);
+  EXPECT_EQ(late(1700), both);
+  table_.OnUpstream(Upstream(2), At(1710));
+  EXPECT_EQ(late(1710), both);
+  Poll({ .running_ = { { Key(2) } } }, 1720);
+  EXPECT_EQ(late(1720).at(Key(2).task_), LateOrderState::Held)
+    << "it goes on, although its client may have left long ago";
+  EXPECT_EQ(late(1720).at(Key(3).task_), LateOrderState::OnlyHere)
+    << "a further incarnation may begin it";
+  Poll({ .ended_ = { { 1, Key(2), RunEnd::Stopped } } }, 1730);
+  const LateTasks onlyHere{ { Key(2).task_, LateOrderState::OnlyHere },
+                            { Key(3).task_, LateOrderState::OnlyHere } };
+  EXPECT_EQ(late(1730), onlyHere);
+  Wait(1740, 12100);
+  EXPECT_TRUE(late(12100).empty());
+}
+
+TEST_F(RestartedUpstreamTest, TellsChangesOfLateOrdersOnce)
+{
+  EXPECT_EQ(LateTasksOf(table_.TakeLateOrders(At(10))),
+            (LateTasks{ { Key(2).task_, LateOrderState::Held } }));
+  EXPECT_TRUE(table_.TakeLateOrders(At(11)).orders_.empty());
+  Poll({ .ended_ = { { 1, Key(2), RunEnd::Failed } } }, 20);
+  EXPECT_EQ(LateTasksOf(table_.TakeLateOrders(At(20))),
+            (LateTasks{ { Key(2).task_, LateOrderState::OnlyHere } }));
+  Wait(30, 200);
+  EXPECT_EQ(LateTasksOf(table_.TakeLateOrders(At(205))),
+            (LateTasks{ { Key(2).task_, LateOrderState::Held } }))
+    << "the upstream is quiet";
+}
+
+// The upstream has crashed and started again since its last poll, and its lease
+// is not the one that this sidecar knows.
+TEST_F(RestartedUpstreamTest, AStartOfALaterIncarnationProvesNothingOfThisOne)
+{
+  constexpr UpstreamTime kKnown{ Millis(5000) };
+  const auto check = [&](StartAnswer aAnswer, int64_t aClock) {
+    return CheckIncarnation(aAnswer, UpstreamTime{ Millis(aClock) }, kKnown);
+  };
+  EXPECT_EQ(check(StartAnswer::Started, 5000), StartAnswer::Started);
+  EXPECT_EQ(check(StartAnswer::Started, 3), StartAnswer::Unknown);
+  EXPECT_EQ(check(StartAnswer::Full, 3), StartAnswer::Full);
+  EXPECT_EQ(CheckIncarnation(StartAnswer::Started, std::nullopt, kKnown),
+            StartAnswer::Started);
+}
+
+// It may have begun a run of the task by an order for the one before.
+TEST_F(RestartedUpstreamTest,
+       NothingStartsBeforeTheRunsOfTheNextIncarnationAreKnown)
+{
+  table_.OnUpstream(Upstream(2), At(10));
+  StartRuns orders = Orders(1);
+  orders.runs_ = { { 9, 1 } };
+  table_.OnOrders(kOwner, orders, At(11));
+  EXPECT_TRUE(table_.TakeStarts(At(11)).empty());
+  Poll({ .running_ = { { Key(2) } } }, 20);
+  EXPECT_EQ(table_.TakeStarts(At(20)).size(), 1U);
+}
+
+// Two runs of a task would go on at one upstream.
+TEST_F(RestartedUpstreamTest, ATaskThatRunsWithoutAnOrderIsNotStartedBesideIt)
+{
+  Poll({ .running_ = { { Key(9, 1) } } }, 20);
+  Reports();
+  StartRuns orders = Orders(9);
+  orders.runs_ = { { 9, 2 } };
+  table_.OnOrders(kOwner, orders, At(21));
+  EXPECT_TRUE(table_.TakeStarts(At(21)).empty());
+  const auto reports = Reports();
+  ASSERT_EQ(reports.size(), 1U);
+  EXPECT_EQ(reports[0].end_, RunEnd::NotStarted);
+}
+
+TEST_F(RestartedUpstreamTest, AnOrderWithoutAnAnswerCountsForOneCrashOnly)
+{
+  table_.OnUpstream(Upstream(2), At(10));
+  auto crashes = table_.TakeCrashes();
+  ASSERT_EQ(crashes.size(), 1U);
+  EXPECT_EQ(crashes[0].tasks_.size(), 4U);
+  table_.OnUpstream(Upstream(3), At(20));
+  EXPECT_TRUE(table_.TakeCrashes().empty())
+    << "the second incarnation is not known to have begun any";
+  Poll({ .running_ = { { Key(2) } } }, 30);
+  table_.OnUpstream(Upstream(4), At(40));
+  crashes = table_.TakeCrashes();
+  ASSERT_EQ(crashes.size(), 1U);
+  EXPECT_EQ(crashes[0].tasks_, std::vector<JobTaskId>{ Key(2).task_ });
+}
+
+// An order that was sent again may be under way although its run has ended.
+TEST_F(RestartedUpstreamTest, ListsLateOrdersOfRunsThatHaveEnded)
+{
+  ASSERT_EQ(table_.TakeStarts(At(8)).size(), 1U);
+  table_.OnStartAnswer(Key(2), StartAnswer::Started, {}, At(9));
+  table_.OnStartAnswer(Key(3), StartAnswer::Started, {}, At(9));
+  Poll({ .ended_ = { { 1, Key(2), RunEnd::Failed },
+                     { 2, Key(3), RunEnd::Failed } } },
+       20);
+  const auto late = [&](int aMs) {
+    return LateTasksOf(table_.KnownLateOrders(At(aMs)));
+  };
+  EXPECT_EQ(late(20),
+            (LateTasks{ { Key(2).task_, LateOrderState::OnlyHere } }));
+  Wait(30, 700);
+  EXPECT_EQ(late(700), (LateTasks{ { Key(2).task_, LateOrderState::Held } }));
+  Wait(710, 12010);
+  EXPECT_TRUE(late(12010).empty());
+}
+
+TEST_F(RestartedUpstreamTest, AnExecutorWithAnotherIdEndsWhatASilentOneLeft)
+{
+  Wait(20, 1700);
+  Reports();
+  UpstreamInfo other = Upstream(2);
+  other.id_ = "u2";
+  table_.OnUpstream(other, At(1710));
+  EXPECT_EQ(Reports().size(), 2U) << "it refuses orders for the other id";
+  EXPECT_EQ(table_.Size(), 0U);
+}
+
+// The entry may send it before it hears that the task is held. The restarted
+// upstream may have begun the late order in the moment of its start.
+TEST_F(RestartedUpstreamTest, AHeldTaskIsNotStartedAfterARestart)
+{
+  Poll({ .ended_ = { { 1, Key(2), RunEnd::Failed } } }, 20);
+  ASSERT_EQ(LateTasksOf(table_.KnownLateOrders(At(20))),
+            (LateTasks{ { Key(2).task_, LateOrderState::OnlyHere } }));
+  table_.OnUpstream(Upstream(2), At(30));
+  ASSERT_EQ(LateTasksOf(table_.KnownLateOrders(At(30))).at(Key(2).task_),
+            LateOrderState::Held);
+  StartRuns orders = Orders(1);
+  orders.runs_ = { { 2, 2 } };
+  table_.OnOrders(kOwner, orders, At(31));
+  for (const StartRequest& start : table_.TakeStarts(At(31))) {
+    EXPECT_NE(start.key_.task_, Key(2).task_)
+      << "before the first answer of this incarnation";
+  }
+}
+
+// A silent upstream may have started again and begun the late order.
+TEST_F(RestartedUpstreamTest, AHeldTaskIsNotStartedAtASilentUpstream)
+{
+  Poll({ .ended_ = { { 1, Key(2), RunEnd::Failed } } }, 20);
+  Wait(30, 200);
+  ASSERT_EQ(LateTasksOf(table_.KnownLateOrders(At(205))).at(Key(2).task_),
+            LateOrderState::Held);
+  StartRuns orders = Orders(1);
+  orders.runs_ = { { 2, 2 } };
+  table_.OnOrders(kOwner, orders, At(205));
+  for (const StartRequest& start : table_.TakeStarts(At(205))) {
+    EXPECT_NE(start.key_.task_, Key(2).task_);
+  }
+}
+
+// The entry holds a task as long as listed, also once the sidecar is lost.
+TEST_F(RunTableTest, ATaskOfAStoredJobIsNotListedForLonger)
+{
+  table_.SetRegistered();
+  table_.OnTakeOver(kOwner, { 1, kAuthority }, At(0));
+  StartRuns orders = Orders(1);
+  orders.term_ = 1;
+  table_.OnOrders(kOwner, orders, At(0));
+  ASSERT_EQ(table_.TakeStarts(At(0)).size(), 1U);
+  table_.OnStartAnswer(Key(0), StartAnswer::Unknown, { Millis(250) }, At(1));
+  EXPECT_LE(table_.TakeLateOrders(At(2)).orders_.at(0).left_, Millis(6500));
+  table_.OnUpstream(Upstream(2), At(10));
+  EXPECT_LE(table_.KnownLateOrders(At(10)).orders_.at(0).left_, Millis(6500));
+}
+
+// A task of a stored job must not wait for longer while upstreams are free.
+TEST_F(RunTableTest, AnUnansweredOrderOfAStoredJobIsGivenUpEarlier)
+{
+  table_.SetRegistered();
+  table_.OnTakeOver(kOwner, { 1, kAuthority }, At(0));
+  StartRuns orders = Orders(1);
+  orders.term_ = 1;
+  table_.OnOrders(kOwner, orders, At(0));
+  ASSERT_EQ(table_.TakeStarts(At(0)).size(), 1U);
+  table_.OnStartAnswer(Key(0), StartAnswer::Unknown, { Millis(250) }, At(1));
+  Wait(10, 6000);
+  EXPECT_TRUE(Reports().empty());
+  Wait(6001, 6001);
+  EXPECT_EQ(Reports().at(0).end_, RunEnd::Lost);
+}
+
+TEST_F(RestartedUpstreamTest, AnExecutorWithAnotherIdTakesNoneOfTheOrders)
+{
+  ASSERT_TRUE(table_.OnUpstreamReplaced(
+    table_.BeginPoll(), Replacement::OtherId, At(10)));
+  EXPECT_EQ(Reports().size(), 4U);
+  EXPECT_EQ(table_.Size(), 0U);
+}
+
+} // namespace
+} // namespace cornelfront::run_table_test
