Wait for a first leader again before ends of a predecessor lapse

What callers saw: more refusals after a loss of all machines' power.

All upstreams list old ends then, and the first leader claims after 2 s; since nothing extended a lease before.

A sidecar that knows no leader waits 4 s again, as before; the proof by the upstream's clock and the authority stay.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -199,9 +199,9 @@
   /// still accepts a message of this entry, RunTableOptions::ownerLease_ on a
   /// clock that is 2 % slow, and a margin for ticks.
   Millis lostRunTimeout_{ 2300 };
-  /// The same for runs of stored jobs, which a sidecar keeps for longer: for
-  /// RunTableOptions::leaderTimeout_, then until the lease has lapsed. A
-  /// replacement of the sidecar extends no lease before it knows a leader.
+  /// The same for runs of stored jobs, which a sidecar keeps for longer. The
+  /// sidecar may be replaced within a second, then waits
+  /// RunTableOptions::firstLeaderTimeout_, then lets the lease lapse.
   Millis lostStoredRunTimeout_{ 6500 };
   /// How long the numbers of abandoned runs are remembered; longer than any of
   /// them can go on.
--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -201,6 +201,9 @@
   /// The same for stored jobs; longer, so that another leader can take them
   /// over.
   Millis leaderTimeout_{ 3000 };
+  /// Unacknowledged ends are kept this long for a first leader to connect,
+  /// which takes over 2 s after a loss of all entries.
+  Millis firstLeaderTimeout_{ 4000 };
   /// Length of the upstream's lease, from the poll that extends it.
   Millis lease_{ 1000 };
   /// The lease ends this long after the last message of the owner of a
@@ -624,6 +627,8 @@
   MonoTime leaderHeardAt_;
   /// End of the leader's authority, as far as known here.
   MonoTime authorityUntil_;
+  /// Time since which there have been unacknowledged ends.
+  MonoTime unacknowledgedSince_;
   /// Latest time, on the clock of the present incarnation, to which any order
   /// may extend the lease.
   UpstreamTime latestDeadline_;
--- a/src/libcornelfront/policy/run_polls.cpp
+++ b/src/libcornelfront/policy/run_polls.cpp
@@ -150,6 +150,9 @@
     report = MakeReport(aRun->first, aRun->second, aEnd.end_, aNow);
   }
   report.unacknowledged_ = true;
+  if (unacknowledged_.empty()) {
+    unacknowledgedSince_ = aNow;
+  }
   unacknowledged_[aEnd.number_] = report;
   if (aRun == runs_.end() && leader_) {
     QueueReport(*leader_, report, aNow);
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -105,7 +105,9 @@
 bool
 RunTable::IsLeaderLost(MonoTime aNow) const
 {
-  return !leader_ || Since(leaderHeardAt_, aNow) >= options_.leaderTimeout_;
+  return leader_
+           ? Since(leaderHeardAt_, aNow) >= options_.leaderTimeout_
+           : Since(unacknowledgedSince_, aNow) >= options_.firstLeaderTimeout_;
 }
 
 void
