Read-through: no look for zones while none is out, one set-up of an unanswered stored order

IsTakenOut went through all sidecars for each parked job; without a zone that is out the answer is known at once. The two tests of an unanswered order of a stored job share a fixture, and OnLeaderAuthority joins the calls that may be the first after a suspension. Behaviour and assertions are unchanged.

--- a/src/libcornelfront/policy/job_placement.cpp
+++ b/src/libcornelfront/policy/job_placement.cpp
@@ -589,6 +589,9 @@
 bool
 JobScheduler::IsTakenOut(const Job& aJob) const
 {
+  if (zonesOut_.empty()) {
+    return false;
+  }
   const auto& steps = aJob.spec_.steps_;
   return std::any_of(steps.begin(), steps.end(), [&](const StepSpec& aStep) {
     const auto canRun = [&](const auto& aSidecar) {
--- a/src/libcornelfront/policy/run_table_restart_test.cpp
+++ b/src/libcornelfront/policy/run_table_restart_test.cpp
@@ -307,31 +307,33 @@
   }
 }
 
+/// The order to start a run of a stored job has no answer.
+class UnansweredStoredOrderTest : public RunTableTest
+{
+protected:
+  void SetUp() override
+  {
+    table_.SetRegistered();
+    table_.OnTakeOver(kOwner, { 1, kAuthority }, At(0));
+    StartRuns orders = Orders(1);
+    orders.term_ = 1;
+    table_.OnOrders(kOwner, orders, At(0));
+    ASSERT_EQ(table_.TakeStarts(At(0)).size(), 1U);
+    table_.OnStartAnswer(Key(0), StartAnswer::Unknown, { Millis(250) }, At(1));
+  }
+};
+
 // The entry holds a task as long as listed, also once the sidecar is lost.
-TEST_F(RunTableTest, ATaskOfAStoredJobIsNotListedForLonger)
+TEST_F(UnansweredStoredOrderTest, ATaskOfAStoredJobIsNotListedForLonger)
 {
-  table_.SetRegistered();
-  table_.OnTakeOver(kOwner, { 1, kAuthority }, At(0));
-  StartRuns orders = Orders(1);
-  orders.term_ = 1;
-  table_.OnOrders(kOwner, orders, At(0));
-  ASSERT_EQ(table_.TakeStarts(At(0)).size(), 1U);
-  table_.OnStartAnswer(Key(0), StartAnswer::Unknown, { Millis(250) }, At(1));
   EXPECT_LE(table_.TakeLateOrders(At(2)).orders_.at(0).left_, Millis(6500));
   table_.OnUpstream(Upstream(2), At(10));
   EXPECT_LE(table_.KnownLateOrders(At(10)).orders_.at(0).left_, Millis(6500));
 }
 
 // A task of a stored job must not wait for longer while upstreams are free.
-TEST_F(RunTableTest, AnUnansweredOrderOfAStoredJobIsGivenUpEarlier)
+TEST_F(UnansweredStoredOrderTest, AnUnansweredOrderOfAStoredJobIsGivenUpEarlier)
 {
-  table_.SetRegistered();
-  table_.OnTakeOver(kOwner, { 1, kAuthority }, At(0));
-  StartRuns orders = Orders(1);
-  orders.term_ = 1;
-  table_.OnOrders(kOwner, orders, At(0));
-  ASSERT_EQ(table_.TakeStarts(At(0)).size(), 1U);
-  table_.OnStartAnswer(Key(0), StartAnswer::Unknown, { Millis(250) }, At(1));
   Wait(10, 6000);
   EXPECT_TRUE(Reports().empty());
   Wait(6001, 6001);
--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -386,6 +386,10 @@
                    [](RunTable& aTable, MonoTime aNow) {
                      aTable.OnTakeOver(kOther, { 1, kAuthority }, aNow);
                    } },
+    FirstCallCase{ "leader_authority",
+                   [](RunTable& aTable, MonoTime aNow) {
+                     aTable.OnLeaderAuthority(kOther, { 1, kAuthority }, aNow);
+                   } },
     FirstCallCase{ "orders",
                    [](RunTable& aTable, MonoTime aNow) {
                      aTable.OnOrders(kOther, Orders(1), aNow);
