--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -417,6 +417,9 @@
   /// table.
   bool HasOrphans() const { return !orphans_.empty(); }
   bool HasUpstream() const { return upstream_.has_value(); }
+  /// True if the current incarnation has answered a poll, so that it is known
+  /// what runs there.
+  bool KnowsRuns() const { return runsKnown_; }
   const std::optional<UpstreamInfo>& Upstream() const { return upstream_; }
   /// Number of runs that were ordered and have not ended.
   size_t Size() const { return runs_.size(); }
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -182,10 +182,18 @@
     if (time >= aWait) {
       callTimeout_.OnAnswer(time - aWait);
     }
+    const bool knewRuns = table_.KnowsRuns();
     if (table_.OnPollResult(aPollNumber, aPollResult, now)) {
       hasPolled_ = true;
       clock_ = aPollResult.clock_;
       clockRead_ = now;
+      if (const auto& known = table_.Upstream(); known && !knewRuns) {
+        LOG(INFO) << "upstream id=" << known->id_
+                  << " born=" << known->startedMs_
+                  << " running=" << aPollResult.running_.size()
+                  << " ended=" << aPollResult.ended_.size()
+                  << " outcome=first_answer";
+      }
     }
     LogOrphans();
     SendPending(now);
@@ -285,12 +293,22 @@
     aOrder,
     deadline,
     callTimeout_.Current(aNow),
-    [this, key = aOrder.key_, deadline, known = clock_, aNow](
-      StartAnswer aAnswer, std::optional<UpstreamTime> aClock) {
+    [this,
+     key = aOrder.key_,
+     number = aOrder.upstreamRunNumber_,
+     silence = aNow - table_.UpstreamHeardAt(),
+     knewRuns = table_.KnowsRuns(),
+     deadline,
+     known = clock_,
+     aNow](StartAnswer aAnswer, std::optional<UpstreamTime> aClock) {
       const MonoTime now = BootNow();
       if (aAnswer == StartAnswer::Unknown) {
         callTimeout_.OnNoAnswer(aNow, now);
         metrics_.CountUnanswered();
+        LOG(INFO) << "job=" << key.task_.job_ << " run=" << ToString(key)
+                  << " number=" << number << " upstream_silent_ms="
+                  << std::chrono::duration_cast<Millis>(silence).count()
+                  << " runs_known=" << knewRuns << " outcome=order_open";
       } else if (aAnswer != StartAnswer::NotSent) {
         callTimeout_.OnAnswer(std::chrono::duration_cast<Millis>(now - aNow));
       }
