--- /dev/null
+++ b/src/libcornelfront/policy/run_table_numbers_test.cpp
@@ -0,0 +1,146 @@
+/// \file
+/// What a sidecar may start while an order without an answer may still be
+/// carried out at its upstream, and under which number.
+
+#include "policy/run_table_fixture_test.h"
+
+namespace cornelfront::run_table_test {
+namespace {
+
+/// A process that has just been started, beside an upstream of which it knows a
+/// heartbeat only.
+class FreshProcessTest : public testing::Test
+{
+protected:
+  FreshProcessTest()
+  {
+    table_.OnUpstream(Upstream(), At(0));
+    table_.OnOwnerLinked(kOwner, At(0));
+    table_.OnOrders(kOwner, Orders(1), At(0));
+  }
+
+  RunTable table_{ RunTableOptions{} };
+};
+
+// An order of its predecessor may begin the same task.
+TEST_F(FreshProcessTest, NothingStartsBeforeTheUpstreamHasToldWhatRuns)
+{
+  EXPECT_TRUE(table_.TakeStarts(At(1)).empty());
+  EXPECT_FALSE(table_.MakeUpstreamReport(At(1)).ready_);
+  const uint64_t poll = table_.BeginPoll();
+  ASSERT_TRUE(table_.OnPollResult(poll, {}, At(2)));
+  EXPECT_TRUE(table_.MakeUpstreamReport(At(2)).ready_);
+  EXPECT_EQ(table_.TakeStarts(At(2)).size(), 1U);
+}
+
+// A restart makes orders of before good again; under two numbers they would
+// make two runs.
+class LateOrderNumberTest : public RunTableTest
+{
+protected:
+  static constexpr int kVoidMs = 300;
+
+  /// Run 0 has been sent as often as it is repeated, without an answer.
+  LateOrderNumberTest()
+  {
+    Poll({}, 0);
+    table_.OnOrders(kOwner, Orders(1), At(1));
+    for (int ms = 1; !table_.TakeStarts(At(ms)).empty(); ++ms) {
+      table_.OnStartAnswer(
+        Key(0), StartAnswer::Unknown, { Millis(ms + 250) }, At(ms));
+    }
+  }
+
+  /// The upstream's clock has passed the deadlines of all orders.
+  void PassDeadlines(int aMs = kVoidMs)
+  {
+    Wait(10, aMs);
+    Poll({ .clock_ = { Millis(aMs) } }, aMs);
+  }
+
+  /// Orders the next run of the task.
+  std::vector<StartRequest> OrderAgain(uint32_t aRun, int aMs)
+  {
+    StartRuns orders = Orders(1);
+    orders.runs_ = { { 0, aRun } };
+    table_.OnOrders(kOwner, orders, At(aMs));
+    return table_.TakeStarts(At(aMs));
+  }
+
+  LateOrderState LateState(int aMs) const
+  {
+    return table_.KnownLateOrders(At(aMs)).orders_.at(0).state_;
+  }
+};
+
+TEST_F(LateOrderNumberTest, ARunIsOrderedOnUnderItsNumberInsteadOfReturned)
+{
+  PassDeadlines();
+  EXPECT_TRUE(Reports().empty());
+  const auto starts = table_.TakeStarts(At(kVoidMs));
+  ASSERT_EQ(starts.size(), 1U);
+  EXPECT_EQ(starts[0].key_, Key(0));
+  EXPECT_EQ(starts[0].upstreamRunNumber_, 1U);
+}
+
+TEST_F(LateOrderNumberTest, ARunIsReturnedOnceItsTimeToStartHasPassed)
+{
+  PassDeadlines(1010);
+  const auto reports = Reports();
+  ASSERT_EQ(reports.size(), 1U);
+  EXPECT_EQ(reports[0].end_, RunEnd::NotStarted);
+  EXPECT_EQ(LateState(1010), LateOrderState::OnlyHere);
+}
+
+TEST_F(LateOrderNumberTest, TheNextRunOfTheTaskTakesTheNumberOfTheLateOrder)
+{
+  PassDeadlines(1010);
+  const auto starts = OrderAgain(2, 1011);
+  ASSERT_EQ(starts.size(), 1U);
+  EXPECT_EQ(starts[0].key_, Key(0, 2));
+  EXPECT_EQ(starts[0].upstreamRunNumber_, 1U);
+  table_.OnStartAnswer(Key(0, 2), StartAnswer::Started, {}, At(1012));
+  Poll({ .running_ = { { Key(0, 1) } } }, 1020);
+  EXPECT_FALSE(table_.HasOrphans());
+}
+
+TEST_F(LateOrderNumberTest, ATaskIsHeldIfTheNumberOfItsLateOrderIsUsedUp)
+{
+  Poll({ .ended_ = { { 1, Key(0), RunEnd::Failed } } }, 20);
+  EXPECT_EQ(Reports().at(0).end_, RunEnd::Failed);
+  EXPECT_EQ(LateState(20), LateOrderState::Held);
+  EXPECT_TRUE(OrderAgain(2, 21).empty());
+  EXPECT_EQ(Reports().at(0).end_, RunEnd::NotStarted);
+  Wait(30, 12050);
+  Poll({ .clock_ = { Millis(12050) } }, 12050);
+  const auto starts = OrderAgain(2, 12051);
+  ASSERT_EQ(starts.size(), 1U);
+  EXPECT_EQ(starts[0].upstreamRunNumber_, 2U);
+}
+
+// A stop that had no answer, or an order of an earlier process, has used it up.
+TEST_F(LateOrderNumberTest, ATaskIsHeldIfTheUpstreamRefusesTheNumber)
+{
+  PassDeadlines(1010);
+  Reports();
+  ASSERT_EQ(OrderAgain(2, 1011).size(), 1U);
+  table_.OnStartAnswer(Key(0, 2), StartAnswer::RunNumberUsed, {}, At(1012));
+  EXPECT_TRUE(table_.TakeStarts(At(1012)).empty());
+  EXPECT_EQ(Reports().at(0).end_, RunEnd::NotStarted);
+  EXPECT_EQ(LateState(1012), LateOrderState::Held);
+}
+
+// The next incarnation knows no number.
+TEST_F(LateOrderNumberTest, ARestartMakesTheNumberGoodAgain)
+{
+  Poll({ .ended_ = { { 1, Key(0), RunEnd::Failed } } }, 20);
+  table_.OnUpstream(Upstream(2), At(30));
+  Poll({ .clock_ = { Millis(5) } }, 35);
+  EXPECT_EQ(LateState(35), LateOrderState::OnlyHere);
+  const auto starts = OrderAgain(2, 36);
+  ASSERT_EQ(starts.size(), 1U);
+  EXPECT_EQ(starts[0].upstreamRunNumber_, 1U);
+}
+
+} // namespace
+} // namespace cornelfront::run_table_test
--- a/src/libcornelfront/policy/two_runs_model_test.h
+++ b/src/libcornelfront/policy/two_runs_model_test.h
@@ -56,8 +56,10 @@
   Millis minJobPause_{ 50 };
   Millis maxJobPause_{ 500 };
   size_t faultsAtOnce_ = 1;
-  /// Played unless others are given.
+  /// Seeds from 1 on, played unless others are given.
   uint64_t seedCount_ = 24;
+  /// Further seeds, which have failed once.
+  std::vector<uint64_t> failedSeeds_;
 };
 
 class Random
--- a/src/libcornelfront/policy/two_runs_test.cpp
+++ b/src/libcornelfront/policy/two_runs_test.cpp
@@ -18,17 +18,19 @@
 constexpr uint64_t kSeedsPerDisturbedOne = 8;
 
 /// Returns the seeds in the environment variable CORNELFRONT_SEEDS, else the
-/// first \p aCount.
+/// scenario's.
 std::vector<uint64_t>
-Seeds(uint64_t aCount)
+Seeds(const Scenario& aScenario)
 {
   const char* given = std::getenv("CORNELFRONT_SEEDS");
   if (given != nullptr) {
     std::istringstream text(given);
     return { std::istream_iterator<uint64_t>(text), {} };
   }
-  std::vector<uint64_t> seeds(aCount);
+  std::vector<uint64_t> seeds(aScenario.seedCount_);
   std::iota(seeds.begin(), seeds.end(), 1);
+  seeds.insert(
+    seeds.end(), aScenario.failedSeeds_.begin(), aScenario.failedSeeds_.end());
   return seeds;
 }
 
@@ -39,7 +41,7 @@
 {
   std::ostringstream failed;
   std::string history;
-  for (const uint64_t seed : Seeds(GetParam().seedCount_)) {
+  for (const uint64_t seed : Seeds(GetParam())) {
     World world(GetParam(), seed);
     world.Run(true);
     if (world.TwoRuns()) {
@@ -118,7 +120,8 @@
     .upstreamsRestarted_ = true },
   { .name_ = "UpstreamRestartsWhileAnswersAreLost",
     .callsUnanswered_ = true,
-    .upstreamsRestarted_ = true },
+    .upstreamsRestarted_ = true,
+    .failedSeeds_ = { 7113, 8009 } },
   { .name_ = "UpstreamRestartsWhileAnswersAreLostAndClientsLeave",
     .callsUnanswered_ = true,
     .clientsReset_ = true,
@@ -127,11 +130,13 @@
     .sidecarsReplaced_ = true,
     .callsUnanswered_ = true,
     .clientsReset_ = true,
-    .upstreamsRestarted_ = true },
+    .upstreamsRestarted_ = true,
+    .failedSeeds_ = { 8072 } },
   { .name_ = "UpstreamRestartsAndSidecarIsReplaced",
     .sidecarsReplaced_ = true,
     .clientsReset_ = true,
-    .upstreamsRestarted_ = true },
+    .upstreamsRestarted_ = true,
+    .failedSeeds_ = { 35 } },
   { .name_ = "UpstreamRestartsWhileLinksAreCut",
     .linksReset_ = true,
     .linksCut_ = true,
