A sidecar process starts nothing before its upstream has told what runs there

Cause: a start waited for an answered poll only after a restart that this process had seen, and a new process has seen none. Whoever takes over an upstream now asks what runs there, under its own fence, before it gives an order, whether the upstream has restarted or not; until then it is not reported as ready, so that entries place elsewhere. The wait is one round trip, since the first poll goes out with the first heartbeat and returns at once; entries are told with its answer.

The fixtures of RunTable's tests poll before they start runs, which is as strict; run_lease_test.cpp keeps its test of a process that has not polled.

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -603,11 +603,10 @@
   uint64_t polls_ = 0;
   /// Number of the first poll of the current incarnation.
   uint64_t firstIncarnationPoll_ = 0;
-  /// The current incarnation has answered a poll.
+  /// The current incarnation has answered a poll. Until then it may begin runs
+  /// by orders of a predecessor of this process, or by those for an earlier
+  /// incarnation with its id.
   bool runsKnown_ = false;
-  /// The current incarnation has the id of the one before it, and may have
-  /// begun runs by orders for that one.
-  bool restarted_ = false;
   /// Orders without an answer whose runs have ended.
   LateOrderBook lateOrders_;
   LateOrderReport lateOrderReport_;
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -193,6 +193,7 @@
                   << " running=" << aPollResult.running_.size()
                   << " ended=" << aPollResult.ended_.size()
                   << " outcome=first_answer";
+        SendStatus(now);
       }
     }
     LogOrphans();
--- a/src/libcornelfront/policy/crash_ledger_test.cpp
+++ b/src/libcornelfront/policy/crash_ledger_test.cpp
@@ -96,6 +96,7 @@
   CrashReportTest()
   {
     Announce(1, false);
+    table_.OnPollResult(table_.BeginPoll(), {}, now_);
     table_.OnOwnerLinked(kEntry, now_);
     table_.OnOrders(kEntry,
                     { .job_ = kTask.job_,
--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -1412,6 +1412,7 @@
                      .service_ = "desk",
                      .capacity_ = { .cpu_ = 4000 } },
                    At(0));
+  table.OnPollResult(table.BeginPoll(), {}, At(0));
   table.SetRegistered();
   table.OnTakeOver(kEntry, { 1, Millis(60000) }, At(0));
   UpstreamReport full = Idle("u2");
--- a/src/libcornelfront/policy/run_incarnations.cpp
+++ b/src/libcornelfront/policy/run_incarnations.cpp
@@ -46,9 +46,8 @@
     IdentifySender(aInfo, aNow) == HeartbeatSender::Current;
   if (!sameIncarnation) {
     RecordCrash();
-    restarted_ = lastId_ == aInfo.id_;
-    FinishReplaced(restarted_ ? Replacement::SameId : Replacement::OtherId,
-                   aNow);
+    FinishReplaced(
+      lastId_ == aInfo.id_ ? Replacement::SameId : Replacement::OtherId, aNow);
     orphans_.clear();
     runsKnown_ = false;
     newestEnd_ = 0;
--- a/src/libcornelfront/policy/run_lease_test.cpp
+++ b/src/libcornelfront/policy/run_lease_test.cpp
@@ -44,12 +44,12 @@
   return { { kJob, 0, 0, aIndex }, 1 };
 }
 
-/// A sidecar's table whose upstream answers polls, but never carries out a
+/// A new sidecar process whose upstream answers polls, but never carries out a
 /// stop.
-class RunLeaseTest : public testing::Test
+class SuccessorLeaseTest : public testing::Test
 {
 protected:
-  RunLeaseTest()
+  SuccessorLeaseTest()
   {
     table_.OnUpstream({ .id_ = "u1",
                         .startedMs_ = 1,
@@ -110,6 +110,13 @@
   RunTable table_{ RunTableOptions{} };
 };
 
+/// The same once it knows that nothing runs there.
+class RunLeaseTest : public SuccessorLeaseTest
+{
+protected:
+  RunLeaseTest() { AnswerPoll(table_.BeginPoll(), At(0)); }
+};
+
 // It was under way for 0.5 s, and its entry may be gone since. The lease that
 // the upstream has would let the run go on past the return of its client, if
 // this process is killed and stops nothing.
@@ -174,7 +181,7 @@
             JobSchedulerOptions{}.lostRunTimeout_);
 }
 
-TEST_F(RunLeaseTest, ASuccessorDoesNotExtendTheLeaseOfRunsThatItDoesNotKnow)
+TEST_F(SuccessorLeaseTest, DoesNotExtendTheLeaseOfRunsThatItDoesNotKnow)
 {
   EXPECT_FALSE(table_.LeaseEnd(At(0)));
   running_.push_back({ Key(7) });
--- a/src/libcornelfront/policy/run_reports.cpp
+++ b/src/libcornelfront/policy/run_reports.cpp
@@ -57,7 +57,7 @@
   report.service_ = upstream_->service_;
   report.upstream_ = upstream_->id_;
   report.ready_ =
-    !upstream_->draining_ && !closed_ && MayExtendByStart(aNow) &&
+    !upstream_->draining_ && !closed_ && runsKnown_ && MayExtendByStart(aNow) &&
     Since(upstreamHeardAt_, aNow) <= options_.upstreamSuspectAfter_;
   report.capacity_ = upstream_->capacity_;
   report.labels_ = upstream_->labels_;
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -237,9 +237,8 @@
 bool
 RunTable::MayStart(MonoTime aNow) const
 {
-  return upstream_ && !upstream_->draining_ && !closed_ &&
-         (runsKnown_ || !restarted_) && aNow >= fullUntil_ &&
-         MayExtendByStart(aNow);
+  return upstream_ && !upstream_->draining_ && !closed_ && runsKnown_ &&
+         aNow >= fullUntil_ && MayExtendByStart(aNow);
 }
 
 std::vector<StartRequest>
--- a/src/libcornelfront/policy/run_table_fixture_test.h
+++ b/src/libcornelfront/policy/run_table_fixture_test.h
@@ -60,6 +60,7 @@
   {
     table_.OnUpstream(Upstream(), At(0));
     table_.OnOwnerLinked(kOwner, At(0));
+    Poll({}, 0);
   }
 
   /// Orders and starts runs at time 0; the upstream acknowledges them at 1 ms.
--- a/src/libcornelfront/policy/run_table_numbers_test.cpp
+++ b/src/libcornelfront/policy/run_table_numbers_test.cpp
@@ -43,7 +43,6 @@
   /// Run 0 has been sent as often as it is repeated, without an answer.
   LateOrderNumberTest()
   {
-    Poll({}, 0);
     table_.OnOrders(kOwner, Orders(1), At(1));
     for (int ms = 1; !table_.TakeStarts(At(ms)).empty(); ++ms) {
       table_.OnStartAnswer(
--- a/src/libcornelfront/policy/two_runs_sidecar_test.cpp
+++ b/src/libcornelfront/policy/two_runs_sidecar_test.cpp
@@ -394,10 +394,14 @@
   if (time >= aWait) {
     callTimeout_.OnAnswer(time - aWait);
   }
+  const bool knewRuns = table_.KnowsRuns();
   if (table_.OnPollResult(aPollNumber, aAnswer->result_, now)) {
     hasPolled_ = true;
     clock_ = aAnswer->result_.clock_;
     clockRead_ = now;
+    if (!knewRuns) {
+      SendStatus(now);
+    }
   }
   SendPending(now);
   Poll();
