A task with a late order is ordered again under the number of that order alone

Callers saw two runs of a task at one upstream: its first order had no answer, the sidecar said that the task may be started only here, and the entry placed the next run here under the next number.

Cause: a limit on where, not on under which number. An order is idempotent for its own number only. So: - The book of late orders keeps the number; the next run of the task goes to the upstream under it. If that number is used up (an end is listed, or the upstream refuses it), the task waits: another number beside an order that may still come is what makes two runs. A restart makes the number good. - Sidecars tell entries the number with the late order. Entries keep it, also for runs that they lose with a sidecar, and send it with the next order, so that a replacement process keeps to the number of its predecessor. Orders under two numbers hold the task. - Entries keep the runs of a sidecar in one map with their numbers, in place of two sets.

Messages between entries and sidecars change: replace all of them.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -450,6 +450,14 @@
     bool mayHaveRun_ = false;
   };
 
+  /// A run that was ordered and has not ended.
+  struct OrderedRun
+  {
+    /// Run number that the upstream is given.
+    uint32_t upstreamNumber_ = 0;
+    /// It was ordered from an earlier process beside the same upstream.
+    bool inherited_ = false;
+  };
   struct Sidecar
   {
     std::string zone_;
@@ -467,10 +475,7 @@
     };
     /// Orders that the sidecar's last report does not include yet.
     std::deque<Order> unreported_;
-    std::set<RunKey> runs_;
-    /// Those of them that were ordered from an earlier process beside the same
-    /// upstream.
-    std::set<RunKey> inheritedRuns_;
+    std::map<RunKey, OrderedRun> runs_;
     /// Share of the preference range that this entry adds to the cost of the
     /// upstream.
     double preference_ = 0.0;
@@ -580,9 +585,11 @@
   /// Returns where the task may be started now: it may crash its upstream, or
   /// an order of it may still be carried out.
   StartLimit LimitOf(const JobTaskId& aTaskId) const;
-  /// Records the run of a task that was lost with its sidecar.
+  /// Records a run that was lost with its sidecar. \p aReplaced says that this
+  /// is a new process.
   void RecordLostOrder(MemberId aSidecar,
                        const RunKey& aKey,
+                       const OrderedRun& aRun,
                        bool aReplaced,
                        MonoTime aNow);
   void PlaceJobsOf(const std::vector<JobTaskId>& aTasks, MonoTime aNow);
@@ -596,13 +603,12 @@
   /// to have ended, and those of a gang to its highest one.
   static void AlignRunNumbers(Step& aStep, bool aGang);
   /// Adds the next run of a task to the orders of the chosen sidecar. A run
-  /// that has to be alone takes all resources of its upstream. \p aMayReturn
-  /// says that the sidecar may return the order instead of letting it wait.
+  /// that has to be alone takes all resources of its upstream.
   void PlaceTask(Job& aJob,
                  const JobTaskId& aTaskId,
                  Candidate& aChosen,
                  bool aAlone,
-                 bool aMayReturn,
+                 const StartLimit& aLimit,
                  Sends& aSends,
                  MonoTime aNow);
   /// Fills in what the orders for all tasks of a step have in common.
@@ -690,8 +696,7 @@
   bool RefuseIfInfeasible(Job& aJob, MonoTime aNow);
   static void RecordSent(Sidecar& aSidecar,
                          const Resources& aResources,
-                         Millis aEstimate,
-                         const RunKey& aKey);
+                         Millis aEstimate);
   void OnRunEnd(MemberId aSidecar, const RunReport& aReport, MonoTime aNow);
   void OnTaskDone(Job& aJob, const JobTaskId& aTaskId, MonoTime aNow);
   /// Returns the highest number of a run of this job that may still go on.
--- a/src/include/cornelfront/late_order_book.h
+++ b/src/include/cornelfront/late_order_book.h
@@ -26,6 +26,14 @@
   UpstreamTime deadline_;
   uint64_t firstPoll_ = 0;
   bool refusedHere_ = false;
+  /// Run number that the upstream was given. Another order of the task goes
+  /// there under the same number, so that both can't make two runs.
+  uint32_t number_ = 0;
+  /// The present incarnation refuses that number, since a run has ended or has
+  /// been stopped under it.
+  bool numberUsed_ = false;
+  /// Orders under other numbers may be carried out as well.
+  bool severalNumbers_ = false;
 };
 
 /// Not thread-safe. All times are from BootNow.
@@ -33,6 +41,10 @@
 {
 public:
   void Add(const JobTaskId& aTask, const OpenOrder& aOrder);
+  /// Returns the order of the task that may still be carried out, or nullptr.
+  const OpenOrder* Find(const JobTaskId& aTask, MonoTime aNow) const;
+  /// The present incarnation refuses run numbers of the task up to this one.
+  void OnNumberUsed(const JobTaskId& aTask, uint32_t aNumber);
   /// The present incarnation has answered a poll.
   void OnPollResult(uint64_t aPollNumber, UpstreamTime aClock);
   /// Another incarnation with the same id is the present one, and will see a
@@ -63,6 +75,7 @@
   {
     LateOrderState state_ = LateOrderState::Held;
     MonoTime until_;
+    uint32_t upstreamNumber_ = 0;
   };
 
   std::map<JobTaskId, Told> told_;
--- a/src/include/cornelfront/late_order_ledger.h
+++ b/src/include/cornelfront/late_order_ledger.h
@@ -25,8 +25,21 @@
   };
 
   Where where_ = Where::Anywhere;
-  /// Set with OnlyAt.
+  /// Set with OnlyAt, like the next one.
   MemberId sidecar_;
+  /// Run number that the upstream must be given.
+  uint32_t upstreamNumber_ = 0;
+};
+
+/// A run that was lost with its sidecar, so that it is not known whether its
+/// order was answered.
+struct LostOrder
+{
+  JobTaskId task_;
+  uint32_t upstreamNumber_ = 0;
+  /// Its sidecar has been replaced by a new process, whose lists don't include
+  /// the order.
+  bool replaced_ = false;
 };
 
 /// A late order counts until its time has passed, also after the loss of its
@@ -40,13 +53,8 @@
   std::vector<JobTaskId> Record(MemberId aSidecar,
                                 const LateOrders& aOrders,
                                 MonoTime aNow);
-  /// A run of the task has been lost with its sidecar, so it is not known
-  /// whether its order was answered. \p aReplaced says that \p aSidecar is a
-  /// new process, whose lists don't include the order.
-  void RecordLost(MemberId aSidecar,
-                  const JobTaskId& aTask,
-                  bool aReplaced,
-                  MonoTime aUntil);
+  /// A run has been lost with \p aSidecar, or with the one that this replaces.
+  void RecordLost(MemberId aSidecar, const LostOrder& aLost, MonoTime aUntil);
   /// A sidecar has been replaced by a new process beside the same upstream.
   void OnReplaced(MemberId aSidecar, MemberId aReplacement);
   /// Forgets what is too old. Returns the tasks that may be started at more
@@ -69,6 +77,20 @@
     MonoTime lostUntil_;
     /// Of an earlier process beside the same upstream.
     MonoTime inheritedUntil_;
+    /// 0 if orders under several numbers may be carried out.
+    uint32_t upstreamNumber_ = 0;
+
+    bool IsEmpty() const
+    {
+      return !listed_ && lostUntil_ == MonoTime() &&
+             inheritedUntil_ == MonoTime();
+    }
+    /// Must be called before the time of the order with this number is set.
+    void AddNumber(uint32_t aNumber)
+    {
+      const bool same = IsEmpty() || upstreamNumber_ == aNumber;
+      upstreamNumber_ = same ? aNumber : 0;
+    }
   };
   using Orders = std::map<MemberId, Order>;
 
--- a/src/include/cornelfront/run_messages.h
+++ b/src/include/cornelfront/run_messages.h
@@ -44,11 +44,15 @@
   /// The run is returned as not started if it would have to wait in the
   /// sidecar, so that the entry can place it elsewhere.
   bool onlyIfFree_ = false;
+  /// Run number that the upstream must be given, because an order under it may
+  /// still be carried out there; 0 if it may be any. The run is returned as not
+  /// started if the upstream refuses this number.
+  uint32_t upstreamNumber_ = 0;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(index_, run_, onlyIfFree_);
+    aArchive(index_, run_, onlyIfFree_, upstreamNumber_);
   }
 };
 
@@ -302,8 +306,9 @@
 {
   /// Nowhere: the sender can't tell whether the task runs on its upstream.
   Held,
-  /// At the sender only: a restart of its upstream, which would let the order
-  /// begin a run, also ends the run that the task has there.
+  /// At the sender only, under the number of the order: a restart of its
+  /// upstream, which would let the order begin a run, also ends the run that
+  /// the task has there, and orders with one number begin one run.
   OnlyHere,
   /// Anywhere; the order is not carried out any more.
   Settled,
@@ -318,11 +323,13 @@
   LateOrderState state_ = LateOrderState::Held;
   /// Time after which the order is not carried out any more.
   Millis left_{ 0 };
+  /// Run number that the upstream was given; 0 with Settled.
+  uint32_t upstreamNumber_ = 0;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(task_, state_, left_);
+    aArchive(task_, state_, left_, upstreamNumber_);
   }
 };
 
--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -458,6 +458,9 @@
     uint64_t term_ = 0;
     State state_ = State::Waiting;
     uint32_t upstreamRunNumber_ = 0;
+    /// Its owner knows of an order under this number that may still be carried
+    /// out, so that no other number is safe.
+    bool numberIsFixed_ = false;
     std::string payload_;
     Resources resources_;
     uint8_t priority_ = 0;
@@ -474,6 +477,8 @@
     UpstreamTime deadline_;
     /// Number of unanswered orders.
     int unanswered_ = 0;
+    /// The upstream refuses the run's number.
+    bool numberUsed_ = false;
     /// Time at which the last order was sent.
     MonoTime orderedAt_;
     /// The incarnation that it was ordered from is gone, and a later one with
@@ -528,7 +533,8 @@
   bool MayBeginLate(const Run& aRun, MonoTime aNow) const;
   /// How long an order of the run may be under way.
   Millis OrderDelay(const Run& aRun) const;
-  /// True if the present incarnation is known not to carry out the order.
+  /// True if the present incarnation is known not to carry out the order, and
+  /// takes another one of the task under its number.
   bool IsSettledHere(const OpenOrder& aOrder, MonoTime aNow) const;
   UpstreamKnowledge KnowledgeOfUpstream(MonoTime aNow) const;
   std::map<JobTaskId, LateOrder> FindLateOrders(MonoTime aNow) const;
@@ -542,7 +548,16 @@
   std::optional<StopRequest> TakeStop(const RunKey& aKey,
                                       Stop& aStop,
                                       MonoTime aNow) const;
+  /// Returns the key under which the upstream knows the run.
+  static RunKey UpstreamKey(const RunKey& aKey, const Run& aRun)
+  {
+    return { aKey.task_, aRun.upstreamRunNumber_ };
+  }
   Runs::iterator FindUpstreamRun(const RunKey& aKey);
+  /// Returns the number under which the upstream is given the order.
+  uint32_t NumberFor(const JobTaskId& aTask,
+                     const RunOrder& aOrder,
+                     MonoTime aNow) const;
   std::vector<Runs::iterator> WaitingInOrder(MonoTime aNow);
   bool MayStart(MonoTime aNow) const;
   /// True if the lease may be extended by a start.
@@ -579,6 +594,8 @@
   /// Discards unacknowledged ends if the upstream's clock proves that the lease
   /// has lapsed since.
   void DiscardVoidEnds(UpstreamTime aClock, MonoTime aNow);
+  /// The upstream has refused an order because of its number.
+  void OnNumberUsed(Runs::iterator aRun, MonoTime aNow);
   void MarkRunning(const RunKey& aKey, Run& aRun, MonoTime aNow);
   void SendStart(Runs::iterator aRun,
                  std::vector<StartRequest>& aStarts,
--- a/src/libcornelfront/policy/job_holds.cpp
+++ b/src/libcornelfront/policy/job_holds.cpp
@@ -57,15 +57,18 @@
 void
 JobScheduler::RecordLostOrder(MemberId aSidecar,
                               const RunKey& aKey,
+                              const OrderedRun& aRun,
                               bool aReplaced,
                               MonoTime aNow)
 {
+  const LostOrder lost{ .task_ = aKey.task_,
+                        .upstreamNumber_ = aRun.upstreamNumber_,
+                        .replaced_ = aReplaced };
   const Job* job = FindJob(InstanceOf(aKey.task_));
   const Task* task = FindTask(aKey.task_);
   if (task == nullptr || task->run_ != aKey.run_) {
     // The job has been dropped, and may have been submitted again since.
-    lateOrders_.RecordLost(
-      aSidecar, aKey.task_, aReplaced, aNow + options_.maxOrderDelay_);
+    lateOrders_.RecordLost(aSidecar, lost, aNow + options_.maxOrderDelay_);
     return;
   }
   // The order may have waited in the sidecar; a stored task must not wait for
@@ -75,7 +78,7 @@
                          : options_.startTimeout_ + options_.maxOrderDelay_;
   const MonoTime until = task->sentAt_ + delay;
   if (aNow < until) {
-    lateOrders_.RecordLost(aSidecar, aKey.task_, aReplaced, until);
+    lateOrders_.RecordLost(aSidecar, lost, until);
   }
 }
 
--- a/src/libcornelfront/policy/job_placement.cpp
+++ b/src/libcornelfront/policy/job_placement.cpp
@@ -144,7 +144,7 @@
       aJob.obstacles_.noRoom_ |= !limited && !eligible.empty();
       continue;
     }
-    PlaceTask(aJob, id, *chosen, alone, !limited, sends, aNow);
+    PlaceTask(aJob, id, *chosen, alone, limit, sends, aNow);
   }
   for (auto& [target, send] : sends) {
     const auto& [id, alone] = target;
@@ -162,7 +162,7 @@
                         const JobTaskId& aTaskId,
                         Candidate& aChosen,
                         bool aAlone,
-                        bool aMayReturn,
+                        const StartLimit& aLimit,
                         Sends& aSends,
                         MonoTime aNow)
 {
@@ -175,24 +175,28 @@
   task.sentAt_ = aNow;
   task.stopSent_ = false;
   task.alone_ = aAlone;
-  task.limited_ = !aMayReturn;
+  task.limited_ = aLimit.where_ == StartLimit::Where::OnlyAt;
   task.returnedThere_ = task.limited_ ? task.returnedThere_ : 0;
   aJob.anySent_ = true;
   // The view of an upstream is as old as its last report, and other entries may
   // have taken the resources since.
-  const bool onlyIfFree = aMayReturn && !spec.gang_ && !aAlone &&
+  const bool onlyIfFree = !task.limited_ && !spec.gang_ && !aAlone &&
                           aChosen.waitMs_ <= 0.0 &&
                           task.returned_ < options_.maxReturned_;
   SendRuns& send = aSends[{ sidecar->first, aAlone }];
-  send.orders_.runs_.push_back(
-    { .index_ = aTaskId.index_, .run_ = task.run_, .onlyIfFree_ = onlyIfFree });
+  send.orders_.runs_.push_back({ .index_ = aTaskId.index_,
+                                 .run_ = task.run_,
+                                 .onlyIfFree_ = onlyIfFree,
+                                 .upstreamNumber_ = aLimit.upstreamNumber_ });
   send.predictedWait_ = FromMs(aChosen.waitMs_);
   send.reportAge_ =
     std::chrono::duration_cast<Millis>(aNow - sidecar->second.reportedAt_);
+  const uint32_t number =
+    aLimit.upstreamNumber_ != 0 ? aLimit.upstreamNumber_ : task.run_;
+  sidecar->second.runs_[{ aTaskId, task.run_ }] = { .upstreamNumber_ = number };
   RecordSent(sidecar->second,
              aAlone ? sidecar->second.report_.capacity_ : spec.resources_,
-             spec.estimate_,
-             { aTaskId, task.run_ });
+             spec.estimate_);
   UpdateCosts(aChosen, aJob, spec, ExpectedRunMs(aJob, spec));
 }
 
@@ -275,10 +279,8 @@
 void
 JobScheduler::RecordSent(Sidecar& aSidecar,
                          const Resources& aResources,
-                         Millis aEstimate,
-                         const RunKey& aKey)
+                         Millis aEstimate)
 {
-  aSidecar.runs_.insert(aKey);
   aSidecar.unreported_.push_back(
     { .number_ = ++aSidecar.ordersSent_,
       .resources_ = aResources,
--- a/src/libcornelfront/policy/job_runs.cpp
+++ b/src/libcornelfront/policy/job_runs.cpp
@@ -85,7 +85,6 @@
     return;
   }
   const bool known = sidecar->second.runs_.erase(aReport.key_) > 0;
-  sidecar->second.inheritedRuns_.erase(aReport.key_);
   const JobTaskId& taskId = aReport.key_.task_;
   Job* job = FindJob(InstanceOf(taskId));
   Task* found = FindTask(taskId);
@@ -239,12 +238,11 @@
 void
 JobScheduler::MarkRunsLost(MemberId aSidecar, bool aStoredToo, MonoTime aNow)
 {
-  const std::set<RunKey> runs = sidecars_.at(aSidecar).runs_;
-  const std::set<RunKey> inherited = sidecars_.at(aSidecar).inheritedRuns_;
-  for (const RunKey& key : runs) {
+  const std::map<RunKey, OrderedRun> runs = sidecars_.at(aSidecar).runs_;
+  for (const auto& [key, run] : runs) {
     const Job* job = FindJob(InstanceOf(key.task_));
     if (aStoredToo || job == nullptr || !job->stored_) {
-      RecordLostOrder(aSidecar, key, inherited.contains(key), aNow);
+      RecordLostOrder(aSidecar, key, run, run.inherited_, aNow);
       OnRunEnd(aSidecar, { .key_ = key, .end_ = RunEnd::Lost }, aNow);
     }
   }
--- a/src/libcornelfront/policy/job_scheduler.cpp
+++ b/src/libcornelfront/policy/job_scheduler.cpp
@@ -206,9 +206,10 @@
   }
   // Until the replacement is linked, it counts as lost from now on.
   sidecars_[aReplacement].lostAt_ = aNow;
-  for (const RunKey& key : old->second.runs_) {
-    sidecars_[aReplacement].runs_.insert(key);
-    sidecars_[aReplacement].inheritedRuns_.insert(key);
+  for (const auto& [key, run] : old->second.runs_) {
+    sidecars_[aReplacement].runs_[key] = { .upstreamNumber_ =
+                                             run.upstreamNumber_,
+                                           .inherited_ = true };
     Task* task = FindTask(key.task_);
     if (task != nullptr && task->sidecar_ == aSidecar) {
       task->sidecar_ = aReplacement;
@@ -231,18 +232,14 @@
   if (sidecar == sidecars_.end()) {
     return;
   }
-  const std::set<RunKey> held(aHeld.runs_.begin(), aHeld.runs_.end());
-  std::vector<RunKey> missing;
-  std::set_difference(sidecar->second.runs_.begin(),
-                      sidecar->second.runs_.end(),
-                      held.begin(),
-                      held.end(),
-                      std::back_inserter(missing));
-  const std::set<RunKey> inherited = sidecar->second.inheritedRuns_;
-  for (const RunKey& key : missing) {
-    const RunEnd end = inherited.contains(key) ? RunEnd::Lost : aMissingEnd;
+  std::map<RunKey, OrderedRun> missing = sidecar->second.runs_;
+  for (const RunKey& key : aHeld.runs_) {
+    missing.erase(key);
+  }
+  for (const auto& [key, run] : missing) {
+    const RunEnd end = run.inherited_ ? RunEnd::Lost : aMissingEnd;
     if (end == RunEnd::Lost) {
-      RecordLostOrder(aSidecar, key, true, aNow);
+      RecordLostOrder(aSidecar, key, run, true, aNow);
     }
     OnRunEnd(aSidecar, { .key_ = key, .end_ = end }, aNow);
   }
@@ -446,9 +443,13 @@
 JobScheduler::RecordIfUnlinked(MemberId aSidecar, const RunKey& aKey)
 {
   const auto sidecar = sidecars_.find(aSidecar);
-  if (sidecar != sidecars_.end() && !sidecar->second.linked_) {
-    const bool inherited = sidecar->second.inheritedRuns_.contains(aKey);
-    RecordLostOrder(aSidecar, aKey, inherited, lastCall_);
+  if (sidecar == sidecars_.end() || sidecar->second.linked_) {
+    return;
+  }
+  const auto run = sidecar->second.runs_.find(aKey);
+  if (run != sidecar->second.runs_.end()) {
+    RecordLostOrder(
+      aSidecar, aKey, run->second, run->second.inherited_, lastCall_);
   }
 }
 
--- a/src/libcornelfront/policy/job_stored.cpp
+++ b/src/libcornelfront/policy/job_stored.cpp
@@ -45,8 +45,8 @@
   }
   // The new leader takes over these runs; this process must not act on them.
   for (auto& [id, sidecar] : sidecars_) {
-    std::erase_if(sidecar.runs_, [this](const RunKey& aKey) {
-      return !jobs_.contains(InstanceOf(aKey.task_));
+    std::erase_if(sidecar.runs_, [this](const auto& aRun) {
+      return !jobs_.contains(InstanceOf(aRun.first.task_));
     });
   }
 }
@@ -234,7 +234,10 @@
 void
 JobScheduler::AdoptRun(MemberId aSidecar, const RunKey& aKey, MonoTime aNow)
 {
-  const bool known = !sidecars_.at(aSidecar).runs_.insert(aKey).second;
+  const bool known =
+    !sidecars_.at(aSidecar)
+       .runs_.try_emplace(aKey, OrderedRun{ .upstreamNumber_ = aKey.run_ })
+       .second;
   Task* task = FindTask(aKey.task_);
   Job* job = FindJob(InstanceOf(aKey.task_));
   const bool current = known && task != nullptr &&
--- a/src/libcornelfront/policy/late_order_book.cpp
+++ b/src/libcornelfront/policy/late_order_book.cpp
@@ -23,6 +23,26 @@
   order.deadline_ = std::max(order.deadline_, aOrder.deadline_);
   order.firstPoll_ = std::max(order.firstPoll_, aOrder.firstPoll_);
   order.refusedHere_ = order.refusedHere_ && aOrder.refusedHere_;
+  order.severalNumbers_ |= order.number_ != aOrder.number_;
+  order.number_ = std::max(order.number_, aOrder.number_);
+  order.numberUsed_ = order.numberUsed_ || aOrder.numberUsed_;
+}
+
+const OpenOrder*
+LateOrderBook::Find(const JobTaskId& aTask, MonoTime aNow) const
+{
+  const auto order = orders_.find(aTask);
+  return order != orders_.end() && aNow <= order->second.until_ ? &order->second
+                                                                : nullptr;
+}
+
+void
+LateOrderBook::OnNumberUsed(const JobTaskId& aTask, uint32_t aNumber)
+{
+  const auto order = orders_.find(aTask);
+  if (order != orders_.end()) {
+    order->second.numberUsed_ |= aNumber >= order->second.number_;
+  }
 }
 
 void
@@ -43,6 +63,7 @@
     order.deadline_ = kAnyTime;
     order.firstPoll_ = aFirstPoll;
     order.refusedHere_ = false;
+    order.numberUsed_ = false;
   }
 }
 
@@ -63,8 +84,9 @@
     const MonoTime until = aNow + order.left_;
     const auto [told, added] = told_.try_emplace(task);
     if (added || told->second.state_ != order.state_ ||
+        told->second.upstreamNumber_ != order.upstreamNumber_ ||
         told->second.until_ < until) {
-      told->second = { order.state_, until + kMargin };
+      told->second = { order.state_, until + kMargin, order.upstreamNumber_ };
       changes.orders_.push_back(order);
       changes.orders_.back().left_ += kMargin;
     }
--- a/src/libcornelfront/policy/late_order_ledger.cpp
+++ b/src/libcornelfront/policy/late_order_ledger.cpp
@@ -12,6 +12,7 @@
     aOrder.listed_.reset();
     return;
   }
+  aOrder.AddNumber(aListed.upstreamNumber_);
   aOrder.listed_ = aListed.state_;
   aOrder.listedUntil_ = aNow + aListed.left_;
 }
@@ -65,12 +66,12 @@
 
 void
 LateOrderLedger::RecordLost(MemberId aSidecar,
-                            const JobTaskId& aTask,
-                            bool aReplaced,
+                            const LostOrder& aLost,
                             MonoTime aUntil)
 {
-  Order& order = tasks_[aTask][aSidecar];
-  MonoTime& until = aReplaced ? order.inheritedUntil_ : order.lostUntil_;
+  Order& order = tasks_[aLost.task_][aSidecar];
+  order.AddNumber(aLost.upstreamNumber_);
+  MonoTime& until = aLost.replaced_ ? order.inheritedUntil_ : order.lostUntil_;
   until = std::max(until, aUntil);
 }
 
@@ -84,7 +85,9 @@
     }
     const Order old = found->second;
     orders.erase(found);
-    MonoTime& until = orders[aReplacement].inheritedUntil_;
+    Order& heir = orders[aReplacement];
+    heir.AddNumber(old.upstreamNumber_);
+    MonoTime& until = heir.inheritedUntil_;
     until = std::max({ until, old.lostUntil_, old.inheritedUntil_ });
     if (old.listed_) {
       until = std::max(until, old.listedUntil_);
@@ -113,11 +116,13 @@
     return {};
   }
   const auto& [sidecar, order] = *found->second.begin();
-  const bool held =
-    found->second.size() > 1 || order.listed_ == LateOrderState::Held;
+  const bool held = found->second.size() > 1 ||
+                    order.listed_ == LateOrderState::Held ||
+                    order.upstreamNumber_ == 0;
   return held ? StartLimit{ .where_ = StartLimit::Where::Nowhere }
               : StartLimit{ .where_ = StartLimit::Where::OnlyAt,
-                            .sidecar_ = sidecar };
+                            .sidecar_ = sidecar,
+                            .upstreamNumber_ = order.upstreamNumber_ };
 }
 
 } // namespace cornelfront
--- a/src/libcornelfront/policy/run_incarnations.cpp
+++ b/src/libcornelfront/policy/run_incarnations.cpp
@@ -137,6 +137,7 @@
       continue;
     }
     state.keptPastRestart_ = true;
+    state.numberUsed_ = false;
     // Its deadline says nothing on the clock of the next incarnation.
     state.deadline_ = UpstreamTime{ Millis(-1) };
     if (state.state_ != State::Running) {
--- a/src/libcornelfront/policy/run_late_orders.cpp
+++ b/src/libcornelfront/policy/run_late_orders.cpp
@@ -63,15 +63,15 @@
   if (HasOrphanOf(aTask)) {
     return true;
   }
-  const auto order = lateOrders_.Orders().find(aTask);
-  return order != lateOrders_.Orders().end() && aNow <= order->second.until_ &&
-         !IsSettledHere(order->second, aNow);
+  const OpenOrder* order = lateOrders_.Find(aTask, aNow);
+  return order != nullptr && !IsSettledHere(*order, aNow);
 }
 
 bool
 RunTable::IsSettledHere(const OpenOrder& aOrder, MonoTime aNow) const
 {
-  return aOrder.refusedHere_ &&
+  return aOrder.refusedHere_ && !aOrder.numberUsed_ &&
+         !aOrder.severalNumbers_ &&
          KnowledgeOfUpstream(aNow) == UpstreamKnowledge::Full;
 }
 
@@ -92,33 +92,39 @@
   const UpstreamKnowledge knowledge = KnowledgeOfUpstream(aNow);
   std::map<JobTaskId, LateOrder> found;
   const auto add =
-    [&](const JobTaskId& aTask, LateOrderState aState, MonoTime aUntil) {
-      const LateOrder order{ .task_ = aTask,
+    [&](const RunKey& aRun, LateOrderState aState, MonoTime aUntil) {
+      const LateOrder order{ .task_ = aRun.task_,
                              .state_ = aState,
-                             .left_ = Since(aNow, aUntil) };
-      const auto [known, added] = found.try_emplace(aTask, order);
+                             .left_ = Since(aNow, aUntil),
+                             .upstreamNumber_ = aRun.run_ };
+      const auto [known, added] = found.try_emplace(aRun.task_, order);
+      LateOrder& all = known->second;
       if (!added) {
-        known->second.state_ = std::min(known->second.state_, aState);
-        known->second.left_ = std::max(known->second.left_, order.left_);
+        all.state_ = std::min(all.state_, aState);
+        all.left_ = std::max(all.left_, order.left_);
+      }
+      if (all.upstreamNumber_ != order.upstreamNumber_) {
+        all.state_ = LateOrderState::Held;
+        all.upstreamNumber_ = 0;
       }
     };
   for (const auto& [key, run] : runs_) {
     const bool listed =
       run.unanswered_ > 0 || knowledge == UpstreamKnowledge::None;
     if (run.keptPastRestart_) {
-      add(key.task_, LateOrderState::Held, aNow + OrderDelay(run));
+      add(UpstreamKey(key, run), LateOrderState::Held, aNow + OrderDelay(run));
     } else if (listed && MayBeginLate(run, aNow)) {
-      add(key.task_, LateOrderState::Held, *MayBeginUntil(run));
+      add(UpstreamKey(key, run), LateOrderState::Held, *MayBeginUntil(run));
     }
   }
   for (const auto& [key, stop] : orphans_) {
     // It ends with its lease at the latest, which is not extended.
-    add(key.task_, LateOrderState::Held, aNow + options_.leaseExpiry_);
+    add(key, LateOrderState::Held, aNow + options_.leaseExpiry_);
   }
   for (const auto& [task, order] : lateOrders_.Orders()) {
     const bool settledHere = IsSettledHere(order, aNow);
     if (aNow <= order.until_) {
-      add(task,
+      add({ task, order.severalNumbers_ ? 0 : order.number_ },
           settledHere ? LateOrderState::OnlyHere : LateOrderState::Held,
           order.until_);
     }
--- a/src/libcornelfront/policy/run_polls.cpp
+++ b/src/libcornelfront/policy/run_polls.cpp
@@ -128,6 +128,7 @@
       continue;
     }
     newestEnd_ = entry.number_;
+    lateOrders_.OnNumberUsed(entry.key_.task_, entry.key_.run_);
     const auto run = FindUpstreamRun(entry.key_);
     const bool isRelevant =
       entry.end_ == RunEnd::Done || entry.end_ == RunEnd::Failed;
@@ -194,8 +195,7 @@
   }
   for (auto run = runs_.begin(); run != runs_.end();) {
     const Run& state = run->second;
-    const bool shown =
-      listed.contains({ run->first.task_, state.upstreamRunNumber_ });
+    const bool shown = listed.contains(UpstreamKey(run->first, state));
     const bool running =
       state.state_ == State::Running && state.firstPoll_ <= aPollNumber;
     const bool neverStarts = state.state_ == State::Uncertain &&
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -140,7 +140,8 @@
     }
     runs_[key] = { .owner_ = aOwner,
                    .term_ = aOrders.term_,
-                   .upstreamRunNumber_ = order.run_,
+                   .upstreamRunNumber_ = NumberFor(key.task_, order, aNow),
+                   .numberIsFixed_ = order.upstreamNumber_ != 0,
                    .payload_ = aOrders.payload_,
                    .resources_ = aOrders.resources_,
                    .priority_ =
@@ -154,6 +155,17 @@
   }
 }
 
+uint32_t
+RunTable::NumberFor(const JobTaskId& aTask,
+                    const RunOrder& aOrder,
+                    MonoTime aNow) const
+{
+  if (const OpenOrder* late = lateOrders_.Find(aTask, aNow)) {
+    return late->number_;
+  }
+  return aOrder.upstreamNumber_ != 0 ? aOrder.upstreamNumber_ : aOrder.run_;
+}
+
 bool
 RunTable::Accepts(const StartRuns& aOrders, MonoTime aNow) const
 {
@@ -361,12 +373,8 @@
       run.state_ = run.unanswered_ > 0 ? State::Uncertain : State::Waiting;
       break;
     case StartAnswer::RunNumberUsed:
-      // After an unanswered order, the run that has ended is this one.
-      if (run.unanswered_ == 0) {
-        run.upstreamRunNumber_ += kRenumberStep;
-      }
-      RevertStart(run);
-      break;
+      OnNumberUsed(found, aNow);
+      return;
     case StartAnswer::Refused:
     case StartAnswer::NotSent:
       RevertStart(run);
@@ -380,6 +388,25 @@
   }
 }
 
+void
+RunTable::OnNumberUsed(Runs::iterator aRun, MonoTime aNow)
+{
+  Run& run = aRun->second;
+  const JobTaskId& task = aRun->first.task_;
+  const bool late = lateOrders_.Find(task, aNow) != nullptr;
+  lateOrders_.OnNumberUsed(task, run.upstreamRunNumber_);
+  lateOrdersChanged_ |= late;
+  RevertStart(run);
+  if (run.state_ != State::Waiting) {
+    // The run that has ended may be this one, which the next poll shows.
+    run.numberUsed_ = true;
+  } else if (late || run.numberIsFixed_ || run.stop_) {
+    Finish(aRun, RunEnd::NotStarted, aNow);
+  } else {
+    run.upstreamRunNumber_ += kRenumberStep;
+  }
+}
+
 void
 RunTable::Tick(MonoTime aNow)
 {
@@ -458,7 +485,7 @@
   };
   for (auto& [key, run] : runs_) {
     if (run.stop_ && run.state_ != State::Waiting) {
-      take({ key.task_, run.upstreamRunNumber_ }, *run.stop_);
+      take(UpstreamKey(key, run), *run.stop_);
     }
   }
   for (auto& [key, stop] : orphans_) {
@@ -489,11 +516,14 @@
     // A listed end, or one because of a deadline that has passed, shows that
     // this incarnation does not begin the run any more.
     const bool refusedHere = aEnd != RunEnd::Lost;
+    const bool ended = refusedHere && aEnd != RunEnd::NotStarted;
     lateOrders_.Add(aRun->first.task_,
                     { .until_ = *until,
                       .deadline_ = run.deadline_,
                       .firstPoll_ = run.firstPoll_,
-                      .refusedHere_ = refusedHere });
+                      .refusedHere_ = refusedHere,
+                      .number_ = run.upstreamRunNumber_,
+                      .numberUsed_ = ended || run.numberUsed_ });
     lateOrdersChanged_ = true;
   }
   lateOrdersChanged_ |= run.keptPastRestart_;
