A stop counts from when the client left, not from its arrival

A client left while its entry was cut off from the sidecar of the run. The stop waited in the cut for 0.8 s; later messages of the same entry arrived with it and kept the run's owner alive. The sidecar counted the second after which the lease must end from the arrival of the stop, or from its own stop of a silent owner, so that the lease lasted 0.13 s past the return of the client; its stops to the upstream were lost meanwhile.

The age of a stop is known as that of each message is (TransitBound), and an entry adds the time for which it did not run itself before it noticed the client's end. The limit of the lease counts from then, and an earlier request to stop moves back to it.

Messages between entries and sidecars change.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -769,6 +769,9 @@
   std::vector<JobAction> actions_;
   MonoTime lastTick_;
   MonoTime lastCall_;
+  /// Time between the last two calls. What the last one reports may have
+  /// happened in between, if this process did not run.
+  Millis lastPause_{ 0 };
   bool called_ = false;
 };
 
--- a/src/include/cornelfront/run_messages.h
+++ b/src/include/cornelfront/run_messages.h
@@ -106,11 +106,13 @@
   /// The sender does not wait for the ends: the job may be submitted again, to
   /// any entry, while the runs go on.
   bool abandoned_ = false;
+  /// For how long the client may have been gone when this was sent.
+  Millis age_{ 0 };
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(runs_, abandoned_);
+    aArchive(runs_, abandoned_, age_);
   }
 };
 
--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -324,7 +324,9 @@
   /// Orders that are received right after a suspension are refused: they may be
   /// of any age.
   void OnOrders(MemberId aOwner, const StartRuns& aOrders, MonoTime aNow);
-  void OnStop(const StopRuns& aStop, MonoTime aNow);
+  /// \p aAge is as for OnOwnerLinked: the client of an abandoned run may have
+  /// left when the stop was sent.
+  void OnStop(const StopRuns& aStop, MonoTime aNow, Millis aAge = Millis(0));
   /// Returns the suspension that was detected last, once. Links that were open
   /// before must be closed, since orders in their buffers may be of any age.
   std::optional<Suspension> TakeSuspension(MonoTime aNow);
@@ -543,7 +545,12 @@
   /// it may be started there either.
   bool IsHeldHere(const JobTaskId& aTask, MonoTime aNow) const;
   void FinishWaiting(MonoTime aNow);
-  void RequestStop(Runs::iterator aRun, StopReason aReason, MonoTime aNow);
+  /// Requests the stop, or moves an earlier request to \p aSince if nobody
+  /// waits for the run since then.
+  void RequestStop(Runs::iterator aRun,
+                   StopReason aReason,
+                   MonoTime aSince,
+                   MonoTime aNow);
   /// Returns the stop if it must be sent now, and records that it is.
   std::optional<StopRequest> TakeStop(const RunKey& aKey,
                                       Stop& aStop,
--- a/src/libcornelfront/policy/job_scheduler.cpp
+++ b/src/libcornelfront/policy/job_scheduler.cpp
@@ -352,8 +352,9 @@
 void
 JobScheduler::DetectSuspension(MonoTime aNow)
 {
-  const bool suspended =
-    called_ && aNow - lastCall_ > options_.suspensionThreshold_;
+  lastPause_ =
+    called_ ? std::chrono::ceil<Millis>(aNow - lastCall_) : Millis(0);
+  const bool suspended = lastPause_ > options_.suspensionThreshold_;
   called_ = true;
   lastCall_ = aNow;
   if (!suspended) {
@@ -472,6 +473,7 @@
   }
   for (auto& [id, stop] : stops) {
     stop.abandoned_ = true;
+    stop.age_ = lastPause_;
     actions_.emplace_back(SendStops{ id, std::move(stop) });
   }
   const JobInstance id = InstanceOf(aJob);
--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -615,6 +615,18 @@
   EXPECT_EQ(Take().answers_.at(0).outcome_, JobOutcome::Completed);
 }
 
+// The client may have left right after the entry stood still.
+TEST_F(JobSchedulerTest, TheStopOfAnAbandonedRunCountsFromTheEntrysLastCall)
+{
+  Submit(Job());
+  Take();
+  scheduler_.Tick(At(100));
+  scheduler_.OnClientDisconnected(1, At(600));
+  const SortedActions actions = Take();
+  ASSERT_EQ(actions.stops_.size(), 1U);
+  EXPECT_EQ(actions.stops_[0].stops_.age_, Millis(500));
+}
+
 TEST_F(JobSchedulerTest, ResendsOrdersThatDidNotArrive)
 {
   Submit(Job());
--- a/src/libcornelfront/policy/run_lease_test.cpp
+++ b/src/libcornelfront/policy/run_lease_test.cpp
@@ -167,6 +167,26 @@
   EXPECT_LT(end, stopped + kClientReturn);
 }
 
+// A cut may hold up the stop of a client that has left, while later messages of
+// its entry keep the run alive.
+TEST_F(RunLeaseTest, AnAbandonedRunWhoseStopWasHeldUpEndsBeforeItsClientReturns)
+{
+  Order(0, At(0));
+  ASSERT_EQ(Start(At(0)), 1U);
+  // The client leaves at 0; its entry is heard of again at 850 ms.
+  Millis end = PollUntil(Millis(0), Millis(840));
+  const Millis healed{ 850 };
+  table_.OnOwnerHeard(kOwner, At(healed), healed);
+  table_.OnStop(
+    { .runs_ = { Key(0) }, .abandoned_ = true }, At(healed), healed);
+  for (Millis ms = healed; ms <= Millis(3000); ms += kPollInterval) {
+    table_.OnOwnerHeard(kOwner, At(ms));
+    const Millis lease = PollUntil(ms, ms);
+    end = lease.count() > 0 ? std::max(end, ms + lease) : end;
+  }
+  EXPECT_LT(end, kClientReturn);
+}
+
 TEST_F(RunLeaseTest, ARunOfALostOwnerEndsBeforeTheOwnerTakesItAsLost)
 {
   Order(0, At(0));
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -222,7 +222,7 @@
 }
 
 void
-RunTable::OnStop(const StopRuns& aStop, MonoTime aNow)
+RunTable::OnStop(const StopRuns& aStop, MonoTime aNow, Millis aAge)
 {
   DetectSuspension(aNow);
   for (const RunKey& key : aStop.runs_) {
@@ -231,6 +231,7 @@
       RequestStop(run,
                   aStop.abandoned_ ? StopReason::Abandoned
                                    : StopReason::Ordered,
+                  aNow - aAge - aStop.age_,
                   aNow);
     }
   }
@@ -241,7 +242,7 @@
 {
   for (auto run = runs_.begin(); run != runs_.end();) {
     const auto next = std::next(run);
-    RequestStop(run, StopReason::Suspended, aNow);
+    RequestStop(run, StopReason::Suspended, aNow, aNow);
     run = next;
   }
 }
@@ -448,7 +449,7 @@
     const bool lost = run->second.term_ > 0 ? silence >= options_.leaderTimeout_
                                             : silence > options_.ownerTimeout_;
     if (lost) {
-      RequestStop(run, StopReason::OwnerLost, aNow);
+      RequestStop(run, StopReason::OwnerLost, aNow, aNow);
     }
     run = next;
   }
@@ -540,7 +541,10 @@
 }
 
 void
-RunTable::RequestStop(Runs::iterator aRun, StopReason aReason, MonoTime aNow)
+RunTable::RequestStop(Runs::iterator aRun,
+                      StopReason aReason,
+                      MonoTime aSince,
+                      MonoTime aNow)
 {
   if (aRun->second.state_ == State::Waiting) {
     Finish(aRun, RunEnd::NotStarted, aNow);
@@ -548,10 +552,12 @@
   }
   std::optional<Stop>& stop = aRun->second.stop_;
   if (!stop) {
-    stop = Stop{ .reason_ = aReason, .requestedAt_ = aNow };
+    stop = Stop{ .reason_ = aReason, .requestedAt_ = aSince };
   } else if (stop->reason_ == StopReason::Ordered) {
     stop->reason_ = aReason;
-    stop->requestedAt_ = aNow;
+    stop->requestedAt_ = aSince;
+  } else if (aReason != StopReason::Ordered) {
+    stop->requestedAt_ = std::min(stop->requestedAt_, aSince);
   }
 }
 
--- a/src/libcornelfront/policy/two_runs_faults_test.cpp
+++ b/src/libcornelfront/policy/two_runs_faults_test.cpp
@@ -102,6 +102,7 @@
   add(scenario_.entriesKilled_,
       [this] { KillEntry(random_.Below(entries_.size()), kEntryRestart); });
   add(scenario_.entriesCutAndKilled_, [this] { CutAndKillEntry(); });
+  add(scenario_.entriesSuspended_, [this] { SuspendEntry(); });
   add(scenario_.sidecarsReplaced_, [this] { ReplaceSidecar(); });
   add(scenario_.sidecarsSuspended_, [this] { SuspendSidecar(); });
   add(scenario_.linksReset_, [this] { ResetLink(); });
@@ -184,6 +185,19 @@
   }
 }
 
+/// Also for less than what an entry takes for a suspension.
+void
+World::SuspendEntry()
+{
+  const size_t machine = random_.Below(entries_.size());
+  if (entries_[machine]) {
+    const Millis time = random_.Between(Millis(200), Millis(1500));
+    Record({ .entry_ = machine },
+           "ENTRY SUSPENDED for " + std::to_string(time.count()) + " ms");
+    entries_[machine]->Suspend(time);
+  }
+}
+
 void
 World::SuspendSidecar()
 {
--- a/src/libcornelfront/policy/two_runs_model_test.h
+++ b/src/libcornelfront/policy/two_runs_model_test.h
@@ -40,6 +40,7 @@
   const char* name_ = "";
   bool entriesKilled_ = false;
   bool entriesCutAndKilled_ = false;
+  bool entriesSuspended_ = false;
   bool sidecarsReplaced_ = false;
   bool sidecarsSuspended_ = false;
   bool linksReset_ = false;
@@ -533,6 +534,7 @@
   void CutAndKillEntry();
   void KillSidecar(size_t aMachine, Millis aDowntime);
   void ReplaceSidecar();
+  void SuspendEntry();
   void SuspendSidecar();
   void ResetLink();
   void CutLinks();
--- a/src/libcornelfront/policy/two_runs_sidecar_test.cpp
+++ b/src/libcornelfront/policy/two_runs_sidecar_test.cpp
@@ -184,14 +184,15 @@
   if (owner == owners_.end() || owner->second.link_ != aLink) {
     return;
   }
-  if (const auto age = owner->second.transit_.Measure(aTimes, now)) {
-    table_.OnOwnerHeard(id, now, *age);
+  const auto knownAge = owner->second.transit_.Measure(aTimes, now);
+  if (knownAge) {
+    table_.OnOwnerHeard(id, now, *knownAge);
   }
   if (auto* orders = std::get_if<StartRuns>(&aMessage)) {
     const auto age = now.time_since_epoch() - aTimes.echo_;
     OnOrders(id, *orders, std::chrono::duration_cast<Millis>(age));
   } else if (const auto* stop = std::get_if<StopRuns>(&aMessage)) {
-    table_.OnStop(*stop, now);
+    table_.OnStop(*stop, now, knownAge.value_or(kMaxMessageAge));
   } else {
     return;
   }
