A job with a late order is not said to have not run

A run whose order had no answer is reported as not started once its deadline has passed on the upstream's clock. At the client's deadline the entry then refused the job, which means that nothing has run and nothing will, although a restart of the upstream under its id makes the order good again (REFUSED). While an entry knows of a late order of the task, its job counts as one that may have run, and is answered as given up.

AJobWithALateOrderIsNotSaidToHaveNotRun shows it in the unit test; seen to pass with the change, not played on the code before.

--- a/src/libcornelfront/policy/job_runs.cpp
+++ b/src/libcornelfront/policy/job_runs.cpp
@@ -102,7 +102,10 @@
     actions_.emplace_back(
       RunEndEvent{ aSidecar, aReport, task.failedRuns_.size() });
   }
-  job->mayHaveRun_ |= aReport.end_ != RunEnd::NotStarted;
+  // An order that had no answer may begin the task in a later incarnation.
+  const bool late =
+    lateOrders_.LimitOf(taskId).where_ != StartLimit::Where::Anywhere;
+  job->mayHaveRun_ |= late || aReport.end_ != RunEnd::NotStarted;
   if (aReport.end_ == RunEnd::Done) {
     Millis& longest = job->steps_[taskId.step_].longestRun_;
     longest = std::max(longest, aReport.runTime_);
--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -598,6 +598,33 @@
     << "with an order of the lost process it would make two runs";
 }
 
+// The caller would be told that nothing can have run.
+TEST_F(JobSchedulerTest, AJobWithALateOrderIsNotSaidToHaveNotRun)
+{
+  Submit(Job());
+  const SendRuns sent = Take().runs_.at(0);
+  const JobTaskId task = sent.orders_.Task(sent.orders_.runs_[0]);
+  scheduler_.OnLateOrders(
+    sent.sidecar_,
+    { .orders_ = { { task, LateOrderState::Held, Millis(12000), 1 } } },
+    At(10));
+  End(sent, RunEnd::NotStarted, 20);
+  EXPECT_EQ(Take().Runs(), 0U);
+  scheduler_.Tick(At(100));
+  for (int ms = 100; ms <= 60000; ms += 100) {
+    scheduler_.Tick(At(ms));
+    const SortedActions actions = Take();
+    if (!actions.answers_.empty()) {
+      EXPECT_EQ(actions.answers_[0].outcome_, JobOutcome::GivenUp);
+      return;
+    }
+    if (actions.Runs() > 0) {
+      End(actions.runs_[0], RunEnd::NotStarted, ms);
+    }
+  }
+  ADD_FAILURE() << "no answer at the deadline";
+}
+
 TEST_F(JobSchedulerTest, CountsAnEndReportedByAReplacementSidecar)
 {
   constexpr MemberId kReplacement{ 9 };
