An entry starts nothing for a client that has left while its request waited

An entry that stood still, or was slow, took a request from its socket and placed its tasks although the end of the connection waited behind it; the client had submitted the job to another entry 1.3 s after it left.

The end of the connection is there when the request is read, so the entry looks before it hands a best-effort job to the scheduler, and refuses it.

--- a/src/include/cornelfront/http_server.h
+++ b/src/include/cornelfront/http_server.h
@@ -61,6 +61,10 @@
   /// Sends the response; later calls do nothing. Thread-safe.
   void Send(HttpResponse aResponse) const;
 
+  /// Returns true if the client has closed its connection, as far as this has
+  /// reached the server. Must be called on the thread of the server's event
+  /// loop, before the response is sent; false on a server without a loop.
+  bool HasClientLeft() const;
   /// Calls \p aOnDisconnect once if the client closes its connection before the
   /// response is sent. Must be called on the thread of the server's event loop,
   /// which also makes the callback; does nothing on a server without a loop.
--- a/src/libcornelfront/job_entry_clients.cpp
+++ b/src/libcornelfront/job_entry_clients.cpp
@@ -69,6 +69,14 @@
       platform::RefusedResponse("this process is stopping", kBalancerDelay));
     return;
   }
+  if (aReply.HasClientLeft()) {
+    // The request may have waited here for seconds, and the client may have
+    // submitted the job elsewhere since.
+    LOG(INFO) << "job=" << id << " outcome=refused reason=client_left";
+    Reply(aReply,
+          platform::RefusedResponse("the client has left", kBalancerDelay));
+    return;
+  }
   const JobSubmissionId submissionId = nextSubmissionId_++;
   pendingReplies_.emplace(submissionId, PendingReply{ aReply, id, aNow });
   scheduler_.Submit(submissionId,
--- a/src/libcornelfront/net/http_server.cpp
+++ b/src/libcornelfront/net/http_server.cpp
@@ -14,6 +14,7 @@
 
 #include <atomic>
 #include <cctype>
+#include <cerrno>
 #include <cstdlib>
 #include <mutex>
 #include <optional>
@@ -36,6 +37,17 @@
   std::unordered_set<HttpReply::State*> replies_;
 };
 
+/// Returns true if the other side has closed the connection and all that it
+/// sent before has been read. Readable data is a pipelined request.
+bool
+IsClosedByPeer(int aSocket)
+{
+  char byte = 0;
+  const ssize_t size = recv(aSocket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
+                       errno != EINTR);
+}
+
 /// Detects that the client closes its socket while the server is not reading
 /// from it.
 class DisconnectMonitor
@@ -51,18 +63,15 @@
 
   void Start(std::function<void()> aOnDisconnect)
   {
-    descriptor_.async_wait(
-      asio::posix::stream_descriptor::wait_read,
-      [socket = descriptor_.native_handle(),
-       onDisconnect =
-         std::move(aOnDisconnect)](const asio::error_code& aError) {
-        char byte = 0;
-        // Readable data is a pipelined request, not a disconnect.
-        if (aError != asio::error::operation_aborted &&
-            recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0) {
-          onDisconnect();
-        }
-      });
+    descriptor_.async_wait(asio::posix::stream_descriptor::wait_read,
+                           [socket = descriptor_.native_handle(),
+                            onDisconnect = std::move(aOnDisconnect)](
+                             const asio::error_code& aError) {
+                             if (aError != asio::error::operation_aborted &&
+                                 IsClosedByPeer(socket)) {
+                               onDisconnect();
+                             }
+                           });
   }
 
 private:
@@ -215,6 +224,13 @@
   state_->Send(std::move(aResponse));
 }
 
+bool
+HttpReply::HasClientLeft() const
+{
+  return state_->loop_ != nullptr && !state_->response_ &&
+         IsClosedByPeer(SocketOf(state_->connection_));
+}
+
 void
 HttpReply::OnClientDisconnect(std::function<void()> aOnDisconnect) const
 {
--- a/src/libcornelfront/net/http_server_test.cpp
+++ b/src/libcornelfront/net/http_server_test.cpp
@@ -1,6 +1,7 @@
 #include "cornelfront/http_client.h"
 #include "cornelfront/http_server.h"
 
+#include <asio.hpp>
 #include <gtest/gtest.h>
 
 #include <memory>
@@ -85,6 +86,37 @@
   EXPECT_EQ(result.response_.status_, 413);
 }
 
+// The request and the end of the connection wait while the loop stands still.
+TEST(HttpServer, TellsThatTheClientOfAWaitingRequestHasLeft)
+{
+  asio::io_context loop;
+  std::vector<bool> left;
+  HttpServer server({ .loop_ = &loop },
+                    [&](const HttpRequest&, const HttpReply& aReply) {
+                      left.push_back(aReply.HasClientLeft());
+                      aReply.Send({});
+                    });
+  const asio::ip::tcp::endpoint address(asio::ip::address_v4::loopback(),
+                                        server.Port());
+  const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  const auto serveUntil = [&](size_t aRequests) {
+    while (left.size() < aRequests) {
+      loop.run_one();
+    }
+  };
+  asio::ip::tcp::socket stays(loop);
+  stays.connect(address);
+  asio::write(stays, asio::buffer(request));
+  serveUntil(1);
+  {
+    asio::ip::tcp::socket leaves(loop);
+    leaves.connect(address);
+    asio::write(leaves, asio::buffer(request));
+  }
+  serveUntil(2);
+  EXPECT_EQ(left, (std::vector<bool>{ false, true }));
+}
+
 TEST(HttpClient, ReportsARequestThatWasNotSent)
 {
   uint16_t closedPort = 0;
--- a/src/libcornelfront/policy/two_runs_model_test.h
+++ b/src/libcornelfront/policy/two_runs_model_test.h
@@ -232,7 +232,9 @@
   /// Links end without a word to this process.
   void Kill();
   void Suspend(Millis aTime);
-  /// Handles something in \p aDelay, or in any order after a suspension.
+  /// Handles something now, or in any order after a suspension.
+  void Handle(const Action& aAction);
+  /// Handles something in \p aDelay.
   void Post(Millis aDelay, Action aAction);
   void AddLink(const LinkPtr& aLink);
   virtual void OnMessage(const LinkPtr& aLink,
@@ -246,8 +248,6 @@
   World& world_;
 
 private:
-  void Handle(const Action& aAction);
-
   const size_t machine_;
   const MemberId id_;
   bool alive_ = true;
--- a/src/libcornelfront/policy/two_runs_world_test.cpp
+++ b/src/libcornelfront/policy/two_runs_world_test.cpp
@@ -196,7 +196,16 @@
       Disconnect(aJob, "client's time has passed");
     }
   });
-  entries_[*entry]->Submit(job.submission_, job.description_, job.timeout_);
+  const auto& process = entries_[*entry];
+  process->Handle([this,
+                   process = process.get(),
+                   submission = job.submission_,
+                   description = job.description_,
+                   timeout = job.timeout_] {
+    if (submissions_.contains(submission)) {
+      process->Submit(submission, description, timeout);
+    }
+  });
 }
 
 void
--- a/testsuite/process/platform_test.cpp
+++ b/testsuite/process/platform_test.cpp
@@ -66,6 +66,24 @@
   EXPECT_THAT(cluster.OverlappingRuns(), IsEmpty());
 }
 
+// Its request waits in the socket; the client has gone to another entry since.
+TEST(PlatformBestEffort, AnEntryThatStoodStillStartsNothingForAClientThatLeft)
+{
+  PlatformCluster cluster(2, 2);
+  cluster.Entry(0).Signal(SIGSTOP);
+  std::this_thread::sleep_for(Millis(100)); // until it has taken effect
+  cluster.Submit(0, MakeJobId(1), "ms=3000", 2, true, Millis(300));
+  ASSERT_EQ(cluster.CountRuns(MakeJobId(1)), 0U);
+  std::this_thread::sleep_for(Millis(1300));
+  std::thread caller(
+    [&] { cluster.Submit(1, MakeJobId(1), "ms=3000", 2, true); });
+  EXPECT_TRUE(WaitUntil([&] { return cluster.CountRuns(MakeJobId(1)) == 2; }));
+  cluster.Entry(0).Signal(SIGCONT);
+  caller.join();
+  EXPECT_EQ(cluster.CountRuns(MakeJobId(1)), 2U);
+  EXPECT_THAT(cluster.OverlappingRuns(), IsEmpty());
+}
+
 TEST(PlatformBestEffort, TasksOfAKilledSidecarRunAgain)
 {
   PlatformCluster cluster(1, 2);
