Orders follow on a recent answer of the upstream, and are repeated only after one

Two runs of a task: an order reached an upstream while it was down, all entries and sidecars that knew of it lost power, the client's next submission ran elsewhere, and the upstream carried the order out in the milliseconds of its start (AllMachinesLosePowerWhileUpstreamsRestart). Nobody is left who could remember; what can be made rare is the order itself. A sidecar sent and repeated orders for up to 1.2 s after the last answer, four of them in 0.1 s.

No order goes now to an upstream that has not answered within 0.1 s, and none is repeated before the upstream has answered a poll that was sent after it: its answer shows whether the run has begun, and its fence ends the order before it is repeated. So that this costs a round trip and not the wait of a poll, the sidecar polls at once beside a poll that waits. Orders that count on free resources go back from an upstream that is suspect.

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -235,8 +235,7 @@
   /// An upstream that has not answered for this long is suspect and gets no new
   /// work.
   Millis upstreamSuspectAfter_{ 600 };
-  /// A task with an order that has no answer may be started again at the
-  /// upstream only while that has answered within this time.
+  /// Orders wait until the upstream has answered within this time.
   Millis upstreamQuietAfter_{ 100 };
   /// Interval at which a stop request without effect is repeated. Several fit
   /// into the time that the lease lasts on, since its end takes all runs along.
@@ -332,8 +331,13 @@
   std::optional<Suspension> TakeSuspension(MonoTime aNow);
 
   /// Returns the runs to start now, in order. None is older than its order's
-  /// start timeout or has an owner that has been silent for too long.
+  /// start timeout or has an owner that has been silent for too long. Orders
+  /// that reach an upstream while it is down may be carried out at its next
+  /// start. So none goes to one that has been quiet, and none is repeated
+  /// before the upstream has answered a poll that was sent after it.
   std::vector<StartRequest> TakeStarts(MonoTime aNow);
+  /// True if an order waits for the answer to a poll that is sent now or later.
+  bool AwaitsAnswer(MonoTime aNow) const;
   /// \p aDeadline is the order's deadline on the upstream's clock.
   void OnStartAnswer(const RunKey& aKey,
                      StartAnswer aAnswer,
@@ -567,6 +571,9 @@
                      MonoTime aNow) const;
   std::vector<Runs::iterator> WaitingInOrder(MonoTime aNow);
   bool MayStart(MonoTime aNow) const;
+  bool IsQuiet(MonoTime aNow) const;
+  /// True if an order without an answer is to be sent again at some time.
+  bool IsToBeRepeated(const Run& aRun, MonoTime aNow) const;
   /// True if the lease may be extended by a start.
   bool MayExtendByStart(MonoTime aNow) const;
   /// True if the run would not outlive the limit of its owner on the lease that
--- a/src/libcornelfront/job_sidecar_pvt.h
+++ b/src/libcornelfront/job_sidecar_pvt.h
@@ -75,6 +75,8 @@
   void Poll();
   void RestartPolling();
   void PollAfter(Millis aDelay);
+  /// Polls beside a poll that waits for an end, if an order needs an answer.
+  void HurryPoll(MonoTime aNow);
   void SendFence(MonoTime aNow);
   Millis PollWait(MonoTime aNow) const;
   void OnPollResult(uint64_t aPollNumber,
@@ -130,6 +132,10 @@
   /// The upstream has answered at least one poll.
   bool hasPolled_ = false;
   MonoTime pollStart_;
+  /// Wait of the poll that is under way; 0 if there is none.
+  Millis pollWait_{ 0 };
+  /// Number of polls that have not ended, also of earlier series.
+  int openPolls_ = 0;
   /// Bounds the polls of an upstream that closes or resets each connection. The
   /// longest delay leaves several attempts before the lease ends.
   Backoff pollBackoff_{ { .initial_ = Millis(1), .max_ = Millis(200) } };
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -120,6 +120,8 @@
     table_.OnLeaseGranted(*end, *lease);
   }
   const Millis wait = PollWait(now);
+  pollWait_ = wait;
+  ++openPolls_;
   const uint64_t pollNumber = table_.BeginPoll();
   executor_->Poll(
     table_.AcknowledgedEnds(),
@@ -128,12 +130,24 @@
     callTimeout_.Current(now),
     [this, pollNumber, wait, series = pollSeries_](
       platform::PollOutcome aOutcome, const UpstreamPollResult& aPollResult) {
+      --openPolls_;
       if (series == pollSeries_) {
         OnPollResult(pollNumber, wait, aOutcome, aPollResult);
       }
     });
 }
 
+void
+JobSidecar::Impl::HurryPoll(MonoTime aNow)
+{
+  const bool waits = polling_ && !pollDelayed_ && pollWait_ > Millis(0);
+  if (waits && openPolls_ < platform::kMaxOpenPolls &&
+      table_.AwaitsAnswer(aNow)) {
+    ++pollSeries_;
+    Poll();
+  }
+}
+
 /// Ends the orders that were sent with the fence of the poll that showed a
 /// restart, without waiting for the first heartbeat after it.
 void
@@ -158,6 +172,9 @@
     // be stopped without delay.
     return Millis(0);
   }
+  if (table_.AwaitsAnswer(aNow)) {
+    return Millis(0);
+  }
   // A longer wait would be taken for silence, which holds tasks with late
   // orders.
   if (table_.Size() == 0 && table_.LateOrderCount() == 0) {
@@ -174,6 +191,7 @@
                                const UpstreamPollResult& aPollResult)
 {
   const MonoTime now = BootNow();
+  pollWait_ = Millis(0);
   DetectSuspension(now);
   if (aOutcome == platform::PollOutcome::Ok) {
     pollBackoff_.Reset();
@@ -267,6 +285,7 @@
   for (const StartRequest& order : table_.TakeStarts(aNow)) {
     SendStart(order, aNow);
   }
+  HurryPoll(aNow);
   auto updates = table_.TakeUpdates();
   if (updates.empty()) {
     return;
--- a/src/libcornelfront/platform/executor_client.cpp
+++ b/src/libcornelfront/platform/executor_client.cpp
@@ -21,7 +21,6 @@
 /// Connections for start and stop requests. Polls use separate connections,
 /// because a request that waits for a free connection counts as unanswered.
 constexpr long kRequestConnections = 8;
-constexpr long kPollConnections = 2;
 
 constexpr int kStatusOk = 200;
 constexpr int kStatusConflict = 409;
@@ -230,7 +229,7 @@
                                const Endpoint& aExecutor)
   : base_("http://" + aExecutor.host_ + ":" + std::to_string(aExecutor.port_))
   , requests_(aLoop, { .maxConnectionsPerHost_ = kRequestConnections })
-  , polls_(aLoop, { .maxConnectionsPerHost_ = kPollConnections })
+  , polls_(aLoop, { .maxConnectionsPerHost_ = kMaxOpenPolls })
 {
 }
 
--- a/src/libcornelfront/platform/executor_client.h
+++ b/src/libcornelfront/platform/executor_client.h
@@ -51,6 +51,9 @@
   Fenced,
 };
 
+/// A further poll would wait for a connection, and count as unanswered.
+constexpr int kMaxOpenPolls = 2;
+
 /// All calls and callbacks are on the thread of the event loop.
 class ExecutorClient
 {
--- a/src/libcornelfront/policy/run_late_orders.cpp
+++ b/src/libcornelfront/policy/run_late_orders.cpp
@@ -82,8 +82,7 @@
   if (!upstream_ || !runsKnown_ || silence > options_.upstreamSuspectAfter_) {
     return UpstreamKnowledge::None;
   }
-  return silence > options_.upstreamQuietAfter_ ? UpstreamKnowledge::Quiet
-                                                : UpstreamKnowledge::Full;
+  return IsQuiet(aNow) ? UpstreamKnowledge::Quiet : UpstreamKnowledge::Full;
 }
 
 std::map<JobTaskId, LateOrder>
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -254,6 +254,33 @@
          aNow >= fullUntil_ && MayExtendByStart(aNow);
 }
 
+bool
+RunTable::IsQuiet(MonoTime aNow) const
+{
+  return Since(upstreamHeardAt_, aNow) > options_.upstreamQuietAfter_;
+}
+
+bool
+RunTable::IsToBeRepeated(const Run& aRun, MonoTime aNow) const
+{
+  return aRun.state_ == State::Uncertain && !aRun.stop_ &&
+         aRun.unanswered_ <= options_.maxStartRepeats_ && aNow < aRun.startBy_;
+}
+
+bool
+RunTable::AwaitsAnswer(MonoTime aNow) const
+{
+  if (!MayStart(aNow)) {
+    return false;
+  }
+  const bool quiet = IsQuiet(aNow);
+  return std::any_of(runs_.begin(), runs_.end(), [&](const auto& aRun) {
+    const Run& run = aRun.second;
+    return (run.state_ == State::Waiting && quiet) ||
+           (IsToBeRepeated(run, aNow) && answeredPoll_ < run.firstPoll_);
+  });
+}
+
 std::vector<StartRequest>
 RunTable::TakeStarts(MonoTime aNow)
 {
@@ -261,16 +288,20 @@
   CheckOwners(aNow);
   ReturnLate(aNow);
   std::vector<StartRequest> starts;
-  if (!MayStart(aNow)) {
+  const bool suspect =
+    Since(upstreamHeardAt_, aNow) > options_.upstreamSuspectAfter_;
+  if (!MayStart(aNow) || suspect) {
     ReturnWaiting(aNow);
     return starts;
   }
+  if (IsQuiet(aNow)) {
+    return starts;
+  }
   // The upstream starts a run once even if it gets the same order twice.
   for (auto run = runs_.begin(); run != runs_.end(); ++run) {
-    if (run->second.state_ == State::Uncertain && !run->second.stop_ &&
-        !IsHeldHere(run->first.task_, aNow) && LeaseFits(run->second) &&
-        run->second.unanswered_ <= options_.maxStartRepeats_ &&
-        aNow < run->second.startBy_) {
+    if (IsToBeRepeated(run->second, aNow) &&
+        run->second.firstPoll_ <= answeredPoll_ &&
+        !IsHeldHere(run->first.task_, aNow) && LeaseFits(run->second)) {
       SendStart(run, starts, aNow);
     }
   }
--- a/src/libcornelfront/policy/run_table_numbers_test.cpp
+++ b/src/libcornelfront/policy/run_table_numbers_test.cpp
@@ -47,6 +47,7 @@
     for (int ms = 1; !table_.TakeStarts(At(ms)).empty(); ++ms) {
       table_.OnStartAnswer(
         Key(0), StartAnswer::Unknown, { Millis(ms + 250) }, At(ms));
+      Poll({}, ms);
     }
   }
 
@@ -136,6 +137,45 @@
 }
 
 // Its owner knows the number of an order that a killed process left.
+using FreshAnswerTest = RunTableTest;
+
+// An order that reaches an upstream while it is down may be carried out at its
+// next start, when all who know of it may be gone.
+TEST_F(FreshAnswerTest, NoOrderGoesToAnUpstreamThatHasBeenQuiet)
+{
+  table_.OnOrders(kOwner, Orders(1), At(101));
+  EXPECT_TRUE(table_.AwaitsAnswer(At(101)));
+  EXPECT_TRUE(table_.TakeStarts(At(101)).empty());
+  EXPECT_TRUE(Reports().empty()) << "it waits for a poll";
+  Poll({}, 102);
+  EXPECT_EQ(table_.TakeStarts(At(102)).size(), 1U);
+  EXPECT_FALSE(table_.AwaitsAnswer(At(102)));
+}
+
+TEST_F(FreshAnswerTest, AnOrderIsRepeatedOnlyAfterAnAnswerToALaterPoll)
+{
+  table_.OnOrders(kOwner, Orders(1), At(1));
+  const uint64_t earlier = table_.BeginPoll();
+  ASSERT_EQ(table_.TakeStarts(At(1)).size(), 1U);
+  table_.OnStartAnswer(Key(0), StartAnswer::Unknown, { Millis(251) }, At(20));
+  EXPECT_TRUE(table_.AwaitsAnswer(At(20)));
+  table_.OnPollResult(earlier, {}, At(21));
+  EXPECT_TRUE(table_.TakeStarts(At(21)).empty());
+  Poll({}, 22);
+  EXPECT_EQ(table_.TakeStarts(At(22)).size(), 1U);
+}
+
+TEST_F(FreshAnswerTest, AnOrderForFreeResourcesLeavesASuspectUpstream)
+{
+  StartRuns orders = Orders(1);
+  orders.runs_ = { { .index_ = 0, .run_ = 1, .onlyIfFree_ = true } };
+  Tick(50, 600);
+  table_.OnOwnerHeard(kOwner, At(601));
+  table_.OnOrders(kOwner, orders, At(601));
+  EXPECT_TRUE(table_.TakeStarts(At(601)).empty());
+  EXPECT_EQ(Reports().at(0).end_, RunEnd::NotStarted);
+}
+
 using FixedNumberTest = RunTableTest;
 
 TEST_F(FixedNumberTest, ARunWhoseNumberIsFixedIsReturnedInsteadOfRenumbered)
--- a/src/libcornelfront/policy/run_table_restart_test.cpp
+++ b/src/libcornelfront/policy/run_table_restart_test.cpp
@@ -30,6 +30,15 @@
     table_.OnStartAnswer(Key(2), StartAnswer::Unknown, { Millis(250) }, At(7));
   }
 
+  /// A poll shows that run 2 has not begun; its order is sent again and
+  /// answered.
+  void RepeatRun2()
+  {
+    Poll({ .running_ = { { Key(0) }, { Key(1) } } }, 8);
+    ASSERT_EQ(table_.TakeStarts(At(8)).size(), 1U);
+    table_.OnStartAnswer(Key(2), StartAnswer::Started, {}, At(9));
+  }
+
   /// A poll at 300 ms shows that the order of run 2 is void; the answer to that
   /// of run 3 is known.
   void VoidOrderOfRun2()
@@ -86,8 +95,7 @@
 // The order that had no answer may arrive after its repetition was carried out.
 TEST_F(RestartedUpstreamTest, ARepeatedOrderMayBeTakenAlthoughTheRunWasListed)
 {
-  ASSERT_EQ(table_.TakeStarts(At(8)).size(), 1U);
-  table_.OnStartAnswer(Key(2), StartAnswer::Started, {}, At(9));
+  RepeatRun2();
   Poll({ .running_ = { { Key(0) }, { Key(1) }, { Key(2) } } }, 20);
   table_.OnUpstream(Upstream(2), At(30));
   EXPECT_EQ(Reports().size(), 2U) << "runs 0 and 1";
@@ -255,8 +263,7 @@
 // An order that was sent again may be under way although its run has ended.
 TEST_F(RestartedUpstreamTest, ListsLateOrdersOfRunsThatHaveEnded)
 {
-  ASSERT_EQ(table_.TakeStarts(At(8)).size(), 1U);
-  table_.OnStartAnswer(Key(2), StartAnswer::Started, {}, At(9));
+  RepeatRun2();
   table_.OnStartAnswer(Key(3), StartAnswer::Started, {}, At(9));
   Poll({ .ended_ = { { 1, Key(2), RunEnd::Failed },
                      { 2, Key(3), RunEnd::Failed } } },
--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -84,7 +84,12 @@
   table_.OnOrders(kOwner, Orders(1), At(0));
   ASSERT_EQ(table_.TakeStarts(At(0)).size(), 1U);
   table_.OnStartAnswer(Key(0), GetParam().answer_, { Millis(1000) }, At(1));
+  std::vector<RunningEntry> running;
+  if (GetParam().answer_ == StartAnswer::Started) {
+    running.push_back({ Key(0) });
+  }
   EXPECT_EQ(!Reports().empty(), GetParam().reported_);
+  Poll({ .running_ = running }, 90);
   EXPECT_EQ(!table_.TakeStarts(At(100)).empty(), GetParam().startsAgain_);
 }
 
@@ -116,6 +121,7 @@
   for (int i = 0; !table_.TakeStarts(At(i)).empty(); ++i) {
     ASSERT_LT(i, 10);
     table_.OnStartAnswer(Key(0), StartAnswer::Unknown, { Millis(1000) }, At(i));
+    Poll({}, i);
   }
   Poll({ .clock_ = { Millis(1000) } }, 50);
   EXPECT_TRUE(Reports().empty());
@@ -130,6 +136,7 @@
   table_.OnOrders(kOwner, Orders(1), At(0));
   ASSERT_FALSE(table_.TakeStarts(At(0)).empty());
   table_.OnStartAnswer(Key(0), StartAnswer::Unknown, { Millis(1000) }, At(1));
+  Poll({}, 2);
   ASSERT_FALSE(table_.TakeStarts(At(2)).empty());
   table_.OnStartAnswer(Key(0), StartAnswer::Full, { Millis(1000) }, At(3));
   EXPECT_TRUE(table_.TakeStarts(At(100)).empty());
@@ -426,6 +433,7 @@
   EXPECT_TRUE(table_.TakeStarts(At(601)).empty());
   ASSERT_EQ(table_.Size(), 0U);
   EXPECT_EQ(Reports().at(0).end_, RunEnd::NotStarted);
+  Poll({}, 602);
   table_.OnOrders(kOwner, Orders(1), At(602));
   EXPECT_EQ(table_.TakeStarts(At(602)).size(), 1U);
 }
--- a/src/libcornelfront/policy/two_runs_model_test.h
+++ b/src/libcornelfront/policy/two_runs_model_test.h
@@ -353,6 +353,7 @@
   void OnOrders(MemberId aEntry, StartRuns& aOrders, Millis aAge);
   void Poll();
   void PollAfter(Millis aDelay);
+  void HurryPoll(MonoTime aNow);
   Millis PollWait(MonoTime aNow) const;
   /// \p aAsked is the start time of the incarnation that the poll was meant
   /// for, \p aFence the fence that it carried.
@@ -390,6 +391,7 @@
   bool polling_ = false;
   bool hasPolled_ = false;
   MonoTime pollStart_;
+  Millis pollWait_{ 0 };
   Backoff pollBackoff_;
   bool pollDelayed_ = false;
   uint64_t pollTimer_ = 0;
