A gang waits while a member has a late order

The members of a gang run under one number; a member that may start only under the number of its late order would be alone at another one, and end so.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -597,7 +597,9 @@
   bool MustRunAlone(const JobTaskId& aTaskId,
                     const StepSpec& aStep,
                     const Task& aTask) const;
-  bool HasHeldTask(const Job& aJob, uint32_t aStep) const;
+  /// True if a task of the step may not be started anywhere and under any
+  /// number.
+  bool HasLimitedTask(const Job& aJob, uint32_t aStep) const;
   void PlaceStep(Job& aJob, uint32_t aStep, MonoTime aNow);
   /// Raises the run numbers of the tasks that are ready to those that are known
   /// to have ended, and those of a gang to its highest one.
--- a/src/libcornelfront/policy/job_holds.cpp
+++ b/src/libcornelfront/policy/job_holds.cpp
@@ -105,13 +105,13 @@
 }
 
 bool
-JobScheduler::HasHeldTask(const Job& aJob, uint32_t aStep) const
+JobScheduler::HasLimitedTask(const Job& aJob, uint32_t aStep) const
 {
   const auto count = static_cast<uint32_t>(aJob.steps_[aStep].tasks_.size());
   for (uint32_t i = 0; i < count; ++i) {
     const StartLimit limit =
       LimitOf({ aJob.spec_.id_, aJob.occurrence_, aStep, i });
-    if (limit.where_ == StartLimit::Where::Nowhere) {
+    if (limit.where_ != StartLimit::Where::Anywhere) {
       return true;
     }
   }
--- a/src/libcornelfront/policy/job_placement.cpp
+++ b/src/libcornelfront/policy/job_placement.cpp
@@ -104,7 +104,8 @@
     return;
   }
   AlignRunNumbers(step, spec.gang_);
-  const bool gangIsHeld = spec.gang_ && HasHeldTask(aJob, aStep);
+  // One member under the number of its late order would be alone.
+  const bool gangIsHeld = spec.gang_ && HasLimitedTask(aJob, aStep);
   Sends sends;
   std::optional<std::vector<Candidate>> candidates;
   for (uint32_t index = 0; index < step.tasks_.size(); ++index) {
--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -813,6 +813,23 @@
   }
 }
 
+// All members have one number, and that of a late order is another.
+TEST_F(JobSchedulerTest, AGangWaitsForTheLateOrderOfAMember)
+{
+  JobDescription job = Job(2);
+  job.steps_[0].gang_ = true;
+  const JobTaskId late{ job.id_, 0, 0, 1 };
+  scheduler_.OnLateOrders(
+    kFirst,
+    { .orders_ = { { late, LateOrderState::OnlyHere, Millis(12000), 7 } } },
+    At(0));
+  Submit(job);
+  EXPECT_EQ(Take().Runs(), 0U);
+  scheduler_.OnLateOrders(
+    kFirst, { .orders_ = { { late, LateOrderState::Settled } } }, At(20));
+  EXPECT_EQ(Take().Runs(), 2U);
+}
+
 TEST_F(JobSchedulerTest, AvoidsAnUpstreamOnWhichAllRunsFail)
 {
   std::map<MemberId, int> sent;
