--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -167,12 +167,9 @@
 Millis
 JobSidecar::Impl::PollWait(MonoTime aNow) const
 {
-  if (!hasPolled_) {
-    // The first poll returns at once, because runs that a predecessor left must
-    // be stopped without delay.
-    return Millis(0);
-  }
-  if (table_.AwaitsAnswer(aNow)) {
+  // The first poll of an incarnation returns at once: nothing starts before it,
+  // and runs that a predecessor left must be stopped without delay.
+  if (!table_.KnowsRuns() || table_.AwaitsAnswer(aNow)) {
     return Millis(0);
   }
   // A longer wait would be taken for silence, which holds tasks with late
--- a/src/libcornelfront/policy/two_runs_sidecar_test.cpp
+++ b/src/libcornelfront/policy/two_runs_sidecar_test.cpp
@@ -352,7 +352,7 @@
 Millis
 SidecarProcess::PollWait(MonoTime aNow) const
 {
-  if (!hasPolled_ || table_.AwaitsAnswer(aNow)) {
+  if (!table_.KnowsRuns() || table_.AwaitsAnswer(aNow)) {
     return Millis(0);
   }
   if (table_.Size() == 0 && table_.LateOrderCount() == 0) {
