--- a/src/libcornelfront/platform/executor_client.cpp
+++ b/src/libcornelfront/platform/executor_client.cpp
@@ -229,7 +229,7 @@
                                const Endpoint& aExecutor)
   : base_("http://" + aExecutor.host_ + ":" + std::to_string(aExecutor.port_))
   , requests_(aLoop, { .maxConnectionsPerHost_ = kRequestConnections })
-  , polls_(aLoop, { .maxConnectionsPerHost_ = kMaxOpenPolls })
+  , polls_(aLoop, { .maxConnectionsPerHost_ = kMaxOpenPolls + 1 })
 {
 }
 
--- a/src/libcornelfront/platform/executor_client.h
+++ b/src/libcornelfront/platform/executor_client.h
@@ -51,7 +51,9 @@
   Fenced,
 };
 
-/// A further poll would wait for a connection, and count as unanswered.
+/// Maximum number of polls at a time, but for the first one of a new
+/// incarnation, for which a connection is left. A poll that waits for a
+/// connection would count as unanswered.
 constexpr int kMaxOpenPolls = 2;
 
 /// All calls and callbacks are on the thread of the event loop.
