--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -565,10 +565,11 @@
     return { aKey.task_, aRun.upstreamRunNumber_ };
   }
   Runs::iterator FindUpstreamRun(const RunKey& aKey);
-  /// Returns the number under which the upstream is given the order.
-  uint32_t NumberFor(const JobTaskId& aTask,
-                     const RunOrder& aOrder,
-                     MonoTime aNow) const;
+  /// Returns the number under which the upstream is given the order, or nothing
+  /// if the task has late orders under two numbers.
+  std::optional<uint32_t> NumberFor(const JobTaskId& aTask,
+                                    const RunOrder& aOrder,
+                                    MonoTime aNow) const;
   std::vector<Runs::iterator> WaitingInOrder(MonoTime aNow);
   bool MayStart(MonoTime aNow) const;
   bool IsQuiet(MonoTime aNow) const;
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -133,14 +133,15 @@
     const auto sameTask = runs_.lower_bound({ key.task_, 0 });
     const bool known =
       sameTask != runs_.end() && sameTask->first.task_ == key.task_;
-    if (!accepts || known || IsHeldHere(key.task_, aNow)) {
+    if (!accepts || known || IsHeldHere(key.task_, aNow) ||
+        !NumberFor(key.task_, order, aNow)) {
       const RunReport report{ .key_ = key };
       owners_[aOwner].unsent_.reports_.push_back(report);
       continue;
     }
     runs_[key] = { .owner_ = aOwner,
                    .term_ = aOrders.term_,
-                   .upstreamRunNumber_ = NumberFor(key.task_, order, aNow),
+                   .upstreamRunNumber_ = *NumberFor(key.task_, order, aNow),
                    .numberIsFixed_ = order.upstreamNumber_ != 0,
                    .payload_ = aOrders.payload_,
                    .resources_ = aOrders.resources_,
@@ -155,15 +156,18 @@
   }
 }
 
-uint32_t
+std::optional<uint32_t>
 RunTable::NumberFor(const JobTaskId& aTask,
                     const RunOrder& aOrder,
                     MonoTime aNow) const
 {
-  if (const OpenOrder* late = lateOrders_.Find(aTask, aNow)) {
-    return late->number_;
+  const uint32_t fixed = aOrder.upstreamNumber_;
+  const OpenOrder* late = lateOrders_.Find(aTask, aNow);
+  if (late == nullptr) {
+    return fixed != 0 ? fixed : aOrder.run_;
   }
-  return aOrder.upstreamNumber_ != 0 ? aOrder.upstreamNumber_ : aOrder.run_;
+  const bool same = fixed == 0 || fixed == late->number_;
+  return same ? std::optional(late->number_) : std::nullopt;
 }
 
 bool
--- a/src/libcornelfront/policy/run_table_numbers_test.cpp
+++ b/src/libcornelfront/policy/run_table_numbers_test.cpp
@@ -110,6 +110,18 @@
   EXPECT_EQ(starts[0].upstreamRunNumber_, 2U);
 }
 
+// Its owner knows of an order of an earlier process under another number.
+TEST_F(LateOrderNumberTest, ATaskWithLateOrdersUnderTwoNumbersIsReturned)
+{
+  PassDeadlines();
+  Reports();
+  StartRuns orders = Orders(1);
+  orders.runs_ = { { .index_ = 0, .run_ = 6, .upstreamNumber_ = 5 } };
+  table_.OnOrders(kOwner, orders, At(kVoidMs));
+  EXPECT_TRUE(table_.TakeStarts(At(kVoidMs)).empty());
+  EXPECT_EQ(Reports().at(0).end_, RunEnd::NotStarted);
+}
+
 // A stop that had no answer, or an order of an earlier process, has used it up.
 TEST_F(LateOrderNumberTest, ATaskIsHeldIfTheUpstreamRefusesTheNumber)
 {
