A standstill of an entry counts for all that it notices soon after

A tick or a report before it made the age near 0, so that the lease could outlast the return of the client by some 0.3 s if the stops had no effect. A pause of over 75 ms now counts for the next 200 ms.

The test has the end handled first, after 1 ms and after 100 ms; before, it had the first case alone. Another shows that a running entry adds nothing.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -541,6 +541,8 @@
   };
 
   void DetectSuspension(MonoTime aNow);
+  /// Returns for how long what is noticed by the last call may be past.
+  Millis AgeOfNews() const;
   static JobInstance InstanceOf(const Job& aJob)
   {
     return { aJob.spec_.id_, aJob.occurrence_ };
@@ -771,9 +773,10 @@
   std::vector<JobAction> actions_;
   MonoTime lastTick_;
   MonoTime lastCall_;
-  /// Time between the last two calls. What the last one reports may have
-  /// happened in between, if this process did not run.
-  Millis lastPause_{ 0 };
+  /// The last time for which this process did not run. What it notices soon
+  /// after may have happened since pausedAt_.
+  MonoTime pausedAt_;
+  MonoTime resumedAt_;
   bool called_ = false;
 };
 
--- a/src/libcornelfront/policy/job_scheduler.cpp
+++ b/src/libcornelfront/policy/job_scheduler.cpp
@@ -18,6 +18,11 @@
 
 constexpr Millis kExpiryInterval{ 250 };
 
+/// Calls are further apart than this only if the process does not run.
+constexpr Millis kPause{ 75 };
+/// Time within which a process has handled what waited while it did not run.
+constexpr Millis kCatchUpTime{ 200 };
+
 /// Returns a number in [0, 1) that depends on both ids only: rendezvous hashing
 /// (Thaler and Ravishankar, 1998). 0 if the entry has no id.
 double
@@ -352,9 +357,12 @@
 void
 JobScheduler::DetectSuspension(MonoTime aNow)
 {
-  lastPause_ =
-    called_ ? std::chrono::ceil<Millis>(aNow - lastCall_) : Millis(0);
-  const bool suspended = lastPause_ > options_.suspensionThreshold_;
+  const MonoTime lastCall = called_ ? lastCall_ : aNow;
+  const bool suspended = aNow - lastCall > options_.suspensionThreshold_;
+  if (aNow - lastCall > kPause) {
+    pausedAt_ = lastCall;
+    resumedAt_ = aNow;
+  }
   called_ = true;
   lastCall_ = aNow;
   if (!suspended) {
@@ -371,6 +379,14 @@
   }
 }
 
+Millis
+JobScheduler::AgeOfNews() const
+{
+  return lastCall_ - resumedAt_ <= kCatchUpTime
+           ? std::chrono::ceil<Millis>(lastCall_ - pausedAt_)
+           : Millis(0);
+}
+
 JobScheduler::Job*
 JobScheduler::FindJob(const JobInstance& aInstance)
 {
@@ -473,7 +489,7 @@
   }
   for (auto& [id, stop] : stops) {
     stop.abandoned_ = true;
-    stop.age_ = lastPause_;
+    stop.age_ = AgeOfNews();
     actions_.emplace_back(SendStops{ id, std::move(stop) });
   }
   const JobInstance id = InstanceOf(aJob);
--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -642,16 +642,40 @@
   EXPECT_EQ(Take().answers_.at(0).outcome_, JobOutcome::Completed);
 }
 
-// The client may have left right after the entry stood still.
-TEST_F(JobSchedulerTest, TheStopOfAnAbandonedRunCountsFromTheEntrysLastCall)
+// The client may have left right after the entry stood still, whatever the
+// entry handles first.
+TEST_F(JobSchedulerTest, TheStopOfAnAbandonedRunCountsFromTheEntrysStandstill)
+{
+  for (const int handledFirst : { 0, 1, 100 }) {
+    const auto id = static_cast<JobSubmissionId>(1 + handledFirst);
+    const int begin = 10000 * (1 + handledFirst);
+    for (int ms = begin - 9000; ms <= begin; ms += 50) {
+      scheduler_.Tick(At(ms));
+    }
+    Submit(Job(), begin, id);
+    Take();
+    for (int ms = begin + 500; ms < begin + 500 + handledFirst; ms += 50) {
+      scheduler_.Tick(At(ms));
+    }
+    const int left = begin + 500 + handledFirst;
+    scheduler_.OnClientDisconnected(id, At(left));
+    const SortedActions actions = Take();
+    ASSERT_EQ(actions.stops_.size(), 1U) << handledFirst;
+    EXPECT_EQ(actions.stops_[0].stops_.age_, Millis(left - begin));
+  }
+}
+
+TEST_F(JobSchedulerTest, AStopOfARunningEntryHasNoAge)
 {
   Submit(Job());
   Take();
-  scheduler_.Tick(At(100));
-  scheduler_.OnClientDisconnected(1, At(600));
+  for (int ms = 25; ms <= 600; ms += 25) {
+    scheduler_.Tick(At(ms));
+  }
+  scheduler_.OnClientDisconnected(1, At(610));
   const SortedActions actions = Take();
   ASSERT_EQ(actions.stops_.size(), 1U);
-  EXPECT_EQ(actions.stops_[0].stops_.age_, Millis(500));
+  EXPECT_EQ(actions.stops_[0].stops_.age_, Millis(0));
 }
 
 TEST_F(JobSchedulerTest, ResendsOrdersThatDidNotArrive)
