--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -647,7 +647,7 @@
 TEST_F(JobSchedulerTest, TheStopOfAnAbandonedRunCountsFromTheEntrysStandstill)
 {
   for (const int handledFirst : { 0, 1, 100 }) {
-    const auto id = static_cast<JobSubmissionId>(1 + handledFirst);
+    const auto id = 1 + static_cast<JobSubmissionId>(handledFirst);
     const int begin = 10000 * (1 + handledFirst);
     for (int ms = begin - 9000; ms <= begin; ms += 50) {
       scheduler_.Tick(At(ms));
