Tell how long a request can have waited before an entry reads it

An overlap of two runs could not be told from the logs to come from a request that waited in the sockets of an entry, or from one that the network delivered late. A server on an event loop now knows when it last looked at its sockets and left nothing behind; each request carries that time, an entry logs requests that may have waited for over 75 ms (outcome=read_late) and has a histogram of all of them. No decision changes.

--- a/src/include/cornelfront/job_metrics.h
+++ b/src/include/cornelfront/job_metrics.h
@@ -31,6 +31,9 @@
   /// Counts an answered best-effort job; \p aTime is the time since its
   /// submission.
   void CountJob(JobOutcome aOutcome, Millis aTime);
+  /// Records the longest time for which the request of a best-effort job can
+  /// have waited at this process before it was read.
+  void RecordRequestWait(Millis aTime);
   /// Counts a call for a stored job: a submission, a cancellation or a query of
   /// its state. \p aResult is a constant such as "stored".
   void CountCall(const std::string& aCall, const std::string& aResult);
@@ -59,6 +62,7 @@
   prometheus::Family<prometheus::Gauge>& gauges_;
   prometheus::Counter& unanswered_;
   prometheus::Histogram& jobSeconds_;
+  prometheus::Histogram& requestWaitSeconds_;
   prometheus::Histogram& waitSeconds_;
   prometheus::Histogram& runSeconds_;
 };
--- a/src/libcornelfront/job_entry.cpp
+++ b/src/libcornelfront/job_entry.cpp
@@ -67,7 +67,8 @@
   clients_ = std::make_unique<HttpServer>(
     HttpServerOptions{ .address_ = settings_.clients_.host_,
                        .port_ = settings_.clients_.port_,
-                       .loop_ = &loop },
+                       .loop_ = &loop,
+                       .lookInterval_ = kTickInterval },
     [this](const HttpRequest& aRequest, const HttpReply& aReply) {
       HandleClient(aRequest, aReply);
     });
--- a/src/libcornelfront/job_entry_clients.cpp
+++ b/src/libcornelfront/job_entry_clients.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr Millis kStoreRetry{ 1000 };
+/// Requests that may have waited for longer are logged.
+constexpr Millis kNotableWait{ 75 };
 
 } // namespace
 
@@ -62,6 +64,13 @@
     SubmitStored(aSubmission, aReply);
     return;
   }
+  const auto waited =
+    std::chrono::ceil<Millis>(aNow - aSubmission.arrivedAfter_);
+  metrics_.RecordRequestWait(waited);
+  if (waited > kNotableWait) {
+    LOG(INFO) << "job=" << id << " waited_ms=" << waited.count()
+              << " outcome=read_late";
+  }
   if (closed_) {
     LOG(INFO) << "job=" << id << " outcome=refused reason=stopping";
     Reply(
--- a/src/libcornelfront/job_metrics.cpp
+++ b/src/libcornelfront/job_metrics.cpp
@@ -74,6 +74,11 @@
   , jobSeconds_(AddHistogram(registry_,
                              "cornelfront_job_seconds",
                              "Time from submission to answer"))
+  , requestWaitSeconds_(
+      AddHistogram(registry_,
+                   "cornelfront_request_wait_seconds",
+                   "Longest time for which a submission can have waited here "
+                   "before it was read"))
   , waitSeconds_(AddHistogram(registry_,
                               "cornelfront_run_wait_seconds",
                               "Wait of a run in the sidecar"))
@@ -89,6 +94,12 @@
   jobSeconds_.Observe(Seconds(aTime));
 }
 
+void
+JobMetrics::RecordRequestWait(Millis aTime)
+{
+  requestWaitSeconds_.Observe(Seconds(aTime));
+}
+
 void
 JobMetrics::CountCall(const std::string& aCall, const std::string& aResult)
 {
--- a/src/libcornelfront/net/http_server.cpp
+++ b/src/libcornelfront/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "cornelfront/http_server.h"
 
+#include "net/arrival_bound.h"
 #include "net/receive_timeout_monitor.h"
 #include "net/request_framing.h"
 #include "net/server_errors.h"
@@ -25,9 +26,6 @@
 
 namespace {
 
-/// Interval at which MHD runs on an event loop to close idle connections.
-constexpr Millis kIdleCheck{ 1000 };
-
 /// Requests whose response is still outstanding. Their connections are
 /// suspended, and MHD must not be stopped before all of them are resumed.
 struct PendingReplies
@@ -347,9 +345,13 @@
 
   void Pump()
   {
+    arrivals_.BeginLook(BootNow());
     MHD_run(daemon_);
     MHD_UNSIGNED_LONG_LONG timeout = 1;
-    if (MHD_get_timeout(daemon_, &timeout) == MHD_YES && timeout == 0) {
+    const bool left =
+      MHD_get_timeout(daemon_, &timeout) == MHD_YES && timeout == 0;
+    arrivals_.EndLook(left);
+    if (left) {
       SchedulePump();
     }
   }
@@ -366,10 +368,11 @@
       });
   }
 
-  /// Runs MHD periodically, so that it closes idle connections.
+  /// Runs MHD periodically, so that it closes idle connections, and for the
+  /// bound on arrivals.
   void WaitForTimer()
   {
-    pumpTimer_->expires_after(kIdleCheck);
+    pumpTimer_->expires_after(options_.lookInterval_);
     pumpTimer_->async_wait(
       [this, alive = alive_](const asio::error_code& aError) {
         if (*alive && !aError) {
@@ -398,6 +401,9 @@
     auto* self = static_cast<Impl*>(aSelf);
     if (aEvent == MHD_CONNECTION_NOTIFY_STARTED) {
       self->watch_.OnConnect(SocketOf(aConnection), MonoClock::now());
+      if (self->options_.loop_ != nullptr) {
+        self->arrivals_.OnAccept();
+      }
     } else {
       self->watch_.OnClose(SocketOf(aConnection));
     }
@@ -528,6 +534,7 @@
     aState.reply_->loop_ = options_.loop_;
     if (options_.loop_ != nullptr) {
       aState.reply_->pump_ = [this] { SchedulePump(); };
+      aState.request_.arrivedAfter_ = arrivals_.ArrivedAfter();
     }
     bool stopping = false;
     {
@@ -574,6 +581,8 @@
   HttpHandler handler_;
   std::shared_ptr<PendingReplies> pending_;
   ReceiveTimeoutMonitor watch_;
+  /// Used on a server with an event loop only.
+  ArrivalBound arrivals_{ BootNow() };
   MHD_Daemon* daemon_ = nullptr;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   bool pumpScheduled_ = false;
--- a/src/libcornelfront/net/http_server_test.cpp
+++ b/src/libcornelfront/net/http_server_test.cpp
@@ -117,6 +117,46 @@
   EXPECT_EQ(left, (std::vector<bool>{ false, true }));
 }
 
+// Both a new connection and one that is kept open wait while the loop stands
+// still.
+TEST(HttpServer, TellsThatRequestsHaveWaitedWhileTheLoopStoodStill)
+{
+  constexpr Millis kStandstill{ 200 };
+  asio::io_context loop;
+  std::vector<MonoTime> arrivedAfter;
+  HttpServer server({ .loop_ = &loop, .lookInterval_ = Millis(10) },
+                    [&](const HttpRequest& aRequest, const HttpReply& aReply) {
+                      arrivedAfter.push_back(aRequest.arrivedAfter_);
+                      aReply.Send({});
+                    });
+  const asio::ip::tcp::endpoint address(asio::ip::address_v4::loopback(),
+                                        server.Port());
+  const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  const auto serveUntil = [&](size_t aRequests) {
+    while (arrivedAfter.size() < aRequests) {
+      loop.run_one();
+    }
+  };
+  asio::ip::tcp::socket kept(loop);
+  kept.connect(address);
+  loop.run_for(Millis(50));
+  const MonoTime begin = BootNow();
+  asio::write(kept, asio::buffer(request));
+  serveUntil(1);
+  EXPECT_GT(arrivedAfter[0], begin - kStandstill);
+  loop.run_for(Millis(50));
+
+  const MonoTime sent = BootNow();
+  asio::write(kept, asio::buffer(request));
+  asio::ip::tcp::socket fresh(loop);
+  fresh.connect(address);
+  asio::write(fresh, asio::buffer(request));
+  std::this_thread::sleep_for(kStandstill);
+  serveUntil(3);
+  EXPECT_LE(arrivedAfter[1], sent);
+  EXPECT_LE(arrivedAfter[2], sent);
+}
+
 TEST(HttpClient, ReportsARequestThatWasNotSent)
 {
   uint16_t closedPort = 0;
--- a/src/libcornelfront/platform/job_api.cpp
+++ b/src/libcornelfront/platform/job_api.cpp
@@ -53,7 +53,8 @@
   try {
     return JobSubmission{ .job_ = ParseJob(aId, aRequest.body_),
                           .queue_ = aRoute.queue_,
-                          .clientTimeout_ = ClientTimeout(aRequest, aRoute) };
+                          .clientTimeout_ = ClientTimeout(aRequest, aRoute),
+                          .arrivedAfter_ = aRequest.arrivedAfter_ };
   } catch (const JobError& error) {
     return ErrorResponse(kStatusBadRequest, error.what());
   }
--- a/src/libcornelfront/platform/job_api.h
+++ b/src/libcornelfront/platform/job_api.h
@@ -20,6 +20,8 @@
   JobQueue queue_;
   /// How long the client waits for the response.
   Millis clientTimeout_{ 0 };
+  /// The request arrived later than this, see HttpRequest::arrivedAfter_.
+  MonoTime arrivedAfter_;
 };
 
 /// Query for the state of a job.
