One Standstill for entries and sidecars

JobScheduler and RunTable each noticed on their own that the process had not run, and only the former knew how old that makes what it finds afterwards. Both use one class now. No decision changes.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -11,6 +11,7 @@
 #include "cornelfront/job.h"
 #include "cornelfront/late_order_ledger.h"
 #include "cornelfront/run_messages.h"
+#include "cornelfront/standstill.h"
 
 #include <cstdint>
 #include <deque>
@@ -541,8 +542,6 @@
   };
 
   void DetectSuspension(MonoTime aNow);
-  /// Returns for how long what is noticed by the last call may be past.
-  Millis AgeOfNews() const;
   static JobInstance InstanceOf(const Job& aJob)
   {
     return { aJob.spec_.id_, aJob.occurrence_ };
@@ -772,12 +771,7 @@
   MonoTime lateOrdersExpiredAt_;
   std::vector<JobAction> actions_;
   MonoTime lastTick_;
-  MonoTime lastCall_;
-  /// The last time for which this process did not run. What it notices soon
-  /// after may have happened since pausedAt_.
-  MonoTime pausedAt_;
-  MonoTime resumedAt_;
-  bool called_ = false;
+  Standstill standstill_;
 };
 
 } // namespace cornelfront
--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -8,6 +8,7 @@
 #include "cornelfront/ids.h"
 #include "cornelfront/late_order_book.h"
 #include "cornelfront/run_messages.h"
+#include "cornelfront/standstill.h"
 #include "cornelfront/upstream_time.h"
 
 #include <algorithm>
@@ -618,8 +619,7 @@
   void RevertStart(Run& aRun);
 
   const RunTableOptions options_;
-  /// Newest time that a call was given.
-  std::optional<MonoTime> lastCall_;
+  Standstill standstill_;
   /// Time of the call that detected the last suspension.
   std::optional<MonoTime> resumedAt_;
   std::optional<Suspension> suspension_;
--- a/src/libcornelfront/policy/job_scheduler.cpp
+++ b/src/libcornelfront/policy/job_scheduler.cpp
@@ -18,11 +18,6 @@
 
 constexpr Millis kExpiryInterval{ 250 };
 
-/// Calls are further apart than this only if the process does not run.
-constexpr Millis kPause{ 75 };
-/// Time within which a process has handled what waited while it did not run.
-constexpr Millis kCatchUpTime{ 200 };
-
 /// Returns a number in [0, 1) that depends on both ids only: rendezvous hashing
 /// (Thaler and Ravishankar, 1998). 0 if the entry has no id.
 double
@@ -357,15 +352,7 @@
 void
 JobScheduler::DetectSuspension(MonoTime aNow)
 {
-  const MonoTime lastCall = called_ ? lastCall_ : aNow;
-  const bool suspended = aNow - lastCall > options_.suspensionThreshold_;
-  if (aNow - lastCall > kPause) {
-    pausedAt_ = lastCall;
-    resumedAt_ = aNow;
-  }
-  called_ = true;
-  lastCall_ = aNow;
-  if (!suspended) {
+  if (standstill_.OnCall(aNow) <= options_.suspensionThreshold_) {
     return;
   }
   std::vector<JobInstance> ids;
@@ -379,14 +366,6 @@
   }
 }
 
-Millis
-JobScheduler::AgeOfNews() const
-{
-  return lastCall_ - resumedAt_ <= kCatchUpTime
-           ? std::chrono::ceil<Millis>(lastCall_ - pausedAt_)
-           : Millis(0);
-}
-
 JobScheduler::Job*
 JobScheduler::FindJob(const JobInstance& aInstance)
 {
@@ -465,8 +444,11 @@
   }
   const auto run = sidecar->second.runs_.find(aKey);
   if (run != sidecar->second.runs_.end()) {
-    RecordLostOrder(
-      aSidecar, aKey, run->second, run->second.inherited_, lastCall_);
+    RecordLostOrder(aSidecar,
+                    aKey,
+                    run->second,
+                    run->second.inherited_,
+                    standstill_.LastCall());
   }
 }
 
@@ -489,7 +471,7 @@
   }
   for (auto& [id, stop] : stops) {
     stop.abandoned_ = true;
-    stop.age_ = AgeOfNews();
+    stop.age_ = standstill_.AgeOfNews();
     actions_.emplace_back(SendStops{ id, std::move(stop) });
   }
   const JobInstance id = InstanceOf(aJob);
@@ -498,7 +480,7 @@
   if (!aJob.stored_) {
     submissions_.erase(aJob.submissionId_);
     if (highestRun > 0) {
-      abandoned_[aJob.spec_.id_] = { highestRun, lastCall_ };
+      abandoned_[aJob.spec_.id_] = { highestRun, standstill_.LastCall() };
     }
   }
   jobs_.erase(id);
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -53,13 +53,12 @@
 void
 RunTable::DetectSuspension(MonoTime aNow)
 {
-  const MonoTime last = lastCall_.value_or(aNow);
-  lastCall_ = std::max(last, aNow);
-  const Millis gap = Since(last, aNow);
-  if (gap <= options_.suspensionThreshold_) {
+  const auto pause = standstill_.OnCall(aNow);
+  if (pause <= options_.suspensionThreshold_) {
     return;
   }
-  suspension_ = { .length_ = gap, .runs_ = runs_.size() };
+  suspension_ = { .length_ = std::chrono::duration_cast<Millis>(pause),
+                  .runs_ = runs_.size() };
   resumedAt_ = aNow;
   StopAll(aNow);
 }
--- /dev/null
+++ b/src/libcornelfront/policy/standstill_test.cpp
@@ -0,0 +1,45 @@
+#include "cornelfront/standstill.h"
+
+#include <gtest/gtest.h>
+
+namespace cornelfront {
+namespace {
+
+MonoTime
+At(int64_t aMs)
+{
+  return MonoTime(Millis(aMs));
+}
+
+TEST(Standstill, WhatIsNoticedInOrdinaryTimesIsNew)
+{
+  Standstill standstill;
+  EXPECT_EQ(standstill.OnCall(At(5000)), Millis(0));
+  EXPECT_EQ(standstill.OnCall(At(5075)), Millis(75));
+  EXPECT_EQ(standstill.AgeOfNews(), Millis(0));
+}
+
+TEST(Standstill, WhatIsNoticedSoonAfterItIsAsOldAsItsBegin)
+{
+  Standstill standstill;
+  standstill.OnCall(At(5000));
+  EXPECT_EQ(standstill.OnCall(At(5300)), Millis(300));
+  EXPECT_EQ(standstill.AgeOfNews(), Millis(300));
+  standstill.OnCall(At(5350));
+  EXPECT_EQ(standstill.AgeOfNews(), Millis(350));
+  for (int64_t time = 5400; time <= 5550; time += 50) {
+    standstill.OnCall(At(time));
+  }
+  EXPECT_EQ(standstill.AgeOfNews(), Millis(0));
+}
+
+TEST(Standstill, ATimeBeforeTheLastCallIsTakenForThatOfTheLastCall)
+{
+  Standstill standstill;
+  standstill.OnCall(At(5000));
+  EXPECT_EQ(standstill.OnCall(At(4000)), Millis(0));
+  EXPECT_EQ(standstill.LastCall(), At(5000));
+}
+
+} // namespace
+} // namespace cornelfront
