--- a/testsuite/harness/platform_cluster.cpp
+++ b/testsuite/harness/platform_cluster.cpp
@@ -53,6 +53,8 @@
     messagePorts_.push_back(FreePort());
     entries_.emplace_back();
     StartEntry(i);
+    // Starts its proxy before several threads use it.
+    ClientAddress(i);
   }
   for (unsigned i = 0; i < options_.sidecars_; ++i) {
     heartbeatPorts_.push_back(FreePort());
@@ -91,7 +93,10 @@
 uint16_t
 PlatformCluster::Proxied(ProxiedLeg aLeg, unsigned aIndex, uint16_t aPort)
 {
-  if (!options_.proxied_) {
+  const bool isProxied = aLeg == ProxiedLeg::ClientToEntry
+                           ? options_.clientsProxied_
+                           : options_.proxied_;
+  if (!isProxied) {
     return aPort;
   }
   const auto [found, isNew] = proxies_.try_emplace({ aLeg, aIndex });
@@ -119,9 +124,10 @@
 }
 
 std::string
-PlatformCluster::ClientAddress(unsigned aEntry) const
+PlatformCluster::ClientAddress(unsigned aEntry)
 {
-  return Loopback(clientPorts_.at(aEntry));
+  return Loopback(
+    Proxied(ProxiedLeg::ClientToEntry, aEntry, clientPorts_.at(aEntry)));
 }
 
 std::string
@@ -198,8 +204,7 @@
                       Millis aTimeout)
 {
   HttpClientRequest request{ .method_ = aMethod,
-                             .url_ = "http://" +
-                                     Loopback(clientPorts_[aEntry]) + aPath,
+                             .url_ = "http://" + ClientAddress(aEntry) + aPath,
                              .body_ = aBody,
                              .timeout_ = aTimeout };
   request.headers_.emplace_back("Host", "desk.example");
--- a/testsuite/harness/platform_cluster.h
+++ b/testsuite/harness/platform_cluster.h
@@ -38,6 +38,8 @@
   /// Places fault proxies between all processes and the store, between sidecars
   /// and their executors, and between sidecars and entries.
   bool proxied_ = false;
+  /// Places fault proxies between clients and entries as well.
+  bool clientsProxied_ = false;
 };
 
 /// Group of connections that one fault proxy relays.
@@ -47,6 +49,7 @@
   SidecarToStore,
   SidecarToExecutor,
   SidecarsToEntry,
+  ClientToEntry,
 };
 
 /// Starts a store with a configuration of one queue, entries, executors and
@@ -85,8 +88,8 @@
   Process& Entry(unsigned aEntry) { return *entries_.at(aEntry); }
   Process& Sidecar(unsigned aSidecar) { return *sidecars_.at(aSidecar); }
   Process& Executor(unsigned aExecutor) { return *executors_.at(aExecutor); }
-  /// Returns the address "<ip>:<port>" at which an entry serves clients.
-  std::string ClientAddress(unsigned aEntry) const;
+  /// Returns the address "<ip>:<port>" at which clients reach an entry.
+  std::string ClientAddress(unsigned aEntry);
   /// Returns the zone of a sidecar and its executor.
   std::string ZoneOf(unsigned aSidecar) const;
   /// Returns the entry whose log has the highest term of leadership; waits
--- a/testsuite/process/platform_test.cpp
+++ b/testsuite/process/platform_test.cpp
@@ -84,6 +84,32 @@
   EXPECT_THAT(cluster.OverlappingRuns(), IsEmpty());
 }
 
+// The client leaves while its request waits, and submits again elsewhere; the
+// end of its connection is held up on the way.
+TEST(PlatformBestEffort, ARequestThatWaitedInAnEntryThatStoodStillIsNotRun)
+{
+  const std::string job = MakeJobId(1);
+  PlatformCluster cluster(
+    { .entries_ = 2, .sidecars_ = 3, .clientsProxied_ = true });
+  const auto submit = [&](unsigned aEntry, Millis aTimeout) {
+    return std::async(std::launch::async, [&cluster, &job, aEntry, aTimeout] {
+      return cluster.Submit(aEntry, job, "ms=1000", 1, true, aTimeout);
+    });
+  };
+  cluster.Entry(0).Signal(SIGSTOP);
+  auto first = submit(0, Millis(1500));
+  std::this_thread::sleep_for(Millis(200));
+  cluster.ProxyFault(ProxiedLeg::ClientToEntry, 0, R"({"freeze":true})");
+  EXPECT_FALSE(first.get().Ok());
+  std::this_thread::sleep_for(Millis(1300));
+  auto second = submit(1, kDefaultTimeout);
+  EXPECT_TRUE(WaitUntil([&] { return cluster.CountRuns(job) == 1; }));
+  cluster.Entry(0).Signal(SIGCONT);
+  EXPECT_EQ(second.get().response_.body_, R"({"state":"completed"})");
+  EXPECT_EQ(cluster.CountRuns(job), 1U);
+  EXPECT_THAT(cluster.OverlappingRuns(), IsEmpty());
+}
+
 TEST(PlatformBestEffort, TasksOfAKilledSidecarRunAgain)
 {
   PlatformCluster cluster(1, 2);
--- a/testsuite/soak/callers.cpp
+++ b/testsuite/soak/callers.cpp
@@ -13,11 +13,9 @@
 
 /// Shortest backoff before a submission without an answer is repeated.
 constexpr Millis kResendBackoff{ 1300 };
-constexpr Millis kClientTimeout{ 4000 };
 constexpr Millis kConnectTimeout{ 1000 };
 constexpr Millis kStatePollInterval{ 100 };
 constexpr int kMaxAttempts = 6;
-constexpr unsigned kMaxTasks = 6;
 constexpr int kMaxPauseMs = 60;
 
 constexpr int kStatusOk = 200;
@@ -30,14 +28,15 @@
 class Connections
 {
 public:
-  explicit Connections(const std::vector<std::string>& aEntries)
+  Connections(const std::vector<std::string>& aEntries, Millis aTimeout)
+    : timeout_(aTimeout)
   {
     for (const std::string& entry : aEntries) {
       clients_.push_back(std::make_unique<httplib::Client>("http://" + entry));
       clients_.back()->set_keep_alive(true);
       clients_.back()->set_tcp_nodelay(true);
       clients_.back()->set_connection_timeout(kConnectTimeout);
-      clients_.back()->set_read_timeout(kClientTimeout);
+      clients_.back()->set_read_timeout(aTimeout);
     }
   }
 
@@ -67,12 +66,13 @@
 
 private:
   static std::string PathOf(const std::string& aJob) { return "/q1/" + aJob; }
-  static httplib::Headers Headers()
+  httplib::Headers Headers() const
   {
     return { { "Host", "desk.example" },
-             { "Request-Deadline", std::to_string(kClientTimeout.count()) } };
+             { "Request-Deadline", std::to_string(timeout_.count()) } };
   }
 
+  const Millis timeout_;
   std::vector<std::unique_ptr<httplib::Client>> clients_;
 };
 
@@ -97,10 +97,11 @@
 {
 public:
   Caller(const CallersOptions& aOptions, unsigned aThread)
-    : thread_(aThread)
+    : options_(aOptions)
+    , thread_(aThread)
     , maxTaskMs_(static_cast<int>(aOptions.maxTask_.count()))
     , random_(aOptions.seed_ * 1000 + aThread)
-    , connections_(aOptions.entries_)
+    , connections_(aOptions.entries_, aOptions.timeout_)
   {
   }
 
@@ -120,7 +121,7 @@
         break;
       }
       if (!result && !refused &&
-          WallMillisNow() - begun < kClientTimeout.count()) {
+          WallMillisNow() - begun < options_.timeout_.count()) {
         aborted_.push_back({ entry, begun, WallMillisNow() });
       }
       if (job.refused_) {
@@ -156,8 +157,9 @@
     char id[17];
     snprintf(id, sizeof(id), "%08x%08x", thread_ + 1, ++number_);
     return { .id_ = id,
-             .bestEffort_ = Chance(60),
-             .tasks_ = static_cast<unsigned>(Pick(1, kMaxTasks)),
+             .bestEffort_ = Chance(options_.bestEffortPercent_),
+             .tasks_ = static_cast<unsigned>(
+               Pick(1, static_cast<int>(options_.maxTasks_))),
              .fails_ = Chance(4) };
   }
 
@@ -198,6 +200,7 @@
     aJob.cancelled_ = WallMillisNow();
   }
 
+  const CallersOptions& options_;
   const unsigned thread_;
   const int maxTaskMs_;
   unsigned number_ = 0;
@@ -248,7 +251,7 @@
 void
 Callers::ReadStates(Millis aLimit)
 {
-  Connections connections(options_.entries_);
+  Connections connections(options_.entries_, options_.timeout_);
   const MonoTime deadline = MonoClock::now() + aLimit;
   for (JobRecord& job : jobs_) {
     if (job.accepted_ == 0) {
--- a/testsuite/soak/callers.h
+++ b/testsuite/soak/callers.h
@@ -19,6 +19,12 @@
 {
   uint64_t seed_ = 1;
   unsigned threads_ = 4;
+  /// How long a caller waits for an answer.
+  Millis timeout_{ 4000 };
+  /// Most tasks of a job.
+  unsigned maxTasks_ = 6;
+  /// Share of the jobs that are best-effort, in percent.
+  int bestEffortPercent_ = 60;
   /// Longest task.
   Millis maxTask_{ 400 };
   /// "<ip>:<port>" of every entry.
--- a/testsuite/soak/faults.cpp
+++ b/testsuite/soak/faults.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <csignal>
 #include <iostream>
+#include <stdexcept>
 #include <thread>
 
 namespace cornelfront::soak {
@@ -20,10 +21,8 @@
   "executor_stalls", "executor_reborn", "zone_out",
 };
 
-constexpr double kMeanGapMs = 700.0;
 constexpr int kMinDurationMs = 100;
 constexpr int kMaxDurationMs = 4000;
-constexpr int kMaxDelayMs = 300;
 /// A process that received SIGTERM is replaced after this time.
 constexpr Millis kStopTime{ 5000 };
 /// Longer than the bound on evacuations, so that the time after it is checked.
@@ -81,7 +80,8 @@
 IsEntryLeg(ProxiedLeg aLeg)
 {
   return aLeg == ProxiedLeg::EntryToStore ||
-         aLeg == ProxiedLeg::SidecarsToEntry;
+         aLeg == ProxiedLeg::SidecarsToEntry ||
+         aLeg == ProxiedLeg::ClientToEntry;
 }
 
 class Planner
@@ -155,17 +155,37 @@
   }
   Millis NextGap()
   {
-    std::exponential_distribution<double> gap(1.0 / kMeanGapMs);
+    std::exponential_distribution<double> gap(
+      1.0 / static_cast<double>(options_.meanGap_.count()));
     return Millis(static_cast<int64_t>(gap(random_)));
   }
 
+  FaultKind NextKind()
+  {
+    if (options_.kinds_.empty()) {
+      return static_cast<FaultKind>(Pick(0, kFaultKinds - 1));
+    }
+    return options_
+      .kinds_[PickOf(static_cast<unsigned>(options_.kinds_.size()))];
+  }
+
+  ProxiedLeg NextLeg()
+  {
+    if (!options_.disturbsClients_) {
+      return static_cast<ProxiedLeg>(Pick(0, 3));
+    }
+    return Pick(0, 2) > 0 ? ProxiedLeg::ClientToEntry
+                          : static_cast<ProxiedLeg>(Pick(0, 4));
+  }
+
   Fault NextFault(Millis aAt)
   {
-    Fault fault{ .kind_ = static_cast<FaultKind>(Pick(0, kFaultKinds - 1)),
+    Fault fault{ .kind_ = NextKind(),
                  .at_ = aAt,
                  .length_ = Millis(Pick(kMinDurationMs, kMaxDurationMs)),
-                 .leg_ = static_cast<ProxiedLeg>(Pick(0, 3)),
-                 .delay_ = Millis(Pick(1, kMaxDelayMs)) };
+                 .leg_ = NextLeg(),
+                 .delay_ = Millis(
+                   Pick(1, static_cast<int>(options_.maxDelay_.count()))) };
     const bool ofEntry = TargetsEntry(fault.kind_) ||
                          (TargetsLeg(fault.kind_) && IsEntryLeg(fault.leg_));
     fault.target_ = PickOf(ofEntry ? options_.entries_ : options_.sidecars_);
@@ -227,11 +247,12 @@
 }
 
 std::string
-ExecutorFields(FaultKind aKind, bool aOn)
+ExecutorFields(FaultKind aKind, bool aOn, bool aLateOrders)
 {
   switch (aKind) {
     case FaultKind::ExecutorMute:
-      return Flag("unanswered", aOn);
+      return aOn && aLateOrders ? R"({"unanswered":true,"late_orders":true})"
+                                : Flag("unanswered", aOn);
     case FaultKind::ExecutorDrains:
       return Flag("draining", aOn);
     case FaultKind::ExecutorStalls:
@@ -249,6 +270,20 @@
   return kNames.at(static_cast<size_t>(aKind));
 }
 
+std::vector<FaultKind>
+ParseFaultKinds(const std::vector<std::string>& aNames)
+{
+  std::vector<FaultKind> kinds;
+  for (const std::string& name : aNames) {
+    const auto* found = std::find(kNames.begin(), kNames.end(), name);
+    if (found == kNames.end()) {
+      throw std::invalid_argument("no kind of fault is named " + name);
+    }
+    kinds.push_back(static_cast<FaultKind>(found - kNames.begin()));
+  }
+  return kinds;
+}
+
 std::vector<Fault>
 MakeFaultPlan(const FaultPlanOptions& aOptions)
 {
@@ -258,7 +293,7 @@
 FaultInjector::FaultInjector(harness::PlatformCluster& aCluster,
                              FaultPlanOptions aOptions)
   : cluster_(aCluster)
-  , options_(aOptions)
+  , options_(std::move(aOptions))
 {
 }
 
@@ -356,7 +391,8 @@
   } else {
     // A suspended stand-in does not answer on /control.
     cluster_.Executor(target).Signal(SIGCONT);
-    cluster_.ExecutorFault(target, ExecutorFields(aFault.kind_, true));
+    cluster_.ExecutorFault(
+      target, ExecutorFields(aFault.kind_, true, options_.lateOrders_));
   }
   return true;
 }
@@ -394,7 +430,8 @@
     cluster_.StoreFault(StoreFields(aFault.kind_, false));
   } else {
     cluster_.Executor(target).Signal(SIGCONT);
-    cluster_.ExecutorFault(target, ExecutorFields(aFault.kind_, false));
+    cluster_.ExecutorFault(
+      target, ExecutorFields(aFault.kind_, false, options_.lateOrders_));
   }
 }
 
--- a/testsuite/soak/faults.h
+++ b/testsuite/soak/faults.h
@@ -50,6 +50,10 @@
 
 std::string_view
 ToString(FaultKind aKind);
+/// Returns the kinds with these names.
+/// \throws std::invalid_argument if a name is unknown
+std::vector<FaultKind>
+ParseFaultKinds(const std::vector<std::string>& aNames);
 
 /// One fault of a plan.
 struct Fault
@@ -74,6 +78,15 @@
   /// entries and sidecars are killed and started again, each a little later
   /// than the others.
   Millis powerLossInterval_{ 0 };
+  /// Kinds of mixed faults; all if empty.
+  std::vector<FaultKind> kinds_;
+  /// Mean time between two mixed faults.
+  Millis meanGap_{ 700 };
+  Millis maxDelay_{ 300 };
+  /// Disturbs the connections of clients, in two of three faults of a leg.
+  bool disturbsClients_ = false;
+  /// Orders that reach an executor while it is mute are carried out later.
+  bool lateOrders_ = false;
 };
 
 /// Returns faults ordered by time. The same options always give the same plan.
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -6,6 +6,10 @@
 ///
 /// usage: soak --seed N [--seconds N] [--entries N] [--sidecars N]
 ///             [--power-loss-ms N] [--max-task-ms N]
+///             [--client-leg] [--client-timeout-ms N] [--max-tasks N]
+///             [--best-effort-percent N] [--callers-per-entry N]
+///             [--faults NAME,...] [--mean-gap-ms N] [--max-delay-ms N]
+///             [--late-orders]
 /// Exits with 1 if a guarantee was violated, and then keeps the logs of all
 /// processes.
 
@@ -26,7 +30,6 @@
 /// Accepted jobs must end within this time after the callers stop.
 constexpr Millis kCompletionTimeout{ 25000 };
 constexpr Millis kServeTimeout{ 10000 };
-constexpr unsigned kCallersPerEntry = 3;
 
 struct Options
 {
@@ -36,6 +39,15 @@
   unsigned sidecars_ = 4;
   unsigned powerLossMs_ = 0;
   unsigned maxTaskMs_ = 400;
+  bool clientLeg_ = false;
+  unsigned clientTimeoutMs_ = 4000;
+  unsigned maxTasks_ = 6;
+  int bestEffortPercent_ = 60;
+  unsigned callersPerEntry_ = 3;
+  std::vector<std::string> faults_;
+  unsigned meanGapMs_ = 700;
+  unsigned maxDelayMs_ = 300;
+  bool lateOrders_ = false;
 };
 
 /// Checks that every entry serves a job once all faults have ended.
@@ -61,10 +73,14 @@
 void
 RunSoak(harness::PlatformCluster& aCluster, const Options& aOptions)
 {
-  CallersOptions callersOptions{ .seed_ = aOptions.seed_,
-                                 .threads_ =
-                                   kCallersPerEntry * aOptions.entries_,
-                                 .maxTask_ = Millis(aOptions.maxTaskMs_) };
+  CallersOptions callersOptions{
+    .seed_ = aOptions.seed_,
+    .threads_ = aOptions.callersPerEntry_ * aOptions.entries_,
+    .timeout_ = Millis(aOptions.clientTimeoutMs_),
+    .maxTasks_ = aOptions.maxTasks_,
+    .bestEffortPercent_ = aOptions.bestEffortPercent_,
+    .maxTask_ = Millis(aOptions.maxTaskMs_)
+  };
   for (unsigned i = 0; i < aOptions.entries_; ++i) {
     callersOptions.entries_.push_back(aCluster.ClientAddress(i));
   }
@@ -75,7 +91,12 @@
                                  .entries_ = aOptions.entries_,
                                  .sidecars_ = aOptions.sidecars_,
                                  .powerLossInterval_ =
-                                   Millis(aOptions.powerLossMs_) };
+                                   Millis(aOptions.powerLossMs_),
+                                 .kinds_ = ParseFaultKinds(aOptions.faults_),
+                                 .meanGap_ = Millis(aOptions.meanGapMs_),
+                                 .maxDelay_ = Millis(aOptions.maxDelayMs_),
+                                 .disturbsClients_ = aOptions.clientLeg_,
+                                 .lateOrders_ = aOptions.lateOrders_ };
   FaultInjector injector(aCluster, faults);
   injector.Run(MakeFaultPlan(faults));
   aCluster.WaitReady();
@@ -109,7 +130,8 @@
 {
   harness::PlatformCluster cluster({ .entries_ = aOptions.entries_,
                                      .sidecars_ = aOptions.sidecars_,
-                                     .proxied_ = true });
+                                     .proxied_ = true,
+                                     .clientsProxied_ = aOptions.clientLeg_ });
   try {
     RunSoak(cluster, aOptions);
   } catch (const std::exception& error) {
@@ -141,6 +163,38 @@
     .add_option(
       "--max-task-ms", options.maxTaskMs_, "Duration of the longest task in ms")
     ->check(CLI::Range(20, 60000));
+  app.add_flag("--client-leg",
+               options.clientLeg_,
+               "Disturb the connections of clients, in two of three faults of "
+               "connections");
+  app.add_option("--client-timeout-ms",
+                 options.clientTimeoutMs_,
+                 "How long clients wait for an answer");
+  app.add_option("--max-tasks", options.maxTasks_, "Most tasks of a job")
+    ->check(CLI::PositiveNumber);
+  app
+    .add_option("--best-effort-percent",
+                options.bestEffortPercent_,
+                "Share of best-effort jobs")
+    ->check(CLI::Range(0, 100));
+  app.add_option(
+    "--callers-per-entry", options.callersPerEntry_, "Clients of each entry");
+  app
+    .add_option("--faults",
+                options.faults_,
+                "Kinds of mixed faults, such as freeze_leg; all if absent")
+    ->delimiter(',');
+  app
+    .add_option(
+      "--mean-gap-ms", options.meanGapMs_, "Mean time between mixed faults")
+    ->check(CLI::PositiveNumber);
+  app
+    .add_option(
+      "--max-delay-ms", options.maxDelayMs_, "Longest delay of a connection")
+    ->check(CLI::PositiveNumber);
+  app.add_flag("--late-orders",
+               options.lateOrders_,
+               "Orders that reach a mute executor are carried out later");
   CLI11_PARSE(app, argc, argv);
   testing::InitGoogleTest();
   try {
--- a/testsuite/standins/executor_standin.cpp
+++ b/testsuite/standins/executor_standin.cpp
@@ -7,7 +7,8 @@
 /// "stalls", ends what runs as failed with "fail_running", leaves the next
 /// "lose_starts" orders without an answer, and restarts the executor as a new
 /// incarnation with "reborn": by turns under the id that it had and under
-/// another one. The lost orders arrive "late_ms" after a restart.
+/// another one. The lost orders arrive "late_ms" after a restart; with
+/// "late_orders", those that came while "unanswered" was set arrive at its end.
 
 #include "cornelfront/http_client.h"
 #include "cornelfront/http_server.h"
@@ -99,7 +100,8 @@
     }
     const Json body = Json::parse(aRequest.body_, nullptr, false);
     if (aRequest.path_ == "/control") {
-      unanswered_ = body.value("unanswered", false);
+      SetUnanswered(
+        body.value("unanswered", false), body.value("late_orders", false), now);
       draining_ = body.value("draining", draining_);
       stalls_ = body.value("stalls", stalls_);
       loseStarts_ = body.value("lose_starts", 0);
@@ -116,6 +118,9 @@
       lostStarts_.push_back(body);
       withheldReplies_.push_back(aReply);
     } else if (unanswered_) {
+      if (lateOrders_ && aRequest.path_ == "/run-start") {
+        lostStarts_.push_back(body);
+      }
       withheldReplies_.push_back(aReply);
     } else if (aRequest.Header("expected-instance", Id()) != Id()) {
       aReply.Send(WithClock(421, now));
@@ -181,6 +186,15 @@
     return fenced;
   }
 
+  void SetUnanswered(bool aUnanswered, bool aLateOrders, MonoTime aNow)
+  {
+    if (!aUnanswered && lateOrders_) {
+      lateFrom_ = aNow;
+    }
+    unanswered_ = aUnanswered;
+    lateOrders_ = aUnanswered && aLateOrders;
+  }
+
   void FailRunning(MonoTime aNow)
   {
     for (Run& run : runs_) {
@@ -224,6 +238,10 @@
     fence_ = 0;
     keepsId_ = !keepsId_;
     incarnation_ += keepsId_ ? 0 : 1;
+    if (!keepsId_) {
+      // They name the earlier id, and are refused.
+      lostStarts_.clear();
+    }
     start_ = aNow;
     born_ = WallMs(aNow);
   }
@@ -413,6 +431,7 @@
   std::vector<Json> lostStarts_;
   std::optional<MonoTime> lateFrom_;
   bool unanswered_ = false;
+  bool lateOrders_ = false;
   bool draining_ = false;
   bool stalls_ = false;
 };
