An entry refuses a request that had waited for too long

Cause: an entry that stood still, or was starved, took the requests in its sockets for new. It gave each a whole new deadline from the moment at which it was read, and looked only whether the end of the connection had arrived, which may be held up on the way. Meanwhile the client had left and submitted again elsewhere.

Evidence: the logs show each overlapping job as read 2.2 and 4.0 s late.

The request carries the time at which its server had last found all sockets empty. A request that may be older than 200 ms is refused: its client may have left right after sending, and returns after 1,300 ms, when a run that starts now may still go on. Nothing has run for it, so that is honest; if the job does run here for a newer submission, the answer is that it may have run.

Why this works: whatever the end of the connection does, no run starts for a client that stopped waiting at its deadline, and none is left running past it.

Not covered: a client whose connection is gone on its own side only, before its deadline, and a request that the network delivers late.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -195,6 +195,10 @@
   /// A gap between calls longer than this means that the process was suspended;
   /// clients may have submitted their jobs elsewhere meanwhile.
   Millis suspensionThreshold_{ 600 };
+  /// A request that may have waited for longer than this is not taken: if its
+  /// client left right after it had sent it, it returns 1,300 ms later, and a
+  /// run that starts now may go on for RunTableOptions::ownerLease_.
+  Millis maxRequestAge_{ 200 };
   /// Time after the loss of a sidecar's link after which its runs of
   /// best-effort jobs are known to have ended: the age at which the sidecar
   /// still accepts a message of this entry, RunTableOptions::ownerLease_ on a
@@ -267,12 +271,14 @@
   explicit JobScheduler(JobSchedulerOptions aOptions);
 
   /// Accepts a job or answers it at once. \p aDeadline is the time at which its
-  /// client stops waiting.
+  /// client stops waiting, \p aAge the longest time for which the request can
+  /// have waited here.
   void Submit(JobSubmissionId aSubmissionId,
               const JobDescription& aJob,
               const JobQueue& aQueue,
               MonoTime aDeadline,
-              MonoTime aNow);
+              MonoTime aNow,
+              Millis aAge = Millis(0));
   /// The client has disconnected; the job is dropped without an answer.
   void OnClientDisconnected(JobSubmissionId aSubmissionId, MonoTime aNow);
   /// Cancels the job with this id and returns whether there is one. A
@@ -575,6 +581,8 @@
                      Task& aTask);
   static JobProgress ProgressOf(const Job& aJob);
   void Save(Job& aJob, std::optional<JobOutcome> aOutcome, std::string aReason);
+  /// Answers a submission that may be too old to be taken.
+  void RejectOld(JobSubmissionId aSubmissionId, const std::string& aJob);
   bool Reattach(JobSubmissionId aSubmissionId,
                 const std::string& aJob,
                 MonoTime aDeadline);
--- a/src/libcornelfront/job_entry_clients.cpp
+++ b/src/libcornelfront/job_entry_clients.cpp
@@ -91,8 +91,9 @@
   scheduler_.Submit(submissionId,
                     aSubmission.job_,
                     aSubmission.queue_,
-                    aNow + aSubmission.clientTimeout_,
-                    aNow);
+                    aSubmission.arrivedAfter_ + aSubmission.clientTimeout_,
+                    aNow,
+                    waited);
   aReply.OnClientDisconnect([this, submissionId] {
     const MonoTime now = BootNow();
     const auto pending = pendingReplies_.find(submissionId);
--- a/src/libcornelfront/policy/job_scheduler.cpp
+++ b/src/libcornelfront/policy/job_scheduler.cpp
@@ -54,9 +54,14 @@
                      const JobDescription& aJob,
                      const JobQueue& aQueue,
                      MonoTime aDeadline,
-                     MonoTime aNow)
+                     MonoTime aNow,
+                     Millis aAge)
 {
   DetectSuspension(aNow);
+  if (aAge > options_.maxRequestAge_) {
+    RejectOld(aSubmissionId, aJob.id_);
+    return;
+  }
   if (Reattach(aSubmissionId, aJob.id_, aDeadline)) {
     return;
   }
@@ -117,6 +122,17 @@
   return found == abandoned_.end() ? 0 : found->second.highestRun_;
 }
 
+void
+JobScheduler::RejectOld(JobSubmissionId aSubmissionId, const std::string& aJob)
+{
+  actions_.emplace_back(
+    AnswerJob{ .submissionId_ = aSubmissionId,
+               .outcome_ = HoldsInstance({ aJob }) ? JobOutcome::GivenUp
+                                                   : JobOutcome::Refused,
+               .reason_ = "the request had waited here for too long",
+               .retryAfter_ = options_.refusalRetryAfter_ });
+}
+
 bool
 JobScheduler::Reattach(JobSubmissionId aSubmissionId,
                        const std::string& aJob,
--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -127,6 +127,29 @@
   JobScheduler scheduler_{ JobSchedulerOptions{ .zone_ = "z" } };
 };
 
+// Its client may have left, and the end of its connection may be held up.
+TEST_F(JobSchedulerTest, ARequestThatHadWaitedTooLongIsRefused)
+{
+  scheduler_.Submit(1, Job(), Queue(), At(1500), At(201), Millis(201));
+  const SortedActions actions = Take();
+  EXPECT_EQ(actions.Runs(), 0U);
+  ASSERT_EQ(actions.answers_.size(), 1U);
+  EXPECT_EQ(actions.answers_[0].outcome_, JobOutcome::Refused);
+  EXPECT_EQ(scheduler_.Jobs(), 0U);
+}
+
+TEST_F(JobSchedulerTest, AJobThatRunsIsNotCalledRefusedToARequestThatHadWaited)
+{
+  Submit(Job());
+  EXPECT_EQ(Take().Runs(), 1U);
+  scheduler_.Submit(2, Job(), Queue(), At(1500), At(300), Millis(300));
+  const SortedActions actions = Take();
+  ASSERT_EQ(actions.answers_.size(), 1U);
+  EXPECT_EQ(actions.answers_[0].submissionId_, 2U);
+  EXPECT_EQ(actions.answers_[0].outcome_, JobOutcome::GivenUp);
+  EXPECT_EQ(scheduler_.Jobs(), 1U);
+}
+
 // An order of it may still be carried out at an upstream that is silent.
 TEST_F(JobSchedulerTest, ATaskWithALateOrderIsNotStartedElsewhere)
 {
--- a/src/libcornelfront/policy/two_runs_entry_test.cpp
+++ b/src/libcornelfront/policy/two_runs_entry_test.cpp
@@ -38,14 +38,20 @@
 void
 EntryProcess::Submit(JobSubmissionId aSubmissionId,
                      const JobDescription& aJob,
-                     Millis aTimeout)
+                     Millis aTimeout,
+                     MonoTime aArrived)
 {
   const JobQueue queue{ .name_ = "queue",
                         .service_ = "service",
                         .priority_ = 1,
                         .attempts_ = 3,
                         .slo_ = kObjective };
-  scheduler_.Submit(aSubmissionId, aJob, queue, Now() + aTimeout, Now());
+  scheduler_.Submit(aSubmissionId,
+                    aJob,
+                    queue,
+                    aArrived + aTimeout,
+                    Now(),
+                    std::chrono::duration_cast<Millis>(Now() - aArrived));
   PerformActions();
 }
 
--- a/src/libcornelfront/policy/two_runs_faults_test.cpp
+++ b/src/libcornelfront/policy/two_runs_faults_test.cpp
@@ -191,7 +191,8 @@
 {
   const size_t machine = random_.Below(entries_.size());
   if (entries_[machine]) {
-    const Millis time = random_.Between(Millis(200), Millis(1500));
+    const Millis time = random_.Between(
+      Millis(200), scenario_.endsHeldUp_ ? Millis(4000) : Millis(1500));
     Record({ .entry_ = machine },
            "ENTRY SUSPENDED for " + std::to_string(time.count()) + " ms");
     entries_[machine]->Suspend(time);
--- a/src/libcornelfront/policy/two_runs_model_test.h
+++ b/src/libcornelfront/policy/two_runs_model_test.h
@@ -48,6 +48,9 @@
   bool callsUnanswered_ = false;
   bool stopsUnanswered_ = false;
   bool clientsReset_ = false;
+  /// Clients wait for as long as those of the deployments, and the ends of
+  /// their connections are held up on the way.
+  bool endsHeldUp_ = false;
   bool upstreamsRestarted_ = false;
   /// All entries and sidecars are killed at the same moment.
   bool powerLost_ = false;
@@ -407,7 +410,8 @@
   void Start();
   void Submit(JobSubmissionId aSubmissionId,
               const JobDescription& aJob,
-              Millis aTimeout);
+              Millis aTimeout,
+              MonoTime aArrived);
   void OnClientDisconnected(JobSubmissionId aSubmissionId);
   void OnMessage(const LinkPtr& aLink,
                  Message& aMessage,
--- a/src/libcornelfront/policy/two_runs_world_test.cpp
+++ b/src/libcornelfront/policy/two_runs_world_test.cpp
@@ -14,6 +14,9 @@
 constexpr Millis kStep{ 100 };
 constexpr double kSlowClock = 0.98;
 constexpr int kMaxSubmissions = 6;
+/// How long clients wait in the users' deployments.
+constexpr Millis kShortTimeout{ 1500 };
+constexpr Millis kMaxEndDelay{ 3000 };
 /// Events before the first one of a task that its history includes.
 constexpr Millis kHistoryBefore{ 4000 };
 constexpr int64_t kTaskCpu = 1000;
@@ -142,9 +145,12 @@
   ClientJob job;
   const size_t tasks = 1 + random_.Below(3);
   for (size_t i = 0; i < tasks; ++i) {
-    job.runTimes_.push_back(random_.Between(Millis(100), Millis(4000)));
+    job.runTimes_.push_back(random_.Between(
+      Millis(100), scenario_.endsHeldUp_ ? kShortTimeout : Millis(4000)));
   }
-  job.timeout_ = random_.Between(Millis(3000), Millis(12000));
+  job.timeout_ = scenario_.endsHeldUp_
+                   ? kShortTimeout
+                   : random_.Between(Millis(3000), Millis(12000));
   job.description_ = {
     .id_ = id.data(),
     .steps_ = { { .count_ = static_cast<uint32_t>(tasks),
@@ -201,9 +207,10 @@
                    process = process.get(),
                    submission = job.submission_,
                    description = job.description_,
-                   timeout = job.timeout_] {
-    if (submissions_.contains(submission)) {
-      process->Submit(submission, description, timeout);
+                   timeout = job.timeout_,
+                   arrived = events_.Now()] {
+    if (scenario_.endsHeldUp_ || submissions_.contains(submission)) {
+      process->Submit(submission, description, timeout, arrived);
     }
   });
 }
@@ -219,7 +226,10 @@
            "connection of the client ends: " + aWhy);
   }
   if (const auto entry = entries_[job.entry_]) {
-    entry->Post(Millis(1), [entry = entry.get(), submission] {
+    const Millis delay = scenario_.endsHeldUp_
+                           ? random_.Between(Millis(1), kMaxEndDelay)
+                           : Millis(1);
+    entry->Post(delay, [entry = entry.get(), submission] {
       entry->OnClientDisconnected(submission);
     });
   }
