An answer that waited while a sidecar stood still is not fresh

Such an answer is now as old as the standstill; an order waits for the answer to a poll that is sent afterwards, a round trip.

The new test fails without the change (one order is sent). Heartbeats need no such bound: after a new incarnation nothing starts before an answered poll.

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -651,6 +651,8 @@
   std::deque<std::pair<std::string, int64_t>> gone_;
   /// Number of the newest poll that the current incarnation answered.
   uint64_t answeredPoll_ = 0;
+  /// Answers to earlier polls may have waited while this process did not run.
+  uint64_t firstPollSinceStandstill_ = 0;
   uint64_t newestEnd_ = 0;
   /// Ends that must not be acknowledged yet, by number.
   std::map<uint64_t, RunReport> unacknowledged_;
--- a/src/libcornelfront/policy/run_polls.cpp
+++ b/src/libcornelfront/policy/run_polls.cpp
@@ -51,7 +51,9 @@
     return false;
   }
   WithdrawCrash();
-  upstreamHeardAt_ = aNow;
+  const bool mayHaveWaited = aPollNumber < firstPollSinceStandstill_;
+  const Millis age = mayHaveWaited ? standstill_.AgeOfNews() : Millis(0);
+  upstreamHeardAt_ = std::max(upstreamHeardAt_, aNow - age);
   if (!runsKnown_) {
     // A predecessor of this process may have sent orders until just now.
     OnDeadlineSent({ aPollResult.clock_.value_ + options_.leaseExpiry_ });
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -54,6 +54,9 @@
 RunTable::DetectSuspension(MonoTime aNow)
 {
   const auto pause = standstill_.OnCall(aNow);
+  if (pause > Standstill::kLongestPause) {
+    firstPollSinceStandstill_ = polls_ + 1;
+  }
   if (pause <= options_.suspensionThreshold_) {
     return;
   }
--- a/src/libcornelfront/policy/run_table_numbers_test.cpp
+++ b/src/libcornelfront/policy/run_table_numbers_test.cpp
@@ -164,6 +164,19 @@
   EXPECT_FALSE(table_.AwaitsAnswer(At(102)));
 }
 
+// The upstream may have crashed since it sent the answer.
+TEST_F(FreshAnswerTest, AnAnswerThatWaitedWhileTheProcessStoodStillIsNotFresh)
+{
+  const uint64_t waited = table_.BeginPoll();
+  table_.OnOwnerHeard(kOwner, At(300));
+  table_.OnOrders(kOwner, Orders(1), At(300));
+  table_.OnPollResult(waited, {}, At(300));
+  EXPECT_TRUE(table_.TakeStarts(At(300)).empty());
+  EXPECT_TRUE(table_.AwaitsAnswer(At(300)));
+  Poll({}, 302);
+  EXPECT_EQ(table_.TakeStarts(At(302)).size(), 1U);
+}
+
 TEST_F(FreshAnswerTest, AnOrderIsRepeatedOnlyAfterAnAnswerToALaterPoll)
 {
   table_.OnOrders(kOwner, Orders(1), At(1));
