--- a/src/libcornelfront/job_entry.cpp
+++ b/src/libcornelfront/job_entry.cpp
@@ -59,6 +59,7 @@
                   << " routes=" << operator_.routes_.size()
                   << " zones_out=" << operator_.zonesOut_.size();
         const MonoTime now = BootNow();
+        CheckClients(now);
         scheduler_.SetZonesOut(operator_.zonesOut_, now);
         PerformActions(now);
       } });
@@ -153,6 +154,7 @@
 JobEntry::Impl::Tick()
 {
   const MonoTime now = BootNow();
+  CheckClients(now);
   scheduler_.Tick(now);
   stored_->Tick(now);
   PerformActions(now);
--- a/src/libcornelfront/job_entry_clients.cpp
+++ b/src/libcornelfront/job_entry_clients.cpp
@@ -27,6 +27,7 @@
                              const HttpReply& aReply)
 {
   const MonoTime now = BootNow();
+  CheckClients(now);
   const Millis configAge = operatorReader_->Age(now);
   const platform::JobCall call =
     platform::ParseJobCall(aRequest, operator_, configAge);
@@ -94,25 +95,46 @@
                     aSubmission.arrivedAfter_ + aSubmission.clientTimeout_,
                     aNow,
                     waited);
-  aReply.OnClientDisconnect([this, submissionId] {
-    const MonoTime now = BootNow();
-    const auto pending = pendingReplies_.find(submissionId);
-    if (pending != pendingReplies_.end()) {
-      LOG(INFO) << "job=" << pending->second.job_ << " outcome=client_left"
-                << " ms="
-                << std::chrono::duration_cast<Millis>(
-                     now - pending->second.submitted_)
-                     .count();
-      scheduler_.OnClientDisconnected(submissionId, now);
-      PerformActions(now);
-      const auto again = pendingReplies_.find(submissionId);
-      if (again != pendingReplies_.end()) {
-        const HttpReply reply = again->second.reply_;
-        pendingReplies_.erase(again);
-        reply.Send(platform::GivenUpResponse("the client has left"));
-      }
+  aReply.OnClientDisconnect(
+    [this, submissionId] { OnClientLeft(submissionId, BootNow()); });
+}
+
+void
+JobEntry::Impl::OnClientLeft(JobSubmissionId aSubmissionId, MonoTime aNow)
+{
+  const auto pending = pendingReplies_.find(aSubmissionId);
+  if (pending == pendingReplies_.end()) {
+    return;
+  }
+  const auto time =
+    std::chrono::duration_cast<Millis>(aNow - pending->second.submitted_);
+  LOG(INFO) << "job=" << pending->second.job_ << " outcome=client_left"
+            << " ms=" << time.count();
+  scheduler_.OnClientDisconnected(aSubmissionId, aNow);
+  PerformActions(aNow);
+  const auto again = pendingReplies_.find(aSubmissionId);
+  if (again != pendingReplies_.end()) {
+    const HttpReply reply = again->second.reply_;
+    pendingReplies_.erase(again);
+    reply.Send(platform::GivenUpResponse("the client has left"));
+  }
+}
+
+void
+JobEntry::Impl::CheckClients(MonoTime aNow)
+{
+  if (standstill_.OnCall(aNow) <= Standstill::kLongestPause) {
+    return;
+  }
+  std::vector<JobSubmissionId> left;
+  for (const auto& [id, pending] : pendingReplies_) {
+    if (pending.reply_.HasClientLeft()) {
+      left.push_back(id);
     }
-  });
+  }
+  for (const JobSubmissionId id : left) {
+    OnClientLeft(id, aNow);
+  }
 }
 
 void
--- a/src/libcornelfront/job_entry_pvt.h
+++ b/src/libcornelfront/job_entry_pvt.h
@@ -10,6 +10,7 @@
 #include "cornelfront/job_metrics.h"
 #include "cornelfront/job_scheduler.h"
 #include "cornelfront/link.h"
+#include "cornelfront/standstill.h"
 #include "event_loop_pvt.h"
 #include "platform/batch_writer.h"
 #include "platform/job_api.h"
@@ -63,6 +64,11 @@
   void Submit(const platform::JobSubmission& aSubmission,
               const HttpReply& aReply,
               MonoTime aNow);
+  /// Drops the job of a client that has left.
+  void OnClientLeft(JobSubmissionId aSubmissionId, MonoTime aNow);
+  /// After a standstill, looks first whether the clients are still there, since
+  /// whatever is handled next may start tasks of theirs.
+  void CheckClients(MonoTime aNow);
   void SubmitStored(const platform::JobSubmission& aSubmission,
                     const HttpReply& aReply);
   void ReplyState(const std::string& aJob,
@@ -95,6 +101,7 @@
   const MemberId self_ = NewMemberId();
   IoPool pool_{ 1 };
   JobScheduler scheduler_;
+  Standstill standstill_;
   std::map<MemberId, SidecarLink> sidecars_;
   std::map<uint64_t, MemberId> linkOwners_;
   /// Newest incarnation of each sidecar, by name.
--- a/src/libcornelfront/job_entry_sidecars.cpp
+++ b/src/libcornelfront/job_entry_sidecars.cpp
@@ -15,6 +15,7 @@
 JobEntry::Impl::OnMessage(const LinkPtr& aLink, Envelope& aEnvelope)
 {
   const MonoTime now = BootNow();
+  CheckClients(now);
   if (const auto* hello = std::get_if<Hello>(&aEnvelope.message_)) {
     OnHello(aLink, *hello, now);
     return;
@@ -126,6 +127,7 @@
                << " outcome=link_lost reason=\"" << aDetail << "\"";
   sidecars_.erase(sidecar);
   const MonoTime now = BootNow();
+  CheckClients(now);
   scheduler_.OnSidecarLost(id, now);
   PerformActions(now);
 }
--- a/src/libcornelfront/policy/two_runs_entry_test.cpp
+++ b/src/libcornelfront/policy/two_runs_entry_test.cpp
@@ -30,6 +30,7 @@
 void
 EntryProcess::Tick()
 {
+  CheckClients();
   scheduler_.Tick(Now());
   PerformActions();
   Post(kTickInterval, [this] { Tick(); });
@@ -46,6 +47,7 @@
                         .priority_ = 1,
                         .attempts_ = 3,
                         .slo_ = kObjective };
+  CheckClients();
   scheduler_.Submit(aSubmissionId,
                     aJob,
                     queue,
@@ -55,9 +57,21 @@
   PerformActions();
 }
 
+void
+EntryProcess::CheckClients()
+{
+  if (standstill_.OnCall(Now()) <= Standstill::kLongestPause) {
+    return;
+  }
+  for (const JobSubmissionId id : std::exchange(arrivedEnds_, {})) {
+    OnClientDisconnected(id);
+  }
+}
+
 void
 EntryProcess::OnClientDisconnected(JobSubmissionId aSubmissionId)
 {
+  arrivedEnds_.erase(aSubmissionId);
   scheduler_.OnClientDisconnected(aSubmissionId, Now());
   PerformActions();
 }
@@ -67,6 +81,7 @@
                         Message& aMessage,
                         const MessageTimes&)
 {
+  CheckClients();
   if (const auto* hello = std::get_if<Hello>(&aMessage)) {
     OnHello(aLink, *hello);
     return;
--- a/src/libcornelfront/policy/two_runs_model_test.h
+++ b/src/libcornelfront/policy/two_runs_model_test.h
@@ -13,6 +13,7 @@
 #include "cornelfront/order_fence.h"
 #include "cornelfront/report_schedule.h"
 #include "cornelfront/run_table.h"
+#include "cornelfront/standstill.h"
 #include "cornelfront/transit_bound.h"
 #include "policy/event_queue_pvt.h"
 
@@ -413,6 +414,12 @@
               Millis aTimeout,
               MonoTime aArrived);
   void OnClientDisconnected(JobSubmissionId aSubmissionId);
+  /// The end of a client's connection has reached the machine; the process may
+  /// not have handled it.
+  void OnEndArrived(JobSubmissionId aSubmissionId)
+  {
+    arrivedEnds_.insert(aSubmissionId);
+  }
   void OnMessage(const LinkPtr& aLink,
                  Message& aMessage,
                  const MessageTimes& aTimes) override;
@@ -428,6 +435,7 @@
   };
 
   void Tick();
+  void CheckClients();
   void OnHello(const LinkPtr& aLink, const Hello& aHello);
   void OnHeldRuns(MemberId aSidecar, SidecarLink& aLink, const HeldRuns& aHeld);
   void PerformActions();
@@ -437,6 +445,8 @@
   std::string NameOf(MemberId aSidecar) const;
 
   JobScheduler scheduler_;
+  Standstill standstill_;
+  std::set<JobSubmissionId> arrivedEnds_;
   std::map<MemberId, SidecarLink> sidecars_;
   std::map<uint64_t, MemberId> linkOwners_;
   std::map<std::string, MemberId> incarnations_;
--- a/src/libcornelfront/policy/two_runs_world_test.cpp
+++ b/src/libcornelfront/policy/two_runs_world_test.cpp
@@ -229,6 +229,11 @@
     const Millis delay = scenario_.endsHeldUp_
                            ? random_.Between(Millis(1), kMaxEndDelay)
                            : Millis(1);
+    events_.After(delay, [weak = std::weak_ptr(entry), submission] {
+      if (const auto process = weak.lock()) {
+        process->OnEndArrived(submission);
+      }
+    });
     entry->Post(delay, [entry = entry.get(), submission] {
       entry->OnClientDisconnected(submission);
     });
