Requests on a busy entry are not taken for old

A look that accepted a connection proved nothing, so that an entry with new connections in each look would have refused all best-effort requests after a while; and at the limit of connections, where nothing is accepted, requests that had waited for seconds would have counted as new. A connection now has a bound of its own until a look has read it: the last look that left none unaccepted.

--- a/src/libcornelfront/net/http_server.cpp
+++ b/src/libcornelfront/net/http_server.cpp
@@ -11,6 +11,7 @@
 #include <arpa/inet.h>
 #include <asio.hpp>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <atomic>
@@ -46,6 +47,13 @@
                        errno != EINTR);
 }
 
+bool
+IsReadable(int aSocket)
+{
+  pollfd state{ .fd = aSocket, .events = POLLIN };
+  return poll(&state, 1, 0) > 0;
+}
+
 /// Detects that the client closes its socket while the server is not reading
 /// from it.
 class DisconnectMonitor
@@ -318,6 +326,8 @@
                                ":" + std::to_string(options_.port_));
     }
     if (options_.loop_ != nullptr) {
+      listener_ =
+        MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd;
       const MHD_DaemonInfo* info =
         MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_EPOLL_FD);
       pumpDescriptor_.emplace(*options_.loop_, info->epoll_fd);
@@ -350,7 +360,7 @@
     MHD_UNSIGNED_LONG_LONG timeout = 1;
     const bool left =
       MHD_get_timeout(daemon_, &timeout) == MHD_YES && timeout == 0;
-    arrivals_.EndLook(left);
+    arrivals_.EndLook(left, !IsReadable(listener_));
     if (left) {
       SchedulePump();
     }
@@ -402,7 +412,7 @@
     if (aEvent == MHD_CONNECTION_NOTIFY_STARTED) {
       self->watch_.OnConnect(SocketOf(aConnection), MonoClock::now());
       if (self->options_.loop_ != nullptr) {
-        self->arrivals_.OnAccept();
+        self->arrivals_.OnAccept(SocketOf(aConnection));
       }
     } else {
       self->watch_.OnClose(SocketOf(aConnection));
@@ -534,7 +544,8 @@
     aState.reply_->loop_ = options_.loop_;
     if (options_.loop_ != nullptr) {
       aState.reply_->pump_ = [this] { SchedulePump(); };
-      aState.request_.arrivedAfter_ = arrivals_.ArrivedAfter();
+      aState.request_.arrivedAfter_ =
+        arrivals_.ArrivedAfter(SocketOf(aConnection));
     }
     bool stopping = false;
     {
@@ -583,6 +594,7 @@
   ReceiveTimeoutMonitor watch_;
   /// Used on a server with an event loop only.
   ArrivalBound arrivals_{ BootNow() };
+  int listener_ = -1;
   MHD_Daemon* daemon_ = nullptr;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   bool pumpScheduled_ = false;
