A short standstill does not hide a long one before it

A process that stood still for half a second and again for 80 ms while it caught up took what it found then for 80 ms old: its stops counted as too new, and answers of before as fresh. An answer to a poll that was sent before a standstill is as old as that poll, however late it is handled.

Standstill.AShortOneDoesNotHideALongOneBeforeIt finds 80 ms in place of 580 on the code of before (by reading; it was written with the change).

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -505,6 +505,8 @@
   };
 
   void DetectSuspension(MonoTime aNow);
+  /// Returns a time after which the upstream has answered the poll.
+  MonoTime AnsweredAt(uint64_t aPollNumber, MonoTime aNow);
   /// Stops all runs of all owners.
   void StopAll(MonoTime aNow);
   Resources ResourcesInUse() const;
@@ -653,6 +655,8 @@
   uint64_t answeredPoll_ = 0;
   /// Answers to earlier polls may have waited while this process did not run.
   uint64_t firstPollSinceStandstill_ = 0;
+  /// Polls that may still be answered, with a time before their sending.
+  std::map<uint64_t, MonoTime> openPolls_;
   uint64_t newestEnd_ = 0;
   /// Ends that must not be acknowledged yet, by number.
   std::map<uint64_t, RunReport> unacknowledged_;
--- a/src/include/cornelfront/standstill.h
+++ b/src/include/cornelfront/standstill.h
@@ -6,6 +6,7 @@
 
 #include "cornelfront/clock.h"
 
+#include <deque>
 #include <optional>
 
 namespace cornelfront {
@@ -30,10 +31,15 @@
   MonoTime LastCall() const { return lastCall_.value_or(MonoTime()); }
 
 private:
+  struct Pause
+  {
+    MonoTime begin_;
+    MonoTime end_;
+  };
+
   std::optional<MonoTime> lastCall_;
-  /// The last standstill; unset if there was none.
-  std::optional<MonoTime> pausedAt_;
-  MonoTime resumedAt_;
+  /// Standstills whose news may not all have been handled, by time.
+  std::deque<Pause> recent_;
 };
 
 } // namespace cornelfront
--- a/src/libcornelfront/policy/run_polls.cpp
+++ b/src/libcornelfront/policy/run_polls.cpp
@@ -38,7 +38,19 @@
 uint64_t
 RunTable::BeginPoll()
 {
-  return ++polls_;
+  openPolls_[++polls_] = standstill_.LastCall();
+  return polls_;
+}
+
+MonoTime
+RunTable::AnsweredAt(uint64_t aPollNumber, MonoTime aNow)
+{
+  const auto poll = openPolls_.find(aPollNumber);
+  const bool mayHaveWaited =
+    poll != openPolls_.end() && aPollNumber < firstPollSinceStandstill_;
+  const MonoTime time = mayHaveWaited ? poll->second : aNow;
+  openPolls_.erase(openPolls_.begin(), openPolls_.upper_bound(aPollNumber));
+  return time;
 }
 
 bool
@@ -51,9 +63,7 @@
     return false;
   }
   WithdrawCrash();
-  const bool mayHaveWaited = aPollNumber < firstPollSinceStandstill_;
-  const Millis age = mayHaveWaited ? standstill_.AgeOfNews() : Millis(0);
-  upstreamHeardAt_ = std::max(upstreamHeardAt_, aNow - age);
+  upstreamHeardAt_ = std::max(upstreamHeardAt_, AnsweredAt(aPollNumber, aNow));
   if (!runsKnown_) {
     // A predecessor of this process may have sent orders until just now.
     OnDeadlineSent({ aPollResult.clock_.value_ + options_.leaseExpiry_ });
--- a/src/libcornelfront/policy/standstill.cpp
+++ b/src/libcornelfront/policy/standstill.cpp
@@ -16,9 +16,11 @@
   const MonoTime last = lastCall_.value_or(aNow);
   lastCall_ = std::max(last, aNow);
   const auto pause = *lastCall_ - last;
+  while (!recent_.empty() && *lastCall_ - recent_.front().end_ > kCatchUpTime) {
+    recent_.pop_front();
+  }
   if (pause > kLongestPause) {
-    pausedAt_ = last;
-    resumedAt_ = aNow;
+    recent_.push_back({ last, *lastCall_ });
   }
   return pause;
 }
@@ -26,9 +28,9 @@
 Millis
 Standstill::AgeOfNews() const
 {
-  return pausedAt_ && *lastCall_ - resumedAt_ <= kCatchUpTime
-           ? std::chrono::ceil<Millis>(*lastCall_ - *pausedAt_)
-           : Millis(0);
+  return recent_.empty()
+           ? Millis(0)
+           : std::chrono::ceil<Millis>(*lastCall_ - recent_.front().begin_);
 }
 
 } // namespace cornelfront
--- a/src/libcornelfront/policy/standstill_test.cpp
+++ b/src/libcornelfront/policy/standstill_test.cpp
@@ -33,6 +33,16 @@
   EXPECT_EQ(standstill.AgeOfNews(), Millis(0));
 }
 
+// A process that has stood still often has little time to catch up.
+TEST(Standstill, AShortOneDoesNotHideALongOneBeforeIt)
+{
+  Standstill standstill;
+  standstill.OnCall(At(5000));
+  standstill.OnCall(At(5500));
+  standstill.OnCall(At(5580));
+  EXPECT_EQ(standstill.AgeOfNews(), Millis(580));
+}
+
 TEST(Standstill, ATimeBeforeTheLastCallIsTakenForThatOfTheLastCall)
 {
   Standstill standstill;
