A late request for a job that runs here ends the job

A client whose request had waited for too long was told 504 and comes back, perhaps elsewhere, while the job of its earlier submission went on here until that one's end was noticed. The test now demands the stop, which is stricter than that the job goes on.

--- a/src/libcornelfront/policy/job_scheduler.cpp
+++ b/src/libcornelfront/policy/job_scheduler.cpp
@@ -125,12 +125,17 @@
 void
 JobScheduler::RejectOld(JobSubmissionId aSubmissionId, const std::string& aJob)
 {
+  Job* job = FindJob({ aJob });
+  const bool holds = job != nullptr && !job->stored_;
   actions_.emplace_back(
     AnswerJob{ .submissionId_ = aSubmissionId,
-               .outcome_ = HoldsInstance({ aJob }) ? JobOutcome::GivenUp
-                                                   : JobOutcome::Refused,
+               .outcome_ = holds ? JobOutcome::GivenUp : JobOutcome::Refused,
                .reason_ = "the request had waited here for too long",
                .retryAfter_ = options_.refusalRetryAfter_ });
+  if (holds) {
+    // Its client is told to come back, and may do so elsewhere.
+    Finish(*job, JobOutcome::GivenUp, "submitted again, too late");
+  }
 }
 
 bool
--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -130,7 +130,7 @@
 // Its client may have left, and the end of its connection may be held up.
 TEST_F(JobSchedulerTest, ARequestThatHadWaitedTooLongIsRefused)
 {
-  scheduler_.Submit(1, Job(), Queue(), At(1500), At(201), Millis(201));
+  scheduler_.Submit(1, Job(), Queue(), At(1500), At(101), Millis(101));
   const SortedActions actions = Take();
   EXPECT_EQ(actions.Runs(), 0U);
   ASSERT_EQ(actions.answers_.size(), 1U);
@@ -144,10 +144,12 @@
   EXPECT_EQ(Take().Runs(), 1U);
   scheduler_.Submit(2, Job(), Queue(), At(1500), At(300), Millis(300));
   const SortedActions actions = Take();
-  ASSERT_EQ(actions.answers_.size(), 1U);
-  EXPECT_EQ(actions.answers_[0].submissionId_, 2U);
-  EXPECT_EQ(actions.answers_[0].outcome_, JobOutcome::GivenUp);
-  EXPECT_EQ(scheduler_.Jobs(), 1U);
+  ASSERT_EQ(actions.answers_.size(), 2U);
+  for (const AnswerJob& answer : actions.answers_) {
+    EXPECT_EQ(answer.outcome_, JobOutcome::GivenUp);
+  }
+  EXPECT_EQ(actions.stops_.size(), 1U);
+  EXPECT_EQ(scheduler_.Jobs(), 0U);
 }
 
 // An order of it may still be carried out at an upstream that is silent.
