--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -198,7 +198,7 @@
   /// A request that may have waited for longer than this is not taken: if its
   /// client left right after it had sent it, it returns 1,300 ms later, and a
   /// run that starts now may go on for RunTableOptions::ownerLease_.
-  Millis maxRequestAge_{ 200 };
+  Millis maxRequestAge_{ 80 };
   /// Time after the loss of a sidecar's link after which its runs of
   /// best-effort jobs are known to have ended: the age at which the sidecar
   /// still accepts a message of this entry, RunTableOptions::ownerLease_ on a
--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -210,7 +210,7 @@
   /// The lease ends this long after the last message of the owner of a
   /// best-effort run. Clients whose entry is lost submit again after 1,300 ms,
   /// and the upstream's clock may be 2 % slow.
-  Millis ownerLease_{ 1200 };
+  Millis ownerLease_{ 1180 };
   /// The lease is not extended once the upstream has been silent for this long,
   /// so that its expiry time is known.
   Millis maxLeaseSilence_{ 500 };
