No order is settled by time while its upstream is silent

Cause: 12 s after it was sent, an order counted as settled whatever was known of the upstream. One that becomes due while the upstream is down is begun at its next start, later than that.

An order now has a term (OrderTerm). After its 12 s it is closed by the answer to a poll that was sent later, and by nothing else for 4 s (maxRestartSilence_), as the upstream may be gone for good: the longest restart of the simulation, 2.5 s, and the lease of what begins there. Entries are told of the later time at once, and of the end when it is known, so that no silence has to be told in time.

Why this works: whichever incarnation answers such a poll, what the order could begin lies before it, and the poll shows it as running or ended.

Cost: a best-effort task under whose open order an upstream is gone for good waits for 16 s in place of 12; with an upstream that answers, a poll longer than before. Stored jobs keep their 6 s, a bound of LOST, and with it this gap; so does an entry that has lost the sidecar with the run (docs/BOUNDS.md).

Tests: the ends of ListsLateOrdersUntilTheNextIncarnationTells and ListsLateOrdersOfRunsThatHaveEnded demanded that the time alone settles orders at an upstream that had been silent for over 10 s, which is the fault. They now demand that the orders are listed at that time and that the first poll afterwards settles them; AnUpstreamThatIsGoneForGoodHoldsNoTask demands the end of a silence. The fifth, WhatAPollHasClosedStaysClosed, fails if Finish keeps closed orders.

--- a/src/include/cornelfront/late_order_book.h
+++ b/src/include/cornelfront/late_order_book.h
@@ -14,13 +14,39 @@
 
 namespace cornelfront {
 
+/// The time of an order without an answer.
+struct OrderTerm
+{
+  /// It is carried out by then, or, if the upstream is down then, at the next
+  /// start of the upstream.
+  MonoTime dueBy_;
+  /// It counts no longer than this, even if the upstream is silent all the
+  /// while, which may be gone for good.
+  MonoTime givenUpAt_;
+  /// The answer to a poll with this number or a higher one comes after all that
+  /// the order can begin. 0 as long as it may yet become due.
+  uint64_t closingPoll_ = 0;
+
+  /// Polls with numbers below \p aNextPoll were sent before this call.
+  void OnTick(MonoTime aNow, uint64_t aNextPoll);
+  bool IsClosedBy(uint64_t aAnsweredPoll) const
+  {
+    return closingPoll_ != 0 && aAnsweredPoll >= closingPoll_;
+  }
+  bool IsOpen(MonoTime aNow, uint64_t aAnsweredPoll) const
+  {
+    return aNow <= givenUpAt_ && !IsClosedBy(aAnsweredPoll);
+  }
+  /// Covers the other order as well.
+  void Extend(const OrderTerm& aOther);
+};
+
 /// An order that had no answer when its run ended. While it is under way, the
 /// present incarnation of the upstream may carry it out until it is proved that
 /// it does not; a later one with the same id always may.
 struct OpenOrder
 {
-  /// Until then it may be carried out.
-  MonoTime until_;
+  OrderTerm term_;
   /// The present incarnation refuses the order if its clock is past this in the
   /// answer to a poll with this number or a higher one.
   UpstreamTime deadline_;
@@ -45,7 +71,8 @@
   const OpenOrder* Find(const JobTaskId& aTask, MonoTime aNow) const;
   /// The present incarnation refuses run numbers of the task up to this one.
   void OnNumberUsed(const JobTaskId& aTask, uint32_t aNumber);
-  /// The present incarnation has answered a poll.
+  /// The present incarnation has answered a poll. Forgets the orders that this
+  /// closes.
   void OnPollResult(uint64_t aPollNumber, UpstreamTime aClock);
   /// Another incarnation with the same id is the present one, and will see a
   /// higher fence than these orders with the poll of this number.
@@ -53,7 +80,8 @@
   /// An incarnation with another id is the present one, which refuses orders
   /// for the earlier one.
   void Clear() { orders_.clear(); }
-  void Expire(MonoTime aNow);
+  /// Must be called regularly; \p aNextPoll is the number of the next poll.
+  void Expire(MonoTime aNow, uint64_t aNextPoll);
   const std::map<JobTaskId, OpenOrder>& Orders() const { return orders_; }
 
 private:
--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -246,8 +246,14 @@
   /// An order without an answer may still be carried out this long after it was
   /// sent, by the incarnation that it was meant for or by one with the same id.
   Millis maxOrderDelay_{ 12000 };
-  /// The same for stored jobs, whose tasks must not wait for longer than this
-  /// while upstreams are free.
+  /// An upstream that is down when that time ends may carry out the order at
+  /// its next start, and its answer to a later poll shows what it has begun. A
+  /// silence counts for no longer than this, as if the upstream never returned:
+  /// a restart takes up to 2,500 ms, and an unextended lease then ends within
+  /// leaseExpiry_ and lapseDelay_.
+  Millis maxRestartSilence_{ 4000 };
+  /// The same as maxOrderDelay_ for stored jobs, whose tasks must not wait for
+  /// longer than this while upstreams are free; a silence does not add to it.
   Millis maxStoredOrderDelay_{ 6000 };
   /// Delay before the next start after the upstream answered that it is full.
   Millis fullBackoff_{ 15 };
@@ -488,6 +494,8 @@
     bool numberUsed_ = false;
     /// Time at which the last order was sent.
     MonoTime orderedAt_;
+    /// OrderTerm::closingPoll_ of that order.
+    uint64_t closingPoll_ = 0;
     /// The incarnation that it was ordered from is gone, and a later one with
     /// the same id may have begun it.
     bool keptPastRestart_ = false;
@@ -536,9 +544,13 @@
   /// Ends the runs of an incarnation that is gone, but for those that the next
   /// one with its id may begin.
   void FinishGone(MonoTime aNow);
-  /// Returns the time until which an order of the run that has no answer may
-  /// still be carried out, or nothing if all were answered.
-  std::optional<MonoTime> MayBeginUntil(const Run& aRun) const;
+  /// Returns the time of the last order of a run that has one without an
+  /// answer, or nothing if all were answered.
+  std::optional<OrderTerm> OpenTerm(const Run& aRun) const;
+  /// Notes the orders whose time has passed, which the next poll closes, and
+  /// forgets those that are given up.
+  void CloseDueOrders(MonoTime aNow);
+  /// True if an order of the run without an answer may still be under way.
   bool MayBeginLate(const Run& aRun, MonoTime aNow) const;
   /// How long an order of the run may be under way.
   Millis OrderDelay(const Run& aRun) const;
--- a/src/libcornelfront/policy/late_order_book.cpp
+++ b/src/libcornelfront/policy/late_order_book.cpp
@@ -11,6 +11,23 @@
 
 } // namespace
 
+void
+OrderTerm::OnTick(MonoTime aNow, uint64_t aNextPoll)
+{
+  if (closingPoll_ == 0 && aNow > dueBy_) {
+    closingPoll_ = aNextPoll;
+  }
+}
+
+void
+OrderTerm::Extend(const OrderTerm& aOther)
+{
+  const bool due = closingPoll_ != 0 && aOther.closingPoll_ != 0;
+  closingPoll_ = due ? std::max(closingPoll_, aOther.closingPoll_) : 0;
+  dueBy_ = std::max(dueBy_, aOther.dueBy_);
+  givenUpAt_ = std::max(givenUpAt_, aOther.givenUpAt_);
+}
+
 void
 LateOrderBook::Add(const JobTaskId& aTask, const OpenOrder& aOrder)
 {
@@ -19,7 +36,7 @@
     return;
   }
   OpenOrder& order = known->second;
-  order.until_ = std::max(order.until_, aOrder.until_);
+  order.term_.Extend(aOrder.term_);
   order.deadline_ = std::max(order.deadline_, aOrder.deadline_);
   order.firstPoll_ = std::max(order.firstPoll_, aOrder.firstPoll_);
   order.refusedHere_ = order.refusedHere_ && aOrder.refusedHere_;
@@ -32,8 +49,9 @@
 LateOrderBook::Find(const JobTaskId& aTask, MonoTime aNow) const
 {
   const auto order = orders_.find(aTask);
-  return order != orders_.end() && aNow <= order->second.until_ ? &order->second
-                                                                : nullptr;
+  const bool open =
+    order != orders_.end() && aNow <= order->second.term_.givenUpAt_;
+  return open ? &order->second : nullptr;
 }
 
 void
@@ -48,6 +66,9 @@
 void
 LateOrderBook::OnPollResult(uint64_t aPollNumber, UpstreamTime aClock)
 {
+  std::erase_if(orders_, [aPollNumber](const auto& aOrder) {
+    return aOrder.second.term_.IsClosedBy(aPollNumber);
+  });
   for (auto& [task, order] : orders_) {
     order.refusedHere_ |=
       aPollNumber >= order.firstPoll_ && aClock > order.deadline_;
@@ -68,11 +89,14 @@
 }
 
 void
-LateOrderBook::Expire(MonoTime aNow)
+LateOrderBook::Expire(MonoTime aNow, uint64_t aNextPoll)
 {
   std::erase_if(orders_, [aNow](const auto& aOrder) {
-    return aNow > aOrder.second.until_;
+    return aNow > aOrder.second.term_.givenUpAt_;
   });
+  for (auto& [task, order] : orders_) {
+    order.term_.OnTick(aNow, aNextPoll);
+  }
 }
 
 LateOrders
--- a/src/libcornelfront/policy/run_late_orders.cpp
+++ b/src/libcornelfront/policy/run_late_orders.cpp
@@ -26,14 +26,19 @@
   return kLateOrderStates.at(static_cast<size_t>(aState));
 }
 
-std::optional<MonoTime>
-RunTable::MayBeginUntil(const Run& aRun) const
+std::optional<OrderTerm>
+RunTable::OpenTerm(const Run& aRun) const
 {
   const bool answered = aRun.state_ == State::Running && aRun.unanswered_ == 0;
   if (aRun.state_ == State::Waiting || answered) {
     return std::nullopt;
   }
-  return aRun.orderedAt_ + OrderDelay(aRun);
+  const MonoTime dueBy = aRun.orderedAt_ + OrderDelay(aRun);
+  const Millis silence =
+    aRun.term_ > 0 ? Millis(0) : options_.maxRestartSilence_;
+  return OrderTerm{ .dueBy_ = dueBy,
+                    .givenUpAt_ = dueBy + silence,
+                    .closingPoll_ = aRun.closingPoll_ };
 }
 
 Millis
@@ -46,8 +51,21 @@
 bool
 RunTable::MayBeginLate(const Run& aRun, MonoTime aNow) const
 {
-  const auto until = MayBeginUntil(aRun);
-  return until && aNow <= *until;
+  const auto term = OpenTerm(aRun);
+  return term && aNow <= term->dueBy_;
+}
+
+void
+RunTable::CloseDueOrders(MonoTime aNow)
+{
+  const uint64_t nextPoll = polls_ + 1;
+  for (auto& [key, run] : runs_) {
+    if (auto term = OpenTerm(run)) {
+      term->OnTick(aNow, nextPoll);
+      run.closingPoll_ = term->closingPoll_;
+    }
+  }
+  lateOrders_.Expire(aNow, nextPoll);
 }
 
 bool
@@ -112,8 +130,11 @@
       run.unanswered_ > 0 || knowledge == UpstreamKnowledge::None;
     if (run.keptPastRestart_) {
       add(UpstreamKey(key, run), LateOrderState::Held, aNow + OrderDelay(run));
-    } else if (listed && MayBeginLate(run, aNow)) {
-      add(UpstreamKey(key, run), LateOrderState::Held, *MayBeginUntil(run));
+      continue;
+    }
+    const auto term = listed ? OpenTerm(run) : std::nullopt;
+    if (term && term->IsOpen(aNow, answeredPoll_)) {
+      add(UpstreamKey(key, run), LateOrderState::Held, term->givenUpAt_);
     }
   }
   for (const auto& [key, stop] : orphans_) {
@@ -122,10 +143,10 @@
   }
   for (const auto& [task, order] : lateOrders_.Orders()) {
     const bool settledHere = IsSettledHere(order, aNow);
-    if (aNow <= order.until_) {
+    if (aNow <= order.term_.givenUpAt_) {
       add({ task, order.severalNumbers_ ? 0 : order.number_ },
           settledHere ? LateOrderState::OnlyHere : LateOrderState::Held,
-          order.until_);
+          order.term_.givenUpAt_);
     }
   }
   return found;
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -354,6 +354,7 @@
   aRun->second.state_ = State::Starting;
   aRun->second.firstPoll_ = polls_ + 1;
   aRun->second.orderedAt_ = aNow;
+  aRun->second.closingPoll_ = 0;
   aStarts.push_back({ .key_ = aRun->first,
                       .upstreamRunNumber_ = aRun->second.upstreamRunNumber_,
                       .payload_ = aRun->second.payload_ });
@@ -458,7 +459,7 @@
   }
   ReturnLate(aNow);
   // What has been listed ends with its time also if nothing else changes.
-  lateOrders_.Expire(aNow);
+  CloseDueOrders(aNow);
   lateOrdersChanged_ |= lateOrderReport_.Size() > 0;
 }
 
@@ -552,13 +553,14 @@
   const auto report = MakeReport(aRun->first, aRun->second, aEnd, aNow);
   QueueReport(aRun->second.owner_, report, aNow);
   const Run& run = aRun->second;
-  if (const auto until = MayBeginUntil(run)) {
+  const auto term = OpenTerm(run);
+  if (term && term->IsOpen(aNow, answeredPoll_)) {
     // A listed end, or one because of a deadline that has passed, shows that
     // this incarnation does not begin the run any more.
     const bool refusedHere = aEnd != RunEnd::Lost;
     const bool ended = refusedHere && aEnd != RunEnd::NotStarted;
     lateOrders_.Add(aRun->first.task_,
-                    { .until_ = *until,
+                    { .term_ = *term,
                       .deadline_ = run.deadline_,
                       .firstPoll_ = run.firstPoll_,
                       .refusedHere_ = refusedHere,
