An order without an answer is no second crash of a task

Cause: a sidecar reports all tasks that it had ordered from the upstream that crashed, answered or not. CrashLedger confirms a task after two crashes if it was alone in one of them. An order that times out at an upstream that is mute already, and then restarts, counted as one of these two.

Evidence: CrashReportTest. AnOrderThatTimedOutAtAMuteUpstreamIsNoSecondCrash, which on the code before found the task Confirmed in place of Suspect.

Why the fix works: the report names the tasks that are not known to have begun: no answer to the order, and no poll has listed the run. An order that ends its upstream before the answer can't be told from one that met a mute upstream, so such a crash stays a suspicion: it counts among three crashes (which bounds a deadly task as before), and not among two. The answer to the client says how many of the crashes were of that kind. What remains: three mute upstreams that restart under orders of one task still end its job.

A deadly task whose starts have no answers costs three upstreams in place of two.

--- a/src/include/cornelfront/crash_ledger.h
+++ b/src/include/cornelfront/crash_ledger.h
@@ -35,7 +35,10 @@
   /// A task is confirmed as the cause once this many upstreams have crashed
   /// under it.
   size_t maxCrashes_ = 3;
-  /// The same if nothing else ran on one of them.
+  /// The same if nothing else ran on one of them, counting only crashes before
+  /// which the task is known to have begun. A task may end its upstream before
+  /// the answer to its start, but an order without an answer may also have met
+  /// an upstream that was mute already.
   size_t maxCrashesAlone_ = 2;
   /// An upstream that has been silent for this long without coming back is
   /// taken as gone for another reason.
@@ -67,6 +70,9 @@
   /// Returns the number of upstreams that are known to have crashed under a
   /// task.
   size_t CrashesUnder(const JobTaskId& aTask) const;
+  /// Returns how many of them crashed before it was known that the task had
+  /// begun.
+  size_t UnansweredUnder(const JobTaskId& aTask) const;
 
 private:
   struct CrashId
@@ -84,6 +90,18 @@
   };
   using Crashes = std::map<CrashId, Crash>;
 
+  /// What is known of one task.
+  struct Count
+  {
+    /// Crashes that are proven.
+    size_t proven_ = 0;
+    /// Those of them before which the task is not known to have begun.
+    size_t unanswered_ = 0;
+    /// It is known to have begun before one of them, with nothing else there.
+    bool alone_ = false;
+  };
+
+  Count CountOf(const JobTaskId& aTask) const;
   Crashes::iterator Forget(Crashes::iterator aCrash);
   void ForgetOldest();
 
--- a/src/include/cornelfront/run_messages.h
+++ b/src/include/cornelfront/run_messages.h
@@ -281,11 +281,14 @@
   CrashState state_ = CrashState::Suspected;
   /// The tasks that ran there or were being started.
   std::vector<JobTaskId> tasks_;
+  /// Those of them that are not known to have begun: their orders had no
+  /// answer, and no poll has listed them.
+  std::vector<JobTaskId> unanswered_;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(number_, state_, tasks_);
+    aArchive(number_, state_, tasks_, unanswered_);
   }
 };
 
--- a/src/libcornelfront/policy/crash_ledger.cpp
+++ b/src/libcornelfront/policy/crash_ledger.cpp
@@ -67,23 +67,40 @@
   }
 }
 
-CrashSuspicion
-CrashLedger::SuspicionOf(const JobTaskId& aTask) const
+CrashLedger::Count
+CrashLedger::CountOf(const JobTaskId& aTask) const
 {
+  Count count;
   const auto found = byTask_.find(aTask);
   if (found == byTask_.end()) {
-    return CrashSuspicion::None;
+    return count;
   }
-  size_t proven = 0;
-  bool alone = false;
   for (const CrashId& id : found->second) {
     const UpstreamCrash& crash = crashes_.at(id).report_;
-    if (crash.state_ == CrashState::Proven) {
-      ++proven;
-      alone |= crash.tasks_.size() == 1;
+    if (crash.state_ != CrashState::Proven) {
+      continue;
     }
+    const auto& unanswered = crash.unanswered_;
+    const bool begun = std::find(unanswered.begin(), unanswered.end(), aTask) ==
+                       unanswered.end();
+    ++count.proven_;
+    count.unanswered_ += begun ? 0 : 1;
+    count.alone_ |= begun && crash.tasks_.size() == 1;
   }
-  if (proven >= (alone ? options_.maxCrashesAlone_ : options_.maxCrashes_)) {
+  return count;
+}
+
+CrashSuspicion
+CrashLedger::SuspicionOf(const JobTaskId& aTask) const
+{
+  const auto found = byTask_.find(aTask);
+  if (found == byTask_.end()) {
+    return CrashSuspicion::None;
+  }
+  const Count count = CountOf(aTask);
+  const size_t begun = count.proven_ - count.unanswered_;
+  if (count.proven_ >= options_.maxCrashes_ ||
+      (count.alone_ && begun >= options_.maxCrashesAlone_)) {
     return CrashSuspicion::Confirmed;
   }
   return found->second.size() >= options_.maxCrashes_ ? CrashSuspicion::Held
@@ -107,14 +124,13 @@
 size_t
 CrashLedger::CrashesUnder(const JobTaskId& aTask) const
 {
-  const auto found = byTask_.find(aTask);
-  if (found == byTask_.end()) {
-    return 0;
-  }
-  return static_cast<size_t>(std::count_if(
-    found->second.begin(), found->second.end(), [&](const CrashId& aId) {
-      return crashes_.at(aId).report_.state_ == CrashState::Proven;
-    }));
+  return CountOf(aTask).proven_;
+}
+
+size_t
+CrashLedger::UnansweredUnder(const JobTaskId& aTask) const
+{
+  return CountOf(aTask).unanswered_;
 }
 
 } // namespace cornelfront
--- a/src/libcornelfront/policy/crash_ledger_test.cpp
+++ b/src/libcornelfront/policy/crash_ledger_test.cpp
@@ -50,6 +50,36 @@
   EXPECT_EQ(ledger_.SuspicionOf(kTask), CrashSuspicion::Confirmed);
 }
 
+TEST_F(CrashLedgerTest, AStartWithoutAnAnswerCountsOnlyAmongThree)
+{
+  const UpstreamCrash unanswered{ .number_ = 1,
+                                  .state_ = CrashState::Proven,
+                                  .tasks_ = { kTask },
+                                  .unanswered_ = { kTask } };
+  ledger_.Record(kFirst, unanswered, now_);
+  Record(kSecond, 1, CrashState::Proven, { kTask });
+  EXPECT_EQ(ledger_.SuspicionOf(kTask), CrashSuspicion::Suspect);
+  ledger_.Record(kThird, unanswered, now_);
+  EXPECT_EQ(ledger_.SuspicionOf(kTask), CrashSuspicion::Confirmed);
+  EXPECT_EQ(ledger_.CrashesUnder(kTask), 3U);
+  EXPECT_EQ(ledger_.UnansweredUnder(kTask), 2U);
+}
+
+// What else was ordered there may have been the cause.
+TEST_F(CrashLedgerTest, ATaskBesideAnUnansweredStartWasNotAlone)
+{
+  for (const MemberId sidecar : { kFirst, kSecond }) {
+    ledger_.Record(sidecar,
+                   { .number_ = 1,
+                     .state_ = CrashState::Proven,
+                     .tasks_ = { kTask, kOther },
+                     .unanswered_ = { kOther } },
+                   now_);
+  }
+  EXPECT_EQ(ledger_.SuspicionOf(kTask), CrashSuspicion::Suspect);
+  EXPECT_EQ(ledger_.SuspicionOf(kOther), CrashSuspicion::Suspect);
+}
+
 TEST_F(CrashLedgerTest, SuspectedCrashesOnlyHoldATask)
 {
   for (const MemberId sidecar : { kFirst, kSecond, kThird }) {
@@ -98,18 +128,23 @@
     Announce(1, false);
     table_.OnPollResult(table_.BeginPoll(), {}, now_);
     table_.OnOwnerLinked(kEntry, now_);
+    Order(1);
+  }
+
+  void Order(uint32_t aRun)
+  {
     table_.OnOrders(kEntry,
                     { .job_ = kTask.job_,
                       .service_ = "service",
                       .startTimeout_ = Millis(1000),
-                      .runs_ = { { kTask.index_, 1 } } },
+                      .runs_ = { { kTask.index_, aRun } } },
                     now_);
     EXPECT_EQ(table_.TakeStarts(now_).size(), 1U);
   }
 
-  void Answer(StartAnswer aAnswer)
+  void Answer(StartAnswer aAnswer, uint32_t aRun = 1)
   {
-    table_.OnStartAnswer({ kTask, 1 }, aAnswer, {}, now_);
+    table_.OnStartAnswer({ kTask, aRun }, aAnswer, {}, now_);
   }
 
   void Announce(int64_t aStarted, bool aDraining)
@@ -196,5 +231,29 @@
   EXPECT_EQ(TakeStates(), (States{ CrashState::Proven }));
 }
 
+// The order may never have begun a run.
+TEST_F(CrashReportTest, AnOrderThatTimedOutAtAMuteUpstreamIsNoSecondCrash)
+{
+  CrashLedger ledger{ {} };
+  const auto report = [&] {
+    for (const UpstreamCrash& crash : table_.TakeCrashes()) {
+      ledger.Record(kFirst, crash, now_);
+    }
+  };
+  Answer(StartAnswer::Started);
+  Poll();
+  BeSilent();
+  Announce(2, false);
+  table_.OnPollResult(table_.BeginPoll(), {}, now_);
+  report();
+  Order(2);
+  Answer(StartAnswer::Unknown, 2);
+  BeSilent();
+  Announce(3, false);
+  report();
+  EXPECT_EQ(table_.KnownCrashes().size(), 2U);
+  EXPECT_EQ(ledger.SuspicionOf(kTask), CrashSuspicion::Suspect);
+}
+
 } // namespace
 } // namespace cornelfront
--- a/src/libcornelfront/policy/job_holds.cpp
+++ b/src/libcornelfront/policy/job_holds.cpp
@@ -5,6 +5,8 @@
 #include "cornelfront/job_scheduler.h"
 
 #include <cmath>
+#include <string>
+#include <utility>
 
 namespace cornelfront {
 
@@ -130,10 +132,13 @@
   const size_t crashes = crashes_.CrashesUnder(*crashing);
   actions_.emplace_back(
     CrashingTaskEvent{ *crashing, aJob.queue_.name_, crashes });
-  Finish(aJob,
-         JobOutcome::Failed,
-         std::to_string(crashes) + " upstreams crashed under " +
-           ToString(*crashing));
+  std::string reason =
+    std::to_string(crashes) + " upstreams crashed under " + ToString(*crashing);
+  if (const size_t unanswered = crashes_.UnansweredUnder(*crashing)) {
+    reason +=
+      ", " + std::to_string(unanswered) + " without an answer to its order";
+  }
+  Finish(aJob, JobOutcome::Failed, std::move(reason));
   return true;
 }
 
--- a/src/libcornelfront/policy/run_crashes.cpp
+++ b/src/libcornelfront/policy/run_crashes.cpp
@@ -36,6 +36,9 @@
     const bool counted = run.keptPastRestart_ && run.firstPoll_ > answeredPoll_;
     if (run.state_ != State::Waiting && !counted) {
       crash.tasks_.push_back(key.task_);
+      if (run.state_ != State::Running) {
+        crash.unanswered_.push_back(key.task_);
+      }
     }
   }
   if (crash.tasks_.empty()) {
