Entries know when a run is ordered under another number than its own

Cause: an entry keeps the number of a run as it ordered it (1). After the upstream's answer `old` the sidecar sends it under 101. If that process is lost before the order is answered, the entry records the lost order under 1, the next process sends 1, and a restart of the upstream begins both. A new leader adopts runs under their own numbers likewise.

Evidence: OtherNumberTest. ASidecarThatIsKilledBeforeTheAnswerLeavesTheTaskHeld (the ledger allowed a start there under 1) and ALeaderThatLinksLaterKnowsTheOrder (nothing was listed) failed on the code before.

Why the fix works: a sidecar lists such an order with its late orders, under the upstream's number, from before it is sent until it is answered or returned. SendPending sends late orders before starts, so that the message is on its way to all linked entries when the order leaves; an entry that links later gets it with the others. If the process is lost then, the entry has 101 from the list and 1 from its own run: two numbers, so that the task is held until the time of the order has passed. No new message. What remains: an entry whose link is cut at that moment still knows 1 only; the hold of a stored task may be longer than before by the time that its order may wait in the sidecar and 500 ms.

--- a/src/libcornelfront/policy/run_late_orders.cpp
+++ b/src/libcornelfront/policy/run_late_orders.cpp
@@ -125,10 +125,18 @@
         all.upstreamNumber_ = 0;
       }
     };
-  for (const auto& [key, run] : runs_) {
+  for (const auto& item : runs_) {
+    const auto& [key, run] = item;
+    // Entries must know another number before the order is sent: this process
+    // may be lost right after it.
+    const bool other = HasOtherNumber(item);
     const bool listed =
-      run.unanswered_ > 0 || knowledge == UpstreamKnowledge::None;
-    if (run.keptPastRestart_) {
+      other || run.unanswered_ > 0 || knowledge == UpstreamKnowledge::None;
+    if (other && run.state_ == State::Waiting) {
+      add(UpstreamKey(key, run),
+          LateOrderState::Held,
+          run.startBy_ + OrderDelay(run));
+    } else if (run.keptPastRestart_) {
       add(UpstreamKey(key, run), LateOrderState::Held, aNow + OrderDelay(run));
       continue;
     }
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -155,6 +155,7 @@
                    .startBy_ = aNow + aOrders.startTimeout_,
                    .onlyIfFree_ = order.onlyIfFree_,
                    .sequence_ = nextSequence_++ };
+    lateOrdersChanged_ |= HasOtherNumber(*runs_.find(key));
   }
 }
 
@@ -392,6 +393,7 @@
     return;
   }
   Run& run = found->second;
+  lateOrdersChanged_ |= HasOtherNumber(*found);
   switch (aAnswer) {
     case StartAnswer::Started:
       MarkRunning(aKey, run, aNow);
@@ -445,6 +447,7 @@
     Finish(aRun, RunEnd::NotStarted, aNow);
   } else {
     run.upstreamRunNumber_ += kRenumberStep;
+    lateOrdersChanged_ = true;
   }
 }
 
@@ -568,7 +571,7 @@
                       .numberUsed_ = ended || run.numberUsed_ });
     lateOrdersChanged_ = true;
   }
-  lateOrdersChanged_ |= run.keptPastRestart_;
+  lateOrdersChanged_ |= run.keptPastRestart_ || HasOtherNumber(*aRun);
   return runs_.erase(aRun);
 }
 
--- a/src/libcornelfront/policy/run_table_numbers_test.cpp
+++ b/src/libcornelfront/policy/run_table_numbers_test.cpp
@@ -2,6 +2,7 @@
 /// What a sidecar may start while an order without an answer may still be
 /// carried out at its upstream, and under which number.
 
+#include "cornelfront/late_order_ledger.h"
 #include "policy/run_table_fixture_test.h"
 
 namespace cornelfront::run_table_test {
@@ -216,5 +217,69 @@
   EXPECT_EQ(Reports().at(0).end_, RunEnd::NotStarted);
 }
 
+/// The upstream has refused the number of a run, and the owner knows what the
+/// sidecar told it before the next order.
+class OtherNumberTest : public RunTableTest
+{
+protected:
+  OtherNumberTest()
+  {
+    table_.OnOrders(kOwner, Orders(1), At(1));
+    EXPECT_EQ(table_.TakeStarts(At(1)).size(), 1U);
+    Tell(2);
+    table_.OnStartAnswer(Key(0), StartAnswer::RunNumberUsed, {}, At(2));
+    Tell(2);
+    EXPECT_GT(table_.TakeStarts(At(2)).at(0).upstreamRunNumber_, 1U);
+  }
+
+  void Tell(int aMs)
+  {
+    ledger_.Record(kSidecar, table_.TakeLateOrders(At(aMs)), At(aMs));
+  }
+
+  StartLimit::Where Where() const
+  {
+    return ledger_.LimitOf(Key(0).task_).where_;
+  }
+
+  static constexpr MemberId kSidecar{ 7 };
+  LateOrderLedger ledger_;
+};
+
+// Its owner knew only the first one, and the next process sent that.
+TEST_F(OtherNumberTest, ASidecarThatIsKilledBeforeTheAnswerLeavesTheTaskHeld)
+{
+  constexpr MemberId kNext{ 8 };
+  ledger_.OnReplaced(kSidecar, kNext);
+  ledger_.RecordLost(
+    kNext,
+    { .task_ = Key(0).task_, .upstreamNumber_ = 1, .replaced_ = true },
+    At(12000));
+  EXPECT_EQ(Where(), StartLimit::Where::Nowhere);
+}
+
+// It adopts the run under the number that its owner gave it.
+TEST_F(OtherNumberTest, ALeaderThatLinksLaterKnowsTheOrder)
+{
+  const LateOrders known = table_.KnownLateOrders(At(3));
+  ASSERT_EQ(known.orders_.size(), 1U);
+  EXPECT_GT(known.orders_[0].upstreamNumber_, 1U);
+  EXPECT_EQ(known.orders_[0].state_, LateOrderState::Held);
+}
+
+TEST_F(OtherNumberTest, AnAnswerEndsTheHold)
+{
+  table_.OnStartAnswer(Key(0), StartAnswer::Started, {}, At(3));
+  Tell(3);
+  EXPECT_EQ(Where(), StartLimit::Where::Anywhere);
+}
+
+TEST_F(OtherNumberTest, AStartThatIsRefusedEndsTheHold)
+{
+  table_.OnStartAnswer(Key(0), StartAnswer::Refused, {}, At(3));
+  Tell(3);
+  EXPECT_EQ(Where(), StartLimit::Where::Anywhere);
+}
+
 } // namespace
 } // namespace cornelfront::run_table_test
