--- a/src/libcornelfront/policy/run_late_orders.cpp
+++ b/src/libcornelfront/policy/run_late_orders.cpp
@@ -135,7 +135,7 @@
     if (other && run.state_ == State::Waiting) {
       add(UpstreamKey(key, run),
           LateOrderState::Held,
-          run.startBy_ + OrderDelay(run));
+          (run.term_ > 0 ? run.queuedAt_ : run.startBy_) + OrderDelay(run));
     } else if (run.keptPastRestart_) {
       add(UpstreamKey(key, run), LateOrderState::Held, aNow + OrderDelay(run));
       continue;
--- a/src/libcornelfront/policy/run_table_stored_test.cpp
+++ b/src/libcornelfront/policy/run_table_stored_test.cpp
@@ -49,6 +49,20 @@
   EXPECT_EQ(held.reports_[0].key_, Key(0));
 }
 
+// If this process is lost, the task waits for as long as it is listed.
+TEST_F(StoredRunsTest, ARunThatWaitsUnderAnotherNumberIsListedForTheOrderDelay)
+{
+  StartRuns orders = Orders(0);
+  orders.term_ = 1;
+  orders.runs_ = { { 7, 1 } };
+  table_.OnOrders(kOwner, orders, At(2));
+  ASSERT_EQ(table_.TakeStarts(At(2)).size(), 1U);
+  table_.OnStartAnswer(Key(7), StartAnswer::RunNumberUsed, {}, At(3));
+  const LateOrders known = table_.KnownLateOrders(At(3));
+  ASSERT_EQ(known.orders_.size(), 1U);
+  EXPECT_LE(known.orders_[0].left_, table_.Options().maxStoredOrderDelay_);
+}
+
 TEST_F(StoredRunsTest, OrdersOfAnEarlierLeaderAreRefused)
 {
   table_.OnTakeOver(kOther, { 2, kAuthority }, At(20));
