--- a/src/include/cornelfront/standstill.h
+++ b/src/include/cornelfront/standstill.h
@@ -34,6 +34,7 @@
   struct Pause
   {
     MonoTime begin_;
+    /// Its end, and later by as long as the process has stood still since.
     MonoTime end_;
   };
 
--- a/src/libcornelfront/policy/standstill.cpp
+++ b/src/libcornelfront/policy/standstill.cpp
@@ -16,6 +16,12 @@
   const MonoTime last = lastCall_.value_or(aNow);
   lastCall_ = std::max(last, aNow);
   const auto pause = *lastCall_ - last;
+  if (pause > kLongestPause) {
+    // Only time in which the process runs lets it catch up.
+    for (Pause& recent : recent_) {
+      recent.end_ += pause;
+    }
+  }
   while (!recent_.empty() && *lastCall_ - recent_.front().end_ > kCatchUpTime) {
     recent_.pop_front();
   }
--- a/src/libcornelfront/policy/standstill_test.cpp
+++ b/src/libcornelfront/policy/standstill_test.cpp
@@ -43,6 +43,16 @@
   EXPECT_EQ(standstill.AgeOfNews(), Millis(580));
 }
 
+TEST(Standstill, ALongOneRightAfterItDoesNotHideOneEither)
+{
+  Standstill standstill;
+  standstill.OnCall(At(0));
+  standstill.OnCall(At(500));
+  standstill.OnCall(At(510));
+  standstill.OnCall(At(1000));
+  EXPECT_EQ(standstill.AgeOfNews(), Millis(1000));
+}
+
 TEST(Standstill, ATimeBeforeTheLastCallIsTakenForThatOfTheLastCall)
 {
   Standstill standstill;
