--- a/src/libcornelfront/policy/run_polls.cpp
+++ b/src/libcornelfront/policy/run_polls.cpp
@@ -16,6 +16,8 @@
 /// Maximum number of ends in one poll result; a full list may hide further
 /// ends.
 constexpr size_t kMaxEndsPerPoll = 500;
+/// Polls without an answer whose times are remembered.
+constexpr size_t kMaxOpenPolls = 64;
 
 } // namespace
 
@@ -39,16 +41,22 @@
 RunTable::BeginPoll()
 {
   openPolls_[++polls_] = standstill_.LastCall();
+  if (openPolls_.size() > kMaxOpenPolls) {
+    openPolls_.erase(openPolls_.begin());
+  }
   return polls_;
 }
 
 MonoTime
 RunTable::AnsweredAt(uint64_t aPollNumber, MonoTime aNow)
 {
-  const auto poll = openPolls_.find(aPollNumber);
-  const bool mayHaveWaited =
-    poll != openPolls_.end() && aPollNumber < firstPollSinceStandstill_;
-  const MonoTime time = mayHaveWaited ? poll->second : aNow;
+  MonoTime time = aNow;
+  if (aPollNumber < firstPollSinceStandstill_) {
+    const auto poll = openPolls_.find(aPollNumber);
+    const Millis age = standstill_.AgeOfNews();
+    time = std::max(poll == openPolls_.end() ? MonoTime() : poll->second,
+                    age > Millis(0) ? aNow - age : MonoTime());
+  }
   openPolls_.erase(openPolls_.begin(), openPolls_.upper_bound(aPollNumber));
   return time;
 }
