--- a/src/libcornelfront/policy/job_holds.cpp
+++ b/src/libcornelfront/policy/job_holds.cpp
@@ -138,7 +138,7 @@
     reason +=
       ", " + std::to_string(unanswered) + " without an answer to its order";
   }
-  Finish(aJob, JobOutcome::Failed, std::move(reason));
+  Finish(aJob, JobOutcome::Failed, reason);
   return true;
 }
 
