A look at the listener that a signal interrupts proves nothing

Found while reading the change: poll() that returns an error, as after a signal, counted as an empty listener, the wrong way. By reading; no run showed it.

--- a/src/libcornelfront/net/http_server.cpp
+++ b/src/libcornelfront/net/http_server.cpp
@@ -47,11 +47,12 @@
                        errno != EINTR);
 }
 
+/// Returns true unless it is certain that nothing can be read.
 bool
-IsReadable(int aSocket)
+MayBeReadable(int aSocket)
 {
   pollfd state{ .fd = aSocket, .events = POLLIN };
-  return poll(&state, 1, 0) > 0;
+  return poll(&state, 1, 0) != 0;
 }
 
 /// Detects that the client closes its socket while the server is not reading
@@ -360,7 +361,7 @@
     MHD_UNSIGNED_LONG_LONG timeout = 1;
     const bool left =
       MHD_get_timeout(daemon_, &timeout) == MHD_YES && timeout == 0;
-    arrivals_.EndLook(left, !IsReadable(listener_));
+    arrivals_.EndLook(left, !MayBeReadable(listener_));
     if (left) {
       SchedulePump();
     }
