Tell ends that a sidecar has only found from those of its own runs

RunReport says now that the end was only found at the upstream, under the upstream's number; the sidecar logs each (found_ended), the entry logs what a sidecar holds for it (held_runs) and found=1 with the end of a run.

No logic changes. OnlyAnEndOfARunThatIsNotHeldIsMarkedAsFound passes.

--- a/src/include/cornelfront/run_messages.h
+++ b/src/include/cornelfront/run_messages.h
@@ -126,11 +126,15 @@
   Millis waited_{ 0 };
   /// The upstream lists the end until AcknowledgeEnds acknowledges it.
   bool unacknowledged_ = false;
+  /// The sidecar found the end at its upstream and holds no such run: an
+  /// earlier process beside the upstream may have ordered it, for any entry.
+  /// The number in the key is the upstream's.
+  bool found_ = false;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(key_, end_, runTime_, waited_, unacknowledged_);
+    aArchive(key_, end_, runTime_, waited_, unacknowledged_, found_);
   }
 };
 
--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -383,6 +383,9 @@
   /// Returns the runs on the upstream that were not ordered through this table
   /// and have been found since the last call, with the upstream's run numbers.
   std::vector<RunKey> TakeFoundOrphans();
+  /// Returns the ends on the upstream of runs that this table does not hold and
+  /// that have been found since the last call, with the upstream's run numbers.
+  std::vector<RunReport> TakeFoundEnds();
 
   /// Returns the crashes of the upstream that are new or have changed since the
   /// last call.
@@ -644,6 +647,7 @@
   /// upstream's run number.
   std::map<RunKey, Stop> orphans_;
   std::vector<RunKey> foundOrphans_;
+  std::vector<RunReport> foundEnds_;
   std::map<MemberId, Owner> owners_;
   uint64_t nextSequence_ = 0;
   uint64_t polls_ = 0;
--- a/src/libcornelfront/job_entry_sidecars.cpp
+++ b/src/libcornelfront/job_entry_sidecars.cpp
@@ -55,6 +55,9 @@
                            MonoTime aNow)
 {
   const uint64_t term = stored_->Term();
+  LOG(INFO) << "sidecar name=" << aLink.name_ << " runs=" << aHeld.runs_.size()
+            << " ends=" << aHeld.reports_.size() << " term=" << aHeld.term_
+            << " outcome=held_runs";
   if (!aLink.receivedHeldRuns_) {
     aLink.receivedHeldRuns_ = true;
     scheduler_.OnSidecarLinked(aSidecar, aLink.zone_, aNow);
@@ -215,7 +218,8 @@
             << " waited_ms=" << report.waited_.count()
             << " ran_ms=" << report.runTime_.count()
             << " failures_before=" << aEvent.failures_
-            << " end=" << ToString(report.end_) << " outcome=run_ended";
+            << " end=" << ToString(report.end_) << " found=" << report.found_
+            << " outcome=run_ended";
 }
 
 void
--- a/src/libcornelfront/job_sidecar_pvt.h
+++ b/src/libcornelfront/job_sidecar_pvt.h
@@ -84,7 +84,7 @@
                     platform::PollOutcome aOutcome,
                     const UpstreamPollResult& aPollResult);
   /// Logs runs that the upstream lists although they were not ordered here.
-  void LogOrphans();
+  void LogFound();
   /// Sends all pending starts, stops and reports of the table.
   void SendPending(MonoTime aNow);
   /// Tells all entries what is new of crashes of the upstream.
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -211,7 +211,7 @@
         SendStatus(now);
       }
     }
-    LogOrphans();
+    LogFound();
     SendPending(now);
     Poll();
     return;
@@ -239,7 +239,7 @@
 }
 
 void
-JobSidecar::Impl::LogOrphans()
+JobSidecar::Impl::LogFound()
 {
   const auto& known = table_.Upstream();
   for (const RunKey& key : table_.TakeFoundOrphans()) {
@@ -248,6 +248,11 @@
                  << " born=" << (known ? known->startedMs_ : 0)
                  << " outcome=found_unordered";
   }
+  for (const RunReport& end : table_.TakeFoundEnds()) {
+    LOG(INFO) << "job=" << end.key_.task_.job_
+              << " upstream_run=" << ToString(end.key_)
+              << " end=" << ToString(end.end_) << " outcome=found_ended";
+  }
 }
 
 void
--- a/src/libcornelfront/policy/run_polls.cpp
+++ b/src/libcornelfront/policy/run_polls.cpp
@@ -171,11 +171,16 @@
     report = MakeReport(aRun->first, aRun->second, aEnd.end_, aNow);
   }
   report.unacknowledged_ = true;
+  report.found_ = aRun == runs_.end();
   if (unacknowledged_.empty()) {
     unacknowledgedSince_ = aNow;
   }
   unacknowledged_[aEnd.number_] = report;
-  if (aRun == runs_.end() && leader_) {
+  if (aRun != runs_.end()) {
+    return;
+  }
+  foundEnds_.push_back(report);
+  if (leader_) {
     QueueReport(*leader_, report, aNow);
   }
 }
@@ -257,6 +262,12 @@
   return std::exchange(foundOrphans_, {});
 }
 
+std::vector<RunReport>
+RunTable::TakeFoundEnds()
+{
+  return std::exchange(foundEnds_, {});
+}
+
 RunTable::Runs::iterator
 RunTable::FindUpstreamRun(const RunKey& aKey)
 {
--- a/src/libcornelfront/policy/run_table_stored_test.cpp
+++ b/src/libcornelfront/policy/run_table_stored_test.cpp
@@ -36,6 +36,21 @@
   EXPECT_EQ(table_.AcknowledgedEnds(), 1U);
 }
 
+TEST_F(StoredRunsTest, OnlyAnEndOfARunThatIsNotHeldIsMarkedAsFound)
+{
+  Poll({ .ended_ = { { 1, Key(0), RunEnd::Done },
+                     { 2, Key(7), RunEnd::Failed } } },
+       10);
+  const std::vector<RunReport> reports = Reports();
+  ASSERT_EQ(reports.size(), 3U) << "and run 1, which is missing";
+  EXPECT_EQ(reports[0].key_, Key(0));
+  EXPECT_FALSE(reports[0].found_);
+  EXPECT_EQ(reports[1].key_, Key(7));
+  EXPECT_TRUE(reports[1].found_);
+  EXPECT_EQ(table_.TakeFoundEnds().size(), 1U);
+  EXPECT_TRUE(table_.TakeFoundEnds().empty());
+}
+
 TEST_F(StoredRunsTest, ANewLeaderReceivesRunsAndUnacknowledgedEnds)
 {
   Poll(
