An end that a predecessor left ends no run of its successor

Cause: a new sidecar finds the ends that its predecessor left at the upstream, keeps them, and hands them to the next leader, or to any entry that is linked while no leader is known. Their key is the task and the upstream's run number. Each entry numbers the runs of a job from 1, so that the leader may have ordered run 1 of the same task from that very sidecar, which the upstream has under another number (101, since 1 is used). It took the old end for that of its own run: a failed one made it start the task elsewhere, beside its run; a done one would have answered the job while a task of it ran.

Change: an end that a sidecar has only found counts as that of an entry's run if the entry ordered it from a predecessor of the sidecar, under that number. What a sidecar was ordered itself, it holds, and reports. Ends of stored jobs are looked at by number as before (OnStoredEnd), and all are acknowledged as before.

CountsAnEndReportedByAReplacementSidecar reports its end as found, as a new sidecar does; what it expects is the same.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -709,6 +709,9 @@
                          const Resources& aResources,
                          Millis aEstimate);
   void OnRunEnd(MemberId aSidecar, const RunReport& aReport, MonoTime aNow);
+  /// Removes the run that the report is about from those ordered from the
+  /// sidecar. Returns false if this entry has not ordered it.
+  static bool EraseOrdered(Sidecar& aSidecar, const RunReport& aReport);
   void OnTaskDone(Job& aJob, const JobTaskId& aTaskId, MonoTime aNow);
   /// Returns the highest number of a run of this job that may still go on.
   uint32_t HighestAbandonedRun(const std::string& aJob) const;
--- a/src/libcornelfront/policy/job_runs.cpp
+++ b/src/libcornelfront/policy/job_runs.cpp
@@ -84,7 +84,7 @@
   if (sidecar == sidecars_.end()) {
     return;
   }
-  const bool known = sidecar->second.runs_.erase(aReport.key_) > 0;
+  const bool known = EraseOrdered(sidecar->second, aReport);
   const JobTaskId& taskId = aReport.key_.task_;
   Job* job = FindJob(InstanceOf(taskId));
   Task* found = FindTask(taskId);
@@ -128,6 +128,24 @@
   PlaceJob(*job, aNow);
 }
 
+bool
+JobScheduler::EraseOrdered(Sidecar& aSidecar, const RunReport& aReport)
+{
+  const auto run = aSidecar.runs_.find(aReport.key_);
+  if (run == aSidecar.runs_.end()) {
+    return false;
+  }
+  // Each entry numbers runs from 1, and the upstream may have had the task from
+  // an earlier one. What this sidecar has got itself it does not merely find.
+  const OrderedRun& ordered = run->second;
+  if (aReport.found_ &&
+      (!ordered.inherited_ || ordered.upstreamNumber_ != aReport.key_.run_)) {
+    return false;
+  }
+  aSidecar.runs_.erase(run);
+  return true;
+}
+
 void
 JobScheduler::OnTaskDone(Job& aJob, const JobTaskId& aTaskId, MonoTime aNow)
 {
--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -662,11 +662,40 @@
   held.reports_.push_back(
     { .key_ = { sent.orders_.Task(sent.orders_.runs_[0]), 1 },
       .end_ = RunEnd::Done,
-      .unacknowledged_ = true });
+      .unacknowledged_ = true,
+      .found_ = true });
   scheduler_.OnHeldRuns(kReplacement, held, RunEnd::Lost, At(60));
   EXPECT_EQ(Take().answers_.at(0).outcome_, JobOutcome::Completed);
 }
 
+// The sidecar found the end of a run of an earlier life of some entry; the one
+// that was ordered here goes on under another number.
+TEST_F(JobSchedulerTest, AnEndThatAPredecessorLeftEndsNoRunOfItsSuccessor)
+{
+  for (const RunEnd end : { RunEnd::Failed, RunEnd::Done }) {
+    const int begin = end == RunEnd::Failed ? 0 : 1000;
+    Submit(Job(), begin, begin + 1);
+    const SendRuns sent = Take().runs_.at(0);
+    const RunKey key{ sent.orders_.Task(sent.orders_.runs_[0]),
+                      sent.orders_.runs_[0].run_ };
+    HeldRuns held;
+    held.runs_ = { key };
+    held.reports_ = {
+      { .key_ = key, .end_ = end, .unacknowledged_ = true, .found_ = true }
+    };
+    scheduler_.BecomeLeader(1, At(begin + 10));
+    scheduler_.OnTakenOver(sent.sidecar_, held, At(begin + 10));
+    SortedActions actions = Take();
+    EXPECT_EQ(actions.Runs(), 0U);
+    EXPECT_TRUE(actions.answers_.empty());
+    EXPECT_TRUE(actions.stops_.empty());
+    End(sent, RunEnd::Done, begin + 500);
+    actions = Take();
+    ASSERT_EQ(actions.answers_.size(), 1U);
+    EXPECT_EQ(actions.answers_[0].outcome_, JobOutcome::Completed);
+  }
+}
+
 // The client may have left right after the entry stood still, whatever the
 // entry handles first.
 TEST_F(JobSchedulerTest, TheStopOfAnAbandonedRunCountsFromTheEntrysStandstill)
--- a/testsuite/process/platform_test.cpp
+++ b/testsuite/process/platform_test.cpp
@@ -283,6 +283,36 @@
   bool sidecars_;
 };
 
+// The next leader may own a run of the same task and number.
+TEST(PlatformBestEffort, AnEndThatAKilledSidecarLeftEndsNoLaterRun)
+{
+  const std::string job = MakeJobId(1);
+  PlatformCluster cluster(1, 2);
+  const auto submit = [&] {
+    return std::async(std::launch::async, [&] {
+      return cluster.Submit(0, job, "ms=4000", 1, true);
+    });
+  };
+  cluster.Sidecar(1).Kill();
+  auto first = submit();
+  ASSERT_TRUE(WaitUntil([&] { return cluster.CountRuns(job) == 1; }));
+  cluster.Entry(0).Kill();
+  cluster.Sidecar(0).Kill();
+  cluster.ExecutorFault(0, R"({"fail_running":true})");
+  EXPECT_FALSE(first.get().Ok());
+  ASSERT_EQ(cluster.CountRuns(job, "failed"), 1U);
+  cluster.StartEntry(0);
+  cluster.StartSidecar(0);
+  cluster.WaitReady();
+  auto second = submit();
+  ASSERT_TRUE(WaitUntil([&] { return cluster.CountRuns(job) == 2; }));
+  cluster.StartSidecar(1);
+  EXPECT_EQ(second.get().response_.body_, R"({"state":"completed"})");
+  EXPECT_EQ(cluster.CountRuns(job), 2U);
+  EXPECT_EQ(cluster.CountRuns(job, "done"), 1U);
+  EXPECT_THAT(cluster.OverlappingRuns(), IsEmpty());
+}
+
 class StoredJobUnderKills : public testing::TestWithParam<KillCase>
 {};
 
