A job that comes again to an entry gets run numbers of its own

What callers could see: a job that its entry had given up, or answered, and that comes to the same entry again is answered before its tasks have ended, or a task of it is started beside its run (TWICE).

Cause: only the numbers of tasks that were under way when the job was dropped were remembered. A sidecar that is linked again repeats its reports of the last 3 s; one of the earlier submission with a number that is used again was taken for the end of the present run.

Change: the highest number of all tasks of a best-effort job that is gone is remembered, for 10 s as before. They expire each 250 ms in place of each tick, since there are more of them.

Evidence: StartsNoSecondRunOfAJobThatWasGivenUp (1 start too much) and CompletesNoJobThatComesAgain (an early answer) fail before, by unit test; not seen between processes.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -208,9 +208,10 @@
   /// sidecar may be replaced within a second, then waits
   /// RunTableOptions::firstLeaderTimeout_, then lets the lease lapse.
   Millis lostStoredRunTimeout_{ 6500 };
-  /// How long the numbers of abandoned runs are remembered; longer than any of
-  /// them can go on.
-  Millis abandonedRetention_{ 10000 };
+  /// How long the run numbers of a best-effort job that is gone are remembered;
+  /// longer than any of its runs can go on, and than
+  /// RunTableOptions::reportRetention_.
+  Millis usedRunRetention_{ 10000 };
   /// Maximum time that a task waits in a sidecar; after that it is placed
   /// again.
   Millis startTimeout_{ 1500 };
@@ -499,8 +500,8 @@
   };
   using Sidecars = std::map<MemberId, Sidecar>;
 
-  /// The job was dropped while runs of it were under way.
-  struct AbandonedRuns
+  /// Run numbers of a best-effort job that is gone.
+  struct UsedRuns
   {
     uint32_t highestRun_ = 0;
     MonoTime since_;
@@ -713,8 +714,9 @@
   /// sidecar. Returns false if this entry has not ordered it.
   static bool EraseOrdered(Sidecar& aSidecar, const RunReport& aReport);
   void OnTaskDone(Job& aJob, const JobTaskId& aTaskId, MonoTime aNow);
-  /// Returns the highest number of a run of this job that may still go on.
-  uint32_t HighestAbandonedRun(const std::string& aJob) const;
+  /// Returns the highest number that this entry has given to a run of the job
+  /// of late; 0 if none.
+  uint32_t HighestUsedRun(const std::string& aJob) const;
   /// Counts a failed run; fails the job once the attempts are used up.
   void OnTaskFailed(Job& aJob, const RunKey& aKey, MonoTime aNow);
   void RestartGang(Job& aJob, uint32_t aStep);
@@ -774,12 +776,12 @@
   Sidecars sidecars_;
   /// Best-effort jobs by id. If one is submitted again, its runs get higher
   /// numbers, so that the end of an earlier one is not taken for theirs.
-  std::map<std::string, AbandonedRuns> abandoned_;
+  std::map<std::string, UsedRuns> usedRuns_;
   std::set<std::string> zonesOut_;
   std::map<std::string, Durations> durations_;
   CrashLedger crashes_;
   LateOrderLedger lateOrders_;
-  MonoTime lateOrdersExpiredAt_;
+  MonoTime expiredAt_;
   std::vector<JobAction> actions_;
   MonoTime lastTick_;
   Standstill standstill_;
--- a/src/libcornelfront/policy/job_scheduler.cpp
+++ b/src/libcornelfront/policy/job_scheduler.cpp
@@ -75,8 +75,8 @@
   submissions_[aSubmissionId] = instance;
   for (const StepSpec& step : aJob.steps_) {
     job.steps_.push_back(
-      { .tasks_ = std::vector<Task>(
-          step.count_, Task{ .run_ = HighestAbandonedRun(aJob.id_) }),
+      { .tasks_ = std::vector<Task>(step.count_,
+                                    Task{ .run_ = HighestUsedRun(aJob.id_) }),
         .openTasks_ = step.count_ });
   }
   if (RefuseIfInfeasible(job, aNow)) {
@@ -116,10 +116,10 @@
 }
 
 uint32_t
-JobScheduler::HighestAbandonedRun(const std::string& aJob) const
+JobScheduler::HighestUsedRun(const std::string& aJob) const
 {
-  const auto found = abandoned_.find(aJob);
-  return found == abandoned_.end() ? 0 : found->second.highestRun_;
+  const auto found = usedRuns_.find(aJob);
+  return found == usedRuns_.end() ? 0 : found->second.highestRun_;
 }
 
 void
@@ -314,12 +314,12 @@
       sidecars_.erase(id);
     }
   }
-  std::erase_if(abandoned_, [&](const auto& aRuns) {
-    return aNow - aRuns.second.since_ > options_.abandonedRetention_;
-  });
   crashes_.Expire(aNow);
-  if (aNow - lateOrdersExpiredAt_ >= kExpiryInterval) {
-    lateOrdersExpiredAt_ = aNow;
+  if (aNow - expiredAt_ >= kExpiryInterval) {
+    expiredAt_ = aNow;
+    std::erase_if(usedRuns_, [&](const auto& aRuns) {
+      return aNow - aRuns.second.since_ > options_.usedRunRetention_;
+    });
     PlaceJobsOf(lateOrders_.Expire(aNow), aNow);
   }
   std::vector<JobInstance> expired;
@@ -481,12 +481,12 @@
   for (uint32_t s = 0; s < aJob.steps_.size(); ++s) {
     auto& tasks = aJob.steps_[s].tasks_;
     for (uint32_t i = 0; i < tasks.size(); ++i) {
+      highestRun = std::max(highestRun, tasks[i].run_);
       if (tasks[i].state_ == TaskState::Sent) {
         const RunKey key{ { aJob.spec_.id_, aJob.occurrence_, s, i },
                           tasks[i].run_ };
         RecordIfUnlinked(tasks[i].sidecar_, key);
         stops[tasks[i].sidecar_].runs_.push_back(key);
-        highestRun = std::max(highestRun, tasks[i].run_);
       }
     }
   }
@@ -501,7 +501,7 @@
   if (!aJob.stored_) {
     submissions_.erase(aJob.submissionId_);
     if (highestRun > 0) {
-      abandoned_[aJob.spec_.id_] = { highestRun, standstill_.LastCall() };
+      usedRuns_[aJob.spec_.id_] = { highestRun, standstill_.LastCall() };
     }
   }
   jobs_.erase(id);
--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -777,6 +777,64 @@
   }
 }
 
+// A sidecar repeats the reports of the last seconds when it is linked again.
+class RepeatedReportTest : public JobSchedulerTest
+{
+protected:
+  /// Ends the run of the first task that has just been sent.
+  void EndFirstTask(RunEnd aEnd, int aMs)
+  {
+    for (const SendRuns& send : Take().runs_) {
+      for (size_t i = 0; i < send.orders_.runs_.size(); ++i) {
+        if (send.orders_.runs_[i].index_ == 0) {
+          End(send, aEnd, aMs, i);
+        }
+      }
+    }
+  }
+
+  /// The job comes again, and its sidecar repeats what it said of run 2 of the
+  /// first task.
+  void SubmitAgainAndRepeat(RunEnd aEnd)
+  {
+    Submit(Job(), 1400, 2);
+    const SendRuns sent = Take().runs_.at(0);
+    const JobTaskId task = sent.orders_.Task(sent.orders_.runs_[0]);
+    const HeldRuns held{ .runs_ = { { task, sent.orders_.runs_[0].run_ } },
+                         .reports_ = {
+                           { .key_ = { task, 2 }, .end_ = aEnd } } };
+    scheduler_.OnHeldRuns(sent.sidecar_, held, RunEnd::NotStarted, At(1500));
+    SortedActions actions = Take();
+    EXPECT_EQ(actions.Runs(), 0U);
+    EXPECT_TRUE(actions.answers_.empty());
+    End(sent, RunEnd::Done, 1600);
+    EXPECT_EQ(Take().answers_.size(), 1U);
+  }
+};
+
+TEST_F(RepeatedReportTest, StartsNoSecondRunOfAJobThatWasGivenUp)
+{
+  Submit(Job(2));
+  for (const int ms : { 10, 20, 30 }) {
+    EndFirstTask(ms < 30 ? RunEnd::LeaseExpired : RunEnd::Done, ms);
+  }
+  scheduler_.OnClientDisconnected(1, At(100));
+  Take();
+  SubmitAgainAndRepeat(RunEnd::LeaseExpired);
+}
+
+TEST_F(RepeatedReportTest, CompletesNoJobThatComesAgain)
+{
+  Submit(Job());
+  EndFirstTask(RunEnd::LeaseExpired, 10);
+  EndFirstTask(RunEnd::Done, 20);
+  ASSERT_EQ(Take().answers_.size(), 1U);
+  Submit(Job(), 1200, 3);
+  scheduler_.OnClientDisconnected(3, At(1300));
+  Take();
+  SubmitAgainAndRepeat(RunEnd::Done);
+}
+
 TEST_F(JobSchedulerTest, AReplacedSidecarIsNotTakenAsLostBeforeItIsLinked)
 {
   Submit(Job());
