Play everything with a leader: an end of before is also taken without one

EverythingWhileALeaderTakesOver has all faults but restarts of upstreams, losses of power, a leader and tasks that fail.

The histories now have what a sidecar tells when it is linked.

--- a/src/libcornelfront/policy/two_runs_entry_test.cpp
+++ b/src/libcornelfront/policy/two_runs_entry_test.cpp
@@ -156,6 +156,12 @@
     world_.Record({ ToString(key.task_), std::nullopt, Machine() },
                   NameOf(aSidecar) + " holds " + ToString(key));
   }
+  for (const RunReport& report : aHeld.reports_) {
+    world_.Record({ ToString(report.key_.task_), std::nullopt, Machine() },
+                  NameOf(aSidecar) +
+                    " tells, when linked: " + ToString(report.key_) + ' ' +
+                    std::string(ToString(report.end_)));
+  }
   scheduler_.OnSidecarLinked(aSidecar, "", Now());
   scheduler_.OnHeldRuns(aSidecar,
                         aHeld,
--- a/src/libcornelfront/policy/two_runs_test.cpp
+++ b/src/libcornelfront/policy/two_runs_test.cpp
@@ -230,6 +230,19 @@
     .leaderTakesOver_ = true,
     .tasksFail_ = true,
     .refusedReturn_ = true },
+  { .name_ = "EverythingWhileALeaderTakesOver",
+    .entriesKilled_ = true,
+    .sidecarsReplaced_ = true,
+    .sidecarsSuspended_ = true,
+    .linksReset_ = true,
+    .linksCut_ = true,
+    .callsUnanswered_ = true,
+    .stopsUnanswered_ = true,
+    .clientsReset_ = true,
+    .powerLost_ = true,
+    .leaderTakesOver_ = true,
+    .tasksFail_ = true,
+    .refusedReturn_ = true },
 };
 
 /// Few seeds: each takes seconds.
