Soak: how long a loss of power lasts, its spread, what it strikes; least margin

The summary says the shortest time between a run that lapsed or was stopped and the next run of its task on another executor.

--- a/testsuite/soak/callers.cpp
+++ b/testsuite/soak/callers.cpp
@@ -160,7 +160,7 @@
              .bestEffort_ = Chance(options_.bestEffortPercent_),
              .tasks_ = static_cast<unsigned>(
                Pick(1, static_cast<int>(options_.maxTasks_))),
-             .fails_ = Chance(4) };
+             .fails_ = Chance(options_.failPercent_) };
   }
 
   std::string BodyOf(const JobRecord& aJob)
--- a/testsuite/soak/callers.h
+++ b/testsuite/soak/callers.h
@@ -25,6 +25,8 @@
   unsigned maxTasks_ = 6;
   /// Share of the jobs that are best-effort, in percent.
   int bestEffortPercent_ = 60;
+  /// Share of the jobs whose tasks fail, in percent.
+  int failPercent_ = 4;
   /// Longest task.
   Millis maxTask_{ 400 };
   /// "<ip>:<port>" of every entry.
--- a/testsuite/soak/checks.cpp
+++ b/testsuite/soak/checks.cpp
@@ -32,23 +32,32 @@
   return aRun.ended_ != 0 && aRun.ended_ <= aTime;
 }
 
+/// Returns the runs of each task, ordered by their starts.
+RunsByTask
+GroupByTask(const std::vector<RunRecord>& aRuns)
+{
+  RunsByTask grouped;
+  for (const RunRecord& run : aRuns) {
+    grouped[run.task_].push_back(run);
+  }
+  for (auto& [task, runs] : grouped) {
+    std::sort(runs.begin(), runs.end(), [](const auto& aA, const auto& aB) {
+      return aA.started_ < aB.started_;
+    });
+  }
+  return grouped;
+}
+
 class Checker
 {
 public:
   explicit Checker(const Observations& aObservations)
     : observations_(aObservations)
+    , runs_(GroupByTask(aObservations.runs_))
   {
     for (const JobRecord& job : observations_.jobs_) {
       jobs_[job.id_] = &job;
     }
-    for (const RunRecord& run : observations_.runs_) {
-      runs_[run.task_].push_back(run);
-    }
-    for (auto& [task, runs] : runs_) {
-      std::sort(runs.begin(), runs.end(), [](const auto& aA, const auto& aB) {
-        return aA.started_ < aB.started_;
-      });
-    }
   }
 
   std::vector<std::string> Check()
@@ -200,7 +209,7 @@
 
   const Observations& observations_;
   std::map<std::string, const JobRecord*> jobs_;
-  RunsByTask runs_;
+  const RunsByTask runs_;
   std::vector<std::string> violations_;
 };
 
@@ -219,4 +228,23 @@
   return Checker(aObservations).Check();
 }
 
+std::optional<Millis>
+LeastMargin(const std::vector<RunRecord>& aRuns)
+{
+  std::optional<Millis> least;
+  for (const auto& [task, runs] : GroupByTask(aRuns)) {
+    for (size_t i = 0; i + 1 < runs.size(); ++i) {
+      const RunRecord& run = runs[i];
+      const RunRecord& next = runs[i + 1];
+      if (run.executor_ == next.executor_ ||
+          (run.outcome_ != "lapsed" && run.outcome_ != "stopped")) {
+        continue;
+      }
+      const Millis margin{ next.started_ - run.ended_ };
+      least = std::min(least.value_or(margin), margin);
+    }
+  }
+  return least;
+}
+
 } // namespace cornelfront::soak
--- a/testsuite/soak/checks.h
+++ b/testsuite/soak/checks.h
@@ -6,6 +6,7 @@
 
 #include "platform_cluster.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -80,4 +81,11 @@
 std::vector<std::string>
 FindViolations(const Observations& aObservations);
 
+/// Returns the least time between the end of a run and the start of the next
+/// run of its task on another executor, of all runs that lapsed or were
+/// stopped: what is left of the margin that keeps two runs apart. Below 0 if
+/// they overlap; empty if there is no such pair.
+std::optional<Millis>
+LeastMargin(const std::vector<harness::RunRecord>& aRuns);
+
 } // namespace cornelfront::soak
--- a/testsuite/soak/checks_test.cpp
+++ b/testsuite/soak/checks_test.cpp
@@ -117,5 +117,28 @@
   EXPECT_EQ(FindViolations(seen).size(), 2U);
 }
 
+TEST(SoakChecks, TheLeastMarginIsThatOfRunsWhoseEndNobodyToldInTime)
+{
+  const auto on = [](harness::RunRecord aRun, unsigned aExecutor) {
+    aRun.executor_ = aExecutor;
+    return aRun;
+  };
+  const auto last = on(MakeRun(600, 700, "done", 0), 1);
+  const auto lapsed = MakeRun(100, 400, "lapsed", 0);
+  EXPECT_EQ(LeastMargin({ last }), std::nullopt);
+  EXPECT_EQ(LeastMargin({ last, lapsed }), Millis(200)) << "in any order";
+  EXPECT_EQ(LeastMargin({ on(lapsed, 1), last }), std::nullopt)
+    << "on the same executor";
+  EXPECT_EQ(LeastMargin({ MakeRun(100, 590, "failed", 0), last }), std::nullopt)
+    << "its end was told";
+  EXPECT_EQ(LeastMargin({ MakeRun(100, 601, "stopped", 0), last }), Millis(-1))
+    << "two at once";
+  auto other = on(MakeRun(430, 440, "done", 0), 2);
+  EXPECT_EQ(LeastMargin({ lapsed, other, last }), Millis(30));
+  other.task_ = kJob + ".0.0.1";
+  EXPECT_EQ(LeastMargin({ lapsed, other, last }), Millis(200))
+    << "of another task";
+}
+
 } // namespace
 } // namespace cornelfront::soak
--- a/testsuite/soak/faults.cpp
+++ b/testsuite/soak/faults.cpp
@@ -33,9 +33,7 @@
 constexpr int kRepeatPercent = 25;
 constexpr unsigned kMaxRepetitions = 3;
 constexpr Millis kRepeatInterval{ 250 };
-/// The processes of a loss of power are killed within this time, and started
-/// again up to kMaxPowerLossMs later.
-constexpr int kPowerLossSpreadMs = 100;
+/// The processes of a loss of power are started again up to this time later.
 constexpr int kMaxPowerLossMs = 900;
 
 /// Time after a fault during which a process may still be disconnected.
@@ -127,18 +125,24 @@
   std::vector<Fault> PowerLosses()
   {
     std::vector<Fault> plan;
+    const int spread = static_cast<int>(options_.powerLossSpread_.count());
     const auto add = [&](FaultKind aKind, unsigned aTarget, Millis aAt) {
-      plan.push_back({ .kind_ = aKind,
-                       .at_ = aAt + Millis(Pick(0, kPowerLossSpreadMs)),
-                       .length_ = Millis(Pick(kMinDurationMs, kMaxPowerLossMs)),
-                       .target_ = aTarget });
+      plan.push_back(
+        { .kind_ = aKind,
+          .at_ = aAt + Millis(Pick(0, spread)),
+          .length_ = options_.powerLossDown_ > Millis(0)
+                       ? options_.powerLossDown_
+                       : Millis(Pick(kMinDurationMs, kMaxPowerLossMs)),
+          .target_ = aTarget });
     };
+    const unsigned sidecars =
+      options_.powerLossEntriesOnly_ ? 0 : options_.sidecars_;
     for (Millis at = options_.powerLossInterval_; at < options_.length_;
          at += options_.powerLossInterval_) {
       for (unsigned i = 0; i < options_.entries_; ++i) {
         add(FaultKind::KillEntry, i, at);
       }
-      for (unsigned i = 0; i < options_.sidecars_; ++i) {
+      for (unsigned i = 0; i < sidecars; ++i) {
         add(FaultKind::KillSidecar, i, at);
       }
     }
--- a/testsuite/soak/faults.h
+++ b/testsuite/soak/faults.h
@@ -78,6 +78,12 @@
   /// entries and sidecars are killed and started again, each a little later
   /// than the others.
   Millis powerLossInterval_{ 0 };
+  /// The processes of a loss of power are killed within this time.
+  Millis powerLossSpread_{ 100 };
+  /// How long they are gone; drawn for each of them if 0.
+  Millis powerLossDown_{ 0 };
+  /// Sidecars keep their power.
+  bool powerLossEntriesOnly_ = false;
   /// Kinds of mixed faults; all if empty.
   std::vector<FaultKind> kinds_;
   /// Mean time between two mixed faults.
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -5,7 +5,9 @@
 /// timing depends on the machine.
 ///
 /// usage: soak --seed N [--seconds N] [--entries N] [--sidecars N]
-///             [--power-loss-ms N] [--max-task-ms N]
+///             [--power-loss-ms N] [--power-loss-down-ms N]
+///             [--power-loss-spread-ms N] [--power-loss-entries-only]
+///             [--max-task-ms N] [--fail-percent N]
 ///             [--client-leg] [--client-timeout-ms N] [--max-tasks N]
 ///             [--best-effort-percent N] [--callers-per-entry N]
 ///             [--faults NAME,...] [--mean-gap-ms N] [--max-delay-ms N]
@@ -20,6 +22,7 @@
 #include <gtest/gtest.h>
 
 #include <iostream>
+#include <optional>
 #include <thread>
 
 namespace cornelfront::soak {
@@ -38,7 +41,11 @@
   unsigned entries_ = 2;
   unsigned sidecars_ = 4;
   unsigned powerLossMs_ = 0;
+  unsigned powerLossDownMs_ = 0;
+  unsigned powerLossSpreadMs_ = 100;
+  bool powerLossEntriesOnly_ = false;
   unsigned maxTaskMs_ = 400;
+  int failPercent_ = 4;
   bool clientLeg_ = false;
   unsigned clientTimeoutMs_ = 4000;
   unsigned maxTasks_ = 6;
@@ -79,24 +86,28 @@
     .timeout_ = Millis(aOptions.clientTimeoutMs_),
     .maxTasks_ = aOptions.maxTasks_,
     .bestEffortPercent_ = aOptions.bestEffortPercent_,
+    .failPercent_ = aOptions.failPercent_,
     .maxTask_ = Millis(aOptions.maxTaskMs_)
   };
   for (unsigned i = 0; i < aOptions.entries_; ++i) {
     callersOptions.entries_.push_back(aCluster.ClientAddress(i));
   }
   Callers callers(std::move(callersOptions));
-  const FaultPlanOptions faults{ .seed_ = aOptions.seed_,
-                                 .length_ =
-                                   std::chrono::seconds(aOptions.seconds_),
-                                 .entries_ = aOptions.entries_,
-                                 .sidecars_ = aOptions.sidecars_,
-                                 .powerLossInterval_ =
-                                   Millis(aOptions.powerLossMs_),
-                                 .kinds_ = ParseFaultKinds(aOptions.faults_),
-                                 .meanGap_ = Millis(aOptions.meanGapMs_),
-                                 .maxDelay_ = Millis(aOptions.maxDelayMs_),
-                                 .disturbsClients_ = aOptions.clientLeg_,
-                                 .lateOrders_ = aOptions.lateOrders_ };
+  const FaultPlanOptions faults{
+    .seed_ = aOptions.seed_,
+    .length_ = std::chrono::seconds(aOptions.seconds_),
+    .entries_ = aOptions.entries_,
+    .sidecars_ = aOptions.sidecars_,
+    .powerLossInterval_ = Millis(aOptions.powerLossMs_),
+    .powerLossSpread_ = Millis(aOptions.powerLossSpreadMs_),
+    .powerLossDown_ = Millis(aOptions.powerLossDownMs_),
+    .powerLossEntriesOnly_ = aOptions.powerLossEntriesOnly_,
+    .kinds_ = ParseFaultKinds(aOptions.faults_),
+    .meanGap_ = Millis(aOptions.meanGapMs_),
+    .maxDelay_ = Millis(aOptions.maxDelayMs_),
+    .disturbsClients_ = aOptions.clientLeg_,
+    .lateOrders_ = aOptions.lateOrders_
+  };
   FaultInjector injector(aCluster, faults);
   injector.Run(MakeFaultPlan(faults));
   aCluster.WaitReady();
@@ -118,10 +129,12 @@
     observations.jobs_.begin(),
     observations.jobs_.end(),
     [](const JobRecord& aJob) { return aJob.answered_ + aJob.accepted_ > 0; });
+  const std::optional<Millis> margin = LeastMargin(observations.runs_);
   std::cout << "seed=" << aOptions.seed_
             << " jobs=" << observations.jobs_.size() << " served=" << served
             << " runs=" << observations.runs_.size()
-            << " cuts=" << observations.aborted_.size()
+            << " cuts=" << observations.aborted_.size() << " least_margin_ms="
+            << (margin ? std::to_string(margin->count()) : "none")
             << " closed_spans=" << observations.noStart_.size() << std::endl;
 }
 
@@ -140,6 +153,33 @@
   }
 }
 
+void
+AddPowerLossOptions(CLI::App& aApp, Options& aOptions)
+{
+  aApp.add_option("--power-loss-ms",
+                  aOptions.powerLossMs_,
+                  "Instead of mixed faults, kill all entries and sidecars each "
+                  "time this many ms have passed; 0: mixed faults");
+  aApp
+    .add_option("--power-loss-down-ms",
+                aOptions.powerLossDownMs_,
+                "How long the killed processes are gone; drawn for each of "
+                "them if 0")
+    ->check(CLI::Range(0, 60000))
+    ->needs("--power-loss-ms");
+  aApp
+    .add_option("--power-loss-spread-ms",
+                aOptions.powerLossSpreadMs_,
+                "Time within which the processes of a loss of power are killed")
+    ->check(CLI::Range(0, 60000))
+    ->needs("--power-loss-ms");
+  aApp
+    .add_flag("--power-loss-entries-only",
+              aOptions.powerLossEntriesOnly_,
+              "A loss of power kills entries and no sidecars")
+    ->needs("--power-loss-ms");
+}
+
 } // namespace
 } // namespace cornelfront::soak
 
@@ -155,14 +195,15 @@
     "--seconds", options.seconds_, "Duration of the fault injection in s");
   app.add_option("--entries", options.entries_, "Number of entries");
   app.add_option("--sidecars", options.sidecars_, "Number of sidecars");
-  app.add_option("--power-loss-ms",
-                 options.powerLossMs_,
-                 "Instead of mixed faults, kill all entries and sidecars each "
-                 "time this many ms have passed; 0: mixed faults");
+  cornelfront::soak::AddPowerLossOptions(app, options);
   app
     .add_option(
       "--max-task-ms", options.maxTaskMs_, "Duration of the longest task in ms")
     ->check(CLI::Range(20, 60000));
+  app
+    .add_option(
+      "--fail-percent", options.failPercent_, "Share of jobs whose tasks fail")
+    ->check(CLI::Range(0, 100));
   app.add_flag("--client-leg",
                options.clientLeg_,
                "Disturb the connections of clients, in two of three faults of "
