--- a/testsuite/harness/platform_cluster.cpp
+++ b/testsuite/harness/platform_cluster.cpp
@@ -85,7 +85,9 @@
                                 "--heartbeats",
                                 Loopback(heartbeatPorts_[aExecutor]),
                                 "--clock-percent",
-                                aExecutor % 2 == 0 ? "100" : "98" });
+                                aExecutor % 2 == 0 ? "100" : "98",
+                                "--stop-ms",
+                                std::to_string(options_.stopTime_.count()) });
   executorPorts_.push_back(static_cast<uint16_t>(
     std::stoi(executors_[aExecutor]->WaitForLine("listening http "))));
 }
--- a/testsuite/harness/platform_cluster.h
+++ b/testsuite/harness/platform_cluster.h
@@ -40,6 +40,8 @@
   bool proxied_ = false;
   /// Places fault proxies between clients and entries as well.
   bool clientsProxied_ = false;
+  /// How long a run goes on after its stop.
+  Millis stopTime_{ 0 };
 };
 
 /// Group of connections that one fault proxy relays.
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -7,7 +7,7 @@
 /// usage: soak --seed N [--seconds N] [--entries N] [--sidecars N]
 ///             [--power-loss-ms N] [--power-loss-down-ms N]
 ///             [--power-loss-spread-ms N] [--power-loss-entries-only]
-///             [--max-task-ms N] [--fail-percent N]
+///             [--max-task-ms N] [--fail-percent N] [--stop-ms N]
 ///             [--client-leg] [--client-timeout-ms N] [--max-tasks N]
 ///             [--best-effort-percent N] [--callers-per-entry N]
 ///             [--faults NAME,...] [--mean-gap-ms N] [--max-delay-ms N]
@@ -46,6 +46,7 @@
   bool powerLossEntriesOnly_ = false;
   unsigned maxTaskMs_ = 400;
   int failPercent_ = 4;
+  unsigned stopMs_ = 0;
   bool clientLeg_ = false;
   unsigned clientTimeoutMs_ = 4000;
   unsigned maxTasks_ = 6;
@@ -144,7 +145,8 @@
   harness::PlatformCluster cluster({ .entries_ = aOptions.entries_,
                                      .sidecars_ = aOptions.sidecars_,
                                      .proxied_ = true,
-                                     .clientsProxied_ = aOptions.clientLeg_ });
+                                     .clientsProxied_ = aOptions.clientLeg_,
+                                     .stopTime_ = Millis(aOptions.stopMs_) });
   try {
     RunSoak(cluster, aOptions);
   } catch (const std::exception& error) {
@@ -204,6 +206,10 @@
     .add_option(
       "--fail-percent", options.failPercent_, "Share of jobs whose tasks fail")
     ->check(CLI::Range(0, 100));
+  app
+    .add_option(
+      "--stop-ms", options.stopMs_, "How long a run goes on after its stop")
+    ->check(CLI::Range(0, 1000));
   app.add_flag("--client-leg",
                options.clientLeg_,
                "Disturb the connections of clients, in two of three faults of "
--- a/testsuite/standins/executor_standin.cpp
+++ b/testsuite/standins/executor_standin.cpp
@@ -48,6 +48,8 @@
   int64_t cpu_ = 4000;
   /// Speed of the executor's clock, in percent of that of the machine.
   int clockPercent_ = 100;
+  /// How long a run goes on after its stop.
+  Millis stopTime_{ 0 };
 };
 
 /// One run of a task.
@@ -59,6 +61,8 @@
   MonoTime started_;
   Millis length_{ 0 };
   bool fails_ = false;
+  /// When it ends because of a stop.
+  std::optional<MonoTime> stopsAt_;
   MonoTime ended_;
   /// When the end was acknowledged, if the lease has not lapsed since that end;
   /// else the default value.
@@ -318,9 +322,10 @@
     for (Run& run : runs_) {
       if (run.outcome_.empty() && run.task_ == aBody.value("task", "") &&
           run.run_ == aBody.value("run", 0)) {
-        End(run, "stopped", aNow);
+        run.stopsAt_ = run.stopsAt_.value_or(aNow + options_.stopTime_);
       }
     }
+    EndDue(aNow);
   }
 
   void End(Run& aRun, const std::string& aOutcome, MonoTime aNow)
@@ -340,6 +345,8 @@
         // The run ended with the lease, even if this process was suspended then
         // and notices it later.
         End(run, "lapsed", std::max(lease_, run.started_));
+      } else if (run.stopsAt_ && aNow >= *run.stopsAt_) {
+        End(run, "stopped", aNow);
       } else if (!stalls_ && aNow >= run.started_ + run.length_) {
         End(run, run.fails_ ? "failed" : "done", aNow);
       }
@@ -454,12 +461,16 @@
   app.add_option("--clock-percent",
                  options.clockPercent_,
                  "Speed of its clock, in percent of that of the machine");
+  int64_t stopMs = 0;
+  app.add_option("--stop-ms", stopMs, "How long a run goes on after its stop")
+    ->check(CLI::NonNegativeNumber);
   CLI11_PARSE(app, argc, argv);
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  options.stopTime_ = Millis(stopMs);
   Executor executor(options);
   HttpServer server({ .port_ = port },
                     [&](const HttpRequest& aRequest, const HttpReply& aReply) {
