--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -157,6 +157,8 @@
   Orphaned,
   /// The owner of a run has not been heard of.
   OwnerSilent,
+  /// The link to the owner of a run has ended.
+  OwnerUnlinked,
   /// A run that nobody waits for has been stopped and may still go on.
   StopUnconfirmed,
   /// The leader of the stored jobs is lost and ends are unacknowledged.
@@ -199,6 +201,10 @@
   /// Runs of best-effort jobs whose owner has been silent for this long are
   /// stopped.
   Millis ownerTimeout_{ 700 };
+  /// The same for an owner whose link has ended. Long enough for two attempts
+  /// to link it again; short enough for three stops before the lease ends,
+  /// which takes the runs of other owners along (docs/BOUNDS.md).
+  Millis unlinkedTimeout_{ 500 };
   /// The same for stored jobs; longer, so that another leader can take them
   /// over.
   Millis leaderTimeout_{ 3000 };
@@ -312,6 +318,10 @@
   /// been under way: silence counts from the time of sending.
   void OnOwnerLinked(MemberId aOwner, MonoTime aNow, Millis aAge = Millis(0));
   void OnOwnerHeard(MemberId aOwner, MonoTime aNow, Millis aAge = Millis(0));
+  /// The link to an owner has ended, and no other one has been established yet.
+  /// The connections of a process that is killed end at once, so that this may
+  /// tell of its loss long before its silence does.
+  void OnOwnerUnlinked(MemberId aOwner, MonoTime aNow);
   /// Orders for stored jobs are accepted only once this sidecar is registered
   /// in the store, where any later leader finds it.
   void SetRegistered() { registered_ = true; }
@@ -511,6 +521,8 @@
   struct Owner
   {
     MonoTime heardAt_;
+    /// Time at which its link ended, if it has not been linked again.
+    std::optional<MonoTime> unlinkedAt_;
     Updates unsent_;
     std::deque<std::pair<MonoTime, RunReport>> recentReports_;
   };
@@ -598,6 +610,8 @@
   /// True if the run would not outlive the limit of its owner on the lease that
   /// has been given before it starts.
   bool LeaseFits(const Run& aRun) const;
+  /// Lowers \p aLimit to what the owner of the run allows.
+  void LimitLeaseByOwner(const Run& aRun, LeaseLimit& aLimit) const;
   /// Lowers \p aLimit to what this run allows.
   void LimitLeaseBy(const Run& aRun, LeaseLimit& aLimit) const;
   /// Returns waiting runs whose time to start has passed.
@@ -614,6 +628,10 @@
                       const UpstreamPollResult& aPollResult,
                       MonoTime aNow);
   void CheckOwners(MonoTime aNow);
+  /// True if the owner of the run counts as lost.
+  bool IsOwnerLost(const Run& aRun, MonoTime aNow) const;
+  /// A message of the owner has arrived; see OnOwnerLinked.
+  void NoteHeard(MemberId aOwner, MonoTime aNow, Millis aAge);
   /// How long the owner of the run has been silent.
   Millis OwnerSilence(const Run& aRun, MonoTime aNow) const;
   /// Counts the time at which the leader was last heard of, up to the end of
--- a/src/libcornelfront/job_sidecar_entries.cpp
+++ b/src/libcornelfront/job_sidecar_entries.cpp
@@ -144,6 +144,7 @@
   const auto owner = owners_.find(entry->second);
   if (owner != owners_.end() && owner->second.link_ == aLink) {
     owners_.erase(owner);
+    table_.OnOwnerUnlinked(entry->second, BootNow());
     LOG(WARNING) << "entry id=" << ToString(entry->second)
                  << " outcome=link_lost reason=\"" << aDetail << "\"";
   }
--- a/src/libcornelfront/policy/run_lease.cpp
+++ b/src/libcornelfront/policy/run_lease.cpp
@@ -10,9 +10,9 @@
 namespace cornelfront {
 namespace {
 
-constexpr std::array<std::string_view, 6> kLeaseLimitReasons = {
-  "none",         "upstream_silent",  "orphaned",
-  "owner_silent", "stop_unconfirmed", "leader_lost",
+constexpr std::array<std::string_view, 7> kLeaseLimitReasons = {
+  "none",           "upstream_silent",  "orphaned",    "owner_silent",
+  "owner_unlinked", "stop_unconfirmed", "leader_lost",
 };
 
 void
@@ -64,20 +64,33 @@
           aRun.stop_->requestedAt_ + options_.lease_,
           LeaseLimitReason::StopUnconfirmed);
   }
+  LimitLeaseByOwner(aRun, aLimit);
+}
+
+void
+RunTable::LimitLeaseByOwner(const Run& aRun, LeaseLimit& aLimit) const
+{
   const auto owner = owners_.find(aRun.owner_);
-  if (aRun.term_ == 0 && owner != owners_.end()) {
+  if (aRun.term_ > 0 || owner == owners_.end()) {
+    return;
+  }
+  const Owner& state = owner->second;
+  Lower(aLimit,
+        state.heardAt_ + options_.ownerLease_,
+        LeaseLimitReason::OwnerSilent);
+  if (state.unlinkedAt_) {
     Lower(aLimit,
-          owner->second.heardAt_ + options_.ownerLease_,
-          LeaseLimitReason::OwnerSilent);
+          *state.unlinkedAt_ + options_.lease_,
+          LeaseLimitReason::OwnerUnlinked);
   }
 }
 
 bool
 RunTable::LeaseFits(const Run& aRun) const
 {
-  const auto owner = owners_.find(aRun.owner_);
-  return aRun.term_ > 0 || owner == owners_.end() ||
-         leaseGranted_ <= owner->second.heardAt_ + options_.ownerLease_;
+  LeaseLimit granted{ .end_ = leaseGranted_ };
+  LimitLeaseByOwner(aRun, granted);
+  return granted.end_ == leaseGranted_;
 }
 
 std::optional<MonoTime>
--- a/src/libcornelfront/policy/run_lease_test.cpp
+++ b/src/libcornelfront/policy/run_lease_test.cpp
@@ -11,11 +11,19 @@
 constexpr MemberId kOwner{ 1 };
 constexpr MemberId kOther{ 2 };
 const std::string kJob = "00000000000000a1";
+const std::string kOtherJob = "00000000000000b2";
 
 /// A client whose connection broke submits its job again no earlier.
 constexpr Millis kClientReturn{ 1300 };
 /// Time between two polls of the upstream.
 constexpr Millis kPollInterval{ 20 };
+/// Time between two messages of an entry that has nothing to tell.
+constexpr Millis kKeepAlive{ 375 };
+/// Time from the end of a link until the sidecar connects again.
+constexpr Millis kRedialInterval{ 200 };
+/// What a lease of 1 s on a slow clock, whose end is noticed late, leaves
+/// before a client returns. 200 are aimed for, see docs/BOUNDS.md.
+constexpr Millis kMargin{ 180 };
 
 MonoTime
 At(int64_t aMs)
@@ -297,7 +305,6 @@
   table_.OnOwnerLinked(kOther, At(0));
   Order(0, At(0));
   ASSERT_EQ(Start(At(0)), 1U);
-  constexpr Millis kKeepAlive{ 375 };
   for (Millis ms{ 0 }; ms <= Millis(3000); ms += kPollInterval) {
     if (ms % kKeepAlive < kPollInterval) {
       table_.OnOwnerHeard(kOwner, At(ms));
@@ -311,5 +318,205 @@
   }
 }
 
+/// An upstream with runs of two owners. The link of one of them ends; the other
+/// is heard of all the time.
+class EndedLinkTest : public RunLeaseTest
+{
+protected:
+  EndedLinkTest() { table_.OnOwnerLinked(kOther, At(0)); }
+
+  void OrderOfOther(uint32_t aIndex, Millis aTime, int64_t aCpu = 1000)
+  {
+    StartRuns orders{ .job_ = kOtherJob,
+                      .payload_ = "p",
+                      .service_ = "desk",
+                      .resources_ = { .cpu_ = aCpu, .memoryMb_ = 1 },
+                      .estimate_ = Millis(3000),
+                      .timeToLatestStart_ = Millis(500),
+                      .startTimeout_ = Millis(1500) };
+    orders.runs_.push_back({ aIndex, 1 });
+    table_.OnOrders(kOther, orders, At(aTime));
+  }
+
+  /// Sends a poll, which is answered at once.
+  void PollAt(Millis aTime)
+  {
+    table_.OnOwnerHeard(kOther, At(aTime));
+    if (const auto end = table_.LeaseEnd(At(aTime))) {
+      table_.OnLeaseGranted(*end, {});
+      granted_ = std::max(granted_, *end);
+    }
+    AnswerPoll(table_.BeginPoll(), At(aTime));
+  }
+
+  void EndRun(const RunKey& aKey)
+  {
+    std::erase_if(running_,
+                  [&](const auto& aRun) { return aRun.key_ == aKey; });
+  }
+
+  /// What is left at \p aTime of what has been granted.
+  Millis Left(Millis aTime) const
+  {
+    return std::chrono::duration_cast<Millis>(granted_ - At(aTime));
+  }
+
+  /// For how long after 0 a run may go on, on what has been granted.
+  Millis LatestEnd() const
+  {
+    return OnSlowClock(Left(Millis(0))) + RunTableOptions{}.lapseDelay_;
+  }
+
+  /// A link of an owner that was last heard of \p aIdle earlier is reset, and
+  /// replaced. Nothing is stopped and others' orders start meanwhile. Returns
+  /// the least time that the lease had left.
+  Millis ReplaceLink(Millis aIdle)
+  {
+    OrderOfOther(0, Millis(0));
+    Order(0, At(0));
+    EXPECT_EQ(Start(At(0)), 2U);
+    const Millis reset{ 2000 };
+    const Millis linked = reset + kRedialInterval;
+    Millis least = RunTableOptions{}.lease_;
+    for (Millis ms{ 0 }; ms <= linked; ms += kPollInterval) {
+      if (ms + aIdle <= reset) {
+        table_.OnOwnerHeard(kOwner, At(ms));
+      }
+      if (ms == reset) {
+        table_.OnOwnerUnlinked(kOwner, At(ms));
+        OrderOfOther(1, ms);
+        EXPECT_EQ(Start(At(ms)), 1U);
+      }
+      table_.Tick(At(ms));
+      PollAt(ms);
+      EXPECT_TRUE(table_.TakeStops(At(ms)).empty()) << ms.count();
+      least = std::min(least, Left(ms));
+    }
+    OrderOfOther(2, linked);
+    EXPECT_EQ(Start(At(linked)), 1U);
+    table_.OnOwnerLinked(kOwner, At(linked));
+    PollAt(linked);
+    EXPECT_EQ(Left(linked), RunTableOptions{}.lease_);
+    return least;
+  }
+
+  /// Latest time to which a poll has extended the lease.
+  MonoTime granted_;
+};
+
+// All connections of a process that is killed end at once.
+TEST_F(EndedLinkTest, ARunOfAKilledOwnerEndsWellBeforeItsClientReturns)
+{
+  OrderOfOther(0, Millis(0));
+  Order(0, At(0));
+  ASSERT_EQ(Start(At(0)), 2U);
+  PollAt(Millis(0));
+  table_.OnOwnerUnlinked(kOwner, At(0));
+  for (Millis ms{ 0 }; ms <= kClientReturn; ms += kPollInterval) {
+    table_.Tick(At(ms));
+    PollAt(ms);
+  }
+  EXPECT_LE(LatestEnd() + kMargin, kClientReturn);
+}
+
+// The lease that it starts with was given while it waited.
+TEST_F(EndedLinkTest, ARunThatWaitedForRoomEndsInTimeToo)
+{
+  OrderOfOther(0, Millis(0), 4000);
+  ASSERT_EQ(Start(At(0)), 1U);
+  Order(0, At(0));
+  PollAt(Millis(0));
+  table_.OnOwnerUnlinked(kOwner, At(0));
+  const Millis room{ 300 };
+  size_t started = 0;
+  for (Millis ms{ 0 }; ms <= kClientReturn; ms += kPollInterval) {
+    if (ms == room) {
+      EndRun({ { kOtherJob, 0, 0, 0 }, 1 });
+    }
+    table_.Tick(At(ms));
+    PollAt(ms);
+    started += Start(At(ms));
+  }
+  EXPECT_EQ(started, 1U);
+  EXPECT_LE(LatestEnd() + kMargin, kClientReturn);
+}
+
+TEST_F(EndedLinkTest, AnOrderThatFindsNoRoomIsReturnedInTime)
+{
+  OrderOfOther(0, Millis(0), 4000);
+  ASSERT_EQ(Start(At(0)), 1U);
+  Order(0, At(0));
+  table_.OnOwnerUnlinked(kOwner, At(0));
+  const Millis returned{ 600 };
+  for (Millis ms{ 0 }; ms <= returned; ms += kPollInterval) {
+    table_.Tick(At(ms));
+    PollAt(ms);
+  }
+  const auto reports = table_.TakeUpdates()[kOwner].reports_;
+  ASSERT_EQ(reports.size(), 1U);
+  EXPECT_EQ(reports[0].end_, RunEnd::NotStarted);
+  EXPECT_EQ(Left(returned), RunTableOptions{}.lease_);
+}
+
+TEST_F(EndedLinkTest, AnOrderDoesNotStartOnALeaseThatWasGivenSince)
+{
+  table_.OnOwnerUnlinked(kOwner, At(0));
+  for (Millis ms{ 0 }; ms <= Millis(200); ms += kPollInterval) {
+    PollAt(ms);
+  }
+  Order(0, At(200));
+  EXPECT_EQ(Start(At(200)), 0U);
+  table_.OnOwnerHeard(kOwner, At(210));
+  EXPECT_EQ(Start(At(210)), 0U) << "heard of, but not linked";
+  table_.OnOwnerLinked(kOwner, At(220));
+  EXPECT_EQ(Start(At(220)), 1U);
+}
+
+TEST_F(EndedLinkTest, ALinkThatIsReplacedEndsNoRun)
+{
+  EXPECT_GE(ReplaceLink(Millis(0)), Millis(800));
+}
+
+// As long as without the end of the link.
+TEST_F(EndedLinkTest, ALinkThatIsReplacedEndsNoRunOfAQuietOwner)
+{
+  // It is heard of at the time of a poll.
+  const Millis idle = kKeepAlive + kPollInterval - kKeepAlive % kPollInterval;
+  EXPECT_GE(ReplaceLink(idle),
+            RunTableOptions{}.ownerLease_ - idle - kRedialInterval);
+}
+
+// Two stops have no effect, and timers are early, so that each is repeated as
+// late as possible.
+TEST_F(EndedLinkTest, ARunOfAKilledOwnerIsStoppedBeforeOthersEndWithIt)
+{
+  OrderOfOther(0, Millis(0));
+  Order(0, At(0));
+  ASSERT_EQ(Start(At(0)), 2U);
+  table_.OnOwnerUnlinked(kOwner, At(0));
+  constexpr Millis kTickInterval{ 49 };
+  constexpr Millis kStopTime{ 50 };
+  /// What 1 s is shorter by on a clock that is 2 % fast.
+  constexpr Millis kFastClock{ 20 };
+  constexpr size_t kStops = 3;
+  size_t stops = 0;
+  Millis stopped{ 10000 };
+  for (Millis ms{ 0 }; ms <= Millis(2000); ++ms) {
+    if (ms % kTickInterval == Millis(0)) {
+      table_.Tick(At(ms));
+      stops += table_.TakeStops(At(ms)).size();
+      stopped = stops == kStops ? std::min(stopped, ms + kStopTime) : stopped;
+    }
+    if (ms == stopped) {
+      EndRun(Key(0));
+    }
+    if (ms % kPollInterval == Millis(0)) {
+      PollAt(ms);
+    }
+    EXPECT_GT(Left(ms), kFastClock) << ms.count();
+  }
+  EXPECT_EQ(stops, kStops);
+}
+
 } // namespace
 } // namespace cornelfront
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -87,6 +87,23 @@
 RunTable::OnOwnerLinked(MemberId aOwner, MonoTime aNow, Millis aAge)
 {
   DetectSuspension(aNow);
+  owners_[aOwner].unlinkedAt_.reset();
+  NoteHeard(aOwner, aNow, aAge);
+}
+
+void
+RunTable::OnOwnerUnlinked(MemberId aOwner, MonoTime aNow)
+{
+  DetectSuspension(aNow);
+  const auto owner = owners_.find(aOwner);
+  if (owner != owners_.end() && !owner->second.unlinkedAt_) {
+    owner->second.unlinkedAt_ = aNow;
+  }
+}
+
+void
+RunTable::NoteHeard(MemberId aOwner, MonoTime aNow, Millis aAge)
+{
   MonoTime& heardAt = owners_[aOwner].heardAt_;
   heardAt = std::max(heardAt, aNow - aAge);
   if (leader_ == aOwner) {
@@ -117,7 +134,7 @@
 {
   DetectSuspension(aNow);
   if (owners_.contains(aOwner)) {
-    OnOwnerLinked(aOwner, aNow, aAge);
+    NoteHeard(aOwner, aNow, aAge);
   }
 }
 
@@ -488,10 +505,7 @@
   }
   for (auto run = runs_.begin(); run != runs_.end();) {
     const auto next = std::next(run);
-    const Millis silence = OwnerSilence(run->second, aNow);
-    const bool lost = run->second.term_ > 0 ? silence >= options_.leaderTimeout_
-                                            : silence > options_.ownerTimeout_;
-    if (lost) {
+    if (IsOwnerLost(run->second, aNow)) {
       RequestStop(run, StopReason::OwnerLost, aNow, aNow);
     }
     run = next;
@@ -506,6 +520,20 @@
   });
 }
 
+bool
+RunTable::IsOwnerLost(const Run& aRun, MonoTime aNow) const
+{
+  const Millis silence = OwnerSilence(aRun, aNow);
+  if (aRun.term_ > 0) {
+    return silence >= options_.leaderTimeout_;
+  }
+  const auto owner = owners_.find(aRun.owner_);
+  const bool unlinked =
+    owner != owners_.end() && owner->second.unlinkedAt_ &&
+    Since(*owner->second.unlinkedAt_, aNow) > options_.unlinkedTimeout_;
+  return unlinked || silence > options_.ownerTimeout_;
+}
+
 Millis
 RunTable::OwnerSilence(const Run& aRun, MonoTime aNow) const
 {
--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -385,6 +385,10 @@
                    [](RunTable& aTable, MonoTime aNow) {
                      aTable.OnOwnerLinked(kOwner, aNow);
                    } },
+    FirstCallCase{ "owner_unlinked",
+                   [](RunTable& aTable, MonoTime aNow) {
+                     aTable.OnOwnerUnlinked(kOwner, aNow);
+                   } },
     FirstCallCase{ "owner_heard",
                    [](RunTable& aTable, MonoTime aNow) {
                      aTable.OnOwnerHeard(kOwner, aNow);
--- a/src/libcornelfront/policy/two_runs_sidecar_test.cpp
+++ b/src/libcornelfront/policy/two_runs_sidecar_test.cpp
@@ -282,6 +282,7 @@
   const auto owner = owners_.find(entry->second);
   if (owner != owners_.end() && owner->second.link_ == aLink) {
     owners_.erase(owner);
+    table_.OnOwnerUnlinked(entry->second, Now());
   }
   entries_.erase(entry);
 }
