A job of an earlier term waits for the takeover, whenever its queue is known

What callers could see: a task of a stored job runs twice at the same time (TWICE), or once more than its attempts allow (BUDGET).

Cause: only what a leader knew when it began to lead was taken for an earlier leader's. A job whose queue became known later was started during the takeover, with the numbers of a new job. What counts is the term under which the job was accepted, which the replica has.

--- a/src/libcornelfront/platform/stored_jobs_test.cpp
+++ b/src/libcornelfront/platform/stored_jobs_test.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace cornelfront {
 namespace {
@@ -438,5 +439,27 @@
   EXPECT_TRUE(RunUntil([this] { return Count<SendAcknowledgement>() == 1; }));
 }
 
+// Its earlier leader may have started it on a sidecar that has not been taken
+// over.
+TEST_F(StoredJobsTest, AJobWhoseQueueIsKnownLateWaitsForTheTakeover)
+{
+  constexpr MemberId kNotTakenOver{ 78 };
+  records_ = { MakeLeaderRecord(
+                 { .term_ = 7, .id_ = MemberId{ 77 }, .name_ = "x" }),
+               SidecarRecord("s", kSidecar),
+               SidecarRecord("s2", kNotTakenOver),
+               Accepted() };
+  const auto queue = std::exchange(queue_, std::nullopt);
+  LinkSidecar();
+  ASSERT_TRUE(RunUntilLeader());
+  stored_->OnTakenOver("s", kSidecar, stored_->Term());
+  RunUntil([] { return false; }, Millis(200));
+  queue_ = queue;
+  EXPECT_FALSE(RunUntil([this] { return Count<SendRuns>() > 0; }, Millis(700)));
+  stored_->OnTakenOver("s2", kNotTakenOver, stored_->Term());
+  ASSERT_TRUE(RunUntil([this] { return Count<SendRuns>() > 0; }, Millis(700)));
+  EXPECT_GT(FirstRun(), 8000U) << "numbers of an earlier term";
+}
+
 } // namespace
 } // namespace cornelfront
--- a/src/libcornelfront/stored_jobs.cpp
+++ b/src/libcornelfront/stored_jobs.cpp
@@ -171,7 +171,7 @@
       UpdateRegisteredSidecars();
     }
     for (const std::string& job : changed) {
-      AdvanceJob(job, false, now);
+      AdvanceJob(job, now);
     }
     AcknowledgeKeptEnds(now);
     hooks_.onActions_();
@@ -235,7 +235,7 @@
     jobs.push_back(id);
   }
   for (const std::string& id : jobs) {
-    AdvanceJob(id, true, aNow);
+    AdvanceJob(id, aNow);
   }
   announcedAuthority_ = leadership_.AuthorityUntil();
   hooks_.onBecomeLeader_({ term, AuthorityLeft(aNow) });
@@ -303,9 +303,7 @@
 }
 
 void
-StoredJobs::AdvanceJob(const std::string& aJob,
-                       bool aFromEarlierLeader,
-                       MonoTime aNow)
+StoredJobs::AdvanceJob(const std::string& aJob, MonoTime aNow)
 {
   const auto found = replica_.Jobs().find(aJob);
   if (found == replica_.Jobs().end()) {
@@ -329,10 +327,8 @@
     Close(aJob, JobState::Cancelled);
     return;
   }
-  StartInstances(aJob,
-                 entry,
-                 aFromEarlierLeader && entry.acceptedTerm_ < leadership_.Term(),
-                 aNow);
+  // The queue of a job may become known only after this process leads.
+  StartInstances(aJob, entry, entry.acceptedTerm_ < leadership_.Term(), aNow);
 }
 
 void
@@ -593,7 +589,7 @@
     }
   }
   for (const std::string& id : jobs) {
-    AdvanceJob(id, false, aNow);
+    AdvanceJob(id, aNow);
   }
 }
 
--- a/src/libcornelfront/stored_jobs.h
+++ b/src/libcornelfront/stored_jobs.h
@@ -82,9 +82,7 @@
   /// Tells the sidecars of the authority if it now lasts longer.
   void AnnounceAuthority(MonoTime aNow);
   void Write(std::vector<KeyedRecord> aRecords, std::function<void()> aDone);
-  void AdvanceJob(const std::string& aJob,
-                  bool aFromEarlierLeader,
-                  MonoTime aNow);
+  void AdvanceJob(const std::string& aJob, MonoTime aNow);
   void StartInstances(const std::string& aJob,
                       const JobReplica::StoredJob& aEntry,
                       bool aFromEarlierLeader,
