Entries keep the number under which a sidecar has ordered a run

A surviving entry whose sidecar is replaced takes an end that is found under its own number for that of its run; the lost sidecar may have ordered that run under another one, since the number was used at the upstream.

The lost sidecar has listed the run with that number before the order (LateOrders). The entry notes it with the run, so that a found end counts only under the number that the upstream has, and an order that is lost with the sidecar is known under its real number.

A sidecar that is killed between its listing and the arrival of it leaves the old behaviour.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -602,6 +602,8 @@
                        const OrderedRun& aRun,
                        bool aReplaced,
                        MonoTime aNow);
+  /// A sidecar lists a run that it orders under another number than its own.
+  void NoteUpstreamNumber(MemberId aSidecar, const LateOrder& aOrder);
   void PlaceJobsOf(const std::vector<JobTaskId>& aTasks, MonoTime aNow);
   /// True if the next run of the task has to be the only one on its upstream.
   bool MustRunAlone(const JobTaskId& aTaskId,
--- a/src/libcornelfront/policy/job_holds.cpp
+++ b/src/libcornelfront/policy/job_holds.cpp
@@ -30,9 +30,27 @@
                            MonoTime aNow)
 {
   DetectSuspension(aNow);
+  for (const LateOrder& order : aOrders.orders_) {
+    NoteUpstreamNumber(aSidecar, order);
+  }
   PlaceJobsOf(lateOrders_.Record(aSidecar, aOrders, aNow), aNow);
 }
 
+void
+JobScheduler::NoteUpstreamNumber(MemberId aSidecar, const LateOrder& aOrder)
+{
+  const Task* task = FindTask(aOrder.task_);
+  const auto sidecar = sidecars_.find(aSidecar);
+  if (task == nullptr || sidecar == sidecars_.end() ||
+      aOrder.state_ == LateOrderState::Settled || aOrder.upstreamNumber_ == 0) {
+    return;
+  }
+  const auto run = sidecar->second.runs_.find({ aOrder.task_, task->run_ });
+  if (run != sidecar->second.runs_.end() && !run->second.inherited_) {
+    run->second.upstreamNumber_ = aOrder.upstreamNumber_;
+  }
+}
+
 void
 JobScheduler::PlaceJobsOf(const std::vector<JobTaskId>& aTasks, MonoTime aNow)
 {
--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -696,6 +696,32 @@
   }
 }
 
+// The upstream has the present run under another number, of which the lost
+// sidecar had told.
+TEST_F(JobSchedulerTest, AnOldEndDoesNotEndARunThatItsSidecarHasRenumbered)
+{
+  constexpr MemberId kReplacement{ 9 };
+  Submit(Job());
+  const SendRuns sent = Take().runs_.at(0);
+  const JobTaskId task = sent.orders_.Task(sent.orders_.runs_[0]);
+  const LateOrders listed{
+    .orders_ = { { task, LateOrderState::Held, Millis(12000), 101 } }
+  };
+  scheduler_.OnLateOrders(sent.sidecar_, listed, At(5));
+  scheduler_.OnSidecarLost(sent.sidecar_, At(10));
+  scheduler_.OnSidecarReplaced(sent.sidecar_, kReplacement, At(50));
+  scheduler_.OnSidecarLinked(kReplacement, "z", At(60));
+  HeldRuns held;
+  held.reports_.push_back({ .key_ = { task, 1 },
+                            .end_ = RunEnd::Done,
+                            .unacknowledged_ = true,
+                            .found_ = true });
+  scheduler_.OnHeldRuns(kReplacement, held, RunEnd::Lost, At(60));
+  SortedActions actions = Take();
+  EXPECT_TRUE(actions.answers_.empty());
+  EXPECT_EQ(actions.Runs(), 0U) << "run 101 may go on";
+}
+
 // The client may have left right after the entry stood still, whatever the
 // entry handles first.
 TEST_F(JobSchedulerTest, TheStopOfAnAbandonedRunCountsFromTheEntrysStandstill)
