--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -33,6 +33,8 @@
 /// Accepted jobs must end within this time after the callers stop.
 constexpr Millis kCompletionTimeout{ 25000 };
 constexpr Millis kServeTimeout{ 10000 };
+/// Time that a stop may take to reach its executor.
+constexpr Millis kStopOnItsWay{ 200 };
 
 struct Options
 {
@@ -116,6 +118,10 @@
   const WallMillis end = WallMillisNow();
   callers.Stop();
   callers.ReadStates(kCompletionTimeout);
+  if (aOptions.stopMs_ > 0) {
+    // The other runs of a job that has just failed are told to stop.
+    std::this_thread::sleep_for(Millis(aOptions.stopMs_) + kStopOnItsWay);
+  }
   Observations observations{ .jobs_ = callers.Jobs(),
                              .runs_ = aCluster.Runs(),
                              .noStart_ = injector.NoStartIntervals(end),
