--- a/src/libcornelfront/policy/job_runs.cpp
+++ b/src/libcornelfront/policy/job_runs.cpp
@@ -135,8 +135,9 @@
   if (run == aSidecar.runs_.end()) {
     return false;
   }
-  // Each entry numbers runs from 1, and the upstream may have had the task from
-  // an earlier one. What this sidecar has got itself it does not merely find.
+  // Each entry numbers runs from 1, so a found end under this number may be
+  // that of another entry's run, which a predecessor of the sidecar started. Of
+  // the runs that the sidecar got itself it sends reports of its own.
   const OrderedRun& ordered = run->second;
   if (aReport.found_ &&
       (!ordered.inherited_ || ordered.upstreamNumber_ != aReport.key_.run_)) {
