--- a/src/include/cornelfront/http_client.h
+++ b/src/include/cornelfront/http_client.h
@@ -35,6 +35,8 @@
   size_t receivedBytes_ = 0;
   /// The request opened a connection of its own.
   bool openedConnection_ = false;
+  /// Times the request was issued, repeats by libcurl included.
+  int issued_ = 0;
 
   /// True if a response with a 2xx status arrived.
   bool Ok() const
--- a/src/libcornelfront/net/curl_transfer.cpp
+++ b/src/libcornelfront/net/curl_transfer.cpp
@@ -85,6 +85,13 @@
 {
 }
 
+int
+CurlTransfer::BeforeIssue(void* aTransfer, char*, char*, int, int)
+{
+  ++static_cast<CurlTransfer*>(aTransfer)->result_.issued_;
+  return CURL_PREREQFUNC_OK;
+}
+
 size_t
 CurlTransfer::CollectHeader(char* aData,
                             size_t aSize,
@@ -142,6 +149,8 @@
                    static_cast<long>(request_.connectTimeout_.count()));
   curl_easy_setopt(
     aEasy, CURLOPT_TIMEOUT_MS, static_cast<long>(request_.timeout_.count()));
+  curl_easy_setopt(aEasy, CURLOPT_PREREQFUNCTION, &CurlTransfer::BeforeIssue);
+  curl_easy_setopt(aEasy, CURLOPT_PREREQDATA, this);
   curl_easy_setopt(aEasy, CURLOPT_WRITEFUNCTION, &CurlTransfer::CollectBody);
   curl_easy_setopt(aEasy, CURLOPT_WRITEDATA, this);
   curl_easy_setopt(aEasy, CURLOPT_HEADERFUNCTION, &CurlTransfer::CollectHeader);
--- a/src/libcornelfront/net/curl_transfer_pvt.h
+++ b/src/libcornelfront/net/curl_transfer_pvt.h
@@ -52,6 +52,12 @@
   std::optional<MonoTime> LastByte() const { return lastByte_; }
 
 private:
+  /// Called by libcurl each time it is about to issue the request.
+  static int BeforeIssue(void* aTransfer,
+                         char* aServerIp,
+                         char* aLocalIp,
+                         int aServerPort,
+                         int aLocalPort);
   static size_t CollectHeader(char* aData,
                               size_t aSize,
                               size_t aCount,
--- a/src/libcornelfront/platform/executor_client.cpp
+++ b/src/libcornelfront/platform/executor_client.cpp
@@ -281,7 +281,9 @@
                      LOG(INFO)
                        << "job=" << key.task_.job_ << " run=" << ToString(key)
                        << " fence=" << fence << " born=" << born << " reason=\""
-                       << result.reason_ << "\" outcome="
+                       << result.reason_ << "\" issued=" << aResult.issued_
+                       << " new_connection=" << aResult.openedConnection_
+                       << " outcome="
                        << (result.answer_ == StartAnswer::Unknown
                              ? "start_unknown"
                              : "not_started");
@@ -306,7 +308,7 @@
                    if (!aResult.Ok()) {
                      LOG(WARNING)
                        << "stop run=" << ToString(aKey) << " fence=" << fence
-                       << " failed: "
+                       << " issued=" << aResult.issued_ << " failed: "
                        << (aResult.error_.empty()
                              ? std::to_string(aResult.response_.status_)
                              : aResult.error_);
@@ -382,7 +384,7 @@
     LOG(WARNING) << "poll of the upstream failed: "
                  << (aResult.error_.empty() ? std::to_string(status)
                                             : aResult.error_)
-                 << " fence=" << aFence;
+                 << " fence=" << aFence << " issued=" << aResult.issued_;
     const bool fenced =
       aResult.failure_ == HttpFailure::None && status == kStatusConflict;
     return fenced ? PollOutcome::Fenced : PollOutcome::Silent;
--- a/src/libcornelfront/platform/store_client.cpp
+++ b/src/libcornelfront/platform/store_client.cpp
@@ -153,8 +153,9 @@
   LOG(INFO) << "store topic=" << aTopic << " call=" << aCall << " ms="
             << std::chrono::duration_cast<Millis>(aNow - aStart).count()
             << " bytes=" << aResult.receivedBytes_
-            << " new_connection=" << aResult.openedConnection_ << " reason=\""
-            << Reason(aResult) << "\" outcome=read_failed";
+            << " new_connection=" << aResult.openedConnection_
+            << " issued=" << aResult.issued_ << " reason=\"" << Reason(aResult)
+            << "\" outcome=read_failed";
 }
 
 /// Percent-encodes a value for a URL query.
@@ -270,7 +271,8 @@
          const StoreOutcome outcome = OutcomeOf(aResult);
          if (outcome != StoreOutcome::Ok) {
            LOG(WARNING) << "append to " << aTopic
-                        << " failed: " << Reason(aResult);
+                        << " failed: " << Reason(aResult)
+                        << " issued=" << aResult.issued_;
          }
          done(outcome);
        });
