A repeat that libcurl is kept from making opens no connection

The mend before lets libcurl open a connection for the repeat and ends the call when it is about to issue it there. Connections to executors are priced, and an executor that has crashed behind a silent address would delay the answer "unknown" by the connect time-out. Measured by LostExecutorAnswer.ALostAnswerOpensNoConnection: 3 connections before, 2 now.

--- a/src/libcornelfront/net/curl_transfer.cpp
+++ b/src/libcornelfront/net/curl_transfer.cpp
@@ -111,6 +111,17 @@
   return CURL_PREREQFUNC_OK;
 }
 
+curl_socket_t
+CurlTransfer::OpenSocket(void* aTransfer, curlsocktype, curl_sockaddr* aAddress)
+{
+  auto* transfer = static_cast<CurlTransfer*>(aTransfer);
+  if (!transfer->MayIssue()) {
+    transfer->repeatPrevented_ = true;
+    return CURL_SOCKET_BAD;
+  }
+  return socket(aAddress->family, aAddress->socktype, aAddress->protocol);
+}
+
 size_t
 CurlTransfer::CollectHeader(char* aData,
                             size_t aSize,
@@ -171,6 +182,10 @@
     aEasy, CURLOPT_TIMEOUT_MS, static_cast<long>(request_.timeout_.count()));
   curl_easy_setopt(aEasy, CURLOPT_PREREQFUNCTION, &CurlTransfer::BeforeIssue);
   curl_easy_setopt(aEasy, CURLOPT_PREREQDATA, this);
+  // A repeat that is not made needs no connection either.
+  curl_easy_setopt(
+    aEasy, CURLOPT_OPENSOCKETFUNCTION, &CurlTransfer::OpenSocket);
+  curl_easy_setopt(aEasy, CURLOPT_OPENSOCKETDATA, this);
   curl_easy_setopt(aEasy, CURLOPT_WRITEFUNCTION, &CurlTransfer::CollectBody);
   curl_easy_setopt(aEasy, CURLOPT_WRITEDATA, this);
   curl_easy_setopt(aEasy, CURLOPT_HEADERFUNCTION, &CurlTransfer::CollectHeader);
--- a/src/libcornelfront/net/curl_transfer_pvt.h
+++ b/src/libcornelfront/net/curl_transfer_pvt.h
@@ -62,6 +62,10 @@
                          char* aLocalIp,
                          int aServerPort,
                          int aLocalPort);
+  /// Called by libcurl when it needs a new connection.
+  static curl_socket_t OpenSocket(void* aTransfer,
+                                  curlsocktype aPurpose,
+                                  curl_sockaddr* aAddress);
   static size_t CollectHeader(char* aData,
                               size_t aSize,
                               size_t aCount,
--- a/src/libcornelfront/platform/lost_answer_test.cpp
+++ b/src/libcornelfront/platform/lost_answer_test.cpp
@@ -119,6 +119,16 @@
   EXPECT_EQ(Start(1).at(0), StartAnswer::NotSent);
 }
 
+TEST_F(LostExecutorAnswer, ALostAnswerOpensNoConnection)
+{
+  Start(1);
+  executor_.AddSteps({ Fate::AnswerLost });
+  EXPECT_EQ(Start(1).at(0), StartAnswer::Unknown);
+  Poll();
+  constexpr int kOneForOrdersOneForPolls = 2;
+  EXPECT_EQ(executor_.Connections(), kOneForOrdersOneForPolls);
+}
+
 TEST_F(LostExecutorAnswer, APollIsSilentAndIsSentOnce)
 {
   EXPECT_EQ(Poll(), PollOutcome::Ok);
