Give no order the name of an end that was found before

Callers saw a job answered as completed before its task had run: a sidecar finds a done run of before at its upstream and tells an entry, the entry orders a run of its own under that number there, the sidecar is killed before it has sent it, and the next one finds the same end. The run is then an inherited one with the upstream's number of the end, so that it counts.

Cause: run numbers begin at 1 in each entry, and an entry that had been told of the end did not keep its number from its own orders.

A found end now raises the numbers that the entry uses for the job: of the tasks that it holds (endedRun_, as for stored jobs) and of a job that comes later (usedRuns_, as after one that was dropped). An end told again then has the name of no order.

Not covered: an entry that was not told of the end, since another leads when it is linked; usedRunRetention_ (10 s) after the telling.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -392,7 +392,8 @@
     TaskState state_ = TaskState::Blocked;
     uint32_t run_ = 0;
     std::set<uint32_t> failedRuns_;
-    /// Highest run number that is known to have ended; stored jobs only.
+    /// Highest run number that is known to have ended: for a stored job, of its
+    /// runs; for others, of those that sidecars found at their upstreams.
     uint32_t endedRun_ = 0;
     MemberId sidecar_;
     MonoTime sentAt_;
@@ -500,7 +501,7 @@
   };
   using Sidecars = std::map<MemberId, Sidecar>;
 
-  /// Run numbers of a best-effort job that is gone.
+  /// Run numbers of a best-effort job that upstreams may know.
   struct UsedRuns
   {
     uint32_t highestRun_ = 0;
@@ -717,8 +718,12 @@
   static bool EraseOrdered(Sidecar& aSidecar, const RunReport& aReport);
   void OnTaskDone(Job& aJob, const JobTaskId& aTaskId, MonoTime aNow);
   /// Returns the highest number that this entry has given to a run of the job
-  /// of late; 0 if none.
+  /// of late, or that a sidecar has found at its upstream; 0 if none.
   uint32_t HighestUsedRun(const std::string& aJob) const;
+  void RaiseUsedRuns(const std::string& aJob, uint32_t aRun, MonoTime aNow);
+  /// A sidecar has found an end that may be told again by its successor. No
+  /// order may get its name from now on.
+  void NoteFoundEnd(const RunKey& aKey, MonoTime aNow);
   /// Counts a failed run; fails the job once the attempts are used up.
   void OnTaskFailed(Job& aJob, const RunKey& aKey, MonoTime aNow);
   void RestartGang(Job& aJob, uint32_t aStep);
@@ -776,8 +781,9 @@
   bool takingOver_ = false;
   std::set<MemberId> registeredSidecars_;
   Sidecars sidecars_;
-  /// Best-effort jobs by id. If one is submitted again, its runs get higher
-  /// numbers, so that the end of an earlier one is not taken for theirs.
+  /// By id of best-effort jobs, also of those that are not here. The runs of
+  /// one that is submitted get higher numbers, so that the end of an earlier
+  /// run is not taken for theirs.
   std::map<std::string, UsedRuns> usedRuns_;
   std::set<std::string> zonesOut_;
   std::map<std::string, Durations> durations_;
--- a/src/libcornelfront/policy/job_runs.cpp
+++ b/src/libcornelfront/policy/job_runs.cpp
@@ -85,6 +85,9 @@
     return;
   }
   const bool known = EraseOrdered(sidecar->second, aReport);
+  if (aReport.found_) {
+    NoteFoundEnd(aReport.key_, aNow);
+  }
   const JobTaskId& taskId = aReport.key_.task_;
   Job* job = FindJob(InstanceOf(taskId));
   Task* found = FindTask(taskId);
@@ -147,6 +150,20 @@
   return true;
 }
 
+void
+JobScheduler::NoteFoundEnd(const RunKey& aKey, MonoTime aNow)
+{
+  const Job* job = FindJob(InstanceOf(aKey.task_));
+  if (job != nullptr && job->stored_) {
+    // OnStoredEnd counts it, and the store keeps its number.
+    return;
+  }
+  if (Task* task = FindTask(aKey.task_)) {
+    task->endedRun_ = std::max(task->endedRun_, aKey.run_);
+  }
+  RaiseUsedRuns(aKey.task_.job_, aKey.run_, aNow);
+}
+
 void
 JobScheduler::OnTaskDone(Job& aJob, const JobTaskId& aTaskId, MonoTime aNow)
 {
--- a/src/libcornelfront/policy/job_scheduler.cpp
+++ b/src/libcornelfront/policy/job_scheduler.cpp
@@ -122,6 +122,15 @@
   return found == usedRuns_.end() ? 0 : found->second.highestRun_;
 }
 
+void
+JobScheduler::RaiseUsedRuns(const std::string& aJob,
+                            uint32_t aRun,
+                            MonoTime aNow)
+{
+  UsedRuns& used = usedRuns_[aJob];
+  used = { std::max(used.highestRun_, aRun), aNow };
+}
+
 void
 JobScheduler::RejectOld(JobSubmissionId aSubmissionId, const std::string& aJob)
 {
@@ -481,7 +490,7 @@
   for (uint32_t s = 0; s < aJob.steps_.size(); ++s) {
     auto& tasks = aJob.steps_[s].tasks_;
     for (uint32_t i = 0; i < tasks.size(); ++i) {
-      highestRun = std::max(highestRun, tasks[i].run_);
+      highestRun = std::max({ highestRun, tasks[i].run_, tasks[i].endedRun_ });
       if (tasks[i].state_ == TaskState::Sent) {
         const RunKey key{ { aJob.spec_.id_, aJob.occurrence_, s, i },
                           tasks[i].run_ };
@@ -501,7 +510,7 @@
   if (!aJob.stored_) {
     submissions_.erase(aJob.submissionId_);
     if (highestRun > 0) {
-      usedRuns_[aJob.spec_.id_] = { highestRun, standstill_.LastCall() };
+      RaiseUsedRuns(aJob.spec_.id_, highestRun, standstill_.LastCall());
     }
   }
   jobs_.erase(id);
--- a/src/libcornelfront/policy/job_scheduler_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_test.cpp
@@ -722,6 +722,53 @@
   EXPECT_EQ(actions.Runs(), 0U) << "run 101 may go on";
 }
 
+/// An end that a sidecar has found at its upstream.
+RunReport
+FoundEnd(uint32_t aRun, RunEnd aEnd = RunEnd::Done)
+{
+  return { .key_ = { { .job_ = kJob }, aRun },
+           .end_ = aEnd,
+           .unacknowledged_ = true,
+           .found_ = true };
+}
+
+// The sidecar may be lost before it has sent the order; the next one finds the
+// same end, which could be that of the order by its name.
+TEST_F(JobSchedulerTest, NoOrderGetsTheNameOfAnEndThatWasFoundBefore)
+{
+  constexpr MemberId kReplacement{ 9 };
+  scheduler_.OnReports(
+    kFirst, { .reports_ = { FoundEnd(1) }, .upstream_ = Idle("u1") }, At(1));
+  Submit(Job(), 2);
+  const SendRuns sent = Take().runs_.at(0);
+  scheduler_.OnSidecarLost(sent.sidecar_, At(10));
+  scheduler_.OnSidecarReplaced(sent.sidecar_, kReplacement, At(50));
+  scheduler_.OnSidecarLinked(kReplacement, "z", At(60));
+  HeldRuns held;
+  held.reports_ = { FoundEnd(1) };
+  scheduler_.OnHeldRuns(kReplacement, held, RunEnd::Lost, At(60));
+  EXPECT_TRUE(Take().answers_.empty());
+}
+
+TEST_F(JobSchedulerTest, NoLaterRunOfAJobGetsTheNameOfAnEndThatWasFound)
+{
+  Submit(Job());
+  SendRuns sent = Take().runs_.at(0);
+  EXPECT_EQ(sent.orders_.runs_[0].run_, 1U);
+  scheduler_.OnReports(sent.sidecar_,
+                       { .reports_ = { FoundEnd(2) }, .upstream_ = Idle("u1") },
+                       At(10));
+  End(sent, RunEnd::NotStarted, 20);
+  sent = Take().runs_.at(0);
+  EXPECT_EQ(sent.orders_.runs_[0].run_, 3U);
+  scheduler_.OnReports(sent.sidecar_,
+                       { .reports_ = { FoundEnd(7) }, .upstream_ = Idle("u1") },
+                       At(30));
+  scheduler_.OnClientDisconnected(1, At(40));
+  Submit(Job(), 50, 2);
+  EXPECT_EQ(Take().runs_.at(0).orders_.runs_[0].run_, 8U);
+}
+
 // The client may have left right after the entry stood still, whatever the
 // entry handles first.
 TEST_F(JobSchedulerTest, TheStopOfAnAbandonedRunCountsFromTheEntrysStandstill)
