HttpReply: close the connection without a response

No stand-in could carry out a call and end its connection: replies that are withheld keep it open. A handler now calls Close() instead of Send(); what ends a request is a variant of both, visited where MHD asks for the answer. The first of the two counts, as before. No product code calls it.

--- a/src/include/cornelfront/http_server.h
+++ b/src/include/cornelfront/http_server.h
@@ -52,8 +52,8 @@
 };
 
 /// Handle for responding to one request. All copies refer to the same request:
-/// only the first Send has an effect, and if the last copy is destroyed without
-/// a Send, the client gets status 500.
+/// only the first Send or Close has an effect, and if the last copy is
+/// destroyed without either, the client gets status 500.
 class HttpReply
 {
 public:
@@ -63,6 +63,9 @@
 
   /// Sends the response; later calls do nothing. Thread-safe.
   void Send(HttpResponse aResponse) const;
+  /// Closes the connection without a response, so that the client cannot tell
+  /// whether its request was carried out; later calls do nothing. Thread-safe.
+  void Close() const;
 
   /// Returns true if the client has closed its connection, as far as this has
   /// reached the server. Must be called on the thread of the server's event
--- a/src/libcornelfront/net/http_server.cpp
+++ b/src/libcornelfront/net/http_server.cpp
@@ -22,6 +22,7 @@
 #include <optional>
 #include <stdexcept>
 #include <unordered_set>
+#include <variant>
 
 namespace cornelfront {
 
@@ -36,6 +37,12 @@
   std::unordered_set<HttpReply::State*> replies_;
 };
 
+/// Ends a request without a response.
+struct CloseConnection
+{};
+
+using RequestEnd = std::variant<HttpResponse, CloseConnection>;
+
 /// Returns true if the other side has closed the connection and all that it
 /// sent before has been read. Readable data is a pipelined request.
 bool
@@ -94,7 +101,7 @@
   std::mutex mutex_;
   MHD_Connection* connection_ = nullptr;
   bool suspended_ = false;
-  std::optional<HttpResponse> response_;
+  std::optional<RequestEnd> end_;
   std::shared_ptr<PendingReplies> pending_;
   /// Set on a server with an event loop.
   asio::io_context* loop_ = nullptr;
@@ -107,13 +114,13 @@
     pending_->replies_.erase(this);
   }
 
-  void Send(HttpResponse aResponse)
+  void End(RequestEnd aEnd)
   {
     std::lock_guard lock(mutex_);
-    if (response_) {
+    if (end_) {
       return;
     }
-    response_ = std::move(aResponse);
+    end_ = std::move(aEnd);
     watch_.reset();
     if (suspended_) {
       suspended_ = false;
@@ -203,6 +210,21 @@
   return result;
 }
 
+/// Ends a request as MHD's handler of requests.
+struct EndRequest
+{
+  MHD_Connection* connection_ = nullptr;
+
+  MHD_Result operator()(const HttpResponse& aResponse) const
+  {
+    return QueueResponse(connection_, aResponse);
+  }
+  MHD_Result operator()(const CloseConnection&) const
+  {
+    return MHD_NO; // closes the connection
+  }
+};
+
 } // namespace
 
 std::string
@@ -228,20 +250,26 @@
 void
 HttpReply::Send(HttpResponse aResponse) const
 {
-  state_->Send(std::move(aResponse));
+  state_->End(std::move(aResponse));
+}
+
+void
+HttpReply::Close() const
+{
+  state_->End(CloseConnection{});
 }
 
 bool
 HttpReply::HasClientLeft() const
 {
-  return state_->loop_ != nullptr && !state_->response_ &&
+  return state_->loop_ != nullptr && !state_->end_ &&
          IsClosedByPeer(SocketOf(state_->connection_));
 }
 
 void
 HttpReply::OnClientDisconnect(std::function<void()> aOnDisconnect) const
 {
-  if (state_->loop_ != nullptr && !state_->response_) {
+  if (state_->loop_ != nullptr && !state_->end_) {
     state_->watch_ = std::make_unique<DisconnectMonitor>(
       *state_->loop_, SocketOf(state_->connection_));
     state_->watch_->Start(std::move(aOnDisconnect));
@@ -400,7 +428,7 @@
     std::lock_guard lock(pending_->mutex_);
     pending_->stopping_ = true;
     for (HttpReply::State* reply : pending_->replies_) {
-      reply->Send(StoppedDuringRequest());
+      reply->End(StoppedDuringRequest());
     }
   }
 
@@ -529,8 +557,8 @@
       Dispatch(aState, aConnection);
     }
     std::lock_guard lock(aState.reply_->mutex_);
-    if (aState.reply_->response_) {
-      return QueueResponse(aConnection, *aState.reply_->response_);
+    if (aState.reply_->end_) {
+      return std::visit(EndRequest{ aConnection }, *aState.reply_->end_);
     }
     aState.reply_->suspended_ = true;
     MHD_suspend_connection(aConnection);
@@ -555,14 +583,14 @@
       stopping = pending_->stopping_;
     }
     if (stopping) {
-      aState.reply_->Send(Stopping());
+      aState.reply_->End(Stopping());
       return;
     }
     try {
       handler_(std::move(aState.request_), NewReply(aState.reply_));
     } catch (const std::exception& error) {
       LOG(ERROR) << "HTTP handler failed: " << error.what();
-      aState.reply_->Send(HandlerFailed());
+      aState.reply_->End(HandlerFailed());
     }
   }
 
@@ -570,7 +598,7 @@
   static HttpReply NewReply(const std::shared_ptr<HttpReply::State>& aState)
   {
     return HttpReply({ aState.get(), [aState](HttpReply::State*) {
-                        aState->Send(HandlerFailed());
+                        aState->End(HandlerFailed());
                       } });
   }
 
--- a/src/libcornelfront/net/http_server_test.cpp
+++ b/src/libcornelfront/net/http_server_test.cpp
@@ -4,6 +4,7 @@
 #include <asio.hpp>
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <memory>
 #include <thread>
 
@@ -86,6 +87,58 @@
   EXPECT_EQ(result.response_.status_, 413);
 }
 
+/// Sends a request on a connection of its own and returns all that comes back
+/// until the server closes it.
+std::string
+ReceiveUntilClosed(asio::io_context& aLoop, uint16_t aPort)
+{
+  asio::ip::tcp::socket socket(aLoop);
+  socket.connect({ asio::ip::address_v4::loopback(), aPort });
+  asio::write(socket,
+              asio::buffer(std::string("POST / HTTP/1.1\r\nHost: a\r\n"
+                                       "Content-Length: 4\r\n\r\n"
+                                       "body")));
+  std::string received;
+  asio::error_code error;
+  asio::read(socket, asio::dynamic_buffer(received), error);
+  EXPECT_EQ(error, asio::error::eof);
+  return received;
+}
+
+TEST(HttpServer, ClosesTheConnectionWithoutAResponse)
+{
+  std::atomic<int> requests = 0;
+  std::thread closer;
+  HttpServer server({}, [&](const HttpRequest&, const HttpReply& aReply) {
+    if (++requests == 1) {
+      aReply.Close();
+      aReply.Send({});
+      return;
+    }
+    closer = std::thread([aReply] {
+      std::this_thread::sleep_for(Millis(30));
+      aReply.Close();
+    });
+  });
+  asio::io_context loop;
+  EXPECT_EQ(ReceiveUntilClosed(loop, server.Port()), "") << "at once";
+  EXPECT_EQ(ReceiveUntilClosed(loop, server.Port()), "")
+    << "later, from another thread";
+  closer.join();
+  EXPECT_EQ(requests, 2);
+}
+
+TEST(HttpServer, SendsTheResponseThatCameBeforeAClose)
+{
+  HttpServer server({}, [](const HttpRequest&, const HttpReply& aReply) {
+    aReply.Send({ .body_ = "first" });
+    aReply.Close();
+  });
+  HttpClient client;
+  EXPECT_EQ(client.Perform({ .url_ = Url(server, "/") }).response_.body_,
+            "first");
+}
+
 // The request and the end of the connection wait while the loop stands still.
 TEST(HttpServer, TellsThatTheClientOfAWaitingRequestHasLeft)
 {
