Stand-ins: calls that were carried out and whose connection closed

A POST /control of "answers" (answer_faults.h) now does: exact counts, and shares drawn from a seeded generator. It leaves the other faults of the stand-in alone.

--- a/testsuite/standins/executor_standin.cpp
+++ b/testsuite/standins/executor_standin.cpp
@@ -9,6 +9,11 @@
 /// incarnation with "reborn": by turns under the id that it had and under
 /// another one. The lost orders arrive "late_ms" after a restart; with
 /// "late_orders", those that came while "unanswered" was set arrive at its end.
+/// A `POST /control` of the field "answers" sets the faults of answer_faults.h
+/// and nothing else: orders are counted, closed or refused, and stops and polls
+/// closed by their percentage; a closed poll is one whose wait has passed.
+
+#include "answer_faults.h"
 
 #include "cornelfront/http_client.h"
 #include "cornelfront/http_server.h"
@@ -76,6 +81,7 @@
 {
   HttpReply reply_;
   MonoTime until_;
+  Fate fate_ = Fate::Answered;
 };
 
 int64_t
@@ -104,18 +110,7 @@
     }
     const Json body = Json::parse(aRequest.body_, nullptr, false);
     if (aRequest.path_ == "/control") {
-      SetUnanswered(
-        body.value("unanswered", false), body.value("late_orders", false), now);
-      draining_ = body.value("draining", draining_);
-      stalls_ = body.value("stalls", stalls_);
-      loseStarts_ = body.value("lose_starts", 0);
-      if (body.value("fail_running", false)) {
-        FailRunning(now);
-      }
-      if (body.value("reborn", false)) {
-        Restart(now);
-        lateFrom_ = now + Millis(body.value("late_ms", 0));
-      }
+      SetFaults(body, now);
       aReply.Send({ .body_ = "{}" });
     } else if (aRequest.path_ == "/run-start" && loseStarts_ > 0) {
       --loseStarts_;
@@ -126,22 +121,8 @@
         lostStarts_.push_back(body);
       }
       withheldReplies_.push_back(aReply);
-    } else if (aRequest.Header("expected-instance", Id()) != Id()) {
-      aReply.Send(WithClock(421, now));
-    } else if (IsFenced(body)) {
-      aReply.Send(WithClock(409, now, "fence"));
-    } else if (aRequest.path_ == "/run-start") {
-      aReply.Send(Start(body, now));
-    } else if (aRequest.path_ == "/run-stop") {
-      Stop(body, now);
-      aReply.Send(WithClock(200, now));
-    } else if (aRequest.path_ == "/hold") {
-      Acknowledge(body.value("ackedUpto", 0UL), now);
-      ExtendLease(body, now);
-      polls_.push_back({ aReply, now + Millis(body.value("waitMs", 0)) });
-      AnswerPolls(now);
     } else {
-      aReply.Send({ .status_ = 404 });
+      Answer(aRequest, body, aReply, now);
     }
   }
 
@@ -170,6 +151,57 @@
   }
 
 private:
+  void SetFaults(const Json& aBody, MonoTime aNow)
+  {
+    if (aBody.contains("answers")) {
+      answerFaults_.Set(aBody["answers"], aNow);
+      return;
+    }
+    SetUnanswered(aBody.value("unanswered", false),
+                  aBody.value("late_orders", false),
+                  aNow);
+    draining_ = aBody.value("draining", draining_);
+    stalls_ = aBody.value("stalls", stalls_);
+    loseStarts_ = aBody.value("lose_starts", 0);
+    if (aBody.value("fail_running", false)) {
+      FailRunning(aNow);
+    }
+    if (aBody.value("reborn", false)) {
+      Restart(aNow);
+      lateFrom_ = aNow + Millis(aBody.value("late_ms", 0));
+    }
+  }
+
+  void Answer(const HttpRequest& aRequest,
+              const Json& aBody,
+              const HttpReply& aReply,
+              MonoTime aNow)
+  {
+    const bool isOrder = aRequest.path_ == "/run-start";
+    const Fate fate =
+      isOrder ? answerFaults_.Next(aNow) : answerFaults_.NextUnrefused(aNow);
+    if (fate == Fate::Refused) {
+      aReply.Send(WithClock(503, aNow));
+    } else if (aRequest.Header("expected-instance", Id()) != Id()) {
+      SendOrClose(aReply, fate, WithClock(421, aNow));
+    } else if (IsFenced(aBody)) {
+      SendOrClose(aReply, fate, WithClock(409, aNow, "fence"));
+    } else if (isOrder) {
+      SendOrClose(aReply, fate, Start(aBody, aNow));
+    } else if (aRequest.path_ == "/run-stop") {
+      Stop(aBody, aNow);
+      SendOrClose(aReply, fate, WithClock(200, aNow));
+    } else if (aRequest.path_ == "/hold") {
+      Acknowledge(aBody.value("ackedUpto", 0UL), aNow);
+      ExtendLease(aBody, aNow);
+      polls_.push_back(
+        { aReply, aNow + Millis(aBody.value("waitMs", 0)), fate });
+      AnswerPolls(aNow);
+    } else {
+      aReply.Send({ .status_ = 404 });
+    }
+  }
+
   std::string Id() const
   {
     return options_.id_ + "-" + std::to_string(incarnation_);
@@ -360,7 +392,8 @@
       if (!hasEnds && aNow < aPoll.until_) {
         return false;
       }
-      aPoll.reply_.Send({ .body_ = PollBody(aNow).dump() });
+      SendOrClose(
+        aPoll.reply_, aPoll.fate_, { .body_ = PollBody(aNow).dump() });
       return true;
     });
   }
@@ -437,6 +470,7 @@
   int loseStarts_ = 0;
   std::vector<Json> lostStarts_;
   std::optional<MonoTime> lateFrom_;
+  AnswerFaults answerFaults_;
   bool unanswered_ = false;
   bool lateOrders_ = false;
   bool draining_ = false;
--- a/testsuite/standins/store_standin.cpp
+++ b/testsuite/standins/store_standin.cpp
@@ -2,7 +2,11 @@
 /// Stand-in for the platform's store: topics of one partition, idempotent
 /// appends of producers, long-poll reads, and the newest record of each key.
 /// `POST /control` sets faults with a JSON object of the fields "down",
-/// "lose_append_answers" and "drop_history".
+/// "lose_append_answers", "drop_history" and "answers": the last holds the
+/// faults of answer_faults.h for the appends of its "topic", of all topics but
+/// that of the operator if it has none.
+
+#include "answer_faults.h"
 
 #include "cornelfront/codec.h"
 #include "cornelfront/http_server.h"
@@ -28,6 +32,8 @@
 constexpr size_t kLengthBytes = 4;
 constexpr size_t kOffsetBytes = 8;
 constexpr Millis kWakeInterval{ 20 };
+/// Its records come from the operator, and never again.
+constexpr std::string_view kOperatorTopic = "keyed.op";
 /// Number of newest appends of a producer that can be repeated: a repetition is
 /// answered like the first attempt and appends nothing.
 constexpr size_t kRememberedAppends = 5;
@@ -39,6 +45,9 @@
   std::string down_ = "no";
   /// Appends are carried out, but never answered.
   bool loseAppendAnswers_ = false;
+  AnswerFaults answers_;
+  /// Topic of answers_; empty if all but kOperatorTopic.
+  std::string answersTopic_;
 };
 
 /// State of an idempotent producer of a topic.
@@ -117,13 +126,7 @@
     } else if (faults_.down_ == "silent") {
       withheldReplies_.push_back(aReply);
     } else if (aRequest.path_ == "/log-append") {
-      const HttpResponse answer = Append(aRequest);
-      if (faults_.loseAppendAnswers_) {
-        withheldReplies_.push_back(aReply);
-      } else {
-        aReply.Send(answer);
-      }
-      AnswerReads(MonoClock::now());
+      AnswerAppend(aRequest, aReply);
     } else if (aRequest.path_ == "/log-read") {
       Read(aRequest, aReply);
     } else if (aRequest.path_ == "/log-newest") {
@@ -141,8 +144,38 @@
   }
 
 private:
+  void AnswerAppend(const HttpRequest& aRequest, const HttpReply& aReply)
+  {
+    const MonoTime now = MonoClock::now();
+    const Fate fate = FateOf(aRequest.Query("topic"), now);
+    if (fate == Fate::Refused) {
+      aReply.Send(Answer(503));
+      return;
+    }
+    const HttpResponse answer = Append(aRequest);
+    if (faults_.loseAppendAnswers_ && fate != Fate::Closed) {
+      withheldReplies_.push_back(aReply);
+    } else {
+      SendOrClose(aReply, fate, answer);
+    }
+    AnswerReads(now);
+  }
+
+  Fate FateOf(const std::string& aTopic, MonoTime aNow)
+  {
+    const bool counts = faults_.answersTopic_.empty()
+                          ? aTopic != kOperatorTopic
+                          : aTopic == faults_.answersTopic_;
+    return counts ? faults_.answers_.Next(aNow) : Fate::Answered;
+  }
+
   void SetFaults(const Json& aJson)
   {
+    if (aJson.contains("answers")) {
+      faults_.answersTopic_ = aJson["answers"].value("topic", "");
+      faults_.answers_.Set(aJson["answers"], MonoClock::now());
+      return;
+    }
     faults_.down_ = aJson.value("down", faults_.down_);
     faults_.loseAppendAnswers_ =
       aJson.value("lose_append_answers", faults_.loseAppendAnswers_);
