Soak: faults of answers beside all others

They say themselves how long they last, and leave a suspended executor alone, so they shorten no other fault. They count as no disturbance: the checks of aborted requests, drains and evacuations are as strict as before.

By reading, not traced: the next batch reuses the number of the one that was applied and called refused, so the store takes it for a repetition.

--- a/testsuite/soak/faults.cpp
+++ b/testsuite/soak/faults.cpp
@@ -13,14 +13,23 @@
 using harness::ProxiedLeg;
 
 constexpr std::array<std::string_view, kFaultKinds> kNames = {
-  "kill_entry",      "kill_sidecar",    "stop_entry",     "stop_sidecar",
-  "pause_entry",     "pause_sidecar",   "pause_executor", "reload_entry",
-  "delay_leg",       "cut_leg",         "drop_to_client", "drop_to_target",
-  "freeze_leg",      "silence_open",    "store_refuses",  "store_silent",
-  "store_loses",     "store_drops",     "executor_mute",  "executor_drains",
-  "executor_stalls", "executor_reborn", "zone_out",
+  "kill_entry",       "kill_sidecar",    "stop_entry",     "stop_sidecar",
+  "pause_entry",      "pause_sidecar",   "pause_executor", "reload_entry",
+  "delay_leg",        "cut_leg",         "drop_to_client", "drop_to_target",
+  "freeze_leg",       "silence_open",    "store_refuses",  "store_silent",
+  "store_loses",      "store_drops",     "executor_mute",  "executor_drains",
+  "executor_stalls",  "executor_reborn", "zone_out",       "executor_closes",
+  "executor_refuses", "store_closes",
 };
 
+/// Kinds of mixed faults come first.
+constexpr int kMixedKinds = static_cast<int>(FaultKind::ZoneOut) + 1;
+constexpr int kMinAnswerFaultMs = 500;
+constexpr int kMinAnswerFaultPercent = 10;
+constexpr int kMaxAnswerFaultPercent = 40;
+/// Sets the generator of answer faults apart from that of the other ones.
+constexpr uint64_t kAnswerFaultsSeed = 0x9e3779b97f4a7c15;
+
 constexpr int kMinDurationMs = 100;
 constexpr int kMaxDurationMs = 4000;
 /// A process that received SIGTERM is replaced after this time.
@@ -59,11 +68,21 @@
   return aKind >= FaultKind::DelayLeg && aKind <= FaultKind::SilenceOpen;
 }
 
+/// Returns true for faults of answers, each of which says how long it lasts
+/// when it begins. They end no process and no connection of an entry, so they
+/// excuse no missed bound of a drain or an evacuation and no aborted request.
+bool
+IsAnswerFault(FaultKind aKind)
+{
+  return static_cast<int>(aKind) >= kMixedKinds;
+}
+
 bool
 TargetsStore(FaultKind aKind)
 {
-  return aKind >= FaultKind::StoreRefuses &&
-         aKind <= FaultKind::StoreDropsHistory;
+  return (aKind >= FaultKind::StoreRefuses &&
+          aKind <= FaultKind::StoreDropsHistory) ||
+         aKind == FaultKind::StoreCloses;
 }
 
 /// Returns true for planned operations, which must not abort requests.
@@ -87,7 +106,10 @@
 public:
   explicit Planner(const FaultPlanOptions& aOptions)
     : options_(aOptions)
+    , mixedKinds_(Chosen(aOptions.kinds_, 0, kMixedKinds))
+    , answerKinds_(Chosen(aOptions.kinds_, kMixedKinds, kFaultKinds))
     , random_(aOptions.seed_)
+    , answerRandom_(aOptions.seed_ ^ kAnswerFaultsSeed)
   {
   }
 
@@ -95,6 +117,8 @@
   {
     std::vector<Fault> plan =
       options_.powerLossInterval_ > Millis(0) ? PowerLosses() : MixedFaults();
+    const std::vector<Fault> answerFaults = AnswerFaults();
+    plan.insert(plan.end(), answerFaults.begin(), answerFaults.end());
     std::stable_sort(
       plan.begin(), plan.end(), [](const Fault& aA, const Fault& aB) {
         return aA.at_ < aB.at_;
@@ -103,10 +127,56 @@
   }
 
 private:
+  /// Returns the kinds of a range that were chosen; all if none of any was.
+  static std::vector<FaultKind> Chosen(const std::vector<FaultKind>& aKinds,
+                                       int aFirst,
+                                       int aEnd)
+  {
+    std::vector<FaultKind> chosen;
+    for (const FaultKind kind : aKinds) {
+      if (static_cast<int>(kind) >= aFirst && static_cast<int>(kind) < aEnd) {
+        chosen.push_back(kind);
+      }
+    }
+    for (int kind = aFirst; aKinds.empty() && kind < aEnd; ++kind) {
+      chosen.push_back(static_cast<FaultKind>(kind));
+    }
+    return chosen;
+  }
+
+  /// These have a generator of their own, so that the plan of the other faults
+  /// of a seed is the same with and without them.
+  std::vector<Fault> AnswerFaults()
+  {
+    std::vector<Fault> plan;
+    if (answerKinds_.empty()) {
+      return plan;
+    }
+    const auto pick = [this](int aMin, int aMax) {
+      return std::uniform_int_distribution<int>(aMin, aMax)(answerRandom_);
+    };
+    for (Millis at = NextGap(answerRandom_); at < options_.length_;
+         at += NextGap(answerRandom_)) {
+      const int last = static_cast<int>(answerKinds_.size()) - 1;
+      plan.push_back(
+        { .kind_ = answerKinds_[static_cast<size_t>(pick(0, last))],
+          .at_ = at,
+          .length_ = Millis(pick(kMinAnswerFaultMs, kMaxDurationMs)),
+          .target_ = static_cast<unsigned>(
+            pick(0, static_cast<int>(options_.sidecars_) - 1)),
+          .percent_ = pick(kMinAnswerFaultPercent, kMaxAnswerFaultPercent),
+          .seed_ = answerRandom_() });
+    }
+    return plan;
+  }
+
   std::vector<Fault> MixedFaults()
   {
     std::vector<Fault> plan;
-    Millis at = NextGap();
+    if (mixedKinds_.empty()) {
+      return plan;
+    }
+    Millis at = NextGap(random_);
     while (at < options_.length_) {
       Fault fault = NextFault(at);
       const unsigned times =
@@ -117,7 +187,7 @@
         plan.push_back(fault);
         fault.at_ += kRepeatInterval;
       }
-      at += NextGap();
+      at += NextGap(random_);
     }
     return plan;
   }
@@ -157,20 +227,16 @@
   {
     return static_cast<unsigned>(Pick(0, static_cast<int>(aCount) - 1));
   }
-  Millis NextGap()
+  Millis NextGap(std::mt19937_64& aRandom) const
   {
     std::exponential_distribution<double> gap(
       1.0 / static_cast<double>(options_.meanGap_.count()));
-    return Millis(static_cast<int64_t>(gap(random_)));
+    return Millis(static_cast<int64_t>(gap(aRandom)));
   }
 
   FaultKind NextKind()
   {
-    if (options_.kinds_.empty()) {
-      return static_cast<FaultKind>(Pick(0, kFaultKinds - 1));
-    }
-    return options_
-      .kinds_[PickOf(static_cast<unsigned>(options_.kinds_.size()))];
+    return mixedKinds_[PickOf(static_cast<unsigned>(mixedKinds_.size()))];
   }
 
   ProxiedLeg NextLeg()
@@ -205,7 +271,10 @@
   }
 
   const FaultPlanOptions options_;
+  const std::vector<FaultKind> mixedKinds_;
+  const std::vector<FaultKind> answerKinds_;
   std::mt19937_64 random_;
+  std::mt19937_64 answerRandom_;
 };
 
 std::string
@@ -266,6 +335,22 @@
   }
 }
 
+std::string
+AnswerFields(const Fault& aFault)
+{
+  const std::string percent = std::to_string(aFault.percent_);
+  std::string fields = R"({"answers":{"for_ms":)" +
+                       std::to_string(aFault.length_.count()) + R"(,"seed":)" +
+                       std::to_string(aFault.seed_);
+  if (aFault.kind_ != FaultKind::ExecutorRefuses) {
+    fields += R"(,"close_percent":)" + percent;
+  }
+  if (aFault.kind_ != FaultKind::ExecutorCloses) {
+    fields += R"(,"refuse_percent":)" + percent;
+  }
+  return fields + "}}";
+}
+
 } // namespace
 
 std::string_view
@@ -333,7 +418,11 @@
       std::cout << from - started_ << " ms: " << ToString(change.fault_.kind_)
                 << " target=" << change.fault_.target_
                 << " leg=" << static_cast<int>(change.fault_.leg_)
-                << " ms=" << change.fault_.length_.count() << "\n";
+                << " ms=" << change.fault_.length_.count();
+      if (IsAnswerFault(change.fault_.kind_)) {
+        std::cout << " percent=" << change.fault_.percent_;
+      }
+      std::cout << "\n";
     } else {
       End(change.fault_);
       RecordHealed(change.fault_, WallMillisNow());
@@ -354,9 +443,36 @@
   }
 }
 
+bool
+FaultInjector::IsPaused(unsigned aExecutor) const
+{
+  return std::any_of(
+    injected_.begin(), injected_.end(), [&](const Injected& aInjected) {
+      return aInjected.fault_.kind_ == FaultKind::PauseExecutor &&
+             aInjected.fault_.target_ == aExecutor && aInjected.healed_ == 0;
+    });
+}
+
+bool
+FaultInjector::BeginAnswerFault(const Fault& aFault)
+{
+  if (TargetsStore(aFault.kind_)) {
+    cluster_.StoreFault(AnswerFields(aFault));
+    return true;
+  }
+  if (IsPaused(aFault.target_)) {
+    return false; // waking it would cut the other fault short
+  }
+  cluster_.ExecutorFault(aFault.target_, AnswerFields(aFault));
+  return true;
+}
+
 bool
 FaultInjector::Begin(const Fault& aFault)
 {
+  if (IsAnswerFault(aFault.kind_)) {
+    return BeginAnswerFault(aFault);
+  }
   const unsigned target = aFault.target_;
   switch (aFault.kind_) {
     case FaultKind::KillEntry:
@@ -404,6 +520,9 @@
 void
 FaultInjector::End(const Fault& aFault)
 {
+  if (IsAnswerFault(aFault.kind_)) {
+    return;
+  }
   const unsigned target = aFault.target_;
   switch (aFault.kind_) {
     case FaultKind::KillEntry:
@@ -489,7 +608,7 @@
 bool
 FaultInjector::AffectsExecutor(const Fault& aFault, unsigned aExecutor) const
 {
-  if (IsPlanned(aFault.kind_)) {
+  if (IsPlanned(aFault.kind_) || IsAnswerFault(aFault.kind_)) {
     return false;
   }
   const bool elsewhere = TargetsEntry(aFault.kind_) ||
@@ -551,6 +670,9 @@
     WallMillis calmFrom = started_;
     std::vector<std::pair<WallMillis, WallMillis>> disturbed;
     for (const Injected& injected : injected_) {
+      if (IsAnswerFault(injected.fault_.kind_)) {
+        continue;
+      }
       if (!IsPlanned(injected.fault_.kind_)) {
         disturbed.emplace_back(injected.from_,
                                injected.LastEffect() + kReconnectMs);
--- a/testsuite/soak/faults.h
+++ b/testsuite/soak/faults.h
@@ -44,9 +44,17 @@
   /// The executor crashes and starts as a new incarnation.
   ExecutorRestarts,
   ZoneOut,
+  // Faults of answers, which play beside all others.
+  /// A share of the calls is carried out, and the connections closed without an
+  /// answer.
+  ExecutorCloses,
+  /// A share of the orders is answered 503 and has done nothing.
+  ExecutorRefuses,
+  /// Both, for a share of the appends each.
+  StoreCloses,
 };
 
-constexpr size_t kFaultKinds = static_cast<size_t>(FaultKind::ZoneOut) + 1;
+constexpr size_t kFaultKinds = static_cast<size_t>(FaultKind::StoreCloses) + 1;
 
 std::string_view
 ToString(FaultKind aKind);
@@ -66,6 +74,10 @@
   unsigned target_ = 0;
   harness::ProxiedLeg leg_ = harness::ProxiedLeg::EntryToStore;
   Millis delay_{ 0 };
+  /// Of a fault of answers: the share of the calls, and the seed by which they
+  /// are drawn.
+  int percent_ = 0;
+  uint64_t seed_ = 0;
 };
 
 struct FaultPlanOptions
@@ -84,9 +96,9 @@
   Millis powerLossDown_{ 0 };
   /// Sidecars keep their power.
   bool powerLossEntriesOnly_ = false;
-  /// Kinds of mixed faults; all if empty.
+  /// Kinds of mixed faults and of faults of answers; all if empty.
   std::vector<FaultKind> kinds_;
-  /// Mean time between two mixed faults.
+  /// Mean time between two mixed faults, and between two faults of answers.
   Millis meanGap_{ 700 };
   Millis maxDelay_{ 300 };
   /// Disturbs the connections of clients, in two of three faults of a leg.
@@ -128,6 +140,9 @@
 
   /// Returns false if the fault could not be injected.
   bool Begin(const Fault& aFault);
+  /// Returns false if its executor is suspended and so can't be told.
+  bool BeginAnswerFault(const Fault& aFault);
+  bool IsPaused(unsigned aExecutor) const;
   void End(const Fault& aFault);
   void RecordHealed(const Fault& aFault, WallMillis aNow);
   void HealAll();
