Tests of what libcurl and libmicrohttpd do by themselves

DroppingServer can answer with given bytes, stay silent, send unasked and close half. A trial that expected MHD to refuse a request without Host failed: it is handled, and the test says so.

--- a/src/libcornelfront/net/dropping_server_test.h
+++ b/src/libcornelfront/net/dropping_server_test.h
@@ -33,10 +33,20 @@
     Gone,
     /// Not carried out; the connection closes without an answer.
     RequestLost,
+    /// Carried out; the connection stays open without an answer.
+    Silent,
+  };
+
+  /// Bytes that answer a request, which is carried out.
+  struct Raw
+  {
+    std::string bytes_;
+    /// The connection closes behind them.
+    bool close_ = true;
   };
 
   /// A status is answered without carrying the request out.
-  using Step = std::variant<Fate, int>;
+  using Step = std::variant<Fate, int, Raw>;
 
   struct Options
   {
@@ -82,6 +92,30 @@
     }
   }
 
+  /// Sends bytes on all connections that are open.
+  void SendUnasked(const std::string& aBytes)
+  {
+    for (const auto& weak : connections_) {
+      const ConnectionPtr connection = weak.lock();
+      if (connection && connection->socket_.is_open()) {
+        asio::error_code ignored;
+        asio::write(connection->socket_, asio::buffer(aBytes), ignored);
+      }
+    }
+  }
+
+  /// Closes the sending half of all connections.
+  void HalfCloseConnections()
+  {
+    for (const auto& weak : connections_) {
+      if (const ConnectionPtr connection = weak.lock()) {
+        asio::error_code ignored;
+        connection->socket_.shutdown(asio::ip::tcp::socket::shutdown_send,
+                                     ignored);
+      }
+    }
+  }
+
 private:
   struct Connection
   {
@@ -156,6 +190,11 @@
       Answer(aConnection, *status);
       return;
     }
+    if (const Raw* raw = std::get_if<Raw>(&step)) {
+      carriedOut_.push_back(aRequest);
+      Write(aConnection, raw->bytes_, raw->close_);
+      return;
+    }
     const Fate fate = std::get<Fate>(step);
     if (fate != Fate::RequestLost) {
       carriedOut_.push_back(aRequest);
@@ -164,6 +203,10 @@
       Answer(aConnection, kOk);
       return;
     }
+    if (fate == Fate::Silent) {
+      Receive(aConnection);
+      return;
+    }
     if (fate == Fate::Gone) {
       acceptor_.close();
       CloseConnections();
@@ -173,15 +216,23 @@
 
   void Answer(const ConnectionPtr& aConnection, int aStatus)
   {
-    aConnection->answer_ =
-      "HTTP/1.1 " + std::to_string(aStatus) +
-      " Status\r\nContent-Length: " + std::to_string(options_.body_.size()) +
-      "\r\n\r\n" + options_.body_;
+    Write(aConnection,
+          "HTTP/1.1 " + std::to_string(aStatus) +
+            " Status\r\nContent-Length: " +
+            std::to_string(options_.body_.size()) + "\r\n\r\n" + options_.body_,
+          false);
+  }
+
+  void Write(const ConnectionPtr& aConnection, std::string aBytes, bool aClose)
+  {
+    aConnection->answer_ = std::move(aBytes);
     asio::async_write(
       aConnection->socket_,
       asio::buffer(aConnection->answer_),
-      [this, aConnection](const asio::error_code& aError, size_t) {
-        if (!aError) {
+      [this, aConnection, aClose](const asio::error_code& aError, size_t) {
+        if (aClose) {
+          aConnection->socket_.close();
+        } else if (!aError) {
           Receive(aConnection);
         }
       });
--- a/src/libcornelfront/net/http_server_test.cpp
+++ b/src/libcornelfront/net/http_server_test.cpp
@@ -245,5 +245,152 @@
   EXPECT_EQ(result.failure_, HttpFailure::MayHaveBeenSent);
 }
 
+/// What libmicrohttpd does by itself: a server on an event loop, and clients
+/// that are plain sockets.
+class HttpServerLibrary : public testing::Test
+{
+protected:
+  using Socket = asio::ip::tcp::socket;
+
+  std::unique_ptr<HttpServer> Serve(HttpServerOptions aOptions)
+  {
+    aOptions.loop_ = &loop_;
+    return std::make_unique<HttpServer>(
+      aOptions, [this](const HttpRequest& aRequest, const HttpReply& aReply) {
+        handled_.push_back(aRequest.path_);
+        replies_.push_back(aReply);
+      });
+  }
+
+  Socket Connect(const HttpServer& aServer)
+  {
+    Socket socket(loop_);
+    socket.connect({ asio::ip::address_v4::loopback(), aServer.Port() });
+    return socket;
+  }
+
+  static std::string Get(const std::string& aPath)
+  {
+    return "GET " + aPath + " HTTP/1.1\r\nHost: a\r\n\r\n";
+  }
+
+  /// Runs the loop until the condition holds.
+  bool RunUntil(const std::function<bool()>& aCondition)
+  {
+    const MonoTime end = MonoClock::now() + Millis(8000);
+    while (!aCondition() && MonoClock::now() < end) {
+      loop_.run_one_for(Millis(20));
+    }
+    return aCondition();
+  }
+
+  /// Runs the loop until bytes have come, and returns them.
+  std::string Receive(Socket& aSocket)
+  {
+    EXPECT_TRUE(RunUntil([&] { return aSocket.available() > 0; }));
+    std::string bytes(aSocket.available(), '\0');
+    asio::read(aSocket, asio::buffer(bytes));
+    return bytes;
+  }
+
+  asio::io_context loop_;
+  std::vector<std::string> handled_;
+  std::vector<HttpReply> replies_;
+};
+
+TEST_F(HttpServerLibrary, RequestsBackToBackAreHandledOneAfterTheOther)
+{
+  const auto server = Serve({});
+  Socket client = Connect(*server);
+  asio::write(client, asio::buffer(Get("/a") + Get("/b")));
+  ASSERT_TRUE(RunUntil([&] { return !handled_.empty(); }));
+  EXPECT_EQ(handled_, std::vector<std::string>{ "/a" });
+  replies_.at(0).Send({ .body_ = "first" });
+  EXPECT_NE(Receive(client).find("first"), std::string::npos);
+  ASSERT_TRUE(RunUntil([&] { return handled_.size() == 2; }));
+  replies_.at(1).Send({ .body_ = "second" });
+  EXPECT_NE(Receive(client).find("second"), std::string::npos);
+}
+
+TEST_F(HttpServerLibrary, AReplyToAClientThatHasLeftReachesNoOther)
+{
+  const auto server = Serve({});
+  {
+    Socket leaves = Connect(*server);
+    asio::write(leaves, asio::buffer(Get("/left")));
+    ASSERT_TRUE(RunUntil([&] { return handled_.size() == 1; }));
+  }
+  Socket stays = Connect(*server);
+  asio::write(stays, asio::buffer(Get("/stays")));
+  ASSERT_TRUE(RunUntil([&] { return handled_.size() == 2; }));
+  replies_.at(0).Send({ .status_ = 503, .body_ = "left" });
+  ASSERT_TRUE(RunUntil([&] { return server->OpenRequests() == 1; }));
+  replies_.at(1).Send({ .body_ = "stays" });
+  const std::string answer = Receive(stays);
+  EXPECT_NE(answer.find("stays"), std::string::npos) << answer;
+  EXPECT_EQ(answer.find("503"), std::string::npos) << answer;
+}
+
+TEST_F(HttpServerLibrary, ItsOwnRefusalsReachNoHandler)
+{
+  const auto server = Serve({});
+  for (const std::string& request :
+       { "GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(100000, 'x') +
+           "\r\n\r\n",
+         std::string("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: "
+                     "99999999999999999999999\r\n\r\n") }) {
+    Socket client = Connect(*server);
+    asio::error_code ignored;
+    asio::write(client, asio::buffer(request), ignored);
+    const std::string status = Receive(client).substr(0, 12);
+    EXPECT_EQ(status.substr(0, 10), "HTTP/1.1 4") << status;
+  }
+  EXPECT_TRUE(handled_.empty());
+}
+
+TEST_F(HttpServerLibrary, ARequestWithoutAHostIsHandled)
+{
+  const auto server = Serve({});
+  Socket client = Connect(*server);
+  asio::write(client, asio::buffer(std::string("GET /a HTTP/1.1\r\n\r\n")));
+  ASSERT_TRUE(RunUntil([&] { return handled_.size() == 1; }));
+  replies_.at(0).Send({ .body_ = "answer" });
+  EXPECT_NE(Receive(client).find("answer"), std::string::npos);
+}
+
+TEST_F(HttpServerLibrary, AConnectionBeyondTheLimitWaits)
+{
+  const auto server = Serve({ .maxConnections_ = 1 });
+  auto first = std::make_unique<Socket>(Connect(*server));
+  asio::write(*first, asio::buffer(Get("/a")));
+  ASSERT_TRUE(RunUntil([&] { return handled_.size() == 1; }));
+  Socket second = Connect(*server);
+  asio::write(second, asio::buffer(Get("/b")));
+  replies_.at(0).Send({ .body_ = "first" });
+  EXPECT_NE(Receive(*first).find("first"), std::string::npos);
+  EXPECT_EQ(handled_.size(), 1U);
+  first.reset();
+  ASSERT_TRUE(RunUntil([&] { return handled_.size() == 2; }));
+  replies_.at(1).Send({ .body_ = "second" });
+  EXPECT_NE(Receive(second).find("second"), std::string::npos);
+}
+
+TEST_F(HttpServerLibrary, AnEarlyAnswerToALargeBodyIsRead)
+{
+  HttpServer server({ .maxBodyBytes_ = 100 },
+                    [this](const HttpRequest& aRequest, const HttpReply&) {
+                      handled_.push_back(aRequest.path_);
+                    });
+  HttpClient client;
+  const HttpResult result =
+    client.Perform({ .method_ = "POST",
+                     .url_ = Url(server, "/"),
+                     .body_ = std::string(8U << 20U, 'x') });
+  EXPECT_EQ(result.failure_, HttpFailure::None) << result.error_;
+  EXPECT_EQ(result.response_.status_, 413);
+  EXPECT_EQ(result.issued_, 1);
+  EXPECT_TRUE(handled_.empty());
+}
+
 } // namespace
 } // namespace cornelfront
