Four red tests: answers of others, a 408 that has run, waiting without a time-out

A server on an event loop that stands still over its receive limit sends 408, which says that nothing has run, and handles the request afterwards. A request that waits for one of the connections isn't ended by its time-out, only when a connection becomes free; it is then NotSent and not sent.

--- a/src/libcornelfront/net/http_client_test.cpp
+++ b/src/libcornelfront/net/http_client_test.cpp
@@ -199,6 +199,16 @@
   EXPECT_EQ(Perform(Post()).response_.status_, 200);
 }
 
+// Some servers send 408 on a connection that was idle for long.
+TEST_F(HttpLibrary, AnAnswerOnAnIdleConnectionIsNotReadAsThatToTheNextRequest)
+{
+  EXPECT_TRUE(Perform(Post()).Ok());
+  server_.SendUnasked("HTTP/1.1 408 Late\r\nContent-Length: 0\r\n\r\n");
+  const HttpResult result = Perform(Post());
+  EXPECT_TRUE(result.Ok()) << "status " << result.response_.status_
+                           << ", carried out: " << server_.CarriedOut().size();
+}
+
 TEST_F(HttpLibrary, AnAnswerBehindATimeOutIsNotReadAsThatToTheNextRequest)
 {
   EXPECT_TRUE(Perform(Post()).Ok());
@@ -219,6 +229,18 @@
   EXPECT_EQ(server_.Arrived().size(), 2U);
 }
 
+TEST_F(HttpLibrary, ARequestThatWaitsForAConnectionTimesOutUnsent)
+{
+  server_.AddSteps({ Fate::Silent });
+  bool firstEnded = false;
+  client_.Send(Post(), [&](const HttpResult&) { firstEnded = true; });
+  ASSERT_TRUE(RunUntil([&] { return server_.Arrived().size() == 1; }));
+  const HttpResult waited = Perform(Post(Millis(50)));
+  EXPECT_EQ(waited.failure_, HttpFailure::NotSent);
+  EXPECT_EQ(waited.issued_, 0);
+  EXPECT_FALSE(firstEnded) << "the time-out began with the connection";
+}
+
 // Whenever the library tells it, nothing goes out behind the time-out.
 TEST_F(HttpLibrary, ARequestWhoseTimeOutEndedWhileItWaitedIsNotSentLater)
 {
--- a/src/libcornelfront/net/http_server_test.cpp
+++ b/src/libcornelfront/net/http_server_test.cpp
@@ -358,6 +358,26 @@
   EXPECT_NE(Receive(client).find("answer"), std::string::npos);
 }
 
+// "Refused" with 408 says that the request has not run.
+TEST_F(HttpServerLibrary, ARequestThatWasToldAsTooSlowIsNotHandled)
+{
+  const auto server = Serve({ .requestReceiveLimit_ = Millis(50) });
+  Socket client = Connect(*server);
+  asio::write(
+    client,
+    asio::buffer(std::string(
+      "POST /slow HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n")));
+  ASSERT_TRUE(RunUntil([&] { return server->OpenRequests() == 1; }));
+  // The rest comes in while the loop stands still.
+  asio::write(client, asio::buffer(std::string("body")));
+  std::string answer(12, '\0');
+  asio::read(client, asio::buffer(answer));
+  EXPECT_EQ(answer, "HTTP/1.1 408");
+  ASSERT_TRUE(
+    RunUntil([&] { return server->OpenRequests() == 0 || !handled_.empty(); }));
+  EXPECT_TRUE(handled_.empty()) << "handled although 408 was sent";
+}
+
 TEST_F(HttpServerLibrary, AConnectionBeyondTheLimitWaits)
 {
   const auto server = Serve({ .maxConnections_ = 1 });
--- a/src/libcornelfront/platform/lost_answer_test.cpp
+++ b/src/libcornelfront/platform/lost_answer_test.cpp
@@ -159,6 +159,21 @@
   EXPECT_EQ(Start(1).at(0), StartAnswer::Started);
 }
 
+// What comes in while a connection is idle is no answer to the next order.
+TEST_F(LostExecutorAnswer, AnOrderIsNotToldAsNotRunByAnAnswerThatCameBeforeIt)
+{
+  Start(1);
+  executor_.SendUnasked("HTTP/1.1 503 Late\r\nContent-Length: 0\r\n\r\n");
+  const size_t before = executor_.CarriedOut().size();
+  const StartAnswer answer = Start(1).at(0);
+  // Round trips give the order the time to arrive.
+  Poll();
+  Poll();
+  EXPECT_TRUE(answer != StartAnswer::Refused ||
+              executor_.CarriedOut().size() == before)
+    << "told as refused, and carried out";
+}
+
 class LostStoreAnswer : public LostAnswer
 {
 protected:
