A request counts as sent from the moment at which it was issued

Now a request that libcurl was let to issue may have been sent, whatever was counted; nothing else is. A connection that died while idle is still found by libcurl before it issues anything.

--- a/src/include/cornelfront/http_client.h
+++ b/src/include/cornelfront/http_client.h
@@ -2,9 +2,8 @@
 
 /// \file
 /// Blocking HTTP client based on libcurl. A failed request is reported together
-/// with whether it may have reached the server. Only a GET is issued again
-/// after a byte of it was sent, so that an error status speaks for the whole
-/// call.
+/// with whether it may have reached the server. Only a GET is issued a
+/// second time, so that an error status speaks for the whole call.
 
 #include "cornelfront/clock.h"
 #include "cornelfront/http_server.h"
--- a/src/libcornelfront/net/curl_transfer.cpp
+++ b/src/libcornelfront/net/curl_transfer.cpp
@@ -21,23 +21,13 @@
                    static_cast<curl_off_t>(aRequest.body_.size()));
 }
 
-/// True if a byte of the request was sent, by whichever issue of it.
-bool
-HasSentBytes(CURL* aEasy)
-{
-  long sentBytes = 0;
-  curl_easy_getinfo(aEasy, CURLINFO_REQUEST_SIZE, &sentBytes);
-  return sentBytes > 0;
-}
-
 HttpFailure
-Classify(CURL* aEasy, CURLcode aCode)
+Classify(CURLcode aCode, int aIssued)
 {
   if (aCode == CURLE_OK) {
     return HttpFailure::None;
   }
-  return HasSentBytes(aEasy) ? HttpFailure::MayHaveBeenSent
-                             : HttpFailure::NotSent;
+  return aIssued > 0 ? HttpFailure::MayHaveBeenSent : HttpFailure::NotSent;
 }
 
 size_t
@@ -96,7 +86,7 @@
 bool
 CurlTransfer::MayIssue() const
 {
-  return request_.method_ == "GET" || !HasSentBytes(easy_);
+  return request_.method_ == "GET" || result_.issued_ == 0;
 }
 
 int
@@ -169,7 +159,6 @@
 void
 CurlTransfer::Prepare(CURL* aEasy)
 {
-  easy_ = aEasy;
   SetBody(aEasy, request_);
   curl_easy_setopt(aEasy, CURLOPT_URL, request_.url_.c_str());
   curl_easy_setopt(aEasy, CURLOPT_NOSIGNAL, 1L);
@@ -199,7 +188,7 @@
 HttpResult
 CurlTransfer::TakeResult(CURL* aEasy, CURLcode aCode)
 {
-  result_.failure_ = Classify(aEasy, aCode);
+  result_.failure_ = Classify(aCode, result_.issued_);
   result_.receivedBytes_ = ReceivedBytes(aEasy);
   result_.openedConnection_ = OpenedConnection(aEasy);
   if (aCode != CURLE_OK) {
--- a/src/libcornelfront/net/curl_transfer_pvt.h
+++ b/src/libcornelfront/net/curl_transfer_pvt.h
@@ -76,7 +76,6 @@
                             void* aTransfer);
 
   const HttpClientRequest& request_;
-  CURL* easy_ = nullptr;
   /// libcurl was kept from issuing the request again.
   bool repeatPrevented_ = false;
   const CurlHeaders headers_;
