A refused call raises no fence

After a restart of its upstream under its id, a sidecar sends a call with a higher fence, so that orders for the earlier incarnation are refused. Any answer to it counted, also 503 and 429, which say that nothing was done: polling ended until the next heartbeat, and a late order could begin meanwhile (the tasks are held, so that no second run came of it). Only an answer that shows the fence counts now: taken, a higher fence is known, or another id. LostExecutorAnswer.ARefusedCallRaisesNoFence failed before for 503 and 429.

--- a/src/libcornelfront/platform/executor_client.cpp
+++ b/src/libcornelfront/platform/executor_client.cpp
@@ -175,6 +175,18 @@
            "status " + std::to_string(status) };
 }
 
+/// True if the answer to a call shows that the executor carries out no order
+/// with a lower fence: it took the call, knows a higher fence, or has an id
+/// that such orders don't name. An unhealthy one has done nothing.
+bool
+SettlesFence(const HttpResult& aResult)
+{
+  const int status = aResult.response_.status_;
+  return aResult.Ok() ||
+         (aResult.failure_ == HttpFailure::None &&
+          (status == kStatusConflict || status == kStatusOtherIncarnation));
+}
+
 } // namespace
 
 Heartbeat
@@ -358,11 +370,11 @@
   request.timeout_ = aLimit;
   polls_.Send(std::move(request),
               [this, done = std::move(aDone)](const HttpResult& aResult) {
-                const bool answered = aResult.failure_ == HttpFailure::None;
-                if (!answered) {
+                const bool settled = SettlesFence(aResult);
+                if (!settled) {
                   fence_.OnNoAnswer();
                 }
-                done(answered);
+                done(settled);
               });
 }
 
--- a/src/libcornelfront/platform/executor_client.h
+++ b/src/libcornelfront/platform/executor_client.h
@@ -88,8 +88,9 @@
             Millis aWait,
             Millis aLimit,
             std::function<void(PollOutcome, UpstreamPollResult)> aDone);
-  /// Sends a call whose only effect is its fence. \p aDone is told whether it
-  /// was answered within \p aLimit.
+  /// Sends a call whose only effect is its fence. \p aDone is told whether an
+  /// answer within \p aLimit shows that no order with a lower fence is carried
+  /// out any more.
   void SendFence(Millis aLimit, std::function<void(bool)> aDone);
 
 private:
--- a/src/libcornelfront/platform/lost_answer_test.cpp
+++ b/src/libcornelfront/platform/lost_answer_test.cpp
@@ -137,6 +137,18 @@
   EXPECT_EQ(executor_.Arrived().size(), 2U);
 }
 
+// An executor that refuses the call has not seen its fence.
+TEST_F(LostExecutorAnswer, ARefusedCallRaisesNoFence)
+{
+  for (const int status : { 503, 429, 409, 421 }) {
+    executor_.AddSteps({ status });
+    std::optional<bool> settled;
+    client_.SendFence(Millis(5000), [&](bool aSettled) { settled = aSettled; });
+    ASSERT_TRUE(RunUntil([&] { return settled.has_value(); }));
+    EXPECT_EQ(*settled, status == 409 || status == 421) << status;
+  }
+}
+
 TEST_F(LostExecutorAnswer, AStopIsSentOnce)
 {
   Start(1);
