--- a/testsuite/process/lost_answer_test.cpp
+++ b/testsuite/process/lost_answer_test.cpp
@@ -84,6 +84,10 @@
   EXPECT_NE(result.response_.status_, 503) << "the store has the job";
   EXPECT_TRUE(cluster.WaitState(0, job, "completed"));
   EXPECT_EQ(cluster.CountRuns(job), 1U);
+  // Nor is a job lost that is accepted afterwards.
+  const std::string next = MakeJobId(2);
+  EXPECT_TRUE(cluster.Submit(0, next, "", 1, false).Ok());
+  EXPECT_TRUE(cluster.WaitState(0, next, "completed"));
 }
 
 } // namespace
