No request is issued on a connection on which something has arrived unasked

The client now knows its sockets (libcurl opens and closes them through it), and looks at that of the request right before it is issued: with data or the end of the connection there, the request ends as NotSent, which is true, and libcurl drops the connection. What arrives after that moment can't be told apart.

--- a/src/include/cornelfront/http_client.h
+++ b/src/include/cornelfront/http_client.h
@@ -9,6 +9,7 @@
 #include "cornelfront/http_server.h"
 
 #include <atomic>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -62,6 +63,8 @@
   bool freshConnection_ = false;
 };
 
+class CurlSockets;
+
 /// Owns a libcurl handle with its connection cache. Not thread-safe: use one
 /// object per thread.
 class HttpClient
@@ -79,6 +82,7 @@
                      const std::atomic<bool>* aAbort = nullptr);
 
 private:
+  std::unique_ptr<CurlSockets> sockets_;
   void* easy_;
 };
 
--- a/src/libcornelfront/net/async_http_client.cpp
+++ b/src/libcornelfront/net/async_http_client.cpp
@@ -16,10 +16,11 @@
 struct Exchange
 {
   Exchange(asio::io_context& aLoop,
+           CurlSockets& aSockets,
            HttpClientRequest aRequest,
            AsyncHttpClient::Callback aDone)
     : request_(std::move(aRequest))
-    , transfer_(request_)
+    , transfer_(request_, aSockets)
     , done_(std::move(aDone))
     , progressTimer_(aLoop)
   {
@@ -110,8 +111,8 @@
   CURL* Start(HttpClientRequest aRequest, Callback aDone)
   {
     CURL* easy = AcquireHandle();
-    auto exchange =
-      std::make_shared<Exchange>(loop_, std::move(aRequest), std::move(aDone));
+    auto exchange = std::make_shared<Exchange>(
+      loop_, sockets_, std::move(aRequest), std::move(aDone));
     exchange->transfer_.Prepare(easy);
     exchanges_.emplace(easy, std::move(exchange));
     curl_multi_add_handle(multi_, easy);
@@ -315,6 +316,7 @@
   asio::io_context& loop_;
   asio::steady_timer timer_;
   CURLM* multi_ = nullptr;
+  CurlSockets sockets_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::unordered_map<CURL*, ExchangePtr> exchanges_;
   std::unordered_map<curl_socket_t, WatchPtr> watches_;
--- a/src/libcornelfront/net/curl_transfer.cpp
+++ b/src/libcornelfront/net/curl_transfer.cpp
@@ -1,11 +1,21 @@
 #include "net/curl_transfer_pvt.h"
 
+#include <algorithm>
 #include <mutex>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 namespace cornelfront {
 
 namespace {
 
+constexpr std::string_view kClosedBeforeResponse =
+  "the connection closed before a response";
+constexpr std::string_view kUnaskedData =
+  "the connection had data or its end before the request";
+
 void
 SetBody(CURL* aEasy, const HttpClientRequest& aRequest)
 {
@@ -48,6 +58,32 @@
   return connects > 0;
 }
 
+/// Returns 0 if the socket has no address of IP.
+int
+LocalPort(curl_socket_t aSocket)
+{
+  sockaddr_storage address{};
+  socklen_t size = sizeof(address);
+  if (getsockname(aSocket, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
+    return 0;
+  }
+  switch (address.ss_family) {
+    case AF_INET:
+      return ntohs(reinterpret_cast<const sockaddr_in&>(address).sin_port);
+    case AF_INET6:
+      return ntohs(reinterpret_cast<const sockaddr_in6&>(address).sin6_port);
+    default:
+      return 0;
+  }
+}
+
+bool
+HasArrivals(curl_socket_t aSocket)
+{
+  char byte = 0;
+  return recv(aSocket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) >= 0;
+}
+
 } // namespace
 
 void
@@ -77,8 +113,36 @@
   list_ = curl_slist_append(list_, aLine.c_str());
 }
 
-CurlTransfer::CurlTransfer(const HttpClientRequest& aRequest)
+curl_socket_t
+CurlSockets::Open(const curl_sockaddr& aAddress)
+{
+  const curl_socket_t opened =
+    socket(aAddress.family, aAddress.socktype, aAddress.protocol);
+  if (opened != CURL_SOCKET_BAD) {
+    open_.insert(opened);
+  }
+  return opened;
+}
+
+int
+CurlSockets::Close(void* aSockets, curl_socket_t aSocket)
+{
+  static_cast<CurlSockets*>(aSockets)->open_.erase(aSocket);
+  return close(aSocket);
+}
+
+bool
+CurlSockets::IsQuiet(int aLocalPort) const
+{
+  return std::none_of(open_.begin(), open_.end(), [&](curl_socket_t aSocket) {
+    return LocalPort(aSocket) == aLocalPort && HasArrivals(aSocket);
+  });
+}
+
+CurlTransfer::CurlTransfer(const HttpClientRequest& aRequest,
+                           CurlSockets& aSockets)
   : request_(aRequest)
+  , sockets_(aSockets)
   , headers_(aRequest.headers_)
 {
 }
@@ -90,11 +154,15 @@
 }
 
 int
-CurlTransfer::BeforeIssue(void* aTransfer, char*, char*, int, int)
+CurlTransfer::BeforeIssue(void* aTransfer, char*, char*, int, int aLocalPort)
 {
   auto* transfer = static_cast<CurlTransfer*>(aTransfer);
   if (!transfer->MayIssue()) {
-    transfer->repeatPrevented_ = true;
+    transfer->preventedBy_ = kClosedBeforeResponse;
+    return CURL_PREREQFUNC_ABORT;
+  }
+  if (!transfer->sockets_.IsQuiet(aLocalPort)) {
+    transfer->preventedBy_ = kUnaskedData;
     return CURL_PREREQFUNC_ABORT;
   }
   ++transfer->result_.issued_;
@@ -106,10 +174,10 @@
 {
   auto* transfer = static_cast<CurlTransfer*>(aTransfer);
   if (!transfer->MayIssue()) {
-    transfer->repeatPrevented_ = true;
+    transfer->preventedBy_ = kClosedBeforeResponse;
     return CURL_SOCKET_BAD;
   }
-  return socket(aAddress->family, aAddress->socktype, aAddress->protocol);
+  return transfer->sockets_.Open(*aAddress);
 }
 
 size_t
@@ -175,6 +243,8 @@
   curl_easy_setopt(
     aEasy, CURLOPT_OPENSOCKETFUNCTION, &CurlTransfer::OpenSocket);
   curl_easy_setopt(aEasy, CURLOPT_OPENSOCKETDATA, this);
+  curl_easy_setopt(aEasy, CURLOPT_CLOSESOCKETFUNCTION, &CurlSockets::Close);
+  curl_easy_setopt(aEasy, CURLOPT_CLOSESOCKETDATA, &sockets_);
   curl_easy_setopt(aEasy, CURLOPT_WRITEFUNCTION, &CurlTransfer::CollectBody);
   curl_easy_setopt(aEasy, CURLOPT_WRITEDATA, this);
   curl_easy_setopt(aEasy, CURLOPT_HEADERFUNCTION, &CurlTransfer::CollectHeader);
@@ -192,9 +262,8 @@
   result_.receivedBytes_ = ReceivedBytes(aEasy);
   result_.openedConnection_ = OpenedConnection(aEasy);
   if (aCode != CURLE_OK) {
-    result_.error_ = repeatPrevented_
-                       ? "the connection closed before a response"
-                       : curl_easy_strerror(aCode);
+    result_.error_ =
+      preventedBy_.empty() ? curl_easy_strerror(aCode) : preventedBy_;
     return std::move(result_);
   }
   long status = 0;
--- a/src/libcornelfront/net/curl_transfer_pvt.h
+++ b/src/libcornelfront/net/curl_transfer_pvt.h
@@ -9,6 +9,8 @@
 #include <curl/curl.h>
 
 #include <optional>
+#include <set>
+#include <string_view>
 
 namespace cornelfront {
 
@@ -34,12 +36,34 @@
   curl_slist* list_ = nullptr;
 };
 
+/// Open sockets of the connections of one client. libcurl holds a pointer to
+/// this object until the last of them is closed.
+class CurlSockets
+{
+public:
+  CurlSockets() = default;
+  CurlSockets(const CurlSockets&) = delete;
+  CurlSockets& operator=(const CurlSockets&) = delete;
+
+  /// Opens a socket, which Close closes.
+  curl_socket_t Open(const curl_sockaddr& aAddress);
+  /// Function that libcurl calls to close a socket of \p aSockets.
+  static int Close(void* aSockets, curl_socket_t aSocket);
+  /// True if neither data nor the end of the connection has arrived on the
+  /// connection from this port. libcurl would read such data as the response
+  /// to the next request.
+  bool IsQuiet(int aLocalPort) const;
+
+private:
+  std::set<curl_socket_t> open_;
+};
+
 /// State of one transfer. libcurl holds pointers into this object and its
 /// request, so both must stay at their address until the transfer has ended.
 class CurlTransfer
 {
 public:
-  explicit CurlTransfer(const HttpClientRequest& aRequest);
+  CurlTransfer(const HttpClientRequest& aRequest, CurlSockets& aSockets);
   CurlTransfer(const CurlTransfer&) = delete;
   CurlTransfer& operator=(const CurlTransfer&) = delete;
 
@@ -76,8 +100,9 @@
                             void* aTransfer);
 
   const HttpClientRequest& request_;
-  /// libcurl was kept from issuing the request again.
-  bool repeatPrevented_ = false;
+  CurlSockets& sockets_;
+  /// Why libcurl was kept from issuing the request; empty if it was not.
+  std::string_view preventedBy_;
   const CurlHeaders headers_;
   HttpResult result_;
   std::optional<MonoTime> lastByte_;
--- a/src/libcornelfront/net/http_client.cpp
+++ b/src/libcornelfront/net/http_client.cpp
@@ -18,6 +18,7 @@
 } // namespace
 
 HttpClient::HttpClient()
+  : sockets_(std::make_unique<CurlSockets>())
 {
   InitializeCurlOnce();
   easy_ = curl_easy_init();
@@ -35,7 +36,7 @@
 HttpClient::Perform(const HttpClientRequest& aRequest,
                     const std::atomic<bool>* aAbort)
 {
-  CurlTransfer transfer(aRequest);
+  CurlTransfer transfer(aRequest, *sockets_);
   curl_easy_reset(easy_);
   transfer.Prepare(easy_);
   if (aAbort != nullptr) {
