Soak: jobs whose answers were lost are waited for as well

Traced: its append had no answer (not_stored, status 504) and was applied; a new leader started its tasks 0.3 s before the runs were listed. ReadStates waited only for jobs that had been accepted, and those had ended. The check stands; the soak now waits, within the same limit, for each stored job that was neither accepted nor refused, until it has ended or no entry knows it.

--- a/testsuite/soak/callers.cpp
+++ b/testsuite/soak/callers.cpp
@@ -18,6 +18,9 @@
 constexpr int kMaxAttempts = 6;
 constexpr int kMaxPauseMs = 60;
 
+/// State of a job that is not stored.
+constexpr std::string_view kUnknownJob = "410";
+
 constexpr int kStatusOk = 200;
 constexpr int kStatusTooMany = 429;
 constexpr int kStatusUnavailable = 503;
@@ -254,16 +257,22 @@
   Connections connections(options_.entries_, options_.timeout_);
   const MonoTime deadline = MonoClock::now() + aLimit;
   for (JobRecord& job : jobs_) {
-    if (job.accepted_ == 0) {
+    // A job whose answers were lost may be stored; its tasks run as well.
+    const bool uncertain =
+      job.accepted_ == 0 && !job.refused_ && !job.bestEffort_;
+    if (job.accepted_ == 0 && !uncertain) {
       continue;
     }
     for (size_t entry = 0; entry < connections.Size(); ++entry) {
       std::string state = connections.State(entry, job.id_);
-      while (!IsFinal(state) && MonoClock::now() < deadline) {
+      while (!IsFinal(state) && !(uncertain && state == kUnknownJob) &&
+             MonoClock::now() < deadline) {
         std::this_thread::sleep_for(kStatePollInterval);
         state = connections.State(entry, job.id_);
       }
-      job.states_.push_back(state);
+      if (!uncertain) {
+        job.states_.push_back(state);
+      }
     }
   }
 }
--- a/testsuite/soak/callers.h
+++ b/testsuite/soak/callers.h
@@ -51,8 +51,9 @@
   {
     return aborted_;
   }
-  /// Queries every entry for the state of every accepted job, until each has
-  /// ended or \p aLimit has passed. May be called only after Stop.
+  /// Queries every entry for the state of every job that was accepted, or may
+  /// have been, until each has ended or \p aLimit has passed. May be called
+  /// only after Stop.
   void ReadStates(Millis aLimit);
 
 private:
