--- a/src/libcornelfront/platform/blocked_send_test.cpp
+++ b/src/libcornelfront/platform/blocked_send_test.cpp
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <cerrno>
 #include <dlfcn.h>
 #include <optional>
@@ -15,8 +16,13 @@
 
 namespace {
 
-/// Writes of orders that are yet to be blocked.
-int sBlockedWrites = 0;
+/// Number of writes of orders that are yet to be blocked.
+std::atomic<int>&
+BlockedWrites()
+{
+  static std::atomic<int> sWrites = 0;
+  return sWrites;
+}
 
 } // namespace
 
@@ -27,8 +33,8 @@
   using Send = ssize_t (*)(int, const void*, size_t, int);
   static const auto sSend = reinterpret_cast<Send>(dlsym(RTLD_NEXT, "send"));
   const std::string_view data(static_cast<const char*>(aData), aSize);
-  if (sBlockedWrites > 0 && data.starts_with("POST /run-start")) {
-    --sBlockedWrites;
+  if (BlockedWrites() > 0 && data.starts_with("POST /run-start")) {
+    --BlockedWrites();
     errno = EAGAIN;
     return -1;
   }
@@ -70,18 +76,18 @@
 {
   Start();
   executor_.AddSteps({ Fate::AnswerLost, 503 });
-  sBlockedWrites = 1;
+  BlockedWrites() = 1;
   EXPECT_EQ(Start(), StartAnswer::Unknown);
-  EXPECT_EQ(sBlockedWrites, 0);
+  EXPECT_EQ(BlockedWrites(), 0);
   EXPECT_EQ(executor_.Arrived().size(), 2U);
 }
 
 TEST_F(BlockedSend, AnOrderThatWasCarriedOutIsNotToldAsNotSent)
 {
   executor_.AddSteps({ Fate::AnswerLost });
-  sBlockedWrites = 1;
+  BlockedWrites() = 1;
   EXPECT_EQ(Start(), StartAnswer::Unknown);
-  EXPECT_EQ(sBlockedWrites, 0);
+  EXPECT_EQ(BlockedWrites(), 0);
   EXPECT_EQ(executor_.CarriedOut().size(), 1U);
 }
 
