A request that was told as too slow is not handled

Callers saw 408 with ran "no" for a request that was then handled: the monitor of receive times answers on the socket from a thread of its own, and if the loop stood still that long, MHD reads what had come meanwhile and calls the handler. The monitor now keeps, for each socket and under the lock under which it answers, that reception was ended; OnReceived tells the server, which closes the connection. Either the 408 is sent and nothing is handled, or the request has been taken and no 408 is sent.

--- a/src/libcornelfront/net/http_server.cpp
+++ b/src/libcornelfront/net/http_server.cpp
@@ -484,7 +484,10 @@
     if (state->rejected_) {
       return MHD_NO; // closes the connection
     }
-    self->watch_.OnReceived(SocketOf(aConnection));
+    if (!state->dispatched_ &&
+        !self->watch_.OnReceived(SocketOf(aConnection))) {
+      return MHD_NO; // the client has been told that this was too slow
+    }
     return self->Answer(*state, aConnection);
   }
 
--- a/src/libcornelfront/net/receive_timeout_monitor.cpp
+++ b/src/libcornelfront/net/receive_timeout_monitor.cpp
@@ -57,8 +57,8 @@
 void
 ReceiveTimeoutMonitor::OnConnect(int aSocket, MonoTime aNow)
 {
-  deadlines_.WithShard(aSocket, [&](auto& aDeadlines) {
-    aDeadlines[aSocket] = aNow + options_.idleLimit_;
+  receptions_.WithShard(aSocket, [&](auto& aReceptions) {
+    aReceptions[aSocket] = { .deadline_ = aNow + options_.idleLimit_ };
   });
 }
 
@@ -68,10 +68,17 @@
   SetDeadline(aSocket, aNow + options_.requestLimit_);
 }
 
-void
+bool
 ReceiveTimeoutMonitor::OnReceived(int aSocket)
 {
-  SetDeadline(aSocket, MonoTime::max());
+  return receptions_.WithShard(aSocket, [&](auto& aReceptions) {
+    const auto found = aReceptions.find(aSocket);
+    if (found == aReceptions.end()) {
+      return true;
+    }
+    found->second.deadline_ = MonoTime::max();
+    return !found->second.ended_;
+  });
 }
 
 void
@@ -83,17 +90,17 @@
 void
 ReceiveTimeoutMonitor::OnClose(int aSocket)
 {
-  deadlines_.WithShard(aSocket,
-                       [&](auto& aDeadlines) { aDeadlines.erase(aSocket); });
+  receptions_.WithShard(aSocket,
+                        [&](auto& aReceptions) { aReceptions.erase(aSocket); });
 }
 
 void
 ReceiveTimeoutMonitor::SetDeadline(int aSocket, MonoTime aDeadline)
 {
-  deadlines_.WithShard(aSocket, [&](auto& aDeadlines) {
-    const auto found = aDeadlines.find(aSocket);
-    if (found != aDeadlines.end()) {
-      found->second = aDeadline;
+  receptions_.WithShard(aSocket, [&](auto& aReceptions) {
+    const auto found = aReceptions.find(aSocket);
+    if (found != aReceptions.end()) {
+      found->second.deadline_ = aDeadline;
     }
   });
 }
@@ -101,15 +108,15 @@
 void
 ReceiveTimeoutMonitor::EndOverdue(MonoTime aNow)
 {
-  deadlines_.ForEachShard([&](auto& aDeadlines) {
-    for (auto& [socket, deadline] : aDeadlines) {
-      if (deadline > aNow) {
+  receptions_.ForEachShard([&](auto& aReceptions) {
+    for (auto& [socket, reception] : aReceptions) {
+      if (reception.deadline_ > aNow || reception.ended_) {
         continue;
       }
       // Called with the shard locked, so that the descriptor cannot be closed
       // and reused meanwhile. RespondAndShutdownReceive does not block.
       RespondAndShutdownReceive(socket, options_.response_);
-      deadline = MonoTime::max();
+      reception.ended_ = true;
     }
   });
 }
--- a/src/libcornelfront/net/receive_timeout_monitor.h
+++ b/src/libcornelfront/net/receive_timeout_monitor.h
@@ -53,8 +53,9 @@
   /// Called when the first line of a request has arrived.
   void OnRequestLine(int aSocket, MonoTime aNow);
   /// Called when a request has arrived completely; no limit applies until it is
-  /// answered.
-  void OnReceived(int aSocket);
+  /// answered. Returns false if reception on the socket was ended before: the
+  /// client has been told that the request is not handled.
+  [[nodiscard]] bool OnReceived(int aSocket);
   /// Called when the request has been answered or aborted.
   void OnAnswered(int aSocket, MonoTime aNow);
   void OnClose(int aSocket);
@@ -64,11 +65,19 @@
   void EndOverdue(MonoTime aNow);
 
 private:
+  /// Reception on one socket.
+  struct Reception
+  {
+    MonoTime deadline_;
+    /// The response has been written; stays set until the socket is closed.
+    bool ended_ = false;
+  };
+
   void SetDeadline(int aSocket, MonoTime aDeadline);
   void Loop();
 
   const ReceiveTimeoutOptions options_;
-  ShardedMap<int, MonoTime> deadlines_;
+  ShardedMap<int, Reception> receptions_;
   std::mutex stopMutex_;
   std::condition_variable stopChanged_;
   bool stopping_ = false;
