A request that waits for a connection ends at its time-out

libcurl ends a request that waits for a free connection only when one becomes free: with a time-out of 50 ms after 5,000 ms in the test. Its caller waited for as long, and the outcome was right but late (NotSent). The client now ends it by itself; the timer runs only for requests that begin while as many others are under way as there may be connections, so that others cost nothing.

--- a/src/libcornelfront/net/async_http_client.cpp
+++ b/src/libcornelfront/net/async_http_client.cpp
@@ -23,6 +23,7 @@
     , transfer_(request_, aSockets)
     , done_(std::move(aDone))
     , progressTimer_(aLoop)
+    , waitTimer_(aLoop)
   {
   }
 
@@ -30,6 +31,8 @@
   CurlTransfer transfer_;
   AsyncHttpClient::Callback done_;
   asio::steady_timer progressTimer_;
+  /// Runs while the request may wait for a connection.
+  asio::steady_timer waitTimer_;
 };
 using ExchangePtr = std::shared_ptr<Exchange>;
 
@@ -40,6 +43,8 @@
 public:
   Impl(asio::io_context& aLoop, AsyncHttpClientOptions aOptions)
     : loop_(aLoop)
+    , maxConnectionsPerHost_(
+        static_cast<size_t>(aOptions.maxConnectionsPerHost_))
     , timer_(aLoop)
   {
     InitializeCurlOnce();
@@ -114,11 +119,28 @@
     auto exchange = std::make_shared<Exchange>(
       loop_, sockets_, std::move(aRequest), std::move(aDone));
     exchange->transfer_.Prepare(easy);
+    if (exchanges_.size() >= maxConnectionsPerHost_) {
+      LimitWait(easy, exchange, MonoClock::now());
+    }
     exchanges_.emplace(easy, std::move(exchange));
     curl_multi_add_handle(multi_, easy);
     return easy;
   }
 
+  /// libcurl does not end a request that waits for a connection.
+  void LimitWait(CURL* aEasy, const ExchangePtr& aExchange, MonoTime aNow)
+  {
+    aExchange->waitTimer_.expires_at(aNow + aExchange->request_.timeout_);
+    aExchange->waitTimer_.async_wait(
+      [this, alive = alive_, aEasy, weak = std::weak_ptr<Exchange>(aExchange)](
+        const asio::error_code& aError) {
+        const ExchangePtr exchange = weak.lock();
+        if (*alive && !aError && exchange && !exchange->transfer_.Issued()) {
+          exchange->done_(EndTransfer(aEasy, CURLE_OPERATION_TIMEDOUT));
+        }
+      });
+  }
+
   /// Ends a transfer of which no byte has arrived by \p aEnd, or in the time
   /// since its newest byte that \p aLimits allow.
   void WatchProgress(CURL* aEasy,
@@ -314,6 +336,7 @@
   }
 
   asio::io_context& loop_;
+  const size_t maxConnectionsPerHost_;
   asio::steady_timer timer_;
   CURLM* multi_ = nullptr;
   CurlSockets sockets_;
--- a/src/libcornelfront/net/curl_transfer_pvt.h
+++ b/src/libcornelfront/net/curl_transfer_pvt.h
@@ -71,6 +71,8 @@
   void Prepare(CURL* aEasy);
   /// Moves out the result after the transfer has ended with \p aCode.
   HttpResult TakeResult(CURL* aEasy, CURLcode aCode);
+  /// Returns true once the request has been issued.
+  bool Issued() const { return result_.issued_ > 0; }
   /// Returns when the newest byte of the response arrived, or nothing if none
   /// has.
   std::optional<MonoTime> LastByte() const { return lastByte_; }
