--- a/src/libcornelfront/net/curl_transfer.cpp
+++ b/src/libcornelfront/net/curl_transfer.cpp
@@ -119,7 +119,7 @@
   const curl_socket_t opened =
     socket(aAddress.family, aAddress.socktype, aAddress.protocol);
   if (opened != CURL_SOCKET_BAD) {
-    open_.insert(opened);
+    ports_.emplace(opened, 0);
   }
   return opened;
 }
@@ -127,15 +127,19 @@
 int
 CurlSockets::Close(void* aSockets, curl_socket_t aSocket)
 {
-  static_cast<CurlSockets*>(aSockets)->open_.erase(aSocket);
+  static_cast<CurlSockets*>(aSockets)->ports_.erase(aSocket);
   return close(aSocket);
 }
 
 bool
-CurlSockets::IsQuiet(int aLocalPort) const
+CurlSockets::IsQuiet(int aLocalPort)
 {
-  return std::none_of(open_.begin(), open_.end(), [&](curl_socket_t aSocket) {
-    return LocalPort(aSocket) == aLocalPort && HasArrivals(aSocket);
+  return std::none_of(ports_.begin(), ports_.end(), [&](auto& aOpen) {
+    auto& [socket, port] = aOpen;
+    if (port == 0) {
+      port = LocalPort(socket);
+    }
+    return port == aLocalPort && HasArrivals(socket);
   });
 }
 
--- a/src/libcornelfront/net/curl_transfer_pvt.h
+++ b/src/libcornelfront/net/curl_transfer_pvt.h
@@ -8,8 +8,8 @@
 
 #include <curl/curl.h>
 
+#include <map>
 #include <optional>
-#include <set>
 #include <string_view>
 
 namespace cornelfront {
@@ -52,10 +52,11 @@
   /// True if neither data nor the end of the connection has arrived on the
   /// connection from this port. libcurl would read such data as the response
   /// to the next request.
-  bool IsQuiet(int aLocalPort) const;
+  bool IsQuiet(int aLocalPort);
 
 private:
-  std::set<curl_socket_t> open_;
+  /// Local port of each open socket; 0 until it has been read.
+  std::map<curl_socket_t, int> ports_;
 };
 
 /// State of one transfer. libcurl holds pointers into this object and its
