Late orders are in the store, for entries that start without a memory

Callers: a job that came again after a loss of all entries and sidecars ran beside its own earlier order, which an executor began in the first milliseconds of its next life.

Cause: that an order may still be carried out was known to its sidecar and the entries linked to it only. An entry that starts after they are gone can't tell a job that comes again from a new one.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -359,6 +359,8 @@
                     MonoTime aNow);
   /// The link to a sidecar has ended; the sidecar may still hold runs.
   void OnSidecarLost(MemberId aSidecar, MonoTime aNow);
+  /// Number of tasks of which a late order is known.
+  size_t LimitedTasks() const { return lateOrders_.Size(); }
 
   void Tick(MonoTime aNow);
 
--- a/src/libcornelfront/controllers/job_replica.cpp
+++ b/src/libcornelfront/controllers/job_replica.cpp
@@ -1,6 +1,6 @@
 #include "cornelfront/job_replica.h"
 
-#include "net/bounded_archive_pvt.h"
+#include "controllers/record_value_pvt.h"
 
 #include <cereal/types/chrono.hpp>
 #include <cereal/types/set.hpp>
@@ -11,7 +11,6 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <sstream>
 
 namespace cornelfront {
 namespace {
@@ -30,33 +29,6 @@
 constexpr std::string_view kLeader = "leader";
 constexpr size_t kKindBytes = 2;
 
-template<class Record>
-std::string
-EncodeValue(const Record& aRecord)
-{
-  std::ostringstream stream(std::ios::binary);
-  {
-    cereal::PortableBinaryOutputArchive archive(
-      stream, cereal::PortableBinaryOutputArchive::Options::LittleEndian());
-    archive(aRecord);
-  }
-  return std::move(stream).str();
-}
-
-/// \throws DecodeError, cereal::Exception
-template<class Record>
-Record
-DecodeValue(const std::string& aValue)
-{
-  if (aValue.empty() || aValue.front() != 1) {
-    throw DecodeError("value is not a little-endian archive");
-  }
-  Record record;
-  BoundedInputArchive archive(std::string_view(aValue).substr(1));
-  archive(record);
-  return record;
-}
-
 std::string
 MakeKey(std::string_view aKind, std::string_view aRest)
 {
--- a/src/libcornelfront/job_entry.cpp
+++ b/src/libcornelfront/job_entry.cpp
@@ -14,6 +14,9 @@
 constexpr Millis kTickInterval{ 25 };
 constexpr Millis kOperatorWait{ 1000 };
 constexpr Millis kStopPollInterval{ 20 };
+/// Time after the start for which jobs wait for the late orders in the store,
+/// which may be out of reach.
+constexpr Millis kLateOrderWait{ 1000 };
 
 } // namespace
 
@@ -47,6 +50,7 @@
     });
   store_ = std::make_unique<platform::StoreClient>(loop, settings_.store_);
   Register();
+  ReadLateOrders();
   operatorReader_ = std::make_unique<platform::TopicReader>(
     loop,
     *store_,
@@ -172,7 +176,43 @@
 bool
 JobEntry::Impl::Ready() const
 {
-  return !stopping_ && operator_.version_ > 0 && scheduler_.HasReadyUpstream();
+  return !stopping_ && operator_.version_ > 0 &&
+         scheduler_.HasReadyUpstream() && KnowsStoredLateOrders(BootNow());
+}
+
+void
+JobEntry::Impl::ReadLateOrders()
+{
+  lateOrderReader_ = std::make_unique<platform::HistoryReader>(
+    pool_.Context(),
+    *store_,
+    platform::HistoryReader::Options{
+      .topic_ = std::string(platform::kLateOrderTopic),
+      .onRecords_ =
+        [this](const std::vector<KeyedRecord>& aRecords) {
+          const MonoTime now = BootNow();
+          CheckClients(now);
+          for (const KeyedRecord& stored : aRecords) {
+            if (const auto record = DecodeLateOrders(stored)) {
+              OnStoredLateOrders(*record, now);
+            }
+          }
+          PerformActions(now);
+        },
+      .onComplete_ =
+        [this] {
+          const auto time =
+            std::chrono::duration_cast<Millis>(BootNow() - start_);
+          LOG(INFO) << "late_orders ms=" << time.count()
+                    << " tasks=" << scheduler_.LimitedTasks()
+                    << " outcome=read";
+        } });
+}
+
+bool
+JobEntry::Impl::KnowsStoredLateOrders(MonoTime aNow) const
+{
+  return lateOrderReader_->Complete() || aNow - start_ >= kLateOrderWait;
 }
 
 JobEntry::JobEntry(const JobEntrySettings& aSettings)
--- a/src/libcornelfront/job_entry_clients.cpp
+++ b/src/libcornelfront/job_entry_clients.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr Millis kStoreRetry{ 1000 };
+constexpr Millis kStartRetry{ 1000 };
 /// Requests that may have waited for longer are logged.
 constexpr Millis kNotableWait{ 75 };
 
@@ -79,6 +80,12 @@
       platform::RefusedResponse("this process is stopping", kBalancerDelay));
     return;
   }
+  if (!KnowsStoredLateOrders(aNow)) {
+    LOG(INFO) << "job=" << id << " outcome=refused reason=starting";
+    Reply(aReply,
+          platform::RefusedResponse("this process is starting", kStartRetry));
+    return;
+  }
   if (aReply.HasClientLeft()) {
     // The request may have waited here for seconds, and the client may have
     // submitted the job elsewhere since.
--- a/src/libcornelfront/job_entry_pvt.h
+++ b/src/libcornelfront/job_entry_pvt.h
@@ -9,10 +9,12 @@
 #include "cornelfront/http_server.h"
 #include "cornelfront/job_metrics.h"
 #include "cornelfront/job_scheduler.h"
+#include "cornelfront/late_order_record.h"
 #include "cornelfront/link.h"
 #include "cornelfront/standstill.h"
 #include "event_loop_pvt.h"
 #include "platform/batch_writer.h"
+#include "platform/history_reader.h"
 #include "platform/job_api.h"
 #include "platform/operator_state.h"
 #include "platform/store_client.h"
@@ -59,6 +61,13 @@
   void Register();
   void Tick();
   bool Ready() const;
+  void ReadLateOrders();
+  /// Takes over what a sidecar process has written of its late orders; it may
+  /// be gone.
+  void OnStoredLateOrders(const LateOrderRecord& aRecord, MonoTime aNow);
+  /// False as long as an earlier order of any job may be unknown here that the
+  /// store knows.
+  bool KnowsStoredLateOrders(MonoTime aNow) const;
   void HandleReadiness(const HttpRequest& aRequest, const HttpReply& aReply);
   void HandleClient(const HttpRequest& aRequest, const HttpReply& aReply);
   void Submit(const platform::JobSubmission& aSubmission,
@@ -99,6 +108,7 @@
 
   const JobEntrySettings settings_;
   const MemberId self_ = NewMemberId();
+  const MonoTime start_ = BootNow();
   IoPool pool_{ 1 };
   JobScheduler scheduler_;
   Standstill standstill_;
@@ -111,6 +121,7 @@
   std::unique_ptr<platform::StoreClient> store_;
   std::unique_ptr<platform::TopicReader> operatorReader_;
   platform::OperatorState operator_;
+  std::unique_ptr<platform::HistoryReader> lateOrderReader_;
   std::unique_ptr<StoredJobs> stored_;
   std::unique_ptr<platform::BatchWriter> registration_;
   std::shared_ptr<const LinkHandlers> handlers_;
--- a/src/libcornelfront/job_entry_sidecars.cpp
+++ b/src/libcornelfront/job_entry_sidecars.cpp
@@ -113,6 +113,28 @@
   PerformActions(aNow);
 }
 
+void
+JobEntry::Impl::OnStoredLateOrders(const LateOrderRecord& aRecord,
+                                   MonoTime aNow)
+{
+  if (sidecars_.contains(aRecord.sidecar_)) {
+    return; // it has told them by itself, and what became of them
+  }
+  scheduler_.OnLateOrders(
+    aRecord.sidecar_, { .orders_ = aRecord.orders_ }, aNow);
+  MemberId& newest =
+    incarnations_.emplace(aRecord.sidecarName_, aRecord.sidecar_).first->second;
+  if (newest == aRecord.sidecar_) {
+    return;
+  }
+  if (sidecars_.contains(newest)) {
+    scheduler_.OnSidecarReplaced(aRecord.sidecar_, newest, aNow);
+  } else {
+    scheduler_.OnSidecarReplaced(newest, aRecord.sidecar_, aNow);
+    newest = aRecord.sidecar_;
+  }
+}
+
 void
 JobEntry::Impl::OnLinkEnd(const LinkPtr& aLink, const std::string& aDetail)
 {
--- a/src/libcornelfront/job_sidecar.cpp
+++ b/src/libcornelfront/job_sidecar.cpp
@@ -4,6 +4,7 @@
 #include "job_sidecar_pvt.h"
 
 #include "cornelfront/job_replica.h"
+#include "cornelfront/late_order_record.h"
 #include "job_links_pvt.h"
 #include "platform/member_topic.h"
 
@@ -154,6 +155,7 @@
   LogLeaseLimit(now);
   SendPending(now);
   SendStatus(now);
+  StoreLateOrders(now);
   metrics_.SetGauge("runs", static_cast<double>(table_.Size()));
   metrics_.SetGauge("entries", static_cast<double>(owners_.size()));
   metrics_.SetGauge("upstream", table_.HasUpstream() ? 1 : 0);
@@ -238,6 +240,29 @@
                          LOG(INFO) << "registered name=" << settings_.name_;
                          table_.SetRegistered();
                        });
+  lateOrderWriter_ = std::make_unique<platform::BatchWriter>(
+    pool_.Context(),
+    *store_,
+    platform::BatchWriterOptions{ .topic_ =
+                                    std::string(platform::kLateOrderTopic),
+                                  .producer_ = "late-" + ToString(self_) });
+}
+
+void
+JobSidecar::Impl::StoreLateOrders(MonoTime aNow)
+{
+  std::vector<LateOrder> orders = lateOrderJournal_.TakeBatch(aNow);
+  if (orders.empty()) {
+    return;
+  }
+  LOG(INFO) << "late_orders=" << orders.size() << " outcome=storing";
+  const KeyedRecord record = EncodeLateOrders({ .sidecarName_ = settings_.name_,
+                                                .sidecar_ = self_,
+                                                .orders_ = std::move(orders) });
+  lateOrderWriter_->Write(
+    { record }, [this](platform::StoreOutcome aOutcome, MonoTime) {
+      lateOrderJournal_.OnWritten(aOutcome == platform::StoreOutcome::Ok);
+    });
 }
 
 JobSidecar::JobSidecar(const JobSidecarSettings& aSettings)
--- a/src/libcornelfront/job_sidecar_entries.cpp
+++ b/src/libcornelfront/job_sidecar_entries.cpp
@@ -197,6 +197,7 @@
               << " left_ms=" << order.left_.count()
               << " late_order=" << ToString(order.state_);
   }
+  lateOrderJournal_.Note(changes, aNow);
   metrics_.SetGauge("late_orders",
                     static_cast<double>(table_.LateOrderCount()));
   for (auto& [id, owner] : owners_) {
--- a/src/libcornelfront/job_sidecar_pvt.h
+++ b/src/libcornelfront/job_sidecar_pvt.h
@@ -10,6 +10,7 @@
 #include "cornelfront/call_timeout.h"
 #include "cornelfront/http_server.h"
 #include "cornelfront/job_metrics.h"
+#include "cornelfront/late_order_journal.h"
 #include "cornelfront/link.h"
 #include "cornelfront/report_schedule.h"
 #include "cornelfront/run_table.h"
@@ -92,6 +93,9 @@
   /// Tells all entries of orders that may be carried out late, if that has
   /// changed.
   void SendLateOrders(MonoTime aNow);
+  /// Writes late orders to the store, for entries that start after all
+  /// processes which have been told are gone.
+  void StoreLateOrders(MonoTime aNow);
   void SendStart(const StartRequest& aOrder, MonoTime aNow);
   static void LogRunEnd(MemberId aOwner, const RunReport& aReport);
   void SendStatus(MonoTime aNow);
@@ -149,6 +153,8 @@
   bool pollDelayed_ = false;
   std::unique_ptr<asio::steady_timer> pollTimer_;
   std::unique_ptr<platform::BatchWriter> registration_;
+  LateOrderJournal lateOrderJournal_;
+  std::unique_ptr<platform::BatchWriter> lateOrderWriter_;
   /// The last reason that was logged.
   LeaseLimitReason leaseLimit_ = LeaseLimitReason::None;
   bool stopping_ = false;
--- a/src/libcornelfront/platform/member_topic.h
+++ b/src/libcornelfront/platform/member_topic.h
@@ -20,6 +20,10 @@
 /// job_ledger.h.
 inline constexpr std::string_view kJobTopic = "keyed.jobs";
 
+/// Topic of orders without an answer that may still be carried out. Only its
+/// history counts, which the store drops by itself.
+inline constexpr std::string_view kLateOrderTopic = "late-orders";
+
 /// Returns the record that announces the message endpoint of an entry.
 KeyedRecord
 MemberRecord(const std::string& aName, const Endpoint& aMessages);
--- a/src/libcornelfront/platform/store_client.cpp
+++ b/src/libcornelfront/platform/store_client.cpp
@@ -91,6 +91,18 @@
   }
 }
 
+/// Returns the offset in the response to a read of records that were dropped; 0
+/// if it names none.
+uint64_t
+FirstRetained(std::string_view aBody)
+{
+  try {
+    return static_cast<uint64_t>(IntegerField(ParseObject(aBody), "first", 0));
+  } catch (const WireFormatError&) {
+    return 0;
+  }
+}
+
 void
 DecodePage(std::string_view aBody, StorePage& aPage)
 {
@@ -301,6 +313,8 @@
          try {
            if (read.outcome_ == StoreOutcome::Ok) {
              DecodeRead(aResult.response_.body_, aFrom, read);
+           } else if (read.outcome_ == StoreOutcome::Gone) {
+             read.first_ = FirstRetained(aResult.response_.body_);
            }
          } catch (const WireFormatError& error) {
            LOG(ERROR) << "malformed response to a read of " << aTopic << ": "
--- a/src/libcornelfront/platform/store_client.h
+++ b/src/libcornelfront/platform/store_client.h
@@ -59,6 +59,8 @@
   /// End of the partition when it was read; beyond next_ if more records follow
   /// than one answer holds.
   uint64_t end_ = 0;
+  /// With Gone, the oldest offset that is retained.
+  uint64_t first_ = 0;
   std::vector<KeyedRecord> records_;
 };
 
--- a/src/libcornelfront/policy/two_runs_entry_test.cpp
+++ b/src/libcornelfront/policy/two_runs_entry_test.cpp
@@ -25,6 +25,7 @@
 void
 EntryProcess::Start()
 {
+  ReadLateOrders();
   StartReading();
   Post(kTickInterval, [this] { Tick(); });
 }
--- a/src/libcornelfront/policy/two_runs_model_test.h
+++ b/src/libcornelfront/policy/two_runs_model_test.h
@@ -9,6 +9,8 @@
 #include "cornelfront/backoff.h"
 #include "cornelfront/call_timeout.h"
 #include "cornelfront/job_scheduler.h"
+#include "cornelfront/late_order_journal.h"
+#include "cornelfront/late_order_record.h"
 #include "cornelfront/leadership.h"
 #include "cornelfront/messages.h"
 #include "cornelfront/order_fence.h"
@@ -383,6 +385,7 @@
   void SendFence(MonoTime aNow);
   void SendPending(MonoTime aNow);
   void SendLateOrders(MonoTime aNow);
+  void StoreLateOrders(MonoTime aNow);
   void SendStart(const StartRequest& aOrder, MonoTime aNow);
   void SendStop(const StopRequest& aStop);
   void SendStatus(MonoTime aNow);
@@ -399,6 +402,7 @@
   std::map<uint64_t, MemberId> entries_;
   bool connecting_ = false;
   OrderFence fence_;
+  LateOrderJournal lateOrderJournal_;
   /// As in JobSidecar.
   bool fenceOpen_ = false;
   UpstreamTime clock_;
@@ -449,6 +453,8 @@
   {
     return heldSince_.at(aJob);
   }
+  /// Takes jobs from now on: the late orders in the store are known.
+  bool IsReady() const { return knowsStoredLateOrders_; }
   /// The store shows a record, or shows it again to a process that starts.
   void OnLeaderRecord(const LeaderRecord& aRecord);
   void OnMessage(const LinkPtr& aLink,
@@ -474,6 +480,8 @@
   void SendStopsTo(SendStops& aSend);
   void RecordEnd(const RunEndEvent& aEvent);
   std::string NameOf(MemberId aSidecar) const;
+  void ReadLateOrders();
+  void OnStoredLateOrders(const LateOrderRecord& aRecord);
 
   void StartReading();
   void TickLeader();
@@ -495,6 +503,7 @@
 
   JobScheduler scheduler_;
   Leadership leadership_;
+  bool knowsStoredLateOrders_ = false;
   /// The store has been read to its end.
   bool readsStore_ = false;
   bool leads_ = false;
@@ -585,6 +594,12 @@
   void AppendLeaderRecord(const LeaderRecord& aRecord,
                           bool aClaim,
                           std::function<void(bool)> aReply);
+  /// Appends to the store; the writer may be gone meanwhile.
+  void AppendLateOrders(LateOrderRecord aRecord);
+  const std::vector<LateOrderRecord>& StoredLateOrders() const
+  {
+    return storedLateOrders_;
+  }
   /// The newest record; its term is 0 if there is none.
   const LeaderRecord& Leader() const { return leader_; }
   /// Newest incarnation of each sidecar.
@@ -652,6 +667,7 @@
   /// Time of the last end of each task that has been done.
   std::map<JobTaskId, MonoTime> doneAt_;
   LeaderRecord leader_;
+  std::vector<LateOrderRecord> storedLateOrders_;
   std::map<size_t, MemberId> registeredSidecars_;
   std::vector<std::shared_ptr<SidecarProcess>> sidecars_;
   std::vector<std::shared_ptr<EntryProcess>> entries_;
--- a/src/libcornelfront/policy/two_runs_sidecar_test.cpp
+++ b/src/libcornelfront/policy/two_runs_sidecar_test.cpp
@@ -61,6 +61,7 @@
   table_.Tick(now);
   SendPending(now);
   SendStatus(now);
+  StoreLateOrders(now);
   Post(kTickInterval, [this] { Tick(); });
 }
 
@@ -514,6 +515,7 @@
   if (changes.orders_.empty()) {
     return;
   }
+  lateOrderJournal_.Note(changes, aNow);
   for (auto& [id, owner] : owners_) {
     owner.link_->Send(Side::Sidecar, changes);
   }
--- a/testsuite/process/platform_test.cpp
+++ b/testsuite/process/platform_test.cpp
@@ -423,6 +423,50 @@
                            return aInfo.index == 0 ? "AtOnce" : "Later";
                          });
 
+// All processes that know of the orders are killed; one executor restarts under
+// its id and begins its own, while the jobs run again.
+TEST(LateOrderOfKilledProcesses, BeginsNoRunBesideANewerOne)
+{
+  constexpr unsigned kSize = 3;
+  constexpr unsigned kJobs = 9;
+  PlatformCluster cluster(kSize, kSize);
+  for (unsigned i = 0; i < kSize; ++i) {
+    cluster.ExecutorFault(i, R"({"lose_starts":1000})");
+  }
+  const auto submitAll = [&] {
+    std::vector<std::future<HttpResult>> answers;
+    for (unsigned job = 0; job < kJobs; ++job) {
+      answers.push_back(std::async(std::launch::async, [&cluster, job] {
+        return cluster.Submit(job % kSize, MakeJobId(job), "ms=1500", 1, true);
+      }));
+    }
+    return answers;
+  };
+  auto lost = submitAll();
+  std::this_thread::sleep_for(Millis(1000));
+  for (unsigned i = 0; i < kSize; ++i) {
+    cluster.Entry(i).Kill();
+    cluster.Sidecar(i).Kill();
+  }
+  for (auto& answer : lost) {
+    EXPECT_FALSE(answer.get().Ok());
+  }
+  ASSERT_EQ(cluster.Runs().size(), 0U);
+  for (unsigned i = 0; i < kSize; ++i) {
+    cluster.ExecutorFault(i, "{}");
+    cluster.StartEntry(i);
+    cluster.StartSidecar(i);
+  }
+  cluster.WaitReady();
+  auto answers = submitAll();
+  ASSERT_TRUE(WaitUntil([&] { return cluster.Runs().size() == kJobs; }));
+  cluster.ExecutorFault(0, R"({"reborn":true,"late_ms":0})");
+  for (auto& answer : answers) {
+    EXPECT_EQ(answer.get().response_.body_, R"({"state":"completed"})");
+  }
+  EXPECT_THAT(cluster.OverlappingRuns(), IsEmpty());
+}
+
 TEST(PlatformStored, WhatCannotBeStoredIsRefusedAtOnce)
 {
   PlatformCluster cluster(1, 1);
