A stop ends runs of its sender only

The table now compares the owner; after a takeover that is the new leader.

RunTableTest.AStopOfAnotherEntryStopsNoRun; before, the table was not told who had sent the stop.

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -340,9 +340,13 @@
   /// Orders that are received right after a suspension are refused: they may be
   /// of any age.
   void OnOrders(MemberId aOwner, const StartRuns& aOrders, MonoTime aNow);
-  /// \p aAge is as for OnOwnerLinked: the client of an abandoned run may have
-  /// left when the stop was sent.
-  void OnStop(const StopRuns& aStop, MonoTime aNow, Millis aAge = Millis(0));
+  /// Stops runs of this owner; one of another may have the same task and
+  /// number. \p aAge is as for OnOwnerLinked: the client of an abandoned run
+  /// may have left when the stop was sent.
+  void OnStop(MemberId aOwner,
+              const StopRuns& aStop,
+              MonoTime aNow,
+              Millis aAge = Millis(0));
   /// Returns the suspension that was detected last, once. Links that were open
   /// before must be closed, since orders in their buffers may be of any age.
   std::optional<Suspension> TakeSuspension(MonoTime aNow);
--- a/src/libcornelfront/job_sidecar_entries.cpp
+++ b/src/libcornelfront/job_sidecar_entries.cpp
@@ -57,7 +57,7 @@
   if (std::holds_alternative<StartRuns>(aEnvelope.message_)) {
     OnOrders(id, aEnvelope, now);
   } else if (const auto* stop = std::get_if<StopRuns>(&aEnvelope.message_)) {
-    table_.OnStop(*stop, now, age);
+    table_.OnStop(id, *stop, now, age);
   } else if (const auto* over = std::get_if<TakeOver>(&aEnvelope.message_)) {
     OnTakeOver(aLink, id, *over, now, age);
   } else if (const auto* authority =
--- a/src/libcornelfront/policy/crashing_task_test.cpp
+++ b/src/libcornelfront/policy/crashing_task_test.cpp
@@ -158,7 +158,7 @@
             Of(aSend.sidecar_).table_->OnOrders(entryId_, aSend.orders_, now_);
           },
           [&](SendStops& aSend) {
-            Of(aSend.sidecar_).table_->OnStop(aSend.stops_, now_);
+            Of(aSend.sidecar_).table_->OnStop(entryId_, aSend.stops_, now_);
           },
           [&](const SendAcknowledgement& aSend) {
             Of(aSend.sidecar_).table_->OnAcknowledgeEnds(aSend.ends_);
--- a/src/libcornelfront/policy/load_replay_entries.cpp
+++ b/src/libcornelfront/policy/load_replay_entries.cpp
@@ -156,7 +156,7 @@
   for (JobAction& action : aEntry.scheduler_->TakeActions()) {
     std::visit(
       Visitor{ [&](SendRuns& aSend) { SendOrders(aEntry, aSend); },
-               [&](SendStops& aSend) { SendStop(aSend); },
+               [&](SendStops& aSend) { SendStop(aEntry, aSend); },
                [&](const AnswerJob& aAnswer) { OnAnswer(aEntry, aAnswer); },
                [](const auto&) {} },
       action);
@@ -208,16 +208,18 @@
 }
 
 void
-LoadReplayer::SendStop(const SendStops& aSend)
+LoadReplayer::SendStop(const SimulatedEntry& aEntry, const SendStops& aSend)
 {
-  events_.After(
-    pattern_.linkDelay_,
-    [this, sidecar = FindSidecar(aSend.sidecar_), stops = aSend.stops_] {
-      if (sidecar != nullptr && sidecar->up_) {
-        sidecar->table_->OnStop(stops, events_.Now());
-        SendPending(*sidecar);
-      }
-    });
+  events_.After(pattern_.linkDelay_,
+                [this,
+                 from = aEntry.id_,
+                 sidecar = FindSidecar(aSend.sidecar_),
+                 stops = aSend.stops_] {
+                  if (sidecar != nullptr && sidecar->up_) {
+                    sidecar->table_->OnStop(from, stops, events_.Now());
+                    SendPending(*sidecar);
+                  }
+                });
 }
 
 void
--- a/src/libcornelfront/policy/load_replay_pvt.h
+++ b/src/libcornelfront/policy/load_replay_pvt.h
@@ -117,7 +117,7 @@
   void OnOrders(MemberId aFrom,
                 SimulatedSidecar* aSidecar,
                 const StartRuns& aOrders);
-  void SendStop(const SendStops& aSend);
+  void SendStop(const SimulatedEntry& aEntry, const SendStops& aSend);
   void OnAnswer(SimulatedEntry& aEntry, const AnswerJob& aAnswer);
   static Millis ObjectiveOf(const ClientJob& aJob, const LoadKind& aKind);
   void Count(const ClientJob& aJob, uint64_t LoadOutcomes::*aOutcome);
--- a/src/libcornelfront/policy/run_lease_test.cpp
+++ b/src/libcornelfront/policy/run_lease_test.cpp
@@ -165,7 +165,8 @@
     AnswerPoll(table_.BeginPoll(), At(ms));
   }
   const Millis stopped{ 2000 };
-  table_.OnStop({ .runs_ = { Key(0) }, .abandoned_ = true }, At(stopped));
+  table_.OnStop(
+    kOwner, { .runs_ = { Key(0) }, .abandoned_ = true }, At(stopped));
   Millis end{ 0 };
   for (Millis ms = stopped; ms <= Millis(5000); ms += kPollInterval) {
     table_.OnOwnerHeard(kOwner, At(ms));
@@ -186,7 +187,7 @@
   const Millis healed{ 850 };
   table_.OnOwnerHeard(kOwner, At(healed), healed);
   table_.OnStop(
-    { .runs_ = { Key(0) }, .abandoned_ = true }, At(healed), healed);
+    kOwner, { .runs_ = { Key(0) }, .abandoned_ = true }, At(healed), healed);
   for (Millis ms = healed; ms <= Millis(3000); ms += kPollInterval) {
     table_.OnOwnerHeard(kOwner, At(ms));
     const Millis lease = PollUntil(ms, ms);
@@ -230,7 +231,7 @@
   ASSERT_EQ(before.reason_, LeaseLimitReason::OwnerSilent);
   table_.OnOwnerHeard(kOwner, At(900), Millis(900));
   Order(1, At(900));
-  table_.OnStop({}, At(900));
+  table_.OnStop(kOwner, {}, At(900));
   EXPECT_EQ(table_.LimitLease(At(900)).end_, before.end_);
   table_.OnOwnerHeard(kOwner, At(900), Millis(850));
   EXPECT_EQ(table_.LimitLease(At(900)).end_, before.end_ + Millis(50));
@@ -266,14 +267,14 @@
   Order(0, At(0));
   ASSERT_EQ(Start(At(0)), 1U);
   AnswerPoll(table_.BeginPoll(), At(0));
-  table_.OnStop({ .runs_ = { Key(0) } }, At(10));
+  table_.OnStop(kOwner, { .runs_ = { Key(0) } }, At(10));
   EXPECT_EQ(table_.TakeStops(At(10)).size(), 1U);
   for (Millis ms{ 10 }; ms <= Millis(2000); ms += kPollInterval) {
     table_.OnOwnerHeard(kOwner, At(ms));
     AnswerPoll(table_.BeginPoll(), At(ms));
     EXPECT_EQ(table_.LeaseEnd(At(ms)), At(ms + Millis(1000)));
   }
-  table_.OnStop({ .runs_ = { Key(0) }, .abandoned_ = true }, At(2000));
+  table_.OnStop(kOwner, { .runs_ = { Key(0) }, .abandoned_ = true }, At(2000));
   EXPECT_EQ(table_.LeaseEnd(At(2500)), At(3000));
 }
 
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -246,14 +246,17 @@
 }
 
 void
-RunTable::OnStop(const StopRuns& aStop, MonoTime aNow, Millis aAge)
+RunTable::OnStop(MemberId aOwner,
+                 const StopRuns& aStop,
+                 MonoTime aNow,
+                 Millis aAge)
 {
   DetectSuspension(aNow);
   // An older stop ends the lease no sooner than one of this age.
   const Millis age = aAge + std::clamp(aStop.age_, Millis(0), options_.lease_);
   for (const RunKey& key : aStop.runs_) {
     const auto run = runs_.find(key);
-    if (run != runs_.end()) {
+    if (run != runs_.end() && run->second.owner_ == aOwner) {
       RequestStop(run,
                   aStop.abandoned_ ? StopReason::Abandoned
                                    : StopReason::Ordered,
--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -194,7 +194,7 @@
   EXPECT_EQ(table_.MakeUpstreamReport(At(5)).capacity_.cpu_, 2500);
   table_.OnOrders(kOwner, Orders(4), At(6));
   EXPECT_TRUE(table_.TakeStarts(At(6)).empty());
-  table_.OnStop({ .runs_ = { Key(0) } }, At(7));
+  table_.OnStop(kOwner, { .runs_ = { Key(0) } }, At(7));
   EXPECT_TRUE(table_.TakeStarts(At(7)).empty());
   Poll({ .running_ = { { Key(1) } },
          .ended_ = { { 1, Key(0), RunEnd::Stopped } } },
@@ -205,6 +205,17 @@
   EXPECT_EQ(table_.TakeStarts(At(12)).size(), 1U) << "it has grown again";
 }
 
+// Each entry numbers the runs of a task from 1.
+TEST_F(RunTableTest, AStopOfAnotherEntryStopsNoRun)
+{
+  Start(1);
+  table_.OnOwnerLinked(kOther, At(1));
+  table_.OnStop(kOther, { .runs_ = { Key(0) }, .abandoned_ = true }, At(2));
+  EXPECT_TRUE(table_.TakeStops(At(2)).empty());
+  table_.OnStop(kOwner, { .runs_ = { Key(0) } }, At(3));
+  EXPECT_EQ(table_.TakeStops(At(3)).size(), 1U);
+}
+
 TEST_F(RunTableTest, RunsOfASilentUpstreamAreLostOnlyAfterItsLease)
 {
   Start(1);
@@ -405,9 +416,10 @@
                    [](RunTable& aTable, MonoTime aNow) {
                      aTable.OnOrders(kOther, Orders(1), aNow);
                    } },
-    FirstCallCase{
-      "stop",
-      [](RunTable& aTable, MonoTime aNow) { aTable.OnStop({}, aNow); } },
+    FirstCallCase{ "stop",
+                   [](RunTable& aTable, MonoTime aNow) {
+                     aTable.OnStop(kOther, {}, aNow);
+                   } },
     FirstCallCase{ "starts",
                    [](RunTable& aTable, MonoTime aNow) {
                      EXPECT_TRUE(aTable.TakeStarts(aNow).empty());
--- a/src/libcornelfront/policy/two_runs_sidecar_test.cpp
+++ b/src/libcornelfront/policy/two_runs_sidecar_test.cpp
@@ -195,7 +195,7 @@
     const auto age = now.time_since_epoch() - aTimes.echo_;
     OnOrders(id, *orders, std::chrono::duration_cast<Millis>(age));
   } else if (const auto* stop = std::get_if<StopRuns>(&aMessage)) {
-    table_.OnStop(*stop, now, knownAge.value_or(kMaxMessageAge));
+    table_.OnStop(id, *stop, now, knownAge.value_or(kMaxMessageAge));
   } else if (const auto* over = std::get_if<TakeOver>(&aMessage)) {
     OnTakeOver(aLink, id, *over, now, knownAge.value_or(kMaxMessageAge));
   } else if (const auto* authority = std::get_if<LeaderAuthority>(&aMessage)) {
