--- a/src/libcornelfront/job_entry.cpp
+++ b/src/libcornelfront/job_entry.cpp
@@ -164,7 +164,7 @@
   PerformActions(now);
   metrics_.SetGauge("jobs", static_cast<double>(scheduler_.Jobs()));
   metrics_.SetGauge("sidecars", static_cast<double>(sidecars_.size()));
-  metrics_.SetGauge("ready", Ready() ? 1 : 0);
+  metrics_.SetGauge("ready", Ready(now) ? 1 : 0);
   metrics_.SetGauge("leads", stored_->Term() > 0 ? 1 : 0);
   metrics_.SetGauge("configuration", static_cast<double>(operator_.version_));
   if (operatorReader_->Complete()) {
@@ -174,10 +174,10 @@
 }
 
 bool
-JobEntry::Impl::Ready() const
+JobEntry::Impl::Ready(MonoTime aNow) const
 {
   return !stopping_ && operator_.version_ > 0 &&
-         scheduler_.HasReadyUpstream() && KnowsStoredLateOrders(BootNow());
+         scheduler_.HasReadyUpstream() && KnowsStoredLateOrders(aNow);
 }
 
 void
--- a/src/libcornelfront/job_entry_clients.cpp
+++ b/src/libcornelfront/job_entry_clients.cpp
@@ -20,7 +20,7 @@
 void
 JobEntry::Impl::HandleReadiness(const HttpRequest&, const HttpReply& aReply)
 {
-  aReply.Send({ .status_ = Ready() ? 200 : 503, .body_ = "{}" });
+  aReply.Send({ .status_ = Ready(BootNow()) ? 200 : 503, .body_ = "{}" });
 }
 
 void
--- a/src/libcornelfront/job_entry_pvt.h
+++ b/src/libcornelfront/job_entry_pvt.h
@@ -60,7 +60,7 @@
   void Setup();
   void Register();
   void Tick();
-  bool Ready() const;
+  bool Ready(MonoTime aNow) const;
   void ReadLateOrders();
   /// Takes over what a sidecar process has written of its late orders; it may
   /// be gone.
