A sidecar that has said hello alone has told no late orders

An entry that reads the late orders in the store skipped those of a sidecar process that was linked, since it tells them by itself. They are now taken until the list has come, which replaces them.

--- a/src/libcornelfront/job_entry_sidecars.cpp
+++ b/src/libcornelfront/job_entry_sidecars.cpp
@@ -117,7 +117,9 @@
 JobEntry::Impl::OnStoredLateOrders(const LateOrderRecord& aRecord,
                                    MonoTime aNow)
 {
-  if (sidecars_.contains(aRecord.sidecar_)) {
+  // Its list comes before its runs; until then it may be lost with both.
+  const auto linked = sidecars_.find(aRecord.sidecar_);
+  if (linked != sidecars_.end() && linked->second.receivedHeldRuns_) {
     return; // it has told them by itself, and what became of them
   }
   scheduler_.OnLateOrders(
--- a/src/libcornelfront/policy/two_runs_store_test.cpp
+++ b/src/libcornelfront/policy/two_runs_store_test.cpp
@@ -51,7 +51,8 @@
 void
 EntryProcess::OnStoredLateOrders(const LateOrderRecord& aRecord)
 {
-  if (sidecars_.contains(aRecord.sidecar_)) {
+  const auto linked = sidecars_.find(aRecord.sidecar_);
+  if (linked != sidecars_.end() && linked->second.receivedHeldRuns_) {
     return;
   }
   const MonoTime now = Now();
