--- a/src/include/cornelfront/late_order_journal.h
+++ b/src/include/cornelfront/late_order_journal.h
@@ -25,7 +25,8 @@
   /// Returns the orders to be written now, all of them as held. Empty if there
   /// are none, while a batch is being written, and for some time after one.
   std::vector<LateOrder> TakeBatch(MonoTime aNow);
-  /// The last batch has been written, or is to be written again.
+  /// The last batch has been written, or is to be written again; each failure
+  /// makes the time until the next one longer.
   void OnWritten(bool aWritten);
 
 private:
@@ -47,6 +48,8 @@
   std::map<JobTaskId, Entry> orders_;
   bool writing_ = false;
   MonoTime lastBatch_;
+  /// Least time from the last batch to the next.
+  Millis pause_{ 0 };
 };
 
 } // namespace cornelfront
--- a/src/libcornelfront/policy/late_order_journal.cpp
+++ b/src/libcornelfront/policy/late_order_journal.cpp
@@ -1,11 +1,15 @@
 #include "cornelfront/late_order_journal.h"
 
+#include <algorithm>
+
 namespace cornelfront {
 namespace {
 
 /// Time from one batch to the next. What is listed in the meantime is lost if
 /// all processes are.
 constexpr Millis kBatchPause{ 200 };
+/// The same at most, after batches that the store did not take.
+constexpr Millis kMaxBatchPause{ 1600 };
 
 } // namespace
 
@@ -30,7 +34,7 @@
 LateOrderJournal::TakeBatch(MonoTime aNow)
 {
   std::vector<LateOrder> batch;
-  if (writing_ || aNow - lastBatch_ < kBatchPause) {
+  if (writing_ || aNow - lastBatch_ < pause_) {
     return batch;
   }
   std::erase_if(orders_, [aNow](const auto& aOrder) {
@@ -56,6 +60,8 @@
 LateOrderJournal::OnWritten(bool aWritten)
 {
   writing_ = false;
+  pause_ = aWritten ? kBatchPause
+                    : std::clamp(2 * pause_, 2 * kBatchPause, kMaxBatchPause);
   for (auto& [task, entry] : orders_) {
     if (entry.state_ == State::InBatch) {
       entry.state_ = aWritten ? State::Written : State::Waiting;
