--- a/src/libcornelfront/net/curl_transfer.cpp
+++ b/src/libcornelfront/net/curl_transfer.cpp
@@ -119,7 +119,7 @@
   const curl_socket_t opened =
     socket(aAddress.family, aAddress.socktype, aAddress.protocol);
   if (opened != CURL_SOCKET_BAD) {
-    ports_.emplace(opened, 0);
+    ports_[opened] = 0;
   }
   return opened;
 }
--- a/src/libcornelfront/platform/history_reader.cpp
+++ b/src/libcornelfront/platform/history_reader.cpp
@@ -64,14 +64,19 @@
       return;
     }
   }
+  const bool advanced = aRead.next_ > next_;
   next_ = aRead.next_;
   if (!aRead.records_.empty()) {
     options_.onRecords_(aRead.records_);
   }
-  if (next_ < end_) {
+  if (next_ < end_ && advanced) {
     Read();
     return;
   }
+  if (next_ < end_) {
+    ReadLater();
+    return;
+  }
   complete_ = true;
   options_.onComplete_();
 }
