Harness: control calls open their own connections

Suspected, not reproduced: a kept connection that the stand-in closed in the moment in which it was used again.

--- a/testsuite/harness/platform_cluster.cpp
+++ b/testsuite/harness/platform_cluster.cpp
@@ -328,8 +328,11 @@
 void
 PlatformCluster::Control(const std::string& aUrl, const std::string& aJson)
 {
-  const HttpResult result =
-    client_.Perform({ .method_ = "POST", .url_ = aUrl, .body_ = aJson });
+  // A kept connection may be closed as idle just when it is used again.
+  const HttpResult result = client_.Perform({ .method_ = "POST",
+                                              .url_ = aUrl,
+                                              .body_ = aJson,
+                                              .freshConnection_ = true });
   if (!result.Ok()) {
     throw std::runtime_error("POST " + aUrl + " with " + aJson + " failed: " +
                              (result.error_.empty()
