--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -118,10 +118,8 @@
   const WallMillis end = WallMillisNow();
   callers.Stop();
   callers.ReadStates(kCompletionTimeout);
-  if (aOptions.stopMs_ > 0) {
-    // The other runs of a job that has just failed are told to stop.
-    std::this_thread::sleep_for(Millis(aOptions.stopMs_) + kStopOnItsWay);
-  }
+  // The other runs of a job that has just failed are told to stop.
+  std::this_thread::sleep_for(Millis(aOptions.stopMs_) + kStopOnItsWay);
   Observations observations{ .jobs_ = callers.Jobs(),
                              .runs_ = aCluster.Runs(),
                              .noStart_ = injector.NoStartIntervals(end),
