--- a/src/libcornelfront/platform/history_reader.cpp
+++ b/src/libcornelfront/platform/history_reader.cpp
@@ -1,7 +1,5 @@
 #include "platform/history_reader.h"
 
-#include <algorithm>
-
 namespace cornelfront::platform {
 namespace {
 
