An executor that deregisters is gone only once that is proven

Cause: RunTable::OnUpstreamLeft ended all runs as lost in the moment of the call. PROTOCOL.md promises no such end: the process lives on until it has its acknowledgement, or some seconds without one, and its runs with it under a lease of up to a second.

Why it works: a leaving upstream stays the current one. It gets no order and no longer lease, its runs are stopped, and polls go on. It is gone once an answer shows that nothing runs there, or when the lease that was granted last is over on a clock 2 % slow, noticed 100 ms late. The call is acknowledged then, since the executor ends with the acknowledgement. If another incarnation takes the place of one that drains or leaves, what ran on the earlier one counts as running until the same time. The last answer's ends are acknowledged before the upstream is dropped.

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -132,6 +132,8 @@
   Suspended,
   /// It was not ordered through this table.
   Orphaned,
+  /// The upstream has announced its end.
+  UpstreamLeaving,
 };
 
 std::string_view
@@ -163,6 +165,8 @@
   StopUnconfirmed,
   /// The leader of the stored jobs is lost and ends are unacknowledged.
   LeaderLost,
+  /// The upstream has announced its end.
+  UpstreamLeaving,
 };
 
 std::string_view
@@ -298,11 +302,15 @@
   /// incarnation ends all runs of the previous one, but a run that the new one
   /// may have started instead remains until the next poll tells.
   void OnUpstream(const UpstreamInfo& aInfo, MonoTime aNow);
-  /// The upstream is known to be dead.
-  void OnUpstreamGone(MonoTime aNow);
   /// An incarnation has deregistered. Returns false if it is not the current
-  /// one, whose runs then stay as they are.
+  /// one, whose runs then stay as they are. The announcement proves no end: its
+  /// process may live on, and what runs there with it. It gets no more starts
+  /// and no longer lease, its runs are stopped, and it stays the current one
+  /// until an answer shows that nothing runs, or until its lease is over.
   bool OnUpstreamLeft(const UpstreamDeparture& aDeparture, MonoTime aNow);
+  /// True from the deregistration of the current incarnation until all that ran
+  /// there is known to have ended.
+  bool IsLeaving() const { return departure_.has_value(); }
   /// A poll was answered by another incarnation. Returns false if the poll was
   /// meant for an incarnation that is no longer current. Runs that the other
   /// one may have started remain until its first poll tells, or as long as a
@@ -451,8 +459,8 @@
   /// what runs there.
   bool KnowsRuns() const { return runsKnown_; }
   const std::optional<UpstreamInfo>& Upstream() const { return upstream_; }
-  /// Number of runs that were ordered and have not ended.
-  size_t Size() const { return runs_.size(); }
+  /// Number of runs that were ordered and are not known to have ended.
+  size_t Size() const { return runs_.size() + formerRuns_.size(); }
 
 private:
   enum class State : uint8_t
@@ -516,12 +524,37 @@
     /// The incarnation that it was ordered from is gone, and a later one with
     /// the same id may have begun it.
     bool keptPastRestart_ = false;
+    /// An earlier incarnation that had announced its end may run it until then,
+    /// whatever the present one lists.
+    MonoTime mayRunElsewhereUntil_;
     /// Polls with a lower number may not show the run yet.
     uint64_t firstPoll_ = 0;
     std::optional<Stop> stop_;
   };
   using Runs = std::map<RunKey, Run>;
 
+  /// The current incarnation has announced its end.
+  struct Departure
+  {
+    /// The announcement named its start time, so that it was no other's.
+    bool certain_ = false;
+    MonoTime leaseOverAt_;
+    /// Its last answer listed ends, which it has not seen acknowledged.
+    bool listsEnds_ = false;
+  };
+
+  /// A run on an earlier incarnation that had announced its end, and may go on
+  /// under its lease beside the current one.
+  struct FormerRun
+  {
+    /// Absent if it was not ordered through this table.
+    std::optional<MemberId> owner_;
+    uint64_t term_ = 0;
+    /// What its owner is told once the lease is over.
+    RunReport report_;
+    MonoTime leaseOverAt_;
+  };
+
   struct Owner
   {
     MonoTime heardAt_;
@@ -563,6 +596,28 @@
   /// Ends the runs of an incarnation that is gone, but for those that the next
   /// one with its id may begin.
   void FinishGone(MonoTime aNow);
+  /// Returns how long after the end that was meant a lease may be over, on a
+  /// slow clock and noticed late.
+  Millis LapseAllowance() const;
+  /// A poll that was answered after the start of the run has shown which
+  /// incarnation answered the start, and none of its orders is without an
+  /// answer.
+  bool IsKnownToBeThere(const Run& aRun) const;
+  /// Returns the time at which all that runs on the current incarnation has
+  /// ended, if nothing extends its lease from \p aNow on.
+  MonoTime LeaseOverAt(MonoTime aNow) const;
+  /// A leaving incarnation has answered a poll.
+  void NoteLeavingAnswer(const UpstreamPollResult& aPollResult, MonoTime aNow);
+  /// Takes a leaving incarnation as gone if its runs are known to have ended.
+  void ConcludeDeparture(MonoTime aNow);
+  /// True if it is known that nothing runs on the upstream which has been
+  /// started.
+  bool RunsNothing() const;
+  /// Keeps what a leaving incarnation may run on, although another one has
+  /// taken its place.
+  void KeepFormerRuns(Replacement aReplacement, MonoTime aNow);
+  /// Ends the runs of earlier incarnations whose lease is over.
+  void FinishFormerRuns(MonoTime aNow);
   /// Returns the time of the last order of a run that has one without an
   /// answer, or nothing if all were answered.
   std::optional<OrderTerm> OpenTerm(const Run& aRun) const;
@@ -665,6 +720,9 @@
   std::optional<UpstreamInfo> upstream_;
   bool closed_ = false;
   Runs runs_;
+  std::optional<Departure> departure_;
+  /// By the upstream's run number if they were not ordered through this table.
+  std::map<RunKey, FormerRun> formerRuns_;
   /// Runs on the upstream that were not ordered through this table, by the
   /// upstream's run number.
   std::map<RunKey, Stop> orphans_;
--- a/src/libcornelfront/job_sidecar.cpp
+++ b/src/libcornelfront/job_sidecar.cpp
@@ -68,8 +68,9 @@
             OnHeartbeat(aHeartbeat);
           },
         .onLeave_ =
-          [this](const UpstreamDeparture& aDeparture) {
-            OnUpstreamLeft(aDeparture);
+          [this](const UpstreamDeparture& aDeparture,
+                 std::function<void()> aAcknowledge) {
+            OnUpstreamLeft(aDeparture, std::move(aAcknowledge));
           } }));
   store_ = std::make_unique<platform::StoreClient>(loop, settings_.store_);
   Register();
--- a/src/libcornelfront/job_sidecar_pvt.h
+++ b/src/libcornelfront/job_sidecar_pvt.h
@@ -24,7 +24,9 @@
 #include "platform/topic_reader.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
+#include <vector>
 
 namespace cornelfront {
 
@@ -57,7 +59,11 @@
   bool DetectSuspension(MonoTime aNow);
   void StartConnecting(MonoTime aNow);
   void OnHeartbeat(const platform::Heartbeat& aHeartbeat);
-  void OnUpstreamLeft(const UpstreamDeparture& aDeparture);
+  void OnUpstreamLeft(const UpstreamDeparture& aDeparture,
+                      std::function<void()> aAcknowledge);
+  /// Acknowledges a departure once nothing runs on the upstream any more: it
+  /// ends with the acknowledgement.
+  void AcknowledgeDeparture(MonoTime aNow);
   void OnOperatorRecords(const platform::TopicReader::Records& aRecords);
   LinkPtr OnConnect(asio::ip::tcp::socket aSocket);
   void OnMessage(const LinkPtr& aLink, Envelope& aEnvelope);
@@ -149,6 +155,9 @@
   /// The upstream has started again under its id, and has not answered a call
   /// with a higher fence than the poll that showed it.
   bool fenceOpen_ = false;
+  /// Of the upstream's deregistration, while it is leaving.
+  std::vector<std::function<void()>> departureReplies_;
+  MonoTime departureStart_;
   /// The next poll waits for pollTimer_.
   bool pollDelayed_ = false;
   std::unique_ptr<asio::steady_timer> pollTimer_;
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -5,6 +5,8 @@
 
 #include <glog/logging.h>
 
+#include <utility>
+
 namespace cornelfront {
 namespace {
 
@@ -84,20 +86,43 @@
 }
 
 void
-JobSidecar::Impl::OnUpstreamLeft(const UpstreamDeparture& aDeparture)
+JobSidecar::Impl::OnUpstreamLeft(const UpstreamDeparture& aDeparture,
+                                 std::function<void()> aAcknowledge)
 {
   const MonoTime now = BootNow();
   const auto known = table_.Upstream();
+  if (!table_.IsLeaving()) {
+    departureStart_ = now;
+  }
   const bool left = table_.OnUpstreamLeft(aDeparture, now);
   LOG(INFO) << "upstream id=" << aDeparture.id_ << " born="
             << (aDeparture.startedMs_ ? std::to_string(*aDeparture.startedMs_)
                                       : "absent")
             << " current=" << (known ? known->id_ : "none")
             << " current_born=" << (known ? known->startedMs_ : 0)
-            << " outcome=" << (left ? "left" : "left_before");
-  if (left) {
-    SendPending(now);
-    SendStatus(now);
+            << " runs=" << table_.Size()
+            << " outcome=" << (left ? "leaving" : "left_before");
+  if (!left) {
+    aAcknowledge();
+    return;
+  }
+  departureReplies_.push_back(std::move(aAcknowledge));
+  SendPending(now);
+  SendStatus(now);
+}
+
+void
+JobSidecar::Impl::AcknowledgeDeparture(MonoTime aNow)
+{
+  if (departureReplies_.empty() || table_.IsLeaving()) {
+    return;
+  }
+  LOG(INFO)
+    << "upstream waited_ms="
+    << std::chrono::duration_cast<Millis>(aNow - departureStart_).count()
+    << " outcome=left";
+  for (const auto& acknowledge : std::exchange(departureReplies_, {})) {
+    acknowledge();
   }
 }
 
@@ -172,6 +197,10 @@
   if (!table_.KnowsRuns() || table_.AwaitsAnswer(aNow)) {
     return Millis(0);
   }
+  // Only the acknowledgement of its last ends is left.
+  if (table_.IsLeaving() && table_.Size() == 0) {
+    return Millis(0);
+  }
   // A longer wait would be taken for silence, which holds tasks with late
   // orders.
   if (table_.Size() == 0 && table_.LateOrderCount() == 0) {
@@ -288,6 +317,7 @@
     SendStart(order, aNow);
   }
   HurryPoll(aNow);
+  AcknowledgeDeparture(aNow);
   auto updates = table_.TakeUpdates();
   if (updates.empty()) {
     return;
--- a/src/libcornelfront/platform/heartbeat_api.cpp
+++ b/src/libcornelfront/platform/heartbeat_api.cpp
@@ -47,18 +47,19 @@
   }
 }
 
-HttpResponse
+void
 HandleDeparture(const HeartbeatHooks& aHooks,
                 const std::string& aId,
-                const std::string& aBody)
+                const std::string& aBody,
+                const HttpReply& aReply)
 {
   try {
-    aHooks.onLeave_(ParseDeparture(aId, aBody));
-    return Answer(200);
+    aHooks.onLeave_(ParseDeparture(aId, aBody),
+                    [aReply] { aReply.Send(Answer(200)); });
   } catch (const WireFormatError& error) {
     LOG(WARNING) << "deregistration upstream=" << aId
                  << " outcome=malformed reason=\"" << error.what() << "\"";
-    return Answer(kStatusBadRequest);
+    aReply.Send(Answer(kStatusBadRequest));
   }
 }
 
@@ -77,7 +78,7 @@
     } else if (!heartbeatId.empty()) {
       aReply.Send(HandleHeartbeat(hooks, heartbeatId, aRequest.body_));
     } else {
-      aReply.Send(HandleDeparture(hooks, leavingId, aRequest.body_));
+      HandleDeparture(hooks, leavingId, aRequest.body_, aReply);
     }
   };
 }
--- a/src/libcornelfront/platform/heartbeat_api.h
+++ b/src/libcornelfront/platform/heartbeat_api.h
@@ -13,8 +13,11 @@
 struct HeartbeatHooks
 {
   std::function<void(const Heartbeat&)> onHeartbeat_;
-  /// Called when an executor deregisters.
-  std::function<void(const UpstreamDeparture&)> onLeave_;
+  /// Called when an executor deregisters. The executor gets its answer when
+  /// the acknowledgement is called, on the thread of the server's event loop.
+  std::function<void(const UpstreamDeparture&,
+                     std::function<void()> aAcknowledge)>
+    onLeave_;
 };
 
 /// Returns a handler that decodes heartbeats and deregistrations. A malformed
--- a/src/libcornelfront/policy/run_incarnations.cpp
+++ b/src/libcornelfront/policy/run_incarnations.cpp
@@ -44,11 +44,16 @@
   DetectSuspension(aNow);
   const bool sameIncarnation =
     IdentifySender(aInfo, aNow) == HeartbeatSender::Current;
+  if (sameIncarnation && departure_ && !departure_->certain_) {
+    // It was another incarnation's call that had been held up.
+    departure_.reset();
+  }
   if (!sameIncarnation) {
     RecordCrash();
     FinishReplaced(
       lastId_ == aInfo.id_ ? Replacement::SameId : Replacement::OtherId, aNow);
     orphans_.clear();
+    departure_.reset();
     runsKnown_ = false;
     newestEnd_ = 0;
     unacknowledged_.clear();
@@ -63,31 +68,6 @@
   }
 }
 
-void
-RunTable::OnUpstreamGone(MonoTime aNow)
-{
-  DetectSuspension(aNow);
-  WithdrawCrash();
-  FinishGone(aNow);
-  orphans_.clear();
-  upstream_.reset();
-}
-
-bool
-RunTable::OnUpstreamLeft(const UpstreamDeparture& aDeparture, MonoTime aNow)
-{
-  if (!upstream_ || upstream_->id_ != aDeparture.id_ ||
-      aDeparture.startedMs_.value_or(upstream_->startedMs_) !=
-        upstream_->startedMs_) {
-    return false;
-  }
-  if (aDeparture.startedMs_) {
-    RecordGone();
-  }
-  OnUpstreamGone(aNow);
-  return true;
-}
-
 bool
 RunTable::OnUpstreamReplaced(uint64_t aPollNumber,
                              Replacement aReplacement,
@@ -103,6 +83,7 @@
   RecordCrash();
   FinishReplaced(aReplacement, aNow);
   orphans_.clear();
+  departure_.reset();
   upstream_.reset();
   upstreamHeardAt_ = aNow;
   return true;
@@ -124,15 +105,15 @@
 void
 RunTable::FinishReplaced(Replacement aReplacement, MonoTime aNow)
 {
+  // The process of a planned end may live on beside its successor.
+  if (upstream_ && upstream_->draining_) {
+    KeepFormerRuns(aReplacement, aNow);
+  }
   for (auto run = runs_.begin(); run != runs_.end();) {
     Run& state = run->second;
     const bool waiting = state.state_ == State::Waiting;
-    // A poll that was answered after the start has shown who answered the
-    // start.
-    const bool wasThere = state.state_ == State::Running &&
-                          state.firstPoll_ <= answeredPoll_ &&
-                          state.unanswered_ == 0;
-    if (waiting || wasThere || aReplacement == Replacement::OtherId) {
+    if (waiting || IsKnownToBeThere(state) ||
+        aReplacement == Replacement::OtherId) {
       run = Finish(run, waiting ? RunEnd::NotStarted : RunEnd::Lost, aNow);
       continue;
     }
--- a/src/libcornelfront/policy/run_late_orders.cpp
+++ b/src/libcornelfront/policy/run_late_orders.cpp
@@ -71,8 +71,7 @@
 bool
 RunTable::HasOrphanOf(const JobTaskId& aTask) const
 {
-  const auto orphan = orphans_.lower_bound({ aTask, 0 });
-  return orphan != orphans_.end() && orphan->first.task_ == aTask;
+  return HasTask(orphans_, aTask) || HasTask(formerRuns_, aTask);
 }
 
 bool
@@ -149,6 +148,11 @@
     // It ends with its lease at the latest, which is not extended.
     add(key, LateOrderState::Held, aNow + options_.leaseExpiry_);
   }
+  for (const auto& [key, run] : formerRuns_) {
+    if (!run.owner_) {
+      add(key, LateOrderState::Held, run.leaseOverAt_);
+    }
+  }
   for (const auto& [task, order] : lateOrders_.Orders()) {
     const bool settledHere = IsSettledHere(order, aNow);
     if (aNow <= order.term_.givenUpAt_) {
--- a/src/libcornelfront/policy/run_lease.cpp
+++ b/src/libcornelfront/policy/run_lease.cpp
@@ -5,16 +5,21 @@
 
 #include "policy/run_table_pvt.h"
 
+#include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace cornelfront {
 namespace {
 
-constexpr std::array<std::string_view, 7> kLeaseLimitReasons = {
+constexpr std::array<std::string_view, 8> kLeaseLimitReasons = {
   "none",           "upstream_silent",  "orphaned",    "owner_silent",
-  "owner_unlinked", "stop_unconfirmed", "leader_lost",
+  "owner_unlinked", "stop_unconfirmed", "leader_lost", "upstream_leaving",
 };
 
+/// An upstream's clock may be this many times as slow as this machine's.
+constexpr double kSlowestClock = 1.0 / 0.98;
+
 void
 Lower(LeaseLimit& aLimit, MonoTime aEnd, LeaseLimitReason aReason)
 {
@@ -41,6 +46,9 @@
   if (!orphans_.empty()) {
     Lower(limit, aNow, LeaseLimitReason::Orphaned);
   }
+  if (departure_) {
+    Lower(limit, aNow, LeaseLimitReason::UpstreamLeaving);
+  }
   Lower(limit,
         upstreamHeardAt_ + options_.maxLeaseSilence_ + options_.lease_,
         LeaseLimitReason::UpstreamSilent);
@@ -103,6 +111,27 @@
   return end > aNow ? std::optional(end) : std::nullopt;
 }
 
+Millis
+RunTable::LapseAllowance() const
+{
+  // The end is a time on the upstream's clock, read at most this long before.
+  const Millis longest = options_.maxLeaseSilence_ + options_.lease_;
+  const auto slow = static_cast<int64_t>(
+    std::ceil(static_cast<double>(longest.count()) * (kSlowestClock - 1.0)));
+  return Millis(slow) + options_.lapseDelay_;
+}
+
+MonoTime
+RunTable::LeaseOverAt(MonoTime aNow) const
+{
+  // An order extends the lease by its deadline, and a predecessor of this
+  // process may have granted that of what was not ordered here.
+  const MonoTime ordered = aNow + options_.startTimeout_;
+  const bool ownOnly = runsKnown_ && orphans_.empty();
+  const MonoTime inherited = ownOnly ? ordered : aNow + options_.leaseExpiry_;
+  return std::max({ leaseGranted_, ordered, inherited }) + LapseAllowance();
+}
+
 bool
 RunTable::MayExtendByStart(MonoTime aNow) const
 {
--- a/src/libcornelfront/policy/run_polls.cpp
+++ b/src/libcornelfront/policy/run_polls.cpp
@@ -86,6 +86,8 @@
     lateOrders_.OnPollResult(aPollNumber, aPollResult.clock_);
     lateOrdersChanged_ = true;
   }
+  NoteLeavingAnswer(aPollResult, aNow);
+  ConcludeDeparture(aNow);
   return true;
 }
 
@@ -221,14 +223,15 @@
   for (auto run = runs_.begin(); run != runs_.end();) {
     const Run& state = run->second;
     const bool shown = listed.contains(UpstreamKey(run->first, state));
-    const bool running =
-      state.state_ == State::Running && state.firstPoll_ <= aPollNumber;
+    const bool elsewhere = aNow < state.mayRunElsewhereUntil_;
+    const bool running = state.state_ == State::Running &&
+                         state.firstPoll_ <= aPollNumber && !elsewhere;
     const bool neverStarts = state.state_ == State::Uncertain &&
                              state.firstPoll_ <= aPollNumber &&
                              aPollResult.clock_ > state.deadline_;
     if (!shown && running) {
       run = Finish(run, RunEnd::Lost, aNow);
-    } else if (!shown && neverStarts) {
+    } else if (!shown && neverStarts && !elsewhere) {
       run = Finish(run, RunEnd::NotStarted, aNow);
     } else {
       ++run;
--- a/src/libcornelfront/policy/run_reports.cpp
+++ b/src/libcornelfront/policy/run_reports.cpp
@@ -30,6 +30,11 @@
       held.runs_.push_back(key);
     }
   }
+  for (const auto& [key, run] : formerRuns_) {
+    if (run.owner_ == aOwner) {
+      held.runs_.push_back(key);
+    }
+  }
   if (leader_ == aOwner) {
     held.term_ = term_;
   }
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -17,8 +17,9 @@
 /// earlier owner of the same job.
 constexpr uint32_t kRenumberStep = 100;
 
-constexpr std::array<std::string_view, 5> kStopReasons = {
-  "ordered", "abandoned", "owner_lost", "suspended", "orphaned",
+constexpr std::array<std::string_view, 6> kStopReasons = {
+  "ordered",   "abandoned", "owner_lost",
+  "suspended", "orphaned",  "upstream_leaving",
 };
 
 } // namespace
@@ -149,9 +150,8 @@
   term_ = std::max(term_, aOrders.term_);
   for (const RunOrder& order : aOrders.runs_) {
     const RunKey key{ aOrders.Task(order), order.run_ };
-    const auto sameTask = runs_.lower_bound({ key.task_, 0 });
     const bool known =
-      sameTask != runs_.end() && sameTask->first.task_ == key.task_;
+      HasTask(runs_, key.task_) || HasTask(formerRuns_, key.task_);
     if (!accepts || known || IsHeldHere(key.task_, aNow) ||
         !NumberFor(key.task_, order, aNow)) {
       const RunReport report{ .key_ = key };
@@ -229,6 +229,11 @@
       }
     }
   }
+  for (auto& [key, run] : formerRuns_) {
+    if (run.owner_ && run.term_ > 0) {
+      run.owner_ = aLeader;
+    }
+  }
   return true;
 }
 
@@ -476,10 +481,13 @@
 {
   DetectSuspension(aNow);
   CheckOwners(aNow);
-  if (Since(upstreamHeardAt_, aNow) > options_.upstreamTimeout_) {
+  if (!departure_ &&
+      Since(upstreamHeardAt_, aNow) > options_.upstreamTimeout_) {
     SuspectCrash();
     FinishGone(aNow);
   }
+  ConcludeDeparture(aNow);
+  FinishFormerRuns(aNow);
   ReturnLate(aNow);
   // What has been listed ends with its time also if nothing else changes.
   CloseDueOrders(aNow);
--- a/src/libcornelfront/policy/run_table_pvt.h
+++ b/src/libcornelfront/policy/run_table_pvt.h
@@ -4,6 +4,7 @@
 /// Helpers shared by the files that implement RunTable.
 
 #include "cornelfront/clock.h"
+#include "cornelfront/run_messages.h"
 
 namespace cornelfront {
 
@@ -22,4 +23,13 @@
   return aItem.second.upstreamRunNumber_ != aItem.first.run_;
 }
 
+/// True if \p aRuns, a map by RunKey, holds a run of the task.
+template<class RunMap>
+bool
+HasTask(const RunMap& aRuns, const JobTaskId& aTask)
+{
+  const auto run = aRuns.lower_bound({ aTask, 0 });
+  return run != aRuns.end() && run->first.task_ == aTask;
+}
+
 } // namespace cornelfront
--- a/testsuite/harness/platform_cluster.cpp
+++ b/testsuite/harness/platform_cluster.cpp
@@ -365,6 +365,16 @@
                            .body_ = aBody });
 }
 
+HttpResult
+PlatformCluster::Deregister(unsigned aSidecar, const std::string& aId)
+{
+  return client_.Perform({ .method_ = "POST",
+                           .url_ = "http://" +
+                                   Loopback(heartbeatPorts_[aSidecar]) +
+                                   "/instances/" + aId + "/deregister",
+                           .body_ = "{}" });
+}
+
 std::vector<RunRecord>
 PlatformCluster::Runs()
 {
--- a/testsuite/harness/platform_cluster.h
+++ b/testsuite/harness/platform_cluster.h
@@ -112,6 +112,8 @@
   HttpResult Heartbeat(unsigned aSidecar,
                        const std::string& aId,
                        const std::string& aBody);
+  /// Tells a sidecar that instance \p aId deregisters.
+  HttpResult Deregister(unsigned aSidecar, const std::string& aId);
 
   /// Returns all runs of all executors so far.
   std::vector<RunRecord> Runs();
--- a/testsuite/process/platform_test.cpp
+++ b/testsuite/process/platform_test.cpp
@@ -175,6 +175,28 @@
   EXPECT_EQ(cluster.CountRuns(MakeJobId(1), "done"), 8U);
 }
 
+// Its process lives on, and what runs there until it is stopped.
+TEST(PlatformBestEffort, AnExecutorThatDeregistersAndLivesOnRunsNoTaskTwice)
+{
+  PlatformCluster cluster(
+    { .entries_ = 1, .sidecars_ = 3, .stopTime_ = Millis(50) });
+  auto answer = std::async(std::launch::async, [&] {
+    return cluster.Submit(0, MakeJobId(1), "ms=1500", 4, true);
+  });
+  ASSERT_TRUE(WaitUntil([&] { return cluster.CountRuns(MakeJobId(1)) == 4; }));
+  const auto runs = cluster.Runs();
+  const unsigned leaving = runs.at(0).executor_;
+  const HttpResult left =
+    cluster.Deregister(leaving, "u-" + std::to_string(leaving) + "-1");
+  EXPECT_EQ(left.response_.status_, 200);
+  for (const RunRecord& run : cluster.Runs()) {
+    EXPECT_FALSE(run.executor_ == leaving && run.outcome_.empty())
+      << run.task_ << " goes on after the acknowledgement";
+  }
+  EXPECT_EQ(answer.get().response_.body_, R"({"state":"completed"})");
+  EXPECT_THAT(cluster.OverlappingRuns(), IsEmpty());
+}
+
 TEST(PlatformInput, FaultsGetClearAnswersAndDisturbNobody)
 {
   PlatformCluster cluster(1, 1);
