--- a/testsuite/harness/platform_cluster.h
+++ b/testsuite/harness/platform_cluster.h
@@ -23,7 +23,8 @@
   int64_t run_ = 0;
   int64_t started_ = 0;
   int64_t ended_ = 0;
-  /// "done", "failed", "stopped", "lapsed" or "crashed"; empty while it runs.
+  /// "done", "failed", "stopped", "lapsed", "crashed", or "left" if its
+  /// executor had deregistered and ended; empty while it runs.
   std::string outcome_;
   /// When the end of the run was acknowledged, if the lease has not lapsed
   /// since that end; else 0.
--- a/testsuite/soak/faults.cpp
+++ b/testsuite/soak/faults.cpp
@@ -13,22 +13,28 @@
 using harness::ProxiedLeg;
 
 constexpr std::array<std::string_view, kFaultKinds> kNames = {
-  "kill_entry",       "kill_sidecar",    "stop_entry",     "stop_sidecar",
-  "pause_entry",      "pause_sidecar",   "pause_executor", "reload_entry",
-  "delay_leg",        "cut_leg",         "drop_to_client", "drop_to_target",
-  "freeze_leg",       "silence_open",    "store_refuses",  "store_silent",
-  "store_loses",      "store_drops",     "executor_mute",  "executor_drains",
-  "executor_stalls",  "executor_reborn", "zone_out",       "executor_closes",
-  "executor_refuses", "store_closes",
+  "kill_entry",       "kill_sidecar",    "stop_entry",      "stop_sidecar",
+  "pause_entry",      "pause_sidecar",   "pause_executor",  "reload_entry",
+  "delay_leg",        "cut_leg",         "drop_to_client",  "drop_to_target",
+  "freeze_leg",       "silence_open",    "store_refuses",   "store_silent",
+  "store_loses",      "store_drops",     "executor_mute",   "executor_drains",
+  "executor_stalls",  "executor_reborn", "zone_out",        "executor_closes",
+  "executor_refuses", "store_closes",    "executor_leaves",
 };
 
 /// Kinds of mixed faults come first.
 constexpr int kMixedKinds = static_cast<int>(FaultKind::ZoneOut) + 1;
+constexpr int kFirstDeparture = static_cast<int>(FaultKind::ExecutorLeaves);
 constexpr int kMinAnswerFaultMs = 500;
 constexpr int kMinAnswerFaultPercent = 10;
 constexpr int kMaxAnswerFaultPercent = 40;
 /// Sets the generator of answer faults apart from that of the other ones.
 constexpr uint64_t kAnswerFaultsSeed = 0x9e3779b97f4a7c15;
+/// The same for departures.
+constexpr uint64_t kDeparturesSeed = 0xd1b54a32d192ed03;
+/// The mean time between two departures is this many times that of others,
+/// since each of them takes an executor away for seconds.
+constexpr int kDepartureGapFactor = 3;
 
 constexpr int kMinDurationMs = 100;
 constexpr int kMaxDurationMs = 4000;
@@ -68,11 +74,12 @@
   return aKind >= FaultKind::DelayLeg && aKind <= FaultKind::SilenceOpen;
 }
 
-/// Returns true for faults of answers, each of which says how long it lasts
-/// when it begins. They end no process and no connection of an entry, so they
-/// excuse no missed bound of a drain or an evacuation and no aborted request.
+/// Returns true for faults of answers and departures, each of which says how
+/// long it lasts when it begins. They end no process and no connection of an
+/// entry, so they excuse no missed bound of a drain or an evacuation and no
+/// aborted request.
 bool
-IsAnswerFault(FaultKind aKind)
+IsSelfEnding(FaultKind aKind)
 {
   return static_cast<int>(aKind) >= kMixedKinds;
 }
@@ -107,9 +114,11 @@
   explicit Planner(const FaultPlanOptions& aOptions)
     : options_(aOptions)
     , mixedKinds_(Chosen(aOptions.kinds_, 0, kMixedKinds))
-    , answerKinds_(Chosen(aOptions.kinds_, kMixedKinds, kFaultKinds))
+    , answerKinds_(Chosen(aOptions.kinds_, kMixedKinds, kFirstDeparture))
+    , departureKinds_(Chosen(aOptions.kinds_, kFirstDeparture, kFaultKinds))
     , random_(aOptions.seed_)
     , answerRandom_(aOptions.seed_ ^ kAnswerFaultsSeed)
+    , departureRandom_(aOptions.seed_ ^ kDeparturesSeed)
   {
   }
 
@@ -117,8 +126,9 @@
   {
     std::vector<Fault> plan =
       options_.powerLossInterval_ > Millis(0) ? PowerLosses() : MixedFaults();
-    const std::vector<Fault> answerFaults = AnswerFaults();
-    plan.insert(plan.end(), answerFaults.begin(), answerFaults.end());
+    for (const std::vector<Fault>& beside : { AnswerFaults(), Departures() }) {
+      plan.insert(plan.end(), beside.begin(), beside.end());
+    }
     std::stable_sort(
       plan.begin(), plan.end(), [](const Fault& aA, const Fault& aB) {
         return aA.at_ < aB.at_;
@@ -170,6 +180,29 @@
     return plan;
   }
 
+  /// These have a generator of their own for the same reason.
+  std::vector<Fault> Departures()
+  {
+    std::vector<Fault> plan;
+    if (departureKinds_.empty()) {
+      return plan;
+    }
+    const auto gap = [this] {
+      return NextGap(departureRandom_) * kDepartureGapFactor;
+    };
+    for (Millis at = gap(); at < options_.length_; at += gap()) {
+      const Departure departure = DrawDeparture(departureRandom_);
+      std::uniform_int_distribution<unsigned> executor(0,
+                                                       options_.sidecars_ - 1);
+      plan.push_back({ .kind_ = FaultKind::ExecutorLeaves,
+                       .at_ = at,
+                       .length_ = departure.Length(),
+                       .target_ = executor(departureRandom_),
+                       .departure_ = departure });
+    }
+    return plan;
+  }
+
   std::vector<Fault> MixedFaults()
   {
     std::vector<Fault> plan;
@@ -273,8 +306,10 @@
   const FaultPlanOptions options_;
   const std::vector<FaultKind> mixedKinds_;
   const std::vector<FaultKind> answerKinds_;
+  const std::vector<FaultKind> departureKinds_;
   std::mt19937_64 random_;
   std::mt19937_64 answerRandom_;
+  std::mt19937_64 departureRandom_;
 };
 
 std::string
@@ -336,8 +371,11 @@
 }
 
 std::string
-AnswerFields(const Fault& aFault)
+SelfEndingFields(const Fault& aFault)
 {
+  if (aFault.kind_ == FaultKind::ExecutorLeaves) {
+    return DepartureFields(aFault.departure_);
+  }
   const std::string percent = std::to_string(aFault.percent_);
   std::string fields = R"({"answers":{"for_ms":)" +
                        std::to_string(aFault.length_.count()) + R"(,"seed":)" +
@@ -419,7 +457,9 @@
                 << " target=" << change.fault_.target_
                 << " leg=" << static_cast<int>(change.fault_.leg_)
                 << " ms=" << change.fault_.length_.count();
-      if (IsAnswerFault(change.fault_.kind_)) {
+      if (change.fault_.kind_ == FaultKind::ExecutorLeaves) {
+        std::cout << " " << DepartureFields(change.fault_.departure_);
+      } else if (IsSelfEnding(change.fault_.kind_)) {
         std::cout << " percent=" << change.fault_.percent_;
       }
       std::cout << "\n";
@@ -454,24 +494,24 @@
 }
 
 bool
-FaultInjector::BeginAnswerFault(const Fault& aFault)
+FaultInjector::BeginSelfEnding(const Fault& aFault)
 {
   if (TargetsStore(aFault.kind_)) {
-    cluster_.StoreFault(AnswerFields(aFault));
+    cluster_.StoreFault(SelfEndingFields(aFault));
     return true;
   }
   if (IsPaused(aFault.target_)) {
     return false; // waking it would cut the other fault short
   }
-  cluster_.ExecutorFault(aFault.target_, AnswerFields(aFault));
+  cluster_.ExecutorFault(aFault.target_, SelfEndingFields(aFault));
   return true;
 }
 
 bool
 FaultInjector::Begin(const Fault& aFault)
 {
-  if (IsAnswerFault(aFault.kind_)) {
-    return BeginAnswerFault(aFault);
+  if (IsSelfEnding(aFault.kind_)) {
+    return BeginSelfEnding(aFault);
   }
   const unsigned target = aFault.target_;
   switch (aFault.kind_) {
@@ -520,7 +560,7 @@
 void
 FaultInjector::End(const Fault& aFault)
 {
-  if (IsAnswerFault(aFault.kind_)) {
+  if (IsSelfEnding(aFault.kind_)) {
     return;
   }
   const unsigned target = aFault.target_;
@@ -608,7 +648,7 @@
 bool
 FaultInjector::AffectsExecutor(const Fault& aFault, unsigned aExecutor) const
 {
-  if (IsPlanned(aFault.kind_) || IsAnswerFault(aFault.kind_)) {
+  if (IsPlanned(aFault.kind_) || IsSelfEnding(aFault.kind_)) {
     return false;
   }
   const bool elsewhere = TargetsEntry(aFault.kind_) ||
@@ -670,7 +710,7 @@
     WallMillis calmFrom = started_;
     std::vector<std::pair<WallMillis, WallMillis>> disturbed;
     for (const Injected& injected : injected_) {
-      if (IsAnswerFault(injected.fault_.kind_)) {
+      if (IsSelfEnding(injected.fault_.kind_)) {
         continue;
       }
       if (!IsPlanned(injected.fault_.kind_)) {
--- a/testsuite/soak/faults.h
+++ b/testsuite/soak/faults.h
@@ -6,6 +6,7 @@
 /// executors.
 
 #include "checks.h"
+#include "departures.h"
 
 #include <algorithm>
 #include <random>
@@ -52,9 +53,13 @@
   ExecutorRefuses,
   /// Both, for a share of the appends each.
   StoreCloses,
+  // Departures, which play beside all others as well.
+  /// The executor deregisters, ends and comes back as a new incarnation.
+  ExecutorLeaves,
 };
 
-constexpr size_t kFaultKinds = static_cast<size_t>(FaultKind::StoreCloses) + 1;
+constexpr size_t kFaultKinds =
+  static_cast<size_t>(FaultKind::ExecutorLeaves) + 1;
 
 std::string_view
 ToString(FaultKind aKind);
@@ -78,6 +83,8 @@
   /// are drawn.
   int percent_ = 0;
   uint64_t seed_ = 0;
+  /// Of a departure.
+  Departure departure_;
 };
 
 struct FaultPlanOptions
@@ -96,9 +103,11 @@
   Millis powerLossDown_{ 0 };
   /// Sidecars keep their power.
   bool powerLossEntriesOnly_ = false;
-  /// Kinds of mixed faults and of faults of answers; all if empty.
+  /// Kinds of mixed faults, of faults of answers and of departures; all if
+  /// empty.
   std::vector<FaultKind> kinds_;
-  /// Mean time between two mixed faults, and between two faults of answers.
+  /// Mean time between two mixed faults, and between two faults of answers;
+  /// departures are fewer.
   Millis meanGap_{ 700 };
   Millis maxDelay_{ 300 };
   /// Disturbs the connections of clients, in two of three faults of a leg.
@@ -141,7 +150,7 @@
   /// Returns false if the fault could not be injected.
   bool Begin(const Fault& aFault);
   /// Returns false if its executor is suspended and so can't be told.
-  bool BeginAnswerFault(const Fault& aFault);
+  bool BeginSelfEnding(const Fault& aFault);
   bool IsPaused(unsigned aExecutor) const;
   void End(const Fault& aFault);
   void RecordHealed(const Fault& aFault, WallMillis aNow);
--- a/testsuite/standins/executor_standin.cpp
+++ b/testsuite/standins/executor_standin.cpp
@@ -12,8 +12,14 @@
 /// A `POST /control` of the field "answers" sets the faults of answer_faults.h
 /// and nothing else: orders are counted, closed or refused, and stops and polls
 /// closed by their percentage; a closed poll is one whose wait has passed.
+/// A `POST /control` of the field "leave" begins a departure (departure.h) and
+/// does nothing else: the executor deregisters, sends no heartbeat from then
+/// on, and comes back as a new incarnation under another id. Runs that its end
+/// cuts off are listed as "left".
 
 #include "answer_faults.h"
+#include "departure.h"
+#include "executor_run.h"
 
 #include "cornelfront/http_client.h"
 #include "cornelfront/http_server.h"
@@ -34,16 +40,12 @@
 namespace cornelfront {
 namespace {
 
-using Json = nlohmann::json;
-
 constexpr Millis kTick{ 5 };
 constexpr Millis kHeartbeatInterval{ 200 };
+constexpr Millis kHeartbeatTimeout{ 500 };
 constexpr Millis kLongestLease{ 1000 };
 constexpr Millis kDefaultRun{ 50 };
 constexpr int kWholePercent = 100;
-/// Outcome of runs that a restart ended. A restarted executor has no state, but
-/// the listing still contains the runs of its earlier incarnations.
-constexpr std::string_view kCrashed = "crashed";
 
 struct Options
 {
@@ -57,25 +59,6 @@
   Millis stopTime_{ 0 };
 };
 
-/// One run of a task.
-struct Run
-{
-  std::string task_;
-  int64_t run_ = 0;
-  int64_t cpu_ = 0;
-  MonoTime started_;
-  Millis length_{ 0 };
-  bool fails_ = false;
-  /// When it ends because of a stop.
-  std::optional<MonoTime> stopsAt_;
-  MonoTime ended_;
-  /// When the end was acknowledged, if the lease has not lapsed since that end;
-  /// else the default value.
-  MonoTime acknowledged_;
-  /// Empty while the run has not ended.
-  std::string outcome_;
-};
-
 /// A long-poll request for the state of the runs.
 struct PendingPoll
 {
@@ -84,12 +67,15 @@
   Fate fate_ = Fate::Answered;
 };
 
-int64_t
-WallMs(MonoTime aTime)
+/// A call to the sidecar.
+struct SidecarCall
 {
-  const auto wall = WallClock::now() + (aTime - MonoClock::now());
-  return std::chrono::duration_cast<Millis>(wall.time_since_epoch()).count();
-}
+  std::string path_;
+  std::string body_;
+  Millis timeout_{ 0 };
+  /// The call is given up once this is set.
+  const std::atomic<bool>* abort_ = nullptr;
+};
 
 class Executor
 {
@@ -104,6 +90,7 @@
     std::lock_guard lock(mutex_);
     const MonoTime now = MonoClock::now();
     EndDue(now);
+    Depart(now);
     if (aRequest.path_ == "/control/runs") {
       aReply.Send({ .body_ = RunsBody().dump() });
       return;
@@ -112,6 +99,10 @@
     if (aRequest.path_ == "/control") {
       SetFaults(body, now);
       aReply.Send({ .body_ = "{}" });
+    } else if (departure_.IsGone()) {
+      aReply.Close();
+    } else if (departure_.IsSilent()) {
+      withheldReplies_.push_back(aReply);
     } else if (aRequest.path_ == "/run-start" && loseStarts_ > 0) {
       --loseStarts_;
       lostStarts_.push_back(body);
@@ -131,23 +122,57 @@
     std::lock_guard lock(mutex_);
     const MonoTime now = MonoClock::now();
     EndDue(now);
+    Depart(now);
     CarryOutLate(now);
     AnswerPolls(now);
   }
 
-  /// Returns the instance id and the body of the next heartbeat.
-  std::pair<std::string, std::string> Heartbeat()
+  /// Returns the next call to the sidecar: a heartbeat or the deregistration;
+  /// none once it has deregistered.
+  std::optional<SidecarCall> NextCall()
   {
     std::lock_guard lock(mutex_);
-    const Json body{ { "service", options_.service_ },
-                     { "state", draining_ ? "draining" : "ready" },
-                     { "capacity",
-                       { { "cpu", options_.cpu_ }, { "memMb", 100000 } } },
-                     { "labels", { "a", "rack-1" } },
-                     { "clockMs", ClockMs(MonoClock::now()) },
-                     { "born", born_ },
-                     { "seq", ++sequence_ } };
-    return { Id(), body.dump() };
+    const MonoTime now = MonoClock::now();
+    EndDue(now);
+    Depart(now);
+    if (departure_.TakeCall(now)) {
+      std::cerr << Id() << " leaves, running " << Running() << std::endl;
+      Depart(now);
+      return SidecarCall{ .path_ = "/instances/" + Id() + "/deregister",
+                          .body_ = Json{ { "born", born_ } }.dump(),
+                          .timeout_ = departure_.CallTimeout(),
+                          .abort_ = &departure_.Aborted() };
+    }
+    if (departure_.HasLeft()) {
+      return std::nullopt;
+    }
+    return SidecarCall{ .path_ = "/instances/" + Id() + "/heartbeat",
+                        .body_ = HeartbeatBody(now).dump(),
+                        .timeout_ = kHeartbeatTimeout };
+  }
+
+  /// Takes the result of a call that NextCall() returned.
+  void OnAnswer(const HttpResult& aResult)
+  {
+    std::lock_guard lock(mutex_);
+    if (!departure_.HasLeft()) {
+      return;
+    }
+    const MonoTime now = MonoClock::now();
+    EndDue(now);
+    std::cerr << Id() << " left, status " << aResult.response_.status_ << " "
+              << aResult.error_ << " running " << Running() << std::endl;
+    if (aResult.Ok()) {
+      departure_.OnAck(now);
+      Depart(now);
+    }
+  }
+
+  /// Gives up a deregistration in progress.
+  void GiveUpCall()
+  {
+    std::lock_guard lock(mutex_);
+    departure_.Clear();
   }
 
 private:
@@ -157,6 +182,10 @@
       answerFaults_.Set(aBody["answers"], aNow);
       return;
     }
+    if (aBody.contains("leave")) {
+      departure_.Begin(aBody["leave"], aNow);
+      return;
+    }
     SetUnanswered(aBody.value("unanswered", false),
                   aBody.value("late_orders", false),
                   aNow);
@@ -167,7 +196,7 @@
       FailRunning(aNow);
     }
     if (aBody.value("reborn", false)) {
-      Restart(aNow);
+      Restart(aNow, !keepsId_);
       lateFrom_ = aNow + Millis(aBody.value("late_ms", 0));
     }
   }
@@ -243,7 +272,7 @@
   /// Carries out the orders that were lost before the last restart.
   void CarryOutLate(MonoTime aNow)
   {
-    if (!lateFrom_ || aNow < *lateFrom_) {
+    if (!lateFrom_ || aNow < *lateFrom_ || departure_.HasLeft()) {
       return;
     }
     lateFrom_.reset();
@@ -254,16 +283,57 @@
     }
   }
 
-  /// Starts a new incarnation, as after a crash: ends all runs and clears the
-  /// state.
-  void Restart(MonoTime aNow)
+  Json HeartbeatBody(MonoTime aNow)
+  {
+    const bool drains = draining_ || departure_.Drains();
+    return { { "service", options_.service_ },
+             { "state", drains ? "draining" : "ready" },
+             { "capacity", { { "cpu", options_.cpu_ }, { "memMb", 100000 } } },
+             { "labels", { "a", "rack-1" } },
+             { "clockMs", ClockMs(aNow) },
+             { "born", born_ },
+             { "seq", ++sequence_ } };
+  }
+
+  std::ptrdiff_t Running() const
+  {
+    return std::count_if(runs_.begin(), runs_.end(), [](const Run& aRun) {
+      return aRun.outcome_.empty();
+    });
+  }
+
+  /// Carries out what is due of a departure.
+  void Depart(MonoTime aNow)
+  {
+    const bool isBack = departure_.IsBack(aNow);
+    if (departure_.TakeEnd(aNow) || isBack) {
+      CutOff(kLeft, aNow);
+      for (const PendingPoll& poll : std::exchange(polls_, {})) {
+        poll.reply_.Close();
+      }
+    }
+    if (isBack) {
+      Restart(aNow, false);
+    }
+  }
+
+  /// Ends all runs that have not ended, unnoticed by the sidecar.
+  void CutOff(std::string_view aOutcome, MonoTime aNow)
   {
     for (Run& run : runs_) {
       if (run.outcome_.empty()) {
-        run.outcome_ = kCrashed;
+        run.outcome_ = aOutcome;
         run.ended_ = aNow;
       }
     }
+  }
+
+  /// Starts a new incarnation, as after a crash: ends all runs and clears the
+  /// state.
+  void Restart(MonoTime aNow, bool aKeepsId)
+  {
+    CutOff(kCrashed, aNow);
+    departure_.Clear();
     earlierRuns_.insert(earlierRuns_.end(), runs_.begin(), runs_.end());
     runs_.clear();
     ends_.clear();
@@ -272,7 +342,7 @@
     lapsed_ = {};
     sequence_ = 0;
     fence_ = 0;
-    keepsId_ = !keepsId_;
+    keepsId_ = aKeepsId;
     incarnation_ += keepsId_ ? 0 : 1;
     if (!keepsId_) {
       // They name the earlier id, and are refused.
@@ -387,6 +457,9 @@
 
   void AnswerPolls(MonoTime aNow)
   {
+    if (departure_.IsSilent()) {
+      return;
+    }
     const bool hasEnds = ends_.size() > acknowledged_;
     std::erase_if(polls_, [&](const PendingPoll& aPoll) {
       if (!hasEnds && aNow < aPoll.until_) {
@@ -426,17 +499,7 @@
   Json RunsBody() const
   {
     Json list = Json::array();
-    const auto add = [&list](const Run& aRun) {
-      const auto wall = [](MonoTime aTime) {
-        return aTime == MonoTime() ? 0 : WallMs(aTime);
-      };
-      list.push_back({ { "task", aRun.task_ },
-                       { "run", aRun.run_ },
-                       { "begun", WallMs(aRun.started_) },
-                       { "ended", wall(aRun.ended_) },
-                       { "acknowledged", wall(aRun.acknowledged_) },
-                       { "how", aRun.outcome_ } });
-    };
+    const auto add = [&list](const Run& aRun) { list.push_back(Record(aRun)); };
     std::for_each(earlierRuns_.begin(), earlierRuns_.end(), add);
     std::for_each(runs_.begin(), runs_.end(), add);
     return list;
@@ -471,6 +534,7 @@
   std::vector<Json> lostStarts_;
   std::optional<MonoTime> lateFrom_;
   AnswerFaults answerFaults_;
+  Departure departure_;
   bool unanswered_ = false;
   bool lateOrders_ = false;
   bool draining_ = false;
@@ -520,12 +584,14 @@
   std::thread beater([&] {
     HttpClient client;
     while (!stopping) {
-      const auto [id, body] = executor.Heartbeat();
-      client.Perform({ .method_ = "POST",
-                       .url_ = "http://" + options.heartbeats_ + "/instances/" +
-                               id + "/heartbeat",
-                       .body_ = body,
-                       .timeout_ = Millis(500) });
+      if (const auto call = executor.NextCall()) {
+        executor.OnAnswer(client.Perform(
+          { .method_ = "POST",
+            .url_ = "http://" + options.heartbeats_ + call->path_,
+            .body_ = call->body_,
+            .timeout_ = call->timeout_ },
+          call->abort_));
+      }
       std::this_thread::sleep_for(kHeartbeatInterval);
     }
   });
@@ -533,6 +599,7 @@
   int received = 0;
   sigwait(&signals, &received);
   stopping = true;
+  executor.GiveUpCall();
   ticker.join();
   beater.join();
   return 0;
