RunTable: an upstream that is silent is gone only when its lease is over

Callers would see a task run twice: an upstream that answers no poll is taken as gone 1,600 ms after its last answer, and its tasks are placed elsewhere, while the lease that was granted 500 ms after that answer may last until 1,631 ms, on a clock that is 2 % slow and with an end that is noticed 100 ms late. The same for a heartbeat of another id with an earlier start time.

Cause: upstreamTimeout_ is a constant beside the lease that it has to outlast (BOUNDS.md: -20; with the age of the clock's reading it was -31).

Evidence: SilentUpstreamTest.IsNotTakenAsGoneBeforeItsLeaseIsOver and IsNotReplacedByAnEarlierOneBeforeItsLeaseIsOver failed before: reported lost at 1,601 ms, Successor in place of Outdated.

It works since the wait now also follows the lease that was granted, with the allowance that a departure uses. Cost: up to 31 ms, for an upstream that is mute to the end; nothing where nothing was granted (IsTakenAsGoneAtTheUsualTimeIfNothingWasGranted).

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -239,9 +239,9 @@
   /// beyond it, newer ends could be pushed off the upstream's list. The lease
   /// then lapses, which makes the unacknowledged ends void.
   size_t maxUnacknowledgedEnds_ = 400;
-  /// Runs of an upstream that has not answered for this long have ended, since
-  /// its lease is shorter. An order without an answer proves nothing of the
-  /// kind, see maxOrderDelay_.
+  /// Runs of an upstream that has not answered for this long have ended if the
+  /// lease that it was granted is over as well (HasLapsedInSilence). An order
+  /// without an answer proves nothing of the kind, see maxOrderDelay_.
   Millis upstreamTimeout_{ 1600 };
   /// An upstream that has not answered for this long is suspect and gets no new
   /// work.
@@ -606,6 +606,9 @@
   /// Returns the time at which all that runs on the current incarnation has
   /// ended, if nothing extends its lease from \p aNow on.
   MonoTime LeaseOverAt(MonoTime aNow) const;
+  /// True if the upstream has been silent for so long that all it runs has
+  /// ended with its lease.
+  bool HasLapsedInSilence(MonoTime aNow) const;
   /// A leaving incarnation has answered a poll.
   void NoteLeavingAnswer(const UpstreamPollResult& aPollResult, MonoTime aNow);
   /// Takes a leaving incarnation as gone if its runs are known to have ended.
--- /dev/null
+++ b/src/libcornelfront/policy/run_ends_test.cpp
@@ -0,0 +1,73 @@
+/// \file
+/// What RunTable takes as a proof that runs have ended: docs/RUN-ENDS.md.
+
+#include "policy/run_table_fixture_test.h"
+
+namespace cornelfront::run_table_test {
+namespace {
+
+/// A run goes on while polls of its upstream are sent and have no answer.
+class SilentUpstreamTest : public RunTableTest
+{
+protected:
+  /// The last poll that extends the lease of a silent upstream.
+  static constexpr int kLastGrantMs = 500;
+  /// 1,000 ms from then on, 31 ms on a slow clock, and lapseDelay_.
+  static constexpr int kLeaseOverMs = kLastGrantMs + 1000 + 31 + 100;
+
+  SilentUpstreamTest()
+  {
+    Start(1);
+    Poll({ .running_ = { { Key(0) } } }, 2);
+  }
+
+  /// Lets time pass in which polls are sent and have no answer.
+  void Silence(int aFirstMs, int aLastMs)
+  {
+    for (int ms = aFirstMs; ms <= aLastMs; ++ms) {
+      table_.OnOwnerHeard(kOwner, At(ms));
+      if (const auto end = table_.LeaseEnd(At(ms))) {
+        table_.BeginPoll();
+        table_.OnLeaseGranted(*end, {});
+      }
+      table_.Tick(At(ms));
+    }
+  }
+};
+
+TEST_F(SilentUpstreamTest, IsNotTakenAsGoneBeforeItsLeaseIsOver)
+{
+  const int heardMs = 2;
+  Silence(heardMs, heardMs + kLeaseOverMs);
+  EXPECT_TRUE(Reports().empty());
+  Silence(heardMs + kLeaseOverMs + 1, heardMs + kLeaseOverMs + 1);
+  const auto reports = Reports();
+  ASSERT_EQ(reports.size(), 1U);
+  EXPECT_EQ(reports[0].end_, RunEnd::Lost);
+}
+
+// Its start time is earlier, as after a time of day that was set back.
+TEST_F(SilentUpstreamTest, IsNotReplacedByAnEarlierOneBeforeItsLeaseIsOver)
+{
+  UpstreamInfo other = Upstream(0);
+  other.id_ = "u2";
+  const int heardMs = 2;
+  Silence(heardMs, heardMs + kLeaseOverMs);
+  EXPECT_EQ(table_.IdentifySender(other, At(heardMs + kLeaseOverMs)),
+            HeartbeatSender::Outdated);
+  EXPECT_EQ(table_.IdentifySender(other, At(heardMs + kLeaseOverMs + 1)),
+            HeartbeatSender::Successor);
+}
+
+// Nothing was granted beyond the usual time, which is not lengthened.
+TEST_F(SilentUpstreamTest, IsTakenAsGoneAtTheUsualTimeIfNothingWasGranted)
+{
+  const int usualMs = 1600;
+  Wait(2, 2 + usualMs);
+  EXPECT_TRUE(Reports().empty());
+  Wait(2 + usualMs + 1, 2 + usualMs + 1);
+  EXPECT_EQ(Reports().size(), 1U);
+}
+
+} // namespace
+} // namespace cornelfront::run_table_test
--- a/src/libcornelfront/policy/run_incarnations.cpp
+++ b/src/libcornelfront/policy/run_incarnations.cpp
@@ -32,10 +32,8 @@
     return HeartbeatSender::Current;
   }
   const bool later = aInfo.startedMs_ > upstream_->startedMs_;
-  const bool leaseExpired =
-    Since(upstreamHeardAt_, aNow) > options_.upstreamTimeout_;
-  return later || leaseExpired ? HeartbeatSender::Successor
-                               : HeartbeatSender::Outdated;
+  return later || HasLapsedInSilence(aNow) ? HeartbeatSender::Successor
+                                           : HeartbeatSender::Outdated;
 }
 
 void
--- a/src/libcornelfront/policy/run_lease.cpp
+++ b/src/libcornelfront/policy/run_lease.cpp
@@ -132,6 +132,13 @@
   return std::max({ leaseGranted_, ordered, inherited }) + LapseAllowance();
 }
 
+bool
+RunTable::HasLapsedInSilence(MonoTime aNow) const
+{
+  return Since(upstreamHeardAt_, aNow) > options_.upstreamTimeout_ &&
+         aNow > leaseGranted_ + LapseAllowance();
+}
+
 bool
 RunTable::MayExtendByStart(MonoTime aNow) const
 {
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -481,8 +481,7 @@
 {
   DetectSuspension(aNow);
   CheckOwners(aNow);
-  if (!departure_ &&
-      Since(upstreamHeardAt_, aNow) > options_.upstreamTimeout_) {
+  if (!departure_ && HasLapsedInSilence(aNow)) {
     SuspectCrash();
     FinishGone(aNow);
   }
