JobSidecar: a killed predecessor's runs are waited for until their lease is over

Callers would see a task run twice: a sidecar process whose upstream doesn't answer links to entries 1,100 ms after its start and tells them that it holds no runs, which they take for lost and start elsewhere. What its predecessor ordered may go on for 1,131 ms on a clock that is 2 % slow, with an end that is noticed 100 ms late.

Cause: a constant beside the lease that it has to outlast; no row in BOUNDS.md.

Evidence: PredecessorTest.AnUpstreamWithoutAnAnswerIsWaitedForUntilItsLeaseIsOver failed with the earlier constant (compared each 50 ms: 1,100 at the earliest).

It works since the decision is a function (HavePredecessorRunsEnded) that takes the wait from RunTableOptions; JobSidecar and the model of TwoRuns both call it. Cost: up to 31 ms, one tick of 50 at most, for a new sidecar beside an upstream that is mute.

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -277,6 +277,11 @@
   Millis reportRetention_{ 3000 };
 };
 
+/// Returns how long after the end that was meant a lease may be over, on a slow
+/// clock and noticed late.
+Millis
+LapseAllowance(const RunTableOptions& aOptions);
+
 /// Tracks all runs on one upstream, of all owners. Performs no I/O; the caller
 /// sends what the Take functions return. Not thread-safe. All times are from
 /// BootNow. Every function that is given the present time first compares it
@@ -596,9 +601,6 @@
   /// Ends the runs of an incarnation that is gone, but for those that the next
   /// one with its id may begin.
   void FinishGone(MonoTime aNow);
-  /// Returns how long after the end that was meant a lease may be over, on a
-  /// slow clock and noticed late.
-  Millis LapseAllowance() const;
   /// A poll that was answered after the start of the run has shown which
   /// incarnation answered the start, and none of its orders is without an
   /// answer.
--- a/src/libcornelfront/job_sidecar.cpp
+++ b/src/libcornelfront/job_sidecar.cpp
@@ -5,6 +5,7 @@
 
 #include "cornelfront/job_replica.h"
 #include "cornelfront/late_order_record.h"
+#include "cornelfront/predecessor.h"
 #include "job_links_pvt.h"
 #include "platform/member_topic.h"
 
@@ -14,10 +15,6 @@
 namespace {
 
 constexpr Millis kTickInterval{ 50 };
-/// Time after the start after which all runs that a predecessor left have
-/// ended.
-constexpr Millis kPredecessorRunTimeout{ 1100 };
-constexpr Millis kPredecessorOrderTimeout{ 300 };
 constexpr Millis kStopPollInterval{ 20 };
 /// Maximum time for the last reports to leave before the process exits.
 constexpr Millis kFlushTimeout{ 500 };
@@ -199,13 +196,12 @@
 void
 JobSidecar::Impl::StartConnecting(MonoTime aNow)
 {
-  if (connecting_) {
-    return;
-  }
-  const auto age = aNow - start_;
-  const bool nothingRuns = hasPolled_ && !table_.HasOrphans();
-  if (age < kPredecessorOrderTimeout ||
-      (!nothingRuns && age < kPredecessorRunTimeout) || table_.HasOrphans()) {
+  const PredecessorView view{
+    .age_ = std::chrono::duration_cast<Millis>(aNow - start_),
+    .answered_ = hasPolled_,
+    .hasOrphans_ = table_.HasOrphans(),
+  };
+  if (connecting_ || !HavePredecessorRunsEnded(view, table_.Options())) {
     return;
   }
   connecting_ = true;
--- a/src/libcornelfront/policy/run_lease.cpp
+++ b/src/libcornelfront/policy/run_lease.cpp
@@ -36,6 +36,16 @@
   return kLeaseLimitReasons.at(static_cast<size_t>(aReason));
 }
 
+Millis
+LapseAllowance(const RunTableOptions& aOptions)
+{
+  // The end is a time on the upstream's clock, read at most this long before.
+  const Millis longest = aOptions.maxLeaseSilence_ + aOptions.lease_;
+  const auto slow = static_cast<int64_t>(
+    std::ceil(static_cast<double>(longest.count()) * (kSlowestClock - 1.0)));
+  return Millis(slow) + aOptions.lapseDelay_;
+}
+
 LeaseLimit
 RunTable::LimitLease(MonoTime aNow) const
 {
@@ -111,16 +121,6 @@
   return end > aNow ? std::optional(end) : std::nullopt;
 }
 
-Millis
-RunTable::LapseAllowance() const
-{
-  // The end is a time on the upstream's clock, read at most this long before.
-  const Millis longest = options_.maxLeaseSilence_ + options_.lease_;
-  const auto slow = static_cast<int64_t>(
-    std::ceil(static_cast<double>(longest.count()) * (kSlowestClock - 1.0)));
-  return Millis(slow) + options_.lapseDelay_;
-}
-
 MonoTime
 RunTable::LeaseOverAt(MonoTime aNow) const
 {
@@ -129,14 +129,15 @@
   const MonoTime ordered = aNow + options_.startTimeout_;
   const bool ownOnly = runsKnown_ && orphans_.empty();
   const MonoTime inherited = ownOnly ? ordered : aNow + options_.leaseExpiry_;
-  return std::max({ leaseGranted_, ordered, inherited }) + LapseAllowance();
+  return std::max({ leaseGranted_, ordered, inherited }) +
+         LapseAllowance(options_);
 }
 
 bool
 RunTable::HasLapsedInSilence(MonoTime aNow) const
 {
   return Since(upstreamHeardAt_, aNow) > options_.upstreamTimeout_ &&
-         aNow > leaseGranted_ + LapseAllowance();
+         aNow > leaseGranted_ + LapseAllowance(options_);
 }
 
 bool
--- a/src/libcornelfront/policy/two_runs_sidecar_test.cpp
+++ b/src/libcornelfront/policy/two_runs_sidecar_test.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Model of a sidecar for two_runs_test.cpp; follows JobSidecar.
 
+#include "cornelfront/predecessor.h"
 #include "policy/two_runs_model_test.h"
 
 namespace cornelfront::two_runs {
@@ -8,8 +9,6 @@
 
 // Values of JobSidecar.
 constexpr Millis kTickInterval{ 50 };
-constexpr Millis kPredecessorRunTimeout{ 1100 };
-constexpr Millis kPredecessorOrderTimeout{ 300 };
 constexpr Millis kBusyPollWait{ 50 };
 constexpr Millis kDegradedPollWait{ 15 };
 constexpr Millis kDegradedPeriod{ 3000 };
@@ -137,13 +136,12 @@
 void
 SidecarProcess::StartConnecting(MonoTime aNow)
 {
-  if (connecting_) {
-    return;
-  }
-  const auto age = aNow - start_;
-  const bool nothingRuns = hasPolled_ && !table_.HasOrphans();
-  if (age < kPredecessorOrderTimeout ||
-      (!nothingRuns && age < kPredecessorRunTimeout) || table_.HasOrphans()) {
+  const PredecessorView view{
+    .age_ = std::chrono::duration_cast<Millis>(aNow - start_),
+    .answered_ = hasPolled_,
+    .hasOrphans_ = table_.HasOrphans(),
+  };
+  if (connecting_ || !HavePredecessorRunsEnded(view, table_.Options())) {
     return;
   }
   connecting_ = true;
