JobSidecar: an answer proves nothing of an incarnation that lives on beside it

Callers would see a task run twice: a sidecar is killed while an executor that has announced its end still runs its tasks. Its successor learns of a new executor only, which answers a poll with empty lists. 300 ms after its start it links to entries, they take the runs that it doesn't hold for lost, and start them elsewhere, while the leaving executor runs them for up to 1,131 ms.

Cause: "some incarnation has answered, and lists nothing" was taken for "nothing runs"; the answer speaks for the incarnation that gave it alone.

Evidence: PredecessorTest.AnAnswerOfAYoungIncarnationProvesNothingOfAnEarlierOne failed before (true in place of false, three times). Not shown between processes.

It works since such an answer now counts only from the present incarnation, and only if that was there for longer than any lease before this process started, by its own clock and by the time of day; otherwise the whole lease is waited for. Cost: up to 0.85 s until a new sidecar process beside a new executor is linked, as after a loss of power or at the first start; nothing beside an executor of over 1.2 s.

--- a/src/libcornelfront/job_sidecar.cpp
+++ b/src/libcornelfront/job_sidecar.cpp
@@ -193,12 +193,25 @@
   return true;
 }
 
+std::optional<Millis>
+JobSidecar::Impl::AgeOfUpstream() const
+{
+  const auto& known = table_.Upstream();
+  if (!known) {
+    return std::nullopt;
+  }
+  const auto timeOfDay =
+    std::chrono::duration_cast<Millis>(WallClock::now().time_since_epoch());
+  return UpstreamAge(known->startedMs_, clock_, timeOfDay);
+}
+
 void
 JobSidecar::Impl::StartConnecting(MonoTime aNow)
 {
   const PredecessorView view{
     .age_ = std::chrono::duration_cast<Millis>(aNow - start_),
-    .answered_ = hasPolled_,
+    .answered_ = table_.HasUpstream() && table_.KnowsRuns(),
+    .upstreamAge_ = AgeOfUpstream(),
     .hasOrphans_ = table_.HasOrphans(),
   };
   if (connecting_ || !HavePredecessorRunsEnded(view, table_.Options())) {
--- a/src/libcornelfront/job_sidecar_pvt.h
+++ b/src/libcornelfront/job_sidecar_pvt.h
@@ -58,6 +58,8 @@
   /// and returns true then.
   bool DetectSuspension(MonoTime aNow);
   void StartConnecting(MonoTime aNow);
+  /// See UpstreamAge.
+  std::optional<Millis> AgeOfUpstream() const;
   void OnHeartbeat(const platform::Heartbeat& aHeartbeat);
   void OnUpstreamLeft(const UpstreamDeparture& aDeparture,
                       std::function<void()> aAcknowledge);
@@ -139,8 +141,6 @@
   /// Time at which a poll last failed.
   MonoTime lastUnanswered_;
   bool polling_ = false;
-  /// The upstream has answered at least one poll.
-  bool hasPolled_ = false;
   MonoTime pollStart_;
   /// Wait of the poll that is under way; 0 if there is none.
   Millis pollWait_{ 0 };
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -228,7 +228,6 @@
     }
     const bool knewRuns = table_.KnowsRuns();
     if (table_.OnPollResult(aPollNumber, aPollResult, now)) {
-      hasPolled_ = true;
       clock_ = aPollResult.clock_;
       clockRead_ = now;
       if (const auto& known = table_.Upstream(); known && !knewRuns) {
--- a/src/libcornelfront/policy/predecessor.cpp
+++ b/src/libcornelfront/policy/predecessor.cpp
@@ -1,5 +1,7 @@
 #include "cornelfront/predecessor.h"
 
+#include <algorithm>
+
 namespace cornelfront {
 namespace {
 
@@ -8,6 +10,15 @@
 
 } // namespace
 
+std::optional<Millis>
+UpstreamAge(int64_t aStartedMs, UpstreamTime aClock, Millis aTimeOfDay)
+{
+  if (aStartedMs == 0) {
+    return std::nullopt;
+  }
+  return std::min(aClock.value_, aTimeOfDay - Millis(aStartedMs));
+}
+
 bool
 HavePredecessorRunsEnded(const PredecessorView& aView,
                          const RunTableOptions& aOptions)
@@ -16,7 +27,10 @@
     return false;
   }
   const Millis longestLease = aOptions.lease_ + LapseAllowance(aOptions);
-  return aView.answered_ || aView.age_ > longestLease;
+  // Already when the predecessor ended.
+  const bool wasThere = aView.upstreamAge_ && *aView.upstreamAge_ - aView.age_ >
+                                                aOptions.leaseExpiry_;
+  return aView.age_ > longestLease || (aView.answered_ && wasThere);
 }
 
 } // namespace cornelfront
--- a/src/libcornelfront/policy/predecessor_test.cpp
+++ b/src/libcornelfront/policy/predecessor_test.cpp
@@ -28,8 +28,37 @@
 
 TEST(PredecessorTest, AnAnswerWithoutRunsCountsOnceTheOrdersAreVoid)
 {
-  EXPECT_FALSE(HaveEnded({ .age_ = Millis(299), .answered_ = true }));
-  EXPECT_TRUE(HaveEnded({ .age_ = Millis(300), .answered_ = true }));
+  const Millis old{ 60000 };
+  EXPECT_FALSE(
+    HaveEnded({ .age_ = Millis(299), .answered_ = true, .upstreamAge_ = old }));
+  EXPECT_TRUE(
+    HaveEnded({ .age_ = Millis(300), .answered_ = true, .upstreamAge_ = old }));
+}
+
+// The predecessor may have extended the lease of an earlier one, which lives
+// on, until it learned of this one or was killed.
+TEST(PredecessorTest, AnAnswerOfAYoungIncarnationProvesNothingOfAnEarlierOne)
+{
+  const Millis age{ 400 };
+  const Millis oldEnough = age + RunTableOptions{}.leaseExpiry_;
+  EXPECT_FALSE(
+    HaveEnded({ .age_ = age, .answered_ = true, .upstreamAge_ = Millis(100) }));
+  EXPECT_FALSE(
+    HaveEnded({ .age_ = age, .answered_ = true, .upstreamAge_ = oldEnough }));
+  EXPECT_TRUE(HaveEnded(
+    { .age_ = age, .answered_ = true, .upstreamAge_ = oldEnough + Millis(1) }));
+  EXPECT_FALSE(HaveEnded({ .age_ = age, .answered_ = true }));
+  EXPECT_TRUE(HaveEnded({ .age_ = kLongestLease + Millis(1),
+                          .answered_ = true,
+                          .upstreamAge_ = Millis(100) }));
+}
+
+TEST(PredecessorTest, TheAgeOfAnUpstreamIsTheLowerOfItsClockAndTheTimeOfDay)
+{
+  const UpstreamTime clock{ Millis(5000) };
+  EXPECT_EQ(UpstreamAge(1000, clock, Millis(7000)), Millis(5000));
+  EXPECT_EQ(UpstreamAge(1000, clock, Millis(1300)), Millis(300));
+  EXPECT_EQ(UpstreamAge(0, clock, Millis(7000)), std::nullopt);
 }
 
 } // namespace
--- a/src/libcornelfront/policy/two_runs_model_test.h
+++ b/src/libcornelfront/policy/two_runs_model_test.h
@@ -364,6 +364,7 @@
                   Millis aAge);
   void DetectSuspension(MonoTime aNow);
   void StartConnecting(MonoTime aNow);
+  std::optional<Millis> AgeOfUpstream() const;
   void Connect(size_t aEntry);
   void OnWelcome(const LinkPtr& aLink,
                  MemberId aEntry,
@@ -410,7 +411,6 @@
   CallTimeout callTimeout_{ CallTimeoutOptions{} };
   MonoTime lastUnanswered_;
   bool polling_ = false;
-  bool hasPolled_ = false;
   MonoTime pollStart_;
   Millis pollWait_{ 0 };
   Backoff pollBackoff_;
--- a/src/libcornelfront/policy/two_runs_sidecar_test.cpp
+++ b/src/libcornelfront/policy/two_runs_sidecar_test.cpp
@@ -133,12 +133,26 @@
   owners_.clear();
 }
 
+std::optional<Millis>
+SidecarProcess::AgeOfUpstream() const
+{
+  const auto& known = table_.Upstream();
+  if (!known) {
+    return std::nullopt;
+  }
+  // As Upstream counts its start times.
+  const auto timeOfDay =
+    Millis(1) + std::chrono::duration_cast<Millis>(Now() - kReplayStart);
+  return UpstreamAge(known->startedMs_, clock_, timeOfDay);
+}
+
 void
 SidecarProcess::StartConnecting(MonoTime aNow)
 {
   const PredecessorView view{
     .age_ = std::chrono::duration_cast<Millis>(aNow - start_),
-    .answered_ = hasPolled_,
+    .answered_ = table_.HasUpstream() && table_.KnowsRuns(),
+    .upstreamAge_ = AgeOfUpstream(),
     .hasOrphans_ = table_.HasOrphans(),
   };
   if (connecting_ || !HavePredecessorRunsEnded(view, table_.Options())) {
@@ -429,7 +443,6 @@
   }
   const bool knewRuns = table_.KnowsRuns();
   if (table_.OnPollResult(aPollNumber, aAnswer->result_, now)) {
-    hasPolled_ = true;
     clock_ = aAnswer->result_.clock_;
     clockRead_ = now;
     if (!knewRuns) {
