JobSidecar: an answer counts once the predecessor's orders are void

Callers would see a task run twice: a sidecar is killed right after it sent an order. Its successor polls at once and hears that nothing runs; the order begins its run up to 250 ms later. 300 ms after its start the successor links to entries on the word of that first answer, while its second poll, of up to 300 ms, is still open.

Cause: the wait of 300 ms counted from the start of the process, not to the poll whose answer is the proof.

Evidence: PredecessorTest.AnAnswerCountsIfItsPollWasSentOnceTheOrdersWereVoid failed before (true in place of false, twice). Entries that know of the order hold its task at this upstream (late orders); one that doesn't would have started it elsewhere. Not shown between processes.

It works since an answer counts only if its poll was sent 260 ms after the start or later. Polls wait for 50 ms in place of 300 until entries are linked. Cost by the constants: 50 to 100 ms until a new sidecar process is linked.

--- a/src/include/cornelfront/predecessor.h
+++ b/src/include/cornelfront/predecessor.h
@@ -18,8 +18,9 @@
 {
   /// Time since the start of this process; its predecessor had ended before.
   Millis age_{ 0 };
-  /// The present incarnation of the upstream has answered a poll.
-  bool answered_ = false;
+  /// Value of age_ when the newest poll was sent that the present incarnation
+  /// of the upstream has answered.
+  std::optional<Millis> polledAt_;
   /// Time for which that incarnation has been there, if it is known.
   std::optional<Millis> upstreamAge_;
   /// It lists runs that were not ordered through this process.
--- a/src/libcornelfront/job_sidecar.cpp
+++ b/src/libcornelfront/job_sidecar.cpp
@@ -193,6 +193,15 @@
   return true;
 }
 
+std::optional<Millis>
+JobSidecar::Impl::AnsweredPollAge() const
+{
+  if (!table_.HasUpstream() || !table_.KnowsRuns()) {
+    return std::nullopt;
+  }
+  return std::chrono::duration_cast<Millis>(answeredPollStart_ - start_);
+}
+
 std::optional<Millis>
 JobSidecar::Impl::AgeOfUpstream() const
 {
@@ -210,7 +219,7 @@
 {
   const PredecessorView view{
     .age_ = std::chrono::duration_cast<Millis>(aNow - start_),
-    .answered_ = table_.HasUpstream() && table_.KnowsRuns(),
+    .polledAt_ = AnsweredPollAge(),
     .upstreamAge_ = AgeOfUpstream(),
     .hasOrphans_ = table_.HasOrphans(),
   };
--- a/src/libcornelfront/job_sidecar_pvt.h
+++ b/src/libcornelfront/job_sidecar_pvt.h
@@ -58,6 +58,8 @@
   /// and returns true then.
   bool DetectSuspension(MonoTime aNow);
   void StartConnecting(MonoTime aNow);
+  /// See PredecessorView::polledAt_.
+  std::optional<Millis> AnsweredPollAge() const;
   /// See UpstreamAge.
   std::optional<Millis> AgeOfUpstream() const;
   void OnHeartbeat(const platform::Heartbeat& aHeartbeat);
@@ -142,6 +144,8 @@
   MonoTime lastUnanswered_;
   bool polling_ = false;
   MonoTime pollStart_;
+  /// Time at which the newest answered poll was sent.
+  MonoTime answeredPollStart_;
   /// Wait of the poll that is under way; 0 if there is none.
   Millis pollWait_{ 0 };
   /// Number of polls that have not ended, also of earlier series.
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -203,7 +203,8 @@
   }
   // A longer wait would be taken for silence, which holds tasks with late
   // orders.
-  if (table_.Size() == 0 && table_.LateOrderCount() == 0) {
+  // Before entries are linked, an answer is awaited as well.
+  if (connecting_ && table_.Size() == 0 && table_.LateOrderCount() == 0) {
     return kIdlePollWait;
   }
   return aNow - lastUnanswered_ < kDegradedPeriod ? kDegradedPollWait
@@ -228,6 +229,7 @@
     }
     const bool knewRuns = table_.KnowsRuns();
     if (table_.OnPollResult(aPollNumber, aPollResult, now)) {
+      answeredPollStart_ = pollStart_;
       clock_ = aPollResult.clock_;
       clockRead_ = now;
       if (const auto& known = table_.Upstream(); known && !knewRuns) {
--- a/src/libcornelfront/policy/predecessor_test.cpp
+++ b/src/libcornelfront/policy/predecessor_test.cpp
@@ -7,6 +7,8 @@
 
 /// A lease of 1,000 ms, 31 ms on a slow clock, and lapseDelay_.
 constexpr Millis kLongestLease{ 1000 + 31 + 100 };
+/// 250 ms, and 8 ms on a slow clock that was read 100 ms before.
+constexpr Millis kOrderTimeout{ 250 + 8 };
 
 bool
 HaveEnded(const PredecessorView& aView)
@@ -23,16 +25,20 @@
 TEST(PredecessorTest, RunsThatAreListedHaveNotEnded)
 {
   EXPECT_FALSE(HaveEnded(
-    { .age_ = Millis(60000), .answered_ = true, .hasOrphans_ = true }));
+    { .age_ = Millis(60000), .polledAt_ = Millis(300), .hasOrphans_ = true }));
 }
 
-TEST(PredecessorTest, AnAnswerWithoutRunsCountsOnceTheOrdersAreVoid)
+TEST(PredecessorTest, AnAnswerCountsIfItsPollWasSentOnceTheOrdersWereVoid)
 {
   const Millis old{ 60000 };
+  const Millis age{ 350 };
   EXPECT_FALSE(
-    HaveEnded({ .age_ = Millis(299), .answered_ = true, .upstreamAge_ = old }));
-  EXPECT_TRUE(
-    HaveEnded({ .age_ = Millis(300), .answered_ = true, .upstreamAge_ = old }));
+    HaveEnded({ .age_ = age, .polledAt_ = Millis(5), .upstreamAge_ = old }));
+  EXPECT_FALSE(HaveEnded(
+    { .age_ = age, .polledAt_ = kOrderTimeout, .upstreamAge_ = old }));
+  EXPECT_TRUE(HaveEnded({ .age_ = age,
+                          .polledAt_ = kOrderTimeout + Millis(2),
+                          .upstreamAge_ = old }));
 }
 
 // The predecessor may have extended the lease of an earlier one, which lives
@@ -41,15 +47,16 @@
 {
   const Millis age{ 400 };
   const Millis oldEnough = age + RunTableOptions{}.leaseExpiry_;
-  EXPECT_FALSE(
-    HaveEnded({ .age_ = age, .answered_ = true, .upstreamAge_ = Millis(100) }));
-  EXPECT_FALSE(
-    HaveEnded({ .age_ = age, .answered_ = true, .upstreamAge_ = oldEnough }));
-  EXPECT_TRUE(HaveEnded(
-    { .age_ = age, .answered_ = true, .upstreamAge_ = oldEnough + Millis(1) }));
-  EXPECT_FALSE(HaveEnded({ .age_ = age, .answered_ = true }));
+  EXPECT_FALSE(HaveEnded(
+    { .age_ = age, .polledAt_ = Millis(300), .upstreamAge_ = Millis(100) }));
+  EXPECT_FALSE(HaveEnded(
+    { .age_ = age, .polledAt_ = Millis(300), .upstreamAge_ = oldEnough }));
+  EXPECT_TRUE(HaveEnded({ .age_ = age,
+                          .polledAt_ = Millis(300),
+                          .upstreamAge_ = oldEnough + Millis(1) }));
+  EXPECT_FALSE(HaveEnded({ .age_ = age, .polledAt_ = Millis(300) }));
   EXPECT_TRUE(HaveEnded({ .age_ = kLongestLease + Millis(1),
-                          .answered_ = true,
+                          .polledAt_ = Millis(300),
                           .upstreamAge_ = Millis(100) }));
 }
 
--- a/src/libcornelfront/policy/two_runs_model_test.h
+++ b/src/libcornelfront/policy/two_runs_model_test.h
@@ -364,6 +364,7 @@
                   Millis aAge);
   void DetectSuspension(MonoTime aNow);
   void StartConnecting(MonoTime aNow);
+  std::optional<Millis> AnsweredPollAge() const;
   std::optional<Millis> AgeOfUpstream() const;
   void Connect(size_t aEntry);
   void OnWelcome(const LinkPtr& aLink,
@@ -412,6 +413,7 @@
   MonoTime lastUnanswered_;
   bool polling_ = false;
   MonoTime pollStart_;
+  MonoTime answeredPollStart_;
   Millis pollWait_{ 0 };
   Backoff pollBackoff_;
   bool pollDelayed_ = false;
--- a/src/libcornelfront/policy/two_runs_sidecar_test.cpp
+++ b/src/libcornelfront/policy/two_runs_sidecar_test.cpp
@@ -133,6 +133,15 @@
   owners_.clear();
 }
 
+std::optional<Millis>
+SidecarProcess::AnsweredPollAge() const
+{
+  if (!table_.HasUpstream() || !table_.KnowsRuns()) {
+    return std::nullopt;
+  }
+  return std::chrono::duration_cast<Millis>(answeredPollStart_ - start_);
+}
+
 std::optional<Millis>
 SidecarProcess::AgeOfUpstream() const
 {
@@ -151,7 +160,7 @@
 {
   const PredecessorView view{
     .age_ = std::chrono::duration_cast<Millis>(aNow - start_),
-    .answered_ = table_.HasUpstream() && table_.KnowsRuns(),
+    .polledAt_ = AnsweredPollAge(),
     .upstreamAge_ = AgeOfUpstream(),
     .hasOrphans_ = table_.HasOrphans(),
   };
@@ -399,7 +408,7 @@
   if (!table_.KnowsRuns() || table_.AwaitsAnswer(aNow)) {
     return Millis(0);
   }
-  if (table_.Size() == 0 && table_.LateOrderCount() == 0) {
+  if (connecting_ && table_.Size() == 0 && table_.LateOrderCount() == 0) {
     return kIdlePollWait;
   }
   return aNow - lastUnanswered_ < kDegradedPeriod ? kDegradedPollWait
@@ -443,6 +452,7 @@
   }
   const bool knewRuns = table_.KnowsRuns();
   if (table_.OnPollResult(aPollNumber, aAnswer->result_, now)) {
+    answeredPollStart_ = pollStart_;
     clock_ = aAnswer->result_.clock_;
     clockRead_ = now;
     if (!knewRuns) {
