TwoRuns: upstreams leave, live on, and are replaced under another id

No test or soak had an executor that deregisters.

The model's upstreams now announce a drain, deregister and live on for up to 5 s, answering or silent, until they are acknowledged or their time is over. The drain begins when the sidecar has handled the heartbeat that announces it, or after a second, as if another node had acknowledged it. The deregistration is lost or held up in some cases, and names no start time in others. A successor with another id starts after the end or beside the one that left; only the successor is then reached by new calls, and refuses those that name another id, as 421 does. Seven scenarios: alone, and with sidecars replaced or suspended, links cut, answers lost, entries killed, a leader that takes over. RunsAreDisturbed checks that departures, runs of departed upstreams and successors beside them happened.

These seven tests fail until the departure is mended.

--- a/src/libcornelfront/policy/two_runs_faults_test.cpp
+++ b/src/libcornelfront/policy/two_runs_faults_test.cpp
@@ -113,6 +113,7 @@
   add(scenario_.clientsReset_, [this] { ResetClients(); });
   add(scenario_.upstreamsRestarted_, [this] { CrashUpstream(); });
   add(scenario_.powerLost_, [this] { LosePower(); });
+  add(scenario_.upstreamsLeave_, [this] { DrainUpstream(); });
   return faults;
 }
 
--- a/src/libcornelfront/policy/two_runs_model_test.h
+++ b/src/libcornelfront/policy/two_runs_model_test.h
@@ -56,6 +56,9 @@
   /// their connections are held up on the way.
   bool endsHeldUp_ = false;
   bool upstreamsRestarted_ = false;
+  /// Upstreams drain, deregister and live on for some time; another one with
+  /// another id takes their place.
+  bool upstreamsLeave_ = false;
   /// All entries and sidecars are killed at the same moment.
   bool powerLost_ = false;
   /// One entry at a time leads, and takes over what sidecars hold. Without it,
@@ -136,9 +139,17 @@
 
 class World;
 
-struct PollOrder
+/// What each call to an upstream names.
+struct CallHead
 {
+  /// Id of the upstream that the call is meant for.
+  std::string id_;
   int64_t fence_ = 0;
+};
+
+struct PollOrder
+{
+  CallHead head_;
   uint64_t acknowledged_ = 0;
   std::optional<UpstreamTime> lease_;
   Millis wait_{ 0 };
@@ -148,6 +159,8 @@
 {
   /// Start time of the incarnation that answers.
   int64_t startedMs_ = 0;
+  /// False if the call was meant for an upstream of another id.
+  bool sameId_ = true;
   /// False if the incarnation has seen a higher fence.
   bool accepted_ = true;
   UpstreamPollResult result_;
@@ -155,7 +168,7 @@
 
 /// An upstream with one lease for all that runs there. Its calls are carried
 /// out at once; what happens to them on their way is for the caller. It may
-/// crash and start again under its id, with nothing left of before.
+/// crash and start again under its id, with nothing left of before, or leave.
 class Upstream
 {
 public:
@@ -163,19 +176,36 @@
   using Call = std::function<void()>;
 
   Upstream(World& aWorld, size_t aMachine, double aPace);
+  /// One that takes the place of \p aPredecessor, under another id.
+  explicit Upstream(const Upstream& aPredecessor);
 
+  size_t Machine() const { return machine_; }
   UpstreamTime Clock() const;
   const UpstreamInfo& Info() const { return info_; }
   /// Carries out a call that has arrived. While the upstream is down, the call
   /// is lost or waits until it has started again.
   void Receive(Call aCall);
-  StartAnswer Start(const RunKey& aKey, UpstreamTime aDeadline, int64_t aFence);
-  void Stop(const RunKey& aKey, int64_t aFence);
+  StartAnswer Start(const RunKey& aKey,
+                    UpstreamTime aDeadline,
+                    const CallHead& aHead);
+  void Stop(const RunKey& aKey, const CallHead& aHead);
   void Poll(const PollOrder& aOrder, PollReply aReply);
   /// Ends all that runs; the upstream starts again after \p aDowntime and sends
   /// its first heartbeat \p aHeartbeatDelay later.
   void Crash(Millis aDowntime, Millis aHeartbeatDelay);
   bool SendsHeartbeats() const { return sendsHeartbeats_; }
+  /// Its heartbeats announce its end from now on.
+  void Drain();
+  bool IsDraining() const { return info_.draining_; }
+  /// It has deregistered, and sends no heartbeat any more.
+  void Leave();
+  /// Neither carries out nor answers calls from now on; its runs go on.
+  void FallSilent();
+  /// The process of an upstream that has left ends, and all that runs there.
+  void EndProcess();
+  bool HasEnded() const { return ended_; }
+  void SendHeartbeatAfter(Millis aDelay);
+  size_t RunCount() const { return running_.size(); }
   /// Number of a run of the task, other than \p aKey, that runs here.
   std::optional<uint32_t> OtherRun(const RunKey& aKey, bool aHere) const;
   std::string DescribeLease() const;
@@ -208,6 +238,8 @@
   const double pace_;
   UpstreamInfo info_;
   bool up_ = true;
+  bool silent_ = false;
+  bool ended_ = false;
   bool sendsHeartbeats_ = true;
   MonoTime startedAt_;
   int64_t fence_ = 0;
@@ -220,7 +252,7 @@
   MonoTime leaseExtendedAt_;
   bool leaseChecked_ = false;
   std::map<RunKey, Running> running_;
-  std::vector<EndedEntry> ended_;
+  std::vector<EndedEntry> endedRuns_;
   /// Highest number of a stopped or ended run.
   std::map<JobTaskId, uint32_t> used_;
   std::map<uint64_t, PollReply> waiters_;
@@ -340,6 +372,9 @@
   void Start(Millis aHeartbeatDelay);
   /// A heartbeat of the upstream has arrived.
   void OnHeartbeat();
+  /// The upstream has deregistered.
+  void OnUpstreamLeft(const UpstreamDeparture& aDeparture,
+                      const std::function<void()>& aAcknowledge);
   void OnMessage(const LinkPtr& aLink,
                  Message& aMessage,
                  const MessageTimes& aTimes) override;
@@ -397,6 +432,7 @@
             MonoTime aNow);
   UpstreamTime UpstreamNow(MonoTime aNow) const;
   Upstream& MyUpstream() const;
+  CallHead Head() const;
 
   const MonoTime start_;
   RunTable table_{ RunTableOptions{} };
@@ -404,6 +440,8 @@
   std::map<uint64_t, MemberId> entries_;
   bool connecting_ = false;
   OrderFence fence_;
+  /// Id of the upstream that calls are meant for.
+  std::string calledId_;
   LateOrderJournal lateOrderJournal_;
   /// As in JobSidecar.
   bool fenceOpen_ = false;
@@ -542,6 +580,11 @@
   uint64_t completed_ = 0;
   uint64_t resubmitted_ = 0;
   uint64_t upstreamRestarts_ = 0;
+  uint64_t departures_ = 0;
+  /// Runs that an upstream had when it deregistered.
+  uint64_t runsOfDeparted_ = 0;
+  /// Upstreams that took the place of one that still ran.
+  uint64_t successorsBeside_ = 0;
   uint64_t powerLosses_ = 0;
   uint64_t takeOvers_ = 0;
   /// Ends that a sidecar has told a leader that takes over.
@@ -611,7 +654,7 @@
   }
 
   void Record(Subject aSubject, std::string aText);
-  void OnRunStarted(size_t aMachine, const RunKey& aKey);
+  void OnRunStarted(const Upstream& aUpstream, const RunKey& aKey);
   void OnHeartbeat(size_t aMachine);
   void OnRunEnded(const RunKey& aKey, RunEnd aEnd);
   /// Time after which a run of this length fails; unset if it does not.
@@ -627,7 +670,10 @@
 
   EventQueue events_;
   Random random_;
+  /// The upstream of each machine that calls reach.
   std::vector<std::unique_ptr<Upstream>> upstreams_;
+  /// Upstreams whose place another one has taken.
+  std::vector<std::unique_ptr<Upstream>> formerUpstreams_;
   Counts counts_;
   uint64_t serials_ = 0;
 
@@ -661,6 +707,11 @@
   void ResetClients();
   void CrashUpstream();
   void LosePower();
+  void DrainUpstream();
+  void Deregister(size_t aMachine);
+  void SendDeparture(size_t aMachine, Upstream& aUpstream);
+  void StartSuccessor(size_t aMachine, const Upstream& aUpstream);
+  void ReportSecondRun(const Upstream& aOther, bool aHere, const RunKey& aKey);
 
   const Scenario scenario_;
   History history_;
--- a/src/libcornelfront/policy/two_runs_sidecar_test.cpp
+++ b/src/libcornelfront/policy/two_runs_sidecar_test.cpp
@@ -84,6 +84,7 @@
   }
   table_.OnUpstream(info, now);
   if (sender == HeartbeatSender::Successor) {
+    calledId_ = info.id_;
     world_.Record({ .sidecar_ = Machine() },
                   "first heartbeat of an incarnation arrives");
     clock_ = MyUpstream().Clock();
@@ -104,6 +105,28 @@
   SendStatus(now);
 }
 
+void
+SidecarProcess::OnUpstreamLeft(const UpstreamDeparture& aDeparture,
+                               const std::function<void()>& aAcknowledge)
+{
+  const MonoTime now = Now();
+  const bool left = table_.OnUpstreamLeft(aDeparture, now);
+  world_.Record({ .sidecar_ = Machine() },
+                "deregistration of " + aDeparture.id_ + " arrives, " +
+                  (left ? "left" : "left before"));
+  if (left) {
+    SendPending(now);
+    SendStatus(now);
+  }
+  aAcknowledge();
+}
+
+CallHead
+SidecarProcess::Head() const
+{
+  return { .id_ = calledId_, .fence_ = fence_.Value() };
+}
+
 /// Stands for the leader, which acknowledges the ends of runs of jobs that are
 /// not stored.
 void
@@ -328,7 +351,7 @@
     table_.OnLeaseGranted(*end, *lease);
   }
   const uint64_t number = table_.BeginPoll();
-  const PollOrder order{ .fence_ = fence_.Value(),
+  const PollOrder order{ .head_ = Head(),
                          .acknowledged_ = table_.AcknowledgedEnds(),
                          .lease_ = lease,
                          .wait_ = PollWait(now) };
@@ -392,14 +415,12 @@
   };
   const Upstream::PollReply answer =
     fate.answered_ ? Upstream::PollReply(reply) : [](const PollAnswer&) {};
-  world_.events_.After(*fate.delay_,
-                       [&upstream = MyUpstream(),
-                        order = PollOrder{ .fence_ = fence_.Value() },
-                        answer] {
-                         upstream.Receive([&upstream, order, answer] {
-                           upstream.Poll(order, answer);
-                         });
-                       });
+  world_.events_.After(
+    *fate.delay_,
+    [&upstream = MyUpstream(), order = PollOrder{ .head_ = Head() }, answer] {
+      upstream.Receive(
+        [&upstream, order, answer] { upstream.Poll(order, answer); });
+    });
 }
 
 Millis
@@ -431,6 +452,17 @@
     RetryPoll(now);
     return;
   }
+  if (!aAnswer->sameId_) {
+    fence_.OnNoAnswer();
+    fenceOpen_ = false;
+    table_.OnUpstreamReplaced(aPollNumber, Replacement::OtherId, now);
+    world_.Record({ .sidecar_ = Machine() },
+                  "another upstream answers the poll");
+    SendPending(now);
+    SendStatus(now);
+    RetryPoll(now);
+    return;
+  }
   if (!aAnswer->accepted_) {
     fence_.OnRefused(aFence);
     RetryPoll(now);
@@ -555,9 +587,8 @@
   if (fate.delay_) {
     world_.events_.After(
       *fate.delay_,
-      [&upstream = MyUpstream(), key = aStop.key_, fence = fence_.Value()] {
-        upstream.Receive(
-          [&upstream, key, fence] { upstream.Stop(key, fence); });
+      [&upstream = MyUpstream(), key = aStop.key_, head = Head()] {
+        upstream.Receive([&upstream, key, head] { upstream.Stop(key, head); });
       });
   }
 }
@@ -609,10 +640,10 @@
                       upstreamKey,
                       deadline,
                       settle,
-                      fence = fence_.Value(),
+                      head = Head(),
                       answered = fate.answered_,
                       weak = weak_from_this()] {
-    const StartAnswer answer = upstream.Start(upstreamKey, deadline, fence);
+    const StartAnswer answer = upstream.Start(upstreamKey, deadline, head);
     const auto self = weak.lock();
     if (answered && self) {
       self->Post(kAnswerDelay, [settle, answer, clock = upstream.Clock()] {
--- a/src/libcornelfront/policy/two_runs_test.cpp
+++ b/src/libcornelfront/policy/two_runs_test.cpp
@@ -74,6 +74,9 @@
     sum.completed_ += world.counts_.completed_;
     sum.resubmitted_ += world.counts_.resubmitted_;
     sum.upstreamRestarts_ += world.counts_.upstreamRestarts_;
+    sum.departures_ += world.counts_.departures_;
+    sum.runsOfDeparted_ += world.counts_.runsOfDeparted_;
+    sum.successorsBeside_ += world.counts_.successorsBeside_;
     sum.powerLosses_ += world.counts_.powerLosses_;
     sum.takeOvers_ += world.counts_.takeOvers_;
     sum.endsTakenOver_ += world.counts_.endsTakenOver_;
@@ -87,7 +90,10 @@
        << sum.ends_[RunEnd::Done] << ", stopped " << sum.ends_[RunEnd::Stopped]
        << ", ended with the lease " << sum.ends_[RunEnd::LeaseExpired]
        << ", failed " << sum.ends_[RunEnd::Failed] << ", terms of leaders "
-       << sum.takeOvers_ << ", ends taken over " << sum.endsTakenOver_;
+       << sum.takeOvers_ << ", ends taken over " << sum.endsTakenOver_
+       << ", departures " << sum.departures_ << ", runs of departed upstreams "
+       << sum.runsOfDeparted_ << ", successors beside them "
+       << sum.successorsBeside_;
   RecordProperty("counts", text.str());
   SCOPED_TRACE(text.str());
   EXPECT_GT(sum.completed_, sum.submitted_ / 10);
@@ -95,6 +101,9 @@
   EXPECT_GT(sum.ends_[RunEnd::Stopped], 0U);
   EXPECT_EQ(scenario.powerLost_, sum.powerLosses_ > 0);
   EXPECT_EQ(scenario.upstreamsRestarted_, sum.upstreamRestarts_ > 0);
+  EXPECT_EQ(scenario.upstreamsLeave_, sum.departures_ > seeds);
+  EXPECT_EQ(scenario.upstreamsLeave_, sum.runsOfDeparted_ > seeds);
+  EXPECT_EQ(scenario.upstreamsLeave_, sum.successorsBeside_ > 0);
   EXPECT_EQ(scenario.tasksFail_, sum.ends_[RunEnd::Failed] > 0);
   EXPECT_EQ(scenario.leaderTakesOver_, sum.endsTakenOver_ > 0);
   EXPECT_EQ(scenario.leaderTakesOver_, sum.takeOvers_ > seeds);
@@ -244,6 +253,38 @@
     .tasksFail_ = true,
     .refusedReturn_ = true,
     .failedSeeds_ = { 209, 391, 434, 559 } },
+  { .name_ = "UpstreamsLeave", .clientsReset_ = true, .upstreamsLeave_ = true },
+  { .name_ = "UpstreamsLeaveWhileSidecarsAreReplaced",
+    .sidecarsReplaced_ = true,
+    .clientsReset_ = true,
+    .upstreamsLeave_ = true },
+  { .name_ = "UpstreamsLeaveWhileSidecarsAreSuspended",
+    .sidecarsSuspended_ = true,
+    .clientsReset_ = true,
+    .upstreamsLeave_ = true },
+  { .name_ = "UpstreamsLeaveWhileLinksAreCut",
+    .linksReset_ = true,
+    .linksCut_ = true,
+    .clientsReset_ = true,
+    .upstreamsLeave_ = true },
+  { .name_ = "UpstreamsLeaveWhileAnswersAreLost",
+    .callsUnanswered_ = true,
+    .stopsUnanswered_ = true,
+    .clientsReset_ = true,
+    .upstreamsLeave_ = true },
+  { .name_ = "UpstreamsLeaveAndEntryIsKilled",
+    .entriesKilled_ = true,
+    .clientsReset_ = true,
+    .upstreamsLeave_ = true },
+  { .name_ = "UpstreamsLeaveWhileALeaderTakesOver",
+    .entriesKilled_ = true,
+    .sidecarsReplaced_ = true,
+    .linksReset_ = true,
+    .clientsReset_ = true,
+    .upstreamsLeave_ = true,
+    .leaderTakesOver_ = true,
+    .tasksFail_ = true,
+    .refusedReturn_ = true },
 };
 
 /// Few seeds: each takes seconds, and minutes under a sanitizer.
--- a/src/libcornelfront/policy/two_runs_upstream_test.cpp
+++ b/src/libcornelfront/policy/two_runs_upstream_test.cpp
@@ -48,6 +48,9 @@
 void
 Upstream::Receive(Call aCall)
 {
+  if (silent_ || ended_) {
+    return;
+  }
   if (up_) {
     aCall();
   } else if (world_.random_.Chance(0.5)) {
@@ -58,7 +61,7 @@
 void
 Upstream::Crash(Millis aDowntime, Millis aHeartbeatDelay)
 {
-  if (!up_) {
+  if (!up_ || IsDraining()) {
     return;
   }
   world_.Record({ .sidecar_ = machine_ },
@@ -88,7 +91,7 @@
   leaseEnd_ = {};
   leaseCall_.clear();
   leaseChecked_ = false;
-  ended_.clear();
+  endedRuns_.clear();
   ends_ = 0;
   used_.clear();
   ++world_.counts_.upstreamRestarts_;
@@ -98,7 +101,13 @@
       world_.random_.Between(Millis(0), kMaxHeldCallDelay),
       [this, call = std::move(call)]() mutable { Receive(std::move(call)); });
   }
-  world_.events_.After(aHeartbeatDelay, [this, incarnation = incarnation_] {
+  SendHeartbeatAfter(aHeartbeatDelay);
+}
+
+void
+Upstream::SendHeartbeatAfter(Millis aDelay)
+{
+  world_.events_.After(aDelay, [this, incarnation = incarnation_] {
     if (up_ && incarnation == incarnation_) {
       sendsHeartbeats_ = true;
       world_.OnHeartbeat(machine_);
@@ -114,9 +123,14 @@
 }
 
 StartAnswer
-Upstream::Start(const RunKey& aKey, UpstreamTime aDeadline, int64_t aFence)
+Upstream::Start(const RunKey& aKey,
+                UpstreamTime aDeadline,
+                const CallHead& aHead)
 {
-  if (!PassFence(aFence)) {
+  if (aHead.id_ != info_.id_) {
+    return StartAnswer::Refused;
+  }
+  if (!PassFence(aHead.fence_)) {
     world_.Record(SubjectOf(aKey), "start of " + ToString(aKey) + ": fence");
     return StartAnswer::Fenced;
   }
@@ -154,7 +168,7 @@
   world_.Record(SubjectOf(aKey),
                 "RUN BEGINS: " + ToString(aKey) + " for " +
                   std::to_string(time.count()) + " ms; " + DescribeLease());
-  world_.OnRunStarted(machine_, aKey);
+  world_.OnRunStarted(*this, aKey);
   const auto failure = world_.DrawFailure(time);
   world_.events_.After(
     failure.value_or(time), [this, aKey, serial, failed = failure.has_value()] {
@@ -163,9 +177,9 @@
 }
 
 void
-Upstream::Stop(const RunKey& aKey, int64_t aFence)
+Upstream::Stop(const RunKey& aKey, const CallHead& aHead)
 {
-  if (!PassFence(aFence)) {
+  if (aHead.id_ != info_.id_ || !PassFence(aHead.fence_)) {
     return;
   }
   world_.Record(SubjectOf(aKey), "stop of " + ToString(aKey) + " carried out");
@@ -192,7 +206,7 @@
   running_.erase(run);
   uint32_t& used = used_[aKey.task_];
   used = std::max(used, aKey.run_);
-  ended_.push_back({ .number_ = ++ends_, .key_ = aKey, .end_ = aEnd });
+  endedRuns_.push_back({ .number_ = ++ends_, .key_ = aKey, .end_ = aEnd });
   world_.Record(SubjectOf(aKey),
                 "run ends: " + ToString(aKey) + ' ' +
                   std::string(ToString(aEnd)));
@@ -255,19 +269,23 @@
 void
 Upstream::Poll(const PollOrder& aOrder, PollReply aReply)
 {
-  if (!PassFence(aOrder.fence_)) {
+  if (aOrder.head_.id_ != info_.id_) {
+    aReply({ .startedMs_ = info_.startedMs_, .sameId_ = false });
+    return;
+  }
+  if (!PassFence(aOrder.head_.fence_)) {
     aReply({ .startedMs_ = info_.startedMs_, .accepted_ = false });
     return;
   }
   if (aOrder.lease_) {
     ExtendLease(*aOrder.lease_, "poll");
   }
-  std::erase_if(ended_, [&](const EndedEntry& aEntry) {
+  std::erase_if(endedRuns_, [&](const EndedEntry& aEntry) {
     return aEntry.number_ <= aOrder.acknowledged_;
   });
   const uint64_t waiter = ++serials_;
   waiters_[waiter] = std::move(aReply);
-  if (!ended_.empty() || aOrder.wait_ == Millis(0)) {
+  if (!endedRuns_.empty() || aOrder.wait_ == Millis(0)) {
     Answer(waiter);
   } else {
     world_.events_.After(aOrder.wait_, [this, waiter] { Answer(waiter); });
@@ -286,7 +304,7 @@
 UpstreamPollResult
 Upstream::Lists() const
 {
-  UpstreamPollResult result{ .clock_ = Clock(), .ended_ = ended_ };
+  UpstreamPollResult result{ .clock_ = Clock(), .ended_ = endedRuns_ };
   for (const auto& [key, run] : running_) {
     constexpr int64_t kHundredPercent = 100;
     const auto percent =
--- a/src/libcornelfront/policy/two_runs_world_test.cpp
+++ b/src/libcornelfront/policy/two_runs_world_test.cpp
@@ -107,20 +107,29 @@
 }
 
 void
-World::OnRunStarted(size_t aMachine, const RunKey& aKey)
+World::OnRunStarted(const Upstream& aUpstream, const RunKey& aKey)
 {
-  for (size_t i = 0; i < upstreams_.size() && !twoRuns_; ++i) {
-    const auto other = upstreams_[i]->OtherRun(aKey, i == aMachine);
-    if (other) {
-      const std::string task = ToString(aKey.task_);
-      Record({ .task_ = task, .sidecar_ = i },
-             "TWO RUNS: run " + std::to_string(*other) + " still runs here; " +
-               upstreams_[i]->DescribeLease());
-      twoRuns_ = history_.Of(task);
+  for (const auto* upstreams : { &upstreams_, &formerUpstreams_ }) {
+    for (const auto& other : *upstreams) {
+      ReportSecondRun(*other, other.get() == &aUpstream, aKey);
     }
   }
 }
 
+void
+World::ReportSecondRun(const Upstream& aOther, bool aHere, const RunKey& aKey)
+{
+  const auto run = aOther.OtherRun(aKey, aHere);
+  if (twoRuns_ || !run) {
+    return;
+  }
+  const std::string task = ToString(aKey.task_);
+  Record({ .task_ = task, .sidecar_ = aOther.Machine() },
+         "TWO RUNS: run " + std::to_string(*run) + " still runs on " +
+           aOther.Info().id_ + "; " + aOther.DescribeLease());
+  twoRuns_ = history_.Of(task);
+}
+
 void
 World::OnRunEnded(const RunKey& aKey, RunEnd aEnd)
 {
@@ -306,9 +315,11 @@
     if (done == doneAt_.end() || done->second < since) {
       wrong = "no run of the task was done since its entry took the job";
     }
-    for (const auto& upstream : upstreams_) {
-      if (const auto run = upstream->OtherRun({ task, 0 }, false)) {
-        wrong = "run " + std::to_string(*run) + " still goes on";
+    for (const auto* upstreams : { &upstreams_, &formerUpstreams_ }) {
+      for (const auto& upstream : *upstreams) {
+        if (const auto run = upstream->OtherRun({ task, 0 }, false)) {
+          wrong = "run " + std::to_string(*run) + " still goes on";
+        }
       }
     }
     if (!wrong.empty()) {
