--- a/src/libcornelfront/policy/two_runs_model_test.h
+++ b/src/libcornelfront/policy/two_runs_model_test.h
@@ -374,7 +374,7 @@
   void OnHeartbeat();
   /// The upstream has deregistered.
   void OnUpstreamLeft(const UpstreamDeparture& aDeparture,
-                      const std::function<void()>& aAcknowledge);
+                      std::function<void()> aAcknowledge);
   void OnMessage(const LinkPtr& aLink,
                  Message& aMessage,
                  const MessageTimes& aTimes) override;
@@ -392,6 +392,8 @@
   void Tick();
   void Heartbeat();
   void AcknowledgeEnds();
+  /// Lets an upstream end that has left, once nothing runs there.
+  void AcknowledgeDeparture();
   void OnTakeOver(const LinkPtr& aLink,
                   MemberId aEntry,
                   const TakeOver& aTakeOver,
@@ -442,6 +444,7 @@
   OrderFence fence_;
   /// Id of the upstream that calls are meant for.
   std::string calledId_;
+  std::vector<std::function<void()>> departureReplies_;
   LateOrderJournal lateOrderJournal_;
   /// As in JobSidecar.
   bool fenceOpen_ = false;
--- a/src/libcornelfront/policy/two_runs_sidecar_test.cpp
+++ b/src/libcornelfront/policy/two_runs_sidecar_test.cpp
@@ -107,18 +107,32 @@
 
 void
 SidecarProcess::OnUpstreamLeft(const UpstreamDeparture& aDeparture,
-                               const std::function<void()>& aAcknowledge)
+                               std::function<void()> aAcknowledge)
 {
   const MonoTime now = Now();
   const bool left = table_.OnUpstreamLeft(aDeparture, now);
   world_.Record({ .sidecar_ = Machine() },
                 "deregistration of " + aDeparture.id_ + " arrives, " +
-                  (left ? "left" : "left before"));
-  if (left) {
-    SendPending(now);
-    SendStatus(now);
+                  (left ? "leaving" : "left before"));
+  if (!left) {
+    aAcknowledge();
+    return;
+  }
+  departureReplies_.push_back(std::move(aAcknowledge));
+  SendPending(now);
+  SendStatus(now);
+}
+
+void
+SidecarProcess::AcknowledgeDeparture()
+{
+  if (departureReplies_.empty() || table_.IsLeaving()) {
+    return;
+  }
+  world_.Record({ .sidecar_ = Machine() }, "sidecar acknowledges a departure");
+  for (const auto& acknowledge : std::exchange(departureReplies_, {})) {
+    acknowledge();
   }
-  aAcknowledge();
 }
 
 CallHead
@@ -526,6 +540,7 @@
     SendStart(order, aNow);
   }
   HurryPoll(aNow);
+  AcknowledgeDeparture();
   auto updates = table_.TakeUpdates();
   if (updates.empty()) {
     return;
