--- a/src/libcornelfront/job_sidecar_pvt.h
+++ b/src/libcornelfront/job_sidecar_pvt.h
@@ -65,8 +65,8 @@
   void OnHeartbeat(const platform::Heartbeat& aHeartbeat);
   void OnUpstreamLeft(const UpstreamDeparture& aDeparture,
                       std::function<void()> aAcknowledge);
-  /// Acknowledges a departure once nothing runs on the upstream any more: it
-  /// ends with the acknowledgement.
+  /// Acknowledges a departure once nothing is known to run on the upstream any
+  /// more, or has been held for long: it ends with the acknowledgement.
   void AcknowledgeDeparture(MonoTime aNow);
   void OnOperatorRecords(const platform::TopicReader::Records& aRecords);
   LinkPtr OnConnect(asio::ip::tcp::socket aSocket);
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -19,6 +19,9 @@
 /// The same while nothing runs; several polls fit into one lease.
 constexpr Millis kIdlePollWait{ 300 };
 constexpr Millis kMinPollRetryDelay{ 1 };
+/// A deregistration is acknowledged after this time, whatever runs: executors
+/// may wait no longer than a second. Their runs end as the table proves.
+constexpr Millis kMaxDepartureHold{ 800 };
 
 } // namespace
 
@@ -114,13 +117,14 @@
 void
 JobSidecar::Impl::AcknowledgeDeparture(MonoTime aNow)
 {
-  if (departureReplies_.empty() || table_.IsLeaving()) {
+  const auto waited =
+    std::chrono::duration_cast<Millis>(aNow - departureStart_);
+  const bool held = table_.IsLeaving() && waited < kMaxDepartureHold;
+  if (departureReplies_.empty() || held) {
     return;
   }
-  LOG(INFO)
-    << "upstream waited_ms="
-    << std::chrono::duration_cast<Millis>(aNow - departureStart_).count()
-    << " outcome=left";
+  LOG(INFO) << "upstream waited_ms=" << waited.count()
+            << " leaving=" << table_.IsLeaving() << " outcome=acknowledged";
   for (const auto& acknowledge : std::exchange(departureReplies_, {})) {
     acknowledge();
   }
