A job whose zones were all taken out while it was sent is refused at once

Callers waited until their deadline: a job came back from its sidecar after all zones had been taken out, and stayed parked.

Cause: IsTakenOut asks for an upstream that is ready in a zone that is out, but a sidecar that has read the evacuation before the entry reports that it is not ready any more.

The new unit test failed before (no answer).

Why it works: the upstreams that suit the job decide, ready or not; if all of them are in zones that are out, nothing can run it.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -672,6 +672,10 @@
                              bool aAlone) const;
   /// Marks the candidates that take tasks which have to run alone.
   void ChooseIsolating(std::vector<Candidate>& aCandidates) const;
+  /// True if the upstream is of the kind that runs the step, ready or not.
+  static bool Suits(const Sidecar& aSidecar,
+                    const Job& aJob,
+                    const StepSpec& aStep);
   /// True if the upstream could run the step, leaving aside zones that are out
   /// of service.
   static bool CanRun(const Sidecar& aSidecar,
--- a/src/libcornelfront/policy/job_placement.cpp
+++ b/src/libcornelfront/policy/job_placement.cpp
@@ -375,18 +375,25 @@
 }
 
 bool
-JobScheduler::CanRun(const Sidecar& aSidecar,
-                     const Job& aJob,
-                     const StepSpec& aStep)
+JobScheduler::Suits(const Sidecar& aSidecar,
+                    const Job& aJob,
+                    const StepSpec& aStep)
 {
   const UpstreamReport& report = aSidecar.report_;
-  return aSidecar.linked_ && report.ready_ &&
-         report.service_ == aJob.queue_.service_ &&
+  return aSidecar.linked_ && report.service_ == aJob.queue_.service_ &&
          report.capacity_.CanFit(aStep.resources_) &&
          (aStep.requiredLabel_.empty() ||
           Contains(report.labels_, aStep.requiredLabel_));
 }
 
+bool
+JobScheduler::CanRun(const Sidecar& aSidecar,
+                     const Job& aJob,
+                     const StepSpec& aStep)
+{
+  return aSidecar.report_.ready_ && Suits(aSidecar, aJob, aStep);
+}
+
 bool
 JobScheduler::IsAtUpstreamLimit(MemberId aSidecar,
                                 const Job& aJob,
@@ -603,8 +610,19 @@
     const auto inService = [&](const auto& aSidecar) {
       return IsEligible(aSidecar.second, aJob, aStep);
     };
-    return std::any_of(sidecars_.begin(), sidecars_.end(), canRun) &&
-           std::none_of(sidecars_.begin(), sidecars_.end(), inService);
+    // A sidecar that has read it before this process is not ready any more.
+    const auto suits = [&](const auto& aSidecar) {
+      return Suits(aSidecar.second, aJob, aStep);
+    };
+    const auto suitsInService = [&](const auto& aSidecar) {
+      return suits(aSidecar) && !zonesOut_.contains(aSidecar.second.zone_);
+    };
+    const bool allOut =
+      std::any_of(sidecars_.begin(), sidecars_.end(), suits) &&
+      std::none_of(sidecars_.begin(), sidecars_.end(), suitsInService);
+    return allOut ||
+           (std::any_of(sidecars_.begin(), sidecars_.end(), canRun) &&
+            std::none_of(sidecars_.begin(), sidecars_.end(), inService));
   });
 }
 
--- a/src/libcornelfront/policy/job_scheduler_placement_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_placement_test.cpp
@@ -99,6 +99,25 @@
   EXPECT_EQ(sorted.runs_[0].sidecar_, kSecond);
 }
 
+// The sidecars have read it earlier, return the order and are not ready.
+TEST_F(JobSchedulerTest, AJobThatComesBackWhenAllZonesAreOutIsRefusedAtOnce)
+{
+  Submit(Job());
+  const SendRuns sent = Take().runs_.at(0);
+  scheduler_.SetZonesOut(
+    { "zone-" + ToString(kFirst), "zone-" + ToString(kSecond) }, At(1));
+  for (const MemberId sidecar : { kFirst, kSecond }) {
+    UpstreamReport report = Idle(sidecar == kFirst ? "u1" : "u2");
+    report.ready_ = false;
+    report.ordersReceived_ = 1;
+    scheduler_.OnReports(sidecar, { .upstream_ = report }, At(2));
+  }
+  scheduler_.OnHeldRuns(sent.sidecar_, {}, RunEnd::NotStarted, At(3));
+  const SortedActions sorted = Take();
+  ASSERT_EQ(sorted.answers_.size(), 1U);
+  EXPECT_EQ(sorted.answers_[0].outcome_, JobOutcome::Refused);
+}
+
 TEST_F(JobSchedulerTest, RespectsLabelsAndLimitsPerUpstream)
 {
   JobDescription job = Job(2);
