Test of an executor that lives on: its deregistration names its start time

Traced: the test's call named no start time, so the next heartbeat of the same incarnation, 27 ms later, took the departure back, as it should (the call may be an earlier incarnation's that was held up), and the call was acknowledged while the runs were still being stopped.

--- a/testsuite/harness/platform_cluster.cpp
+++ b/testsuite/harness/platform_cluster.cpp
@@ -380,11 +380,17 @@
 HttpResult
 PlatformCluster::Deregister(unsigned aSidecar, const std::string& aId)
 {
+  // Any answer of the executor has its start time.
+  const HttpResult known = client_.Perform(
+    { .method_ = "POST",
+      .url_ = "http://" + Loopback(executorPorts_[aSidecar]) + "/hold",
+      .body_ = "{}" });
+  const Json born = Json::parse(known.response_.body_).at("born");
   return client_.Perform({ .method_ = "POST",
                            .url_ = "http://" +
                                    Loopback(heartbeatPorts_[aSidecar]) +
                                    "/instances/" + aId + "/deregister",
-                           .body_ = "{}" });
+                           .body_ = Json{ { "born", born } }.dump() });
 }
 
 std::vector<RunRecord>
--- a/testsuite/harness/platform_cluster.h
+++ b/testsuite/harness/platform_cluster.h
@@ -116,7 +116,8 @@
   HttpResult Heartbeat(unsigned aSidecar,
                        const std::string& aId,
                        const std::string& aBody);
-  /// Tells a sidecar that instance \p aId deregisters.
+  /// Tells a sidecar that its executor, known as instance \p aId, deregisters.
+  /// The executor knows nothing of it and lives on.
   HttpResult Deregister(unsigned aSidecar, const std::string& aId);
 
   /// Returns all runs of all executors so far.
