Harness: a cluster begins once each entry is linked to all sidecars

Traced: an entry is ready with its first sidecar; the test killed that one 12 ms later, and submitted 7 ms before the other one was linked, so that the job was refused, as it should be ("no upstream of desk can run it"). New sidecars beside a young executor are linked after 1.13 s since, in ticks of their own. The test needs the one that it does not kill; clusters now wait for all links. No check changed.

--- a/testsuite/harness/platform_cluster.cpp
+++ b/testsuite/harness/platform_cluster.cpp
@@ -65,6 +65,7 @@
     StartSidecar(i);
   }
   WaitReady();
+  WaitLinked();
 }
 
 void
@@ -315,6 +316,32 @@
   }
 }
 
+bool
+PlatformCluster::IsLinkedToAll(unsigned aEntry)
+{
+  const std::string log =
+    ReadText(directory_.Path("entry-" + std::to_string(aEntry) + ".0.out"));
+  for (unsigned i = 0; i < options_.sidecars_; ++i) {
+    const std::string told = "name=sidecar-" + std::to_string(i) + " runs=";
+    if (log.find(told) == std::string::npos) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void
+PlatformCluster::WaitLinked()
+{
+  for (unsigned i = 0; i < options_.entries_; ++i) {
+    if (!WaitUntil([&] { return IsLinkedToAll(i); })) {
+      throw std::runtime_error("entry " + std::to_string(i) +
+                               " is not linked to all sidecars after " +
+                               std::to_string(kDefaultTimeout.count()) + " ms");
+    }
+  }
+}
+
 void
 PlatformCluster::WriteOperatorRecord(const std::string& aKey,
                                      const std::string& aValue)
--- a/testsuite/harness/platform_cluster.h
+++ b/testsuite/harness/platform_cluster.h
@@ -60,8 +60,9 @@
 class PlatformCluster
 {
 public:
-  /// \throws std::runtime_error if the system is not ready within
-  /// kDefaultTimeout.
+  /// Returns once all entries are ready and linked to all sidecars: an entry is
+  /// ready with its first one.
+  /// \throws std::runtime_error if this takes longer than kDefaultTimeout.
   PlatformCluster(unsigned aEntries, unsigned aSidecars);
   explicit PlatformCluster(const PlatformClusterOptions& aOptions);
 
@@ -132,6 +133,8 @@
   std::unique_ptr<Process> Run(const std::string& aName,
                                std::vector<std::string> aCommand);
   void Control(const std::string& aUrl, const std::string& aJson);
+  bool IsLinkedToAll(unsigned aEntry);
+  void WaitLinked();
   void StartStore();
   void StartExecutor(unsigned aExecutor);
   /// Returns the port of the fault proxy that forwards to \p aPort, started on
