RunTable keeps the reports of an owner that has been silent for long

Cause: an entry whose link was cut for 2.1 s took its runs at the sidecar for not started when it was linked again, since the sidecar listed neither the runs nor their ends. The sidecar forgets an owner 3,000 ms after its last message, and with it reports that are younger: here ends of 1.1 to 2.8 s before. In the logs: last message .16.95, end .17.460, links lost .17.950 and .18.125, the other end .19.180, linked again .20.263 with ends=0, refused .20.263.

Evidence: AnEndIsToldToAnOwnerThatWasSilentForLongerThanReportsAreKept failed before (no report).

Why it works: an owner is kept as long as it has reports, and reports for 3,500 ms, longer than an entry needs to notice a cut (1,000) and to give its runs up (2,320).

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -274,7 +274,7 @@
   Millis stallFloor_{ 250 };
   Millis stallRepeatInterval_{ 200 };
   /// How long reports are retained for an owner whose link may have lost them.
-  Millis reportRetention_{ 3000 };
+  Millis reportRetention_{ 3500 };
 };
 
 /// Returns how long after the end that was meant a lease may be over, on a slow
--- a/src/libcornelfront/policy/run_ends_test.cpp
+++ b/src/libcornelfront/policy/run_ends_test.cpp
@@ -69,5 +69,24 @@
   EXPECT_EQ(Reports().size(), 1U);
 }
 
+// Its link is cut, and it takes runs of which it is told nothing for not
+// started when it is linked again.
+TEST_F(RunTableTest,
+       AnEndIsToldToAnOwnerThatWasSilentForLongerThanReportsAreKept)
+{
+  Start(1);
+  Poll({ .running_ = { { Key(0) } } }, 2);
+  const int end = 2000;
+  PollOften({ .running_ = { { Key(0) } } }, 50, end - 50);
+  Poll({ .ended_ = { { 1, Key(0), RunEnd::Done } } }, end);
+  table_.TakeUpdates();
+  // An entry may take 1,000 ms to notice the cut, and then gives runs up after
+  // lostRunTimeout_, 2,320 ms.
+  PollOften({}, end + 50, end + 3350);
+  const auto reports = table_.MakeHeldRuns(kOwner).reports_;
+  ASSERT_EQ(reports.size(), 1U);
+  EXPECT_EQ(reports[0].end_, RunEnd::Done);
+}
+
 } // namespace
 } // namespace cornelfront::run_table_test
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -525,7 +525,9 @@
       std::any_of(runs_.begin(), runs_.end(), [&](const auto& aRun) {
         return aRun.second.owner_ == aOwner.first;
       });
-    return !holdsRuns &&
+    // An owner that links again takes what is neither held nor reported for not
+    // started.
+    return !holdsRuns && aOwner.second.recentReports_.empty() &&
            Since(aOwner.second.heardAt_, aNow) > options_.reportRetention_;
   });
 }
