--- a/src/libcornelfront/policy/two_runs_model_test.h
+++ b/src/libcornelfront/policy/two_runs_model_test.h
@@ -445,6 +445,7 @@
   /// Id of the upstream that calls are meant for.
   std::string calledId_;
   std::vector<std::function<void()>> departureReplies_;
+  MonoTime departureStart_;
   LateOrderJournal lateOrderJournal_;
   /// As in JobSidecar.
   bool fenceOpen_ = false;
--- a/src/libcornelfront/policy/two_runs_sidecar_test.cpp
+++ b/src/libcornelfront/policy/two_runs_sidecar_test.cpp
@@ -9,6 +9,7 @@
 
 // Values of JobSidecar.
 constexpr Millis kTickInterval{ 50 };
+constexpr Millis kMaxDepartureHold{ 800 };
 constexpr Millis kBusyPollWait{ 50 };
 constexpr Millis kDegradedPollWait{ 15 };
 constexpr Millis kDegradedPeriod{ 3000 };
@@ -110,6 +111,9 @@
                                std::function<void()> aAcknowledge)
 {
   const MonoTime now = Now();
+  if (!table_.IsLeaving()) {
+    departureStart_ = now;
+  }
   const bool left = table_.OnUpstreamLeft(aDeparture, now);
   world_.Record({ .sidecar_ = Machine() },
                 "deregistration of " + aDeparture.id_ + " arrives, " +
@@ -126,7 +130,9 @@
 void
 SidecarProcess::AcknowledgeDeparture()
 {
-  if (departureReplies_.empty() || table_.IsLeaving()) {
+  const bool held =
+    table_.IsLeaving() && Now() - departureStart_ < kMaxDepartureHold;
+  if (departureReplies_.empty() || held) {
     return;
   }
   world_.Record({ .sidecar_ = Machine() }, "sidecar acknowledges a departure");
