No heartbeat proves that the current executor is gone

What callers saw: a task ran on two executors at once. A heartbeat of another instance with a later start time ended all runs of the sidecar's executor as lost in that moment, and their tasks were started elsewhere within a millisecond. The executor ran on; the sidecar then named the other id, was answered 421, and called no more until the next heartbeat, up to 1.5 s later, so that the earlier runs got no stop and ended by themselves or with their lease.

Cause: a conclusion about an executor on another one's word. The protocol says that a ping may come from another writer, and that pings may be late; a time of day that was set back makes a late one look newer.

Fix: such a heartbeat is kept as a claim. What answers the next poll at the address decides: the current incarnation, and the claim is dropped; another one (421, another start time), and the claim is taken at once. A silence longer than the lease decides nothing any more either: an executor that was silent may start again under its id and carry out an order that had no answer, which one with another id would refuse.

Three unit tests expected the old rule itself (a later start time, or a silence, replaces at once). They are replaced by stricter ones: only an answer replaces.

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -44,6 +44,9 @@
   /// The incarnation that becomes the current one, because there is none or it
   /// is known to be gone.
   Successor,
+  /// Another incarnation with a later start time, while the current one may
+  /// still be there. What answers the next poll at its address tells.
+  Unproven,
   /// Another incarnation, which may be an earlier one.
   Outdated,
 };
@@ -295,14 +298,11 @@
 
   const RunTableOptions& Options() const { return options_; }
 
-  /// Decides how to take a heartbeat, which may have been under way for long.
-  /// At one address there is one incarnation at a time, so a later start time
-  /// proves that the current one is gone. An earlier one proves nothing, as the
-  /// time of day may have been set back; it counts only once the lease of an
-  /// upstream that does not answer has expired. One that has left, or that a
-  /// poll has shown to be replaced, never returns.
-  HeartbeatSender IdentifySender(const UpstreamInfo& aInfo,
-                                 MonoTime aNow) const;
+  /// Decides how to take a heartbeat, which may have been under way for long or
+  /// come from anybody. No heartbeat proves that the current incarnation is
+  /// gone: only an answer of another one at its address does. One that has
+  /// left, or that a poll has shown to be replaced, never returns.
+  HeartbeatSender IdentifySender(const UpstreamInfo& aInfo) const;
   /// A heartbeat of the current incarnation or a successor has arrived. A new
   /// incarnation ends all runs of the previous one, but a run that the new one
   /// may have started instead remains until the next poll tells.
--- a/src/libcornelfront/job_sidecar.cpp
+++ b/src/libcornelfront/job_sidecar.cpp
@@ -150,6 +150,7 @@
   DetectSuspension(now);
   StartConnecting(now);
   table_.Tick(now);
+  AcceptClaim();
   LogLeaseLimit(now);
   SendPending(now);
   SendStatus(now);
--- a/src/libcornelfront/job_sidecar_pvt.h
+++ b/src/libcornelfront/job_sidecar_pvt.h
@@ -49,6 +49,13 @@
     TransitBound transit_;
   };
 
+  /// A heartbeat of an incarnation that is not known to be the current one.
+  struct Claim
+  {
+    platform::Heartbeat heartbeat_;
+    MonoTime arrived_;
+  };
+
   void Setup();
   void CloseLinks();
   void Tick();
@@ -63,6 +70,11 @@
   /// See UpstreamAge.
   std::optional<Millis> AgeOfUpstream() const;
   void OnHeartbeat(const platform::Heartbeat& aHeartbeat);
+  void NoteClaim(const platform::Heartbeat& aHeartbeat, MonoTime aNow);
+  /// Takes the incarnation of the claim as the current one if the earlier one
+  /// is known to be gone. Returns true if that ended the claim.
+  bool AcceptClaim();
+  void RejectClaim(MonoTime aPolled);
   void OnUpstreamLeft(const UpstreamDeparture& aDeparture,
                       std::function<void()> aAcknowledge);
   /// Acknowledges a departure once nothing is known to run on the upstream any
@@ -86,6 +98,8 @@
   void Poll();
   void RestartPolling();
   void PollAfter(Millis aDelay);
+  /// Ends the delay before the next poll, if there is one.
+  void PollWithoutDelay();
   /// Polls beside a poll that waits for an end, if an order needs an answer.
   void HurryPoll(MonoTime aNow);
   void SendFence(MonoTime aNow);
@@ -137,6 +151,7 @@
   JobMetrics metrics_;
   std::unique_ptr<HttpServer> metricsServer_;
   int64_t lastHeartbeat_ = 0;
+  std::optional<Claim> claim_;
   UpstreamTime clock_;
   MonoTime clockRead_;
   CallTimeout callTimeout_{ CallTimeoutOptions{} };
--- a/src/libcornelfront/job_sidecar_upstream.cpp
+++ b/src/libcornelfront/job_sidecar_upstream.cpp
@@ -30,7 +30,7 @@
 {
   const MonoTime now = BootNow();
   const auto& known = table_.Upstream();
-  const HeartbeatSender sender = table_.IdentifySender(aHeartbeat.info_, now);
+  const HeartbeatSender sender = table_.IdentifySender(aHeartbeat.info_);
   const bool same = sender == HeartbeatSender::Current;
   if (same && aHeartbeat.sequence_ <= lastHeartbeat_) {
     LOG(WARNING) << "heartbeat upstream=" << aHeartbeat.info_.id_
@@ -48,6 +48,10 @@
                  << " silent_ms=" << silence.count() << " outcome=outdated";
     return;
   }
+  if (sender == HeartbeatSender::Unproven) {
+    NoteClaim(aHeartbeat, now);
+    return;
+  }
   lastHeartbeat_ = aHeartbeat.sequence_;
   const bool draining = known && known->draining_;
   if (!same || draining != aHeartbeat.info_.draining_) {
@@ -66,14 +70,64 @@
     RestartPolling();
   } else if (!polling_) {
     Poll();
-  } else if (pollDelayed_) {
-    pollBackoff_.Reset();
-    PollAfter(Millis(0));
+  } else {
+    PollWithoutDelay();
   }
   SendPending(now);
   SendStatus(now);
 }
 
+/// Keeps a heartbeat that proves nothing until the next answer at the address
+/// of the current incarnation tells.
+void
+JobSidecar::Impl::NoteClaim(const platform::Heartbeat& aHeartbeat,
+                            MonoTime aNow)
+{
+  const auto& known = table_.Upstream();
+  LOG(WARNING) << "heartbeat upstream=" << aHeartbeat.info_.id_
+               << " born=" << aHeartbeat.info_.startedMs_
+               << " service=" << aHeartbeat.info_.service_
+               << " current=" << (known ? known->id_ : "none")
+               << " current_born=" << (known ? known->startedMs_ : 0)
+               << " runs=" << table_.Size() << " outcome=unproven";
+  claim_ = Claim{ .heartbeat_ = aHeartbeat, .arrived_ = aNow };
+  PollWithoutDelay();
+}
+
+bool
+JobSidecar::Impl::AcceptClaim()
+{
+  const bool proven =
+    claim_ && table_.IdentifySender(claim_->heartbeat_.info_) !=
+                HeartbeatSender::Unproven;
+  if (!proven) {
+    return false;
+  }
+  const Claim claim = *std::exchange(claim_, std::nullopt);
+  OnHeartbeat(claim.heartbeat_);
+  return true;
+}
+
+/// The current incarnation has answered a poll that was sent at \p aPolled.
+void
+JobSidecar::Impl::RejectClaim(MonoTime aPolled)
+{
+  if (claim_ && aPolled >= claim_->arrived_) {
+    LOG(WARNING) << "heartbeat upstream=" << claim_->heartbeat_.info_.id_
+                 << " outcome=refuted";
+    claim_.reset();
+  }
+}
+
+void
+JobSidecar::Impl::PollWithoutDelay()
+{
+  if (pollDelayed_) {
+    pollBackoff_.Reset();
+    PollAfter(Millis(0));
+  }
+}
+
 /// Polls a new incarnation at once, although a poll of the earlier one may
 /// still wait for its answer. Until a call with its own fence has reached it,
 /// the new one carries out orders that were meant for the earlier one.
@@ -234,6 +288,7 @@
     const bool knewRuns = table_.KnowsRuns();
     if (table_.OnPollResult(aPollNumber, aPollResult, now)) {
       answeredPollStart_ = pollStart_;
+      RejectClaim(pollStart_);
       clock_ = aPollResult.clock_;
       clockRead_ = now;
       if (const auto& known = table_.Upstream(); known && !knewRuns) {
@@ -267,6 +322,9 @@
                  << (present ? "replaced" : "was_replaced_before");
     SendPending(now);
     SendStatus(now);
+    if (AcceptClaim()) {
+      return;
+    }
   }
   PollAfter(
     std::max(pollBackoff_.OnFailure(pollStart_, now), kMinPollRetryDelay));
--- a/src/libcornelfront/policy/run_departures_test.cpp
+++ b/src/libcornelfront/policy/run_departures_test.cpp
@@ -105,8 +105,7 @@
   ASSERT_TRUE(Leave(20));
   EXPECT_FALSE(table_.IsLeaving());
   EXPECT_FALSE(table_.HasUpstream());
-  EXPECT_EQ(table_.IdentifySender(Upstream(), At(30)),
-            HeartbeatSender::Outdated);
+  EXPECT_EQ(table_.IdentifySender(Upstream()), HeartbeatSender::Outdated);
 }
 
 TEST_F(DepartureTest, ALeavingUpstreamGetsNoOrder)
--- a/src/libcornelfront/policy/run_ends_test.cpp
+++ b/src/libcornelfront/policy/run_ends_test.cpp
@@ -46,17 +46,21 @@
   EXPECT_EQ(reports[0].end_, RunEnd::Lost);
 }
 
-// Its start time is earlier, as after a time of day that was set back.
-TEST_F(SilentUpstreamTest, IsNotReplacedByAnEarlierOneBeforeItsLeaseIsOver)
+// It may start again under its id and carry out an order that has no answer,
+// which one with another id would refuse.
+TEST_F(SilentUpstreamTest, IsNotReplacedByAHeartbeatWhenItsLeaseIsOver)
 {
-  UpstreamInfo other = Upstream(0);
-  other.id_ = "u2";
-  const int heardMs = 2;
-  Silence(heardMs, heardMs + kLeaseOverMs);
-  EXPECT_EQ(table_.IdentifySender(other, At(heardMs + kLeaseOverMs)),
-            HeartbeatSender::Outdated);
-  EXPECT_EQ(table_.IdentifySender(other, At(heardMs + kLeaseOverMs + 1)),
-            HeartbeatSender::Successor);
+  UpstreamInfo earlier = Upstream(0);
+  earlier.id_ = "u2";
+  UpstreamInfo later = Upstream(2);
+  later.id_ = "u3";
+  Silence(2, 2 + kLeaseOverMs + 1);
+  EXPECT_EQ(table_.IdentifySender(earlier), HeartbeatSender::Outdated);
+  EXPECT_EQ(table_.IdentifySender(later), HeartbeatSender::Unproven);
+  ASSERT_TRUE(table_.OnUpstreamReplaced(
+    table_.BeginPoll(), Replacement::OtherId, At(2 + kLeaseOverMs + 2)));
+  EXPECT_EQ(table_.IdentifySender(earlier), HeartbeatSender::Successor);
+  EXPECT_EQ(table_.IdentifySender(later), HeartbeatSender::Successor);
 }
 
 // Nothing was granted beyond the usual time, which is not lengthened.
--- a/src/libcornelfront/policy/run_incarnations.cpp
+++ b/src/libcornelfront/policy/run_incarnations.cpp
@@ -18,7 +18,7 @@
 } // namespace
 
 HeartbeatSender
-RunTable::IdentifySender(const UpstreamInfo& aInfo, MonoTime aNow) const
+RunTable::IdentifySender(const UpstreamInfo& aInfo) const
 {
   const auto sender = std::make_pair(aInfo.id_, aInfo.startedMs_);
   if (std::find(gone_.begin(), gone_.end(), sender) != gone_.end()) {
@@ -32,8 +32,7 @@
     return HeartbeatSender::Current;
   }
   const bool later = aInfo.startedMs_ > upstream_->startedMs_;
-  return later || HasLapsedInSilence(aNow) ? HeartbeatSender::Successor
-                                           : HeartbeatSender::Outdated;
+  return later ? HeartbeatSender::Unproven : HeartbeatSender::Outdated;
 }
 
 void
@@ -41,7 +40,7 @@
 {
   DetectSuspension(aNow);
   const bool sameIncarnation =
-    IdentifySender(aInfo, aNow) == HeartbeatSender::Current;
+    IdentifySender(aInfo) == HeartbeatSender::Current;
   if (sameIncarnation && departure_ && !departure_->certain_) {
     // It was another incarnation's call that had been held up.
     departure_.reset();
--- a/src/libcornelfront/policy/run_table_test.cpp
+++ b/src/libcornelfront/policy/run_table_test.cpp
@@ -516,43 +516,47 @@
 
 // The current incarnation answers nothing, but its runs go on until their lease
 // ends.
-TEST_F(RunTableTest,
-       ALateHeartbeatOfAnEarlierIncarnationEndsNoRunBeforeTheLease)
+TEST_F(RunTableTest, ALateHeartbeatOfAnEarlierIncarnationEndsNoRun)
 {
   table_.OnUpstream(Upstream(2), At(0));
   Poll({}, 0);
   Start(1);
   Poll({ .running_ = { { Key(0) } } }, 10);
   for (const int ms : { 20, 600, 700, 1610 }) {
-    EXPECT_EQ(table_.IdentifySender(Upstream(1), At(ms)),
-              HeartbeatSender::Outdated)
-      << ms;
+    table_.OnOwnerHeard(kOwner, At(ms));
+    table_.Tick(At(ms));
+    EXPECT_EQ(table_.IdentifySender(Upstream(1)), HeartbeatSender::Outdated);
+    EXPECT_TRUE(Reports().empty()) << ms;
   }
-  // By then the runs have been given up for the lease's sake.
-  EXPECT_EQ(table_.IdentifySender(Upstream(1), At(1611)),
-            HeartbeatSender::Successor);
   table_.OnOwnerHeard(kOwner, At(1611));
   table_.Tick(At(1611));
-  EXPECT_EQ(Reports().at(0).end_, RunEnd::Lost);
+  EXPECT_EQ(Reports().at(0).end_, RunEnd::Lost) << "for the lease's sake";
+  EXPECT_EQ(table_.IdentifySender(Upstream(1)), HeartbeatSender::Outdated);
 }
 
 TEST_F(RunTableTest, AnEqualStartTimeUnderAnotherIdIsNoProofOfAReplacement)
 {
   UpstreamInfo other = Upstream(1);
   other.id_ = "u2";
-  EXPECT_EQ(table_.IdentifySender(other, At(10)), HeartbeatSender::Outdated);
-  EXPECT_EQ(table_.IdentifySender(other, At(1601)), HeartbeatSender::Successor);
+  EXPECT_EQ(table_.IdentifySender(other), HeartbeatSender::Outdated);
+}
+
+TEST_F(RunTableTest, ALaterStartTimeIsNoProofOfAReplacement)
+{
+  EXPECT_EQ(table_.IdentifySender(Upstream(1)), HeartbeatSender::Current);
+  EXPECT_EQ(table_.IdentifySender(Upstream(2)), HeartbeatSender::Unproven);
+  UpstreamInfo other = Upstream(2);
+  other.id_ = "u2";
+  EXPECT_EQ(table_.IdentifySender(other), HeartbeatSender::Unproven);
 }
 
-TEST_F(RunTableTest, ALaterStartTimeReplacesTheIncarnationAtOnce)
+TEST_F(RunTableTest, AnAnswerOfAnotherIncarnationProvesAReplacement)
 {
-  EXPECT_EQ(table_.IdentifySender(Upstream(1), At(10)),
-            HeartbeatSender::Current);
-  EXPECT_EQ(table_.IdentifySender(Upstream(2), At(10)),
-            HeartbeatSender::Successor);
+  ASSERT_TRUE(table_.OnUpstreamReplaced(
+    table_.BeginPoll(), Replacement::OtherId, At(10)));
   UpstreamInfo other = Upstream(2);
   other.id_ = "u2";
-  EXPECT_EQ(table_.IdentifySender(other, At(10)), HeartbeatSender::Successor);
+  EXPECT_EQ(table_.IdentifySender(other), HeartbeatSender::Successor);
 }
 
 // The time of day was set back between the starts, and the poll tells.
@@ -562,8 +566,7 @@
   table_.OnUpstream(Upstream(2), At(0));
   ASSERT_TRUE(
     table_.OnUpstreamReplaced(table_.BeginPoll(), Replacement::SameId, At(10)));
-  EXPECT_EQ(table_.IdentifySender(Upstream(1), At(11)),
-            HeartbeatSender::Successor);
+  EXPECT_EQ(table_.IdentifySender(Upstream(1)), HeartbeatSender::Successor);
 }
 
 // Its heartbeat was under way for long, or the time of day was set back between
@@ -573,33 +576,27 @@
   table_.OnUpstream(Upstream(2), At(0));
   ASSERT_TRUE(
     table_.OnUpstreamReplaced(table_.BeginPoll(), Replacement::SameId, At(10)));
-  EXPECT_EQ(table_.IdentifySender(Upstream(2), At(11)),
-            HeartbeatSender::Outdated);
+  EXPECT_EQ(table_.IdentifySender(Upstream(2)), HeartbeatSender::Outdated);
   table_.OnUpstream(Upstream(1), At(20));
   for (const int ms : { 30, 1700 }) {
-    EXPECT_EQ(table_.IdentifySender(Upstream(2), At(ms)),
-              HeartbeatSender::Outdated)
+    EXPECT_EQ(table_.IdentifySender(Upstream(2)), HeartbeatSender::Outdated)
       << ms;
   }
-  EXPECT_EQ(table_.IdentifySender(Upstream(3), At(30)),
-            HeartbeatSender::Successor);
+  EXPECT_EQ(table_.IdentifySender(Upstream(3)), HeartbeatSender::Unproven);
 }
 
 TEST_F(RunTableTest, AnIncarnationThatHasLeftNeverReturns)
 {
   table_.OnUpstreamLeft({ .id_ = "u1", .startedMs_ = 1 }, At(10));
-  EXPECT_EQ(table_.IdentifySender(Upstream(1), At(11)),
-            HeartbeatSender::Outdated);
-  EXPECT_EQ(table_.IdentifySender(Upstream(2), At(11)),
-            HeartbeatSender::Successor);
+  EXPECT_EQ(table_.IdentifySender(Upstream(1)), HeartbeatSender::Outdated);
+  EXPECT_EQ(table_.IdentifySender(Upstream(2)), HeartbeatSender::Successor);
 }
 
 // The call may have been one of an earlier incarnation.
 TEST_F(RunTableTest, ADeregistrationWithoutAStartTimeKeepsNoHeartbeatOut)
 {
   table_.OnUpstreamLeft({ .id_ = "u1" }, At(10));
-  EXPECT_EQ(table_.IdentifySender(Upstream(1), At(11)),
-            HeartbeatSender::Successor);
+  EXPECT_EQ(table_.IdentifySender(Upstream(1)), HeartbeatSender::Successor);
 }
 
 } // namespace
--- a/src/libcornelfront/policy/two_runs_departures_test.cpp
+++ b/src/libcornelfront/policy/two_runs_departures_test.cpp
@@ -100,10 +100,11 @@
     }
   };
   if (const auto sidecar = sidecars_[machine]) {
-    sidecar->Post(Millis(1), [sidecar = sidecar.get(), begin] {
-      sidecar->OnHeartbeat();
-      begin();
-    });
+    sidecar->Post(Millis(1),
+                  [sidecar = sidecar.get(), info = upstream.Info(), begin] {
+                    sidecar->OnHeartbeat(info);
+                    begin();
+                  });
   }
   // Another node acknowledges it.
   events_.After(kPingTimeout, begin);
--- a/src/libcornelfront/policy/two_runs_faults_test.cpp
+++ b/src/libcornelfront/policy/two_runs_faults_test.cpp
@@ -114,6 +114,7 @@
   add(scenario_.upstreamsRestarted_, [this] { CrashUpstream(); });
   add(scenario_.powerLost_, [this] { LosePower(); });
   add(scenario_.upstreamsLeave_, [this] { DrainUpstream(); });
+  add(scenario_.othersAnnounced_, [this] { AnnounceOther(); });
   return faults;
 }
 
@@ -305,6 +306,25 @@
   upstreams_[random_.Below(sidecars_.size())]->Crash(downtime, heartbeatDelay);
 }
 
+/// A heartbeat that was meant for another sidecar, or that is of an incarnation
+/// whose machine had its time of day set back since.
+void
+World::AnnounceOther()
+{
+  const size_t machine = random_.Below(upstreams_.size());
+  UpstreamInfo info = upstreams_[machine]->Info();
+  info.startedMs_ += 1 + static_cast<int64_t>(random_.Below(10000));
+  if (random_.Chance(0.8)) {
+    info.id_ += "-other";
+  }
+  counts_.runsBesideOthers_ += upstreams_[machine]->RunCount();
+  if (const auto sidecar = sidecars_[machine]) {
+    sidecar->Post(Millis(1), [sidecar = sidecar.get(), info] {
+      sidecar->OnHeartbeat(info);
+    });
+  }
+}
+
 /// Upstreams run on; a sidecar may be back before it gets a heartbeat.
 void
 World::LosePower()
@@ -328,8 +348,11 @@
 World::OnHeartbeat(size_t aMachine)
 {
   if (const auto sidecar = sidecars_[aMachine]) {
-    sidecar->Post(Millis(1),
-                  [sidecar = sidecar.get()] { sidecar->OnHeartbeat(); });
+    sidecar->Post(
+      Millis(1),
+      [sidecar = sidecar.get(), info = upstreams_[aMachine]->Info()] {
+        sidecar->OnHeartbeat(info);
+      });
   }
 }
 
--- a/src/libcornelfront/policy/two_runs_model_test.h
+++ b/src/libcornelfront/policy/two_runs_model_test.h
@@ -59,6 +59,8 @@
   /// Upstreams drain, deregister and live on for some time; another one with
   /// another id takes their place.
   bool upstreamsLeave_ = false;
+  /// Heartbeats of instances that are not there reach sidecars.
+  bool othersAnnounced_ = false;
   /// All entries and sidecars are killed at the same moment.
   bool powerLost_ = false;
   /// One entry at a time leads, and takes over what sidecars hold. Without it,
@@ -371,7 +373,7 @@
 
   void Start(Millis aHeartbeatDelay);
   /// A heartbeat of the upstream has arrived.
-  void OnHeartbeat();
+  void OnHeartbeat(const UpstreamInfo& aInfo);
   /// The upstream has deregistered.
   void OnUpstreamLeft(const UpstreamDeparture& aDeparture,
                       std::function<void()> aAcknowledge);
@@ -389,8 +391,16 @@
     TransitBound transit_;
   };
 
+  /// A heartbeat of an incarnation that is not known to be the current one.
+  struct Claim
+  {
+    UpstreamInfo info_;
+    MonoTime arrived_;
+  };
+
   void Tick();
   void Heartbeat();
+  bool AcceptClaim();
   void AcknowledgeEnds();
   /// Lets an upstream end that has left, once nothing runs there.
   void AcknowledgeDeparture();
@@ -444,6 +454,7 @@
   OrderFence fence_;
   /// Id of the upstream that calls are meant for.
   std::string calledId_;
+  std::optional<Claim> claim_;
   std::vector<std::function<void()>> departureReplies_;
   MonoTime departureStart_;
   LateOrderJournal lateOrderJournal_;
@@ -589,6 +600,8 @@
   uint64_t runsOfDeparted_ = 0;
   /// Upstreams that took the place of one that still ran.
   uint64_t successorsBeside_ = 0;
+  /// Runs beside which another instance was announced.
+  uint64_t runsBesideOthers_ = 0;
   uint64_t powerLosses_ = 0;
   uint64_t takeOvers_ = 0;
   /// Ends that a sidecar has told a leader that takes over.
@@ -711,6 +724,7 @@
   void ResetClients();
   void CrashUpstream();
   void LosePower();
+  void AnnounceOther();
   void DrainUpstream();
   void Deregister(size_t aMachine);
   void SendDeparture(size_t aMachine, Upstream& aUpstream);
--- a/src/libcornelfront/policy/two_runs_sidecar_test.cpp
+++ b/src/libcornelfront/policy/two_runs_sidecar_test.cpp
@@ -59,6 +59,7 @@
   DetectSuspension(now);
   StartConnecting(now);
   table_.Tick(now);
+  AcceptClaim();
   SendPending(now);
   SendStatus(now);
   StoreLateOrders(now);
@@ -69,28 +70,35 @@
 SidecarProcess::Heartbeat()
 {
   if (MyUpstream().SendsHeartbeats()) {
-    OnHeartbeat();
+    OnHeartbeat(MyUpstream().Info());
   }
   Post(kHeartbeatInterval, [this] { Heartbeat(); });
 }
 
 void
-SidecarProcess::OnHeartbeat()
+SidecarProcess::OnHeartbeat(const UpstreamInfo& aInfo)
 {
   const MonoTime now = Now();
-  const UpstreamInfo& info = MyUpstream().Info();
-  const HeartbeatSender sender = table_.IdentifySender(info, now);
+  const HeartbeatSender sender = table_.IdentifySender(aInfo);
   if (sender == HeartbeatSender::Outdated) {
     return;
   }
-  table_.OnUpstream(info, now);
+  if (sender == HeartbeatSender::Unproven) {
+    claim_ = Claim{ .info_ = aInfo, .arrived_ = now };
+    if (pollDelayed_) {
+      pollBackoff_.Reset();
+      PollAfter(Millis(0));
+    }
+    return;
+  }
+  table_.OnUpstream(aInfo, now);
   if (sender == HeartbeatSender::Successor) {
-    calledId_ = info.id_;
+    calledId_ = aInfo.id_;
     world_.Record({ .sidecar_ = Machine() },
                   "first heartbeat of an incarnation arrives");
     clock_ = MyUpstream().Clock();
     clockRead_ = now;
-    fence_.OnIncarnation(info.startedMs_, clock_);
+    fence_.OnIncarnation(aInfo.startedMs_, clock_);
     fenceOpen_ = false;
     ++pollSeries_;
     pollDelayed_ = false;
@@ -106,6 +114,19 @@
   SendStatus(now);
 }
 
+bool
+SidecarProcess::AcceptClaim()
+{
+  const bool proven =
+    claim_ && table_.IdentifySender(claim_->info_) != HeartbeatSender::Unproven;
+  if (!proven) {
+    return false;
+  }
+  const Claim claim = *std::exchange(claim_, std::nullopt);
+  OnHeartbeat(claim.info_);
+  return true;
+}
+
 void
 SidecarProcess::OnUpstreamLeft(const UpstreamDeparture& aDeparture,
                                std::function<void()> aAcknowledge)
@@ -480,7 +501,9 @@
                   "another upstream answers the poll");
     SendPending(now);
     SendStatus(now);
-    RetryPoll(now);
+    if (!AcceptClaim()) {
+      RetryPoll(now);
+    }
     return;
   }
   if (!aAnswer->accepted_) {
@@ -494,7 +517,9 @@
       table_.OnUpstreamReplaced(aPollNumber, Replacement::SameId, now);
     SendPending(now);
     SendStatus(now);
-    RetryPoll(now);
+    if (!AcceptClaim()) {
+      RetryPoll(now);
+    }
     return;
   }
   pollBackoff_.Reset();
@@ -505,6 +530,9 @@
   const bool knewRuns = table_.KnowsRuns();
   if (table_.OnPollResult(aPollNumber, aAnswer->result_, now)) {
     answeredPollStart_ = pollStart_;
+    if (claim_ && pollStart_ >= claim_->arrived_) {
+      claim_.reset();
+    }
     clock_ = aAnswer->result_.clock_;
     clockRead_ = now;
     if (!knewRuns) {
--- a/src/libcornelfront/policy/two_runs_test.cpp
+++ b/src/libcornelfront/policy/two_runs_test.cpp
@@ -77,6 +77,7 @@
     sum.departures_ += world.counts_.departures_;
     sum.runsOfDeparted_ += world.counts_.runsOfDeparted_;
     sum.successorsBeside_ += world.counts_.successorsBeside_;
+    sum.runsBesideOthers_ += world.counts_.runsBesideOthers_;
     sum.powerLosses_ += world.counts_.powerLosses_;
     sum.takeOvers_ += world.counts_.takeOvers_;
     sum.endsTakenOver_ += world.counts_.endsTakenOver_;
@@ -93,7 +94,8 @@
        << sum.takeOvers_ << ", ends taken over " << sum.endsTakenOver_
        << ", departures " << sum.departures_ << ", runs of departed upstreams "
        << sum.runsOfDeparted_ << ", successors beside them "
-       << sum.successorsBeside_;
+       << sum.successorsBeside_ << ", runs beside others that were announced "
+       << sum.runsBesideOthers_;
   RecordProperty("counts", text.str());
   SCOPED_TRACE(text.str());
   EXPECT_GT(sum.completed_, sum.submitted_ / 10);
@@ -104,6 +106,7 @@
   EXPECT_EQ(scenario.upstreamsLeave_, sum.departures_ > seeds);
   EXPECT_EQ(scenario.upstreamsLeave_, sum.runsOfDeparted_ > seeds);
   EXPECT_EQ(scenario.upstreamsLeave_, sum.successorsBeside_ > 0);
+  EXPECT_EQ(scenario.othersAnnounced_, sum.runsBesideOthers_ > seeds);
   EXPECT_EQ(scenario.tasksFail_, sum.ends_[RunEnd::Failed] > 0);
   EXPECT_EQ(scenario.leaderTakesOver_, sum.endsTakenOver_ > 0);
   EXPECT_EQ(scenario.leaderTakesOver_, sum.takeOvers_ > seeds);
@@ -286,6 +289,23 @@
     .leaderTakesOver_ = true,
     .tasksFail_ = true,
     .refusedReturn_ = true },
+  { .name_ = "OthersAreAnnounced",
+    .clientsReset_ = true,
+    .othersAnnounced_ = true },
+  { .name_ = "OthersAreAnnouncedWhileAnswersAreLost",
+    .callsUnanswered_ = true,
+    .clientsReset_ = true,
+    .othersAnnounced_ = true },
+  { .name_ = "OthersAreAnnouncedWhileSidecarsAreReplaced",
+    .sidecarsReplaced_ = true,
+    .clientsReset_ = true,
+    .othersAnnounced_ = true },
+  { .name_ = "OthersAreAnnouncedWhileUpstreamsRestartAndLeave",
+    .callsUnanswered_ = true,
+    .clientsReset_ = true,
+    .upstreamsRestarted_ = true,
+    .upstreamsLeave_ = true,
+    .othersAnnounced_ = true },
 };
 
 /// Few seeds: each takes seconds, and minutes under a sanitizer.
--- a/testsuite/process/platform_test.cpp
+++ b/testsuite/process/platform_test.cpp
@@ -197,6 +197,26 @@
   EXPECT_THAT(cluster.OverlappingRuns(), IsEmpty());
 }
 
+TEST(PlatformBestEffort, AHeartbeatOfAnotherExecutorEndsNoRun)
+{
+  PlatformCluster cluster(
+    { .entries_ = 1, .sidecars_ = 3, .stopTime_ = Millis(50) });
+  auto answer = std::async(std::launch::async, [&] {
+    return cluster.Submit(0, MakeJobId(1), "ms=1500", 4, true);
+  });
+  ASSERT_TRUE(WaitUntil([&] { return cluster.CountRuns(MakeJobId(1)) == 4; }));
+  // Later than the start of any executor, and of a service that nobody names.
+  const std::string body = R"({"service":"other","state":"ready","seq":1,
+                               "capacity":{"cpu":1000,"memMb":100},
+                               "born":9999999999999})";
+  EXPECT_EQ(cluster.Heartbeat(cluster.Runs().at(0).executor_, "i-9", body)
+              .response_.status_,
+            200);
+  EXPECT_EQ(answer.get().response_.body_, R"({"state":"completed"})");
+  EXPECT_EQ(cluster.CountRuns(MakeJobId(1)), 4U) << "a run was given up";
+  EXPECT_THAT(cluster.OverlappingRuns(), IsEmpty());
+}
+
 TEST(PlatformInput, FaultsGetClearAnswersAndDisturbNobody)
 {
   PlatformCluster cluster(1, 1);
