An executor's id counts as replaced once another one has answered

What callers saw: two runs of a task at once, after an executor had crashed with an order that had no answer. A heartbeat of another id arrived while the sidecar knew no current executor, or after a silence; it was taken for the new one, which would refuse all orders for the earlier id, so the open order was forgotten and its task started elsewhere. The executor then started again under its id and carried the order out.

Fix: an incarnation that is only announced changes nothing of what its predecessor may still do under its id; its first answer does. One that has never answered proves nothing either when it is replaced in turn.

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -305,7 +305,7 @@
   HeartbeatSender IdentifySender(const UpstreamInfo& aInfo) const;
   /// A heartbeat of the current incarnation or a successor has arrived. A new
   /// incarnation ends all runs of the previous one, but a run that the new one
-  /// may have started instead remains until the next poll tells.
+  /// may have started instead remains until its first answer tells.
   void OnUpstream(const UpstreamInfo& aInfo, MonoTime aNow);
   /// An incarnation has deregistered. Returns false if it is not the current
   /// one, whose runs then stay as they are. The announcement proves no end: its
@@ -594,6 +594,9 @@
   /// Returns a crash under the runs that have been started, or nothing if there
   /// are none.
   std::optional<UpstreamCrash> MakeCrash();
+  /// The current incarnation has answered its first poll. If it has another id
+  /// than the one before, it refuses all orders for that.
+  void OnFirstAnswer();
   /// Remembers that the current incarnation never returns.
   void RecordGone();
   /// Ends the runs of an incarnation that is gone.
@@ -748,8 +751,8 @@
   /// The late orders may differ from those that were taken last.
   bool lateOrdersChanged_ = false;
   UpstreamKnowledge reportedKnowledge_ = UpstreamKnowledge::None;
-  /// Id of the last known incarnation.
-  std::string lastId_;
+  /// Id of the last incarnation that has answered a poll.
+  std::optional<std::string> answeredId_;
   /// The last incarnations that are proved to be gone, by id and start time.
   std::deque<std::pair<std::string, int64_t>> gone_;
   /// Number of the newest poll that the current incarnation answered.
--- a/src/libcornelfront/policy/run_incarnations.cpp
+++ b/src/libcornelfront/policy/run_incarnations.cpp
@@ -47,8 +47,8 @@
   }
   if (!sameIncarnation) {
     RecordCrash();
-    FinishReplaced(
-      lastId_ == aInfo.id_ ? Replacement::SameId : Replacement::OtherId, aNow);
+    // Until it answers, the earlier one may yet start again under its id.
+    FinishReplaced(Replacement::SameId, aNow);
     orphans_.clear();
     departure_.reset();
     runsKnown_ = false;
@@ -59,7 +59,6 @@
     firstIncarnationPoll_ = polls_ + 1;
   }
   upstream_ = aInfo;
-  lastId_ = aInfo.id_;
   if (aInfo.draining_) {
     FinishWaiting(aNow);
   }
@@ -78,7 +77,9 @@
     RecordGone();
   }
   RecordCrash();
-  FinishReplaced(aReplacement, aNow);
+  // One that has never answered here was sent no order, and proves nothing of
+  // the ids that were.
+  FinishReplaced(runsKnown_ ? aReplacement : Replacement::SameId, aNow);
   orphans_.clear();
   departure_.reset();
   upstream_.reset();
@@ -86,6 +87,22 @@
   return true;
 }
 
+void
+RunTable::OnFirstAnswer()
+{
+  if (answeredId_ && *answeredId_ != upstream_->id_) {
+    for (auto& [key, run] : runs_) {
+      if (run.keptPastRestart_) {
+        run.keptPastRestart_ = false;
+        run.unanswered_ = 0;
+      }
+    }
+    lateOrders_.Clear();
+    lateOrdersChanged_ = true;
+  }
+  answeredId_ = upstream_->id_;
+}
+
 void
 RunTable::RecordGone()
 {
--- a/src/libcornelfront/policy/run_polls.cpp
+++ b/src/libcornelfront/policy/run_polls.cpp
@@ -73,6 +73,7 @@
   WithdrawCrash();
   upstreamHeardAt_ = std::max(upstreamHeardAt_, AnsweredAt(aPollNumber, aNow));
   if (!runsKnown_) {
+    OnFirstAnswer();
     // A predecessor of this process may have sent orders until just now.
     OnDeadlineSent({ aPollResult.clock_.value_ + options_.leaseExpiry_ });
   }
--- a/src/libcornelfront/policy/run_table_restart_test.cpp
+++ b/src/libcornelfront/policy/run_table_restart_test.cpp
@@ -379,7 +379,10 @@
   UpstreamInfo other = Upstream(2);
   other.id_ = "u2";
   table_.OnUpstream(other, At(1710));
+  EXPECT_TRUE(Reports().empty()) << "a heartbeat proves nothing";
+  Poll({}, 1711);
   EXPECT_EQ(Reports().size(), 2U) << "it refuses orders for the other id";
+  EXPECT_TRUE(table_.KnownLateOrders(At(1711)).orders_.empty());
   EXPECT_EQ(table_.Size(), 0U);
 }
 
@@ -450,6 +453,24 @@
   EXPECT_EQ(Reports().at(0).end_, RunEnd::Lost);
 }
 
+// Nobody has answered under the other id, so the executor may yet start again
+// under its own.
+TEST_F(RestartedUpstreamTest, AnIdThatWasOnlyAnnouncedEndsNoOrder)
+{
+  ASSERT_TRUE(
+    table_.OnUpstreamReplaced(table_.BeginPoll(), Replacement::SameId, At(10)));
+  Reports();
+  const auto late = LateTasksOf(table_.KnownLateOrders(At(10)));
+  ASSERT_FALSE(late.empty());
+  UpstreamInfo other = Upstream(2);
+  other.id_ = "u2";
+  table_.OnUpstream(other, At(20));
+  ASSERT_TRUE(table_.OnUpstreamReplaced(
+    table_.BeginPoll(), Replacement::OtherId, At(21)));
+  EXPECT_TRUE(Reports().empty());
+  EXPECT_EQ(LateTasksOf(table_.KnownLateOrders(At(21))), late);
+}
+
 TEST_F(RestartedUpstreamTest, AnExecutorWithAnotherIdTakesNoneOfTheOrders)
 {
   ASSERT_TRUE(table_.OnUpstreamReplaced(
