A time in which a sidecar stood still is no silence of its executor

The stops that a suspension asks for were dropped with the runs.

Cause: a silence of 1.6 s was measured over a time in which the sidecar could not listen; and the lease was taken to run out meanwhile. On a machine that is suspended as a whole, the executor's clock stands still too.

Fix: silence counts from the end of the suspension, and what was granted lasts longer by its length; so does the wait of a new sidecar process for its predecessor's runs. The runs stay known, are stopped, and end as the executor's answers tell.

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -612,8 +612,12 @@
   /// ended, if nothing extends its lease from \p aNow on.
   MonoTime LeaseOverAt(MonoTime aNow) const;
   /// True if the upstream has been silent for so long that all it runs has
-  /// ended with its lease.
+  /// ended with its lease. A time in which this process did not run is no
+  /// silence.
   bool HasLapsedInSilence(MonoTime aNow) const;
+  /// This process did not run for \p aPause. If its machine was suspended, the
+  /// upstream's clock stood still as well.
+  void ExtendLeases(MonoClock::duration aPause);
   /// A leaving incarnation has answered a poll.
   void NoteLeavingAnswer(const UpstreamPollResult& aPollResult, MonoTime aNow);
   /// Takes a leaving incarnation as gone if its runs are known to have ended.
--- a/src/libcornelfront/job_sidecar.cpp
+++ b/src/libcornelfront/job_sidecar.cpp
@@ -186,6 +186,10 @@
   }
   LOG(WARNING) << "suspended ms=" << suspension->length_.count()
                << " runs=" << suspension->runs_ << " outcome=all_stopped";
+  if (!connecting_) {
+    // The upstream's clock may have stood still as well.
+    start_ += suspension->length_;
+  }
   // Orders in the links' buffers may be older than their receive time suggests.
   for (auto& [id, owner] : owners_) {
     owner.link_->Close();
--- a/src/libcornelfront/job_sidecar_pvt.h
+++ b/src/libcornelfront/job_sidecar_pvt.h
@@ -132,7 +132,8 @@
 
   const JobSidecarSettings settings_;
   const MemberId self_ = NewMemberId();
-  const MonoTime start_ = BootNow();
+  /// Later by the time for which this process was suspended before it linked.
+  MonoTime start_ = BootNow();
   IoPool pool_{ 1 };
   /// The bounds of RunTableOptions and of the entries hold up to its default.
   const Millis lease_ = std::min(settings_.lease_, RunTableOptions{}.lease_);
--- a/src/libcornelfront/policy/run_ends_test.cpp
+++ b/src/libcornelfront/policy/run_ends_test.cpp
@@ -46,6 +46,42 @@
   EXPECT_EQ(reports[0].end_, RunEnd::Lost);
 }
 
+// If the whole machine stood still, so did the clock that its lease is for.
+TEST_F(RunTableTest, ASuspensionIsNoSilenceOfTheUpstream)
+{
+  Start(2);
+  Poll({ .running_ = { { Key(0) }, { Key(1) } } }, 5);
+  table_.OnLeaseGranted(At(1005), UpstreamTime{ Millis(1005) });
+  table_.Tick(At(10));
+  const int resumedMs = 3010;
+  table_.OnOwnerHeard(kOwner, At(resumedMs));
+  table_.Tick(At(resumedMs));
+  EXPECT_TRUE(Reports().empty());
+  EXPECT_EQ(Stops(resumedMs), (std::vector<RunKey>{ Key(0), Key(1) }));
+  Poll(
+    { .running_ = { { Key(1) } }, .ended_ = { { 1, Key(0), RunEnd::Done } } },
+    resumedMs + 5);
+  const auto reports = Reports();
+  ASSERT_EQ(reports.size(), 1U);
+  EXPECT_EQ(reports[0].end_, RunEnd::Done);
+}
+
+TEST_F(RunTableTest, ALeaseIsOverLaterByTheTimeOfASuspension)
+{
+  Start(1);
+  Poll({ .running_ = { { Key(0) } } }, 5);
+  table_.Tick(At(10));
+  const int resumedMs = 3010;
+  // Granted as late as before any silence.
+  table_.OnLeaseGranted(At(1505), UpstreamTime{ Millis(1505) });
+  Wait(resumedMs, resumedMs);
+  const int overMs = 1505 + 3000 + 31 + 100;
+  Wait(resumedMs + 10, overMs);
+  EXPECT_TRUE(Reports().empty());
+  Wait(overMs + 1, overMs + 1);
+  EXPECT_EQ(Reports().at(0).end_, RunEnd::Lost);
+}
+
 // It may start again under its id and carry out an order that has no answer,
 // which one with another id would refuse.
 TEST_F(SilentUpstreamTest, IsNotReplacedByAHeartbeatWhenItsLeaseIsOver)
--- a/src/libcornelfront/policy/run_lease.cpp
+++ b/src/libcornelfront/policy/run_lease.cpp
@@ -136,10 +136,27 @@
 bool
 RunTable::HasLapsedInSilence(MonoTime aNow) const
 {
-  return Since(upstreamHeardAt_, aNow) > options_.upstreamTimeout_ &&
+  const MonoTime silentSince =
+    std::max(upstreamHeardAt_, resumedAt_.value_or(upstreamHeardAt_));
+  return Since(silentSince, aNow) > options_.upstreamTimeout_ &&
          aNow > leaseGranted_ + LapseAllowance(options_);
 }
 
+void
+RunTable::ExtendLeases(MonoClock::duration aPause)
+{
+  leaseGranted_ += aPause;
+  if (departure_) {
+    departure_->leaseOverAt_ += aPause;
+  }
+  for (auto& [key, run] : formerRuns_) {
+    run.leaseOverAt_ += aPause;
+  }
+  for (auto& [key, run] : runs_) {
+    run.mayRunElsewhereUntil_ += aPause;
+  }
+}
+
 bool
 RunTable::MayExtendByStart(MonoTime aNow) const
 {
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -64,6 +64,7 @@
   suspension_ = { .length_ = std::chrono::duration_cast<Millis>(pause),
                   .runs_ = runs_.size() };
   resumedAt_ = aNow;
+  ExtendLeases(pause);
   StopAll(aNow);
 }
 
--- a/src/libcornelfront/policy/two_runs_sidecar_test.cpp
+++ b/src/libcornelfront/policy/two_runs_sidecar_test.cpp
@@ -191,6 +191,9 @@
   world_.Record({ .sidecar_ = Machine() },
                 "sidecar notices a suspension of " +
                   std::to_string(suspension->length_.count()) + " ms");
+  if (!connecting_) {
+    start_ += suspension->length_;
+  }
   for (auto& [id, owner] : owners_) {
     owner.link_->Close(Side::Sidecar);
   }
