Heartbeats of instances that are not there, in the soak

A kind of fault beside all others, other_announced, with a generator of its own so that the plans of known seeds stay as they are.

--- a/testsuite/harness/platform_cluster.cpp
+++ b/testsuite/harness/platform_cluster.cpp
@@ -395,13 +395,15 @@
 HttpResult
 PlatformCluster::Heartbeat(unsigned aSidecar,
                            const std::string& aId,
-                           const std::string& aBody)
+                           const std::string& aBody,
+                           Millis aTimeout)
 {
   return client_.Perform({ .method_ = "POST",
                            .url_ = "http://" +
                                    Loopback(heartbeatPorts_[aSidecar]) +
                                    "/instances/" + aId + "/heartbeat",
-                           .body_ = aBody });
+                           .body_ = aBody,
+                           .timeout_ = aTimeout });
 }
 
 HttpResult
--- a/testsuite/harness/platform_cluster.h
+++ b/testsuite/harness/platform_cluster.h
@@ -116,7 +116,8 @@
   /// Sends a heartbeat of instance \p aId to a sidecar.
   HttpResult Heartbeat(unsigned aSidecar,
                        const std::string& aId,
-                       const std::string& aBody);
+                       const std::string& aBody,
+                       Millis aTimeout = kDefaultTimeout);
   /// Tells a sidecar that its executor, known as instance \p aId, deregisters.
   /// The executor knows nothing of it and lives on.
   HttpResult Deregister(unsigned aSidecar, const std::string& aId);
--- a/testsuite/soak/faults.cpp
+++ b/testsuite/soak/faults.cpp
@@ -19,12 +19,13 @@
   "freeze_leg",       "silence_open",    "store_refuses",   "store_silent",
   "store_loses",      "store_drops",     "executor_mute",   "executor_drains",
   "executor_stalls",  "executor_reborn", "zone_out",        "executor_closes",
-  "executor_refuses", "store_closes",    "executor_leaves",
+  "executor_refuses", "store_closes",    "executor_leaves", "other_announced",
 };
 
 /// Kinds of mixed faults come first.
 constexpr int kMixedKinds = static_cast<int>(FaultKind::ZoneOut) + 1;
 constexpr int kFirstDeparture = static_cast<int>(FaultKind::ExecutorLeaves);
+constexpr int kFirstAnnouncement = static_cast<int>(FaultKind::OtherAnnounced);
 constexpr int kMinAnswerFaultMs = 500;
 constexpr int kMinAnswerFaultPercent = 10;
 constexpr int kMaxAnswerFaultPercent = 40;
@@ -35,6 +36,10 @@
 /// The mean time between two departures is this many times that of others,
 /// since each of them takes an executor away for seconds.
 constexpr int kDepartureGapFactor = 3;
+/// The generator of announcements.
+constexpr uint64_t kAnnouncementsSeed = 0x8cb92ba72f3d8dd7;
+/// A sidecar that is suspended takes the heartbeat later.
+constexpr Millis kAnnouncementTimeout{ 20 };
 
 constexpr int kMinDurationMs = 100;
 constexpr int kMaxDurationMs = 4000;
@@ -115,10 +120,14 @@
     : options_(aOptions)
     , mixedKinds_(Chosen(aOptions.kinds_, 0, kMixedKinds))
     , answerKinds_(Chosen(aOptions.kinds_, kMixedKinds, kFirstDeparture))
-    , departureKinds_(Chosen(aOptions.kinds_, kFirstDeparture, kFaultKinds))
+    , departureKinds_(
+        Chosen(aOptions.kinds_, kFirstDeparture, kFirstAnnouncement))
+    , announcementKinds_(
+        Chosen(aOptions.kinds_, kFirstAnnouncement, kFaultKinds))
     , random_(aOptions.seed_)
     , answerRandom_(aOptions.seed_ ^ kAnswerFaultsSeed)
     , departureRandom_(aOptions.seed_ ^ kDeparturesSeed)
+    , announcementRandom_(aOptions.seed_ ^ kAnnouncementsSeed)
   {
   }
 
@@ -126,7 +135,8 @@
   {
     std::vector<Fault> plan =
       options_.powerLossInterval_ > Millis(0) ? PowerLosses() : MixedFaults();
-    for (const std::vector<Fault>& beside : { AnswerFaults(), Departures() }) {
+    for (const std::vector<Fault>& beside :
+         { AnswerFaults(), Departures(), Announcements() }) {
       plan.insert(plan.end(), beside.begin(), beside.end());
     }
     std::stable_sort(
@@ -203,6 +213,24 @@
     return plan;
   }
 
+  /// These have a generator of their own for the same reason.
+  std::vector<Fault> Announcements()
+  {
+    std::vector<Fault> plan;
+    if (announcementKinds_.empty()) {
+      return plan;
+    }
+    std::uniform_int_distribution<unsigned> sidecar(0, options_.sidecars_ - 1);
+    for (Millis at = NextGap(announcementRandom_); at < options_.length_;
+         at += NextGap(announcementRandom_)) {
+      plan.push_back({ .kind_ = FaultKind::OtherAnnounced,
+                       .at_ = at,
+                       .target_ = sidecar(announcementRandom_),
+                       .seed_ = plan.size() });
+    }
+    return plan;
+  }
+
   std::vector<Fault> MixedFaults()
   {
     std::vector<Fault> plan;
@@ -307,9 +335,11 @@
   const std::vector<FaultKind> mixedKinds_;
   const std::vector<FaultKind> answerKinds_;
   const std::vector<FaultKind> departureKinds_;
+  const std::vector<FaultKind> announcementKinds_;
   std::mt19937_64 random_;
   std::mt19937_64 answerRandom_;
   std::mt19937_64 departureRandom_;
+  std::mt19937_64 announcementRandom_;
 };
 
 std::string
@@ -370,6 +400,15 @@
   }
 }
 
+/// Returns a heartbeat of an instance that started at \p aStarted.
+std::string
+AnnouncementBody(WallMillis aStarted)
+{
+  return R"({"service":"desk","state":"ready","seq":1,"clockMs":1,)"
+         R"("capacity":{"cpu":4000,"memMb":100000},"born":)" +
+         std::to_string(aStarted) + "}";
+}
+
 std::string
 SelfEndingFields(const Fault& aFault)
 {
@@ -496,6 +535,13 @@
 bool
 FaultInjector::BeginSelfEnding(const Fault& aFault)
 {
+  if (aFault.kind_ == FaultKind::OtherAnnounced) {
+    cluster_.Heartbeat(aFault.target_,
+                       "other-" + std::to_string(aFault.seed_),
+                       AnnouncementBody(WallMillisNow()),
+                       kAnnouncementTimeout);
+    return true;
+  }
   if (TargetsStore(aFault.kind_)) {
     cluster_.StoreFault(SelfEndingFields(aFault));
     return true;
--- a/testsuite/soak/faults.h
+++ b/testsuite/soak/faults.h
@@ -56,10 +56,13 @@
   // Departures, which play beside all others as well.
   /// The executor deregisters, ends and comes back as a new incarnation.
   ExecutorLeaves,
+  // Beside all others as well.
+  /// A heartbeat of another instance, which is not there, reaches a sidecar.
+  OtherAnnounced,
 };
 
 constexpr size_t kFaultKinds =
-  static_cast<size_t>(FaultKind::ExecutorLeaves) + 1;
+  static_cast<size_t>(FaultKind::OtherAnnounced) + 1;
 
 std::string_view
 ToString(FaultKind aKind);
@@ -80,7 +83,7 @@
   harness::ProxiedLeg leg_ = harness::ProxiedLeg::EntryToStore;
   Millis delay_{ 0 };
   /// Of a fault of answers: the share of the calls, and the seed by which they
-  /// are drawn.
+  /// are drawn. Of an announcement, the seed is the number in its id.
   int percent_ = 0;
   uint64_t seed_ = 0;
   /// Of a departure.
@@ -103,8 +106,8 @@
   Millis powerLossDown_{ 0 };
   /// Sidecars keep their power.
   bool powerLossEntriesOnly_ = false;
-  /// Kinds of mixed faults, of faults of answers and of departures; all if
-  /// empty.
+  /// Kinds of mixed faults, of faults of answers, of departures and of
+  /// announcements; all if empty.
   std::vector<FaultKind> kinds_;
   /// Mean time between two mixed faults, and between two faults of answers;
   /// departures are fewer.
