The runs of an executor end with its lease, also if nothing announced its end

What callers saw: two runs of a task at once, when another executor answered in the place of one that had announced nothing, and that lived on for a moment.

Fix: what was known to run there is told as lost when the lease that was granted, or that the last order carried, is over. A run that the new one might have begun, and has not, waits likewise, and is no longer counted under its crashes. An order extends a lease from its sending, which is now remembered, so that an executor that was silent for long before it was replaced costs no further wait.

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -303,9 +303,9 @@
   /// gone: only an answer of another one at its address does. One that has
   /// left, or that a poll has shown to be replaced, never returns.
   HeartbeatSender IdentifySender(const UpstreamInfo& aInfo) const;
-  /// A heartbeat of the current incarnation or a successor has arrived. A new
-  /// incarnation ends all runs of the previous one, but a run that the new one
-  /// may have started instead remains until its first answer tells.
+  /// A heartbeat of the current incarnation or a successor has arrived. The
+  /// runs of a previous one end with its lease, but a run that the new one may
+  /// have started instead remains until its first answer tells.
   void OnUpstream(const UpstreamInfo& aInfo, MonoTime aNow);
   /// An incarnation has deregistered. Returns false if it is not the current
   /// one, whose runs then stay as they are. The announcement proves no end: its
@@ -529,8 +529,8 @@
     /// The incarnation that it was ordered from is gone, and a later one with
     /// the same id may have begun it.
     bool keptPastRestart_ = false;
-    /// An earlier incarnation that had announced its end may run it until then,
-    /// whatever the present one lists.
+    /// An earlier incarnation may run it until then, whatever the present one
+    /// lists.
     MonoTime mayRunElsewhereUntil_;
     /// Polls with a lower number may not show the run yet.
     uint64_t firstPoll_ = 0;
@@ -548,8 +548,8 @@
     bool listsEnds_ = false;
   };
 
-  /// A run on an earlier incarnation that had announced its end, and may go on
-  /// under its lease beside the current one.
+  /// A run on an earlier incarnation, which may go on under its lease beside
+  /// the current one.
   struct FormerRun
   {
     /// Absent if it was not ordered through this table.
@@ -583,6 +583,13 @@
                        MonoTime aNow) const;
   void QueueReport(MemberId aOwner, const RunReport& aReport, MonoTime aNow);
   Runs::iterator Finish(Runs::iterator aRun, RunEnd aEnd, MonoTime aNow);
+  /// Takes a run out that the current incarnation does not run, and that an
+  /// earlier one may run until \p aLeaseOverAt.
+  Runs::iterator MakeFormer(Runs::iterator aRun,
+                            MonoTime aLeaseOverAt,
+                            MonoTime aNow);
+  /// Notes the order of a run that ends, if it may still be carried out.
+  void KeepLateOrder(const Runs::value_type& aRun, RunEnd aEnd, MonoTime aNow);
   void RecordEnd(const EndedEntry& aEnd, Runs::iterator aRun, MonoTime aNow);
   void LimitUnacknowledgedEnds(MonoTime aNow);
   size_t OpenStoredRuns() const;
@@ -625,8 +632,8 @@
   /// True if it is known that nothing runs on the upstream which has been
   /// started.
   bool RunsNothing() const;
-  /// Keeps what a leaving incarnation may run on, although another one has
-  /// taken its place.
+  /// Keeps what an incarnation may run on, although another one has taken its
+  /// place.
   void KeepFormerRuns(Replacement aReplacement, MonoTime aNow);
   /// Ends the runs of earlier incarnations whose lease is over.
   void FinishFormerRuns(MonoTime aNow);
@@ -784,6 +791,8 @@
   MonoTime upstreamHeardAt_;
   /// Latest time to which the lease may have been extended by polls.
   MonoTime leaseGranted_;
+  /// The same by orders.
+  MonoTime orderedUntil_;
   MonoTime fullUntil_;
   uint64_t lastCrash_ = 0;
   /// The current incarnation is suspected to have crashed.
--- a/src/libcornelfront/policy/run_departures.cpp
+++ b/src/libcornelfront/policy/run_departures.cpp
@@ -104,12 +104,7 @@
       ++run;
       continue;
     }
-    formerRuns_[run->first] = { .owner_ = state.owner_,
-                                .term_ = state.term_,
-                                .report_ = MakeReport(
-                                  run->first, state, RunEnd::Lost, aNow),
-                                .leaseOverAt_ = leaseOverAt };
-    run = runs_.erase(run);
+    run = MakeFormer(run, leaseOverAt, aNow);
   }
   for (const auto& [key, stop] : orphans_) {
     formerRuns_.try_emplace(
@@ -118,6 +113,19 @@
   }
 }
 
+RunTable::Runs::iterator
+RunTable::MakeFormer(Runs::iterator aRun, MonoTime aLeaseOverAt, MonoTime aNow)
+{
+  const Run& run = aRun->second;
+  formerRuns_[aRun->first] = { .owner_ = run.owner_,
+                               .term_ = run.term_,
+                               .report_ = MakeReport(
+                                 aRun->first, run, RunEnd::Lost, aNow),
+                               .leaseOverAt_ = aLeaseOverAt };
+  KeepLateOrder(*aRun, RunEnd::Lost, aNow);
+  return runs_.erase(aRun);
+}
+
 void
 RunTable::FinishFormerRuns(MonoTime aNow)
 {
--- a/src/libcornelfront/policy/run_incarnations.cpp
+++ b/src/libcornelfront/policy/run_incarnations.cpp
@@ -119,8 +119,8 @@
 void
 RunTable::FinishReplaced(Replacement aReplacement, MonoTime aNow)
 {
-  // The process of a planned end may live on beside its successor.
-  if (upstream_ && upstream_->draining_) {
+  // Its process may live on beside the one that answers in its place.
+  if (upstream_) {
     KeepFormerRuns(aReplacement, aNow);
   }
   for (auto run = runs_.begin(); run != runs_.end();) {
--- a/src/libcornelfront/policy/run_lease.cpp
+++ b/src/libcornelfront/policy/run_lease.cpp
@@ -126,10 +126,10 @@
 {
   // An order extends the lease by its deadline, and a predecessor of this
   // process may have granted that of what was not ordered here.
-  const MonoTime ordered = aNow + options_.startTimeout_;
   const bool ownOnly = runsKnown_ && orphans_.empty();
-  const MonoTime inherited = ownOnly ? ordered : aNow + options_.leaseExpiry_;
-  return std::max({ leaseGranted_, ordered, inherited }) +
+  const MonoTime inherited =
+    ownOnly ? orderedUntil_ : aNow + options_.leaseExpiry_;
+  return std::max({ leaseGranted_, orderedUntil_, inherited }) +
          LapseAllowance(options_);
 }
 
@@ -146,6 +146,7 @@
 RunTable::ExtendLeases(MonoClock::duration aPause)
 {
   leaseGranted_ += aPause;
+  orderedUntil_ += aPause;
   if (departure_) {
     departure_->leaseOverAt_ += aPause;
   }
--- a/src/libcornelfront/policy/run_polls.cpp
+++ b/src/libcornelfront/policy/run_polls.cpp
@@ -224,18 +224,18 @@
   for (auto run = runs_.begin(); run != runs_.end();) {
     const Run& state = run->second;
     const bool shown = listed.contains(UpstreamKey(run->first, state));
-    const bool elsewhere = aNow < state.mayRunElsewhereUntil_;
-    const bool running = state.state_ == State::Running &&
-                         state.firstPoll_ <= aPollNumber && !elsewhere;
+    const bool running =
+      state.state_ == State::Running && state.firstPoll_ <= aPollNumber;
     const bool neverStarts = state.state_ == State::Uncertain &&
                              state.firstPoll_ <= aPollNumber &&
                              aPollResult.clock_ > state.deadline_;
-    if (!shown && running) {
-      run = Finish(run, RunEnd::Lost, aNow);
-    } else if (!shown && neverStarts && !elsewhere) {
-      run = Finish(run, RunEnd::NotStarted, aNow);
-    } else {
+    if (shown || !(running || neverStarts)) {
       ++run;
+    } else if (aNow < state.mayRunElsewhereUntil_) {
+      run = MakeFormer(run, state.mayRunElsewhereUntil_, aNow);
+    } else {
+      const RunEnd end = running ? RunEnd::Lost : RunEnd::NotStarted;
+      run = Finish(run, end, aNow);
     }
   }
 }
--- a/src/libcornelfront/policy/run_table.cpp
+++ b/src/libcornelfront/policy/run_table.cpp
@@ -381,6 +381,7 @@
   aRun->second.state_ = State::Starting;
   aRun->second.firstPoll_ = polls_ + 1;
   aRun->second.orderedAt_ = aNow;
+  orderedUntil_ = aNow + options_.startTimeout_;
   aRun->second.closingPoll_ = 0;
   aStarts.push_back({ .key_ = aRun->first,
                       .upstreamRunNumber_ = aRun->second.upstreamRunNumber_,
@@ -596,14 +597,23 @@
 {
   const auto report = MakeReport(aRun->first, aRun->second, aEnd, aNow);
   QueueReport(aRun->second.owner_, report, aNow);
-  const Run& run = aRun->second;
+  KeepLateOrder(*aRun, aEnd, aNow);
+  return runs_.erase(aRun);
+}
+
+void
+RunTable::KeepLateOrder(const Runs::value_type& aRun,
+                        RunEnd aEnd,
+                        MonoTime aNow)
+{
+  const auto& [key, run] = aRun;
   const auto term = OpenTerm(run);
   if (term && term->IsOpen(aNow, answeredPoll_)) {
     // A listed end, or one because of a deadline that has passed, shows that
     // this incarnation does not begin the run any more.
     const bool refusedHere = aEnd != RunEnd::Lost;
     const bool ended = refusedHere && aEnd != RunEnd::NotStarted;
-    lateOrders_.Add(aRun->first.task_,
+    lateOrders_.Add(key.task_,
                     { .term_ = *term,
                       .deadline_ = run.deadline_,
                       .firstPoll_ = run.firstPoll_,
@@ -612,8 +622,7 @@
                       .numberUsed_ = ended || run.numberUsed_ });
     lateOrdersChanged_ = true;
   }
-  lateOrdersChanged_ |= run.keptPastRestart_ || HasOtherNumber(*aRun);
-  return runs_.erase(aRun);
+  lateOrdersChanged_ |= run.keptPastRestart_ || HasOtherNumber(aRun);
 }
 
 void
--- a/src/libcornelfront/policy/two_runs_model_test.h
+++ b/src/libcornelfront/policy/two_runs_model_test.h
@@ -59,6 +59,8 @@
   /// Upstreams drain, deregister and live on for some time; another one with
   /// another id takes their place.
   bool upstreamsLeave_ = false;
+  /// Neither a heartbeat nor a call tells of it.
+  bool departuresUnannounced_ = false;
   /// Heartbeats of instances that are not there reach sidecars.
   bool othersAnnounced_ = false;
   /// All entries and sidecars are killed at the same moment.
