A stopped process of a test stands still before the test goes on

PlatformBestEffort.ARequestThatWaitedInAnEntryThatStoodStillIsNotRun failed once, beside a load of 16: the request was sent right after SIGSTOP, and the entry placed the job before its threads had stopped. Traced by the entry's log: placed at 24.579, its run stopped at 25.287 for its silent owner, the entry found itself suspended at 27.381, the second run began at 27.385; no promise was broken, but the run that the test waited for was the first entry's. The harness now waits until the stop has taken effect.

--- a/testsuite/harness/process.cpp
+++ b/testsuite/harness/process.cpp
@@ -265,8 +265,14 @@
 void
 Process::Signal(int aSignal) const
 {
-  if (pid_ > 0) {
-    kill(pid_, aSignal);
+  if (pid_ <= 0) {
+    return;
+  }
+  kill(pid_, aSignal);
+  if (aSignal == SIGSTOP) {
+    siginfo_t state{};
+    waitid(
+      P_PID, static_cast<id_t>(pid_), &state, WSTOPPED | WEXITED | WNOWAIT);
   }
 }
 
