--- a/testsuite/harness/process.h
+++ b/testsuite/harness/process.h
@@ -75,8 +75,9 @@
   /// the process ends first.
   std::string WaitForLine(const std::string& aStart);
 
-  /// Sends a signal; does nothing once the process has been reaped. Returns only
-  /// when a SIGSTOP has taken effect: threads run on for a moment after it.
+  /// Sends a signal; does nothing once the process has been reaped. Returns
+  /// only when a SIGSTOP has taken effect: threads run on for a moment after
+  /// it.
   void Signal(int aSignal) const;
   /// Sends SIGHUP. Returns true if this ended a process that began within
   /// kLinkTime and was not linked yet.
