An answer is ignored while no executor is known

Of two open polls of one that has never answered, the first result may show that another one answers; the second would then be taken without one. The sidecar ignores it by its series of polls, the table did not. RestartedUpstreamTest.AnAnswerThatNoIncarnationIsKnownForIsIgnored.

--- a/src/libcornelfront/policy/run_polls.cpp
+++ b/src/libcornelfront/policy/run_polls.cpp
@@ -67,7 +67,7 @@
                        MonoTime aNow)
 {
   DetectSuspension(aNow);
-  if (aPollNumber < firstIncarnationPoll_) {
+  if (aPollNumber < firstIncarnationPoll_ || !upstream_) {
     return false;
   }
   WithdrawCrash();
--- a/src/libcornelfront/policy/run_table_restart_test.cpp
+++ b/src/libcornelfront/policy/run_table_restart_test.cpp
@@ -485,6 +485,17 @@
   EXPECT_EQ(LateTasksOf(table_.KnownLateOrders(At(21))), late);
 }
 
+// Of two open polls, one has shown that another incarnation answers.
+TEST_F(RestartedUpstreamTest, AnAnswerThatNoIncarnationIsKnownForIsIgnored)
+{
+  table_.OnUpstream(Upstream(2), At(10));
+  const uint64_t first = table_.BeginPoll();
+  ASSERT_TRUE(table_.OnUpstreamReplaced(
+    table_.BeginPoll(), Replacement::OtherId, At(11)));
+  EXPECT_FALSE(table_.OnPollResult(first, {}, At(12)));
+  EXPECT_TRUE(Reports().empty());
+}
+
 TEST_F(RestartedUpstreamTest, AnExecutorWithAnotherIdTakesNoneOfTheOrders)
 {
   ASSERT_TRUE(table_.OnUpstreamReplaced(
