--- a/review/standins-2/lib.sh
+++ b/review/standins-2/lib.sh
@@ -8,6 +8,7 @@
 cd "$ROOT" || exit 2
 CORNELFRONT=target/src/cornelfront/cornelfront
 STANDINS=build-review-2/bin
+EXECUTOR=${EXECUTOR:-executor_standin}
 TROUBLE=${TROUBLE:-1}
 RECORD=$CASE_DIR/record.txt
 WORK=$(mktemp -d)
@@ -133,7 +134,7 @@
 }
 # start_executor N: a restart takes the port and the id that it had.
 start_executor() {
-  run "executor-$1" "$STANDINS/executor_standin" --id "u-$1" --service desk \
+  run "executor-$1" "$STANDINS/$EXECUTOR" --id "u-$1" --service desk \
     --heartbeats "$(sidecar_ip "$1"):$((PORT + 4))" --cpu 16000 \
     --port "${EXECUTOR_PORT[$1]:-0}"
   wait_for 5 grep -q 'listening http' "$WORK/executor-$1.log" ||
