--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,4 +6,4 @@
 cmake -S review/standins-2 -B build-review-2 -G Ninja \
   -DCMAKE_BUILD_TYPE=Release
 cmake --build build-review-2 --target store_standin executor_standin \
-  lasting_executor
+  lasting_executor late_executor
--- a/review/standins-2/lib.sh
+++ b/review/standins-2/lib.sh
@@ -134,7 +134,9 @@
 }
 # start_executor N: a restart takes the port and the id that it had.
 start_executor() {
-  run "executor-$1" "$STANDINS/$EXECUTOR" --id "u-$1" --service desk \
+  local service=(--service desk)
+  [ "$EXECUTOR" = late_executor ] && service=()
+  run "executor-$1" "$STANDINS/$EXECUTOR" --id "u-$1" "${service[@]}" \
     --heartbeats "$(sidecar_ip "$1"):$((PORT + 4))" --cpu 16000 \
     --port "${EXECUTOR_PORT[$1]:-0}"
   wait_for 5 grep -q 'listening http' "$WORK/executor-$1.log" ||
