--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -16,10 +16,10 @@
 TERM=$(term)
 if [ "$TROUBLE" = 1 ]; then
   kill_process "entry-$FIRST"
-  sleep 3.5
+  sleep 3.4
   start_entry "$FIRST"
 else
-  sleep 3.5
+  sleep 3.4
 fi
 sleep 13
 record_runs $JOB
