A stored job runs by the queue that it was accepted by, also once its route is dropped

Cause: what a stored job needs of its queue was looked up in the newest configuration alone. A leader that began after the drop did not know the job: it stopped the runs that sidecars handed over, and after 10 s of its term it acknowledged their ends without storing them, so that they did not hold back others.

The acceptance now has the queue and the version of the configuration. A job runs by the newest known version that has its queue. An unknown queue (records of earlier builds) holds starts back, not runs and ends, so that no end is acknowledged any more without being stored. A task that has used up the attempts of its queue is not started after a restore. A process claims only after its first read of the operator's records, since it could now start jobs before it knows the zones that are out of service.

EndsOfAQueueThatIsGoneDoNotHoldBackOthers demanded that such an end is acknowledged after 10 s, stored or not, which is the fault. It is replaced by EndsOfAQueueThatIsGoneAreStoredAndHoldBackNoOthers: no acknowledgement while the store holds its answers, one after, the record, and no second run.

--- a/src/include/cornelfront/job_replica.h
+++ b/src/include/cornelfront/job_replica.h
@@ -12,6 +12,7 @@
 #include "cornelfront/keyed_record.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -33,21 +34,41 @@
 std::string_view
 ToString(JobState aState);
 
-/// An accepted job, as stored.
+/// An accepted job, as stored. It outlives its queue: a later configuration may
+/// drop that.
 struct AcceptedJob
 {
   JobDescription job_;
+  /// Name of the queue.
   std::string queue_;
   /// Time since the Unix epoch on the clock of the entry that accepted the job.
   Millis acceptedAt_{ 0 };
+  /// The queue of that name in the newest known configuration that has it; in
+  /// the store, in the one by which the job was accepted.
+  ConfiguredQueue configured_;
 
   template<class Archive>
-  void serialize(Archive& aArchive)
+  void save(Archive& aArchive) const
+  {
+    aArchive(job_, queue_, acceptedAt_, configured_);
+  }
+
+  template<class Archive>
+  void load(Archive& aArchive)
   {
     aArchive(job_, queue_, acceptedAt_);
+    // Records of earlier builds end here.
+    if (aArchive.Remaining() > 0) {
+      aArchive(configured_);
+    }
   }
 };
 
+/// Returns the queue of this name in the newest configuration; nullopt if there
+/// is none any more.
+using FindQueue =
+  std::function<std::optional<ConfiguredQueue>(const std::string&)>;
+
 /// The leader: the process that schedules the stored jobs.
 struct LeaderRecord
 {
@@ -127,6 +148,10 @@
   /// Returns the id of the job that it belongs to, or an empty string.
   std::string Apply(const KeyedRecord& aRecord, MonoTime aNow);
 
+  /// Updates the queue of an active job to that of the configuration, unless
+  /// that is older or does not have the queue.
+  void UpdateQueue(const std::string& aJob, const FindQueue& aFindQueue);
+
   /// Returns nullopt if no such job was accepted.
   std::optional<JobState> State(const std::string& aJob) const;
   /// Number of active jobs of a queue that have not started.
--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -37,6 +37,28 @@
   /// slo_.
   double stretch_ = 1.0;
   Millis slo_{ 0 };
+
+  bool operator==(const JobQueue&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(name_, service_, priority_, attempts_, stretch_, slo_);
+  }
+};
+
+/// A queue as a version of the configuration has it.
+struct ConfiguredQueue
+{
+  JobQueue queue_;
+  /// 0 if no version is known that has the queue.
+  int64_t version_ = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(queue_, version_);
+  }
 };
 
 /// The result of a job, as its client sees it.
@@ -312,6 +334,11 @@
                Millis aAge,
                bool aFromEarlierLeader,
                MonoTime aNow);
+  /// The configuration of the queue of a stored instance has changed. Runs go
+  /// on; what starts from now on follows the new one.
+  void SetQueue(const JobInstance& aInstance,
+                const JobQueue& aQueue,
+                MonoTime aNow);
   /// Called once the ends of a SaveJob are in the store.
   void OnSaved(const std::vector<UnacknowledgedEnd>& aEnds);
   /// Instances that the scheduler does not hold, but of which sidecars have
@@ -595,6 +622,9 @@
   /// Fails a job of which a task crashes its upstreams, and returns whether it
   /// did.
   bool FailIfCrashing(Job& aJob);
+  /// Fails a stored job of which a task has used up the attempts of its queue,
+  /// and returns whether it did.
+  bool FailIfOutOfAttempts(Job& aJob);
   /// Returns where the task may be started now: it may crash its upstream, or
   /// an order of it may still be carried out.
   StartLimit LimitOf(const JobTaskId& aTaskId) const;
--- a/src/libcornelfront/controllers/job_replica.cpp
+++ b/src/libcornelfront/controllers/job_replica.cpp
@@ -199,6 +199,20 @@
   }
 }
 
+void
+JobReplica::UpdateQueue(const std::string& aJob, const FindQueue& aFindQueue)
+{
+  const auto found = jobs_.find(aJob);
+  if (found == jobs_.end() || !found->second.IsActive()) {
+    return;
+  }
+  AcceptedJob& accepted = *found->second.accepted_;
+  const auto configured = aFindQueue(accepted.queue_);
+  if (configured && configured->version_ >= accepted.configured_.version_) {
+    accepted.configured_ = *configured;
+  }
+}
+
 std::optional<JobState>
 JobReplica::State(const std::string& aJob) const
 {
--- a/src/libcornelfront/controllers/job_replica_test.cpp
+++ b/src/libcornelfront/controllers/job_replica_test.cpp
@@ -1,5 +1,8 @@
 #include "cornelfront/job_replica.h"
 
+#include "controllers/record_value_pvt.h"
+
+#include <cereal/types/chrono.hpp>
 #include <gtest/gtest.h>
 
 namespace cornelfront {
@@ -42,6 +45,47 @@
   JobReplica replica_;
 };
 
+TEST_F(JobReplicaTest, KeepsTheQueueOfAnAcceptance)
+{
+  AcceptedJob job = Job();
+  job.configured_ = { .queue_ = { .name_ = "q", .service_ = "desk" },
+                      .version_ = 7 };
+  Apply(AcceptanceRecord(job));
+  const ConfiguredQueue& kept = replica_.Jobs().at(kJob).accepted_->configured_;
+  EXPECT_EQ(kept.queue_, job.configured_.queue_);
+  EXPECT_EQ(kept.version_, 7);
+}
+
+TEST_F(JobReplicaTest, ReadsAcceptancesOfBuildsThatDidNotKeepTheQueue)
+{
+  KeyedRecord record = AcceptanceRecord(Job());
+  // All but the byte that names the byte order.
+  const size_t added = EncodeValue(ConfiguredQueue{}).size() - 1;
+  record.value_.resize(record.value_.size() - added);
+  Apply(record);
+  ASSERT_TRUE(replica_.Jobs().contains(kJob));
+  const AcceptedJob& accepted = *replica_.Jobs().at(kJob).accepted_;
+  EXPECT_EQ(accepted.queue_, "q");
+  EXPECT_EQ(accepted.configured_.version_, 0);
+}
+
+TEST_F(JobReplicaTest, UpdatesTheQueueOfAJobToTheNewestKnownVersion)
+{
+  std::optional<ConfiguredQueue> configured;
+  const auto find = [&](const std::string&) { return configured; };
+  const auto service = [&] {
+    replica_.UpdateQueue(kJob, find);
+    return replica_.Jobs().at(kJob).accepted_->configured_.queue_.service_;
+  };
+  Apply(AcceptanceRecord(Job()));
+  configured = { .queue_ = { .service_ = "new" }, .version_ = 3 };
+  EXPECT_EQ(service(), "new");
+  configured = { .queue_ = { .service_ = "old" }, .version_ = 2 };
+  EXPECT_EQ(service(), "new");
+  configured.reset();
+  EXPECT_EQ(service(), "new");
+}
+
 TEST_F(JobReplicaTest, TracksTheStateOfAJob)
 {
   EXPECT_FALSE(replica_.State(kJob));
--- a/src/libcornelfront/job_entry.cpp
+++ b/src/libcornelfront/job_entry.cpp
@@ -65,6 +65,7 @@
         const MonoTime now = BootNow();
         CheckClients(now);
         scheduler_.SetZonesOut(operator_.zonesOut_, now);
+        stored_->OnConfiguration(now);
         PerformActions(now);
       } });
   stored_ = std::make_unique<StoredJobs>(
@@ -104,15 +105,16 @@
   return { .onActions_ = [this] { PerformActions(BootNow()); },
            .onBecomeLeader_ = sendToAll,
            .onAuthority_ = sendToAll,
-           .findQueue_ =
-             [this](const std::string& aName) -> std::optional<JobQueue> {
+           .findQueue_ = [this](const std::string& aName)
+             -> std::optional<ConfiguredQueue> {
              for (const platform::Route& route : operator_.routes_) {
                if (route.queue_.name_ == aName) {
-                 return route.queue_;
+                 return ConfiguredQueue{ route.queue_, operator_.version_ };
                }
              }
              return std::nullopt;
-           } };
+           },
+           .isConfigured_ = [this] { return operatorReader_->Complete(); } };
 }
 
 void
--- a/src/libcornelfront/job_entry_clients.cpp
+++ b/src/libcornelfront/job_entry_clients.cpp
@@ -150,7 +150,7 @@
 {
   const std::string id = aSubmission.job_.id_;
   stored_->Accept(aSubmission.job_,
-                  aSubmission.queue_.name_,
+                  { aSubmission.queue_, operator_.version_ },
                   [this, id, aReply](platform::StoreOutcome aOutcome) {
                     LOG(INFO) << "job=" << id << " outcome="
                               << (aOutcome == platform::StoreOutcome::Ok
--- a/src/libcornelfront/platform/stored_jobs_test.cpp
+++ b/src/libcornelfront/platform/stored_jobs_test.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace cornelfront {
@@ -66,7 +67,8 @@
         .onActions_ = [this] { Perform(); },
         .onBecomeLeader_ = [](const TakeOver&) {},
         .onAuthority_ = [](const LeaderAuthority&) {},
-        .findQueue_ = [this](const std::string&) { return queue_; } });
+        .findQueue_ = [this](const std::string&) { return queue_; },
+        .isConfigured_ = [this] { return configured_; } });
   }
 
   ~StoredJobsTest() override
@@ -167,7 +169,9 @@
                                   .repeats_ = aRepeats,
                                   .firstDue_ = now,
                                   .interval_ = aInterval },
-                                "q" }) });
+                                "q",
+                                Millis(0),
+                                {} }) });
   }
 
   /// Number of the first run that was sent.
@@ -180,6 +184,20 @@
     return std::get<SendRuns>(*sent).orders_.runs_.at(0).run_;
   }
 
+  /// Indices of the tasks that were sent.
+  std::set<uint32_t> SentTasks() const
+  {
+    std::set<uint32_t> tasks;
+    for (const JobAction& action : actions_) {
+      if (const auto* send = std::get_if<SendRuns>(&action)) {
+        for (const RunOrder& order : send->orders_.runs_) {
+          tasks.insert(order.index_);
+        }
+      }
+    }
+    return tasks;
+  }
+
   /// Reports the end of a run of the sidecar.
   void Report(uint32_t aIndex, RunEnd aEnd, uint32_t aRun = 1)
   {
@@ -256,14 +274,24 @@
     scheduler_.OnReports(kSidecar, { .upstream_ = Upstream() }, BootNow());
   }
 
-  KeyedRecord Accepted() const
+  static ConfiguredQueue QueueOf(const std::string& aService, int64_t aVersion)
+  {
+    return { .queue_ = { .name_ = "q", .service_ = aService },
+             .version_ = aVersion };
+  }
+
+  /// Without a version, the queue is known by its name only, as in records of
+  /// earlier builds.
+  static KeyedRecord Accepted(const ConfiguredQueue& aQueue = {})
   {
-    return AcceptanceRecord({ { .id_ = kJob,
-                                .payload_ = "p",
-                                .steps_ = { { .count_ = 2,
-                                              .resources_ = { .cpu_ = 1000 },
-                                              .estimate_ = Millis(100) } } },
-                              "q" });
+    return AcceptanceRecord(
+      { .job_ = { .id_ = kJob,
+                  .payload_ = "p",
+                  .steps_ = { { .count_ = 2,
+                                .resources_ = { .cpu_ = 1000 },
+                                .estimate_ = Millis(100) } } },
+        .queue_ = "q",
+        .configured_ = aQueue });
   }
 
   asio::io_context loop_;
@@ -279,7 +307,10 @@
   std::vector<Read> reads_;
   bool holdAppends_ = false;
   std::vector<std::function<void()>> held_;
-  std::optional<JobQueue> queue_ = JobQueue{ .name_ = "q", .service_ = "desk" };
+  /// The queue "q" in the newest configuration.
+  std::optional<ConfiguredQueue> queue_ = QueueOf("desk", 1);
+  /// The operator's records have been read.
+  bool configured_ = true;
   std::vector<JobAction> actions_;
   /// Added to the present time of timers.
   Millis offset_{ 0 };
@@ -412,31 +443,94 @@
   ASSERT_TRUE(RunUntilLeader());
   Report(0, RunEnd::Done);
   EXPECT_EQ(Count<SendAcknowledgement>(), 0U);
-  queue_ = JobQueue{ .name_ = "q", .service_ = "desk" };
+  queue_ = QueueOf("desk", 1);
+  stored_->OnConfiguration(BootNow());
   stored_->OnTakenOver("s", kSidecar, stored_->Term());
   ASSERT_TRUE(RunUntil([this] { return Count<SendRuns>() > 0; }));
-  size_t runs = 0;
-  for (const JobAction& action : actions_) {
-    if (const auto* send = std::get_if<SendRuns>(&action)) {
-      for (const RunOrder& order : send->orders_.runs_) {
-        EXPECT_EQ(order.index_, 1U) << "task 0 is done";
-        ++runs;
-      }
-    }
-  }
-  EXPECT_EQ(runs, 1U);
+  EXPECT_EQ(SentTasks(), std::set<uint32_t>{ 1 }) << "task 0 is done";
+  EXPECT_EQ(Count<SendRuns>(), 1U);
   EXPECT_TRUE(RunUntil([this] { return Count<SendAcknowledgement>() == 1; }));
 }
 
-TEST_F(StoredJobsTest, EndsOfAQueueThatIsGoneDoNotHoldBackOthers)
+// Guards against TWICE: such an end was acknowledged without being stored, and
+// the task ran again once the queue was back.
+TEST_F(StoredJobsTest, EndsOfAQueueThatIsGoneAreStoredAndHoldBackNoOthers)
 {
   queue_.reset();
   Append({ SidecarRecord("s", kSidecar), Accepted() });
   LinkSidecar();
   ASSERT_TRUE(RunUntilLeader());
+  stored_->OnTakenOver("s", kSidecar, stored_->Term());
+  holdAppends_ = true;
   Report(0, RunEnd::Done);
   offset_ = Millis(10500);
-  EXPECT_TRUE(RunUntil([this] { return Count<SendAcknowledgement>() == 1; }));
+  RunUntil([] { return false; }, Millis(300));
+  EXPECT_EQ(Count<SendAcknowledgement>(), 0U);
+  offset_ = Millis(0);
+  ReleaseAppends();
+  ASSERT_TRUE(RunUntil([this] { return Count<SendAcknowledgement>() == 1; }));
+  EXPECT_EQ(CountRecords("s/" + kJob + "/0", false), 1U);
+  queue_ = QueueOf("desk", 3);
+  stored_->OnConfiguration(BootNow());
+  ASSERT_TRUE(RunUntil([this] { return Count<SendRuns>() > 0; }));
+  EXPECT_EQ(SentTasks(), std::set<uint32_t>{ 1 }) << "task 0 is done";
+}
+
+// Guards against LOST: an accepted job waited for a configuration that has its
+// queue.
+TEST_F(StoredJobsTest, AJobRunsByTheQueueThatItWasAcceptedBy)
+{
+  queue_.reset();
+  Append({ SidecarRecord("s", kSidecar), Accepted(QueueOf("desk", 1)) });
+  LinkSidecar();
+  ASSERT_TRUE(RunUntilLeader());
+  stored_->OnTakenOver("s", kSidecar, stored_->Term());
+  EXPECT_TRUE(RunUntil([this] { return Count<SendRuns>() > 0; }));
+}
+
+TEST_F(StoredJobsTest, AJobRunsByTheNewestKnownConfigurationOfItsQueue)
+{
+  queue_ = QueueOf("other", 4);
+  Append({ SidecarRecord("s", kSidecar), Accepted(QueueOf("other", 3)) });
+  LinkSidecar();
+  ASSERT_TRUE(RunUntilLeader());
+  stored_->OnTakenOver("s", kSidecar, stored_->Term());
+  RunUntil([] { return false; }, Millis(300));
+  EXPECT_EQ(Count<SendRuns>(), 0U);
+  queue_ = QueueOf("desk", 5);
+  stored_->OnConfiguration(BootNow());
+  EXPECT_TRUE(RunUntil([this] { return Count<SendRuns>() > 0; }));
+}
+
+TEST_F(StoredJobsTest, AnOlderConfigurationThanThatOfTheAcceptanceDoesNotCount)
+{
+  queue_ = QueueOf("other", 2);
+  Append({ SidecarRecord("s", kSidecar), Accepted(QueueOf("desk", 3)) });
+  LinkSidecar();
+  ASSERT_TRUE(RunUntilLeader());
+  stored_->OnTakenOver("s", kSidecar, stored_->Term());
+  EXPECT_TRUE(RunUntil([this] { return Count<SendRuns>() > 0; }));
+}
+
+// Of records of earlier builds, the queue is known by its name only.
+TEST_F(StoredJobsTest, AQueueThatIsDroppedIsRememberedForItsJobs)
+{
+  Append({ SidecarRecord("s", kSidecar), Accepted() });
+  ASSERT_TRUE(RunUntilLeader());
+  queue_.reset();
+  stored_->OnConfiguration(BootNow());
+  LinkSidecar();
+  stored_->OnTakenOver("s", kSidecar, stored_->Term());
+  EXPECT_TRUE(RunUntil([this] { return Count<SendRuns>() > 0; }));
+}
+
+// A leader that does not know the zones out of service might use them.
+TEST_F(StoredJobsTest, ClaimsNothingBeforeItHasReadTheOperatorsRecords)
+{
+  configured_ = false;
+  EXPECT_FALSE(RunUntil([this] { return stored_->Term() > 0; }, Millis(3500)));
+  configured_ = true;
+  EXPECT_TRUE(RunUntilLeader());
 }
 
 // Its earlier leader may have started it on a sidecar that has not been taken
@@ -455,6 +549,7 @@
   stored_->OnTakenOver("s", kSidecar, stored_->Term());
   RunUntil([] { return false; }, Millis(200));
   queue_ = queue;
+  stored_->OnConfiguration(BootNow());
   EXPECT_FALSE(RunUntil([this] { return Count<SendRuns>() > 0; }, Millis(700)));
   stored_->OnTakenOver("s2", kNotTakenOver, stored_->Term());
   ASSERT_TRUE(RunUntil([this] { return Count<SendRuns>() > 0; }, Millis(700)));
--- a/src/libcornelfront/policy/job_runs.cpp
+++ b/src/libcornelfront/policy/job_runs.cpp
@@ -210,8 +210,7 @@
     if (task.failedRuns_.size() >= aJob.queue_.attempts_) {
       Finish(aJob,
              JobOutcome::Failed,
-             ToString(taskId) + " failed " +
-               std::to_string(task.failedRuns_.size()) + " times");
+             DescribeFailures(taskId, task.failedRuns_.size()));
       return;
     }
   }
--- a/src/libcornelfront/policy/job_scheduler_pvt.h
+++ b/src/libcornelfront/policy/job_scheduler_pvt.h
@@ -4,8 +4,10 @@
 /// Helpers shared by the files that implement JobScheduler.
 
 #include "cornelfront/clock.h"
+#include "cornelfront/job.h"
 
 #include <cmath>
+#include <string>
 
 namespace cornelfront {
 
@@ -21,4 +23,11 @@
   return Millis(static_cast<int64_t>(std::llround(aMs)));
 }
 
+/// The reason for which a job fails whose task has used up its attempts.
+inline std::string
+DescribeFailures(const JobTaskId& aTaskId, size_t aFailures)
+{
+  return ToString(aTaskId) + " failed " + std::to_string(aFailures) + " times";
+}
+
 } // namespace cornelfront
--- a/src/libcornelfront/policy/job_scheduler_takeover_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_takeover_test.cpp
@@ -255,5 +255,38 @@
   EXPECT_TRUE(std::holds_alternative<SendAcknowledgement>(actions[0]));
 }
 
+TEST_F(StoredJobTest, ATaskThatHasUsedUpTheAttemptsOfItsQueueDoesNotStart)
+{
+  Restore(Job(1), { { { .failedRuns_ = { 1, 2 }, .endedRun_ = 2 } } });
+  const std::vector<SaveJob> saves = Saves();
+  ASSERT_EQ(saves.size(), 1U);
+  EXPECT_EQ(saves[0].outcome_, JobOutcome::Failed);
+  EXPECT_FALSE(scheduler_.HoldsInstance({ kJob }));
+}
+
+// Its place in the queue depends on the priority.
+TEST_F(StoredJobTest, AWaitingJobFollowsANewPriorityAndServiceOfItsQueue)
+{
+  scheduler_.OnReports(kFirst, { .upstream_ = Full("u1", 0, 0) }, At(0));
+  scheduler_.OnReports(
+    kSecond, { .upstream_ = Full("u2", kTwoSecondsOfWork, 0) }, At(0));
+  scheduler_.OnReports(
+    kFirst, { .upstream_ = Full("u1", kTwoSecondsOfWork, 0) }, At(0));
+  Restore(Job(1));
+  EXPECT_EQ(Take().Runs(), 0U);
+  JobQueue queue = Queue();
+  queue.priority_ = 3;
+  queue.service_ = "other";
+  scheduler_.SetQueue({ kJob }, queue, At(10));
+  UpstreamReport other = Idle("u2");
+  other.service_ = "other";
+  scheduler_.OnReports(kFirst, { .upstream_ = Idle("u1") }, At(20));
+  EXPECT_EQ(Take().Runs(), 0U) << "not its service any more";
+  scheduler_.OnReports(kSecond, { .upstream_ = other }, At(30));
+  EXPECT_EQ(Take().Runs(), 1U);
+  scheduler_.Tick(At(40));
+  EXPECT_EQ(Take().Runs(), 0U);
+}
+
 } // namespace
 } // namespace cornelfront::job_scheduler_test
--- a/src/libcornelfront/policy/job_stored.cpp
+++ b/src/libcornelfront/policy/job_stored.cpp
@@ -147,11 +147,51 @@
   UnblockSteps(job);
   UpdateLatestStart(job);
   ReplayKeptEnds(instance, aNow);
-  if (Job* restored = FindJob(instance)) {
+  Job* restored = FindJob(instance);
+  if (restored != nullptr && !FailIfOutOfAttempts(*restored)) {
     PlaceJob(*restored, aNow);
   }
 }
 
+void
+JobScheduler::SetQueue(const JobInstance& aInstance,
+                       const JobQueue& aQueue,
+                       MonoTime aNow)
+{
+  DetectSuspension(aNow);
+  Job* job = FindJob(aInstance);
+  if (job == nullptr || !job->stored_ || job->queue_ == aQueue) {
+    return;
+  }
+  // Its place among the waiting jobs depends on the queue's priority.
+  Unqueue(*job);
+  job->queue_ = aQueue;
+  UpdateLatestStart(*job);
+  if (!FailIfOutOfAttempts(*job)) {
+    PlaceJob(*job, aNow);
+  }
+}
+
+bool
+JobScheduler::FailIfOutOfAttempts(Job& aJob)
+{
+  for (uint32_t s = 0; s < aJob.steps_.size(); ++s) {
+    const auto& tasks = aJob.steps_[s].tasks_;
+    for (uint32_t i = 0; i < tasks.size(); ++i) {
+      const size_t failures = tasks[i].failedRuns_.size();
+      if (tasks[i].state_ != TaskState::Done &&
+          failures >= aJob.queue_.attempts_) {
+        Finish(aJob,
+               JobOutcome::Failed,
+               DescribeFailures({ aJob.spec_.id_, aJob.occurrence_, s, i },
+                                failures));
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 std::vector<JobInstance>
 JobScheduler::InstancesOfKeptEnds() const
 {
--- a/src/libcornelfront/stored_jobs.cpp
+++ b/src/libcornelfront/stored_jobs.cpp
@@ -4,6 +4,7 @@
 
 #include <glog/logging.h>
 
+#include <limits>
 #include <random>
 
 namespace cornelfront {
@@ -24,9 +25,6 @@
 /// Sidecars are told of a longer authority in steps of this, not with each
 /// append.
 constexpr Millis kAuthorityStep{ 500 };
-/// Time after which a leader has read the configuration; a queue that it does
-/// not know then is gone.
-constexpr Millis kQueueWait{ 10000 };
 constexpr std::string_view kLeaderProducer = "leader";
 /// Range of the random first sequence number of a claim, so that two claims of
 /// the same epoch are not taken for a repeat.
@@ -40,6 +38,18 @@
          kSequenceSpread;
 }
 
+/// Returns the queue by which an accepted job is run. If no configuration is
+/// known that has it, nothing of the job starts: no upstream has this service.
+JobQueue
+QueueOf(const AcceptedJob& aJob)
+{
+  if (aJob.configured_.version_ > 0) {
+    return aJob.configured_.queue_;
+  }
+  return { .name_ = aJob.queue_,
+           .attempts_ = std::numeric_limits<uint32_t>::max() };
+}
+
 Millis
 WallNow()
 {
@@ -81,21 +91,25 @@
 
 void
 StoredJobs::Accept(const JobDescription& aJob,
-                   const std::string& aQueue,
+                   const ConfiguredQueue& aQueue,
                    Done aDone)
 {
   if (replica_.State(aJob.id_)) {
     aDone(platform::StoreOutcome::Ok);
     return;
   }
-  const KeyedRecord record = AcceptanceRecord({ aJob, aQueue, WallNow() });
+  const KeyedRecord record = AcceptanceRecord({ .job_ = aJob,
+                                                .queue_ = aQueue.queue_.name_,
+                                                .acceptedAt_ = WallNow(),
+                                                .configured_ = aQueue });
   writer_->Write({ record },
                  [this, record, done = std::move(aDone)](
                    platform::StoreOutcome aOutcome, MonoTime) {
                    if (aOutcome == platform::StoreOutcome::Ok) {
                      // Visible on this entry at once; the leader learns of it
                      // by reading.
-                     replica_.Apply(record, BootNow());
+                     const std::string id = replica_.Apply(record, BootNow());
+                     replica_.UpdateQueue(id, hooks_.findQueue_);
                    }
                    done(aOutcome);
                  });
@@ -162,6 +176,9 @@
       leadership_.OnLeaderActive(now);
     }
   }
+  for (const std::string& job : changed) {
+    replica_.UpdateQueue(job, hooks_.findQueue_);
+  }
   if (leading_ && !leadership_.IsLeader()) {
     StopLeading(now);
   } else if (!leading_ && leadership_.IsLeader()) {
@@ -173,7 +190,7 @@
     for (const std::string& job : changed) {
       AdvanceJob(job, now);
     }
-    AcknowledgeKeptEnds(now);
+    AcknowledgeKeptEnds();
     hooks_.onActions_();
   }
 }
@@ -209,7 +226,6 @@
 StoredJobs::StartLeading(MonoTime aNow)
 {
   leading_ = true;
-  leadingSince_ = aNow;
   takingOver_ = true;
   takenOverSidecars_.clear();
   decided_.Clear();
@@ -327,7 +343,6 @@
     Close(aJob, JobState::Cancelled);
     return;
   }
-  // The queue of a job may become known only after this process leads.
   StartInstances(aJob, entry, entry.acceptedTerm_ < leadership_.Term(), aNow);
 }
 
@@ -337,10 +352,7 @@
                            bool aFromEarlierLeader,
                            MonoTime aNow)
 {
-  const auto queue = hooks_.findQueue_(aEntry.accepted_->queue_);
-  if (!queue) {
-    return;
-  }
+  const JobQueue queue = QueueOf(*aEntry.accepted_);
   const JobDescription& job = aEntry.accepted_->job_;
   const uint32_t instances = std::max(job.repeats_, 1U);
   const Millis wall = WallNow();
@@ -354,12 +366,13 @@
     if (job.repeats_ > 0 && wall < job.firstDue_ + k * job.interval_) {
       break;
     }
-    if (!scheduler_.HoldsInstance({ aJob, k }) &&
-        !decided_.HasEnded({ aJob, k })) {
+    if (scheduler_.HoldsInstance({ aJob, k })) {
+      scheduler_.SetQueue({ aJob, k }, queue, aNow);
+    } else if (!decided_.HasEnded({ aJob, k })) {
       scheduler_.Restore(
         job,
         k,
-        *queue,
+        queue,
         record == aEntry.instances_.end() ? JobProgress{}
                                           : record->second.progress_,
         wall - (job.repeats_ > 0 ? job.firstDue_ + k * job.interval_
@@ -457,30 +470,22 @@
 }
 
 bool
-StoredJobs::NeedsEnds(const JobInstance& aInstance, MonoTime aNow) const
+StoredJobs::NeedsEnds(const JobInstance& aInstance) const
 {
   const auto found = replica_.Jobs().find(aInstance.job_);
   if (found == replica_.Jobs().end() || !found->second.IsActive()) {
     return false;
   }
-  // Sidecars acknowledge ends to their upstreams in order, so an end that is
-  // kept for long holds back all later ones.
-  const bool queueGone = !decided_.IsClosed(aInstance.job_) &&
-                         !hooks_.findQueue_(found->second.accepted_->queue_) &&
-                         aNow - leadingSince_ >= kQueueWait;
-  if (queueGone) {
-    return false;
-  }
   const auto& instances = found->second.instances_;
   const auto instance = instances.find(aInstance.occurrence_);
   return instance == instances.end() || !instance->second.completed_;
 }
 
 void
-StoredJobs::AcknowledgeKeptEnds(MonoTime aNow)
+StoredJobs::AcknowledgeKeptEnds()
 {
   for (const JobInstance& instance : scheduler_.InstancesOfKeptEnds()) {
-    if (!NeedsEnds(instance, aNow)) {
+    if (!NeedsEnds(instance)) {
       scheduler_.AcknowledgeKeptEnds(instance);
     }
   }
@@ -557,11 +562,43 @@
   scheduler_.SetRegisteredSidecars(std::move(registered));
 }
 
+void
+StoredJobs::AdvanceActiveJobs(MonoTime aNow)
+{
+  for (const std::string& id : ActiveJobs()) {
+    AdvanceJob(id, aNow);
+  }
+}
+
+std::vector<std::string>
+StoredJobs::ActiveJobs() const
+{
+  std::vector<std::string> jobs;
+  for (const auto& [id, entry] : replica_.Jobs()) {
+    if (entry.IsActive()) {
+      jobs.push_back(id);
+    }
+  }
+  return jobs;
+}
+
+void
+StoredJobs::OnConfiguration(MonoTime aNow)
+{
+  for (const std::string& id : ActiveJobs()) {
+    replica_.UpdateQueue(id, hooks_.findQueue_);
+  }
+  if (leading_) {
+    AdvanceActiveJobs(aNow);
+  }
+}
+
 void
 StoredJobs::Tick(MonoTime aNow)
 {
   leadership_.OnRead(reader_->LastReadStart());
-  if (leadership_.ShouldClaim(aNow) && reader_->Complete() && !claimWriter_ &&
+  if (leadership_.ShouldClaim(aNow) && reader_->Complete() &&
+      hooks_.isConfigured_() && !claimWriter_ &&
       aNow - claimedAt_ >= kClaimInterval) {
     Claim(aNow);
   }
@@ -581,16 +618,8 @@
   SaveStartedJobs(aNow);
   RemoveLostSidecars(aNow);
   RestoreSidecars();
-  AcknowledgeKeptEnds(aNow);
-  std::vector<std::string> jobs;
-  for (const auto& [id, entry] : replica_.Jobs()) {
-    if (entry.IsActive()) {
-      jobs.push_back(id);
-    }
-  }
-  for (const std::string& id : jobs) {
-    AdvanceJob(id, aNow);
-  }
+  AcknowledgeKeptEnds();
+  AdvanceActiveJobs(aNow);
 }
 
 } // namespace cornelfront
--- a/src/libcornelfront/stored_jobs.h
+++ b/src/libcornelfront/stored_jobs.h
@@ -32,9 +32,10 @@
   std::function<void(const TakeOver&)> onBecomeLeader_;
   /// Tells all linked sidecars that the store has confirmed this leader again.
   std::function<void(const LeaderAuthority&)> onAuthority_;
-  /// Returns the queue of this name in the configuration; nullopt if there is
-  /// none any more.
-  std::function<std::optional<JobQueue>(const std::string&)> findQueue_;
+  FindQueue findQueue_;
+  /// True once the operator's records have been read, which name the zones that
+  /// are out of service.
+  std::function<bool()> isConfigured_;
 };
 
 /// Stores and replicates jobs, takes part in the leader election, and feeds the
@@ -53,7 +54,7 @@
   using Done = std::function<void(platform::StoreOutcome)>;
   /// Stores a job; calls \p aDone at once if the job is already known.
   void Accept(const JobDescription& aJob,
-              const std::string& aQueue,
+              const ConfiguredQueue& aQueue,
               Done aDone);
   /// Stores a cancellation; also of a job that is not known here yet.
   void Cancel(const std::string& aJob, Done aDone);
@@ -71,6 +72,8 @@
   /// A sidecar has reported the runs that it holds for this term.
   void OnTakenOver(const std::string& aSidecar, MemberId aId, uint64_t aTerm);
   void Save(const SaveJob& aSave);
+  /// The configuration may have changed.
+  void OnConfiguration(MonoTime aNow);
   void Tick(MonoTime aNow);
 
 private:
@@ -87,11 +90,14 @@
                       const JobReplica::StoredJob& aEntry,
                       bool aFromEarlierLeader,
                       MonoTime aNow);
+  /// Jobs that have been accepted and have not ended.
+  std::vector<std::string> ActiveJobs() const;
+  void AdvanceActiveJobs(MonoTime aNow);
   void Close(const std::string& aJob, JobState aState);
   void SaveStartedJobs(MonoTime aNow);
   /// True if the ends of this instance may still matter to a leader.
-  bool NeedsEnds(const JobInstance& aInstance, MonoTime aNow) const;
-  void AcknowledgeKeptEnds(MonoTime aNow);
+  bool NeedsEnds(const JobInstance& aInstance) const;
+  void AcknowledgeKeptEnds();
   void CheckTakeover(MonoTime aNow);
   void RemoveLostSidecars(MonoTime aNow);
   /// Registers sidecars again that were removed and have come back.
@@ -122,7 +128,6 @@
   /// Sidecars whose registration is being written by this process.
   std::set<std::string> restoredSidecars_;
   DecidedJobs decided_;
-  MonoTime leadingSince_;
   /// End of the authority that the sidecars know of.
   MonoTime announcedAuthority_;
   MonoTime claimedAt_;
--- a/testsuite/harness/platform_cluster.cpp
+++ b/testsuite/harness/platform_cluster.cpp
@@ -15,11 +15,6 @@
 
 using Json = nlohmann::json;
 
-constexpr const char* kConfig =
-  R"({"version":1,"routes":[{"name":"q1","host":"desk.example",
-"pathPrefix":"/q1/","service":"desk","priority":0,"attempts":3,"stretch":4,
-"sloMs":2000,"timeoutMs":5000}],"services":[{"name":"desk"}]})";
-
 std::string
 Loopback(uint16_t aPort)
 {
@@ -47,7 +42,7 @@
   : options_(aOptions)
 {
   StartStore();
-  WriteOperatorRecord("config", kConfig);
+  Configure({ "q1" });
   for (unsigned i = 0; i < options_.entries_; ++i) {
     clientPorts_.push_back(FreePort());
     readyPorts_.push_back(FreePort());
@@ -364,6 +359,27 @@
   }
 }
 
+void
+PlatformCluster::Configure(const std::vector<std::string>& aQueues)
+{
+  Json routes = Json::array();
+  for (const std::string& queue : aQueues) {
+    routes.push_back({ { "name", queue },
+                       { "host", "desk.example" },
+                       { "pathPrefix", "/" + queue + "/" },
+                       { "service", "desk" },
+                       { "priority", 0 },
+                       { "attempts", 3 },
+                       { "stretch", 4 },
+                       { "sloMs", 2000 },
+                       { "timeoutMs", 5000 } });
+  }
+  const Json config{ { "version", ++configVersion_ },
+                     { "routes", routes },
+                     { "services", { { { "name", "desk" } } } } };
+  WriteOperatorRecord("config", config.dump());
+}
+
 void
 PlatformCluster::Control(const std::string& aUrl, const std::string& aJson)
 {
--- a/testsuite/harness/platform_cluster.h
+++ b/testsuite/harness/platform_cluster.h
@@ -108,6 +108,9 @@
   /// Writes a record to the operator's topic of the store; an empty value
   /// deletes the key.
   void WriteOperatorRecord(const std::string& aKey, const std::string& aValue);
+  /// Writes the next version of the configuration, with a route to the service
+  /// of the executors for each of these queues. The first one has "q1".
+  void Configure(const std::vector<std::string>& aQueues);
   void StoreFault(const std::string& aJson);
   void ExecutorFault(unsigned aExecutor, const std::string& aJson);
   /// Sets faults of a leg; \p aFields is the body of the proxy's POST /control
@@ -153,6 +156,7 @@
   const PlatformClusterOptions options_;
   TempDirectory directory_;
   HttpClient client_;
+  int configVersion_ = 0;
   uint16_t storePort_ = 0;
   std::unique_ptr<Process> store_;
   std::vector<uint16_t> clientPorts_;
