Waiting jobs don't hide others that need something else

Cause: PlaceWaiting ended a pass after 8 jobs that found no room, in one order for all, as if the next ones needed the same. Jobs of a full service, or with a task that its own limit keeps waiting, never leave the front.

WaitingJobs keeps jobs in queues by what decides on their upstreams. A pass looks once at each need, tries the jobs of those with room by rank, and sets a job apart that its own limits keep from that room, until there is other room or one of its tasks has ended. Jobs that must not be placed yet wait by themselves.

--- a/src/include/cornelfront/crash_ledger.h
+++ b/src/include/cornelfront/crash_ledger.h
@@ -63,6 +63,8 @@
   /// Forgets crashes that are too old.
   void Expire(MonoTime aNow);
 
+  /// True if no crash is remembered.
+  bool Empty() const { return byTask_.empty(); }
   CrashSuspicion SuspicionOf(const JobTaskId& aTask) const;
   /// Returns a task of a job's occurrence that is confirmed, if there is one.
   std::optional<JobTaskId> FindConfirmed(const std::string& aJob,
--- a/src/include/cornelfront/job.h
+++ b/src/include/cornelfront/job.h
@@ -23,7 +23,7 @@
   int64_t memoryMb_ = 0;
   int64_t gpus_ = 0;
 
-  bool operator==(const Resources&) const = default;
+  auto operator<=>(const Resources&) const = default;
   Resources& operator+=(const Resources& aOther)
   {
     cpu_ += aOther.cpu_;
--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -12,6 +12,7 @@
 #include "cornelfront/late_order_ledger.h"
 #include "cornelfront/run_messages.h"
 #include "cornelfront/standstill.h"
+#include "cornelfront/waiting_jobs.h"
 
 #include <cstdint>
 #include <deque>
@@ -96,15 +97,6 @@
 /// By step and task index; empty until the first run has ended.
 using JobProgress = std::vector<std::vector<TaskProgress>>;
 
-/// One execution of a job's steps; a scheduled job has several.
-struct JobInstance
-{
-  std::string job_;
-  uint32_t occurrence_ = 0;
-
-  auto operator<=>(const JobInstance&) const = default;
-};
-
 /// The end of a run that the sidecar reports until it is acknowledged.
 struct UnacknowledgedEnd
 {
@@ -453,11 +445,20 @@
     Millis longestRun_{ 0 };
   };
 
+  /// A task could not be placed.
+  struct BlockedNeed
+  {
+    PlacementNeed need_;
+    /// Upstreams that have room for it, but not for this job.
+    std::vector<MemberId> open_;
+  };
+
   struct PlacementObstacles
   {
-    /// All upstreams that may run a task are full.
-    bool noRoom_ = false;
-    /// No upstream may run a task, however little it has to do.
+    /// Why tasks wait that may run on any upstream.
+    std::vector<BlockedNeed> blocked_;
+    /// No upstream may run a task of a best-effort job, however little it has
+    /// to do.
     bool noUpstream_ = false;
     /// A task has to wait for one upstream, or for the end of a limit.
     bool limited_ = false;
@@ -552,6 +553,8 @@
     /// Takes tasks that have to run alone. All entries choose the same
     /// upstreams for that.
     bool isolates_ = false;
+    /// Number of tasks of the step that have been sent there.
+    uint32_t tasksThere_ = 0;
     double waitMs_ = 0.0;
     double costMs_ = 0.0;
   };
@@ -567,17 +570,6 @@
     bool known_ = false;
   };
 
-  struct WaitRank
-  {
-    uint8_t priority_ = 0;
-    MonoTime submitted_;
-    JobInstance instance_;
-    /// Latest start that still meets the job's objective.
-    MonoTime latestStart_;
-
-    auto operator<=>(const WaitRank&) const = default;
-  };
-
   void DetectSuspension(MonoTime aNow);
   static JobInstance InstanceOf(const Job& aJob)
   {
@@ -642,6 +634,9 @@
   bool MustRunAlone(const JobTaskId& aTaskId,
                     const StepSpec& aStep,
                     const Task& aTask) const;
+  /// True if tasks may be known that must not be started anywhere, or must be
+  /// started alone.
+  bool HasLimits() const { return lateOrders_.Size() > 0 || !crashes_.Empty(); }
   /// True if a task of the step may not be started anywhere and under any
   /// number.
   bool HasLimitedTask(const Job& aJob, uint32_t aStep) const;
@@ -654,7 +649,7 @@
   void PlaceTask(Job& aJob,
                  const JobTaskId& aTaskId,
                  Candidate& aChosen,
-                 bool aAlone,
+                 const PlacementNeed& aNeed,
                  const StartLimit& aLimit,
                  Sends& aSends,
                  MonoTime aNow);
@@ -672,12 +667,32 @@
   }
   void PlaceWaiting(MonoTime aNow);
   void PlaceWaiting(bool aLate, MonoTime aNow);
+  void PlaceAll(const std::set<WaitRank>& aJobs, MonoTime aNow);
+  /// Puts the job, which was tried, into the queues of jobs to place.
+  void Enqueue(Job& aJob);
   /// Removes the job from the queues of jobs to place.
   void Unqueue(const Job& aJob);
   /// Jobs that no upstream could run are tried again, as an upstream has
   /// changed.
-  void RetryParked() { waiting_.merge(parked_); }
+  void RetryParked();
+  /// Jobs that were not to be placed may be placed now.
+  void ReleaseHeld();
   void PlaceLimited(MonoTime aNow);
+  static PlacementNeed NeedOf(const Job& aJob,
+                              const StepSpec& aStep,
+                              bool aAlone = false);
+  /// Returns the upstreams for tasks with this need.
+  Openings FindOpenings(const PlacementNeed& aNeed, MonoTime aNow) const;
+  /// True if the predicted wait is short enough for a task with this need to be
+  /// sent.
+  bool HasRoom(const PlacementNeed& aNeed, double aWaitMs) const;
+  /// Records that a task could not be placed on any of the candidates.
+  void RecordBlocked(Job& aJob,
+                     const PlacementNeed& aNeed,
+                     const std::vector<Candidate>& aCandidates) const;
+  static void CountTasksThere(std::vector<Candidate>& aCandidates,
+                              const Job& aJob,
+                              uint32_t aStep);
   void UnblockSteps(Job& aJob);
   std::vector<Candidate> FindCandidates(const Job& aJob,
                                         const StepSpec& aStep,
@@ -685,12 +700,12 @@
   /// Adds the sidecar if its upstream may run a task of the step.
   void AddCandidate(std::vector<Candidate>& aCandidates,
                     Sidecars::iterator aSidecar,
-                    const Job& aJob,
+                    const PlacementNeed& aNeed,
                     const StepSpec& aStep,
                     double aRunMs,
                     MonoTime aNow);
   void UpdateCosts(Candidate& aCandidate,
-                   const Job& aJob,
+                   const PlacementNeed& aNeed,
                    const StepSpec& aStep,
                    double aRunMs) const;
   /// Returns the candidate with the least cost, or nullptr if none may run the
@@ -699,24 +714,19 @@
                              const Job& aJob,
                              const JobTaskId& aTaskId,
                              bool aIsolatingOnly,
-                             bool aAlone) const;
+                             const PlacementNeed& aNeed) const;
   /// Marks the candidates that take tasks which have to run alone.
   void ChooseIsolating(std::vector<Candidate>& aCandidates) const;
-  /// True if the upstream is of the kind that runs the step, ready or not.
-  static bool Suits(const Sidecar& aSidecar,
-                    const Job& aJob,
-                    const StepSpec& aStep);
-  /// True if the upstream could run the step, leaving aside zones that are out
-  /// of service.
-  static bool CanRun(const Sidecar& aSidecar,
-                     const Job& aJob,
-                     const StepSpec& aStep);
-  bool IsEligible(const Sidecar& aSidecar,
-                  const Job& aJob,
-                  const StepSpec& aStep) const;
-  bool IsAtUpstreamLimit(MemberId aSidecar,
-                         const Job& aJob,
-                         uint32_t aStep) const;
+  /// True if the upstream is of the kind that runs such tasks, ready or not.
+  static bool Suits(const Sidecar& aSidecar, const PlacementNeed& aNeed);
+  /// True if the upstream could run such tasks, leaving aside zones that are
+  /// out of service.
+  static bool CanRun(const Sidecar& aSidecar, const PlacementNeed& aNeed);
+  bool IsEligible(const Sidecar& aSidecar, const PlacementNeed& aNeed) const;
+  /// As IsEligible; stored jobs run beside registered sidecars only.
+  bool MayBeSent(MemberId aId,
+                 const Sidecar& aSidecar,
+                 const PlacementNeed& aNeed) const;
   static Resources CommittedResources(const Sidecar& aSidecar);
   /// Number of tasks of this size that fit beside all committed work.
   static int64_t FreeSlots(const Sidecar& aSidecar,
@@ -724,9 +734,8 @@
   /// Queued work of this and more urgent priorities, in thousandths of a core
   /// times milliseconds.
   static int64_t WorkAhead(const Sidecar& aSidecar, uint8_t aPriority);
-  double PredictedWaitMs(const Sidecar& aSidecar,
-                         const Job& aJob,
-                         const StepSpec& aStep) const;
+  static double PredictedWaitMs(const Sidecar& aSidecar,
+                                const PlacementNeed& aNeed);
   /// Cost of a task with expected run time \p aRunMs, besides its wait.
   double PlacementCostMs(const Sidecar& aSidecar,
                          const StepSpec& aStep,
@@ -794,12 +803,16 @@
   const JobSchedulerOptions options_;
   std::map<JobInstance, Job> jobs_;
   std::unordered_map<JobSubmissionId, JobInstance> submissions_;
-  /// Jobs with tasks that no upstream could take, in the order in which
-  /// placement is retried.
-  std::set<WaitRank> waiting_;
-  /// Jobs with tasks that no upstream may run, until an upstream changes. They
-  /// must not keep those behind them waiting.
+  /// Jobs with tasks that no upstream has room for.
+  WaitingJobs waiting_;
+  /// Best-effort jobs with tasks that no upstream may run, until an upstream
+  /// changes.
   std::set<WaitRank> parked_;
+  /// Those of which an upstream has changed.
+  std::set<WaitRank> unparked_;
+  /// Stored jobs that must not be placed yet: this process has no authority, or
+  /// runs of an earlier leader may exist.
+  std::set<WaitRank> held_;
   /// Jobs whose tasks wait for one upstream, or for the end of a limit.
   std::set<WaitRank> limited_;
   MonoTime limitedPlacedAt_;
--- a/src/libcornelfront/policy/job_placement.cpp
+++ b/src/libcornelfront/policy/job_placement.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <limits>
 #include <tuple>
+#include <utility>
 
 namespace cornelfront {
 namespace {
@@ -28,11 +29,11 @@
 void
 JobScheduler::PlaceJob(Job& aJob, MonoTime aNow)
 {
+  Unqueue(aJob);
   if (!MayPlace(aJob, aNow)) {
-    waiting_.insert(RankOf(aJob));
+    held_.insert(RankOf(aJob));
     return;
   }
-  Unqueue(aJob);
   if (FailIfCrashing(aJob)) {
     return;
   }
@@ -41,28 +42,74 @@
     PlaceStep(aJob, step, aNow);
   }
   const PlacementObstacles& obstacles = aJob.obstacles_;
-  if (obstacles.noRoom_) {
-    waiting_.insert(RankOf(aJob));
-  } else if (obstacles.limited_) {
-    limited_.insert(RankOf(aJob));
-  } else if (obstacles.noUpstream_) {
-    if (!aJob.stored_ && HasNotRun(aJob) && IsTakenOut(aJob)) {
-      Finish(aJob,
-             JobOutcome::Refused,
-             "all zones that can run it are out of service",
-             options_.refusalRetryAfter_);
-      return;
+  const bool onlyNoUpstream =
+    obstacles.noUpstream_ && !obstacles.limited_ && obstacles.blocked_.empty();
+  if (onlyNoUpstream && HasNotRun(aJob) && IsTakenOut(aJob)) {
+    Finish(aJob,
+           JobOutcome::Refused,
+           "all zones that can run it are out of service",
+           options_.refusalRetryAfter_);
+    return;
+  }
+  Enqueue(aJob);
+}
+
+void
+JobScheduler::Enqueue(Job& aJob)
+{
+  const WaitRank rank = RankOf(aJob);
+  for (const BlockedNeed& blocked : aJob.obstacles_.blocked_) {
+    if (blocked.open_.empty()) {
+      waiting_.Add(blocked.need_, rank);
+    } else {
+      waiting_.SetApart(blocked.need_, rank, blocked.open_);
     }
-    parked_.insert(RankOf(aJob));
+  }
+  if (aJob.obstacles_.limited_) {
+    limited_.insert(rank);
+  }
+  if (aJob.obstacles_.noUpstream_) {
+    parked_.insert(rank);
   }
 }
 
 void
 JobScheduler::Unqueue(const Job& aJob)
 {
-  waiting_.erase(RankOf(aJob));
-  parked_.erase(RankOf(aJob));
-  limited_.erase(RankOf(aJob));
+  const WaitRank rank = RankOf(aJob);
+  waiting_.Erase(rank);
+  parked_.erase(rank);
+  unparked_.erase(rank);
+  held_.erase(rank);
+  limited_.erase(rank);
+}
+
+void
+JobScheduler::RetryParked()
+{
+  waiting_.OnUpstreamsChanged();
+  unparked_.merge(parked_);
+}
+
+void
+JobScheduler::ReleaseHeld()
+{
+  for (const WaitRank& rank : std::exchange(held_, {})) {
+    const Job& job = jobs_.at(rank.instance_);
+    for (size_t i = 0; i < job.steps_.size(); ++i) {
+      const auto& tasks = job.steps_[i].tasks_;
+      const bool ready =
+        std::any_of(tasks.begin(), tasks.end(), [](const Task& aTask) {
+          return aTask.state_ == TaskState::Ready;
+        });
+      if (ready) {
+        waiting_.Add(NeedOf(job, job.spec_.steps_[i]), rank);
+      }
+    }
+    if (HasLimits()) {
+      limited_.insert(rank);
+    }
+  }
 }
 
 bool
@@ -108,11 +155,16 @@
   const bool gangIsHeld = spec.gang_ && HasLimitedTask(aJob, aStep);
   Sends sends;
   std::optional<std::vector<Candidate>> candidates;
+  // No upstream is left for a task that may run anywhere beside others.
+  bool full = false;
   for (uint32_t index = 0; index < step.tasks_.size(); ++index) {
     Task& task = step.tasks_[index];
     if (task.state_ != TaskState::Ready) {
       continue;
     }
+    if (full && !HasLimits()) {
+      break;
+    }
     const JobTaskId id{ aJob.spec_.id_, aJob.occurrence_, aStep, index };
     const StartLimit limit = LimitOf(id);
     if (gangIsHeld || limit.where_ == StartLimit::Where::Nowhere) {
@@ -124,28 +176,35 @@
       aJob.obstacles_.limited_ = true;
       continue;
     }
+    const bool alone = MustRunAlone(id, spec, task);
+    if (!limited && !alone && full) {
+      continue;
+    }
     std::vector<Candidate> only;
     if (limited) {
       AddCandidate(only,
                    sidecars_.find(limit.sidecar_),
-                   aJob,
+                   NeedOf(aJob, spec),
                    spec,
                    ExpectedRunMs(aJob, spec),
                    aNow);
+      CountTasksThere(only, aJob, aStep);
     } else if (!candidates) {
       candidates = FindCandidates(aJob, spec, aNow);
+      CountTasksThere(*candidates, aJob, aStep);
     }
     std::vector<Candidate>& eligible = limited ? only : *candidates;
-    const bool alone = MustRunAlone(id, spec, task);
+    const PlacementNeed need = NeedOf(aJob, spec, alone);
     Candidate* chosen =
-      ChooseCandidate(eligible, aJob, id, alone && !limited, alone);
-    if (chosen == nullptr) {
-      aJob.obstacles_.limited_ |= limited;
-      aJob.obstacles_.noUpstream_ |= !limited && eligible.empty();
-      aJob.obstacles_.noRoom_ |= !limited && !eligible.empty();
-      continue;
+      ChooseCandidate(eligible, aJob, id, alone && !limited, need);
+    if (chosen != nullptr) {
+      PlaceTask(aJob, id, *chosen, need, limit, sends, aNow);
+    } else if (limited) {
+      aJob.obstacles_.limited_ = true;
+    } else {
+      RecordBlocked(aJob, need, eligible);
+      full |= !alone;
     }
-    PlaceTask(aJob, id, *chosen, alone, limit, sends, aNow);
   }
   for (auto& [target, send] : sends) {
     const auto& [id, alone] = target;
@@ -162,7 +221,7 @@
 JobScheduler::PlaceTask(Job& aJob,
                         const JobTaskId& aTaskId,
                         Candidate& aChosen,
-                        bool aAlone,
+                        const PlacementNeed& aNeed,
                         const StartLimit& aLimit,
                         Sends& aSends,
                         MonoTime aNow)
@@ -175,16 +234,16 @@
   task.sidecar_ = sidecar->first;
   task.sentAt_ = aNow;
   task.stopSent_ = false;
-  task.alone_ = aAlone;
+  task.alone_ = aNeed.alone_;
   task.limited_ = aLimit.where_ == StartLimit::Where::OnlyAt;
   task.returnedThere_ = task.limited_ ? task.returnedThere_ : 0;
   aJob.anySent_ = true;
   // The view of an upstream is as old as its last report, and other entries may
   // have taken the resources since.
-  const bool onlyIfFree = !task.limited_ && !spec.gang_ && !aAlone &&
+  const bool onlyIfFree = !task.limited_ && !spec.gang_ && !aNeed.alone_ &&
                           aChosen.waitMs_ <= 0.0 &&
                           task.returned_ < options_.maxReturned_;
-  SendRuns& send = aSends[{ sidecar->first, aAlone }];
+  SendRuns& send = aSends[{ sidecar->first, aNeed.alone_ }];
   send.orders_.runs_.push_back({ .index_ = aTaskId.index_,
                                  .run_ = task.run_,
                                  .onlyIfFree_ = onlyIfFree,
@@ -196,9 +255,68 @@
     aLimit.upstreamNumber_ != 0 ? aLimit.upstreamNumber_ : task.run_;
   sidecar->second.runs_[{ aTaskId, task.run_ }] = { .upstreamNumber_ = number };
   RecordSent(sidecar->second,
-             aAlone ? sidecar->second.report_.capacity_ : spec.resources_,
+             aNeed.alone_ ? sidecar->second.report_.capacity_ : spec.resources_,
              spec.estimate_);
-  UpdateCosts(aChosen, aJob, spec, ExpectedRunMs(aJob, spec));
+  ++aChosen.tasksThere_;
+  UpdateCosts(aChosen, aNeed, spec, ExpectedRunMs(aJob, spec));
+}
+
+PlacementNeed
+JobScheduler::NeedOf(const Job& aJob, const StepSpec& aStep, bool aAlone)
+{
+  return { .service_ = aJob.queue_.service_,
+           .requiredLabel_ = aStep.requiredLabel_,
+           .resources_ = aStep.resources_,
+           .priority_ = aJob.queue_.priority_,
+           .stored_ = aJob.stored_,
+           .alone_ = aAlone };
+}
+
+bool
+JobScheduler::HasRoom(const PlacementNeed& aNeed, double aWaitMs) const
+{
+  // Best-effort tasks wait in sidecars. Only an order makes an upstream empty
+  // for a run that has to be alone.
+  return !aNeed.stored_ || aNeed.alone_ ||
+         aWaitMs <= ToMs(options_.maxStoredWait_);
+}
+
+void
+JobScheduler::RecordBlocked(Job& aJob,
+                            const PlacementNeed& aNeed,
+                            const std::vector<Candidate>& aCandidates) const
+{
+  if (!aNeed.stored_ && aCandidates.empty()) {
+    aJob.obstacles_.noUpstream_ = true;
+    return;
+  }
+  BlockedNeed blocked{ .need_ = aNeed };
+  for (const Candidate& candidate : aCandidates) {
+    if (HasRoom(aNeed, candidate.waitMs_)) {
+      blocked.open_.push_back(candidate.sidecar_->first);
+    }
+  }
+  aJob.obstacles_.blocked_.push_back(std::move(blocked));
+}
+
+void
+JobScheduler::CountTasksThere(std::vector<Candidate>& aCandidates,
+                              const Job& aJob,
+                              uint32_t aStep)
+{
+  if (aJob.spec_.steps_[aStep].maxPerUpstream_ == 0) {
+    return;
+  }
+  std::map<MemberId, uint32_t> counts;
+  for (const Task& task : aJob.steps_[aStep].tasks_) {
+    if (task.state_ == TaskState::Sent) {
+      ++counts[task.sidecar_];
+    }
+  }
+  for (Candidate& candidate : aCandidates) {
+    const auto found = counts.find(candidate.sidecar_->first);
+    candidate.tasksThere_ = found == counts.end() ? 0 : found->second;
+  }
 }
 
 void
@@ -228,14 +346,35 @@
 JobScheduler::PlaceWaiting(MonoTime aNow)
 {
   PlaceLimited(aNow);
-  if (waiting_.empty() || aNow - placedAt_ < options_.placeInterval_) {
+  if ((waiting_.Empty() && unparked_.empty()) ||
+      aNow - placedAt_ < options_.placeInterval_) {
     return;
   }
   placedAt_ = aNow;
+  PlaceAll(std::exchange(unparked_, {}), aNow);
+  waiting_.BeginPass(
+    [&](const PlacementNeed& aNeed) { return FindOpenings(aNeed, aNow); });
   PlaceWaiting(false, aNow);
   PlaceWaiting(true, aNow);
 }
 
+Openings
+JobScheduler::FindOpenings(const PlacementNeed& aNeed, MonoTime aNow) const
+{
+  Openings openings;
+  for (const auto& [id, sidecar] : sidecars_) {
+    if (!MayBeSent(id, sidecar, aNeed)) {
+      continue;
+    }
+    openings.anyUpstream_ = true;
+    const bool mayStart = !aNeed.stored_ || HasAuthority(aNow);
+    if (mayStart && HasRoom(aNeed, PredictedWaitMs(sidecar, aNeed))) {
+      openings.open_.push_back(id);
+    }
+  }
+  return openings;
+}
+
 void
 JobScheduler::PlaceLimited(MonoTime aNow)
 {
@@ -245,7 +384,13 @@
   }
   limitedPlacedAt_ = aNow;
   const std::set<WaitRank> tried = limited_;
-  for (const WaitRank& rank : tried) {
+  PlaceAll(tried, aNow);
+}
+
+void
+JobScheduler::PlaceAll(const std::set<WaitRank>& aJobs, MonoTime aNow)
+{
+  for (const WaitRank& rank : aJobs) {
     PlaceJob(jobs_.at(rank.instance_), aNow);
   }
 }
@@ -253,27 +398,13 @@
 void
 JobScheduler::PlaceWaiting(bool aLate, MonoTime aNow)
 {
-  // If a job does not fit, those behind it are unlikely to fit either.
-  constexpr int kMaxFailures = 8;
-  constexpr size_t kMaxTried = 64;
-  int failures = 0;
-  std::vector<WaitRank> tried;
-  for (const WaitRank& rank : waiting_) {
-    if ((rank.latestStart_ < aNow) == aLate) {
-      tried.push_back(rank);
-    }
-    if (tried.size() >= kMaxTried) {
-      break;
-    }
-  }
-  for (const WaitRank& rank : tried) {
-    PlaceJob(jobs_.at(rank.instance_), aNow);
-    const bool waits =
-      waiting_.contains(rank) && jobs_.at(rank.instance_).obstacles_.noRoom_;
-    failures += waits ? 1 : 0;
-    if (failures >= kMaxFailures) {
+  constexpr int kMaxTried = 64;
+  for (int i = 0; i < kMaxTried; ++i) {
+    const auto rank = waiting_.Next(aLate, aNow);
+    if (!rank) {
       return;
     }
+    PlaceJob(jobs_.at(rank->instance_), aNow);
   }
 }
 
@@ -293,11 +424,12 @@
                              const StepSpec& aStep,
                              MonoTime aNow)
 {
+  const PlacementNeed need = NeedOf(aJob, aStep);
   const double run = ExpectedRunMs(aJob, aStep);
   std::vector<Candidate> candidates;
   candidates.reserve(sidecars_.size());
   for (auto it = sidecars_.begin(); it != sidecars_.end(); ++it) {
-    AddCandidate(candidates, it, aJob, aStep, run, aNow);
+    AddCandidate(candidates, it, need, aStep, run, aNow);
   }
   ChooseIsolating(candidates);
   return candidates;
@@ -306,7 +438,7 @@
 void
 JobScheduler::AddCandidate(std::vector<Candidate>& aCandidates,
                            Sidecars::iterator aSidecar,
-                           const Job& aJob,
+                           const PlacementNeed& aNeed,
                            const StepSpec& aStep,
                            double aRunMs,
                            MonoTime aNow)
@@ -315,22 +447,21 @@
     return;
   }
   const auto& [id, sidecar] = *aSidecar;
-  const bool registered = !aJob.stored_ || registeredSidecars_.contains(id);
-  if (registered && IsEligible(sidecar, aJob, aStep)) {
+  if (MayBeSent(id, sidecar, aNeed)) {
     aCandidates.push_back(
       { .sidecar_ = aSidecar, .avoided_ = aNow < sidecar.avoidUntil_ });
-    UpdateCosts(aCandidates.back(), aJob, aStep, aRunMs);
+    UpdateCosts(aCandidates.back(), aNeed, aStep, aRunMs);
   }
 }
 
 void
 JobScheduler::UpdateCosts(Candidate& aCandidate,
-                          const Job& aJob,
+                          const PlacementNeed& aNeed,
                           const StepSpec& aStep,
                           double aRunMs) const
 {
   const Sidecar& sidecar = aCandidate.sidecar_->second;
-  aCandidate.waitMs_ = PredictedWaitMs(sidecar, aJob, aStep);
+  aCandidate.waitMs_ = PredictedWaitMs(sidecar, aNeed);
   aCandidate.costMs_ =
     aCandidate.waitMs_ + PlacementCostMs(sidecar, aStep, aRunMs);
 }
@@ -340,10 +471,11 @@
                               const Job& aJob,
                               const JobTaskId& aTaskId,
                               bool aIsolatingOnly,
-                              bool aAlone) const
+                              const PlacementNeed& aNeed) const
 {
   const uint32_t step = aTaskId.step_;
   const Task& task = aJob.steps_[step].tasks_[aTaskId.index_];
+  const uint32_t limit = aJob.spec_.steps_[step].maxPerUpstream_;
   Candidate* best = nullptr;
   bool bestAvoided = true;
   for (Candidate& candidate : aCandidates) {
@@ -353,11 +485,9 @@
     const bool better =
       best == nullptr || std::tie(avoided, candidate.costMs_) <
                            std::tie(bestAvoided, best->costMs_);
-    // Only an order makes an upstream empty for a run that has to be alone.
-    const bool waitsTooLong = aJob.stored_ && !aAlone &&
-                              candidate.waitMs_ > ToMs(options_.maxStoredWait_);
-    if (!better || waitsTooLong || (aIsolatingOnly && !candidate.isolates_) ||
-        IsAtUpstreamLimit(id, aJob, step)) {
+    const bool atLimit = limit > 0 && candidate.tasksThere_ >= limit;
+    if (!better || atLimit || !HasRoom(aNeed, candidate.waitMs_) ||
+        (aIsolatingOnly && !candidate.isolates_)) {
       continue;
     }
     best = &candidate;
@@ -367,66 +497,52 @@
 }
 
 bool
-JobScheduler::IsEligible(const Sidecar& aSidecar,
-                         const Job& aJob,
-                         const StepSpec& aStep) const
+JobScheduler::MayBeSent(MemberId aId,
+                        const Sidecar& aSidecar,
+                        const PlacementNeed& aNeed) const
 {
-  return CanRun(aSidecar, aJob, aStep) && !zonesOut_.contains(aSidecar.zone_);
+  return (!aNeed.stored_ || registeredSidecars_.contains(aId)) &&
+         IsEligible(aSidecar, aNeed);
 }
 
 bool
-JobScheduler::Suits(const Sidecar& aSidecar,
-                    const Job& aJob,
-                    const StepSpec& aStep)
+JobScheduler::IsEligible(const Sidecar& aSidecar,
+                         const PlacementNeed& aNeed) const
 {
-  const UpstreamReport& report = aSidecar.report_;
-  return aSidecar.linked_ && report.service_ == aJob.queue_.service_ &&
-         report.capacity_.CanFit(aStep.resources_) &&
-         (aStep.requiredLabel_.empty() ||
-          Contains(report.labels_, aStep.requiredLabel_));
+  return CanRun(aSidecar, aNeed) && !zonesOut_.contains(aSidecar.zone_);
 }
 
 bool
-JobScheduler::CanRun(const Sidecar& aSidecar,
-                     const Job& aJob,
-                     const StepSpec& aStep)
+JobScheduler::Suits(const Sidecar& aSidecar, const PlacementNeed& aNeed)
 {
-  return aSidecar.report_.ready_ && Suits(aSidecar, aJob, aStep);
+  const UpstreamReport& report = aSidecar.report_;
+  return aSidecar.linked_ && report.service_ == aNeed.service_ &&
+         report.capacity_.CanFit(aNeed.resources_) &&
+         (aNeed.requiredLabel_.empty() ||
+          Contains(report.labels_, aNeed.requiredLabel_));
 }
 
 bool
-JobScheduler::IsAtUpstreamLimit(MemberId aSidecar,
-                                const Job& aJob,
-                                uint32_t aStep) const
+JobScheduler::CanRun(const Sidecar& aSidecar, const PlacementNeed& aNeed)
 {
-  const uint32_t limit = aJob.spec_.steps_[aStep].maxPerUpstream_;
-  if (limit == 0) {
-    return false;
-  }
-  const auto& tasks = aJob.steps_[aStep].tasks_;
-  const auto there =
-    std::count_if(tasks.begin(), tasks.end(), [&](const Task& aTask) {
-      return aTask.state_ == TaskState::Sent && aTask.sidecar_ == aSidecar;
-    });
-  return there >= static_cast<std::ptrdiff_t>(limit);
+  return aSidecar.report_.ready_ && Suits(aSidecar, aNeed);
 }
 
 double
 JobScheduler::PredictedWaitMs(const Sidecar& aSidecar,
-                              const Job& aJob,
-                              const StepSpec& aStep) const
+                              const PlacementNeed& aNeed)
 {
   const UpstreamReport& report = aSidecar.report_;
-  if (FreeSlots(aSidecar, aStep.resources_) > 0) {
+  if (FreeSlots(aSidecar, aNeed.resources_) > 0) {
     return 0.0;
   }
-  const int64_t work = WorkAhead(aSidecar, aJob.queue_.priority_);
+  const int64_t work = WorkAhead(aSidecar, aNeed.priority_);
   const auto cpu =
     static_cast<double>(std::max<int64_t>(report.capacity_.cpu_, 1));
   // Resources for one task become free each time this share of the work is
   // done.
   const double next =
-    static_cast<double>(aStep.resources_.cpu_) * aSidecar.meanRunMs_ / cpu;
+    static_cast<double>(aNeed.resources_.cpu_) * aSidecar.meanRunMs_ / cpu;
   return next + static_cast<double>(work) * aSidecar.slowness_ / cpu;
 }
 
@@ -520,11 +636,12 @@
 JobScheduler::AdmissionWaitMs(const Job& aJob) const
 {
   const StepSpec& step = aJob.spec_.steps_.front();
+  const PlacementNeed need = NeedOf(aJob, step);
   int64_t slots = 0;
   double cpu = 0.0;
   double work = 0.0;
   for (const auto& [id, sidecar] : sidecars_) {
-    if (!IsEligible(sidecar, aJob, step)) {
+    if (!IsEligible(sidecar, need)) {
       continue;
     }
     cpu += static_cast<double>(sidecar.report_.capacity_.cpu_);
@@ -589,9 +706,10 @@
 {
   const auto& steps = aJob.spec_.steps_;
   return std::all_of(steps.begin(), steps.end(), [&](const StepSpec& aStep) {
+    const PlacementNeed need = NeedOf(aJob, aStep);
     return std::any_of(
       sidecars_.begin(), sidecars_.end(), [&](const auto& aSidecar) {
-        return IsEligible(aSidecar.second, aJob, aStep);
+        return IsEligible(aSidecar.second, need);
       });
   });
 }
@@ -604,15 +722,16 @@
   }
   const auto& steps = aJob.spec_.steps_;
   return std::any_of(steps.begin(), steps.end(), [&](const StepSpec& aStep) {
+    const PlacementNeed need = NeedOf(aJob, aStep);
     const auto canRun = [&](const auto& aSidecar) {
-      return CanRun(aSidecar.second, aJob, aStep);
+      return CanRun(aSidecar.second, need);
     };
     const auto inService = [&](const auto& aSidecar) {
-      return IsEligible(aSidecar.second, aJob, aStep);
+      return IsEligible(aSidecar.second, need);
     };
     // A sidecar that has read it before this process is not ready any more.
     const auto suits = [&](const auto& aSidecar) {
-      return Suits(aSidecar.second, aJob, aStep);
+      return Suits(aSidecar.second, need);
     };
     const auto suitsInService = [&](const auto& aSidecar) {
       return suits(aSidecar) && !zonesOut_.contains(aSidecar.second.zone_);
--- a/src/libcornelfront/policy/job_runs.cpp
+++ b/src/libcornelfront/policy/job_runs.cpp
@@ -184,6 +184,8 @@
     --step.openTasks_;
   }
   if (step.openTasks_ > 0) {
+    // Its upstream may take another task of the step.
+    waiting_.Wake(RankOf(aJob));
     return;
   }
   const bool finished =
--- a/src/libcornelfront/policy/job_scheduler_placement_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_placement_test.cpp
@@ -220,5 +220,122 @@
   EXPECT_EQ(bestEffort.runs_[0].sidecar_, kFirst) << "best-effort jobs use all";
 }
 
+/// The takeover of a leader, with jobs of an earlier one.
+class WaitingStoredJobTest : public StoredJobTest
+{
+protected:
+  /// Restores a job that is placed once the takeover has ended.
+  void RestoreEarlier(const JobDescription& aJob,
+                      const std::string& aService = "desk",
+                      int aMs = 0)
+  {
+    JobQueue queue = Queue();
+    queue.service_ = aService;
+    scheduler_.Restore(aJob, 0, queue, {}, Millis(0), true, At(aMs));
+  }
+
+  /// A lasting job with one task more than upstreams that it may use.
+  static JobDescription OneTaskTooMany(int aNumber)
+  {
+    JobDescription job = Job(3, "lasting-" + std::to_string(100 + aNumber));
+    job.steps_[0].resources_.cpu_ = 1;
+    job.steps_[0].maxPerUpstream_ = 1;
+    job.steps_[0].longRunning_ = true;
+    return job;
+  }
+
+  size_t TickUntil(int aFromMs, int aToMs)
+  {
+    size_t runs = 0;
+    for (int ms = aFromMs; ms <= aToMs; ms += 25) {
+      scheduler_.Tick(At(ms));
+      runs += Take().Runs();
+    }
+    return runs;
+  }
+};
+
+// Guards against LOST: eight jobs with a task that may not run beside the
+// others of its step hid all jobs behind them (review/9).
+TEST_F(WaitingStoredJobTest, TasksAtTheirLimitDoNotKeepOtherJobsWaiting)
+{
+  scheduler_.SetTakingOver(true, At(0));
+  for (int i = 0; i < 80; ++i) {
+    RestoreEarlier(OneTaskTooMany(i));
+  }
+  RestoreEarlier(Job(), "desk", 10);
+  scheduler_.SetTakingOver(false, At(20));
+  EXPECT_EQ(Take().Runs() + TickUntil(25, 500), 80U * 2 + 1);
+}
+
+// Guards against LOST: jobs of a full service hid those of an idle one after
+// the loss of a leader.
+TEST_F(WaitingStoredJobTest, JobsOfAFullServiceDoNotKeepThoseOfOthersWaiting)
+{
+  UpstreamReport full = Full("u1", kTwoSecondsOfWork, 0);
+  full.service_ = "full";
+  scheduler_.OnReports(kFirst, { .upstream_ = full }, At(0));
+  scheduler_.SetTakingOver(true, At(0));
+  for (int i = 0; i < 100; ++i) {
+    RestoreEarlier(Job(1, "waits-" + std::to_string(100 + i)), "full");
+  }
+  RestoreEarlier(Job(), "desk", 10);
+  scheduler_.SetTakingOver(false, At(20));
+  EXPECT_EQ(Take().Runs() + TickUntil(25, 100), 1U);
+}
+
+TEST_F(WaitingStoredJobTest, ATaskAtItsLimitIsPlacedOnceOneOfItsStepHasEnded)
+{
+  JobDescription job = Job(3);
+  job.steps_[0].maxPerUpstream_ = 1;
+  Restore(job);
+  const SortedActions sent = Take();
+  ASSERT_EQ(sent.Runs(), 2U);
+  EXPECT_EQ(TickUntil(25, 500), 0U);
+  End(sent.runs_[0], RunEnd::Done, 510);
+  EXPECT_EQ(Take().Runs() + TickUntil(525, 600), 1U);
+}
+
+TEST_F(WaitingStoredJobTest, ATaskAtItsLimitIsPlacedOnAnUpstreamThatGetsRoom)
+{
+  scheduler_.OnReports(
+    kSecond, { .upstream_ = Full("u2", kTwoSecondsOfWork, 0) }, At(1));
+  JobDescription job = Job(2);
+  job.steps_[0].maxPerUpstream_ = 1;
+  Restore(job, {}, false, 2);
+  ASSERT_EQ(Take().Runs(), 1U);
+  EXPECT_EQ(TickUntil(25, 500), 0U);
+  scheduler_.OnReports(kSecond, { .upstream_ = Idle("u2") }, At(510));
+  EXPECT_EQ(Take().Runs() + TickUntil(525, 600), 1U);
+}
+
+// Of two steps, one has room.
+TEST_F(WaitingStoredJobTest, EachStepOfAJobWaitsForItsOwnNeed)
+{
+  JobDescription job = Job(1);
+  job.steps_.push_back(job.steps_[0]);
+  job.steps_[0].requiredLabel_ = "rack-u1";
+  job.steps_[1].requiredLabel_ = "rack-u2";
+  scheduler_.OnReports(
+    kFirst, { .upstream_ = Full("u1", kTwoSecondsOfWork, 0) }, At(1));
+  scheduler_.OnReports(
+    kSecond, { .upstream_ = Full("u2", kTwoSecondsOfWork, 0) }, At(1));
+  Restore(job, {}, false, 2);
+  EXPECT_EQ(Take().Runs(), 0U);
+  scheduler_.OnReports(kSecond, { .upstream_ = Idle("u2") }, At(50));
+  EXPECT_EQ(Take().Runs() + TickUntil(75, 100), 1U);
+  scheduler_.OnReports(kFirst, { .upstream_ = Idle("u1") }, At(150));
+  EXPECT_EQ(Take().Runs() + TickUntil(175, 200), 1U);
+}
+
+TEST_F(WaitingStoredJobTest, ALeaderThatRegainsAuthorityPlacesWhatWaits)
+{
+  scheduler_.SetAuthority(At(10), At(0));
+  Restore(Job(), {}, false, 20);
+  EXPECT_EQ(Take().Runs() + TickUntil(25, 100), 0U);
+  scheduler_.SetAuthority(At(5000), At(110));
+  EXPECT_EQ(Take().Runs() + TickUntil(125, 150), 1U);
+}
+
 } // namespace
 } // namespace cornelfront::job_scheduler_test
--- a/src/libcornelfront/policy/job_stored.cpp
+++ b/src/libcornelfront/policy/job_stored.cpp
@@ -59,6 +59,7 @@
   authorityUntil_ = aUntil;
   StopRunsWithoutAuthority(aNow);
   if (!had && HasAuthority(aNow)) {
+    ReleaseHeld();
     PlaceWaiting(aNow);
   }
 }
@@ -97,6 +98,7 @@
     for (auto& [instance, job] : jobs_) {
       job.fromEarlierLeader_ = false;
     }
+    ReleaseHeld();
     PlaceWaiting(aNow);
   }
 }
