The first waiting job of a service has an upstream reserved

What callers would see: a stored job whose task needs most of an upstream does not start while smaller ones fill each gap.

Cause: a job that arrives is placed wherever it fits, and those that wait are tried by rank, so that an upstream with small tasks is never empty.

The first stored job of a service, once it has waited for 1 s, reserves the upstream with the shortest predicted wait; later stored jobs start nothing there. That ends after 2 s and begins again 2 s later, since what runs there may last (AReservationKeepsNoOtherJobWaitingForLong). Best-effort jobs are not bound: other entries place them.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -254,6 +254,14 @@
   Millis maxStoredWait_{ 100 };
   /// Minimum time between two placement attempts for waiting jobs.
   Millis placeInterval_{ 5 };
+  /// A stored job that has waited for longer has an upstream reserved, on which
+  /// later jobs start nothing: smaller tasks would fill it again and again.
+  Millis reserveAfter_{ 1000 };
+  /// Longest time of a reservation, and time until the next one for the same
+  /// job: what runs there may never end, and other jobs may need the upstream.
+  Millis reserveTime_{ 2000 };
+  /// Minimum time between two looks at the reservations.
+  Millis reserveInterval_{ 100 };
   /// The same for jobs whose tasks wait for one upstream, or for the end of a
   /// limit.
   Millis placeLimitedInterval_{ 50 };
@@ -559,6 +567,15 @@
     double costMs_ = 0.0;
   };
 
+  /// An upstream that is kept for a waiting job.
+  struct Reservation
+  {
+    MemberId sidecar_;
+    WaitRank for_;
+    MonoTime since_;
+    bool active_ = false;
+  };
+
   /// The orders of one placement, by sidecar and by whether the runs have to be
   /// alone there.
   using Sends = std::map<std::pair<MemberId, bool>, SendRuns>;
@@ -668,6 +685,14 @@
   void PlaceWaiting(MonoTime aNow);
   void PlaceWaiting(bool aLate, MonoTime aNow);
   void PlaceAll(const std::set<WaitRank>& aJobs, MonoTime aNow);
+  /// Reserves an upstream of each service for the first of its stored jobs, if
+  /// that has waited for long.
+  void UpdateReservations(MonoTime aNow);
+  /// Returns the upstream with the shortest predicted wait, or nullopt if none
+  /// may run such tasks.
+  std::optional<MemberId> FindSoonest(const PlacementNeed& aNeed) const;
+  /// True if the upstream is reserved for a job that goes before this one.
+  bool IsReservedForOther(MemberId aSidecar, const Job& aJob) const;
   /// Puts the job, which was tried, into the queues of jobs to place.
   void Enqueue(Job& aJob);
   /// Removes the job from the queues of jobs to place.
@@ -724,9 +749,7 @@
   static bool CanRun(const Sidecar& aSidecar, const PlacementNeed& aNeed);
   bool IsEligible(const Sidecar& aSidecar, const PlacementNeed& aNeed) const;
   /// As IsEligible; stored jobs run beside registered sidecars only.
-  bool MayBeSent(MemberId aId,
-                 const Sidecar& aSidecar,
-                 const PlacementNeed& aNeed) const;
+  bool MayBeSent(MemberId aId, const PlacementNeed& aNeed) const;
   static Resources CommittedResources(const Sidecar& aSidecar);
   /// Number of tasks of this size that fit beside all committed work.
   static int64_t FreeSlots(const Sidecar& aSidecar,
@@ -817,6 +840,9 @@
   std::set<WaitRank> limited_;
   MonoTime limitedPlacedAt_;
   MonoTime placedAt_;
+  /// By service.
+  std::map<std::string, Reservation> reservations_;
+  MonoTime reservedAt_;
   /// Stored instances with progress that is not in the store yet.
   std::set<JobInstance> unsaved_;
   /// Ends that are being written to the store.
--- a/src/include/cornelfront/waiting_jobs.h
+++ b/src/include/cornelfront/waiting_jobs.h
@@ -89,6 +89,16 @@
   /// Upstreams may run other tasks than before.
   void OnUpstreamsChanged();
 
+  /// A job that waits and one of its needs.
+  struct Waiting
+  {
+    PlacementNeed need_;
+    WaitRank rank_;
+  };
+  /// Returns for each service the first job that is not set apart, in the order
+  /// of their rank.
+  std::vector<Waiting> FirstOfServices() const;
+
   /// Begins a pass over the jobs whose needs have room. Looks at a bounded
   /// number of needs; those that are left out come first next time.
   void BeginPass(const FindOpenings& aFindOpenings);
--- a/src/libcornelfront/policy/job_placement.cpp
+++ b/src/libcornelfront/policy/job_placement.cpp
@@ -191,6 +191,9 @@
       CountTasksThere(only, aJob, aStep);
     } else if (!candidates) {
       candidates = FindCandidates(aJob, spec, aNow);
+      std::erase_if(*candidates, [&](const Candidate& aCandidate) {
+        return IsReservedForOther(aCandidate.sidecar_->first, aJob);
+      });
       CountTasksThere(*candidates, aJob, aStep);
     }
     std::vector<Candidate>& eligible = limited ? only : *candidates;
@@ -356,6 +359,66 @@
     [&](const PlacementNeed& aNeed) { return FindOpenings(aNeed, aNow); });
   PlaceWaiting(false, aNow);
   PlaceWaiting(true, aNow);
+  UpdateReservations(aNow);
+}
+
+void
+JobScheduler::UpdateReservations(MonoTime aNow)
+{
+  if (aNow - reservedAt_ < options_.reserveInterval_) {
+    return;
+  }
+  reservedAt_ = aNow;
+  const auto before = std::exchange(reservations_, {});
+  for (const WaitingJobs::Waiting& first : waiting_.FirstOfServices()) {
+    const WaitRank& rank = first.rank_;
+    if (!first.need_.stored_ ||
+        aNow - rank.submitted_ < options_.reserveAfter_) {
+      continue;
+    }
+    const std::string& service = first.need_.service_;
+    const auto found = before.find(service);
+    const bool goesOn = found != before.end() && found->second.for_ == rank &&
+                        aNow - found->second.since_ < 2 * options_.reserveTime_;
+    if (goesOn) {
+      Reservation& kept = reservations_[service];
+      kept = found->second;
+      kept.active_ = aNow - kept.since_ < options_.reserveTime_ &&
+                     MayBeSent(kept.sidecar_, first.need_);
+    } else if (const auto soonest = FindSoonest(first.need_)) {
+      reservations_[service] = { *soonest, rank, aNow, true };
+    }
+  }
+}
+
+std::optional<MemberId>
+JobScheduler::FindSoonest(const PlacementNeed& aNeed) const
+{
+  std::optional<MemberId> soonest;
+  double shortest = 0.0;
+  for (const auto& [id, sidecar] : sidecars_) {
+    if (!MayBeSent(id, aNeed)) {
+      continue;
+    }
+    const double wait = PredictedWaitMs(sidecar, aNeed);
+    if (!soonest || wait < shortest) {
+      soonest = id;
+      shortest = wait;
+    }
+  }
+  return soonest;
+}
+
+bool
+JobScheduler::IsReservedForOther(MemberId aSidecar, const Job& aJob) const
+{
+  if (!aJob.stored_ || reservations_.empty()) {
+    return false;
+  }
+  const auto found = reservations_.find(aJob.queue_.service_);
+  return found != reservations_.end() && found->second.active_ &&
+         found->second.sidecar_ == aSidecar &&
+         found->second.for_ < RankOf(aJob);
 }
 
 Openings
@@ -363,7 +426,7 @@
 {
   Openings openings;
   for (const auto& [id, sidecar] : sidecars_) {
-    if (!MayBeSent(id, sidecar, aNeed)) {
+    if (!MayBeSent(id, aNeed)) {
       continue;
     }
     openings.anyUpstream_ = true;
@@ -447,7 +510,7 @@
     return;
   }
   const auto& [id, sidecar] = *aSidecar;
-  if (MayBeSent(id, sidecar, aNeed)) {
+  if (MayBeSent(id, aNeed)) {
     aCandidates.push_back(
       { .sidecar_ = aSidecar, .avoided_ = aNow < sidecar.avoidUntil_ });
     UpdateCosts(aCandidates.back(), aNeed, aStep, aRunMs);
@@ -497,12 +560,11 @@
 }
 
 bool
-JobScheduler::MayBeSent(MemberId aId,
-                        const Sidecar& aSidecar,
-                        const PlacementNeed& aNeed) const
+JobScheduler::MayBeSent(MemberId aId, const PlacementNeed& aNeed) const
 {
-  return (!aNeed.stored_ || registeredSidecars_.contains(aId)) &&
-         IsEligible(aSidecar, aNeed);
+  const auto found = sidecars_.find(aId);
+  return found != sidecars_.end() && IsEligible(found->second, aNeed) &&
+         (!aNeed.stored_ || registeredSidecars_.contains(aId));
 }
 
 bool
--- a/src/libcornelfront/policy/job_scheduler_placement_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_placement_test.cpp
@@ -3,6 +3,7 @@
 
 #include "policy/job_scheduler_fixture_test.h"
 
+#include <deque>
 #include <map>
 #include <set>
 
@@ -337,5 +338,70 @@
   EXPECT_EQ(Take().Runs() + TickUntil(125, 150), 1U);
 }
 
+// Small tasks keep both upstreams busy, and each of their jobs is younger.
+TEST_F(WaitingStoredJobTest, AWideTaskDoesNotStarveBehindSmallOnes)
+{
+  struct Run
+  {
+    SendRuns send_;
+    int until_ = 0;
+  };
+  constexpr int kRunMs = 100;
+  constexpr int kStepMs = 10;
+  std::map<MemberId, std::deque<Run>> running;
+  const auto report = [&](MemberId aSidecar, int aMs) {
+    UpstreamReport upstream = Idle(aSidecar == kFirst ? "u1" : "u2");
+    upstream.ordersReceived_ = 100000;
+    std::vector<RunReport> ended;
+    std::deque<Run>& runs = running[aSidecar];
+    for (; !runs.empty() && runs.front().until_ <= aMs; runs.pop_front()) {
+      const StartRuns& orders = runs.front().send_.orders_;
+      ended.push_back(
+        { .key_ = { orders.Task(orders.runs_[0]), orders.runs_[0].run_ },
+          .end_ = RunEnd::Done,
+          .runTime_ = Millis(kRunMs),
+          .unacknowledged_ = true });
+    }
+    upstream.committed_.cpu_ = 1000 * static_cast<int64_t>(runs.size());
+    scheduler_.OnReports(
+      aSidecar, { .reports_ = ended, .upstream_ = upstream }, At(aMs));
+  };
+  JobDescription wide = Job(1, "wide");
+  wide.steps_[0].resources_.cpu_ = 4000;
+  bool wideRuns = false;
+  for (int ms = 0; ms < 6000 && !wideRuns; ms += kStepMs) {
+    for (const MemberId sidecar : { kFirst, kSecond }) {
+      report(sidecar, ms);
+    }
+    if (ms == 500) {
+      Restore(wide, {}, false, ms);
+    }
+    Restore(Job(1, "small-" + std::to_string(10000 + ms)), {}, false, ms);
+    for (SendRuns& send : Take().runs_) {
+      wideRuns |= send.orders_.job_ == "wide";
+      running[send.sidecar_].push_back({ send, ms + kRunMs });
+    }
+  }
+  EXPECT_TRUE(wideRuns);
+}
+
+// What runs there lasts, so that the wide task never gets it.
+TEST_F(WaitingStoredJobTest, AReservationKeepsNoOtherJobWaitingForLong)
+{
+  UpstreamReport busy = Idle("u1");
+  busy.committed_.cpu_ = 1000;
+  scheduler_.OnReports(kFirst, { .upstream_ = busy }, At(0));
+  JobDescription wide = Job(1, "wide");
+  wide.steps_[0].resources_.cpu_ = 4000;
+  wide.steps_[0].requiredLabel_ = "rack-u1";
+  Restore(wide);
+  EXPECT_EQ(TickUntil(25, 1500), 0U);
+  JobDescription small = Job(1, "small");
+  small.steps_[0].requiredLabel_ = "rack-u1";
+  Restore(small, {}, false, 1501);
+  EXPECT_EQ(Take().Runs(), 0U) << "reserved";
+  EXPECT_EQ(TickUntil(1525, 3500), 1U);
+}
+
 } // namespace
 } // namespace cornelfront::job_scheduler_test
--- a/src/libcornelfront/policy/waiting_jobs.cpp
+++ b/src/libcornelfront/policy/waiting_jobs.cpp
@@ -120,6 +120,27 @@
   }
 }
 
+std::vector<WaitingJobs::Waiting>
+WaitingJobs::FirstOfServices() const
+{
+  std::vector<Waiting> firsts;
+  // The needs of a service follow each other.
+  for (const PlacementNeed& need : served_) {
+    const Queue& queue = queues_.at(need);
+    for (const std::set<WaitRank>* jobs : { &queue.onTime_, &queue.late_ }) {
+      if (jobs->empty()) {
+        continue;
+      }
+      if (firsts.empty() || firsts.back().need_.service_ != need.service_) {
+        firsts.push_back({ need, *jobs->begin() });
+      } else if (*jobs->begin() < firsts.back().rank_) {
+        firsts.back() = { need, *jobs->begin() };
+      }
+    }
+  }
+  return firsts;
+}
+
 void
 WaitingJobs::BeginPass(const FindOpenings& aFindOpenings)
 {
