A reserved upstream goes to the job that it is reserved for

Cause: a job that is late for its objective is tried after those that are not. These found no room where the reserved upstream was the only one with some, which closed their need for the pass before the job with the reservation was tried. And a reservation bound others until its next look, up to 100 ms, also if its job had been placed.

--- a/src/include/cornelfront/job_scheduler.h
+++ b/src/include/cornelfront/job_scheduler.h
@@ -580,6 +580,16 @@
   /// alone there.
   using Sends = std::map<std::pair<MemberId, bool>, SendRuns>;
 
+  /// The placement of the tasks of one step.
+  struct StepPlacement
+  {
+    /// Empty until a task needs them that may run anywhere.
+    std::optional<std::vector<Candidate>> candidates_;
+    /// No upstream is left for a task that may run anywhere, beside others.
+    bool full_ = false;
+    Sends sends_;
+  };
+
   /// Mean run time of a queue's tasks, from its own runs.
   struct Durations
   {
@@ -658,6 +668,18 @@
   /// number.
   bool HasLimitedTask(const Job& aJob, uint32_t aStep) const;
   void PlaceStep(Job& aJob, uint32_t aStep, MonoTime aNow);
+  /// Places a task that may start at one upstream only.
+  void PlaceLimitedTask(Job& aJob,
+                        const JobTaskId& aTaskId,
+                        const StartLimit& aLimit,
+                        StepPlacement& aPlacement,
+                        MonoTime aNow);
+  /// Places a task that may start at any upstream.
+  void PlaceFreeTask(Job& aJob,
+                     const JobTaskId& aTaskId,
+                     const StartLimit& aLimit,
+                     StepPlacement& aPlacement,
+                     MonoTime aNow);
   /// Raises the run numbers of the tasks that are ready to those that are known
   /// to have ended, and those of a gang to its highest one.
   static void AlignRunNumbers(Step& aStep, bool aGang);
@@ -688,6 +710,7 @@
   /// Reserves an upstream of each service for the first of its stored jobs, if
   /// that has waited for long.
   void UpdateReservations(MonoTime aNow);
+  void PlaceReserved(MonoTime aNow);
   /// Returns the upstream with the shortest predicted wait, or nullopt if none
   /// may run such tasks.
   std::optional<MemberId> FindSoonest(const PlacementNeed& aNeed) const;
--- a/src/include/cornelfront/waiting_jobs.h
+++ b/src/include/cornelfront/waiting_jobs.h
@@ -73,6 +73,7 @@
   using FindOpenings = std::function<Openings(const PlacementNeed&)>;
 
   bool Empty() const { return places_.empty(); }
+  bool Holds(const WaitRank& aRank) const { return places_.contains(aRank); }
   /// Number of jobs.
   size_t Size() const { return places_.size(); }
 
@@ -102,6 +103,8 @@
   /// Begins a pass over the jobs whose needs have room. Looks at a bounded
   /// number of needs; those that are left out come first next time.
   void BeginPass(const FindOpenings& aFindOpenings);
+  /// True if an upstream has room for a need of the job.
+  bool IsInPass(const WaitRank& aRank) const;
   /// Returns the first job of those that can still meet their objective, or of
   /// the others if \p aLate. The caller tries to place it and, if it still
   /// waits, says so before the next call.
--- a/src/libcornelfront/policy/job_placement.cpp
+++ b/src/libcornelfront/policy/job_placement.cpp
@@ -153,63 +153,25 @@
   AlignRunNumbers(step, spec.gang_);
   // One member under the number of its late order would be alone.
   const bool gangIsHeld = spec.gang_ && HasLimitedTask(aJob, aStep);
-  Sends sends;
-  std::optional<std::vector<Candidate>> candidates;
-  // No upstream is left for a task that may run anywhere beside others.
-  bool full = false;
+  StepPlacement placement;
   for (uint32_t index = 0; index < step.tasks_.size(); ++index) {
-    Task& task = step.tasks_[index];
-    if (task.state_ != TaskState::Ready) {
+    if (step.tasks_[index].state_ != TaskState::Ready) {
       continue;
     }
-    if (full && !HasLimits()) {
+    if (placement.full_ && !HasLimits()) {
       break;
     }
     const JobTaskId id{ aJob.spec_.id_, aJob.occurrence_, aStep, index };
     const StartLimit limit = LimitOf(id);
     if (gangIsHeld || limit.where_ == StartLimit::Where::Nowhere) {
       aJob.obstacles_.limited_ = true;
-      continue;
-    }
-    const bool limited = limit.where_ == StartLimit::Where::OnlyAt;
-    if (limited && task.returnedThere_ >= options_.maxReturned_) {
-      aJob.obstacles_.limited_ = true;
-      continue;
-    }
-    const bool alone = MustRunAlone(id, spec, task);
-    if (!limited && !alone && full) {
-      continue;
-    }
-    std::vector<Candidate> only;
-    if (limited) {
-      AddCandidate(only,
-                   sidecars_.find(limit.sidecar_),
-                   NeedOf(aJob, spec),
-                   spec,
-                   ExpectedRunMs(aJob, spec),
-                   aNow);
-      CountTasksThere(only, aJob, aStep);
-    } else if (!candidates) {
-      candidates = FindCandidates(aJob, spec, aNow);
-      std::erase_if(*candidates, [&](const Candidate& aCandidate) {
-        return IsReservedForOther(aCandidate.sidecar_->first, aJob);
-      });
-      CountTasksThere(*candidates, aJob, aStep);
-    }
-    std::vector<Candidate>& eligible = limited ? only : *candidates;
-    const PlacementNeed need = NeedOf(aJob, spec, alone);
-    Candidate* chosen =
-      ChooseCandidate(eligible, aJob, id, alone && !limited, need);
-    if (chosen != nullptr) {
-      PlaceTask(aJob, id, *chosen, need, limit, sends, aNow);
-    } else if (limited) {
-      aJob.obstacles_.limited_ = true;
+    } else if (limit.where_ == StartLimit::Where::OnlyAt) {
+      PlaceLimitedTask(aJob, id, limit, placement, aNow);
     } else {
-      RecordBlocked(aJob, need, eligible);
-      full |= !alone;
+      PlaceFreeTask(aJob, id, limit, placement, aNow);
     }
   }
-  for (auto& [target, send] : sends) {
+  for (auto& [target, send] : placement.sends_) {
     const auto& [id, alone] = target;
     DescribeStep(aJob, aStep, send.orders_, aNow);
     if (alone) {
@@ -220,6 +182,66 @@
   }
 }
 
+void
+JobScheduler::PlaceLimitedTask(Job& aJob,
+                               const JobTaskId& aTaskId,
+                               const StartLimit& aLimit,
+                               StepPlacement& aPlacement,
+                               MonoTime aNow)
+{
+  const StepSpec& spec = aJob.spec_.steps_[aTaskId.step_];
+  const Task& task = aJob.steps_[aTaskId.step_].tasks_[aTaskId.index_];
+  const PlacementNeed need =
+    NeedOf(aJob, spec, MustRunAlone(aTaskId, spec, task));
+  std::vector<Candidate> only;
+  if (task.returnedThere_ < options_.maxReturned_) {
+    AddCandidate(only,
+                 sidecars_.find(aLimit.sidecar_),
+                 need,
+                 spec,
+                 ExpectedRunMs(aJob, spec),
+                 aNow);
+    CountTasksThere(only, aJob, aTaskId.step_);
+  }
+  Candidate* chosen = ChooseCandidate(only, aJob, aTaskId, false, need);
+  if (chosen == nullptr) {
+    aJob.obstacles_.limited_ = true;
+    return;
+  }
+  PlaceTask(aJob, aTaskId, *chosen, need, aLimit, aPlacement.sends_, aNow);
+}
+
+void
+JobScheduler::PlaceFreeTask(Job& aJob,
+                            const JobTaskId& aTaskId,
+                            const StartLimit& aLimit,
+                            StepPlacement& aPlacement,
+                            MonoTime aNow)
+{
+  const StepSpec& spec = aJob.spec_.steps_[aTaskId.step_];
+  const Task& task = aJob.steps_[aTaskId.step_].tasks_[aTaskId.index_];
+  const bool alone = MustRunAlone(aTaskId, spec, task);
+  if (!alone && aPlacement.full_) {
+    return;
+  }
+  if (!aPlacement.candidates_) {
+    aPlacement.candidates_ = FindCandidates(aJob, spec, aNow);
+    std::erase_if(*aPlacement.candidates_, [&](const Candidate& aCandidate) {
+      return IsReservedForOther(aCandidate.sidecar_->first, aJob);
+    });
+    CountTasksThere(*aPlacement.candidates_, aJob, aTaskId.step_);
+  }
+  std::vector<Candidate>& candidates = *aPlacement.candidates_;
+  const PlacementNeed need = NeedOf(aJob, spec, alone);
+  Candidate* chosen = ChooseCandidate(candidates, aJob, aTaskId, alone, need);
+  if (chosen == nullptr) {
+    RecordBlocked(aJob, need, candidates);
+    aPlacement.full_ |= !alone;
+    return;
+  }
+  PlaceTask(aJob, aTaskId, *chosen, need, aLimit, aPlacement.sends_, aNow);
+}
+
 void
 JobScheduler::PlaceTask(Job& aJob,
                         const JobTaskId& aTaskId,
@@ -357,11 +379,24 @@
   PlaceAll(std::exchange(unparked_, {}), aNow);
   waiting_.BeginPass(
     [&](const PlacementNeed& aNeed) { return FindOpenings(aNeed, aNow); });
+  PlaceReserved(aNow);
   PlaceWaiting(false, aNow);
   PlaceWaiting(true, aNow);
   UpdateReservations(aNow);
 }
 
+void
+JobScheduler::PlaceReserved(MonoTime aNow)
+{
+  // Others, which may go before a job that is late, find no room where its
+  // upstream is the only one that has some.
+  for (const auto& [service, reservation] : reservations_) {
+    if (reservation.active_ && waiting_.IsInPass(reservation.for_)) {
+      PlaceJob(jobs_.at(reservation.for_.instance_), aNow);
+    }
+  }
+}
+
 void
 JobScheduler::UpdateReservations(MonoTime aNow)
 {
@@ -418,7 +453,8 @@
   const auto found = reservations_.find(aJob.queue_.service_);
   return found != reservations_.end() && found->second.active_ &&
          found->second.sidecar_ == aSidecar &&
-         found->second.for_ < RankOf(aJob);
+         found->second.for_ < RankOf(aJob) &&
+         waiting_.Holds(found->second.for_);
 }
 
 Openings
--- a/src/libcornelfront/policy/job_scheduler_placement_test.cpp
+++ b/src/libcornelfront/policy/job_scheduler_placement_test.cpp
@@ -403,5 +403,25 @@
   EXPECT_EQ(TickUntil(1525, 3500), 1U);
 }
 
+// The reservation is renewed at intervals only.
+TEST_F(WaitingStoredJobTest, AReservationEndsOnceItsJobIsPlaced)
+{
+  for (const MemberId sidecar : { kFirst, kSecond }) {
+    scheduler_.OnReports(
+      sidecar,
+      { .upstream_ =
+          Full(sidecar == kFirst ? "u1" : "u2", kTwoSecondsOfWork, 0) },
+      At(0));
+  }
+  Restore(Job(1, "first"));
+  EXPECT_EQ(TickUntil(25, 1500), 0U);
+  for (int i = 0; i < 3; ++i) {
+    Restore(Job(1, "later-" + std::to_string(i)), {}, false, 1501);
+  }
+  UpstreamReport idle = Idle("u1");
+  scheduler_.OnReports(kFirst, { .upstream_ = idle }, At(1510));
+  EXPECT_EQ(Take().Runs(), 4U) << "all of them at once";
+}
+
 } // namespace
 } // namespace cornelfront::job_scheduler_test
--- a/src/libcornelfront/policy/waiting_jobs.cpp
+++ b/src/libcornelfront/policy/waiting_jobs.cpp
@@ -188,6 +188,18 @@
   }
 }
 
+bool
+WaitingJobs::IsInPass(const WaitRank& aRank) const
+{
+  const auto found = places_.find(aRank);
+  return found != places_.end() &&
+         std::any_of(
+           found->second.begin(), found->second.end(), [&](const auto& aQueue) {
+             return std::find(pass_.begin(), pass_.end(), aQueue) !=
+                    pass_.end();
+           });
+}
+
 std::optional<WaitRank>
 WaitingJobs::Next(bool aLate, MonoTime aNow)
 {
