Soak: stored jobs of all kinds, jobs that last, and a route that is dropped

The checks know steps and occurrences, and that a step begins after the one before it. At the end each lasting job must have a task at work on each executor.

--- a/testsuite/harness/platform_cluster.cpp
+++ b/testsuite/harness/platform_cluster.cpp
@@ -42,7 +42,9 @@
   : options_(aOptions)
 {
   StartStore();
-  Configure({ "q1" });
+  Configure(options_.secondQueue_
+              ? std::vector<std::string>{ "q1", kDroppedQueue }
+              : std::vector<std::string>{ "q1" });
   for (unsigned i = 0; i < options_.entries_; ++i) {
     clientPorts_.push_back(FreePort());
     readyPorts_.push_back(FreePort());
@@ -339,7 +341,8 @@
 
 void
 PlatformCluster::WriteOperatorRecord(const std::string& aKey,
-                                     const std::string& aValue)
+                                     const std::string& aValue,
+                                     Millis aTimeout)
 {
   const std::string content =
     std::string(1, static_cast<char>(aKey.size())) + aKey + aValue;
@@ -352,7 +355,8 @@
     client_.Perform({ .method_ = "POST",
                       .url_ = "http://" + Loopback(storePort_) +
                               "/log-append?topic=keyed.op&part=0",
-                      .body_ = body });
+                      .body_ = body,
+                      .timeout_ = aTimeout });
   if (!result.Ok()) {
     throw std::runtime_error("the store stand-in refused a record for key " +
                              aKey);
@@ -360,7 +364,8 @@
 }
 
 void
-PlatformCluster::Configure(const std::vector<std::string>& aQueues)
+PlatformCluster::Configure(const std::vector<std::string>& aQueues,
+                           Millis aTimeout)
 {
   Json routes = Json::array();
   for (const std::string& queue : aQueues) {
@@ -377,7 +382,7 @@
   const Json config{ { "version", ++configVersion_ },
                      { "routes", routes },
                      { "services", { { { "name", "desk" } } } } };
-  WriteOperatorRecord("config", config.dump());
+  WriteOperatorRecord("config", config.dump(), aTimeout);
 }
 
 void
--- a/testsuite/harness/platform_cluster.h
+++ b/testsuite/harness/platform_cluster.h
@@ -43,8 +43,13 @@
   bool clientsProxied_ = false;
   /// How long a run goes on after its stop.
   Millis stopTime_{ 0 };
+  /// Has a second queue, kDroppedQueue, from the start.
+  bool secondQueue_ = false;
 };
 
+/// Queue that is configured from the start if PlatformClusterOptions says so.
+inline constexpr const char* kDroppedQueue = "q2";
+
 /// Group of connections that one fault proxy relays.
 enum class ProxiedLeg : uint8_t
 {
@@ -107,10 +112,13 @@
 
   /// Writes a record to the operator's topic of the store; an empty value
   /// deletes the key.
-  void WriteOperatorRecord(const std::string& aKey, const std::string& aValue);
+  void WriteOperatorRecord(const std::string& aKey,
+                           const std::string& aValue,
+                           Millis aTimeout = kDefaultTimeout);
   /// Writes the next version of the configuration, with a route to the service
   /// of the executors for each of these queues. The first one has "q1".
-  void Configure(const std::vector<std::string>& aQueues);
+  void Configure(const std::vector<std::string>& aQueues,
+                 Millis aTimeout = kDefaultTimeout);
   void StoreFault(const std::string& aJson);
   void ExecutorFault(unsigned aExecutor, const std::string& aJson);
   /// Sets faults of a leg; \p aFields is the body of the proxy's POST /control
--- a/testsuite/soak/callers.cpp
+++ b/testsuite/soak/callers.cpp
@@ -21,7 +21,16 @@
 /// State of a job that is not stored.
 constexpr std::string_view kUnknownJob = "410";
 
+/// Sets the generator of the kinds of stored jobs apart from the other one.
+constexpr uint64_t kKindsSeed = 0xa0761d6478bd642f;
+constexpr int kSecondStepPercent = 30;
+constexpr int kSecondRunPercent = 20;
+constexpr int kOnePerExecutorPercent = 20;
+constexpr int kDroppedQueuePercent = 50;
+constexpr Millis kUntilDue{ 500 };
+
 constexpr int kStatusOk = 200;
+constexpr int kStatusNoQueue = 404;
 constexpr int kStatusTooMany = 429;
 constexpr int kStatusUnavailable = 503;
 
@@ -46,11 +55,12 @@
   size_t Size() const { return clients_.size(); }
 
   httplib::Result Submit(size_t aEntry,
+                         const std::string& aQueue,
                          const std::string& aJob,
                          const std::string& aBody)
   {
     return clients_[aEntry]->Post(
-      PathOf(aJob), Headers(), aBody, "application/json");
+      "/" + aQueue + "/" + aJob, Headers(), aBody, "application/json");
   }
   httplib::Result Cancel(size_t aEntry, const std::string& aJob)
   {
@@ -92,7 +102,8 @@
     return aResult.error() == httplib::Error::Connection;
   }
   return aResult->status == kStatusTooMany ||
-         aResult->status == kStatusUnavailable;
+         aResult->status == kStatusUnavailable ||
+         aResult->status == kStatusNoQueue;
 }
 
 /// One caller, used by a single thread.
@@ -104,6 +115,7 @@
     , thread_(aThread)
     , maxTaskMs_(static_cast<int>(aOptions.maxTask_.count()))
     , random_(aOptions.seed_ * 1000 + aThread)
+    , kinds_((aOptions.seed_ * 1000 + aThread) ^ kKindsSeed)
     , connections_(aOptions.entries_, aOptions.timeout_)
   {
   }
@@ -111,12 +123,12 @@
   JobRecord SubmitOne()
   {
     JobRecord job = NextJob();
-    const std::string body = BodyOf(job);
+    const auto [body, queue] = RequestOf(job);
     job.refused_ = true;
     for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
       const size_t entry = PickEntry();
       const WallMillis begun = WallMillisNow();
-      const auto result = connections_.Submit(entry, job.id_, body);
+      const auto result = connections_.Submit(entry, queue, job.id_, body);
       const bool refused = IsRefusal(result);
       job.refused_ = job.refused_ && refused;
       if (result && result->status == kStatusOk) {
@@ -166,20 +178,52 @@
              .fails_ = Chance(options_.failPercent_) };
   }
 
-  std::string BodyOf(const JobRecord& aJob)
+  struct Request
+  {
+    std::string body_;
+    std::string queue_ = "q1";
+  };
+
+  /// Draws what is left open of the job.
+  Request RequestOf(JobRecord& aJob)
   {
     const int ms = Pick(20, maxTaskMs_);
+    Request request;
+    Json step{ { "count", aJob.tasks_ },
+               { "cpu", 1000 },
+               { "memMb", 10 },
+               { "estimateMs", ms } };
     Json body{ { "spec",
-                 (aJob.fails_ ? "fail ms=" : "ms=") + std::to_string(ms) },
-               { "steps",
-                 { { { "count", aJob.tasks_ },
-                     { "cpu", 1000 },
-                     { "memMb", 10 },
-                     { "estimateMs", ms } } } } };
+                 (aJob.fails_ ? "fail ms=" : "ms=") + std::to_string(ms) } };
     if (aJob.bestEffort_) {
       body["bestEffort"] = true;
     }
-    return body.dump();
+    const bool stored = options_.allKinds_ && !aJob.bestEffort_;
+    if (stored && IsOfKind(kOnePerExecutorPercent)) {
+      step["antiAffinity"] = 1;
+    }
+    body["steps"] = { step };
+    if (stored && IsOfKind(kSecondStepPercent)) {
+      aJob.steps_ = 2;
+      step["after"] = { 0 };
+      body["steps"].push_back(step);
+    }
+    if (stored && IsOfKind(kSecondRunPercent)) {
+      aJob.occurrences_ = 2;
+      body["repeats"] = 2;
+      body["intervalMs"] = kUntilDue.count();
+      body["startAtMs"] = WallMillisNow() + kUntilDue.count();
+    }
+    if (stored && IsOfKind(kDroppedQueuePercent)) {
+      request.queue_ = harness::kDroppedQueue;
+    }
+    request.body_ = body.dump();
+    return request;
+  }
+
+  bool IsOfKind(int aPercent)
+  {
+    return std::uniform_int_distribution<int>(1, 100)(kinds_) <= aPercent;
   }
 
   static void RecordAnswer(JobRecord& aJob, const std::string& aBody)
@@ -208,6 +252,7 @@
   const int maxTaskMs_;
   unsigned number_ = 0;
   std::mt19937_64 random_;
+  std::mt19937_64 kinds_;
   Connections connections_;
   std::vector<AbortedRequest> aborted_;
 };
--- a/testsuite/soak/callers.h
+++ b/testsuite/soak/callers.h
@@ -29,6 +29,9 @@
   int failPercent_ = 4;
   /// Longest task.
   Millis maxTask_{ 400 };
+  /// Stored jobs also have two steps, run twice, allow one task on an executor,
+  /// and go to a queue that faults drop.
+  bool allKinds_ = false;
   /// "<ip>:<port>" of every entry.
   std::vector<std::string> entries_;
 };
--- a/testsuite/soak/checks.cpp
+++ b/testsuite/soak/checks.cpp
@@ -110,7 +110,7 @@
         AddViolation("run after an acknowledged end: " + Describe(*done) +
                      ", " + Describe(run));
       }
-      if (failed >= kAttempts) {
+      if (failed >= kAttempts && !aJob.lasts_) {
         AddViolation("run after the last allowed attempt, " +
                      std::to_string(kAttempts) + ": " + Describe(run));
       }
@@ -146,6 +146,7 @@
       AddViolation("job " + aJob.id_ +
                    " was answered as failed, but its tasks do not fail");
     }
+    CheckOrder(aJob);
     if (aJob.accepted_ == 0) {
       return;
     }
@@ -165,17 +166,62 @@
   /// Checks that every task has a run that was done by \p aBefore.
   void CheckAllTasksDone(const JobRecord& aJob, WallMillis aBefore)
   {
+    for (unsigned k = 0; k < aJob.occurrences_; ++k) {
+      for (unsigned step = 0; step < aJob.steps_; ++step) {
+        for (const std::string& task : TasksOf(aJob, k, step)) {
+          if (!IsDone(task, aBefore)) {
+            AddViolation("completed job without a completed run of task " +
+                         task);
+          }
+        }
+      }
+    }
+  }
+
+  static std::vector<std::string> TasksOf(const JobRecord& aJob,
+                                          unsigned aOccurrence,
+                                          unsigned aStep)
+  {
+    std::vector<std::string> tasks;
     for (unsigned i = 0; i < aJob.tasks_; ++i) {
-      const std::string task = aJob.id_ + ".0.0." + std::to_string(i);
-      const auto runs = runs_.find(task);
-      const bool done =
-        runs != runs_.end() &&
-        std::any_of(
-          runs->second.begin(), runs->second.end(), [&](const RunRecord& aRun) {
-            return aRun.outcome_ == "done" && EndedBefore(aRun, aBefore);
-          });
-      if (!done) {
-        AddViolation("completed job without a completed run of task " + task);
+      tasks.push_back(aJob.id_ + "." + std::to_string(aOccurrence) + "." +
+                      std::to_string(aStep) + "." + std::to_string(i));
+    }
+    return tasks;
+  }
+
+  /// True if a run of the task was done by \p aBefore.
+  bool IsDone(const std::string& aTask, WallMillis aBefore) const
+  {
+    const auto runs = runs_.find(aTask);
+    return runs != runs_.end() &&
+           std::any_of(runs->second.begin(),
+                       runs->second.end(),
+                       [&](const RunRecord& aRun) {
+                         return aRun.outcome_ == "done" &&
+                                EndedBefore(aRun, aBefore);
+                       });
+  }
+
+  /// Checks that no step began before all tasks of the one before it were done.
+  void CheckOrder(const JobRecord& aJob)
+  {
+    for (unsigned k = 0; k < aJob.occurrences_; ++k) {
+      for (unsigned step = 1; step < aJob.steps_; ++step) {
+        const std::vector<std::string> earlier = TasksOf(aJob, k, step - 1);
+        for (const std::string& task : TasksOf(aJob, k, step)) {
+          const auto runs = runs_.find(task);
+          if (runs == runs_.end()) {
+            continue;
+          }
+          const RunRecord& first = runs->second.front();
+          for (const std::string& before : earlier) {
+            if (!IsDone(before, first.started_)) {
+              AddViolation("a step began before the end of " + before + ": " +
+                           Describe(first));
+            }
+          }
+        }
       }
     }
   }
--- a/testsuite/soak/checks.h
+++ b/testsuite/soak/checks.h
@@ -23,7 +23,14 @@
 {
   std::string id_;
   bool bestEffort_ = false;
+  /// Number of tasks of each step.
   unsigned tasks_ = 0;
+  /// Each step waits for the one before it.
+  unsigned steps_ = 1;
+  /// Number of times that a stored job runs.
+  unsigned occurrences_ = 1;
+  /// Its tasks run until the job is cancelled.
+  bool lasts_ = false;
   /// True if all runs of its tasks fail.
   bool fails_ = false;
   /// True if every attempt to submit it was refused, so that it cannot have
--- a/testsuite/soak/checks_test.cpp
+++ b/testsuite/soak/checks_test.cpp
@@ -140,5 +140,25 @@
     << "of another task";
 }
 
+TEST(SoakChecks, FindsAStepThatBeganTooEarly)
+{
+  JobRecord job = Stored();
+  job.steps_ = 2;
+  harness::RunRecord second = MakeRun(15, 30, "done", 35);
+  second.task_ = kJob + ".0.1.0";
+  EXPECT_EQ(Violations(job, { MakeRun(10, 20, "done", 25), second }), 1U);
+  second.started_ = 21;
+  EXPECT_EQ(Violations(job, { MakeRun(10, 20, "done", 25), second }), 0U);
+  EXPECT_EQ(Violations(job, { MakeRun(10, 20, "done", 25) }), 1U)
+    << "a task of the second step has not run";
+}
+
+TEST(SoakChecks, FindsAnOccurrenceThatHasNotRun)
+{
+  JobRecord job = Stored();
+  job.occurrences_ = 2;
+  EXPECT_EQ(Violations(job, { MakeRun(10, 20, "done", 25) }), 1U);
+}
+
 } // namespace
 } // namespace cornelfront::soak
--- a/testsuite/soak/faults.cpp
+++ b/testsuite/soak/faults.cpp
@@ -20,12 +20,14 @@
   "store_loses",      "store_drops",     "executor_mute",   "executor_drains",
   "executor_stalls",  "executor_reborn", "zone_out",        "executor_closes",
   "executor_refuses", "store_closes",    "executor_leaves", "other_announced",
+  "route_dropped",
 };
 
 /// Kinds of mixed faults come first.
 constexpr int kMixedKinds = static_cast<int>(FaultKind::ZoneOut) + 1;
 constexpr int kFirstDeparture = static_cast<int>(FaultKind::ExecutorLeaves);
 constexpr int kFirstAnnouncement = static_cast<int>(FaultKind::OtherAnnounced);
+constexpr int kFirstDroppedRoute = static_cast<int>(FaultKind::RouteDropped);
 constexpr int kMinAnswerFaultMs = 500;
 constexpr int kMinAnswerFaultPercent = 10;
 constexpr int kMaxAnswerFaultPercent = 40;
@@ -38,6 +40,10 @@
 constexpr int kDepartureGapFactor = 3;
 /// The generator of announcements.
 constexpr uint64_t kAnnouncementsSeed = 0x8cb92ba72f3d8dd7;
+/// The generator of dropped routes.
+constexpr uint64_t kDroppedRoutesSeed = 0xe7037ed1a0b428db;
+/// The store may be silent, and other faults must not wait for it.
+constexpr Millis kConfigureTimeout{ 500 };
 /// A sidecar that is suspended takes the heartbeat later.
 constexpr Millis kAnnouncementTimeout{ 20 };
 
@@ -80,9 +86,9 @@
 }
 
 /// Returns true for faults of answers and departures, each of which says how
-/// long it lasts when it begins. They end no process and no connection of an
-/// entry, so they excuse no missed bound of a drain or an evacuation and no
-/// aborted request.
+/// long it lasts when it begins, and for dropped routes. They end no process
+/// and no connection of an entry, so they excuse no missed bound of a drain or
+/// an evacuation and no aborted request.
 bool
 IsSelfEnding(FaultKind aKind)
 {
@@ -123,11 +129,14 @@
     , departureKinds_(
         Chosen(aOptions.kinds_, kFirstDeparture, kFirstAnnouncement))
     , announcementKinds_(
-        Chosen(aOptions.kinds_, kFirstAnnouncement, kFaultKinds))
+        Chosen(aOptions.kinds_, kFirstAnnouncement, kFirstDroppedRoute))
+    , droppedRouteKinds_(
+        Chosen(aOptions.kinds_, kFirstDroppedRoute, kFaultKinds))
     , random_(aOptions.seed_)
     , answerRandom_(aOptions.seed_ ^ kAnswerFaultsSeed)
     , departureRandom_(aOptions.seed_ ^ kDeparturesSeed)
     , announcementRandom_(aOptions.seed_ ^ kAnnouncementsSeed)
+    , droppedRouteRandom_(aOptions.seed_ ^ kDroppedRoutesSeed)
   {
   }
 
@@ -136,7 +145,7 @@
     std::vector<Fault> plan =
       options_.powerLossInterval_ > Millis(0) ? PowerLosses() : MixedFaults();
     for (const std::vector<Fault>& beside :
-         { AnswerFaults(), Departures(), Announcements() }) {
+         { AnswerFaults(), Departures(), Announcements(), DroppedRoutes() }) {
       plan.insert(plan.end(), beside.begin(), beside.end());
     }
     std::stable_sort(
@@ -231,6 +240,25 @@
     return plan;
   }
 
+  /// One after the other: two configurations tell nothing of each other's
+  /// routes.
+  std::vector<Fault> DroppedRoutes()
+  {
+    std::vector<Fault> plan;
+    if (droppedRouteKinds_.empty() || !options_.secondQueue_) {
+      return plan;
+    }
+    std::uniform_int_distribution<int> length(kMinDurationMs, kMaxDurationMs);
+    Millis at = NextGap(droppedRouteRandom_);
+    while (at < options_.length_) {
+      const Millis lasts(length(droppedRouteRandom_));
+      plan.push_back(
+        { .kind_ = FaultKind::RouteDropped, .at_ = at, .length_ = lasts });
+      at += lasts + NextGap(droppedRouteRandom_);
+    }
+    return plan;
+  }
+
   std::vector<Fault> MixedFaults()
   {
     std::vector<Fault> plan;
@@ -336,10 +364,12 @@
   const std::vector<FaultKind> answerKinds_;
   const std::vector<FaultKind> departureKinds_;
   const std::vector<FaultKind> announcementKinds_;
+  const std::vector<FaultKind> droppedRouteKinds_;
   std::mt19937_64 random_;
   std::mt19937_64 answerRandom_;
   std::mt19937_64 departureRandom_;
   std::mt19937_64 announcementRandom_;
+  std::mt19937_64 droppedRouteRandom_;
 };
 
 std::string
@@ -535,6 +565,10 @@
 bool
 FaultInjector::BeginSelfEnding(const Fault& aFault)
 {
+  if (aFault.kind_ == FaultKind::RouteDropped) {
+    Configure(false);
+    return true;
+  }
   if (aFault.kind_ == FaultKind::OtherAnnounced) {
     cluster_.Heartbeat(aFault.target_,
                        "other-" + std::to_string(aFault.seed_),
@@ -606,6 +640,9 @@
 void
 FaultInjector::End(const Fault& aFault)
 {
+  if (aFault.kind_ == FaultKind::RouteDropped) {
+    return Configure(true);
+  }
   if (IsSelfEnding(aFault.kind_)) {
     return;
   }
@@ -659,6 +696,20 @@
   }
 }
 
+void
+FaultInjector::Configure(bool aSecondQueue)
+{
+  std::vector<std::string> queues{ "q1" };
+  if (aSecondQueue) {
+    queues.emplace_back(harness::kDroppedQueue);
+  }
+  try {
+    cluster_.Configure(queues, kConfigureTimeout);
+  } catch (const std::runtime_error& error) {
+    std::cout << "configuration not written: " << error.what() << "\n";
+  }
+}
+
 void
 FaultInjector::HealAll()
 {
@@ -675,6 +726,9 @@
   for (unsigned i = 0; i < options_.entries_; ++i) {
     WriteOperatorRecord(i, "");
   }
+  if (options_.secondQueue_) {
+    Configure(true);
+  }
 }
 
 template<class Predicate>
--- a/testsuite/soak/faults.h
+++ b/testsuite/soak/faults.h
@@ -59,10 +59,12 @@
   // Beside all others as well.
   /// A heartbeat of another instance, which is not there, reaches a sidecar.
   OtherAnnounced,
+  /// The operator publishes a configuration without the second queue, and
+  /// later one that has it again.
+  RouteDropped,
 };
 
-constexpr size_t kFaultKinds =
-  static_cast<size_t>(FaultKind::OtherAnnounced) + 1;
+constexpr size_t kFaultKinds = static_cast<size_t>(FaultKind::RouteDropped) + 1;
 
 std::string_view
 ToString(FaultKind aKind);
@@ -117,6 +119,8 @@
   bool disturbsClients_ = false;
   /// Orders that reach an executor while it is mute are carried out later.
   bool lateOrders_ = false;
+  /// The cluster has a second queue, whose route may be dropped.
+  bool secondQueue_ = false;
 };
 
 /// Returns faults ordered by time. The same options always give the same plan.
@@ -161,6 +165,9 @@
   /// Writes the evacuation record of the target's zone; an empty value deletes
   /// it. Returns false if the store did not acknowledge it.
   bool WriteOperatorRecord(unsigned aTarget, const std::string& aValue);
+  /// Publishes a configuration with or without the second queue; the store may
+  /// not take it.
+  void Configure(bool aSecondQueue);
   bool AffectsExecutor(const Fault& aFault, unsigned aExecutor) const;
   /// Returns true if \p aDisturbs holds for a fault whose effect overlaps the
   /// interval.
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -11,12 +11,13 @@
 ///             [--client-leg] [--client-timeout-ms N] [--max-tasks N]
 ///             [--best-effort-percent N] [--callers-per-entry N]
 ///             [--faults NAME,...] [--mean-gap-ms N] [--max-delay-ms N]
-///             [--late-orders]
+///             [--late-orders] [--all-jobs]
 /// Exits with 1 if a guarantee was violated, and then keeps the logs of all
 /// processes.
 
 #include "callers.h"
 #include "faults.h"
+#include "lasting_jobs.h"
 
 #include <CLI/CLI.hpp>
 #include <gtest/gtest.h>
@@ -33,6 +34,7 @@
 /// Accepted jobs must end within this time after the callers stop.
 constexpr Millis kCompletionTimeout{ 25000 };
 constexpr Millis kServeTimeout{ 10000 };
+constexpr unsigned kLastingJobs = 10;
 /// Time that a stop may take to reach its executor.
 constexpr Millis kStopOnItsWay{ 200 };
 
@@ -58,6 +60,7 @@
   unsigned meanGapMs_ = 700;
   unsigned maxDelayMs_ = 300;
   bool lateOrders_ = false;
+  bool allJobs_ = false;
 };
 
 /// Checks that every entry serves a job once all faults have ended.
@@ -90,11 +93,16 @@
     .maxTasks_ = aOptions.maxTasks_,
     .bestEffortPercent_ = aOptions.bestEffortPercent_,
     .failPercent_ = aOptions.failPercent_,
-    .maxTask_ = Millis(aOptions.maxTaskMs_)
+    .maxTask_ = Millis(aOptions.maxTaskMs_),
+    .allKinds_ = aOptions.allJobs_
   };
   for (unsigned i = 0; i < aOptions.entries_; ++i) {
     callersOptions.entries_.push_back(aCluster.ClientAddress(i));
   }
+  LastingJobs lasting(aCluster,
+                      aOptions.allJobs_ ? kLastingJobs : 0,
+                      aOptions.entries_,
+                      aOptions.sidecars_);
   Callers callers(std::move(callersOptions));
   const FaultPlanOptions faults{
     .seed_ = aOptions.seed_,
@@ -109,7 +117,8 @@
     .meanGap_ = Millis(aOptions.meanGapMs_),
     .maxDelay_ = Millis(aOptions.maxDelayMs_),
     .disturbsClients_ = aOptions.clientLeg_,
-    .lateOrders_ = aOptions.lateOrders_
+    .lateOrders_ = aOptions.lateOrders_,
+    .secondQueue_ = aOptions.allJobs_
   };
   FaultInjector injector(aCluster, faults);
   injector.Run(MakeFaultPlan(faults));
@@ -118,6 +127,7 @@
   const WallMillis end = WallMillisNow();
   callers.Stop();
   callers.ReadStates(kCompletionTimeout);
+  const std::vector<JobRecord> lastingJobs = lasting.CheckAndCancel();
   // The other runs of a job that has just failed are told to stop.
   std::this_thread::sleep_for(Millis(aOptions.stopMs_) + kStopOnItsWay);
   Observations observations{ .jobs_ = callers.Jobs(),
@@ -126,6 +136,8 @@
                              .aborted_ = callers.AbortedRequests(),
                              .undisturbed_ =
                                injector.UndisturbedIntervals(end) };
+  observations.jobs_.insert(
+    observations.jobs_.end(), lastingJobs.begin(), lastingJobs.end());
   for (const std::string& violation : FindViolations(observations)) {
     ADD_FAILURE() << violation;
   }
@@ -150,7 +162,8 @@
                                      .sidecars_ = aOptions.sidecars_,
                                      .proxied_ = true,
                                      .clientsProxied_ = aOptions.clientLeg_,
-                                     .stopTime_ = Millis(aOptions.stopMs_) });
+                                     .stopTime_ = Millis(aOptions.stopMs_),
+                                     .secondQueue_ = aOptions.allJobs_ });
   try {
     RunSoak(cluster, aOptions);
   } catch (const std::exception& error) {
@@ -246,6 +259,10 @@
   app.add_flag("--late-orders",
                options.lateOrders_,
                "Orders that reach a mute executor are carried out later");
+  app.add_flag("--all-jobs",
+               options.allJobs_,
+               "Stored jobs of all kinds, also such as last, and a queue whose "
+               "route is dropped");
   CLI11_PARSE(app, argc, argv);
   testing::InitGoogleTest();
   try {
