A late confirmation of an acceptance revives no job

Callers would have seen: a stored job that had ended counts as queued again on one entry once its final state has expired, 150 s later, and runs again if that entry leads then (TWICE).

Cause: StoredJobs::Accept applied the acceptance to the replica when its append was confirmed. The job may have been run and closed by then, by records that the replica had read: the acceptance was put back beside them.

Evidence: StoredJobsTest.AnAcceptanceThatIsConfirmedLateRevivesNoJob failed before (the job counted as queued); it passes now.

Fix: a confirmed acceptance is shown only while the replica doesn't show the job. If it does, it has read this record or a later one, so nothing is missed.

--- a/src/libcornelfront/platform/stored_jobs_test.cpp
+++ b/src/libcornelfront/platform/stored_jobs_test.cpp
@@ -90,7 +90,11 @@
       } else {
         newest = epoch;
         Append(DecodeRecords(aRequest.body_));
-        aReply.Send({ .body_ = "{}" });
+        if (holdAnswers_) {
+          held_.push_back([aReply] { aReply.Send({ .body_ = "{}" }); });
+        } else {
+          aReply.Send({ .body_ = "{}" });
+        }
       }
     } else if (aRequest.path_ == "/log-read") {
       const uint64_t from = std::stoull(aRequest.Query("from"));
@@ -151,6 +155,7 @@
   void ReleaseAppends()
   {
     holdAppends_ = false;
+    holdAnswers_ = false;
     for (const auto& append : std::exchange(held_, {})) {
       append();
     }
@@ -306,6 +311,8 @@
   };
   std::vector<Read> reads_;
   bool holdAppends_ = false;
+  /// Appends are carried out and not answered.
+  bool holdAnswers_ = false;
   std::vector<std::function<void()>> held_;
   /// The queue "q" in the newest configuration.
   std::optional<ConfiguredQueue> queue_ = QueueOf("desk", 1);
@@ -556,5 +563,26 @@
   EXPECT_GT(FirstRun(), 8000U) << "numbers of an earlier term";
 }
 
+// Guards against TWICE: the acceptance outlived its job, which counted as
+// queued again once its final state had expired.
+TEST_F(StoredJobsTest, AnAcceptanceThatIsConfirmedLateRevivesNoJob)
+{
+  ASSERT_TRUE(RunUntil([this] { return stored_->IsFresh(BootNow()); }));
+  holdAnswers_ = true;
+  bool accepted = false;
+  stored_->Accept({ .id_ = kJob, .steps_ = { { .count_ = 1 } } },
+                  QueueOf("desk", 1),
+                  [&](platform::StoreOutcome) { accepted = true; });
+  const auto state = [this] { return stored_->State(kJob); };
+  ASSERT_TRUE(RunUntil([&] { return state() == JobState::Queued; }));
+  Append({ FinalRecord(kJob, JobState::Completed), { "a/" + kJob, "" } });
+  ASSERT_TRUE(RunUntil([&] { return state() == JobState::Completed; }));
+  ReleaseAppends();
+  ASSERT_TRUE(RunUntil([&] { return accepted; }));
+  Append({ { "t/" + kJob, "" } });
+  EXPECT_TRUE(RunUntil([&] { return state() != JobState::Completed; }));
+  EXPECT_FALSE(state());
+}
+
 } // namespace
 } // namespace cornelfront
--- a/src/libcornelfront/stored_jobs.cpp
+++ b/src/libcornelfront/stored_jobs.cpp
@@ -103,18 +103,26 @@
                                                 .acceptedAt_ = WallNow(),
                                                 .configured_ = aQueue });
   writer_->Write({ record },
-                 [this, record, done = std::move(aDone)](
+                 [this, record, id = aJob.id_, done = std::move(aDone)](
                    platform::StoreOutcome aOutcome, MonoTime) {
                    if (aOutcome == platform::StoreOutcome::Ok) {
-                     // Visible on this entry at once; the leader learns of it
-                     // by reading.
-                     const std::string id = replica_.Apply(record, BootNow());
-                     replica_.UpdateQueue(id, hooks_.findQueue_);
+                     ShowAcceptance(record, id);
                    }
                    done(aOutcome);
                  });
 }
 
+void
+StoredJobs::ShowAcceptance(const KeyedRecord& aRecord, const std::string& aJob)
+{
+  // If the replica shows the job, it has read this record or a later one, such
+  // as the job's final state, which is in the place of the acceptance.
+  if (!replica_.State(aJob)) {
+    replica_.Apply(aRecord, BootNow());
+    replica_.UpdateQueue(aJob, hooks_.findQueue_);
+  }
+}
+
 void
 StoredJobs::Cancel(const std::string& aJob, Done aDone)
 {
--- a/src/libcornelfront/stored_jobs.h
+++ b/src/libcornelfront/stored_jobs.h
@@ -77,6 +77,9 @@
   void Tick(MonoTime aNow);
 
 private:
+  /// Shows a job on this entry once its acceptance is stored; the leader learns
+  /// of it by reading.
+  void ShowAcceptance(const KeyedRecord& aRecord, const std::string& aJob);
   void OnRecords(const std::vector<KeyedRecord>& aRecords);
   void Claim(MonoTime aNow);
   void StartLeading(MonoTime aNow);
