A restart that may begin a stored job's lost order is waited for

Its first order had no answer, its executor was dark 4.5 to 8.9 s after it and then carried it out; the next run had begun elsewhere 6 s after the order.

Cause: such an order counted for 6 s, whatever its upstream did at their end. One of a best-effort job counts on until the upstream has answered.

SilentStoredOrderTest.ARestartThatMayBeginTheOrderIsWaitedFor failed before.

Fix: if the upstream is silent at the end of the 6 s, the order counts until it answers a poll, 6 s after its last answer at most: 4.5 s dark and 1.5 s until a heartbeat. LOST counts from 7 s after a disturbance, and the silence is one. The first answer shows what the order has begun.

--- a/src/include/cornelfront/late_order_book.h
+++ b/src/include/cornelfront/late_order_book.h
@@ -26,9 +26,14 @@
   /// The answer to a poll with this number or a higher one comes after all that
   /// the order can begin. 0 as long as it may yet become due.
   uint64_t closingPoll_ = 0;
+  /// If the upstream falls silent before the order is due, the order counts for
+  /// at least this long after the last answer. 0 if givenUpAt_ covers that.
+  Millis maxSilence_{ 0 };
 
   /// Polls with numbers below \p aNextPoll were sent before this call.
   void OnTick(MonoTime aNow, uint64_t aNextPoll);
+  /// The upstream last answered at \p aHeardAt.
+  void OnAnswer(MonoTime aHeardAt);
   bool IsClosedBy(uint64_t aAnsweredPoll) const
   {
     return closingPoll_ != 0 && aAnsweredPoll >= closingPoll_;
@@ -71,9 +76,11 @@
   const OpenOrder* Find(const JobTaskId& aTask, MonoTime aNow) const;
   /// The present incarnation refuses run numbers of the task up to this one.
   void OnNumberUsed(const JobTaskId& aTask, uint32_t aNumber);
-  /// The present incarnation has answered a poll. Forgets the orders that this
-  /// closes.
-  void OnPollResult(uint64_t aPollNumber, UpstreamTime aClock);
+  /// The present incarnation has answered a poll at \p aHeardAt. Forgets the
+  /// orders that this closes.
+  void OnPollResult(uint64_t aPollNumber,
+                    UpstreamTime aClock,
+                    MonoTime aHeardAt);
   /// Another incarnation with the same id is the present one, and will see a
   /// higher fence than these orders with the poll of this number.
   void OnRestart(uint64_t aFirstPoll);
--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -266,8 +266,14 @@
   /// leaseExpiry_ and lapseDelay_.
   Millis maxRestartSilence_{ 4000 };
   /// The same as maxOrderDelay_ for stored jobs, whose tasks must not wait for
-  /// longer than this while upstreams are free; a silence does not add to it.
+  /// longer than this while upstreams are free.
   Millis maxStoredOrderDelay_{ 6000 };
+  /// An upstream that falls silent within that time may start again later and
+  /// carry the order out, which its first answer then shows. It is waited for
+  /// until this long after its last answer: a restart of 4,500 ms at most, and
+  /// 1,500 ms until its first heartbeat. A task must not wait for 7,000 ms
+  /// after an upstream is gone for good.
+  Millis maxStoredOrderSilence_{ 6000 };
   /// Delay before the next start after the upstream answered that it is full.
   Millis fullBackoff_{ 15 };
   /// A run is stalled once its age exceeds both stallFloor_ and this many times
--- a/src/libcornelfront/policy/late_order_book.cpp
+++ b/src/libcornelfront/policy/late_order_book.cpp
@@ -19,6 +19,12 @@
   }
 }
 
+void
+OrderTerm::OnAnswer(MonoTime aHeardAt)
+{
+  givenUpAt_ = std::max(givenUpAt_, std::min(aHeardAt, dueBy_) + maxSilence_);
+}
+
 void
 OrderTerm::Extend(const OrderTerm& aOther)
 {
@@ -26,6 +32,7 @@
   closingPoll_ = due ? std::max(closingPoll_, aOther.closingPoll_) : 0;
   dueBy_ = std::max(dueBy_, aOther.dueBy_);
   givenUpAt_ = std::max(givenUpAt_, aOther.givenUpAt_);
+  maxSilence_ = std::max(maxSilence_, aOther.maxSilence_);
 }
 
 void
@@ -64,12 +71,15 @@
 }
 
 void
-LateOrderBook::OnPollResult(uint64_t aPollNumber, UpstreamTime aClock)
+LateOrderBook::OnPollResult(uint64_t aPollNumber,
+                            UpstreamTime aClock,
+                            MonoTime aHeardAt)
 {
   std::erase_if(orders_, [aPollNumber](const auto& aOrder) {
     return aOrder.second.term_.IsClosedBy(aPollNumber);
   });
   for (auto& [task, order] : orders_) {
+    order.term_.OnAnswer(aHeardAt);
     order.refusedHere_ |=
       aPollNumber >= order.firstPoll_ && aClock > order.deadline_;
   }
--- a/src/libcornelfront/policy/run_late_orders.cpp
+++ b/src/libcornelfront/policy/run_late_orders.cpp
@@ -34,11 +34,15 @@
     return std::nullopt;
   }
   const MonoTime dueBy = aRun.orderedAt_ + OrderDelay(aRun);
-  const Millis silence =
-    aRun.term_ > 0 ? Millis(0) : options_.maxRestartSilence_;
-  return OrderTerm{ .dueBy_ = dueBy,
-                    .givenUpAt_ = dueBy + silence,
-                    .closingPoll_ = aRun.closingPoll_ };
+  const bool stored = aRun.term_ > 0;
+  OrderTerm term{
+    .dueBy_ = dueBy,
+    .givenUpAt_ = stored ? dueBy : dueBy + options_.maxRestartSilence_,
+    .closingPoll_ = aRun.closingPoll_,
+    .maxSilence_ = stored ? options_.maxStoredOrderSilence_ : Millis(0),
+  };
+  term.OnAnswer(upstreamHeardAt_);
+  return term;
 }
 
 Millis
--- a/src/libcornelfront/policy/run_polls.cpp
+++ b/src/libcornelfront/policy/run_polls.cpp
@@ -84,7 +84,7 @@
   ProcessMissing(aPollNumber, aPollResult, aNow);
   DiscardVoidEnds(aPollResult.clock_, aNow);
   if (!lateOrders_.Orders().empty()) {
-    lateOrders_.OnPollResult(aPollNumber, aPollResult.clock_);
+    lateOrders_.OnPollResult(aPollNumber, aPollResult.clock_, upstreamHeardAt_);
     lateOrdersChanged_ = true;
   }
   NoteLeavingAnswer(aPollResult, aNow);
--- a/src/libcornelfront/policy/run_table_restart_test.cpp
+++ b/src/libcornelfront/policy/run_table_restart_test.cpp
@@ -467,6 +467,73 @@
   EXPECT_EQ(Reports().at(0).end_, RunEnd::Lost);
 }
 
+/// The run that such an order began has failed, so that its number is used up,
+/// and the upstream falls silent.
+class SilentStoredOrderTest : public UnansweredStoredOrderTest
+{
+protected:
+  /// It last answers at this time.
+  void FailAndFallSilent(int aMs)
+  {
+    const int failedAt = std::min(aMs - 50, 1500);
+    PollOften({ .running_ = { { Key(0) } } }, 10, failedAt);
+    PollOften(
+      { .ended_ = { { 1, Key(0), RunEnd::Failed } } }, failedAt + 10, aMs);
+    // Links tell of changes at once, and the entry waits as it was told last.
+    for (int ms = aMs; ms <= aMs + kLongest; ms += 10) {
+      Wait(ms, ms);
+      Tell(ms);
+    }
+  }
+  void Tell(int aMs)
+  {
+    for (const LateOrder& told : table_.TakeLateOrders(At(aMs)).orders_) {
+      const bool settled = told.state_ == LateOrderState::Settled;
+      (settled ? settledAt_ : heldUntil_) =
+        At(aMs) + (settled ? Millis(0) : told.left_);
+    }
+  }
+
+  static constexpr int kLongest = 8000;
+  MonoTime heldUntil_;
+  MonoTime settledAt_;
+};
+
+// Guards against TWICE: the executor carries the order out 9.1 s after it was
+// sent, as it has started again after 4.4 s, beside the next run of the task.
+TEST_F(SilentStoredOrderTest, ARestartThatMayBeginTheOrderIsWaitedFor)
+{
+  FailAndFallSilent(4500);
+  EXPECT_GT(heldUntil_, At(10400));
+  EXPECT_GT(settledAt_, At(10400));
+}
+
+/// The parameter is the time of the last answer, in milliseconds.
+class GoneStoredUpstreamTest
+  : public SilentStoredOrderTest
+  , public testing::WithParamInterface<int>
+{};
+
+// Guards against LOST: a task may wait for 7 s after the loss of an upstream.
+TEST_P(GoneStoredUpstreamTest, HoldsNoTask)
+{
+  FailAndFallSilent(GetParam());
+  EXPECT_LE(settledAt_, At(GetParam() + 6500));
+  EXPECT_LE(heldUntil_, At(GetParam() + 6600))
+    << "if the sidecar is lost as well";
+}
+
+INSTANTIATE_TEST_SUITE_P(RunTable,
+                         GoneStoredUpstreamTest,
+                         testing::Values(100, 500, 3000, 5900));
+
+// A task waits no longer while its upstream answers.
+TEST_F(SilentStoredOrderTest, AnAnswerEndsTheWait)
+{
+  FailAndFallSilent(6100);
+  EXPECT_LE(settledAt_, At(6100));
+}
+
 // Nobody has answered under the other id, so the executor may yet start again
 // under its own.
 TEST_F(RestartedUpstreamTest, AnIdThatWasOnlyAnnouncedEndsNoOrder)
