Restarts of up to 4.5 s are waited for at the end of an order

Cause: maxRestartSilence_ of 4 s counted on a restart of 2.5 s, that of our own simulation. The deployments in force have executors down for 4.5 s.

Evidence: SilenceAtTheEndOfAnOrderTest.TheLongestRestartIsWaitedFor failed before.

Fix: 6 s: 4.5, and the lease of what begins then. A task whose upstream is gone for good waits for 18 s in place of 16 (AnUpstreamThatIsGoneForGoodHoldsNoTask states that bound, as strictly as before).

--- a/src/include/cornelfront/run_table.h
+++ b/src/include/cornelfront/run_table.h
@@ -262,9 +262,9 @@
   /// An upstream that is down when that time ends may carry out the order at
   /// its next start, and its answer to a later poll shows what it has begun. A
   /// silence counts for no longer than this, as if the upstream never returned:
-  /// a restart takes up to 2,500 ms, and an unextended lease then ends within
+  /// a restart takes up to 4,500 ms, and an unextended lease then ends within
   /// leaseExpiry_ and lapseDelay_.
-  Millis maxRestartSilence_{ 4000 };
+  Millis maxRestartSilence_{ 6000 };
   /// The same as maxOrderDelay_ for stored jobs, whose tasks must not wait for
   /// longer than this while upstreams are free.
   Millis maxStoredOrderDelay_{ 6000 };
