Soak: the operator's writes wait for 10 s again, not for 20

By its stack the fault plan waited in PlatformCluster::WriteOperatorRecord for a silent store.

Cause: gave this call a time-out argument, whose default was that of the harness, 20 s, in place of the HTTP client's 10 s. No other fault is played meanwhile.

--- a/testsuite/harness/platform_cluster.h
+++ b/testsuite/harness/platform_cluster.h
@@ -50,6 +50,10 @@
 /// Queue that is configured from the start if PlatformClusterOptions says so.
 inline constexpr const char* kDroppedQueue = "q2";
 
+/// The operator's writes wait this long for the store. A soak plays no other
+/// fault meanwhile, and its store may be silent.
+inline constexpr Millis kOperatorWriteTimeout{ 10000 };
+
 /// Group of connections that one fault proxy relays.
 enum class ProxiedLeg : uint8_t
 {
@@ -114,11 +118,11 @@
   /// deletes the key.
   void WriteOperatorRecord(const std::string& aKey,
                            const std::string& aValue,
-                           Millis aTimeout = kDefaultTimeout);
+                           Millis aTimeout = kOperatorWriteTimeout);
   /// Writes the next version of the configuration, with a route to the service
   /// of the executors for each of these queues. The first one has "q1".
   void Configure(const std::vector<std::string>& aQueues,
-                 Millis aTimeout = kDefaultTimeout);
+                 Millis aTimeout = kOperatorWriteTimeout);
   void StoreFault(const std::string& aJson);
   void ExecutorFault(unsigned aExecutor, const std::string& aJson);
   /// Sets faults of a leg; \p aFields is the body of the proxy's POST /control
