Soak: a cut in the millisecond in which a fault begins has an excuse

Cause: the check took a request that ended in the millisecond of a fault's beginning as one that ended before it. Times are known to the millisecond only; a fault's is taken before it acts.

Fix: the interval ends before that millisecond; a cut one millisecond earlier still counts (SoakChecks.ACutInTheMillisecondOfAFaultHasAnExcuse, which failed before), and the last interval is one millisecond longer, so that it covers what it did.

--- a/testsuite/soak/checks.cpp
+++ b/testsuite/soak/checks.cpp
@@ -244,11 +244,12 @@
   {
     for (const UndisturbedInterval& interval : observations_.undisturbed_) {
       if (interval.entry_ == aAborted.entry_ &&
-          interval.from_ <= aAborted.from_ && aAborted.to_ <= interval.to_) {
+          interval.from_ <= aAborted.from_ && aAborted.to_ < interval.to_) {
         AddViolation("entry " + std::to_string(aAborted.entry_) +
                      " aborted a request without a fault, from " +
                      std::to_string(aAborted.from_) + " to " +
-                     std::to_string(aAborted.to_));
+                     std::to_string(aAborted.to_) + ", calm until " +
+                     std::to_string(interval.to_));
       }
     }
   }
--- a/testsuite/soak/checks.h
+++ b/testsuite/soak/checks.h
@@ -71,6 +71,7 @@
 {
   size_t entry_ = 0;
   WallMillis from_ = 0;
+  /// The first millisecond in which a fault may have begun.
   WallMillis to_ = 0;
 };
 
--- a/testsuite/soak/checks_test.cpp
+++ b/testsuite/soak/checks_test.cpp
@@ -117,6 +117,17 @@
   EXPECT_EQ(FindViolations(seen).size(), 2U);
 }
 
+// Seeds 9933 and 20101: an entry is killed in the millisecond in which its
+// requests end.
+TEST(SoakChecks, ACutInTheMillisecondOfAFaultHasAnExcuse)
+{
+  Observations seen{ .aborted_ = { { 0, 10, 20 } },
+                     .undisturbed_ = { { 0, 5, 20 } } };
+  EXPECT_TRUE(FindViolations(seen).empty());
+  seen.undisturbed_[0].to_ = 21;
+  EXPECT_EQ(FindViolations(seen).size(), 1U);
+}
+
 TEST(SoakChecks, TheLeastMarginIsThatOfRunsWhoseEndNobodyToldInTime)
 {
   const auto on = [](harness::RunRecord aRun, unsigned aExecutor) {
--- a/testsuite/soak/faults.cpp
+++ b/testsuite/soak/faults.cpp
@@ -823,7 +823,7 @@
       }
     }
     std::sort(disturbed.begin(), disturbed.end());
-    disturbed.emplace_back(aEnd, aEnd);
+    disturbed.emplace_back(aEnd + 1, aEnd + 1);
     for (const auto& [from, to] : disturbed) {
       if (from > calmFrom) {
         intervals.push_back({ entry, calmFrom, from });
