Tests of a silent executor say what must have been told before

Read afresh: a task that was never listed as held, or never settled, would have passed GoneStoredUpstreamTest and AnAnswerEndsTheWait, since a time that is not set is before all others.

--- a/src/libcornelfront/policy/run_table_restart_test.cpp
+++ b/src/libcornelfront/policy/run_table_restart_test.cpp
@@ -497,6 +497,8 @@
       Tell(ms);
     }
   }
+
+  /// The entry is told what has changed.
   void Tell(int aMs)
   {
     for (const LateOrder& told : table_.TakeLateOrders(At(aMs)).orders_) {
@@ -506,7 +508,9 @@
     }
   }
 
+  /// Longer than any task is held after the last answer, in milliseconds.
   static constexpr int kLongest = 8000;
+  /// What the entry was told last; not set if it was told nothing of the kind.
   MonoTime heldUntil_;
   MonoTime settledAt_;
 };
@@ -530,6 +534,7 @@
 TEST_P(GoneStoredUpstreamTest, HoldsNoTask)
 {
   FailAndFallSilent(GetParam());
+  EXPECT_GE(settledAt_, At(GetParam())) << "it was held at first";
   EXPECT_LE(settledAt_, At(GetParam() + 6500));
   EXPECT_LE(heldUntil_, At(GetParam() + 6600))
     << "if the sidecar is lost as well";
@@ -544,6 +549,7 @@
 {
   FailAndFallSilent(6100);
   EXPECT_LE(settledAt_, At(6100));
+  EXPECT_EQ(heldUntil_, MonoTime()) << "it is not listed any more";
 }
 
 // Nobody has answered under the other id, so the executor may yet start again
