--- /dev/null
+++ b/review/standins-3/cases.cpp
@@ -0,0 +1,355 @@
+#include "cases.h"
+
+#include "world.h"
+
+#include <cstdlib>
+#include <iostream>
+#include <map>
+
+namespace review {
+namespace {
+
+constexpr int kHeld = 0;
+constexpr int kBroken = 1;
+constexpr int kNotRun = 2;
+
+int
+Conclude(World& aWorld, int aCode, const std::string& aWhy)
+{
+  const std::string verdict = aCode == kHeld     ? "held"
+                              : aCode == kBroken ? "BROKEN"
+                                                 : "could not run";
+  aWorld.Note("verdict: " + verdict + ": " + aWhy);
+  std::cout << verdict << ": " << aWhy << std::endl;
+  return aCode;
+}
+
+/// A job that lasts is handed in; the executor of one of its tasks crashes now
+/// and then.
+int
+PlayLasting(bool aTrouble)
+{
+  World world({ .entries_ = 3, .sidecars_ = 8 });
+  const std::string id = JobId(1);
+  const std::string task = id + ".0.0.0";
+  constexpr unsigned kTasks = 4;
+  const JobSpec job{ .work_ = { .cpu_ = 3000, .lasts_ = true },
+                     .count_ = kTasks };
+  const auto running = [&] {
+    unsigned count = 0;
+    for (unsigned i = 0; i < kTasks; ++i) {
+      count += world.Holder(id + ".0.0." + std::to_string(i)) >= 0 ? 1 : 0;
+    }
+    return count;
+  };
+  if (world.Submit(0, id, job).status_ != 200) {
+    return Conclude(world, kNotRun, "the job was not accepted");
+  }
+  if (!world.WaitFor([&] { return running() == kTasks; }, Millis(10000))) {
+    return Conclude(world, kNotRun, "the tasks do not run");
+  }
+  for (int i = 0; i < 3 && aTrouble; ++i) {
+    world.Sleep(Millis(6000));
+    const int holder = world.Holder(task);
+    if (holder < 0) {
+      break;
+    }
+    world.Note("executor " + std::to_string(holder) + " crashes");
+    world.ExecutorAt(static_cast<unsigned>(holder)).Crash();
+    world.Sleep(Millis(3000));
+    world.ExecutorAt(static_cast<unsigned>(holder)).Start();
+    world.Note("executor " + std::to_string(holder) + " is back");
+    world.Sleep(Millis(6000));
+  }
+  world.Sleep(Millis(10000));
+  std::string states;
+  bool failed = false;
+  for (unsigned i = 0; i < 3; ++i) {
+    const Reply reply = world.Call(i, "GET", id);
+    states += " " + reply.state_;
+    failed |= reply.state_ == "failed";
+  }
+  world.NoteRuns(id);
+  const std::string text = std::to_string(running()) + " of " +
+                           std::to_string(kTasks) +
+                           " tasks run; states:" + states;
+  return Conclude(world, failed ? kBroken : kHeld, text);
+}
+
+/// Gangs that fit are handed in one after the other; for 4 s they come 1.8
+/// times as often.
+int
+PlayGangs(bool aTrouble)
+{
+  World world({ .entries_ = 3, .sidecars_ = 4, .cpu_ = 2000 });
+  const JobSpec gang{ .work_ = { .length_ = Millis(500), .gang_ = 5 },
+                      .count_ = 5,
+                      .estimate_ = Millis(500) };
+  constexpr Millis kInterval{ 800 };
+  constexpr double kBurst = 1.8;
+  const MonoTime begin = MonoClock::now();
+  const MonoTime burst = begin + Millis(6000);
+  const MonoTime burstEnd = burst + Millis(4000);
+  const MonoTime end = begin + Millis(20000);
+  std::vector<std::string> accepted;
+  for (unsigned i = 1; MonoClock::now() < end; ++i) {
+    const MonoTime now = MonoClock::now();
+    const bool isBurst = aTrouble && now >= burst && now < burstEnd;
+    const double gap =
+      static_cast<double>(kInterval.count()) / (isBurst ? kBurst : 1.0);
+    if (world.Submit(i % 3, JobId(i), gang).status_ == 200) {
+      accepted.push_back(JobId(i));
+    }
+    std::this_thread::sleep_until(now + Millis(static_cast<int64_t>(gap)));
+  }
+  world.Sleep(Millis(45000));
+  unsigned open = 0;
+  for (const std::string& id : accepted) {
+    open += world.Call(0, "GET", id).state_ == "completed" ? 0 : 1;
+  }
+  world.NoteRuns();
+  // Nothing is near from 4 s after the burst on, when a run ends that has begun
+  // 3 s before.
+  int alone = 0;
+  for (const RunRecord& run : world.RunList()) {
+    alone +=
+      run.how_ == "alone" && run.ended_ > burstEnd + Millis(7000) ? 1 : 0;
+  }
+  return Conclude(world,
+                  alone > 0 ? kBroken : kHeld,
+                  std::to_string(alone) +
+                    " runs ended alone later than 7 s after the burst; " +
+                    std::to_string(open) + " of " +
+                    std::to_string(accepted.size()) +
+                    " accepted jobs are not completed 45 s after the last one");
+}
+
+/// Many small tasks that last run on each executor; one executor is lost for
+/// good, and the others have room for all of its tasks.
+int
+PlayMany(bool aTrouble)
+{
+  constexpr unsigned kMachines = 8;
+  constexpr unsigned kTasks = 280;
+  World world({ .entries_ = 3, .sidecars_ = kMachines, .cpu_ = 32000 });
+  const JobSpec job{ .work_ = { .cpu_ = 20, .lasts_ = true },
+                     .count_ = kTasks };
+  for (unsigned i = 0; i < kMachines; ++i) {
+    if (world.Submit(i % 3, JobId(1 + i), job).status_ != 200) {
+      return Conclude(world, kNotRun, "a job was not accepted");
+    }
+  }
+  const auto running = [&] {
+    unsigned count = 0;
+    for (const RunRecord& run : world.RunList()) {
+      count += run.how_.empty() ? 1 : 0;
+    }
+    return count;
+  };
+  constexpr unsigned kAll = kMachines * kTasks;
+  if (!world.WaitFor([&] { return running() == kAll; }, Millis(30000))) {
+    return Conclude(world,
+                    kNotRun,
+                    std::to_string(running()) + " of " + std::to_string(kAll) +
+                      " tasks run");
+  }
+  world.Sleep(Millis(5000));
+  if (aTrouble) {
+    world.Note("executor 0 is lost for good");
+    world.ExecutorAt(0).Crash();
+  }
+  world.Sleep(Millis(30000));
+  const unsigned left = running();
+  world.NoteRuns();
+  // LOST: from 6 s after the last run of a task, 3 s without one.
+  return Conclude(world,
+                  left < kAll ? kBroken : kHeld,
+                  std::to_string(kAll - left) + " of " + std::to_string(kAll) +
+                    " tasks do not run 30 s later; the room in use is " +
+                    std::to_string(left * 20) + " of " +
+                    std::to_string(32000 * (aTrouble ? 7 : 8)));
+}
+
+/// Tasks that last fail by themselves now and then. A machine is lost for good,
+/// and much later the entry that leads is killed.
+int
+PlayTakeOver(bool aTrouble)
+{
+  World world({ .entries_ = 3, .sidecars_ = 8 });
+  constexpr unsigned kTasks = 12;
+  for (unsigned i = 0; i < kTasks; ++i) {
+    const JobSpec job{ .work_ = { .length_ = Millis(2000 + 150 * i),
+                                  .lasts_ = true,
+                                  .failing_ = 1000000000 } };
+    if (world.Submit(i % 3, JobId(1 + i), job).status_ != 200) {
+      return Conclude(world, kNotRun, "a job was not accepted");
+    }
+  }
+  world.Sleep(Millis(5000));
+  if (aTrouble) {
+    world.Note("machine 0 is lost for good");
+    world.ExecutorAt(0).Crash();
+    world.KillSidecar(0);
+  }
+  world.Sleep(Millis(25000));
+  const int leader = world.Leader();
+  if (leader < 0) {
+    return Conclude(world, kNotRun, "no leader");
+  }
+  const MonoTime struck = MonoClock::now();
+  if (aTrouble) {
+    world.KillEntry(static_cast<unsigned>(leader));
+    world.Sleep(Millis(500));
+    world.StartEntry(static_cast<unsigned>(leader));
+    world.Note("entry " + std::to_string(leader) + " is started again");
+  }
+  const MonoTime calmSince = MonoClock::now();
+  world.Sleep(Millis(20000));
+  world.NoteRuns();
+  // LOST: from 6 s after the last run of a task, 3 s without one, if these and
+  // the 4 s before them are calm.
+  std::map<std::string, MonoTime> ended;
+  unsigned broken = 0;
+  Millis longest(0);
+  const auto judge = [&](MonoTime aEnd, MonoTime aNext) {
+    if (aNext < struck) {
+      return;
+    }
+    longest =
+      std::max(longest, std::chrono::duration_cast<Millis>(aNext - aEnd));
+    const MonoTime from =
+      std::max(aEnd + Millis(6000), calmSince + Millis(4000));
+    broken += aNext >= from + Millis(3000) ? 1 : 0;
+  };
+  for (const RunRecord& run : world.RunList()) {
+    const auto last = ended.find(run.task_);
+    if (last != ended.end()) {
+      judge(last->second, run.begun_);
+    }
+    ended[run.task_] = run.how_.empty() ? MonoTime::max() : run.ended_;
+  }
+  for (const auto& [task, end] : ended) {
+    if (end != MonoTime::max()) {
+      judge(end, MonoClock::now());
+    }
+  }
+  return Conclude(world,
+                  broken > 0 ? kBroken : kHeld,
+                  std::to_string(broken) + " of " + std::to_string(kTasks) +
+                    " tasks did not run for too long; the longest time without "
+                    "a run was " +
+                    std::to_string(longest.count()) + " ms");
+}
+
+/// The executor of a task that lasts is lost for good; best-effort jobs, as
+/// many as before, take all that the others can do.
+int
+PlayFull(bool aTrouble)
+{
+  World world({ .entries_ = 3, .sidecars_ = 8, .cpu_ = 2000, .priority_ = 0 });
+  const std::string id = JobId(1);
+  const std::string task = id + ".0.0.0";
+  const JobSpec job{ .work_ = { .lasts_ = true } };
+  if (world.Submit(0, id, job).status_ != 200) {
+    return Conclude(world, kNotRun, "the job was not accepted");
+  }
+  world.Sleep(Millis(1000));
+  // A job takes 0.4 of a slot for a second. Of 16 slots one is the lasting
+  // task's, and the others have work for 105 % of the time.
+  constexpr Millis kTraffic{ 36000 };
+  constexpr double kPerSecond = 1.05 * 15.0 / 0.4;
+  std::atomic<unsigned> accepted = 0;
+  unsigned sent = 0;
+  std::vector<std::thread> clients;
+  std::thread source([&] {
+    const MonoTime begin = MonoClock::now();
+    for (; MonoClock::now() < begin + kTraffic; ++sent) {
+      std::this_thread::sleep_until(
+        begin + Millis(static_cast<int64_t>(sent * 1000 / kPerSecond)));
+      clients.emplace_back([&world, &accepted, i = sent] {
+        const JobSpec plain{ .work_ = { .length_ = Millis(200) },
+                             .count_ = 2,
+                             .estimate_ = Millis(200),
+                             .bestEffort_ = true };
+        const Reply reply =
+          world.Submit(i % 3, JobId(10 + i), plain, Millis(6000));
+        accepted += reply.state_ == "completed" ? 1 : 0;
+      });
+    }
+  });
+  world.Sleep(Millis(8000));
+  const int holder = world.Holder(task);
+  if (aTrouble && holder >= 0) {
+    world.Note("executor " + std::to_string(holder) + " is lost for good");
+    world.ExecutorAt(static_cast<unsigned>(holder)).Crash();
+  }
+  const MonoTime calmSince = MonoClock::now();
+  source.join();
+  const MonoTime trafficEnd = MonoClock::now();
+  for (std::thread& client : clients) {
+    client.join();
+  }
+  world.Sleep(Millis(2000));
+  world.NoteRuns(id);
+  MonoTime ended;
+  MonoTime next = MonoClock::now();
+  for (const RunRecord& run : world.RunList()) {
+    if (run.task_ == task && ended == MonoTime()) {
+      ended = run.ended_;
+    } else if (run.task_ == task) {
+      next = std::min(next, run.begun_);
+    }
+  }
+  const std::string answers = std::to_string(accepted) + " of " +
+                              std::to_string(sent) +
+                              " best-effort jobs were completed";
+  if (ended == MonoTime()) {
+    return Conclude(world, kHeld, "the task ran on; " + answers);
+  }
+  // LOST: from 6 s after the last run, 3 s without one, if these and the 4 s
+  // before them are calm; the traffic is the same all the while.
+  const MonoTime from =
+    std::max(ended + Millis(6000), calmSince + Millis(4000));
+  const bool broken = std::min(next, trafficEnd) >= from + Millis(3000);
+  return Conclude(world,
+                  broken ? kBroken : kHeld,
+                  "the task did not run from " +
+                    std::to_string(world.At(ended).count()) + " to " +
+                    std::to_string(world.At(next).count()) +
+                    " ms; LOST allows until " +
+                    std::to_string(world.At(from + Millis(3000)).count()) +
+                    " ms; " + answers);
+}
+
+} // namespace
+
+bool
+HasTrouble()
+{
+  const char* trouble = std::getenv("TROUBLE");
+  return trouble == nullptr || std::string(trouble) != "0";
+}
+
+int
+Play(const std::string& aName, bool aTrouble)
+{
+  if (aName == "lasting") {
+    return PlayLasting(aTrouble);
+  }
+  if (aName == "many") {
+    return PlayMany(aTrouble);
+  }
+  if (aName == "full") {
+    return PlayFull(aTrouble);
+  }
+  if (aName == "gangs") {
+    return PlayGangs(aTrouble);
+  }
+  if (aName == "takeover") {
+    return PlayTakeOver(aTrouble);
+  }
+  std::cerr << "no such case\n";
+  return kNotRun;
+}
+
+} // namespace review
