--- a/review/standins-3/cases.cpp
+++ b/review/standins-3/cases.cpp
@@ -24,56 +24,87 @@
   return aCode;
 }
 
-/// A job that lasts is handed in; the executor of one of its tasks crashes now
-/// and then.
+/// The first order of a stored task has no answer. Its executor restarts under
+/// its id while the task runs elsewhere, and carries that order out.
 int
-PlayLasting(bool aTrouble)
+PlayLateOrder(bool aTrouble)
 {
   World world({ .entries_ = 3, .sidecars_ = 8 });
   const std::string id = JobId(1);
   const std::string task = id + ".0.0.0";
-  constexpr unsigned kTasks = 4;
-  const JobSpec job{ .work_ = { .cpu_ = 3000, .lasts_ = true },
-                     .count_ = kTasks };
-  const auto running = [&] {
-    unsigned count = 0;
-    for (unsigned i = 0; i < kTasks; ++i) {
-      count += world.Holder(id + ".0.0." + std::to_string(i)) >= 0 ? 1 : 0;
+  constexpr Millis kDelay{ 20 };
+  const JobSpec job{ .work_ = { .length_ = Millis(6000), .failing_ = 1 },
+                     .estimate_ = Millis(6000) };
+  const JobSpec plain{ .work_ = { .length_ = Millis(50) },
+                       .count_ = 5,
+                       .estimate_ = Millis(50) };
+  for (unsigned i = 0; i < 8; ++i) {
+    world.Submit(i % 3, JobId(10 + i), plain);
+  }
+  if (aTrouble) {
+    for (unsigned i = 0; i < 8; ++i) {
+      world.ExecutorAt(i).LoseNextStart(task, kDelay);
     }
-    return count;
-  };
+  }
   if (world.Submit(0, id, job).status_ != 200) {
     return Conclude(world, kNotRun, "the job was not accepted");
   }
-  if (!world.WaitFor([&] { return running() == kTasks; }, Millis(10000))) {
-    return Conclude(world, kNotRun, "the tasks do not run");
-  }
-  for (int i = 0; i < 3 && aTrouble; ++i) {
-    world.Sleep(Millis(6000));
-    const int holder = world.Holder(task);
-    if (holder < 0) {
-      break;
+  unsigned first = 8;
+  if (aTrouble) {
+    world.WaitFor(
+      [&] {
+        for (unsigned i = 0; i < 8; ++i) {
+          first = world.ExecutorAt(i).HasLostStart() ? i : first;
+        }
+        return first < 8;
+      },
+      Millis(2000));
+    if (first == 8) {
+      return Conclude(world, kNotRun, "no order was lost");
+    }
+    for (unsigned i = 0; i < 8; ++i) {
+      world.ExecutorAt(i).LoseNextStart("", kDelay);
+    }
+    world.Note("executor " + std::to_string(first) +
+               " has left an order without an answer");
+    const bool elsewhere = world.WaitFor(
+      [&] {
+        const int holder = world.Holder(task);
+        return holder >= 0 && static_cast<unsigned>(holder) != first;
+      },
+      Millis(11000));
+    if (elsewhere) {
+      world.Sleep(Millis(500));
+      world.Note("executor " + std::to_string(first) + " goes dark");
+      world.ExecutorAt(first).GoDark();
+      world.Sleep(Millis(4000));
+      world.ExecutorAt(first).Start(true);
+      world.Note("executor " + std::to_string(first) +
+                 " starts again under its id");
     }
-    world.Note("executor " + std::to_string(holder) + " crashes");
-    world.ExecutorAt(static_cast<unsigned>(holder)).Crash();
-    world.Sleep(Millis(3000));
-    world.ExecutorAt(static_cast<unsigned>(holder)).Start();
-    world.Note("executor " + std::to_string(holder) + " is back");
-    world.Sleep(Millis(6000));
   }
-  world.Sleep(Millis(10000));
-  std::string states;
-  bool failed = false;
-  for (unsigned i = 0; i < 3; ++i) {
-    const Reply reply = world.Call(i, "GET", id);
-    states += " " + reply.state_;
-    failed |= reply.state_ == "failed";
+  world.WaitFor([&] { return world.Call(0, "GET", id).state_ == "completed"; },
+                Millis(30000));
+  world.NoteRuns();
+  Millis longest(0);
+  const auto runs = world.RunList();
+  for (const RunRecord& a : runs) {
+    for (const RunRecord& b : runs) {
+      if (&a < &b && a.task_ == task && b.task_ == task) {
+        const auto end = [](const RunRecord& aRun) {
+          return aRun.how_.empty() ? MonoClock::now() : aRun.ended_;
+        };
+        longest =
+          std::max(longest,
+                   std::chrono::duration_cast<Millis>(
+                     std::min(end(a), end(b)) - std::max(a.begun_, b.begun_)));
+      }
+    }
   }
-  world.NoteRuns(id);
-  const std::string text = std::to_string(running()) + " of " +
-                           std::to_string(kTasks) +
-                           " tasks run; states:" + states;
-  return Conclude(world, failed ? kBroken : kHeld, text);
+  return Conclude(world,
+                  longest > Millis(0) ? kBroken : kHeld,
+                  "two runs of the task overlap for " +
+                    std::to_string(longest.count()) + " ms");
 }
 
 /// Gangs that fit are handed in one after the other; for 4 s they come 1.8
@@ -333,8 +364,8 @@
 int
 Play(const std::string& aName, bool aTrouble)
 {
-  if (aName == "lasting") {
-    return PlayLasting(aTrouble);
+  if (aName == "lateorder") {
+    return PlayLateOrder(aTrouble);
   }
   if (aName == "many") {
     return PlayMany(aTrouble);
--- a/review/standins-3/executor.cpp
+++ b/review/standins-3/executor.cpp
@@ -2,12 +2,15 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <utility>
 
 namespace review {
 namespace {
 
 constexpr Millis kTick{ 5 };
 constexpr Millis kHeartbeatInterval{ 1500 };
+/// After the start of a later lifetime.
+constexpr Millis kFirstHeartbeat{ 500 };
 constexpr Millis kLongestLease{ 1000 };
 constexpr Millis kStopTime{ 30 };
 constexpr Millis kLastingStart{ 200 };
@@ -91,7 +94,9 @@
 void
 Executor::Start(bool aKeepsId)
 {
-  Crash();
+  if (!dark_) {
+    Crash();
+  }
   const std::lock_guard life(lifeMutex_);
   {
     const std::lock_guard lock(runs_.mutex_);
@@ -108,13 +113,45 @@
     ends_.clear();
     acknowledged_ = 0;
     used_.clear();
+    if (lostStart_ && aKeepsId) {
+      carryOutAt_ = start_ + lateDelay_;
+    }
+    dark_ = false;
+  }
+  if (server_ == nullptr) {
+    server_ = std::make_unique<cornelfront::HttpServer>(
+      cornelfront::HttpServerOptions{ .address_ = options_.address_,
+                                      .port_ = options_.port_ },
+      [this](const HttpRequest& aRequest, const HttpReply& aReply) {
+        Handle(aRequest, aReply);
+      });
+  }
+}
+
+void
+Executor::EndAllRuns()
+{
+  const MonoTime now = MonoClock::now();
+  for (const size_t index : mine_) {
+    RunRecord& run = runs_.list_[index];
+    if (run.how_.empty()) {
+      run.how_ = "crashed";
+      run.ended_ = now;
+    }
   }
-  server_ = std::make_unique<cornelfront::HttpServer>(
-    cornelfront::HttpServerOptions{ .address_ = options_.address_,
-                                    .port_ = options_.port_ },
-    [this](const HttpRequest& aRequest, const HttpReply& aReply) {
-      Handle(aRequest, aReply);
-    });
+  mine_.clear();
+}
+
+void
+Executor::GoDark()
+{
+  const std::lock_guard lock(runs_.mutex_);
+  EndAllRuns();
+  for (const Poll& poll : polls_) {
+    withheld_.push_back(poll.reply_);
+  }
+  polls_.clear();
+  dark_ = true;
 }
 
 void
@@ -123,19 +160,15 @@
   const std::lock_guard life(lifeMutex_);
   {
     const std::lock_guard lock(runs_.mutex_);
-    const MonoTime now = MonoClock::now();
-    for (const size_t index : mine_) {
-      RunRecord& run = runs_.list_[index];
-      if (run.how_.empty()) {
-        run.how_ = "crashed";
-        run.ended_ = now;
-      }
-    }
-    mine_.clear();
+    EndAllRuns();
     for (const Poll& poll : polls_) {
       poll.reply_.Close();
     }
     polls_.clear();
+    for (const HttpReply& reply : withheld_) {
+      reply.Close();
+    }
+    withheld_.clear();
   }
   server_.reset();
 }
@@ -172,6 +205,10 @@
 {
   const std::lock_guard lock(runs_.mutex_);
   const MonoTime now = MonoClock::now();
+  if (dark_) {
+    withheld_.push_back(aReply);
+    return;
+  }
   const Json body = Json::parse(aRequest.body_, nullptr, false);
   if (!body.is_object()) {
     aReply.Send(Answer(400));
@@ -181,6 +218,13 @@
     aReply.Send(Answer(421));
     return;
   }
+  if (aRequest.path_ == "/run-start" && !loseNext_.empty() &&
+      body.value("task", "") == loseNext_) {
+    loseNext_.clear();
+    lostStart_ = body;
+    withheld_.push_back(aReply);
+    return;
+  }
   const int64_t fence = body.value("fence", int64_t{ 0 });
   if (fence < fence_) {
     aReply.Send(Answer(409, "fence"));
@@ -307,11 +351,44 @@
   used = std::max(used, run.run_);
 }
 
+void
+Executor::LoseNextStart(std::string aTask, Millis aDelay)
+{
+  const std::lock_guard lock(runs_.mutex_);
+  loseNext_ = std::move(aTask);
+  lateDelay_ = aDelay;
+}
+
+bool
+Executor::HasLostStart() const
+{
+  const std::lock_guard lock(runs_.mutex_);
+  return lostStart_.has_value();
+}
+
+/// Carries out the order that had no answer, unless a call with a higher fence
+/// has come before.
+void
+Executor::CarryOutLate(MonoTime aNow)
+{
+  if (dark_ || !carryOutAt_ || aNow < *carryOutAt_) {
+    return;
+  }
+  carryOutAt_.reset();
+  const Json order = *std::exchange(lostStart_, std::nullopt);
+  const int64_t fence = order.value("fence", int64_t{ 0 });
+  if (fence >= fence_) {
+    fence_ = fence;
+    StartRun(order);
+  }
+}
+
 void
 Executor::Tick()
 {
   const std::lock_guard lock(runs_.mutex_);
   const MonoTime now = MonoClock::now();
+  CarryOutLate(now);
   for (const size_t index : std::vector<size_t>(mine_)) {
     const RunRecord run = runs_.list_[index];
     if (!run.how_.empty()) {
@@ -407,9 +484,13 @@
   int lifetime = 0;
   while (!ending_) {
     std::this_thread::sleep_for(Millis(20));
-    if (!IsUp() || (lifetime == lifetime_ && MonoClock::now() < next)) {
+    if (!IsUp() || dark_ ||
+        (lifetime == lifetime_ && MonoClock::now() < next)) {
       continue;
     }
+    if (lifetime != lifetime_ && lifetime != 0) {
+      std::this_thread::sleep_for(kFirstHeartbeat);
+    }
     Json body;
     std::string id;
     {
--- a/review/standins-3/executor.h
+++ b/review/standins-3/executor.h
@@ -95,8 +95,15 @@
   /// Ends the executor as a power loss of its process does: all runs end, all
   /// connections close, and its port refuses new ones.
   void Crash();
+  /// Ends the executor as a power loss of its machine does: all runs end, and
+  /// calls get no answer any more, on open connections and on new ones.
+  void GoDark();
   /// Starts the next lifetime, under another id unless \p aKeepsId.
   void Start(bool aKeepsId = false);
+  /// The next order to start a run of \p aTask gets no answer. It is carried
+  /// out later, \p aDelay after the next lifetime has begun.
+  void LoseNextStart(std::string aTask, Millis aDelay);
+  bool HasLostStart() const;
   bool IsUp() const { return server_ != nullptr; }
   std::string Id() const;
   const std::string& Name() const { return options_.name_; }
@@ -113,11 +120,13 @@
   HttpResponse StartRun(const Json& aBody);
   void StopRun(const Json& aBody);
   void Tick();
+  void CarryOutLate(MonoTime aNow);
   void EndRun(size_t aRun, const std::string& aHow, MonoTime aNow);
   void UpdateGang(size_t aRun, MonoTime aNow);
   void ExtendLease(const Json& aBody, MonoTime aNow);
   Json Lists(MonoTime aNow) const;
   void AnswerPolls(MonoTime aNow);
+  void EndAllRuns();
   void Beat();
   int64_t ClockMs(MonoTime aNow) const;
   int64_t CpuInUse() const;
@@ -142,6 +151,13 @@
   /// Highest run that was stopped or has ended, by task.
   std::map<std::string, int64_t> used_;
   std::vector<Poll> polls_;
+  /// Task of the order that is lost next; empty if none.
+  std::string loseNext_;
+  std::optional<Json> lostStart_;
+  std::vector<HttpReply> withheld_;
+  Millis lateDelay_{ 0 };
+  std::optional<MonoTime> carryOutAt_;
+  std::atomic<bool> dark_ = false;
   std::atomic<bool> ending_ = false;
   std::unique_ptr<cornelfront::HttpServer> server_;
   std::mutex lifeMutex_;
