--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -98,8 +98,8 @@
   std::vector<RunRecord> RunList();
   /// Returns the index of the executor that runs a task; -1 if none.
   int Holder(const std::string& aTask);
-  /// Returns the entry that leads, by the metrics that it shows; -1 if none.
-  int Leader();
+  /// True if the entry is ready to take jobs.
+  bool IsReady(unsigned aEntry) const;
   /// Writes all runs to record.txt.
   void NoteRuns(const std::string& aJob = "");
 
