--- a/review/standins-3/cases.cpp
+++ b/review/standins-3/cases.cpp
@@ -2,6 +2,7 @@
 
 #include "world.h"
 
+#include <cmath>
 #include <cstdlib>
 #include <iostream>
 #include <map>
@@ -24,6 +25,20 @@
   return aCode;
 }
 
+/// Writes to the record how many orders had no answer.
+void
+NoteOrders(World& aWorld, unsigned aExecutors)
+{
+  unsigned orders = 0;
+  unsigned lost = 0;
+  for (unsigned i = 0; i < aExecutors; ++i) {
+    orders += aWorld.ExecutorAt(i).Orders();
+    lost += aWorld.ExecutorAt(i).LostOrders();
+  }
+  aWorld.Note(std::to_string(lost) + " of " + std::to_string(orders) +
+              " orders so far had no answer");
+}
+
 /// Returns the longest time for which two runs of a task overlap; 0 if none do.
 Millis
 LongestOverlap(World& aWorld, const std::string& aTask)
@@ -89,6 +104,7 @@
     }
     world.Note("executor " + std::to_string(first) +
                " has left an order without an answer");
+    NoteOrders(world, 8);
     const bool elsewhere = world.WaitFor(
       [&] {
         const int holder = world.Holder(task);
@@ -115,8 +131,9 @@
                     std::to_string(overlap.count()) + " ms");
 }
 
-/// Everything loses power right after an order that had no answer. The job is
-/// handed in again, and the executor carries the order out when it is back.
+/// All entries and sidecars lose power right after an order had no answer. The
+/// job is handed in again, and the executor carries the order out when it is
+/// back.
 int
 PlayPowerLoss(bool aTrouble)
 {
@@ -173,10 +190,14 @@
       Millis(2000));
     setLoss("");
     world.Note("executor " + std::to_string(first) +
-               " has left an order without an answer; all lose power");
+               " has left an order without an answer and goes dark; all "
+               "entries and sidecars lose power");
+    NoteOrders(world, kMachines);
+    if (lost) {
+      world.ExecutorAt(first).GoDark();
+    }
     for (unsigned i = 0; i < kMachines; ++i) {
       world.KillSidecar(i);
-      world.ExecutorAt(i).GoDark();
     }
     for (unsigned i = 0; i < kEntries; ++i) {
       world.KillEntry(i);
@@ -188,9 +209,6 @@
     }
     for (unsigned i = 0; i < kMachines; ++i) {
       world.StartSidecar(i);
-      if (i != first) {
-        world.ExecutorAt(i).Start();
-      }
     }
     world.Note("power is back");
     std::this_thread::sleep_until(dark + Millis(4400));
@@ -228,13 +246,15 @@
   std::vector<std::string> accepted;
   for (unsigned i = 1; MonoClock::now() < end; ++i) {
     const MonoTime now = MonoClock::now();
-    const bool isBurst = aTrouble && now >= burst && now < burstEnd;
-    const double gap =
-      static_cast<double>(kInterval.count()) / (isBurst ? kBurst : 1.0);
+    // Rounded up, and the last short gap ends within the 4 s.
+    const Millis shortGap(static_cast<int64_t>(
+      std::ceil(static_cast<double>(kInterval.count()) / kBurst)));
+    const bool isBurst = aTrouble && now >= burst && now + shortGap <= burstEnd;
+    const Millis gap = isBurst ? shortGap : kInterval;
     if (world.Submit(i % 3, JobId(i), gang).status_ == 200) {
       accepted.push_back(JobId(i));
     }
-    std::this_thread::sleep_until(now + Millis(static_cast<int64_t>(gap)));
+    std::this_thread::sleep_until(now + gap);
   }
   world.Sleep(Millis(45000));
   unsigned open = 0;
--- a/review/standins-3/executor.cpp
+++ b/review/standins-3/executor.cpp
@@ -218,9 +218,11 @@
     aReply.Send(Answer(421));
     return;
   }
+  orders_ += aRequest.path_ == "/run-start" ? 1 : 0;
   if (aRequest.path_ == "/run-start" && !loseNext_.empty() &&
       body.value("task", "") == loseNext_) {
     loseNext_.clear();
+    ++lostOrders_;
     lostStart_ = body;
     withheld_.push_back(aReply);
     return;
@@ -366,6 +368,20 @@
   return lostStart_.has_value();
 }
 
+unsigned
+Executor::Orders() const
+{
+  const std::lock_guard lock(runs_.mutex_);
+  return orders_;
+}
+
+unsigned
+Executor::LostOrders() const
+{
+  const std::lock_guard lock(runs_.mutex_);
+  return lostOrders_;
+}
+
 /// Carries out the order that had no answer, unless a call with a higher fence
 /// has come before.
 void
--- a/review/standins-3/executor.h
+++ b/review/standins-3/executor.h
@@ -104,6 +104,9 @@
   /// out later, \p aDelay after the next lifetime has begun.
   void LoseNextStart(std::string aTask, Millis aDelay);
   bool HasLostStart() const;
+  /// Number of orders to start a run that have arrived, and that got no answer.
+  unsigned Orders() const;
+  unsigned LostOrders() const;
   bool IsUp() const { return server_ != nullptr; }
   std::string Id() const;
   const std::string& Name() const { return options_.name_; }
@@ -156,6 +159,8 @@
   std::optional<Json> lostStart_;
   std::vector<HttpReply> withheld_;
   Millis lateDelay_{ 0 };
+  unsigned orders_ = 0;
+  unsigned lostOrders_ = 0;
   std::optional<MonoTime> carryOutAt_;
   std::atomic<bool> dark_ = false;
   std::atomic<bool> ending_ = false;
